--- /dev/null
+++ b/bench/standins/fault_proxy.cpp
@@ -0,0 +1,229 @@
+// TCP proxy that injects faults into named routes: delay, cut, silence, and the loss of replies after N
+// bytes.
+//
+// fault-proxy --control PORT --route NAME:LISTENPORT:HOST:PORT ...
+// POST /routes/NAME?mode=pass|cut|silent[&delay_ms=N][&drop_reply_after=N]
+
+#include "flags.h"
+#include "http/http.h"
+
+#include <boost/asio.hpp>
+
+#include <atomic>
+#include <iostream>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace {
+
+using namespace yuccachute;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+enum class route_mode : int {
+    pass,
+    cut, ///< Close what is open and every new connection.
+    silent ///< Accept, keep and forward nothing: a network partition as TCP sees it.
+};
+
+struct route {
+    std::string name;
+    tcp::endpoint target;
+    std::unique_ptr<tcp::acceptor> acceptor;
+    std::atomic<route_mode> mode { route_mode::pass };
+    std::atomic<int> delayMs { 0 };
+    std::atomic<long> dropReplyAfter {
+        -1
+    }; ///< Connections are closed after so many reply bytes; -1 for never.
+    std::atomic<unsigned> epoch { 0 }; ///< Grows with each cut: connections of earlier epochs close.
+    std::atomic<std::uint64_t> bytes { 0 };
+    std::atomic<std::uint64_t> connections { 0 };
+};
+
+/// One forwarded connection. Both directions read, wait out the route's state, and write.
+class connection : public std::enable_shared_from_this<connection> {
+public:
+    connection(route& through, tcp::socket client)
+        : m_route(through)
+        , m_epoch(through.epoch)
+        , m_client(std::move(client))
+        , m_target(m_client.get_executor())
+    {
+    }
+
+    void start()
+    {
+        m_target.async_connect(m_route.target, [self = shared_from_this()](const auto& error) {
+            if (error)
+                return self->close();
+            self->m_client.set_option(tcp::no_delay(true));
+            self->m_target.set_option(tcp::no_delay(true));
+            self->pump(self->m_client, self->m_target, self->m_upward, false);
+            self->pump(self->m_target, self->m_client, self->m_downward, true);
+        });
+    }
+
+private:
+    using buffer = std::array<char, 16384>;
+
+    void pump(tcp::socket& from, tcp::socket& to, buffer& data, bool reply)
+    {
+        from.async_read_some(asio::buffer(data),
+            [self = shared_from_this(), &from, &to, &data, reply](const auto& error, std::size_t count) {
+                if (error)
+                    return self->close();
+                self->forward(from, to, data, count, reply);
+            });
+    }
+
+    void forward(tcp::socket& from, tcp::socket& to, buffer& data, std::size_t count, bool reply)
+    {
+        if (m_epoch != m_route.epoch)
+            return close();
+        const bool silent = m_route.mode == route_mode::silent;
+        const int delay = silent ? 50 : m_route.delayMs.load();
+        const auto timer
+            = std::make_shared<asio::steady_timer>(from.get_executor(), std::chrono::milliseconds(delay));
+        if (silent)
+            return timer->async_wait([self = shared_from_this(), timer, &from, &to, &data, count, reply](
+                                         const auto&) { self->forward(from, to, data, count, reply); });
+        if (delay > 0)
+            return timer->async_wait([self = shared_from_this(), timer, &from, &to, &data, count, reply](
+                                         const auto&) { self->write(from, to, data, count, reply); });
+        write(from, to, data, count, reply);
+    }
+
+    void write(tcp::socket& from, tcp::socket& to, buffer& data, std::size_t count, bool reply)
+    {
+        const long limit = m_route.dropReplyAfter;
+        if (reply && limit >= 0) {
+            const auto left = std::max(0L, limit - static_cast<long>(m_replied));
+            if (static_cast<long>(count) > left) {
+                boost::system::error_code ignored;
+                asio::write(to, asio::buffer(data.data(), static_cast<std::size_t>(left)), ignored);
+                return close();
+            }
+        }
+        m_replied += reply ? count : 0;
+        m_route.bytes += count;
+        asio::async_write(to, asio::buffer(data.data(), count),
+            [self = shared_from_this(), &from, &to, &data, reply](const auto& error, std::size_t) {
+                if (error)
+                    return self->close();
+                self->pump(from, to, data, reply);
+            });
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        m_client.close(ignored);
+        m_target.close(ignored);
+    }
+
+    route& m_route;
+    unsigned m_epoch;
+    tcp::socket m_client;
+    tcp::socket m_target;
+    buffer m_upward;
+    buffer m_downward;
+    std::size_t m_replied = 0;
+};
+
+/// Keeps the open connections so that a cut reaches idle ones, too.
+class proxy {
+public:
+    void addRoute(const std::string& text)
+    {
+        const auto first = text.find(':');
+        const auto second = text.find(':', first + 1);
+        const auto third = text.rfind(':');
+        auto added = std::make_unique<route>();
+        added->name = text.substr(0, first);
+        added->target = { asio::ip::make_address(text.substr(second + 1, third - second - 1)),
+            static_cast<unsigned short>(std::stoi(text.substr(third + 1))) };
+        added->acceptor = std::make_unique<tcp::acceptor>(m_context,
+            tcp::endpoint(asio::ip::address_v4::loopback(),
+                static_cast<unsigned short>(std::stoi(text.substr(first + 1, second - first - 1)))));
+        accept(*added);
+        m_routes[added->name] = std::move(added);
+    }
+
+    void run() { m_context.run(); }
+    void stop() { m_context.stop(); }
+
+    std::string control(const http_request& request)
+    {
+        constexpr std::string_view prefix = "/routes/";
+        const auto found = request.path.starts_with(prefix)
+            ? m_routes.find(request.path.substr(prefix.size()))
+            : m_routes.end();
+        if (found == m_routes.end())
+            return {};
+        auto& chosen = *found->second;
+        if (const auto value = queryParameter(request.query, "delay_ms"); !value.empty())
+            chosen.delayMs = std::stoi(value);
+        if (const auto value = queryParameter(request.query, "drop_reply_after"); !value.empty())
+            chosen.dropReplyAfter = std::stol(value);
+        if (const auto value = queryParameter(request.query, "mode"); !value.empty()) {
+            chosen.mode = value == "cut" ? route_mode::cut
+                : value == "silent"      ? route_mode::silent
+                                         : route_mode::pass;
+            if (value == "cut")
+                cutAll(chosen);
+        }
+        return "{\"bytes\":" + std::to_string(chosen.bytes)
+            + ",\"connections\":" + std::to_string(chosen.connections) + "}\n";
+    }
+
+private:
+    void accept(route& through)
+    {
+        through.acceptor->async_accept([this, &through](const auto& error, tcp::socket client) {
+            if (!error && through.mode != route_mode::cut) {
+                ++through.connections;
+                auto opened = std::make_shared<connection>(through, std::move(client));
+                opened->start();
+            }
+            accept(through);
+        });
+    }
+
+    void cutAll(route& through) { ++through.epoch; }
+
+    asio::io_context m_context;
+    std::map<std::string, std::unique_ptr<route>> m_routes;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto signals = standin::blockStopSignals();
+    TCLAP::CmdLine line("TCP proxy that injects faults", ' ', "1");
+    TCLAP::ValueArg<int> controlPort("", "control", "HTTP port for faults", false, 7200, "port", line);
+    TCLAP::MultiArg<std::string> routes("", "route", "NAME:LISTENPORT:HOST:PORT", true, "route", line);
+    line.parse(argc, argv);
+    try {
+        proxy forwarding;
+        for (const auto& text : routes.getValue())
+            forwarding.addRoute(text);
+        std::thread network([&] { forwarding.run(); });
+        http_server_options options;
+        options.port = static_cast<std::uint16_t>(controlPort.getValue());
+        http_server control(options, [&](const http_request& request, reply_sink& sink) {
+            const auto body = forwarding.control(request);
+            sink.send({ body.empty() ? 404u : 200u, { { "Content-Type", "application/json" } }, body });
+        });
+        standin::waitForStop(signals);
+        forwarding.stop();
+        network.join();
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/build.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# Builds and runs yuccachute. Usage: ./build.sh [build|test|demo [--keep]|measure|lint|format|clean]
+set -euo pipefail
+cd "$(dirname "$0")"
+
+out=out
+packages=(libcxxtools-dev libgrpc++-dev libprotobuf-dev libboost-dev libspdlog-dev libfmt-dev libtclap-dev catch2
+    nlohmann-json3-dev liburcu-dev libxxhash-dev libzstd-dev libssl-dev libinih-dev
+    ccache ninja-build cmake g++ pkg-config openssl curl gnuplot-nox clang-format clang-tidy)
+
+# Installs what is missing, from Debian's registry by name.
+install_packages() {
+    local missing=()
+    for package in "${packages[@]}"; do
+        dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
+    done
+    [ "${#missing[@]}" -eq 0 ] && return
+    echo "installing ${missing[*]}"
+    export DEBIAN_FRONTEND=noninteractive
+    apt-get update -q >/dev/null
+    apt-get install -y -q --no-install-recommends "${missing[@]}" >/dev/null
+}
+
+build() {
+    install_packages
+    cmake -S . -B "$out" -G Ninja >"$out.cmake.log" 2>&1 || { cat "$out.cmake.log"; exit 1; }
+    mv "$out.cmake.log" "$out/cmake.log"
+    ninja -C "$out" | tail -n 1
+}
+
+sources() {
+    git ls-files '*.cpp' '*.h' | grep -v '/generated/'
+}
+
+lint() {
+    sources | xargs clang-format --dry-run --Werror
+    # clang-tidy knows no -std=c++20 library that boost outcome needs less than this; generated code is left out.
+    sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$out" 2>/dev/null
+}
+
+case "${1:-build}" in
+build) build ;;
+test)
+    build
+    lint
+    (cd "$out" && ctest --output-on-failure --no-tests=error -j 4)
+    ;;
+demo)
+    build
+    shift
+    tools/demo.sh "$@"
+    ;;
+measure)
+    build
+    shift
+    bench/measure.sh "$@"
+    ;;
+lint)
+    build
+    lint
+    ;;
+format) sources | xargs clang-format -i ;;
+clean) rm -rf "$out" ;;
+*)
+    sed -n '2s/^# //p' "$0"
+    exit 2
+    ;;
+esac
--- /dev/null
+++ b/libs/admin/src/admin_api.cpp
@@ -0,0 +1,234 @@
+#include "admin/admin.h"
+
+#include "logging/logging.h"
+#include "settings_store/settings_store.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace yuccachute {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+http_reply jsonReply(unsigned status, const json& body)
+{
+    return { status, { { "Content-Type", "application/json" } },
+        body.dump(2, ' ', false, json::error_handler_t::replace) + "\n" };
+}
+
+http_reply failureReply(const failure& error)
+{
+    return { httpStatus(error.kind), { { "Content-Type", "application/json" } }, writeFailure(error, {}) };
+}
+
+bool hasOperators(const settings_tree& tree)
+{
+    return std::any_of(tree.nodes.begin(), tree.nodes.end(),
+        [](const auto& node) { return kindOfPath(node.first) == node_kind::operator_account; });
+}
+
+failure badEdit(std::size_t number, const std::string& problem)
+{
+    return notRun(failure_kind::bad_request, "edits[" + std::to_string(number) + "]: " + problem);
+}
+
+result<settings_edit> parseEdit(const json& document, std::size_t number)
+{
+    settings_edit edit;
+    if (!document.is_object() || !document.contains("path") || !document["path"].is_string())
+        return badEdit(number, "\"path\" must be a string");
+    edit.path = document["path"].get<std::string>();
+    for (const auto& [name, value] : document.items()) {
+        if (name == "set" && value.is_object()) {
+            for (const auto& [key, text] : value.items()) {
+                if (!text.is_string())
+                    return badEdit(number, "set." + key + " must be a string");
+                edit.set[key] = text.get<std::string>();
+            }
+        } else if (name == "unset" && value.is_array()) {
+            for (const auto& key : value) {
+                if (!key.is_string())
+                    return badEdit(number, "unset must hold strings");
+                edit.unset.push_back(key.get<std::string>());
+            }
+        } else if (name == "remove" && value.is_boolean()) {
+            edit.removeNode = value.get<bool>();
+        } else if (name == "base" && value.is_number_integer()) {
+            edit.base = value.get<std::int64_t>();
+        } else if (name != "path") {
+            return badEdit(number,
+                "\"" + name
+                    + "\" is unknown or of the wrong type; known are path, set, unset, remove and base");
+        }
+    }
+    return edit;
+}
+
+struct edit_request {
+    std::vector<settings_edit> edits;
+    std::string note;
+};
+
+result<edit_request> parseEdits(const std::string& body)
+{
+    const auto document = json::parse(body, nullptr, false);
+    if (!document.is_object() || !document.contains("edits") || !document["edits"].is_array())
+        return notRun(failure_kind::bad_request, "the body must be a JSON object with an array \"edits\"");
+    edit_request request;
+    if (const auto note = document.find("note"); note != document.end() && note->is_string())
+        request.note = note->get<std::string>();
+    for (const auto& edit : document["edits"]) {
+        BOOST_OUTCOME_TRY(parsed, parseEdit(edit, request.edits.size()));
+        request.edits.push_back(std::move(parsed));
+    }
+    if (request.edits.empty())
+        return notRun(failure_kind::bad_request, "\"edits\" is empty");
+    return request;
+}
+
+http_reply showSchema()
+{
+    json keys = json::array();
+    for (const auto& key : schema())
+        keys.push_back(
+            { { "key", key.name }, { "type", key.type }, { "default", key.fallback }, { "least", key.least },
+                { "most", key.most }, { "choices", key.choices }, { "meaning", key.meaning } });
+    return jsonReply(200, keys);
+}
+
+} // namespace
+
+admin_api::admin_api(config_store& store, const settings_cell& settings, member_source members)
+    : m_store(store)
+    , m_settings(settings)
+    , m_members(std::move(members))
+{
+}
+
+result<operator_account> admin_api::authorize(const http_request& request, const settings_tree& tree) const
+{
+    if (!hasOperators(tree))
+        return operator_account { "(first settings)", {} };
+    constexpr std::string_view scheme = "Bearer ";
+    const auto authorization = findHeader(request.headers, "Authorization");
+    const auto account = authorization.substr(0, scheme.size()) == scheme
+        ? findOperatorByToken(tree, authorization.substr(scheme.size()))
+        : std::nullopt;
+    if (!account)
+        return notRun(
+            failure_kind::unauthorized, "header Authorization: must be \"Bearer \" and an operator's token");
+    return *account;
+}
+
+http_reply admin_api::handle(const http_request& request)
+{
+    // Reads come from the store, so that an operator sees what is accepted; while it is down, from what is in
+    // force here, and the answer says so.
+    auto stored = readSettings(m_store);
+    const bool fromStore = stored.has_value();
+    const auto held = m_settings.current();
+    const settings_tree& tree = fromStore ? stored.value() : held->tree;
+    // Without any settings nobody can be told from an operator: nothing is allowed until the store answers.
+    if (!fromStore && tree.version == 0)
+        return failureReply(notRun(failure_kind::unavailable,
+            "the store does not answer and no settings are known yet", milliseconds { 2000 }));
+    const auto account = authorize(request, tree);
+    if (!account)
+        return failureReply(account.error());
+    http_reply reply;
+    if (request.path == "/admin/tree")
+        reply = { 200, { { "Content-Type", "text/plain" } }, writeIni(tree) };
+    else if (request.path == "/admin/node")
+        reply = showNode(tree, queryParameter(request.query, "path"));
+    else if (request.path == "/admin/edits" && request.method == "POST")
+        reply = edit(request, account.value(), true);
+    else if (request.path == "/admin/check" && request.method == "POST")
+        reply = edit(request, account.value(), false);
+    else if (request.path == "/admin/schema")
+        reply = showSchema();
+    else if (request.path == "/admin/status")
+        reply = showStatus(tree);
+    else if (request.path == "/admin/history") {
+        const auto most = std::atoi(queryParameter(request.query, "most").c_str());
+        const auto history = readHistory(m_store, most > 0 ? static_cast<std::size_t>(most) : 20);
+        if (!history)
+            return failureReply(history.error());
+        json entries = json::array();
+        for (const auto& entry : history.value())
+            entries.push_back(json::parse(entry));
+        reply = jsonReply(200, entries);
+    } else {
+        return failureReply(notRun(failure_kind::not_found, "no such path or method"));
+    }
+    reply.headers.emplace_back("X-Settings-Version", std::to_string(tree.version));
+    reply.headers.emplace_back(
+        "X-Settings-Source", fromStore ? "store" : "in force here; the store does not answer");
+    return reply;
+}
+
+http_reply admin_api::edit(const http_request& request, const operator_account& account, bool accept)
+{
+    const auto parsed = parseEdits(request.body);
+    if (!parsed)
+        return failureReply(parsed.error());
+    for (const auto& edit : parsed.value().edits) {
+        if (!scopeCovers(account.scope, edit.path))
+            return failureReply(notRun(failure_kind::forbidden,
+                '[' + edit.path + "]: operator " + account.name + " may edit only [" + account.scope
+                    + "] and below"));
+    }
+    if (!accept) {
+        const auto tree = readSettings(m_store);
+        if (!tree)
+            return failureReply(tree.error());
+        const auto checked = applyEdits(tree.value(), parsed.value().edits);
+        return checked ? http_reply { 200, { { "Content-Type", "text/plain" } }, writeIni(checked.value()) }
+                       : failureReply(checked.error());
+    }
+    const auto accepted = commitEdits(
+        m_store, parsed.value().edits, { account.name, parsed.value().note }, randomId(), wallClockMs());
+    if (!accepted)
+        return failureReply(accepted.error());
+    logEvent(log_level::info, "edit accepted",
+        { { "operator", account.name }, { "version", accepted.value().version },
+            { "first_path", parsed.value().edits.front().path } });
+    return jsonReply(200, { { "version", accepted.value().version } });
+}
+
+http_reply admin_api::showNode(const settings_tree& tree, const std::string& path) const
+{
+    const auto kind = kindOfPath(path);
+    if (!kind)
+        return failureReply(notRun(
+            failure_kind::bad_request, "query parameter path: \"" + path + "\" is not a path of the tree"));
+    const auto found = tree.nodes.find(path);
+    json body { { "path", path }, { "revision", found == tree.nodes.end() ? 0 : found->second.revision },
+        { "values", json::object() }, { "effective", json::object() } };
+    if (found != tree.nodes.end())
+        body["values"] = found->second.values;
+    for (const auto& key : schema()) {
+        if (!(key.kinds & static_cast<std::uint8_t>(*kind)))
+            continue;
+        const auto effective = resolveKey(tree, path, key.name);
+        body["effective"][std::string(key.name)]
+            = { { "value", effective.value }, { "from", effective.source } };
+    }
+    return jsonReply(200, body);
+}
+
+http_reply admin_api::showStatus(const settings_tree& tree) const
+{
+    json body { { "version", tree.version }, { "members", json::array() } };
+    for (const auto& member : m_members()) {
+        body["members"].push_back(
+            { { "vm", member.vm }, { "zone", member.zone }, { "settings_version", member.settingsVersion },
+                { "in_force", member.settingsVersion >= tree.version },
+                { "batch", !member.batchAddress.empty() }, { "admin", !member.adminAddress.empty() } });
+    }
+    return jsonReply(200, body);
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -0,0 +1,378 @@
+#pragma once
+
+#include "verdict/verdict.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+/// Who may send what to which target, and when: queues, fairness, bulk policy, health of targets, budgets.
+/// Layer: coordination. Pure decisions: no I/O, no clock, not thread-safe.
+namespace yuccachute {
+
+enum class work_class : std::uint8_t { live, bulk };
+
+std::string_view toString(work_class workClass);
+
+// --- What goes in and out of a target group
+// ------------------------------------------------------------------
+
+/// Asks for a place at one of the group's targets.
+struct grant_ask {
+    std::uint64_t holder = 0; ///< Session that asks; all its asks go when it goes.
+    std::uint64_t id = 0; ///< Unique within the holder.
+    std::string customer;
+    work_class workClass = work_class::live;
+    double weight = 1;
+    unsigned queueLimit = 1000; ///< Asks of this customer that may wait.
+    double cost = 1; ///< Tokens expected, prompt and answer; the unit of fairness.
+    std::vector<std::uint64_t> prefixes; ///< Chained hashes of the prompt's leading blocks.
+    std::string avoid; ///< Target that has just failed this request; taken only if there is no other.
+    steady_time deadline; ///< Latest useful time of a grant.
+    steady_time due; ///< Bulk only: when the job is due.
+};
+
+/// A place at a target. The holder talks to the target itself and releases the grant afterwards.
+struct grant_given {
+    std::uint64_t holder = 0;
+    std::uint64_t askId = 0;
+    std::uint64_t grantId = 0;
+    std::string target;
+    std::string address;
+    milliseconds waited { 0 };
+};
+
+struct grant_refused {
+    std::uint64_t holder = 0;
+    std::uint64_t askId = 0;
+    failure reason; ///< Always not_run.
+};
+
+/// Tells the holder of a bulk grant to stop its item at once; it still releases the grant.
+struct grant_revoked {
+    std::uint64_t holder = 0;
+    std::uint64_t grantId = 0;
+};
+
+using decision = std::variant<grant_given, grant_refused, grant_revoked>;
+
+enum class grant_outcome : std::uint8_t {
+    ok,
+    refused, ///< The target refused before running: it is full or leaving.
+    failed, ///< The target could not be reached, broke off or answered wrongly.
+    abandoned ///< The caller or the dispatcher gave up; says nothing about the target.
+};
+
+struct grant_release {
+    std::uint64_t grantId = 0;
+    grant_outcome outcome = grant_outcome::ok;
+    milliseconds firstToken { 0 }; ///< From send to first token; zero if unknown.
+    double tokens = 0;
+};
+
+/// A target as the settings describe it.
+struct target_description {
+    std::string name;
+    std::string address;
+    unsigned slots = 8;
+    bool drain = false;
+};
+
+/// What a target reports of itself. It lags behind.
+struct load_report {
+    unsigned running = 0;
+    unsigned queued = 0;
+    unsigned slots = 0; ///< 0: not told.
+    double memoryUsed = 0; ///< Share of KV memory in use, from 0 to 1.
+    bool leaving = false;
+};
+
+// --- Policies for bulk work
+// ----------------------------------------------------------------------------------
+
+/// No bulk work at all.
+struct no_bulk { };
+
+/// Baseline: every ask is granted on arrival, live and bulk alike; the targets' own queues decide.
+struct unlimited_bulk { };
+
+/// Baseline: a fixed number of items per target.
+struct fixed_bulk {
+    unsigned window = 4;
+};
+
+/// Bulk work fills measured slack only: free slots less a reserve for the live surge, within a window that
+/// grows additively while live requests are well and is halved when they are not.
+struct adaptive_bulk {
+    double reserve = 0.1; ///< Least share of all slots kept free for live arrivals.
+    milliseconds firstTokenObjective { 610 };
+    milliseconds longestLiveWait { 10 }; ///< A live request that waited longer counts as harm.
+};
+
+using bulk_policy = std::variant<no_bulk, unlimited_bulk, fixed_bulk, adaptive_bulk>;
+
+/// What a policy decides from.
+struct bulk_situation {
+    unsigned slots = 0; ///< Of all usable targets together.
+    unsigned live = 0; ///< Live requests running.
+    unsigned recentLivePeak = 0; ///< Most live requests at once lately.
+    unsigned targets = 0;
+    unsigned liveWaiting = 0;
+    double window = 1; ///< Share of the slots that bulk may use at most, moved by adaptation.
+};
+
+/// Most bulk items that may run in the group in this situation.
+unsigned bulkAllowance(const bulk_policy& policy, const bulk_situation& situation);
+
+/// Moves the adaptive window after one interval. Harm is a live request that waited or got its first token
+/// late.
+double adaptWindow(double window, bool liveHarmed, bool windowWasFull);
+
+// --- Health of one target
+// ------------------------------------------------------------------------------------
+
+/// Gradual ejection and probing. A target that fails repeatedly gets nothing for a while that doubles with
+/// each failed probe, then one request at a time until it has proved itself.
+class target_health {
+public:
+    enum class state : std::uint8_t { healthy, ejected, probing };
+
+    void succeeded(steady_time now);
+    void failed(steady_time now);
+    state at(steady_time now) const;
+    unsigned consecutiveFailures() const { return m_failures; }
+
+private:
+    unsigned m_failures = 0;
+    unsigned m_probesPassed = 0;
+    unsigned m_ejections = 0;
+    bool m_ejected = false;
+    steady_time m_until;
+};
+
+// --- Waiting asks
+// --------------------------------------------------------------------------------------------
+
+/// Start-time fair queueing over customers, work-conserving: a customer may use all that is idle, and one
+/// with a long backlog delays another by no more than its share.
+class fair_queue {
+public:
+    enum class order : std::uint8_t {
+        fair,
+        arrival ///< Baseline: first in, first out.
+    };
+
+    explicit fair_queue(order queueOrder = order::fair)
+        : m_order(queueOrder)
+    {
+    }
+
+    void push(grant_ask ask, steady_time now);
+    bool empty() const { return m_size == 0; }
+    std::size_t size() const { return m_size; }
+    std::size_t sizeOf(std::string_view customer) const;
+
+    /// Share of the service that a customer gets now, between 0 and 1, if it joins.
+    double shareOf(std::string_view customer, double weight) const;
+
+    /// The next ask in order, or null.
+    const grant_ask* front() const;
+    /// Removes the next ask and returns it with the time for which it waited.
+    std::pair<grant_ask, steady_time> pop();
+
+    /// Removes and returns asks past their deadline.
+    std::vector<grant_ask> takeExpired(steady_time now);
+    bool remove(std::uint64_t holder, std::uint64_t id);
+    void removeHolder(std::uint64_t holder);
+
+private:
+    struct waiting {
+        grant_ask ask;
+        double start = 0;
+        std::uint64_t arrival = 0;
+        steady_time since;
+    };
+    struct backlog {
+        std::deque<waiting> asks;
+        double lastFinish = 0;
+        double weight = 1;
+    };
+
+    const backlog* next() const;
+    template <typename Predicate> std::vector<grant_ask> takeIf(Predicate predicate);
+
+    order m_order;
+    std::map<std::string, backlog, std::less<>> m_customers;
+    double m_virtualTime = 0;
+    std::uint64_t m_arrivals = 0;
+    std::size_t m_size = 0;
+};
+
+// --- Prefix affinity
+// -----------------------------------------------------------------------------------------
+
+/// Where prompt prefixes were sent lately. Hints only: a target may have dropped the prefix since.
+class prefix_index {
+public:
+    explicit prefix_index(
+        std::size_t capacity = 16384, std::chrono::seconds maxAge = std::chrono::seconds { 600 })
+        : m_capacity(capacity)
+        , m_maxAge(maxAge)
+    {
+    }
+
+    void record(std::span<const std::uint64_t> prefixes, std::string_view target, steady_time now);
+    /// How many leading blocks the target probably holds.
+    std::size_t matched(
+        std::span<const std::uint64_t> prefixes, std::string_view target, steady_time now) const;
+    void forgetTarget(std::string_view target);
+
+private:
+    struct hint {
+        std::vector<std::string> targets;
+        steady_time seen;
+    };
+    std::size_t m_capacity;
+    std::chrono::seconds m_maxAge;
+    std::unordered_map<std::uint64_t, hint> m_hints;
+    std::deque<std::uint64_t> m_oldest;
+};
+
+/// Chained hashes of the leading blocks of a prompt: equal hashes mean equal text up to there.
+std::vector<std::uint64_t> prefixHashes(std::string_view prompt);
+
+// --- Budgets
+// -------------------------------------------------------------------------------------------------
+
+/// Limits a rate. One bucket holds a second's worth.
+class rate_budget {
+public:
+    /// Returns zero and takes the amount, or the time after which it would be there. A rate of 0 is no limit.
+    milliseconds take(double amount, double perSecond, steady_time now);
+
+private:
+    double m_level = 0;
+    bool m_started = false;
+    steady_time m_last;
+};
+
+/// Retries as a share of recent requests, so that they cannot multiply an outage. A few are always possible.
+class retry_budget {
+public:
+    void countRequest(double share);
+    bool takeRetry();
+
+private:
+    static constexpr double most = 20;
+    double m_level = 5;
+};
+
+// --- A target group
+// ------------------------------------------------------------------------------------------
+
+struct group_options {
+    bulk_policy policy = adaptive_bulk {};
+    fair_queue::order order = fair_queue::order::fair;
+};
+
+/// Figures of a group for reports.
+struct group_summary {
+    unsigned targets = 0;
+    unsigned usableTargets = 0;
+    unsigned slots = 0;
+    unsigned live = 0;
+    unsigned bulk = 0;
+    std::size_t liveWaiting = 0;
+    std::size_t bulkWaiting = 0;
+    double bulkWindow = 0;
+};
+
+/// The one queue with priorities before the targets of one service in one availability zone, because the
+/// targets know no priorities and admit in arrival order.
+class target_group {
+public:
+    explicit target_group(group_options options);
+
+    void setOptions(group_options options);
+    void setTargets(std::span<const target_description> targets, steady_time now);
+    void ask(grant_ask ask, steady_time now);
+    void withdraw(std::uint64_t holder, std::uint64_t askId, steady_time now);
+    void release(const grant_release& release, steady_time now);
+    void report(std::string_view target, const load_report& report, steady_time now);
+    /// The target did not answer when asked for its load.
+    void reportUnreachable(std::string_view target, steady_time now);
+    /// The holder's connection is gone: its asks go, its grants stay until they lapse, because the target may
+    /// still be working on them.
+    void dropHolder(std::uint64_t holder, steady_time now);
+    /// To be called every 20 ms or so.
+    void tick(steady_time now);
+
+    /// Decisions since the last call, in order.
+    std::vector<decision> takeDecisions();
+    group_summary summary(steady_time now) const;
+
+private:
+    struct target_state {
+        target_description description;
+        target_health health;
+        load_report lastReport;
+        steady_time reportTime;
+        unsigned grantsAtReport = 0;
+        unsigned live = 0;
+        unsigned bulk = 0;
+        double firstTokenMs = 0; ///< Moving average.
+    };
+    struct grant_record {
+        grant_ask ask;
+        std::string target;
+        steady_time since;
+        steady_time lapses;
+        bool revoked = false;
+    };
+
+    bool usable(const target_state& target, steady_time now) const;
+    unsigned slotsOf(const target_state& target, steady_time now) const;
+    unsigned foreignWork(const target_state& target, steady_time now) const;
+    unsigned freeSlots(const target_state& target, steady_time now) const;
+    target_state* chooseTarget(const grant_ask& ask, bool needFreeSlot, steady_time now);
+    bool refuseHopeless(const grant_ask& ask, steady_time now);
+    milliseconds expectedWait(const grant_ask& ask, steady_time now) const;
+    bulk_situation situation(steady_time now) const;
+    void give(grant_ask ask, target_state& target, steady_time since, steady_time now);
+    void pump(steady_time now);
+    bool pumpLive(steady_time now);
+    bool pumpBulk(steady_time now);
+    void revokeForLive();
+    void forgetGrant(std::uint64_t grantId);
+    void adapt(steady_time now);
+    void refuse(const grant_ask& ask, failure reason);
+
+    group_options m_options;
+    std::map<std::string, target_state, std::less<>> m_targets;
+    fair_queue m_live;
+    fair_queue m_bulk;
+    std::map<std::uint64_t, grant_record> m_grants;
+    prefix_index m_prefixes;
+    std::vector<decision> m_decisions;
+    std::uint64_t m_nextGrant = 1;
+    double m_serviceTimeMs = 0; ///< Moving average of how long live grants are held.
+    double m_window = 0.25;
+    bool m_liveHarmed = false;
+    bool m_windowFull = false;
+    steady_time m_nextAdaptation;
+    std::deque<std::pair<steady_time, unsigned>> m_livePeaks;
+};
+
+/// A group's name: service, zone and number. Groups hold at most 8 targets.
+std::string groupName(std::string_view service, std::string_view zone, std::size_t number);
+constexpr std::size_t targetsPerGroup = 8;
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/dispatch/src/target_group.cpp
@@ -0,0 +1,436 @@
+#include "dispatch/dispatch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccachute {
+
+namespace {
+
+constexpr milliseconds reportMaxAge { 5000 };
+constexpr milliseconds grantGrace { 2000 };
+constexpr milliseconds adaptationInterval { 100 };
+constexpr milliseconds peakMemory { 5000 };
+constexpr milliseconds leastRetryAfter { 1000 };
+constexpr milliseconds unavailableRetryAfter { 2000 };
+constexpr double affinityWeight = 0.6;
+constexpr double avoidPenalty = 10;
+constexpr double averageKeep = 0.9;
+constexpr double memoryFull = 0.98;
+
+double elapsedMs(steady_time from, steady_time to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+double movingAverage(double average, double value)
+{
+    return average == 0 ? value : averageKeep * average + (1 - averageKeep) * value;
+}
+
+} // namespace
+
+target_group::target_group(group_options options)
+    : m_options(std::move(options))
+    , m_live(m_options.order)
+    , m_bulk(m_options.order)
+{
+}
+
+void target_group::setOptions(group_options options)
+{
+    m_options.policy = options.policy;
+    if (options.order == m_options.order)
+        return;
+    m_options.order = options.order;
+    // The waiting asks keep their places only within a queue of their own order.
+    fair_queue live(options.order);
+    fair_queue bulk(options.order);
+    for (; !m_live.empty();) {
+        auto [ask, since] = m_live.pop();
+        live.push(std::move(ask), since);
+    }
+    for (; !m_bulk.empty();) {
+        auto [ask, since] = m_bulk.pop();
+        bulk.push(std::move(ask), since);
+    }
+    m_live = std::move(live);
+    m_bulk = std::move(bulk);
+}
+
+void target_group::setTargets(std::span<const target_description> targets, steady_time now)
+{
+    std::map<std::string, target_state, std::less<>> updated;
+    for (const auto& description : targets) {
+        const auto known = m_targets.find(description.name);
+        // The same name at another address is another machine: its health and counts start anew.
+        const bool same
+            = known != m_targets.end() && known->second.description.address == description.address;
+        auto& target = updated[description.name];
+        if (same)
+            target = std::move(known->second);
+        target.description = description;
+    }
+    for (const auto& [name, target] : m_targets) {
+        if (!updated.contains(name))
+            m_prefixes.forgetTarget(name);
+    }
+    m_targets = std::move(updated);
+    pump(now);
+}
+
+bool target_group::usable(const target_state& target, steady_time now) const
+{
+    if (target.description.drain || target.health.at(now) == target_health::state::ejected)
+        return false;
+    const bool fresh = now - target.reportTime < reportMaxAge;
+    return !(fresh && target.lastReport.leaving);
+}
+
+unsigned target_group::slotsOf(const target_state& target, steady_time now) const
+{
+    if (target.health.at(now) == target_health::state::probing)
+        return 1;
+    const bool fresh = now - target.reportTime < reportMaxAge;
+    if (fresh && target.lastReport.slots > 0)
+        return std::min(target.lastReport.slots, target.description.slots);
+    return target.description.slots;
+}
+
+/// Work that others have sent past this dispatcher: what the target reported beyond the grants that were out
+/// at the time of the report.
+unsigned target_group::foreignWork(const target_state& target, steady_time now) const
+{
+    if (now - target.reportTime >= reportMaxAge)
+        return 0;
+    const unsigned reported = target.lastReport.running + target.lastReport.queued;
+    return reported > target.grantsAtReport ? reported - target.grantsAtReport : 0;
+}
+
+unsigned target_group::freeSlots(const target_state& target, steady_time now) const
+{
+    const unsigned used = target.live + target.bulk + foreignWork(target, now);
+    const unsigned slots = slotsOf(target, now);
+    return used < slots ? slots - used : 0;
+}
+
+target_group::target_state* target_group::chooseTarget(
+    const grant_ask& ask, bool needFreeSlot, steady_time now)
+{
+    target_state* best = nullptr;
+    double bestCost = 0;
+    for (auto& [name, target] : m_targets) {
+        if (!usable(target, now) || (needFreeSlot && freeSlots(target, now) == 0))
+            continue;
+        const double load = static_cast<double>(target.live + target.bulk + foreignWork(target, now))
+            / slotsOf(target, now);
+        const double hit = ask.prefixes.empty()
+            ? 0
+            : static_cast<double>(m_prefixes.matched(ask.prefixes, name, now))
+                / static_cast<double>(ask.prefixes.size());
+        const double full = target.lastReport.memoryUsed > memoryFull ? 1 : 0;
+        const double cost = load - affinityWeight * hit + full + (name == ask.avoid ? avoidPenalty : 0);
+        if (!best || cost < bestCost) {
+            best = &target;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+milliseconds target_group::expectedWait(const grant_ask& ask, steady_time now) const
+{
+    unsigned slots = 0;
+    for (const auto& [name, target] : m_targets)
+        slots += usable(target, now) ? slotsOf(target, now) : 0;
+    if (slots == 0)
+        return unavailableRetryAfter;
+    const double ahead = static_cast<double>(
+        m_options.order == fair_queue::order::fair ? m_live.sizeOf(ask.customer) : m_live.size());
+    const double share
+        = m_options.order == fair_queue::order::fair ? m_live.shareOf(ask.customer, ask.weight) : 1;
+    return milliseconds { std::llround(ahead * m_serviceTimeMs / slots / share) };
+}
+
+void target_group::refuse(const grant_ask& ask, failure reason)
+{
+    m_decisions.emplace_back(grant_refused { ask.holder, ask.id, std::move(reason) });
+}
+
+/// A request that cannot be served in time is told so at once, and when to come back.
+bool target_group::refuseHopeless(const grant_ask& ask, steady_time now)
+{
+    const bool anyUsable = std::any_of(
+        m_targets.begin(), m_targets.end(), [&](const auto& entry) { return usable(entry.second, now); });
+    if (!anyUsable) {
+        refuse(ask,
+            notRun(failure_kind::unavailable, "no target of this service can be used now",
+                unavailableRetryAfter));
+        return true;
+    }
+    if (ask.workClass == work_class::bulk)
+        return false;
+    const auto wait = expectedWait(ask, now);
+    if (m_live.sizeOf(ask.customer) >= ask.queueLimit) {
+        refuse(ask,
+            notRun(failure_kind::overloaded, "too many requests of this customer are waiting",
+                std::max(wait, leastRetryAfter)));
+        return true;
+    }
+    if (now + wait > ask.deadline) {
+        refuse(ask,
+            notRun(failure_kind::overloaded, "the queue is longer than the request's timeout",
+                std::max(wait, leastRetryAfter)));
+        return true;
+    }
+    return false;
+}
+
+void target_group::ask(grant_ask ask, steady_time now)
+{
+    if (refuseHopeless(ask, now))
+        return;
+    if (std::holds_alternative<unlimited_bulk>(m_options.policy)) {
+        if (auto* target = chooseTarget(ask, false, now))
+            give(std::move(ask), *target, now, now);
+        return;
+    }
+    auto& queue = ask.workClass == work_class::live ? m_live : m_bulk;
+    queue.push(std::move(ask), now);
+    pump(now);
+}
+
+void target_group::give(grant_ask ask, target_state& target, steady_time since, steady_time now)
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(now - since);
+    (ask.workClass == work_class::live ? target.live : target.bulk) += 1;
+    m_prefixes.record(ask.prefixes, target.description.name, now);
+    const auto id = m_nextGrant++;
+    m_decisions.emplace_back(
+        grant_given { ask.holder, ask.id, id, target.description.name, target.description.address, waited });
+    if (ask.workClass == work_class::live) {
+        if (const auto* adaptive = std::get_if<adaptive_bulk>(&m_options.policy))
+            m_liveHarmed = m_liveHarmed || waited > adaptive->longestLiveWait;
+    }
+    const auto lapses = ask.deadline + grantGrace;
+    m_grants.emplace(id, grant_record { std::move(ask), target.description.name, now, lapses, false });
+}
+
+bulk_situation target_group::situation(steady_time now) const
+{
+    bulk_situation situation;
+    for (const auto& [name, target] : m_targets) {
+        if (!usable(target, now))
+            continue;
+        situation.slots += slotsOf(target, now);
+        situation.live += target.live + foreignWork(target, now);
+        ++situation.targets;
+    }
+    situation.liveWaiting = static_cast<unsigned>(m_live.size());
+    for (const auto& [time, peak] : m_livePeaks)
+        situation.recentLivePeak = std::max(situation.recentLivePeak, peak);
+    situation.window = m_window;
+    return situation;
+}
+
+bool target_group::pumpLive(steady_time now)
+{
+    const auto* next = m_live.front();
+    if (!next)
+        return false;
+    auto* target = chooseTarget(*next, true, now);
+    if (!target)
+        return false;
+    auto [ask, since] = m_live.pop();
+    give(std::move(ask), *target, since, now);
+    return true;
+}
+
+bool target_group::pumpBulk(steady_time now)
+{
+    const auto* next = m_bulk.front();
+    if (!next || !m_live.empty())
+        return false;
+    unsigned running = 0;
+    for (const auto& [name, target] : m_targets)
+        running += target.bulk;
+    const auto current = situation(now);
+    const auto allowed = bulkAllowance(m_options.policy, current);
+    if (running >= allowed) {
+        // Only a window that held work back may grow: an idle one proves nothing.
+        m_windowFull = m_windowFull || current.live + running < current.slots;
+        return false;
+    }
+    auto* target = chooseTarget(*next, !std::holds_alternative<unlimited_bulk>(m_options.policy), now);
+    if (!target)
+        return false;
+    auto [ask, since] = m_bulk.pop();
+    give(std::move(ask), *target, since, now);
+    return true;
+}
+
+/// Makes room for waiting live requests: as many bulk grants are revoked as live requests wait, those that
+/// began last first, because they lose the least progress.
+void target_group::revokeForLive()
+{
+    if (!std::holds_alternative<adaptive_bulk>(m_options.policy) || m_live.empty())
+        return;
+    std::size_t coming = 0;
+    for (const auto& [id, grant] : m_grants)
+        coming += grant.revoked ? 1 : 0;
+    for (auto grant = m_grants.rbegin(); grant != m_grants.rend() && coming < m_live.size(); ++grant) {
+        auto& record = grant->second;
+        if (record.revoked || record.ask.workClass != work_class::bulk)
+            continue;
+        record.revoked = true;
+        ++coming;
+        m_liveHarmed = true;
+        m_decisions.emplace_back(grant_revoked { record.ask.holder, grant->first });
+    }
+}
+
+void target_group::pump(steady_time now)
+{
+    while (pumpLive(now)) { }
+    revokeForLive();
+    while (pumpBulk(now)) { }
+    unsigned live = 0;
+    for (const auto& [name, target] : m_targets)
+        live += target.live;
+    if (m_livePeaks.empty() || now - m_livePeaks.back().first > adaptationInterval)
+        m_livePeaks.emplace_back(now, live);
+    else
+        m_livePeaks.back().second = std::max(m_livePeaks.back().second, live);
+    while (now - m_livePeaks.front().first > peakMemory)
+        m_livePeaks.pop_front();
+}
+
+void target_group::withdraw(std::uint64_t holder, std::uint64_t askId, steady_time now)
+{
+    if (!m_live.remove(holder, askId))
+        m_bulk.remove(holder, askId);
+    pump(now);
+}
+
+void target_group::forgetGrant(std::uint64_t grantId)
+{
+    const auto found = m_grants.find(grantId);
+    if (found == m_grants.end())
+        return;
+    const auto target = m_targets.find(found->second.target);
+    if (target != m_targets.end()) {
+        auto& count
+            = found->second.ask.workClass == work_class::live ? target->second.live : target->second.bulk;
+        count -= count > 0 ? 1 : 0;
+    }
+    m_grants.erase(found);
+}
+
+void target_group::release(const grant_release& release, steady_time now)
+{
+    const auto found = m_grants.find(release.grantId);
+    if (found == m_grants.end())
+        return; // It has lapsed, or was given by an earlier dispatcher of this group.
+    const auto& grant = found->second;
+    const bool live = grant.ask.workClass == work_class::live;
+    if (const auto target = m_targets.find(grant.target); target != m_targets.end()) {
+        auto& state = target->second;
+        if (release.outcome == grant_outcome::ok)
+            state.health.succeeded(now);
+        if (release.outcome == grant_outcome::failed)
+            state.health.failed(now);
+        if (release.firstToken.count() > 0)
+            state.firstTokenMs
+                = movingAverage(state.firstTokenMs, static_cast<double>(release.firstToken.count()));
+    }
+    if (live && release.outcome == grant_outcome::ok)
+        m_serviceTimeMs = movingAverage(m_serviceTimeMs, elapsedMs(grant.since, now));
+    if (const auto* adaptive = std::get_if<adaptive_bulk>(&m_options.policy))
+        m_liveHarmed = m_liveHarmed || (live && release.firstToken > adaptive->firstTokenObjective);
+    forgetGrant(release.grantId);
+    pump(now);
+}
+
+void target_group::report(std::string_view target, const load_report& report, steady_time now)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    auto& state = found->second;
+    state.lastReport = report;
+    state.reportTime = now;
+    state.grantsAtReport = state.live + state.bulk;
+    pump(now);
+}
+
+void target_group::reportUnreachable(std::string_view target, steady_time now)
+{
+    if (const auto found = m_targets.find(target); found != m_targets.end())
+        found->second.health.failed(now);
+}
+
+void target_group::dropHolder(std::uint64_t holder, steady_time now)
+{
+    m_live.removeHolder(holder);
+    m_bulk.removeHolder(holder);
+    // Bulk items of a lost holder may still run until the target notices; their places come back soon.
+    for (auto& [id, grant] : m_grants) {
+        if (grant.ask.holder == holder)
+            grant.lapses = std::min(grant.lapses, now + grantGrace);
+    }
+    pump(now);
+}
+
+void target_group::adapt(steady_time now)
+{
+    if (now < m_nextAdaptation)
+        return;
+    m_nextAdaptation = now + adaptationInterval;
+    m_window = adaptWindow(m_window, m_liveHarmed, m_windowFull);
+    m_liveHarmed = false;
+    m_windowFull = false;
+}
+
+void target_group::tick(steady_time now)
+{
+    for (const auto& ask : m_live.takeExpired(now))
+        refuse(ask,
+            notRun(failure_kind::overloaded, "no target had room before the timeout",
+                std::max(expectedWait(ask, now), leastRetryAfter)));
+    for (const auto& ask : m_bulk.takeExpired(now))
+        refuse(ask, notRun(failure_kind::overloaded, "no spare capacity for bulk work", leastRetryAfter));
+    std::vector<std::uint64_t> lapsed;
+    for (const auto& [id, grant] : m_grants) {
+        if (grant.lapses <= now)
+            lapsed.push_back(id);
+    }
+    for (auto id : lapsed)
+        forgetGrant(id);
+    adapt(now);
+    pump(now);
+}
+
+std::vector<decision> target_group::takeDecisions()
+{
+    return std::exchange(m_decisions, {});
+}
+
+group_summary target_group::summary(steady_time now) const
+{
+    group_summary summary;
+    summary.targets = static_cast<unsigned>(m_targets.size());
+    for (const auto& [name, target] : m_targets) {
+        summary.live += target.live;
+        summary.bulk += target.bulk;
+        if (!usable(target, now))
+            continue;
+        ++summary.usableTargets;
+        summary.slots += slotsOf(target, now);
+    }
+    summary.liveWaiting = m_live.size();
+    summary.bulkWaiting = m_bulk.size();
+    summary.bulkWindow = m_window;
+    return summary;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/dispatch/tests/test_dispatch.cpp
@@ -0,0 +1,257 @@
+#include "dispatch/dispatch.h"
+
+#include <catch2/catch.hpp>
+
+using namespace yuccachute;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start = steady_time {} + 1h;
+
+target_group makeGroup(bulk_policy policy, unsigned targets, unsigned slots)
+{
+    target_group group({ policy, fair_queue::order::fair });
+    std::vector<target_description> all;
+    for (unsigned i = 0; i < targets; ++i)
+        all.push_back({ "t" + std::to_string(i), "127.0.0.1:" + std::to_string(7000 + i), slots, false });
+    group.setTargets(all, start);
+    return group;
+}
+
+grant_ask makeAsk(std::uint64_t id, work_class workClass = work_class::live, std::string customer = "armor")
+{
+    grant_ask ask;
+    ask.holder = 1;
+    ask.id = id;
+    ask.customer = std::move(customer);
+    ask.workClass = workClass;
+    ask.deadline = start + 30s;
+    ask.due = start + 1h;
+    return ask;
+}
+
+template <typename Kind> std::vector<Kind> only(const std::vector<decision>& decisions)
+{
+    std::vector<Kind> chosen;
+    for (const auto& one : decisions) {
+        if (const auto* match = std::get_if<Kind>(&one))
+            chosen.push_back(*match);
+    }
+    return chosen;
+}
+
+} // namespace
+
+TEST_CASE("live requests spread over targets and never exceed the slots")
+{
+    auto group = makeGroup(adaptive_bulk {}, 2, 2);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        group.ask(makeAsk(id), start);
+    const auto given = only<grant_given>(group.takeDecisions());
+    REQUIRE(given.size() == 4);
+    CHECK(given[0].target != given[1].target);
+    CHECK(group.summary(start).liveWaiting == 2);
+    group.release({ given[0].grantId, grant_outcome::ok, 5ms, 3 }, start + 10ms);
+    const auto next = only<grant_given>(group.takeDecisions());
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].askId == 5);
+    CHECK(next[0].target == given[0].target);
+}
+
+TEST_CASE("bulk leaves the reserve free and yields at once to live arrivals")
+{
+    auto group = makeGroup(adaptive_bulk { 0.25 }, 1, 8);
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        group.ask(makeAsk(id, work_class::bulk), start);
+    auto now = start;
+    for (int i = 0; i < 100; ++i)
+        group.tick(now += 20ms);
+    const auto bulk = only<grant_given>(group.takeDecisions());
+    CHECK(bulk.size() == 6);
+    for (std::uint64_t id = 101; id <= 105; ++id)
+        group.ask(makeAsk(id), now);
+    const auto decisions = group.takeDecisions();
+    CHECK(only<grant_given>(decisions).size() == 2);
+    const auto revoked = only<grant_revoked>(decisions);
+    REQUIRE(revoked.size() == 3);
+    CHECK(revoked[0].grantId == bulk.back().grantId);
+    group.release({ revoked[0].grantId, grant_outcome::abandoned, 0ms, 0 }, now + 5ms);
+    const auto after = only<grant_given>(group.takeDecisions());
+    REQUIRE(after.size() == 1);
+    CHECK(after[0].askId == 103);
+}
+
+TEST_CASE("each policy keeps its own promise")
+{
+    const bulk_situation half { 16, 8, 8, 2, 0, 1.0 };
+    CHECK(bulkAllowance(no_bulk {}, half) == 0);
+    CHECK(bulkAllowance(unlimited_bulk {}, half) > 1000000);
+    CHECK(bulkAllowance(fixed_bulk { 3 }, half) == 6);
+    CHECK(bulkAllowance(adaptive_bulk { 0.1 }, half) == 6);
+    bulk_situation waiting = half;
+    waiting.liveWaiting = 1;
+    CHECK(bulkAllowance(adaptive_bulk { 0.1 }, waiting) == 0);
+    bulk_situation surging = half;
+    surging.recentLivePeak = 14;
+    CHECK(bulkAllowance(adaptive_bulk { 0.1 }, surging) == 2);
+    CHECK(adaptWindow(0.5, true, true) == 0.25);
+    CHECK(adaptWindow(0.5, false, false) == 0.5);
+    CHECK(adaptWindow(0.99, false, true) == 1.0);
+}
+
+// Story: a target dies; every request that is sent there fails and is sent again, and callers wait through it
+// for as long as the list of targets lags behind. It must get nothing after a few failures, then single
+// probes.
+TEST_CASE("a failing target is ejected, probed one by one, and healed")
+{
+    auto group = makeGroup(adaptive_bulk {}, 2, 4);
+    auto now = start;
+    std::uint64_t id = 0;
+    int sentToFailing = 0;
+    const auto sendOne = [&](bool healthy) {
+        group.ask(makeAsk(++id), now);
+        const auto given = only<grant_given>(group.takeDecisions());
+        REQUIRE(given.size() == 1);
+        const bool bad = given[0].target == "t0";
+        sentToFailing += bad;
+        group.release(
+            { given[0].grantId, bad && !healthy ? grant_outcome::failed : grant_outcome::ok, 0ms, 1 }, now);
+    };
+    for (int i = 0; i < 50; ++i)
+        sendOne(false);
+    CHECK(sentToFailing == 3);
+    CHECK(group.summary(now).usableTargets == 1);
+    now += 1100ms;
+    CHECK(group.summary(now).slots == 5);
+    for (int i = 0; i < 10; ++i)
+        sendOne(true);
+    CHECK(group.summary(now).slots == 8);
+}
+
+TEST_CASE("a failed probe doubles the ejection")
+{
+    target_health health;
+    for (int i = 0; i < 3; ++i)
+        health.failed(start);
+    CHECK(health.at(start + 999ms) == target_health::state::ejected);
+    CHECK(health.at(start + 1s) == target_health::state::probing);
+    health.failed(start + 1s);
+    CHECK(health.at(start + 2999ms) == target_health::state::ejected);
+    CHECK(health.at(start + 3s) == target_health::state::probing);
+}
+
+// Story: a caller with a timeout of one second is held in a long queue and told after a second that there was
+// no room; it asks again and lengthens the queue. It must be refused on arrival and told when to come back.
+TEST_CASE("a request that cannot be served in time is refused at once with a time to come back")
+{
+    auto group = makeGroup(adaptive_bulk {}, 1, 1);
+    group.ask(makeAsk(1), start);
+    auto given = only<grant_given>(group.takeDecisions());
+    group.release({ given[0].grantId, grant_outcome::ok, 1ms, 1 }, start + 400ms);
+    for (std::uint64_t id = 2; id <= 7; ++id)
+        group.ask(makeAsk(id), start + 400ms);
+    group.takeDecisions();
+    auto hurried = makeAsk(8);
+    hurried.deadline = start + 1400ms;
+    group.ask(hurried, start + 400ms);
+    const auto refused = only<grant_refused>(group.takeDecisions());
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].reason.ran == verdict::not_run);
+    CHECK(refused[0].reason.retryAfter == 2000ms);
+}
+
+TEST_CASE("a queue has a limit per customer, and an expired ask is answered")
+{
+    auto group = makeGroup(adaptive_bulk {}, 1, 1);
+    auto ask = makeAsk(1);
+    ask.queueLimit = 1;
+    for (; ask.id <= 3; ++ask.id)
+        group.ask(ask, start);
+    const auto decisions = group.takeDecisions();
+    CHECK(only<grant_given>(decisions).size() == 1);
+    REQUIRE(only<grant_refused>(decisions).size() == 1);
+    group.tick(start + 31s);
+    const auto expired = only<grant_refused>(group.takeDecisions());
+    REQUIRE(expired.size() == 1);
+    CHECK(expired[0].askId == 2);
+}
+
+TEST_CASE("draining and leaving targets get nothing new")
+{
+    auto group = makeGroup(adaptive_bulk {}, 2, 4);
+    group.report("t0", { 0, 0, 4, 0, true }, start);
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        group.ask(makeAsk(id), start);
+    for (const auto& given : only<grant_given>(group.takeDecisions()))
+        CHECK(given.target == "t1");
+    const std::vector<target_description> drained { { "t0", "127.0.0.1:7000", 4, true },
+        { "t1", "127.0.0.1:7001", 4, true } };
+    group.setTargets(drained, start);
+    group.ask(makeAsk(5), start);
+    const auto refused = only<grant_refused>(group.takeDecisions());
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].reason.kind == failure_kind::unavailable);
+}
+
+TEST_CASE("a shared prefix goes where it was cached, until that target is much fuller")
+{
+    auto group = makeGroup(adaptive_bulk {}, 4, 4);
+    const auto prefixes = prefixHashes(std::string(1000, 'x'));
+    CHECK(prefixes.size() == 15);
+    std::vector<std::string> targets;
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        auto ask = makeAsk(id);
+        ask.prefixes = prefixes;
+        group.ask(ask, start);
+        targets.push_back(only<grant_given>(group.takeDecisions())[0].target);
+    }
+    CHECK(targets[0] == targets[1]);
+    CHECK(targets[1] == targets[2]);
+    CHECK(targets[3] != targets[2]);
+}
+
+TEST_CASE("work that came past the dispatcher takes slots, by the target's own report")
+{
+    auto group = makeGroup(adaptive_bulk {}, 1, 4);
+    group.report("t0", { 3, 0, 4, 0, false }, start);
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        group.ask(makeAsk(id), start);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 1);
+    group.report("t0", { 1, 0, 4, 0, false }, start + 100ms);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 3);
+}
+
+// Story: an entry dies with grants out and never releases them; the places it held are lost for ever and the
+// group shrinks with each death until nothing is served.
+TEST_CASE("the grants of a lost holder lapse")
+{
+    auto group = makeGroup(adaptive_bulk {}, 1, 2);
+    group.ask(makeAsk(1), start);
+    group.ask(makeAsk(2), start);
+    group.dropHolder(1, start);
+    auto other = makeAsk(3);
+    other.holder = 2;
+    group.takeDecisions();
+    group.ask(other, start);
+    CHECK(only<grant_given>(group.takeDecisions()).empty());
+    group.tick(start + 2s);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 1);
+}
+
+TEST_CASE("budgets refill by rate and share")
+{
+    rate_budget rate;
+    CHECK(rate.take(10, 10, start) == 0ms);
+    CHECK(rate.take(1, 10, start) == 100ms);
+    CHECK(rate.take(1, 10, start + 100ms) == 0ms);
+    CHECK(rate.take(1, 0, start) == 0ms);
+    retry_budget retries;
+    int granted = 0;
+    for (int i = 0; i < 100; ++i) {
+        retries.countRequest(0.1);
+        granted += retries.takeRetry();
+    }
+    CHECK(granted >= 14);
+    CHECK(granted <= 15);
+}
--- /dev/null
+++ b/libs/entry/src/dispatcher_host.cpp
@@ -0,0 +1,262 @@
+#include "dispatcher_host.h"
+
+#include "logging/logging.h"
+
+#include <nlohmann/json.hpp>
+
+namespace yuccachute {
+
+namespace {
+
+constexpr milliseconds tickInterval { 20 };
+constexpr milliseconds pollInterval { 100 };
+constexpr milliseconds pollTimeout { 400 };
+
+std::optional<load_report> parseLoad(const std::string& body)
+{
+    const auto document = nlohmann::json::parse(body, nullptr, false);
+    if (!document.is_object())
+        return std::nullopt;
+    const auto number = [&](const char* name) {
+        const auto found = document.find(name);
+        return found != document.end() && found->is_number() ? found->get<double>() : 0.0;
+    };
+    const auto leaving = document.find("leaving");
+    load_report report;
+    report.running = static_cast<unsigned>(number("running"));
+    report.queued = static_cast<unsigned>(number("queued"));
+    report.slots = static_cast<unsigned>(number("slots"));
+    report.memoryUsed = number("memory_used");
+    report.leaving = leaving != document.end() && leaving->is_boolean() && leaving->get<bool>();
+    return report;
+}
+
+} // namespace
+
+struct dispatcher_host::hosted_group {
+    hosted_group(const group_description& described, steady_time now)
+        : description(described)
+        , group(described.options)
+    {
+        group.setTargets(described.targets, now);
+    }
+
+    std::mutex mutex;
+    group_description description;
+    target_group group;
+    std::unique_ptr<periodic_thread> poller; ///< Destroyed first.
+};
+
+dispatcher_host::dispatcher_host(
+    const settings_cell& settings, std::string zone, ownership owner, metrics& figures)
+    : m_settings(settings)
+    , m_zone(std::move(zone))
+    , m_owner(std::move(owner))
+    , m_metrics(figures)
+    , m_ticker(std::make_unique<periodic_thread>(tickInterval, [this] { tick(); }))
+{
+}
+
+dispatcher_host::~dispatcher_host()
+{
+    m_ticker.reset();
+    for (const auto& hosted : allGroups())
+        hosted->poller.reset();
+}
+
+void dispatcher_host::sessionOpened(std::uint64_t session, std::function<void(envelope)> send)
+{
+    const std::scoped_lock lock(m_sessionMutex);
+    m_sessions[session] = std::move(send);
+}
+
+void dispatcher_host::sessionClosed(std::uint64_t session)
+{
+    {
+        const std::scoped_lock lock(m_sessionMutex);
+        m_sessions.erase(session);
+    }
+    for (const auto& hosted : allGroups()) {
+        {
+            const std::scoped_lock lock(hosted->mutex);
+            hosted->group.dropHolder(session, std::chrono::steady_clock::now());
+        }
+        deliver(*hosted);
+    }
+}
+
+std::shared_ptr<dispatcher_host::hosted_group> dispatcher_host::findGroup(const std::string& name)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (const auto found = m_groups.find(name); found != m_groups.end())
+        return found->second;
+    const auto settings = m_settings.current();
+    const auto described = settings->groups.find(name);
+    if (described == settings->groups.end())
+        return nullptr;
+    auto hosted = std::make_shared<hosted_group>(described->second, std::chrono::steady_clock::now());
+    if (described->second.model)
+        hosted->poller = std::make_unique<periodic_thread>(
+            pollInterval, [this, raw = hosted.get()] { pollTargets(*raw); });
+    m_groups[name] = hosted;
+    return hosted;
+}
+
+std::vector<std::shared_ptr<dispatcher_host::hosted_group>> dispatcher_host::allGroups() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<std::shared_ptr<hosted_group>> all;
+    for (const auto& [name, hosted] : m_groups)
+        all.push_back(hosted);
+    return all;
+}
+
+void dispatcher_host::ask(std::uint64_t session, ask_message message, envelope& answer)
+{
+    const auto askId = message.ask.id;
+    const auto settings = m_settings.current();
+    const auto described = settings->groups.find(message.group);
+    if (described == settings->groups.end()) {
+        answer.refusals.push_back({ session, askId,
+            notRun(failure_kind::unavailable, "no such target group", milliseconds { 1000 }) });
+        return;
+    }
+    if (auto owner = m_owner(described->second); !owner.empty()) {
+        answer.moved.push_back({ askId, std::move(owner) });
+        return;
+    }
+    const auto hosted = findGroup(message.group);
+    message.ask.holder = session;
+    {
+        const std::scoped_lock lock(hosted->mutex);
+        hosted->group.ask(std::move(message.ask), std::chrono::steady_clock::now());
+    }
+    // The acknowledgement tells a queue from a dead dispatcher. A grant or refusal that is ready overtakes
+    // it.
+    answer.moved.push_back({ askId, "" });
+    deliver(*hosted);
+}
+
+void dispatcher_host::sessionReceived(std::uint64_t session, envelope message)
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& release : message.releases) {
+        if (const auto hosted = findGroup(release.group)) {
+            {
+                const std::scoped_lock lock(hosted->mutex);
+                hosted->group.release(release.release, now);
+            }
+            deliver(*hosted);
+        }
+    }
+    for (const auto& withdrawal : message.withdrawals) {
+        if (const auto hosted = findGroup(withdrawal.group)) {
+            const std::scoped_lock lock(hosted->mutex);
+            hosted->group.withdraw(session, withdrawal.askId, now);
+        }
+    }
+    envelope answer;
+    for (auto& one : message.asks)
+        ask(session, std::move(one), answer);
+    if (answer.empty())
+        return;
+    const std::scoped_lock lock(m_sessionMutex);
+    if (const auto found = m_sessions.find(session); found != m_sessions.end())
+        found->second(std::move(answer));
+}
+
+void dispatcher_host::deliver(hosted_group& hosted)
+{
+    std::map<std::uint64_t, envelope> bySession;
+    {
+        const std::scoped_lock lock(hosted.mutex);
+        for (auto& one : hosted.group.takeDecisions()) {
+            if (auto* given = std::get_if<grant_given>(&one))
+                bySession[given->holder].grants.push_back(std::move(*given));
+            else if (auto* refused = std::get_if<grant_refused>(&one))
+                bySession[refused->holder].refusals.push_back(std::move(*refused));
+            else if (const auto* revoked = std::get_if<grant_revoked>(&one))
+                bySession[revoked->holder].revokes.push_back({ hosted.description.name, revoked->grantId });
+        }
+    }
+    for (auto& [session, message] : bySession) {
+        std::function<void(envelope)> send;
+        {
+            const std::scoped_lock lock(m_sessionMutex);
+            if (const auto found = m_sessions.find(session); found != m_sessions.end())
+                send = found->second;
+        }
+        if (send)
+            send(std::move(message));
+    }
+}
+
+void dispatcher_host::tick()
+{
+    for (const auto& hosted : allGroups()) {
+        {
+            const std::scoped_lock lock(hosted->mutex);
+            hosted->group.tick(std::chrono::steady_clock::now());
+        }
+        deliver(*hosted);
+    }
+}
+
+void dispatcher_host::pollTargets(hosted_group& hosted)
+{
+    std::vector<target_description> targets;
+    {
+        const std::scoped_lock lock(hosted.mutex);
+        // A group that another entry is responsible for now is that one's to watch.
+        if (!m_owner(hosted.description).empty())
+            return;
+        targets = hosted.description.targets;
+    }
+    for (const auto& target : targets) {
+        http_request request;
+        request.path = "/load";
+        http_call_options options;
+        options.deadline = std::chrono::steady_clock::now() + pollTimeout;
+        options.connectTimeout = pollTimeout;
+        const auto reply = httpCall(target.address, request, options);
+        const std::scoped_lock lock(hosted.mutex);
+        const auto now = std::chrono::steady_clock::now();
+        if (!reply)
+            hosted.group.reportUnreachable(target.name, now);
+        else if (const auto load = parseLoad(reply.value().body); load && reply.value().status == 200)
+            hosted.group.report(target.name, *load, now);
+    }
+    deliver(hosted);
+}
+
+void dispatcher_host::settingsChanged()
+{
+    const auto settings = m_settings.current();
+    for (const auto& hosted : allGroups()) {
+        const auto described = settings->groups.find(hosted->description.name);
+        const auto now = std::chrono::steady_clock::now();
+        {
+            const std::scoped_lock lock(hosted->mutex);
+            if (described == settings->groups.end()) {
+                hosted->description.targets.clear();
+            } else {
+                hosted->description = described->second;
+                hosted->group.setOptions(described->second.options);
+            }
+            hosted->group.setTargets(hosted->description.targets, now);
+        }
+        deliver(*hosted);
+    }
+}
+
+std::map<std::string, group_summary> dispatcher_host::summaries() const
+{
+    std::map<std::string, group_summary> all;
+    for (const auto& hosted : allGroups()) {
+        const std::scoped_lock lock(hosted->mutex);
+        all[hosted->description.name] = hosted->group.summary(std::chrono::steady_clock::now());
+    }
+    return all;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/entry/src/limits.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "node/node.h"
+
+namespace yuccachute {
+
+/// Rate limits and retry budgets of each customer at this entry. Thread-safe.
+class customer_limits {
+public:
+    /// Takes one request and its tokens from the customer's rates, or says when to come back.
+    result<void> admit(
+        const std::string& customer, const request_settings& settings, double tokens, steady_time now);
+    /// Counts a request towards the customer's retries.
+    void countRequest(const std::string& customer, double retryShare);
+    /// Whether a retry may be made now.
+    bool takeRetry(const std::string& customer);
+
+private:
+    struct budgets {
+        rate_budget requests;
+        rate_budget tokens;
+        retry_budget retries;
+    };
+
+    std::mutex m_mutex;
+    std::map<std::string, budgets, std::less<>> m_customers;
+};
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/http/src/message.cpp
@@ -0,0 +1,61 @@
+#include "http/http.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+
+namespace yuccachute {
+
+namespace {
+
+bool equalNoCase(std::string_view left, std::string_view right)
+{
+    auto same = [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); };
+    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), same);
+}
+
+std::string percentDecode(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool escape = text[i] == '%' && i + 2 < text.size()
+            && std::isxdigit(static_cast<unsigned char>(text[i + 1]))
+            && std::isxdigit(static_cast<unsigned char>(text[i + 2]));
+        if (escape) {
+            decoded
+                += static_cast<char>(std::strtol(std::string(text.substr(i + 1, 2)).c_str(), nullptr, 16));
+            i += 2;
+        } else {
+            decoded += text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return decoded;
+}
+
+} // namespace
+
+std::string_view findHeader(const http_headers& headers, std::string_view name)
+{
+    for (const auto& [key, value] : headers) {
+        if (equalNoCase(key, name))
+            return value;
+    }
+    return {};
+}
+
+std::string queryParameter(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const auto end = query.find('&');
+        const auto pair = query.substr(0, end);
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name)
+            return equals == std::string_view::npos ? std::string() : percentDecode(pair.substr(equals + 1));
+        if (end == std::string_view::npos)
+            break;
+        query.remove_prefix(end + 1);
+    }
+    return {};
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/ini/src/ini.cpp
@@ -0,0 +1,82 @@
+#include "ini/ini.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+#include <set>
+
+namespace yuccachute {
+
+namespace {
+
+/// State of one parse. The library's handler is not told the line, so the reader that feeds the library its
+/// lines counts them.
+struct ini_parse {
+    std::string_view rest;
+    int line = 0;
+    std::string fileName;
+    std::vector<ini_value> values;
+    std::set<std::pair<std::string, std::string>> seen;
+    std::string problem;
+
+    void fail(const std::string& message)
+    {
+        if (problem.empty())
+            problem = fileName + ':' + std::to_string(line) + ": " + message;
+    }
+};
+
+char* readLine(char* buffer, int size, void* stream)
+{
+    auto& parse = *static_cast<ini_parse*>(stream);
+    if (parse.rest.empty())
+        return nullptr;
+    ++parse.line;
+    const auto end = parse.rest.find('\n');
+    const auto length = end == std::string_view::npos ? parse.rest.size() : end + 1;
+    const auto copied = std::min(length, static_cast<std::size_t>(size - 1));
+    if (copied < length)
+        parse.fail("the line is longer than " + std::to_string(size - 2) + " characters");
+    std::memcpy(buffer, parse.rest.data(), copied);
+    buffer[copied] = '\0';
+    parse.rest.remove_prefix(length);
+    return buffer;
+}
+
+int takeValue(void* user, const char* section, const char* key, const char* value)
+{
+    auto& parse = *static_cast<ini_parse*>(user);
+    if (!parse.seen.emplace(section, key).second)
+        parse.fail('[' + std::string(section) + "] " + key + ": set twice");
+    parse.values.push_back({ section, key, value, parse.line });
+    return parse.problem.empty();
+}
+
+} // namespace
+
+result<std::vector<ini_value>> parseIni(std::string_view fileName, std::string_view text)
+{
+    ini_parse parse;
+    parse.rest = text;
+    parse.fileName = std::string(fileName);
+    const int badLine = ini_parse_stream(readLine, &parse, takeValue, &parse);
+    if (!parse.problem.empty())
+        return notRun(failure_kind::bad_request, parse.problem);
+    if (badLine != 0)
+        return notRun(failure_kind::bad_request,
+            parse.fileName + ':' + std::to_string(badLine) + ": neither [section] nor key = value");
+    return std::move(parse.values);
+}
+
+result<std::string> readFile(const std::string& fileName)
+{
+    std::ifstream file(fileName, std::ios::binary);
+    if (!file)
+        return notRun(failure_kind::not_found, fileName + ": cannot be read");
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/logging/src/logging.cpp
@@ -0,0 +1,73 @@
+#include "logging/logging.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+
+namespace yuccachute {
+
+namespace {
+
+constexpr std::size_t queuedLines = 8192;
+
+std::shared_ptr<spdlog::logger> g_logger;
+
+spdlog::level::level_enum toLibrary(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return spdlog::level::debug;
+    case log_level::info:
+        return spdlog::level::info;
+    case log_level::warning:
+        return spdlog::level::warn;
+    case log_level::error:
+        return spdlog::level::err;
+    }
+    return spdlog::level::info;
+}
+
+} // namespace
+
+void startLogging(std::string_view program, std::string_view vm, log_level least)
+{
+    spdlog::init_thread_pool(queuedLines, 1);
+    auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    // A blocked reader of standard error must not hold up requests: the oldest lines are dropped instead.
+    g_logger = std::make_shared<spdlog::async_logger>(
+        "yuccachute", sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    const auto names = nlohmann::json { { "program", program }, { "vm", vm } }.dump();
+    const auto inner = names.substr(1, names.size() - 2);
+    g_logger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\"," + inner + ",%v");
+    g_logger->set_level(toLibrary(least));
+    g_logger->flush_on(spdlog::level::warn);
+}
+
+std::string formatEvent(std::string_view event, std::initializer_list<log_field> fields)
+{
+    nlohmann::ordered_json line;
+    line["event"] = event;
+    for (const auto& field : fields)
+        std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (!g_logger || !g_logger->should_log(toLibrary(level)))
+        return;
+    // The pattern has written the opening brace, the time and the names.
+    const auto text = formatEvent(event, fields);
+    g_logger->log(toLibrary(level), "{}", text.substr(1));
+}
+
+void stopLogging()
+{
+    g_logger.reset();
+    spdlog::shutdown();
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/membership/src/membership.cpp
@@ -0,0 +1,138 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+
+namespace yuccachute {
+
+std::string_view toString(member_state state)
+{
+    switch (state) {
+    case member_state::alive:
+        return "alive";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::leaving:
+        return "leaving";
+    case member_state::dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+namespace {
+
+bool isNewer(const member_info& candidate, const member_info& known)
+{
+    if (candidate.incarnation != known.incarnation)
+        return candidate.incarnation > known.incarnation;
+    return candidate.heartbeat > known.heartbeat;
+}
+
+member_state stateFromSilence(const member_view& member, const membership_options& options, steady_time now)
+{
+    const auto silence = now - member.lastNews;
+    if (silence > options.deadAfter)
+        return member_state::dead;
+    if (member.info.leaving)
+        return member_state::leaving;
+    return silence > options.suspectAfter ? member_state::suspect : member_state::alive;
+}
+
+} // namespace
+
+membership::membership(member_info self, membership_options options, steady_time)
+    : m_self(std::move(self))
+    , m_options(options)
+{
+}
+
+void membership::tick(steady_time now)
+{
+    ++m_self.heartbeat;
+    for (auto other = m_others.begin(); other != m_others.end();) {
+        auto& member = other->second;
+        // A broken connection has made it suspect before its silence would: that stands until news of it.
+        const auto bySilence = stateFromSilence(member, m_options, now);
+        if (!(member.state == member_state::suspect && bySilence == member_state::alive))
+            member.state = bySilence;
+        other = now - member.lastNews > m_options.forgetAfter ? m_others.erase(other) : std::next(other);
+    }
+}
+
+bool membership::merge(std::span<const member_info> news, steady_time now)
+{
+    bool changed = false;
+    for (const auto& info : news) {
+        if (info.vm == m_self.vm) {
+            // An earlier life of this VM, or one whose clock ran ahead: outlive what is said of it.
+            if (info.incarnation > m_self.incarnation) {
+                m_self.incarnation = info.incarnation + 1;
+                changed = true;
+            }
+            continue;
+        }
+        auto [found, fresh] = m_others.try_emplace(info.vm, member_view { info, member_state::alive, now });
+        auto& member = found->second;
+        if (!fresh && !isNewer(info, member.info))
+            continue;
+        const auto before = member.state;
+        const bool moved
+            = member.info.batchAddress != info.batchAddress || member.info.adminAddress != info.adminAddress;
+        member.info = info;
+        member.lastNews = now;
+        member.state = info.leaving ? member_state::leaving : member_state::alive;
+        changed = changed || fresh || moved || member.state != before;
+    }
+    return changed;
+}
+
+void membership::reportUnreachable(std::string_view vm, steady_time)
+{
+    const auto found = m_others.find(vm);
+    if (found != m_others.end() && found->second.state == member_state::alive)
+        found->second.state = member_state::suspect;
+}
+
+void membership::leave()
+{
+    m_self.leaving = true;
+    ++m_self.heartbeat;
+}
+
+std::vector<member_view> membership::view() const
+{
+    std::vector<member_view> all;
+    all.push_back({ m_self, m_self.leaving ? member_state::leaving : member_state::alive, {} });
+    for (const auto& [vm, member] : m_others)
+        all.push_back(member);
+    return all;
+}
+
+std::vector<member_info> membership::digest() const
+{
+    std::vector<member_info> members { m_self };
+    for (const auto& [vm, member] : m_others) {
+        if (member.state != member_state::dead)
+            members.push_back(member.info);
+    }
+    return members;
+}
+
+std::vector<member_info> membership::workingMembers(std::string_view zone) const
+{
+    std::vector<member_info> alive;
+    std::vector<member_info> suspects;
+    if (m_self.zone == zone && !m_self.leaving)
+        alive.push_back(m_self);
+    for (const auto& [vm, member] : m_others) {
+        if (member.info.zone != zone)
+            continue;
+        if (member.state == member_state::alive)
+            alive.push_back(member.info);
+        else if (member.state == member_state::suspect)
+            suspects.push_back(member.info);
+    }
+    return alive.empty() ? suspects : alive;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/messages/include/messages/messages.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "dispatch/dispatch.h"
+#include "membership/membership.h"
+#include "settings/settings.h"
+#include "verdict/verdict.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Typed messages and their codecs: the callers' JSON, the streams' events, and what the project's processes
+/// say to each other. Layer: protocol. No I/O.
+namespace yuccachute {
+
+// --- Between processes
+// ---------------------------------------------------------------------------------------
+
+struct ask_message {
+    std::string group;
+    grant_ask ask;
+};
+
+/// The group's dispatcher is another process.
+struct moved_message {
+    std::uint64_t askId = 0;
+    std::string ownerAddress;
+};
+
+struct revoke_message {
+    std::string group;
+    std::uint64_t grantId = 0;
+};
+
+struct release_message {
+    std::string group;
+    grant_release release;
+};
+
+struct withdraw_message {
+    std::string group;
+    std::uint64_t askId = 0;
+};
+
+/// Everything that is ready for one peer. Times travel as durations from now, because clocks differ.
+struct envelope {
+    std::vector<ask_message> asks;
+    std::vector<grant_given> grants;
+    std::vector<grant_refused> refusals;
+    std::vector<moved_message> moved;
+    std::vector<revoke_message> revokes;
+    std::vector<release_message> releases;
+    std::vector<withdraw_message> withdrawals;
+
+    bool empty() const;
+    /// Appends the other's messages.
+    void add(envelope other);
+};
+
+struct follow_request {
+    std::string vm;
+    std::string batchAddress;
+    std::string adminAddress;
+    std::int64_t settingsVersion = 0;
+};
+
+struct follow_reply {
+    std::vector<member_info> members;
+    std::optional<settings_tree> settings; ///< Only if newer than the asker's.
+};
+
+struct submit_request {
+    std::string customer;
+    std::string service;
+    std::string idempotencyKey;
+    milliseconds due { 0 }; ///< From now; 0 for the settings' default.
+    std::string items; ///< JSON lines.
+};
+
+/// What callers and operators see of a job.
+struct job_view {
+    std::string id;
+    std::string service;
+    std::string state; ///< "running", "completed" or "cancelled".
+    std::uint64_t total = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t failed = 0;
+    std::int64_t createdMs = 0; ///< Milliseconds since 1970.
+    std::int64_t dueMs = 0;
+    std::int64_t endedMs = 0; ///< 0 while it runs.
+    bool existed = false; ///< A resent submission found this job.
+};
+
+struct results_page {
+    std::string lines; ///< JSON lines, one a result.
+    std::uint64_t nextCursor = 0;
+    bool end = false; ///< No more results will follow.
+};
+
+// --- With callers
+// --------------------------------------------------------------------------------------------
+
+/// A completion as callers ask for it.
+struct completion_request {
+    std::string model; ///< The service's name.
+    std::string prompt;
+    unsigned maxTokens = 16;
+    bool stream = false;
+};
+
+/// Parses the body of POST /v1/completions. The failure names the field.
+result<completion_request> parseCompletion(std::string_view body, std::size_t mostPromptBytes);
+
+/// Writes the body that a target receives.
+std::string writeCompletion(const completion_request& request);
+
+/// Writes the JSON body of a failure, with code, message, verdict and request id.
+std::string writeFailure(const failure& error, std::string_view requestId);
+
+/// Reads the verdict that a target or another entry gave in a JSON error body; nothing if it gave none.
+std::optional<verdict> readVerdict(std::string_view body);
+
+/// Writes a job's view as JSON.
+std::string writeJob(const job_view& job);
+
+// --- Streams
+// -------------------------------------------------------------------------------------------------
+
+/// One event of a completion stream.
+struct completion_event {
+    std::string text;
+    std::string finishReason; ///< Empty until the last event with text.
+};
+
+/// Collects server-sent events of a completion stream from arbitrary pieces and checks its shape. The stream
+/// is whole once "[DONE]" was seen after a finish reason.
+class event_reader {
+public:
+    /// Adds bytes and returns the completed events' texts. Malformed events set broken().
+    std::vector<completion_event> feed(std::string_view piece);
+    bool whole() const { return m_done && !m_finishReason.empty(); }
+    bool broken() const { return m_broken; }
+    std::string_view finishReason() const { return m_finishReason; }
+    std::size_t events() const { return m_events; }
+
+private:
+    void takeLine(std::string_view line, std::vector<completion_event>& out);
+
+    std::string m_partial;
+    std::string m_finishReason;
+    std::size_t m_events = 0;
+    bool m_done = false;
+    bool m_broken = false;
+};
+
+/// Formats one server-sent event of a completion.
+std::string writeEvent(std::string_view id, std::string_view model, const completion_event& event);
+
+/// The last event of every whole stream.
+constexpr std::string_view doneEvent = "data: [DONE]\n\n";
+
+/// Formats the answer to a request that did not ask for a stream.
+std::string writeWholeCompletion(std::string_view id, std::string_view model, std::string_view text,
+    std::string_view finishReason, std::size_t tokens);
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/node/tests/test_node.cpp
@@ -0,0 +1,200 @@
+#include "node/node.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <thread>
+
+using namespace yuccachute;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string optionsError(const std::string& text)
+{
+    const std::string fileName = "test_node_options.ini";
+    std::ofstream(fileName) << text;
+    const auto options = readProcessOptions(fileName);
+    return options ? "" : options.error().message;
+}
+
+settings_tree treeOf(std::int64_t version)
+{
+    settings_tree tree;
+    tree.version = version;
+    tree.nodes["service/s"];
+    for (int i = 0; i < 10; ++i)
+        tree.nodes["service/s/target/t" + std::to_string(i)].values
+            = { { "address", "127.0.0.1:1" }, { "zone", "a" } };
+    return tree;
+}
+
+} // namespace
+
+TEST_CASE("a process's file is checked line by line")
+{
+    const std::string good = "[process]\nvm = a\nzone = z\nhttp = 127.0.0.1:1\nseeds = x:1, y:2\n";
+    CHECK(optionsError(good).empty());
+    CHECK(readProcessOptions("test_node_options.ini").value().seeds
+        == std::vector<std::string> { "x:1", "y:2" });
+    CHECK(optionsError(good + "zonne = b\n").find("test_node_options.ini:6: [process] zonne: unknown key")
+        == 0);
+    CHECK(optionsError(good + "stop_limit_ms = soon\n").find(":6: [process] stop_limit_ms: \"soon\"")
+        != std::string::npos);
+    CHECK(optionsError("[proces]\nvm = a\n").find(":2: [proces] unknown section") != std::string::npos);
+    CHECK(optionsError("[process]\nvm = a\n").find("zone: is missing") != std::string::npos);
+}
+
+// Story: a VM that was cut off hands its old settings to a VM that has the new ones, and an accepted edit is
+// undone. The version in force must only grow.
+TEST_CASE("the settings in force never revert")
+{
+    settings_cell cell;
+    CHECK(cell.offer(treeOf(5)));
+    CHECK(!cell.offer(treeOf(4)));
+    CHECK(!cell.offer(treeOf(5)));
+    CHECK(cell.version() == 5);
+    const auto view = cell.current();
+    CHECK(view->groups.size() == 2);
+    CHECK(view->groupsOf("s", "a").front()->targets.size() == targetsPerGroup);
+    CHECK(cell.offer(treeOf(6)));
+    CHECK(view->tree.version == 5);
+    CHECK(cell.current()->tree.version == 6);
+}
+
+TEST_CASE("readers see whole values while a writer replaces them")
+{
+    settings_cell cell;
+    std::atomic<bool> stop { false };
+    std::vector<std::thread> readers;
+    std::atomic<bool> torn { false };
+    for (int i = 0; i < 4; ++i) {
+        readers.emplace_back([&] {
+            std::int64_t last = 0;
+            while (!stop) {
+                const auto version = cell.current()->tree.version;
+                torn = torn || version < last;
+                last = version;
+            }
+        });
+    }
+    for (std::int64_t version = 1; version <= 300; ++version)
+        cell.offer(treeOf(version));
+    stop = true;
+    for (auto& reader : readers)
+        reader.join();
+    CHECK(!torn);
+}
+
+namespace {
+
+/// A dispatcher that does to each ask what the test says.
+class scripted_dispatcher final : public peer_handler {
+public:
+    void sessionOpened(std::uint64_t, std::function<void(envelope)> send) override
+    {
+        m_send = std::move(send);
+    }
+    void sessionReceived(std::uint64_t, envelope message) override
+    {
+        const std::scoped_lock lock(mutex);
+        for (auto& ask : message.asks)
+            onAsk(ask, m_send);
+        for (auto& release : message.releases)
+            releases.push_back(release);
+        for (auto& withdrawal : message.withdrawals)
+            withdrawn.push_back(withdrawal.askId);
+    }
+    void sessionClosed(std::uint64_t) override { }
+    std::vector<member_info> gossip(std::span<const member_info>) override { return {}; }
+    follow_reply follow(const follow_request&) override { return {}; }
+    std::optional<settings_tree> pull(std::int64_t) override { return std::nullopt; }
+
+    std::function<void(ask_message&, const std::function<void(envelope)>&)> onAsk;
+    std::mutex mutex;
+    std::vector<release_message> releases;
+    std::vector<std::uint64_t> withdrawn;
+
+private:
+    std::function<void(envelope)> m_send;
+};
+
+struct fixture {
+    rpc_client client { {} };
+    scripted_dispatcher dispatcher;
+    std::vector<std::string> unreachable;
+    grant_client grants { client,
+        [](const auto&, const auto&) { return std::vector<std::string> { "local" }; },
+        [this](const std::string& address) { unreachable.push_back(address); } };
+
+    fixture() { grants.setLocal("local", dispatcher); }
+
+    grant_ask ask(milliseconds wait = 5s) const
+    {
+        grant_ask ask;
+        ask.deadline = std::chrono::steady_clock::now() + wait;
+        return ask;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a grant is given, revoked in the same envelope, and released")
+{
+    fixture f;
+    f.dispatcher.onAsk = [](ask_message& ask, const auto& send) {
+        envelope answer;
+        answer.grants.push_back({ 0, ask.ask.id, 7, "t", "a:1", 3ms });
+        answer.revokes.push_back({ ask.group, 7 });
+        send(std::move(answer));
+    };
+    const auto grant = f.grants.acquire("g", "z", f.ask());
+    REQUIRE(grant);
+    CHECK(grant.value().address == "a:1");
+    CHECK(grant.value().revoked->load());
+    f.grants.release(grant.value(), { 0, grant_outcome::ok, 1ms, 2 });
+    REQUIRE(f.dispatcher.releases.size() == 1);
+    CHECK(f.dispatcher.releases[0].release.grantId == 7);
+}
+
+// Story: a dispatcher's process is stopped but its connection stays open; callers wait for it until their
+// timeout although targets are idle. Silence must be told from a queue.
+TEST_CASE("a silent dispatcher is given up soon, a queue that acknowledges is waited for")
+{
+    fixture f;
+    f.dispatcher.onAsk = [](ask_message&, const auto&) {};
+    const auto silent = f.grants.acquire("g", "z", f.ask());
+    REQUIRE(!silent);
+    CHECK(silent.error().kind == failure_kind::unavailable);
+    CHECK(f.unreachable.size() == 1);
+    CHECK(f.dispatcher.withdrawn.size() == 1);
+    f.dispatcher.onAsk = [](ask_message& ask, const auto& send) {
+        envelope answer;
+        answer.moved.push_back({ ask.ask.id, "" });
+        send(std::move(answer));
+    };
+    const auto queued = f.grants.acquire("g", "z", f.ask(600ms));
+    REQUIRE(!queued);
+    CHECK(queued.error().kind == failure_kind::overloaded);
+    CHECK(f.unreachable.size() == 1);
+}
+
+// Story: a grant arrives after its caller has given up; nobody uses it and nobody releases it, and a place at
+// the target stays empty until it lapses.
+TEST_CASE("a grant that comes too late goes back at once")
+{
+    fixture f;
+    std::uint64_t late = 0;
+    std::function<void(envelope)> sendLate;
+    f.dispatcher.onAsk = [&](ask_message& ask, const auto& send) {
+        late = ask.ask.id;
+        sendLate = send;
+    };
+    CHECK(!f.grants.acquire("g", "z", f.ask()));
+    envelope answer;
+    answer.grants.push_back({ 0, late, 9, "t", "a:1", 0ms });
+    sendLate(std::move(answer));
+    REQUIRE(f.dispatcher.releases.size() == 1);
+    CHECK(f.dispatcher.releases[0].group == "g");
+    CHECK(f.dispatcher.releases[0].release.outcome == grant_outcome::abandoned);
+}
--- /dev/null
+++ b/libs/rpc/include/rpc/rpc.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "messages/messages.h"
+#include "verdict/verdict.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Calls between the project's processes over gRPC. Layer: transport. No gRPC type appears here.
+namespace yuccachute {
+
+/// Mutual TLS between processes. Files are read again when they change, without a restart.
+struct rpc_security {
+    std::string certificateFile; ///< PEM; without it channels are plain.
+    std::string privateKeyFile;
+    std::string authorityFile; ///< Every peer must show a certificate of this authority.
+
+    bool enabled() const { return !certificateFile.empty(); }
+};
+
+/// What an entry answers to its peers. Called from several threads.
+class peer_handler {
+public:
+    virtual ~peer_handler() = default;
+    /// A peer opened a grant stream. The function sends to it and may be called until sessionClosed().
+    virtual void sessionOpened(std::uint64_t session, std::function<void(envelope)> send) = 0;
+    virtual void sessionReceived(std::uint64_t session, envelope message) = 0;
+    virtual void sessionClosed(std::uint64_t session) = 0;
+    virtual std::vector<member_info> gossip(std::span<const member_info> news) = 0;
+    virtual follow_reply follow(const follow_request& request) = 0;
+    /// The settings in force if they are newer than the version named.
+    virtual std::optional<settings_tree> pull(std::int64_t newerThan) = 0;
+};
+
+/// What a batch process answers. Called from several threads; may block on the store.
+class jobs_handler {
+public:
+    virtual ~jobs_handler() = default;
+    virtual result<job_view> submit(submit_request request) = 0;
+    virtual result<job_view> describe(std::string_view customer, std::string_view id) = 0;
+    virtual result<results_page> results(std::string_view customer, std::string_view id, std::uint64_t cursor)
+        = 0;
+    virtual result<job_view> cancel(std::string_view customer, std::string_view id) = 0;
+};
+
+/// Serves peers, jobs or both on one port.
+class rpc_server {
+public:
+    /// Throws std::runtime_error naming the address if it cannot listen. Either handler may be null; both
+    /// must outlive the server.
+    rpc_server(
+        std::string_view address, const rpc_security& security, peer_handler* peers, jobs_handler* jobs);
+    ~rpc_server();
+    rpc_server(const rpc_server&) = delete;
+    rpc_server& operator=(const rpc_server&) = delete;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+/// A grant stream to one dispatcher. Thread-safe. Messages that are sent while one is on its way travel
+/// together in the next.
+class dispatcher_link {
+public:
+    virtual ~dispatcher_link() = default;
+    virtual void send(envelope message) = 0;
+    /// False once the stream has ended; it does not come back: open another.
+    virtual bool alive() const = 0;
+};
+
+/// Client side of all calls, with one channel per address. Thread-safe.
+class rpc_client {
+public:
+    explicit rpc_client(rpc_security security);
+    ~rpc_client();
+    rpc_client(const rpc_client&) = delete;
+    rpc_client& operator=(const rpc_client&) = delete;
+
+    /// Opens a grant stream. The callbacks come from the transport's threads; closed comes exactly once,
+    /// last.
+    std::shared_ptr<dispatcher_link> open(
+        std::string_view address, std::function<void(envelope)> received, std::function<void()> closed);
+
+    result<std::vector<member_info>> gossip(
+        std::string_view address, std::span<const member_info> news, milliseconds timeout);
+    result<follow_reply> follow(
+        std::string_view address, const follow_request& request, milliseconds timeout);
+    result<std::optional<settings_tree>> pull(
+        std::string_view address, std::int64_t newerThan, milliseconds timeout);
+
+    result<job_view> submit(std::string_view address, const submit_request& request, milliseconds timeout);
+    result<job_view> describe(
+        std::string_view address, std::string_view customer, std::string_view id, milliseconds timeout);
+    result<results_page> results(std::string_view address, std::string_view customer, std::string_view id,
+        std::uint64_t cursor, milliseconds timeout);
+    result<job_view> cancel(
+        std::string_view address, std::string_view customer, std::string_view id, milliseconds timeout);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/rpc/src/link.cpp
@@ -0,0 +1,140 @@
+#include "link.h"
+
+#include "peer.grpc.pb.h"
+#include "wire/wire.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace yuccachute {
+
+namespace {
+
+/// Keeps itself alive until gRPC's last callback, whatever its owner does.
+class grant_link final : public dispatcher_link,
+                         public grpc::ClientBidiReactor<peer::Envelope, peer::Envelope>,
+                         public std::enable_shared_from_this<grant_link> {
+public:
+    grant_link(std::shared_ptr<grpc::Channel> channel, std::function<void(envelope)> received,
+        std::function<void()> closed)
+        : m_stub(peer::Peer::NewStub(std::move(channel)))
+        , m_received(std::move(received))
+        , m_closed(std::move(closed))
+    {
+    }
+
+    void start()
+    {
+        m_self = shared_from_this();
+        m_stub->async()->Exchange(&m_context, this);
+        StartRead(&m_incoming);
+        AddHold(); // Writes are started from other threads.
+        StartCall();
+    }
+
+    void close()
+    {
+        m_context.TryCancel();
+        dropHold();
+    }
+
+    void send(envelope message) override
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (!m_alive)
+            return;
+        m_pending.add(std::move(message));
+        writePending();
+    }
+
+    bool alive() const override { return m_alive; }
+
+    void OnReadDone(bool ok) override
+    {
+        if (!ok)
+            return dropHold();
+        m_received(fromWire(m_incoming, std::chrono::steady_clock::now()));
+        m_incoming.Clear();
+        StartRead(&m_incoming);
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_writing = false;
+        if (ok)
+            writePending();
+    }
+
+    void OnDone(const grpc::Status&) override
+    {
+        dropAlive();
+        m_closed();
+        const auto self = std::move(m_self);
+    }
+
+private:
+    /// Called with the lock held.
+    void writePending()
+    {
+        if (m_writing || m_pending.empty() || !m_alive)
+            return;
+        m_outgoing.Clear();
+        toWire(std::exchange(m_pending, {}), std::chrono::steady_clock::now(), m_outgoing);
+        m_writing = true;
+        StartWrite(&m_outgoing);
+    }
+
+    void dropAlive()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_alive = false;
+    }
+
+    void dropHold()
+    {
+        dropAlive();
+        if (!m_holdDropped.exchange(true))
+            RemoveHold();
+    }
+
+    std::unique_ptr<peer::Peer::Stub> m_stub;
+    grpc::ClientContext m_context;
+    std::function<void(envelope)> m_received;
+    std::function<void()> m_closed;
+    std::shared_ptr<grant_link> m_self;
+    std::mutex m_mutex;
+    envelope m_pending;
+    peer::Envelope m_incoming;
+    peer::Envelope m_outgoing;
+    bool m_writing = false;
+    std::atomic<bool> m_alive { true };
+    std::atomic<bool> m_holdDropped { false };
+};
+
+/// What the owner holds: the stream ends with it.
+class link_owner final : public dispatcher_link {
+public:
+    explicit link_owner(std::shared_ptr<grant_link> link)
+        : m_link(std::move(link))
+    {
+    }
+    ~link_owner() override { m_link->close(); }
+    void send(envelope message) override { m_link->send(std::move(message)); }
+    bool alive() const override { return m_link->alive(); }
+
+private:
+    std::shared_ptr<grant_link> m_link;
+};
+
+} // namespace
+
+std::shared_ptr<dispatcher_link> openLink(std::shared_ptr<grpc::Channel> channel,
+    std::function<void(envelope)> received, std::function<void()> closed)
+{
+    auto link = std::make_shared<grant_link>(std::move(channel), std::move(received), std::move(closed));
+    link->start();
+    return std::make_shared<link_owner>(std::move(link));
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/rpc/tests/test_rpc.cpp
@@ -0,0 +1,145 @@
+#include "rpc/rpc.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+using namespace yuccachute;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Grants every ask with its own id, and remembers sessions.
+class granting_handler final : public peer_handler {
+public:
+    void sessionOpened(std::uint64_t session, std::function<void(envelope)> send) override
+    {
+        const std::scoped_lock lock(mutex);
+        senders[session] = std::move(send);
+    }
+    void sessionReceived(std::uint64_t session, envelope message) override
+    {
+        envelope answer;
+        for (const auto& ask : message.asks)
+            answer.grants.push_back({ session, ask.ask.id, ask.ask.id, "t", "a", 0ms });
+        std::function<void(envelope)> send;
+        {
+            const std::scoped_lock lock(mutex);
+            send = senders.at(session);
+        }
+        send(std::move(answer));
+    }
+    void sessionClosed(std::uint64_t session) override
+    {
+        const std::scoped_lock lock(mutex);
+        senders.erase(session);
+        changed.notify_all();
+    }
+    std::vector<member_info> gossip(std::span<const member_info> news) override
+    {
+        return { news.begin(), news.end() };
+    }
+    follow_reply follow(const follow_request& request) override
+    {
+        follow_reply reply;
+        reply.members.push_back({ request.vm, "z", "", request.batchAddress, "", 1, 1, false, 0 });
+        return reply;
+    }
+    std::optional<settings_tree> pull(std::int64_t newerThan) override
+    {
+        settings_tree tree;
+        tree.version = 5;
+        if (newerThan >= 5)
+            return std::nullopt;
+        return tree;
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::uint64_t, std::function<void(envelope)>> senders;
+};
+
+class refusing_jobs final : public jobs_handler {
+public:
+    result<job_view> submit(submit_request request) override
+    {
+        return notRun(failure_kind::bad_request, "line 3: " + request.customer, 250ms);
+    }
+    result<job_view> describe(std::string_view, std::string_view id) override
+    {
+        return job_view { std::string(id), "s", "running", 3, 2, 1, 4, 5, 6, true };
+    }
+    result<results_page> results(std::string_view, std::string_view, std::uint64_t cursor) override
+    {
+        return results_page { "{}\n", cursor + 1, true };
+    }
+    result<job_view> cancel(std::string_view, std::string_view) override
+    {
+        return mayHaveRun(failure_kind::timeout, "store");
+    }
+};
+
+constexpr auto address = "unix-abstract:yuccachute-test-rpc";
+
+} // namespace
+
+TEST_CASE("grants flow over one stream, and both ends see it close")
+{
+    granting_handler handler;
+    rpc_server server(address, {}, &handler, nullptr);
+    rpc_client client({});
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::size_t granted = 0;
+    bool closed = false;
+    auto link = client.open(
+        address,
+        [&](envelope message) {
+            const std::scoped_lock lock(mutex);
+            granted += message.grants.size();
+            changed.notify_all();
+        },
+        [&] {
+            const std::scoped_lock lock(mutex);
+            closed = true;
+            changed.notify_all();
+        });
+    for (std::uint64_t id = 1; id <= 1000; ++id) {
+        envelope message;
+        message.asks.push_back({ "g", {} });
+        message.asks.back().ask.id = id;
+        link->send(std::move(message));
+    }
+    std::unique_lock lock(mutex);
+    REQUIRE(changed.wait_for(lock, 20s, [&] { return granted == 1000; }));
+    link.reset();
+    REQUIRE(changed.wait_for(lock, 20s, [&] { return closed; }));
+    std::unique_lock serverLock(handler.mutex);
+    CHECK(handler.changed.wait_for(serverLock, 20s, [&] { return handler.senders.empty(); }));
+}
+
+TEST_CASE("unary calls carry values, and failures with verdict and time to come back")
+{
+    granting_handler handler;
+    refusing_jobs jobs;
+    rpc_server server(address, {}, &handler, &jobs);
+    rpc_client client({});
+    const member_info self { "vm", "z", "a", "", "", 1, 2, false, 3 };
+    const auto members = client.gossip(address, std::span(&self, 1), 5s);
+    REQUIRE(members);
+    CHECK(members.value().at(0).settingsVersion == 3);
+    CHECK(client.follow(address, { "vm", "b", "", 0 }, 5s).value().members.at(0).batchAddress == "b");
+    CHECK(client.pull(address, 4, 5s).value()->version == 5);
+    CHECK(!client.pull(address, 5, 5s).value());
+    const auto refused = client.submit(address, { "armor", "s", "", 0ms, "" }, 5s);
+    REQUIRE(!refused);
+    CHECK(refused.error().ran == verdict::not_run);
+    CHECK(refused.error().message == "line 3: armor");
+    CHECK(refused.error().retryAfter == 250ms);
+    CHECK(client.describe(address, "c", "j1", 5s).value().failed == 1);
+    CHECK(client.results(address, "c", "j1", 7, 5s).value().nextCursor == 8);
+    CHECK(client.cancel(address, "c", "j1", 5s).error().ran == verdict::may_have_run);
+    CHECK(client.describe("127.0.0.1:1", "c", "j1", 300ms).error().ran == verdict::may_have_run);
+}
--- /dev/null
+++ b/libs/settings/src/text.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Text helpers of this library.
+namespace yuccachute {
+
+/// Splits at each separator; an empty text gives one empty part.
+inline std::vector<std::string_view> splitText(std::string_view text, char separator)
+{
+    std::vector<std::string_view> parts;
+    for (;;) {
+        const auto end = text.find(separator);
+        parts.push_back(text.substr(0, end));
+        if (end == std::string_view::npos)
+            return parts;
+        text.remove_prefix(end + 1);
+    }
+}
+
+/// Prints a number without trailing zeros.
+inline std::string shortNumber(double value)
+{
+    auto text = std::to_string(value);
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.back() == '.')
+        text.pop_back();
+    return text;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/settings/src/tree.cpp
@@ -0,0 +1,102 @@
+#include "settings/settings.h"
+
+#include "text.h"
+
+namespace yuccachute {
+
+namespace {
+
+std::string describeNode(const settings_node* node)
+{
+    if (!node)
+        return "(no such node)";
+    std::string text;
+    for (const auto& [key, value] : node->values)
+        text += (text.empty() ? "" : ", ") + key + " = " + value;
+    return "revision " + std::to_string(node->revision) + ": " + (text.empty() ? "(empty)" : text);
+}
+
+std::string describeEdit(const settings_edit& edit)
+{
+    if (edit.removeNode)
+        return "remove the node";
+    std::string text;
+    for (const auto& [key, value] : edit.set)
+        text += (text.empty() ? "" : ", ") + key + " = " + value;
+    for (const auto& key : edit.unset)
+        text += (text.empty() ? "" : ", ") + std::string("unset ") + key;
+    return text;
+}
+
+result<void> checkBase(const settings_tree& tree, const settings_edit& edit)
+{
+    const auto found = tree.nodes.find(edit.path);
+    const auto* current = found == tree.nodes.end() ? nullptr : &found->second;
+    const std::int64_t revision = current ? current->revision : 0;
+    if (!edit.base || *edit.base == revision)
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    return notRun(failure_kind::conflict,
+        '[' + edit.path + "]: changed since it was read. Made against revision " + std::to_string(*edit.base)
+            + "; now " + describeNode(current) + ". Wanted: " + describeEdit(edit));
+}
+
+result<void> checkReferences(const settings_tree& tree)
+{
+    for (const auto& [path, node] : tree.nodes) {
+        const auto kind = kindOfPath(path);
+        const auto parts = splitText(path, '/');
+        if (kind == node_kind::target) {
+            for (const char* required : { "address", "zone" }) {
+                if (!node.values.contains(required))
+                    return notRun(failure_kind::bad_request, '[' + path + "]: " + required + " is missing");
+            }
+            if (!tree.nodes.contains("service/" + std::string(parts[1])))
+                return notRun(failure_kind::bad_request,
+                    '[' + path + "]: there is no [service/" + std::string(parts[1]) + ']');
+        }
+        if (kind == node_kind::customer_service || kind == node_kind::job) {
+            for (const auto& parent :
+                { "customer/" + std::string(parts[1]), "service/" + std::string(parts[3]) }) {
+                if (!tree.nodes.contains(parent))
+                    return notRun(failure_kind::bad_request, '[' + path + "]: there is no [" + parent + ']');
+            }
+        }
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+result<void> applyEdit(settings_tree& tree, const settings_edit& edit)
+{
+    if (!kindOfPath(edit.path))
+        return notRun(failure_kind::bad_request, '[' + edit.path + "]: not a path of the tree");
+    BOOST_OUTCOME_TRYV(checkBase(tree, edit));
+    if (edit.removeNode) {
+        if (tree.nodes.erase(edit.path) == 0)
+            return notRun(failure_kind::not_found, '[' + edit.path + "]: there is no such node");
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    auto& node = tree.nodes[edit.path];
+    for (const auto& [key, value] : edit.set) {
+        BOOST_OUTCOME_TRYV(checkValue(edit.path, key, value));
+        node.values[key] = value;
+    }
+    for (const auto& key : edit.unset) {
+        if (node.values.erase(key) == 0)
+            return notRun(failure_kind::not_found, '[' + edit.path + "] " + key + ": is not set here");
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+} // namespace
+
+result<settings_tree> applyEdits(const settings_tree& tree, std::span<const settings_edit> edits)
+{
+    settings_tree outcome = tree;
+    for (const auto& edit : edits) {
+        BOOST_OUTCOME_TRYV(applyEdit(outcome, edit));
+    }
+    BOOST_OUTCOME_TRYV(checkReferences(outcome));
+    return outcome;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/store/include/store/store.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "verdict/verdict.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The platform's key-value service: interface, adapter for its published protocol, and a store in memory for
+/// tests and stand-ins. Layer: transport.
+namespace yuccachute {
+
+struct stored_value {
+    std::string key;
+    std::string value;
+    std::int64_t createRevision = 0; ///< 0: the key does not exist.
+    std::int64_t modRevision = 0;
+    std::int64_t lease = 0;
+};
+
+/// Condition of a transaction.
+struct store_condition {
+    enum class kind : std::uint8_t { absent, create_revision, mod_revision };
+    kind what = kind::absent;
+    std::string key;
+    std::int64_t revision = 0;
+};
+
+struct store_write {
+    std::string key;
+    std::string value;
+    std::int64_t lease = 0; ///< 0 for none.
+};
+
+/// Removes one key, or all keys with a prefix.
+struct store_removal {
+    std::string key;
+    bool prefix = false;
+};
+
+/// If all conditions hold, everything is written in one step; otherwise the keys are read.
+struct store_transaction {
+    std::vector<store_condition> conditions;
+    std::vector<store_write> writes;
+    std::vector<store_removal> removals;
+    std::vector<std::string> readOtherwise;
+};
+
+struct commit_outcome {
+    bool applied = false;
+    std::int64_t revision = 0; ///< The store's revision after the transaction.
+    std::vector<stored_value>
+        found; ///< Values of readOtherwise, in order; those that do not exist have createRevision 0.
+};
+
+struct store_listing {
+    std::vector<stored_value> values; ///< In order of their keys.
+    std::int64_t revision = 0;
+    bool more = false;
+};
+
+struct store_event {
+    bool removed = false;
+    stored_value value;
+};
+
+/// A running watch; it ends when this is destroyed.
+class store_watch {
+public:
+    virtual ~store_watch() = default;
+};
+
+/// A failed call's verdict is may_have_run unless the service refused it. An unknown outcome is settled by
+/// reading: whoever writes puts a token of its own into the value.
+class config_store {
+public:
+    virtual ~config_store() = default;
+
+    /// Lists keys with a prefix, after a key if one is named; a limit of 0 is none.
+    virtual result<store_listing> list(
+        std::string_view prefix, std::string_view after = {}, std::size_t limit = 0, bool keysOnly = false)
+        = 0;
+    virtual result<std::optional<stored_value>> get(std::string_view key) = 0;
+    virtual result<commit_outcome> commit(const store_transaction& transaction) = 0;
+
+    virtual result<std::int64_t> grantLease(std::chrono::seconds ttl) = 0;
+    /// Fails with not_found if the lease has lapsed.
+    virtual result<void> renewLease(std::int64_t lease) = 0;
+    virtual result<void> revokeLease(std::int64_t lease) = 0;
+
+    /// Reports every change of keys with a prefix from a revision on (0: from now on), in order, from a
+    /// thread of the watch; then calls ended once if the watch breaks.
+    virtual std::unique_ptr<store_watch> watch(std::string_view prefix, std::int64_t fromRevision,
+        std::function<void(std::span<const store_event>, std::int64_t revision)> changed,
+        std::function<void()> ended)
+        = 0;
+};
+
+/// Connects to the service at "host:port". Calls time out after the time given.
+std::unique_ptr<config_store> connectStore(
+    std::string_view address, milliseconds timeout = milliseconds { 2000 });
+
+/// A store in memory with the same behaviour. Thread-safe. Leases lapse when expireLeases() is called.
+class memory_store final : public config_store {
+public:
+    memory_store();
+    ~memory_store() override;
+
+    result<store_listing> list(std::string_view prefix, std::string_view after = {}, std::size_t limit = 0,
+        bool keysOnly = false) override;
+    result<std::optional<stored_value>> get(std::string_view key) override;
+    result<commit_outcome> commit(const store_transaction& transaction) override;
+    result<std::int64_t> grantLease(std::chrono::seconds ttl) override;
+    result<void> renewLease(std::int64_t lease) override;
+    result<void> revokeLease(std::int64_t lease) override;
+    std::unique_ptr<store_watch> watch(std::string_view prefix, std::int64_t fromRevision,
+        std::function<void(std::span<const store_event>, std::int64_t)> changed,
+        std::function<void()> ended) override;
+
+    void expireLeases(steady_time now);
+
+    /// Test hook: called before each call; a failure is returned in place of the answer, after the change has
+    /// taken effect if its verdict is may_have_run.
+    std::function<std::optional<failure>(std::string_view call)> fault;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+/// The key after all keys with this prefix.
+std::string prefixEnd(std::string_view prefix);
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/store/tests/test_store.cpp
@@ -0,0 +1,69 @@
+#include "store/store.h"
+
+#include <catch2/catch.hpp>
+
+using namespace yuccachute;
+using namespace std::chrono_literals;
+
+namespace {
+
+store_transaction createIfAbsent(std::string key, std::string value, std::int64_t lease = 0)
+{
+    store_transaction transaction;
+    transaction.conditions.push_back({ store_condition::kind::absent, key, 0 });
+    transaction.readOtherwise.push_back(key);
+    transaction.writes.push_back({ std::move(key), std::move(value), lease });
+    return transaction;
+}
+
+} // namespace
+
+TEST_CASE("a transaction compares and writes in one step")
+{
+    memory_store store;
+    const auto first = store.commit(createIfAbsent("/a", "1"));
+    REQUIRE(first);
+    CHECK(first.value().applied);
+    const auto second = store.commit(createIfAbsent("/a", "2"));
+    REQUIRE(second);
+    CHECK(!second.value().applied);
+    CHECK(second.value().found.at(0).value == "1");
+    CHECK(store.get("/a").value()->createRevision == first.value().revision);
+    CHECK(!store.get("/b").value());
+}
+
+TEST_CASE("listing goes on after a key")
+{
+    memory_store store;
+    for (const char* key : { "/x/1", "/x/2", "/x/3", "/y/1" })
+        store.commit(createIfAbsent(key, "v")).value();
+    const auto page = store.list("/x/", {}, 2).value();
+    CHECK(page.more);
+    CHECK(page.values.size() == 2);
+    const auto rest = store.list("/x/", page.values.back().key, 2).value();
+    CHECK(!rest.more);
+    CHECK(rest.values.at(0).key == "/x/3");
+    CHECK(prefixEnd("/x/") == "/x0");
+}
+
+TEST_CASE("keys go with their lease, and watches see every change in order")
+{
+    memory_store store;
+    std::vector<std::string> seen;
+    store.commit(createIfAbsent("/w/0", "old")).value();
+    const auto from = store.get("/w/0").value()->modRevision;
+    auto watch = store.watch(
+        "/w/", from,
+        [&](std::span<const store_event> events, std::int64_t) {
+            for (const auto& event : events)
+                seen.push_back((event.removed ? "-" : "+") + event.value.key);
+        },
+        [] {});
+    const auto lease = store.grantLease(1s).value();
+    store.commit(createIfAbsent("/w/1", "v", lease)).value();
+    CHECK(store.renewLease(lease));
+    store.expireLeases(std::chrono::steady_clock::now() + 2s);
+    CHECK(seen == std::vector<std::string> { "+/w/0", "+/w/1", "-/w/1" });
+    CHECK(store.renewLease(lease).error().kind == failure_kind::not_found);
+    CHECK(store.commit(createIfAbsent("/w/2", "v", lease)).error().ran == verdict::not_run);
+}
--- /dev/null
+++ b/libs/wire/include/wire/wire.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "messages/messages.h"
+#include "peer.pb.h"
+
+/// Conversions between the typed messages and the generated ones of libs/wire/proto. Layer: protocol. No I/O.
+namespace yuccachute {
+
+/// Times travel as durations from now, because clocks differ.
+void toWire(const envelope& message, steady_time now, peer::Envelope& out);
+envelope fromWire(const peer::Envelope& in, steady_time now);
+
+void toWire(const member_info& member, peer::Member& out);
+member_info fromWire(const peer::Member& in);
+
+void toWire(const settings_tree& tree, peer::Settings& out);
+settings_tree fromWire(const peer::Settings& in);
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/wire/src/wire.cpp
@@ -0,0 +1,172 @@
+#include "wire/wire.h"
+
+#include <algorithm>
+
+namespace yuccachute {
+
+namespace {
+
+std::uint64_t millisecondsUntil(steady_time time, steady_time now)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(time - now).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, left));
+}
+
+void toWire(const ask_message& message, steady_time now, peer::Ask& out)
+{
+    const auto& ask = message.ask;
+    out.set_id(ask.id);
+    out.set_group(message.group);
+    out.set_customer(ask.customer);
+    out.set_work_class(static_cast<std::uint32_t>(ask.workClass));
+    out.set_weight(static_cast<float>(ask.weight));
+    out.set_queue_limit(ask.queueLimit);
+    out.set_cost(static_cast<float>(ask.cost));
+    for (auto prefix : ask.prefixes)
+        out.add_prefixes(prefix);
+    out.set_avoid(ask.avoid);
+    out.set_wait_ms(static_cast<std::uint32_t>(millisecondsUntil(ask.deadline, now)));
+    out.set_due_in_ms(millisecondsUntil(ask.due, now));
+}
+
+ask_message fromWire(const peer::Ask& in, steady_time now)
+{
+    ask_message message;
+    message.group = in.group();
+    auto& ask = message.ask;
+    ask.id = in.id();
+    ask.customer = in.customer();
+    ask.workClass = in.work_class() == 0 ? work_class::live : work_class::bulk;
+    ask.weight = in.weight();
+    ask.queueLimit = in.queue_limit();
+    ask.cost = in.cost();
+    ask.prefixes.assign(in.prefixes().begin(), in.prefixes().end());
+    ask.avoid = in.avoid();
+    ask.deadline = now + milliseconds { in.wait_ms() };
+    ask.due = now + milliseconds { static_cast<std::int64_t>(in.due_in_ms()) };
+    return message;
+}
+
+} // namespace
+
+void toWire(const envelope& message, steady_time now, peer::Envelope& out)
+{
+    for (const auto& ask : message.asks)
+        toWire(ask, now, *out.add_asks());
+    for (const auto& grant : message.grants) {
+        auto& wire = *out.add_grants();
+        wire.set_ask_id(grant.askId);
+        wire.set_grant_id(grant.grantId);
+        wire.set_target(grant.target);
+        wire.set_address(grant.address);
+        wire.set_waited_ms(static_cast<std::uint32_t>(grant.waited.count()));
+    }
+    for (const auto& refusal : message.refusals) {
+        auto& wire = *out.add_refusals();
+        wire.set_ask_id(refusal.askId);
+        wire.set_kind(static_cast<std::uint32_t>(refusal.reason.kind));
+        wire.set_message(refusal.reason.message);
+        wire.set_retry_after_ms(static_cast<std::uint32_t>(refusal.reason.retryAfter.count()));
+    }
+    for (const auto& moved : message.moved) {
+        auto& wire = *out.add_moved();
+        wire.set_ask_id(moved.askId);
+        wire.set_owner_address(moved.ownerAddress);
+    }
+    for (const auto& revoke : message.revokes) {
+        auto& wire = *out.add_revokes();
+        wire.set_group(revoke.group);
+        wire.set_grant_id(revoke.grantId);
+    }
+    for (const auto& release : message.releases) {
+        auto& wire = *out.add_releases();
+        wire.set_group(release.group);
+        wire.set_grant_id(release.release.grantId);
+        wire.set_outcome(static_cast<std::uint32_t>(release.release.outcome));
+        wire.set_first_token_ms(static_cast<std::uint32_t>(release.release.firstToken.count()));
+        wire.set_tokens(static_cast<float>(release.release.tokens));
+    }
+    for (const auto& withdrawal : message.withdrawals) {
+        auto& wire = *out.add_withdrawals();
+        wire.set_group(withdrawal.group);
+        wire.set_ask_id(withdrawal.askId);
+    }
+}
+
+envelope fromWire(const peer::Envelope& in, steady_time now)
+{
+    envelope message;
+    for (const auto& ask : in.asks())
+        message.asks.push_back(fromWire(ask, now));
+    for (const auto& grant : in.grants())
+        message.grants.push_back({ 0, grant.ask_id(), grant.grant_id(), grant.target(), grant.address(),
+            milliseconds { grant.waited_ms() } });
+    for (const auto& refusal : in.refusals()) {
+        const auto kind = refusal.kind() <= static_cast<std::uint32_t>(failure_kind::internal)
+            ? static_cast<failure_kind>(refusal.kind())
+            : failure_kind::internal;
+        message.refusals.push_back({ 0, refusal.ask_id(),
+            notRun(kind, refusal.message(), milliseconds { refusal.retry_after_ms() }) });
+    }
+    for (const auto& moved : in.moved())
+        message.moved.push_back({ moved.ask_id(), moved.owner_address() });
+    for (const auto& revoke : in.revokes())
+        message.revokes.push_back({ revoke.group(), revoke.grant_id() });
+    for (const auto& release : in.releases()) {
+        // An outcome that a newer peer may know says nothing here.
+        const auto outcome = release.outcome() <= static_cast<std::uint32_t>(grant_outcome::abandoned)
+            ? static_cast<grant_outcome>(release.outcome())
+            : grant_outcome::abandoned;
+        message.releases.push_back({ release.group(),
+            { release.grant_id(), outcome, milliseconds { release.first_token_ms() }, release.tokens() } });
+    }
+    for (const auto& withdrawal : in.withdrawals())
+        message.withdrawals.push_back({ withdrawal.group(), withdrawal.ask_id() });
+    return message;
+}
+
+void toWire(const member_info& member, peer::Member& out)
+{
+    out.set_vm(member.vm);
+    out.set_zone(member.zone);
+    out.set_address(member.address);
+    out.set_batch_address(member.batchAddress);
+    out.set_admin_address(member.adminAddress);
+    out.set_incarnation(member.incarnation);
+    out.set_heartbeat(member.heartbeat);
+    out.set_leaving(member.leaving);
+    out.set_settings_version(member.settingsVersion);
+}
+
+member_info fromWire(const peer::Member& in)
+{
+    return { in.vm(), in.zone(), in.address(), in.batch_address(), in.admin_address(), in.incarnation(),
+        in.heartbeat(), in.leaving(), in.settings_version() };
+}
+
+void toWire(const settings_tree& tree, peer::Settings& out)
+{
+    out.set_version(tree.version);
+    for (const auto& [path, node] : tree.nodes) {
+        auto& wire = *out.add_nodes();
+        wire.set_path(path);
+        wire.set_revision(node.revision);
+        for (const auto& [key, value] : node.values)
+            (*wire.mutable_values())[key] = value;
+    }
+}
+
+settings_tree fromWire(const peer::Settings& in)
+{
+    settings_tree tree;
+    tree.version = in.version();
+    for (const auto& wire : in.nodes()) {
+        auto& node = tree.nodes[wire.path()];
+        node.revision = wire.revision();
+        for (const auto& [key, value] : wire.values())
+            node.values[key] = value;
+    }
+    return tree;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/wire/tests/test_wire.cpp
@@ -0,0 +1,69 @@
+#include "wire/wire.h"
+
+#include <catch2/catch.hpp>
+
+using namespace yuccachute;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start = steady_time {} + 1h;
+
+} // namespace
+
+TEST_CASE("an envelope survives its encoding")
+{
+    envelope message;
+    grant_ask ask;
+    ask.id = 7;
+    ask.customer = "armor";
+    ask.workClass = work_class::bulk;
+    ask.weight = 2;
+    ask.prefixes = { 1, 2, 3 };
+    ask.deadline = start + 5s;
+    ask.due = start + 1h;
+    message.asks.push_back({ "screening/rennes-a/0", ask });
+    message.grants.push_back({ 0, 7, 8, "s1", "127.0.0.1:7001", 12ms });
+    message.refusals.push_back({ 0, 9, notRun(failure_kind::overloaded, "full", 1500ms) });
+    message.moved.push_back({ 10, "127.0.0.1:9" });
+    message.revokes.push_back({ "g", 11 });
+    message.releases.push_back({ "g", { 12, grant_outcome::failed, 13ms, 14 } });
+    message.withdrawals.push_back({ "g", 15 });
+    const auto later = start + 1h;
+    peer::Envelope wire;
+    toWire(message, start, wire);
+    peer::Envelope received;
+    REQUIRE(received.ParseFromString(wire.SerializeAsString()));
+    const auto copy = fromWire(received, later);
+    CHECK(copy.asks[0].ask.deadline == later + 5s);
+    CHECK(copy.asks[0].ask.prefixes == ask.prefixes);
+    CHECK(copy.asks[0].ask.workClass == work_class::bulk);
+    CHECK(copy.grants[0].address == "127.0.0.1:7001");
+    CHECK(copy.refusals[0].reason.retryAfter == 1500ms);
+    CHECK(copy.moved[0].ownerAddress == "127.0.0.1:9");
+    CHECK(copy.revokes[0].grantId == 11);
+    CHECK(copy.releases[0].release.outcome == grant_outcome::failed);
+    CHECK(copy.withdrawals[0].askId == 15);
+}
+
+TEST_CASE("members and settings survive their encoding")
+{
+    const member_info member { "vm1", "rennes-a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4, 5, true,
+        6 };
+    peer::Member wireMember;
+    toWire(member, wireMember);
+    const auto memberCopy = fromWire(wireMember);
+    CHECK(memberCopy.adminAddress == member.adminAddress);
+    CHECK(memberCopy.leaving);
+    CHECK(memberCopy.settingsVersion == 6);
+
+    settings_tree tree;
+    tree.version = 9;
+    tree.nodes["fleet"] = { { { "weight", "2" } }, 8 };
+    peer::Settings wireTree;
+    toWire(tree, wireTree);
+    const auto copy = fromWire(wireTree);
+    CHECK(copy.version == 9);
+    CHECK(copy.nodes.at("fleet").revision == 8);
+    CHECK(copy.nodes.at("fleet").values.at("weight") == "2");
+}
