--- /dev/null
+++ b/libs/batch/src/item_runner.cpp
@@ -0,0 +1,120 @@
+#include "item_runner.h"
+
+#include <algorithm>
+
+namespace yuccachute {
+
+namespace {
+
+/// An ask for spare capacity waits so long at one group before another is tried.
+constexpr milliseconds grantWait { 5000 };
+constexpr milliseconds itemTimeout { 600000 };
+constexpr milliseconds idleTimeout { 20000 };
+constexpr double bytesPerToken = 4;
+
+} // namespace
+
+item_runner::item_runner(job_holder& holder, grant_client& grants, const settings_cell& settings,
+    std::string zone, metrics& figures)
+    : m_holder(holder)
+    , m_grants(grants)
+    , m_settings(settings)
+    , m_zone(std::move(zone))
+    , m_figures(figures)
+{
+}
+
+bool item_runner::runOne()
+{
+    const auto item = m_holder.next(std::chrono::steady_clock::now());
+    if (!item)
+        return false;
+    const auto place = findPlace(*item);
+    if (!place) {
+        m_holder.finished(*item, { item_outcome::kind::not_run, {}, 0, place.error().message },
+            std::chrono::steady_clock::now());
+        return true;
+    }
+    const auto started = std::chrono::steady_clock::now();
+    const auto outcome = runOn(*item, place.value());
+    const auto now = std::chrono::steady_clock::now();
+    m_figures.observe("yuccachute_total_seconds", { item->customer, "bulk" }, now - started);
+    m_figures.count("yuccachute_items_total", "outcome",
+        outcome.what == item_outcome::kind::completed     ? "completed"
+            : outcome.what == item_outcome::kind::yielded ? "yielded"
+            : outcome.what == item_outcome::kind::not_run ? "not_run"
+                                                          : "failed");
+    m_holder.finished(*item, outcome, now);
+    return true;
+}
+
+result<held_grant> item_runner::findPlace(const work_item& item)
+{
+    const auto settings = m_settings.current();
+    const auto effective = resolveRequest(settings->tree, item.customer, item.service, item.jobId);
+    auto zones = settings->zonesOf(item.service);
+    std::stable_partition(zones.begin(), zones.end(), [&](const auto& zone) { return zone == m_zone; });
+    const auto now = std::chrono::steady_clock::now();
+    grant_ask ask;
+    ask.customer = item.customer;
+    ask.workClass = work_class::bulk;
+    ask.weight = effective.weight;
+    ask.cost = static_cast<double>(item.request.prompt.size()) / bytesPerToken + item.request.maxTokens;
+    ask.prefixes = prefixHashes(item.request.prompt);
+    ask.due = now + milliseconds { std::max<std::int64_t>(0, item.dueMs - wallClockMs()) };
+    failure last = notRun(failure_kind::unavailable, "service \"" + item.service + "\" has no targets");
+    for (const auto& zone : zones) {
+        for (const auto* group : settings->groupsOf(item.service, zone)) {
+            ask.deadline = std::chrono::steady_clock::now() + grantWait;
+            auto place = m_grants.acquire(group->name, zone, ask);
+            if (place)
+                return place;
+            last = place.error();
+            if (item.abandon->load())
+                return last;
+        }
+    }
+    return last;
+}
+
+item_outcome item_runner::runOn(const work_item& item, const held_grant& place)
+{
+    std::string text;
+    completion_attempt attempt;
+    attempt.address = place.address;
+    attempt.requestId = item.jobId + '-' + std::to_string(item.index) + '-' + randomId().substr(0, 8);
+    attempt.request = item.request;
+    attempt.deadline = std::chrono::steady_clock::now() + itemTimeout;
+    attempt.idleTimeout = idleTimeout;
+    attempt.abandon = place.revoked.get();
+    attempt.onEvent = [&](const completion_event& event) {
+        text += event.text;
+        return !item.abandon->load() && !place.revoked->load();
+    };
+    const auto outcome = runCompletion(attempt);
+    if (!outcome.whole && outcome.error.ran != verdict::not_run)
+        cancelCompletion(place.address, attempt.requestId);
+    const bool revoked = place.revoked->load();
+    grant_release figures;
+    figures.outcome = outcome.whole                                             ? grant_outcome::ok
+        : revoked || item.abandon->load() || outcome.error.ran == verdict::done ? grant_outcome::abandoned
+                                                                                : grant_outcome::failed;
+    figures.firstToken = outcome.firstToken;
+    figures.tokens = static_cast<double>(outcome.events);
+    m_grants.release(place, figures);
+    return judge(outcome, std::move(text), revoked);
+}
+
+item_outcome item_runner::judge(const attempt_outcome& attempt, std::string text, bool revoked)
+{
+    const auto tokens = static_cast<unsigned>(attempt.events);
+    if (attempt.whole)
+        return { item_outcome::kind::completed, std::move(text), tokens, {} };
+    if (revoked)
+        return { item_outcome::kind::yielded, std::move(text), tokens, {} };
+    if (attempt.error.ran == verdict::not_run)
+        return { item_outcome::kind::not_run, {}, 0, attempt.error.message };
+    return { item_outcome::kind::failed, {}, 0, attempt.error.message };
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/batch/src/job_holder.cpp
@@ -0,0 +1,323 @@
+#include "job_holder.h"
+
+#include "logging/logging.h"
+
+#include <algorithm>
+
+namespace yuccachute {
+
+namespace {
+
+constexpr milliseconds scanInterval { 2000 };
+/// An unheld job is left to the process that is responsible for it for so long; then anyone takes it.
+constexpr milliseconds othersWait { 5000 };
+constexpr milliseconds leaseMargin { 500 };
+constexpr int renewalsPerTtl = 3;
+
+} // namespace
+
+job_holder::job_holder(job_store& jobs, config_store& store, std::string address, holder_options options)
+    : m_jobs(jobs)
+    , m_store(store)
+    , m_address(std::move(address))
+    , m_options(options)
+{
+}
+
+/// Returns whether there is a living lease. The time of a renewal counts from before it is sent: the store
+/// may have counted from any moment after.
+bool job_holder::keepLease(steady_time now)
+{
+    if (m_lease != 0 && now < m_nextRenewal)
+        return true;
+    const auto before = now;
+    if (m_lease != 0) {
+        const auto renewed = m_store.renewLease(m_lease);
+        if (renewed) {
+            const std::scoped_lock lock(m_mutex);
+            m_leaseUntil = before + m_options.leaseTtl - leaseMargin;
+            m_nextRenewal = before + m_options.leaseTtl / renewalsPerTtl;
+            return true;
+        }
+        if (renewed.error().kind != failure_kind::not_found)
+            return false; // Perhaps it still lives; the next round tries again.
+        logEvent(log_level::warning, "lease lapsed", { { "jobs", static_cast<std::int64_t>(heldJobs()) } });
+        const std::scoped_lock lock(m_mutex);
+        m_lease = 0;
+        for (auto& [id, job] : m_held)
+            job.lost = true;
+    }
+    const auto granted = m_store.grantLease(m_options.leaseTtl);
+    if (!granted)
+        return false;
+    const std::scoped_lock lock(m_mutex);
+    m_lease = granted.value();
+    m_leaseUntil = before + m_options.leaseTtl - leaseMargin;
+    m_nextRenewal = before + m_options.leaseTtl / renewalsPerTtl;
+    return true;
+}
+
+void job_holder::retakeLost()
+{
+    std::vector<std::pair<std::string, std::int64_t>> lost;
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const auto& [id, job] : m_held) {
+            if (job.lost && !job.committing)
+                lost.emplace_back(id, job.progressRevision);
+        }
+    }
+    for (const auto& [id, revision] : lost) {
+        const auto epoch = m_jobs.claim(id, m_address, m_lease, revision);
+        const std::scoped_lock lock(m_mutex);
+        const auto job = m_held.find(id);
+        if (job == m_held.end() || !epoch)
+            continue;
+        if (epoch.value()) {
+            job->second.epoch = *epoch.value();
+            job->second.lost = false;
+        } else {
+            dropLocked(job);
+        }
+    }
+}
+
+void job_holder::maintain(const std::function<bool(const std::string&)>& mine, steady_time now)
+{
+    if (!keepLease(now))
+        return;
+    retakeLost();
+    if (now >= m_nextScan && !m_stopping) {
+        m_nextScan = now + scanInterval;
+        scan(mine, now);
+    }
+}
+
+void job_holder::scan(const std::function<bool(const std::string&)>& mine, steady_time now)
+{
+    const auto overview = m_jobs.scan();
+    if (!overview)
+        return;
+    const auto& [open, held] = overview.value();
+    // A job here that is no longer open was cancelled elsewhere.
+    std::vector<std::string> gone;
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const auto& [id, job] : m_held) {
+            if (!job.committing && !std::binary_search(open.begin(), open.end(), id))
+                gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        const auto job = m_jobs.read(id);
+        if ((job && job.value().progress.state != job_state::running)
+            || (!job && job.error().kind == failure_kind::not_found))
+            drop(id);
+    }
+    std::map<std::string, steady_time> unheld;
+    for (const auto& id : open) {
+        if (std::binary_search(held.begin(), held.end(), id))
+            continue;
+        const auto known = m_unheldSince.find(id);
+        unheld[id] = known == m_unheldSince.end() ? now : known->second;
+        if (heldJobs() < m_options.mostJobs && (mine(id) || now - unheld[id] > othersWait))
+            take(id, now);
+    }
+    m_unheldSince = std::move(unheld);
+}
+
+void job_holder::adopt(const std::string& id, steady_time now)
+{
+    // While the store is away, or enough jobs are held, a scan finds the job later, here or elsewhere.
+    if (m_stopping || heldJobs() >= m_options.mostJobs)
+        return;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_lease == 0 || now >= m_leaseUntil)
+            return;
+    }
+    take(id, now);
+}
+
+bool job_holder::take(const std::string& id, steady_time)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_held.contains(id))
+            return false;
+    }
+    auto stored = m_jobs.read(id);
+    if (!stored || stored.value().progress.state != job_state::running)
+        return false;
+    auto& job = stored.value();
+    const auto epoch = m_jobs.claim(id, m_address, m_lease, job.progressRevision);
+    if (!epoch || !epoch.value())
+        return false;
+    auto items = m_jobs.readItems(job.record);
+    if (!items) {
+        logEvent(
+            log_level::error, "job cannot be read", { { "job", id }, { "message", items.error().message } });
+        m_jobs.release(id, *epoch.value());
+        return false;
+    }
+    held_job held;
+    held.epoch = *epoch.value();
+    held.progressRevision = job.progressRevision;
+    held.run
+        = std::make_unique<job_run>(std::move(job.record), std::move(items.value()), std::move(job.progress));
+    logEvent(log_level::info, "job taken",
+        { { "job", id }, { "epoch", held.epoch },
+            { "remaining", static_cast<std::int64_t>(held.run->remaining()) } });
+    const std::scoped_lock lock(m_mutex);
+    m_held[id] = std::move(held);
+    return true;
+}
+
+/// The earliest due job first; among jobs due at about the same time, the one that has been served least.
+std::optional<work_item> job_holder::next(steady_time now)
+{
+    constexpr std::int64_t sameDueMs = 60000;
+    const std::scoped_lock lock(m_mutex);
+    if (m_stopping || m_lease == 0 || now >= m_leaseUntil)
+        return std::nullopt;
+    std::vector<held_job*> candidates;
+    std::size_t uncommitted = 0;
+    for (auto& [id, job] : m_held) {
+        uncommitted += job.run->uncommittedBytes();
+        if (!job.lost && !job.run->ended())
+            candidates.push_back(&job);
+    }
+    if (uncommitted > m_options.mostUncommittedBytes)
+        return std::nullopt;
+    std::sort(candidates.begin(), candidates.end(), [](const held_job* a, const held_job* b) {
+        const auto dueA = a->run->record().dueMs / sameDueMs;
+        const auto dueB = b->run->record().dueMs / sameDueMs;
+        return dueA != dueB ? dueA < dueB : a->served < b->served;
+    });
+    for (auto* job : candidates) {
+        const auto start = job->run->next(now);
+        if (!start)
+            continue;
+        ++job->served;
+        const auto& record = job->run->record();
+        const auto& item = job->run->item(start->index);
+        work_item work { record.id, record.customer, record.service, record.dueMs, start->index,
+            item.idempotent, {}, job->abandon };
+        work.request.model = record.service;
+        work.request.prompt = item.prompt + start->text;
+        work.request.maxTokens = start->tokensLeft;
+        work.request.stream = true;
+        return work;
+    }
+    return std::nullopt;
+}
+
+void job_holder::finished(const work_item& item, const item_outcome& outcome, steady_time now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto job = m_held.find(item.jobId);
+    // The abandon flag tells this holding of the job from a later one.
+    if (job == m_held.end() || job->second.abandon != item.abandon) {
+        ++m_droppedResults;
+        return;
+    }
+    job->second.run->finished(item.index, outcome, now);
+}
+
+void job_holder::commitDue(steady_time now, bool everything)
+{
+    std::vector<std::string> due;
+    {
+        const std::scoped_lock lock(m_mutex);
+        // The more jobs, the longer their results are gathered, so that the calls a second stay bounded.
+        const auto age = everything ? milliseconds { 0 }
+                                    : m_options.commitAge * (1 + static_cast<int>(m_held.size()) / 8);
+        for (auto& [id, job] : m_held) {
+            if (!job.lost && !job.committing && job.run->commitDue(now, age))
+                due.push_back(id);
+        }
+    }
+    for (const auto& id : due)
+        commitOne(id, now);
+}
+
+void job_holder::commitOne(const std::string& id, steady_time now)
+{
+    job_commit commit;
+    job_record record;
+    std::int64_t epoch = 0;
+    std::int64_t revision = 0;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto job = m_held.find(id);
+        if (job == m_held.end())
+            return;
+        job->second.committing = true;
+        commit = job->second.run->beginCommit(randomId(), wallClockMs());
+        record = job->second.run->record();
+        epoch = job->second.epoch;
+        revision = job->second.progressRevision;
+    }
+    const auto outcome = m_jobs.commit(record, commit, epoch, revision);
+    const std::scoped_lock lock(m_mutex);
+    const auto job = m_held.find(id);
+    if (job == m_held.end())
+        return;
+    job->second.committing = false;
+    if (!outcome)
+        return job->second.run->commitFailed();
+    if (!outcome.value()) {
+        logEvent(log_level::warning, "commit refused: the job is cancelled or held by another",
+            { { "job", id }, { "results", std::int64_t { commit.results } } });
+        m_droppedResults += commit.results;
+        return dropLocked(job);
+    }
+    job->second.progressRevision = *outcome.value();
+    job->second.run->committed(now);
+    if (job->second.run->ended()) {
+        logEvent(log_level::info, "job ended",
+            { { "job", id }, { "completed", std::int64_t { commit.progress.completed } },
+                { "failed", std::int64_t { commit.progress.failed } } });
+        m_held.erase(job);
+    }
+}
+
+void job_holder::dropLocked(job_map::iterator job)
+{
+    job->second.abandon->store(true);
+    m_held.erase(job);
+}
+
+void job_holder::drop(const std::string& id)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (const auto job = m_held.find(id); job != m_held.end() && !job->second.committing) {
+        logEvent(log_level::info, "job dropped", { { "job", id } });
+        dropLocked(job);
+    }
+}
+
+void job_holder::releaseAll()
+{
+    std::map<std::string, std::int64_t> epochs;
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (auto& [id, job] : m_held) {
+            job.abandon->store(true);
+            epochs[id] = job.epoch;
+        }
+        m_held.clear();
+    }
+    for (const auto& [id, epoch] : epochs)
+        m_jobs.release(id, epoch);
+    if (m_lease != 0)
+        (void)m_store.revokeLease(m_lease);
+}
+
+std::size_t job_holder::heldJobs() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_held.size();
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/batch/src/job_store.cpp
@@ -0,0 +1,320 @@
+#include "batch/batch.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace yuccachute {
+
+namespace {
+
+constexpr std::string_view recordPrefix = "/yuccachute/job/";
+constexpr std::string_view inputPrefix = "/yuccachute/job-input/";
+constexpr std::string_view progressPrefix = "/yuccachute/job-progress/";
+constexpr std::string_view resultPrefix = "/yuccachute/job-result/";
+constexpr std::string_view openPrefix = "/yuccachute/job-open/";
+constexpr std::string_view ownerPrefix = "/yuccachute/job-owner/";
+constexpr std::string_view expiryPrefix = "/yuccachute/job-expiry/";
+constexpr int mostReads = 3;
+/// The record of an expired job stays so long, to answer 410 instead of 404.
+constexpr std::chrono::seconds tombstoneLifetime { 7 * 86400 };
+constexpr int mostCancelRaces = 20;
+
+std::string key(std::string_view prefix, std::string_view id)
+{
+    return std::string(prefix) + std::string(id);
+}
+
+std::string chunkKey(std::string_view prefix, std::string_view id, std::uint32_t number)
+{
+    char suffix[16];
+    std::snprintf(suffix, sizeof suffix, "/%08u", number);
+    return key(prefix, id) + suffix;
+}
+
+std::string expiryKey(std::int64_t timeMs, std::string_view id)
+{
+    char time[24];
+    std::snprintf(time, sizeof time, "%014lld-", static_cast<long long>(timeMs));
+    return std::string(expiryPrefix) + time + std::string(id);
+}
+
+std::vector<std::string> idsOf(const store_listing& listing, std::string_view prefix)
+{
+    std::vector<std::string> ids;
+    for (const auto& value : listing.values)
+        ids.push_back(value.key.substr(prefix.size()));
+    return ids;
+}
+
+/// Reads until the store answers, a few times.
+result<std::optional<stored_value>> readStubbornly(config_store& store, const std::string& at)
+{
+    auto found = store.get(at);
+    for (int attempt = 1; !found && attempt < mostReads; ++attempt)
+        found = store.get(at);
+    return found;
+}
+
+failure unknownOutcome(failure error)
+{
+    error.ran = verdict::may_have_run;
+    return error;
+}
+
+} // namespace
+
+result<job_store::stored_job> job_store::read(std::string_view id)
+{
+    BOOST_OUTCOME_TRY(record, m_store.get(key(recordPrefix, id)));
+    if (!record)
+        return notRun(failure_kind::not_found, "there is no job " + std::string(id));
+    stored_job job;
+    BOOST_OUTCOME_TRY(decoded, decodeRecord(record->value));
+    job.record = std::move(decoded);
+    if (job.record.expired)
+        return notRun(failure_kind::gone, "the results of job " + std::string(id) + " have expired");
+    BOOST_OUTCOME_TRY(progress, m_store.get(key(progressPrefix, id)));
+    if (!progress)
+        return notRun(failure_kind::gone, "the results of job " + std::string(id) + " have expired");
+    BOOST_OUTCOME_TRY(decodedProgress, decodeProgress(progress->value));
+    job.progress = std::move(decodedProgress);
+    job.progressRevision = progress->modRevision;
+    return job;
+}
+
+result<job_store::creation> job_store::create(job_record record, const std::vector<std::string>& chunks)
+{
+    const auto recordKey = key(recordPrefix, record.id);
+    const auto compare = [&](stored_job job) -> result<creation> {
+        const bool mine = job.record.token == record.token;
+        if (!mine && job.record.itemsHash != record.itemsHash)
+            return notRun(
+                failure_kind::conflict, "header Idempotency-Key: it belongs to a job with other items");
+        return creation { std::move(job), !mine };
+    };
+    auto earlier = read(record.id);
+    if (earlier)
+        return compare(std::move(earlier.value()));
+    if (earlier.error().kind == failure_kind::gone)
+        return earlier.error();
+    if (earlier.error().kind != failure_kind::not_found)
+        return notRun(failure_kind::unavailable, earlier.error().message, milliseconds { 2000 });
+
+    // Large inputs come first, each in a call of its own; the job exists only with the last call.
+    const bool single = chunks.size() == 1;
+    for (std::uint32_t number = 0; !single && number < chunks.size(); ++number) {
+        store_transaction input;
+        input.conditions.push_back({ store_condition::kind::absent, recordKey, 0 });
+        input.writes.push_back({ chunkKey(inputPrefix, record.id, number), chunks[number], 0 });
+        auto written = m_store.commit(input);
+        // Writing the same chunk again changes nothing, so a lost reply is simply tried again.
+        for (int attempt = 1; !written && attempt < mostReads; ++attempt)
+            written = m_store.commit(input);
+        if (!written)
+            return notRun(failure_kind::unavailable, written.error().message, milliseconds { 2000 });
+    }
+    job_progress progress;
+    progress.ended.resize(record.items);
+    store_transaction creating;
+    creating.conditions.push_back({ store_condition::kind::absent, recordKey, 0 });
+    creating.writes.push_back({ recordKey, encodeRecord(record), 0 });
+    creating.writes.push_back({ key(progressPrefix, record.id), encodeProgress(progress), 0 });
+    creating.writes.push_back({ key(openPrefix, record.id), {}, 0 });
+    if (single)
+        creating.writes.push_back({ chunkKey(inputPrefix, record.id, 0), chunks.front(), 0 });
+    const auto outcome = m_store.commit(creating);
+    if (outcome && outcome.value().applied)
+        return creation { { std::move(record), std::move(progress), outcome.value().revision }, false };
+    if (!outcome && outcome.error().ran == verdict::not_run)
+        return notRun(failure_kind::unavailable, outcome.error().message, milliseconds { 2000 });
+    // Either another submission came first, or the reply was lost: the record's token tells which.
+    auto now = read(record.id);
+    for (int attempt = 1; !now && now.error().kind != failure_kind::not_found && attempt < mostReads;
+         ++attempt)
+        now = read(record.id);
+    if (now)
+        return compare(std::move(now.value()));
+    if (now.error().kind == failure_kind::not_found)
+        return notRun(failure_kind::unavailable, "the store did not take the job", milliseconds { 1000 });
+    return unknownOutcome(now.error());
+}
+
+result<std::vector<job_item>> job_store::readItems(const job_record& record)
+{
+    std::vector<job_item> items;
+    items.reserve(record.items);
+    for (std::uint32_t number = 0; number < record.chunks; ++number) {
+        BOOST_OUTCOME_TRY(chunk, m_store.get(chunkKey(inputPrefix, record.id, number)));
+        if (!chunk)
+            return notRun(failure_kind::internal, "an input chunk of job " + record.id + " is missing");
+        BOOST_OUTCOME_TRY(unpacked, unpackItems(chunk->value));
+        std::move(unpacked.begin(), unpacked.end(), std::back_inserter(items));
+    }
+    if (items.size() != record.items)
+        return notRun(failure_kind::internal, "the input of job " + record.id + " is not whole");
+    return items;
+}
+
+result<std::optional<std::string>> job_store::readResults(std::string_view id, std::uint32_t chunk)
+{
+    BOOST_OUTCOME_TRY(stored, m_store.get(chunkKey(resultPrefix, id, chunk)));
+    if (!stored)
+        return std::optional<std::string>();
+    BOOST_OUTCOME_TRY(lines, decompress(stored->value));
+    return std::optional<std::string>(std::move(lines));
+}
+
+result<job_store::overview> job_store::scan()
+{
+    BOOST_OUTCOME_TRY(open, m_store.list(openPrefix, {}, 0, true));
+    overview all;
+    all.open = idsOf(open, openPrefix);
+    if (all.open.empty())
+        return all;
+    BOOST_OUTCOME_TRY(held, m_store.list(ownerPrefix, {}, 0, true));
+    all.held = idsOf(held, ownerPrefix);
+    return all;
+}
+
+result<std::optional<std::int64_t>> job_store::claim(
+    std::string_view id, std::string_view address, std::int64_t lease, std::int64_t progressRevision)
+{
+    const auto at = key(ownerPrefix, id);
+    store_transaction transaction;
+    transaction.conditions.push_back({ store_condition::kind::absent, at, 0 });
+    transaction.conditions.push_back(
+        { store_condition::kind::mod_revision, key(progressPrefix, id), progressRevision });
+    transaction.writes.push_back({ at, std::string(address), lease });
+    const auto outcome = m_store.commit(transaction);
+    if (outcome)
+        return outcome.value().applied ? std::optional(outcome.value().revision) : std::nullopt;
+    if (outcome.error().ran == verdict::not_run)
+        return outcome.error();
+    // The reply was lost: the owner's lease tells whether the claim is ours.
+    BOOST_OUTCOME_TRY(found, readStubbornly(m_store, at));
+    if (found && found->lease == lease)
+        return std::optional(found->createRevision);
+    return std::optional<std::int64_t>();
+}
+
+void job_store::release(std::string_view id, std::int64_t epoch)
+{
+    store_transaction transaction;
+    transaction.conditions.push_back({ store_condition::kind::create_revision, key(ownerPrefix, id), epoch });
+    transaction.removals.push_back({ key(ownerPrefix, id), false });
+    (void)m_store.commit(transaction);
+}
+
+result<std::optional<std::string>> job_store::holder(std::string_view id)
+{
+    BOOST_OUTCOME_TRY(found, m_store.get(key(ownerPrefix, id)));
+    return found ? std::optional(found->value) : std::nullopt;
+}
+
+result<std::optional<std::int64_t>> job_store::commit(
+    const job_record& record, const job_commit& commit, std::int64_t epoch, std::int64_t progressRevision)
+{
+    const auto progressKey = key(progressPrefix, record.id);
+    store_transaction transaction;
+    // A holder that was paused past its lease has lost the owner key: its commit fails here, whatever it
+    // still believes. The progress's revision keeps out a commit of our own that took effect unnoticed, and a
+    // cancel.
+    transaction.conditions.push_back(
+        { store_condition::kind::create_revision, key(ownerPrefix, record.id), epoch });
+    transaction.conditions.push_back({ store_condition::kind::mod_revision, progressKey, progressRevision });
+    transaction.writes.push_back({ progressKey, encodeProgress(commit.progress), 0 });
+    if (commit.results > 0)
+        transaction.writes.push_back(
+            { chunkKey(resultPrefix, record.id, commit.resultChunk), compress(commit.lines), 0 });
+    if (commit.progress.state != job_state::running) {
+        transaction.removals.push_back({ key(openPrefix, record.id), false });
+        transaction.removals.push_back({ key(ownerPrefix, record.id), false });
+        transaction.removals.push_back({ key(inputPrefix, record.id) + '/', true });
+        transaction.writes.push_back(
+            { expiryKey(commit.progress.endedMs + record.retentionMs, record.id), {}, 0 });
+    }
+    const auto outcome = m_store.commit(transaction);
+    if (outcome && outcome.value().applied)
+        return std::optional(outcome.value().revision);
+    if (!outcome && outcome.error().ran == verdict::not_run)
+        return outcome.error();
+    // Refused, or the reply was lost: the token in the progress tells whether this very commit is there.
+    const auto found = readStubbornly(m_store, progressKey);
+    if (!found)
+        return unknownOutcome(found.error());
+    if (!found.value())
+        return std::optional<std::int64_t>();
+    BOOST_OUTCOME_TRY(progress, decodeProgress(found.value()->value));
+    if (progress.token == commit.progress.token)
+        return std::optional(found.value()->modRevision);
+    if (outcome)
+        return std::optional<std::int64_t>();
+    // Not there, and nobody has refused it: it may be tried again.
+    return notRun(failure_kind::unavailable, "the commit did not reach the store");
+}
+
+result<job_store::stored_job> job_store::cancel(std::string_view id, std::string token, std::int64_t nowMs)
+{
+    for (int race = 0; race < mostCancelRaces; ++race) {
+        BOOST_OUTCOME_TRY(job, read(id));
+        if (job.progress.state != job_state::running)
+            return job;
+        auto progress = job.progress;
+        progress.state = job_state::cancelled;
+        progress.token = token;
+        progress.endedMs = nowMs;
+        progress.inFlight.clear();
+        store_transaction transaction;
+        transaction.conditions.push_back(
+            { store_condition::kind::mod_revision, key(progressPrefix, id), job.progressRevision });
+        transaction.writes.push_back({ key(progressPrefix, id), encodeProgress(progress), 0 });
+        transaction.writes.push_back({ expiryKey(nowMs + job.record.retentionMs, id), {}, 0 });
+        transaction.removals.push_back({ key(openPrefix, id), false });
+        transaction.removals.push_back({ key(inputPrefix, id) + '/', true });
+        const auto outcome = m_store.commit(transaction);
+        if (!outcome && outcome.error().ran == verdict::not_run)
+            return outcome.error();
+        if (outcome && outcome.value().applied) {
+            job.progress = std::move(progress);
+            return job;
+        }
+        // A commit of results came first, or the reply was lost: look again.
+    }
+    return notRun(failure_kind::conflict, "the job changes too fast; try again", milliseconds { 500 });
+}
+
+result<std::size_t> job_store::removeExpired(std::int64_t nowMs, std::size_t most)
+{
+    BOOST_OUTCOME_TRY(listing, m_store.list(expiryPrefix, {}, most, true));
+    std::size_t removed = 0;
+    std::int64_t lease = 0;
+    for (const auto& value : listing.values) {
+        const auto text = value.key.substr(expiryPrefix.size());
+        const auto dash = text.find('-');
+        if (dash == std::string::npos || std::atoll(text.c_str()) > nowMs)
+            break;
+        const auto id = text.substr(dash + 1);
+        if (lease == 0) {
+            BOOST_OUTCOME_TRY(granted, m_store.grantLease(tombstoneLifetime));
+            lease = granted;
+        }
+        job_record tombstone;
+        tombstone.id = id;
+        tombstone.expired = true;
+        if (const auto job = m_store.get(key(recordPrefix, id)); job && job.value()) {
+            if (const auto record = decodeRecord(job.value()->value))
+                tombstone.customer = record.value().customer;
+        }
+        store_transaction transaction;
+        transaction.removals.push_back({ key(resultPrefix, id) + '/', true });
+        transaction.removals.push_back({ key(inputPrefix, id) + '/', true });
+        transaction.removals.push_back({ key(progressPrefix, id), false });
+        transaction.removals.push_back({ value.key, false });
+        transaction.writes.push_back({ key(recordPrefix, id), encodeRecord(tombstone), lease });
+        BOOST_OUTCOME_TRYV(m_store.commit(transaction));
+        ++removed;
+    }
+    return removed;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/jobs/tests/test_jobs.cpp
@@ -0,0 +1,205 @@
+#include "jobs/jobs.h"
+
+#include <catch2/catch.hpp>
+
+using namespace yuccachute;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start = steady_time {} + 1h;
+
+std::vector<job_item> makeItems(std::size_t count)
+{
+    std::vector<job_item> items;
+    for (std::size_t i = 0; i < count; ++i)
+        items.push_back({ "i" + std::to_string(i), "prompt " + std::to_string(i), 8, true });
+    return items;
+}
+
+job_record makeRecord(unsigned attempts = 3)
+{
+    job_record record;
+    record.id = "job";
+    record.attempts = attempts;
+    return record;
+}
+
+item_outcome completed(std::string text)
+{
+    return { item_outcome::kind::completed, std::move(text), 1, {} };
+}
+
+/// Commits as the store would.
+job_progress commitNow(job_run& run, std::string& results)
+{
+    auto commit = run.beginCommit("t", 5);
+    results += commit.lines;
+    run.committed(start);
+    return decodeProgress(encodeProgress(commit.progress)).value();
+}
+
+std::size_t count(const std::string& text, const std::string& part)
+{
+    std::size_t found = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("a bad line names its number and nothing is accepted")
+{
+    const auto problem = [](const std::string& text) { return parseItems(text).error().message; };
+    const std::string good = "{\"prompt\":\"x\"}\n";
+    CHECK(parseItems(good + "\n" + good).value().size() == 2);
+    CHECK(parseItems(good).value()[0].id == "item-0");
+    CHECK(problem(good + "nonsense\n") == "line 2: not a JSON object");
+    CHECK(problem(good + "\n{\"id\":\"a\"}\n") == "line 3: field \"prompt\" is missing");
+    CHECK(problem("{\"prompt\":\"x\",\"id\":\"a\"}\n{\"prompt\":\"y\",\"id\":\"a\"}")
+        == "line 2: id \"a\" stands twice");
+    CHECK(problem("{\"prompt\":\"x\",\"max_tokens\":0}").find("line 1: field \"max_tokens\"") == 0);
+    CHECK(problem("{\"prompt\":\"x\",\"idempotant\":true}").find("line 1: field \"idempotant\"") == 0);
+    CHECK(problem("") == "the job has no items");
+    std::string many;
+    for (std::size_t i = 0; i <= mostItemsPerJob; ++i)
+        many += good;
+    CHECK(problem(many).find("at most 58000 items") != std::string::npos);
+}
+
+TEST_CASE("items survive their chunks, and no chunk is too large")
+{
+    auto items = makeItems(3000);
+    // Text that hardly compresses.
+    std::uint64_t state = 1;
+    for (auto& item : items) {
+        for (int i = 0; i < 500; ++i) {
+            state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+            item.prompt += static_cast<char>('!' + (state >> 33) % 90);
+        }
+    }
+    items[7].idempotent = false;
+    const auto chunks = packItems(items);
+    CHECK(chunks.size() >= 3);
+    std::vector<job_item> back;
+    for (const auto& chunk : chunks) {
+        CHECK(chunk.size() <= mostChunkBytes);
+        auto unpacked = unpackItems(chunk);
+        for (auto& item : unpacked.value())
+            back.push_back(std::move(item));
+    }
+    REQUIRE(back.size() == items.size());
+    CHECK(back[2999].prompt == items[2999].prompt);
+    CHECK(!back[7].idempotent);
+    CHECK(!decompress("damaged"));
+    CHECK(!decodeProgress("damaged"));
+}
+
+TEST_CASE("every item ends exactly once, and the job with the last one")
+{
+    job_run run(makeRecord(), makeItems(1200), {});
+    std::string results;
+    while (const auto item = run.next(start))
+        run.finished(item->index, completed("text"), start);
+    CHECK(run.commitDue(start, 5s));
+    while (!run.ended())
+        commitNow(run, results);
+    CHECK(count(results, "\"completed\"") == 1200);
+    CHECK(run.progress().resultChunks == 3);
+    CHECK(run.progress().completed == 1200);
+}
+
+// Story: the store commits a group of results and its reply is lost, or refuses it; the holder commits again
+// and an item gets two results, or none.
+TEST_CASE("a commit that failed keeps its results for the next one")
+{
+    job_run run(makeRecord(), makeItems(2), {});
+    run.finished(run.next(start)->index, completed("a"), start);
+    auto lost = run.beginCommit("t1", 1);
+    run.finished(run.next(start)->index, completed("b"), start);
+    run.commitFailed();
+    const auto again = run.beginCommit("t2", 1);
+    CHECK(again.results == 2);
+    CHECK(again.resultChunk == lost.resultChunk);
+    CHECK(again.progress.state == job_state::completed);
+}
+
+// Story: an item crashes its worker every time. Each new holder starts it again along with the others, loses
+// them all, and the job never ends.
+TEST_CASE("attempts that died with their worker count, and suspects run one at a time")
+{
+    job_progress progress;
+    std::string results;
+    unsigned takeovers = 0;
+    for (; progress.state == job_state::running && takeovers < 10; ++takeovers) {
+        job_run run(makeRecord(), makeItems(6), progress);
+        std::vector<std::uint32_t> started;
+        while (const auto item = run.next(start))
+            started.push_back(item->index);
+        for (auto index : started) {
+            if (index != 3)
+                run.finished(index, completed("x"), start);
+        }
+        progress = commitNow(run, results);
+        // The worker is lost here, with item 3 in flight.
+    }
+    CHECK(takeovers == 4);
+    CHECK(count(results, "\"completed\"") == 5);
+    CHECK(count(results, "\"failed\"") == 1);
+    CHECK(progress.failed == 1);
+
+    job_progress lost;
+    lost.ended.resize(6);
+    lost.inFlight = { 1, 2, 3 };
+    job_run run(makeRecord(), makeItems(6), lost);
+    std::size_t suspects = 0;
+    while (const auto item = run.next(start))
+        suspects += lost.inFlight.contains(item->index);
+    CHECK(suspects == 1);
+}
+
+// Story: a quote that must not be sent twice is running when its worker dies; the next worker runs it again.
+TEST_CASE("a non-idempotent item starts only after its mark and never twice")
+{
+    auto items = makeItems(2);
+    items[0].idempotent = false;
+    job_run run(makeRecord(), items, {});
+    CHECK(run.next(start)->index == 1);
+    CHECK(!run.next(start));
+    CHECK(run.commitDue(start, 5s));
+    std::string results;
+    const auto marked = commitNow(run, results);
+    CHECK(marked.startedOnce.contains(0));
+    CHECK(run.next(start)->index == 0);
+
+    job_run next(makeRecord(), items, marked);
+    for (auto item = next.next(start); item; item = next.next(start))
+        CHECK(item->index != 0);
+    commitNow(next, results);
+    CHECK(count(results, "must not run twice") == 1);
+}
+
+TEST_CASE("failures are bounded, a yielded item goes on from its text, and what did not run costs nothing")
+{
+    job_run run(makeRecord(2), makeItems(1), {});
+    auto now = start;
+    for (int i = 0; i < 10; ++i) {
+        run.finished(run.next(now)->index, { item_outcome::kind::not_run, {}, 0, "full" }, now);
+        CHECK(!run.next(now));
+        now += 100ms;
+    }
+    run.finished(run.next(now)->index, { item_outcome::kind::yielded, "ab ", 3, {} }, now);
+    auto resumed = run.next(now);
+    REQUIRE(resumed);
+    CHECK(resumed->text == "ab ");
+    CHECK(resumed->tokensLeft == 5);
+    run.finished(0, { item_outcome::kind::failed, {}, 0, "cut" }, now);
+    CHECK(!run.next(now));
+    now += 500ms;
+    run.finished(run.next(now)->index, { item_outcome::kind::failed, {}, 0, "cut again" }, now);
+    std::string results;
+    commitNow(run, results);
+    CHECK(run.ended());
+    CHECK(results.find("\"reason\":\"cut again\",\"attempts\":2") != std::string::npos);
+}
--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -40,6 +40,8 @@
     rpc_security peers; ///< Mutual TLS between processes.
     std::string logLevel = "info";
     milliseconds stopLimit { 30000 }; ///< Longest graceful shutdown.
+    std::chrono::seconds leaseTtl { 30 }; ///< Lease of a batch process over its jobs.
+    unsigned workers = 32; ///< Items that a batch process runs at once.
 };
 
 /// Reads the file. Errors name file, line and key; an unknown key gets the nearest one.
--- a/libs/node/src/process_options.cpp
+++ b/libs/node/src/process_options.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr const char* versionText = "0.1";
+constexpr std::int64_t mostNumber = 86400000;
 
 std::vector<std::string> splitList(const std::string& text)
 {
@@ -46,16 +47,23 @@
         options.seeds = splitList(value);
         return {};
     }
-    if (key == "stop_limit_ms") {
-        std::int64_t limit = 0;
-        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), limit);
-        if (parsed.ec != std::errc() || parsed.ptr != value.data() + value.size() || limit < 0)
-            return "\"" + value + "\" is not a time in milliseconds";
-        options.stopLimit = milliseconds { limit };
+    if (key == "stop_limit_ms" || key == "lease_ttl_s" || key == "workers") {
+        std::int64_t number = 0;
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), number);
+        if (parsed.ec != std::errc() || parsed.ptr != value.data() + value.size() || number < 1
+            || number > mostNumber)
+            return "\"" + value + "\" is not a whole number from 1 to " + std::to_string(mostNumber);
+        if (key == "stop_limit_ms")
+            options.stopLimit = milliseconds { number };
+        else if (key == "lease_ttl_s")
+            options.leaseTtl = std::chrono::seconds { number };
+        else
+            options.workers = static_cast<unsigned>(number);
         return {};
     }
     return "unknown key; known are vm, zone, http, rpc, store, seeds, data, certificate, private_key, "
-           "peer_certificate, peer_private_key, peer_authority, log_level and stop_limit_ms";
+           "peer_certificate, peer_private_key, peer_authority, log_level, stop_limit_ms, lease_ttl_s and "
+           "workers";
 }
 
 log_level parseLevel(const std::string& text)
