--- a/libs/admin/src/admin_api.cpp
+++ b/libs/admin/src/admin_api.cpp
@@ -224,8 +224,8 @@
     json body { { "version", tree.version }, { "members", json::array() } };
     for (const auto& member : m_members()) {
         body["members"].push_back(
-            { { "vm", member.vm }, { "zone", member.zone }, { "settings_version", member.settingsVersion },
-                { "in_force", member.settingsVersion >= tree.version },
+            { { "vm", member.vm }, { "zone", member.zone }, { "settings_version", member.versionInForce() },
+                { "in_force", member.versionInForce() >= tree.version },
                 { "batch", !member.batchAddress.empty() }, { "admin", !member.adminAddress.empty() } });
     }
     return jsonReply(200, body);
--- a/libs/batch/src/batch_process.cpp
+++ b/libs/batch/src/batch_process.cpp
@@ -106,9 +106,10 @@
     {
         if (request.path == "/healthz")
             return sink.send({ 200, { { "Content-Type", "text/plain" } }, "ok\n" });
+        const bool ready = !stopping && settings.version() > 0;
         if (request.path == "/readyz")
-            return sink.send({ stopping ? 503u : 200u, { { "Content-Type", "text/plain" } },
-                stopping ? "not ready\n" : "ready\n" });
+            return sink.send({ ready ? 200u : 503u, { { "Content-Type", "text/plain" } },
+                ready ? "ready\n" : "not ready\n" });
         if (request.path != "/metrics")
             return sink.send(
                 { 404, { { "Content-Type", "text/plain" } }, "known are /healthz, /readyz and /metrics\n" });
--- a/libs/entry/src/cluster.cpp
+++ b/libs/entry/src/cluster.cpp
@@ -213,10 +213,22 @@
 
 void cluster::forgetSilentProcesses(steady_time now)
 {
-    if (now - m_batchSeen > processSilence)
+    if (now - m_batchSeen > processSilence) {
         m_members.setBatchAddress({});
-    if (now - m_adminSeen > processSilence)
+        m_batchVersion = 0;
+    }
+    if (now - m_adminSeen > processSilence) {
         m_members.setAdminAddress({});
+        m_adminVersion = 0;
+    }
+    updateOthersVersion();
+}
+
+void cluster::updateOthersVersion()
+{
+    const bool both = m_batchVersion != 0 && m_adminVersion != 0;
+    m_members.setOthersVersion(
+        both ? std::min(m_batchVersion, m_adminVersion) : std::max(m_batchVersion, m_adminVersion));
 }
 
 void cluster::round()
@@ -247,11 +259,14 @@
     if (request.vm == m_options.vm && !request.batchAddress.empty()) {
         m_members.setBatchAddress(request.batchAddress);
         m_batchSeen = now;
+        m_batchVersion = request.settingsVersion;
     }
     if (request.vm == m_options.vm && !request.adminAddress.empty()) {
         m_members.setAdminAddress(request.adminAddress);
         m_adminSeen = now;
+        m_adminVersion = request.settingsVersion;
     }
+    updateOthersVersion();
     for (const auto& member : m_members.view()) {
         if (member.state == member_state::alive || member.state == member_state::suspect)
             reply.members.push_back(member.info);
--- a/libs/entry/src/cluster.h
+++ b/libs/entry/src/cluster.h
@@ -38,6 +38,7 @@
     void pullFromNewest(std::span<const member_info> news);
     void offerSettings(settings_tree tree);
     void forgetSilentProcesses(steady_time now);
+    void updateOthersVersion();
     bool isWatcher() const;
     void keepWatch();
     void readStore();
@@ -51,6 +52,8 @@
     membership m_members;
     steady_time m_batchSeen;
     steady_time m_adminSeen;
+    std::int64_t m_batchVersion = 0;
+    std::int64_t m_adminVersion = 0;
     std::mt19937_64 m_random;
     std::uint64_t m_rounds = 0;
     std::atomic<bool> m_storeChanged { true };
--- a/libs/entry/src/job_requests.cpp
+++ b/libs/entry/src/job_requests.cpp
@@ -26,14 +26,23 @@
     -> decltype(call(std::string()))
 {
     failure last = notRun(failure_kind::unavailable, "no batch process is known", milliseconds { 2000 });
+    bool mayHaveRun = false;
     for (const auto& address : services.peers.batchAddresses(key)) {
         auto outcome = call(address);
-        const bool unreachable = !outcome && outcome.error().message.starts_with("peer: ");
-        if (!unreachable)
+        if (outcome)
             return outcome;
+        const auto kind = outcome.error().kind;
+        const bool another = kind == failure_kind::unavailable || kind == failure_kind::timeout;
+        mayHaveRun = mayHaveRun || outcome.error().ran == verdict::may_have_run;
         last = outcome.error();
-        last.retryAfter = milliseconds { 2000 };
+        if (!another)
+            break;
     }
+    // A refusal by the last one does not undo what an earlier one may have done.
+    if (mayHaveRun && last.ran == verdict::not_run)
+        last.ran = verdict::may_have_run;
+    if (last.kind == failure_kind::unavailable && last.retryAfter.count() == 0)
+        last.retryAfter = milliseconds { 2000 };
     return last;
 }
 
--- a/libs/entry/src/places.cpp
+++ b/libs/entry/src/places.cpp
@@ -66,6 +66,7 @@
         zones.begin(), zones.end(), [&](const auto& zone) { return zone == services.options.zone; });
     failure last = notRun(
         failure_kind::unavailable, "service \"" + service + "\" has no targets", milliseconds { 2000 });
+    std::optional<held_grant> failedBefore;
     for (const auto& zone : zones) {
         auto groups = context.settings->groupsOf(service, zone);
         // Requests with one prefix meet at one group, so that its targets' caches serve them.
@@ -80,15 +81,25 @@
                 place
                     = services.chooser.acquire(*group, ask, services.peers.owners(group->name, zone).size());
             }
+            // The target that has just failed this request is the last resort, after all other groups and
+            // zones.
+            if (place && place.value().target == ask.avoid && !failedBefore) {
+                failedBefore = place.value();
+                continue;
+            }
+            if (place && failedBefore)
+                returnPlace(services, *failedBefore, { 0, grant_outcome::abandoned, milliseconds { 0 }, 0 });
             if (place)
                 return place;
             last = place.error();
-            if (last.kind != failure_kind::unavailable && last.kind != failure_kind::overloaded)
-                return last;
-            if (std::chrono::steady_clock::now() >= context.deadline)
-                return last;
+            const bool elsewhere
+                = last.kind == failure_kind::unavailable || last.kind == failure_kind::overloaded;
+            if (!elsewhere || std::chrono::steady_clock::now() >= context.deadline)
+                break;
         }
     }
+    if (failedBefore)
+        return *failedBefore;
     return last;
 }
 
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -33,7 +33,15 @@
     std::uint64_t incarnation = 0; ///< Start time of the process in ms since 1970: a restart is a newer life.
     std::uint64_t heartbeat = 0; ///< Grows by one each period.
     bool leaving = false;
-    std::int64_t settingsVersion = 0; ///< Version of the settings that it has in force.
+    std::int64_t settingsVersion = 0; ///< Version of the settings that its entry has in force.
+    /// Lowest version in force in the VM's other processes; 0 while there are none.
+    std::int64_t othersVersion = 0;
+
+    /// Version in force in every process of the VM.
+    std::int64_t versionInForce() const
+    {
+        return othersVersion == 0 || othersVersion > settingsVersion ? settingsVersion : othersVersion;
+    }
 };
 
 /// A member with what this process thinks of it.
@@ -69,6 +77,7 @@
     void leave();
 
     void setSettingsVersion(std::int64_t version) { m_self.settingsVersion = version; }
+    void setOthersVersion(std::int64_t version) { m_self.othersVersion = version; }
     void setBatchAddress(std::string address) { m_self.batchAddress = std::move(address); }
     void setAdminAddress(std::string address) { m_self.adminAddress = std::move(address); }
 
--- a/libs/rpc/tests/test_rpc.cpp
+++ b/libs/rpc/tests/test_rpc.cpp
@@ -44,7 +44,7 @@
     follow_reply follow(const follow_request& request) override
     {
         follow_reply reply;
-        reply.members.push_back({ request.vm, "z", "", request.batchAddress, "", 1, 1, false, 0 });
+        reply.members.push_back({ request.vm, "z", "", request.batchAddress, "", 1, 1, false, 0, 0 });
         return reply;
     }
     std::optional<settings_tree> pull(std::int64_t newerThan) override
@@ -126,7 +126,7 @@
     refusing_jobs jobs;
     rpc_server server(address, {}, &handler, &jobs);
     rpc_client client({});
-    const member_info self { "vm", "z", "a", "", "", 1, 2, false, 3 };
+    const member_info self { "vm", "z", "a", "", "", 1, 2, false, 3, 0 };
     const auto members = client.gossip(address, std::span(&self, 1), 5s);
     REQUIRE(members);
     CHECK(members.value().at(0).settingsVersion == 3);
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -136,12 +136,13 @@
     out.set_heartbeat(member.heartbeat);
     out.set_leaving(member.leaving);
     out.set_settings_version(member.settingsVersion);
+    out.set_others_version(member.othersVersion);
 }
 
 member_info fromWire(const peer::Member& in)
 {
     return { in.vm(), in.zone(), in.address(), in.batch_address(), in.admin_address(), in.incarnation(),
-        in.heartbeat(), in.leaving(), in.settings_version() };
+        in.heartbeat(), in.leaving(), in.settings_version(), in.others_version() };
 }
 
 void toWire(const settings_tree& tree, peer::Settings& out)
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -48,14 +48,15 @@
 
 TEST_CASE("members and settings survive their encoding")
 {
-    const member_info member { "vm1", "rennes-a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4, 5, true,
-        6 };
+    const member_info member { "vm1", "rennes-a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4, 5, true, 6,
+        7 };
     peer::Member wireMember;
     toWire(member, wireMember);
     const auto memberCopy = fromWire(wireMember);
     CHECK(memberCopy.adminAddress == member.adminAddress);
     CHECK(memberCopy.leaving);
     CHECK(memberCopy.settingsVersion == 6);
+    CHECK(memberCopy.othersVersion == 7);
 
     settings_tree tree;
     tree.version = 9;
--- a/tools/ctl/ctl.cpp
+++ b/tools/ctl/ctl.cpp
@@ -108,7 +108,7 @@
         std::size_t have = 0;
         for (const auto& member : status["members"])
             have += member["settings_version"].get<std::int64_t>() >= version;
-        const bool all = have == status["members"].size();
+        const bool all = have == status["members"].size() && have > 0;
         if (all || std::chrono::steady_clock::now() >= deadline) {
             for (const auto& member : status["members"])
                 std::cout << (member["settings_version"].get<std::int64_t>() >= version ? "in force  "
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -85,9 +85,11 @@
 for i in $(seq 50); do
     printf '{"id":"review-%d","prompt":"Review file number %d for the compliance desk.","max_tokens":16}\n' "$i" "$i"
 done >"$work/items.jsonl"
+wait_for "the batch process" curl -sf "http://127.0.0.1:$(port 14)/readyz"
 wait_for "the batch process to be known" sh -c "curl -s http://127.0.0.1:$(port 11)/status | grep -q '\"batch\":\"127'"
 curl -s "http://127.0.0.1:$(port 11)/v1/batches?service=screening" -H 'Authorization: Bearer key-large' \
     -H 'Idempotency-Key: demo-1' --data-binary "@$work/items.jsonl" | tee "$work/job.json"
+grep -q '"object":"batch"' "$work/job.json"
 job=$(sed -E 's/.*"id":"([^"]+)".*/\1/' "$work/job.json")
 ctl --watch jobs "$job" | tail -n 3
 
