--- a/tests/support/harness.cpp
+++ b/bench/support/harness.cpp
@@ -4,15 +4,15 @@
 #include "messages/messages.h"
 #include "settings/settings.h"
 
-#include <catch2/catch.hpp>
-
 #include <arpa/inet.h>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <set>
 #include <spawn.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -27,6 +27,12 @@
 constexpr milliseconds pollInterval { 20 };
 const std::string binaries = YUCCACHUTE_BINARIES;
 
+void require(bool condition, const std::string& message)
+{
+    if (!condition)
+        throw std::runtime_error(message);
+}
+
 std::string local(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
@@ -51,7 +57,7 @@
         = posix_spawn(&m_id, (binaries + '/' + program).c_str(), &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0)
-        FAIL("cannot start " << program);
+        throw std::runtime_error("cannot start " + program);
 }
 
 child_process::~child_process()
@@ -117,7 +123,7 @@
     const auto deadline = std::chrono::steady_clock::now() + limit;
     while (!condition()) {
         if (std::chrono::steady_clock::now() >= deadline)
-            FAIL("gave up waiting for: " << what);
+            throw std::runtime_error("gave up waiting for: " + what);
         std::this_thread::sleep_for(pollInterval);
     }
 }
@@ -142,7 +148,7 @@
     if (std::uncaught_exceptions() == 0)
         std::filesystem::remove_all(m_folder);
     else
-        WARN("the logs are in " << m_folder);
+        std::cerr << "the logs are in " << m_folder << '\n';
 }
 
 void test_system::addEngine(
@@ -180,8 +186,8 @@
 
 std::string test_system::settingsIni() const
 {
-    std::string ini = "[fleet]\ntimeout_ms = 20000\n\n[service/screening]\nkind = "
-                      "model\n\n[service/registry]\nkind = plain\n\n";
+    std::string ini = "[fleet]\ntimeout_ms = 20000\n\n[service/screening]\nkind = model\n";
+    ini += m_serviceSettings + "\n[service/registry]\nkind = plain\n\n";
     for (const auto& [name, target] : m_targets) {
         ini += "[service/" + target.service + "/target/" + name + "]\naddress = "
             + local(target.proxyPort ? target.proxyPort : target.port) + "\nzone = " + target.zone + "\n\n";
@@ -254,7 +260,7 @@
     }
     addAdmin("setup-admin", m_nodes.begin()->first);
     const auto edits = readIni("settings", settingsIni());
-    REQUIRE(edits);
+    require(edits.has_value(), "the settings are malformed");
     nlohmann::json body { { "edits", nlohmann::json::array() } };
     for (const auto& edit : edits.value())
         body["edits"].push_back({ { "path", edit.path },
@@ -298,6 +304,16 @@
     }
 }
 
+std::string test_system::address(const std::string& node) const
+{
+    return local(m_nodes.at(node).http);
+}
+
+std::string test_system::targetAddress(const std::string& target) const
+{
+    return local(m_targets.at(target).port);
+}
+
 nlohmann::json test_system::store(const std::string& query)
 {
     http_request request;
@@ -318,8 +334,8 @@
     http_call_options options;
     options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds { 10 };
     const auto reply = httpCall(local(m_proxyControl), request, options);
-    REQUIRE(reply);
-    REQUIRE(reply.value().status == 200);
+    require(reply.has_value(), "no answer");
+    require(reply.value().status == 200, reply.value().body);
 }
 
 nlohmann::json test_system::targetJson(const std::string& name, const std::string& path)
@@ -331,7 +347,7 @@
     http_call_options options;
     options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds { 10 };
     const auto reply = httpCall(local(m_targets.at(name).port), request, options);
-    REQUIRE(reply);
+    require(reply.has_value(), "no answer");
     return nlohmann::json::parse(reply.value().body);
 }
 
@@ -413,9 +429,8 @@
     std::string cursor = "0";
     for (bool more = true; more;) {
         const auto reply = get(node, "/v1/batches/" + job + "/results?cursor=" + cursor, customer);
-        REQUIRE(reply);
-        INFO(reply.value().body);
-        REQUIRE(reply.value().status == 200);
+        require(reply.has_value(), "no answer");
+        require(reply.value().status == 200, reply.value().body);
         const std::string next(findHeader(reply.value().headers, "X-Next-Cursor"));
         more = next != cursor;
         cursor = next;
@@ -425,7 +440,7 @@
             auto line = nlohmann::json::parse(lines.substr(0, end));
             const auto id = line["id"].get<std::string>();
             if (!all.emplace(id, std::move(line)).second)
-                FAIL("a second result of " << id);
+                throw std::runtime_error("a second result of " + id);
             lines.remove_prefix(end + 1);
         }
     }
--- a/tests/support/harness.h
+++ b/bench/support/harness.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-/// Real processes for integration tests: starts them on free ports, stops them, and talks to them.
+/// Real processes for integration tests and measurements: starts them on free ports, stops them, and talks to
+/// them. Whatever goes wrong is a std::runtime_error.
 namespace yuccachute::testing {
 
 /// A started program. It is killed when this is destroyed.
@@ -38,7 +39,7 @@
 /// Reserves a port of the loopback interface that nobody listens on.
 std::uint16_t freePort();
 
-/// Waits until the condition holds; fails the test after the limit.
+/// Waits until the condition holds; fails after the limit.
 void waitUntil(const std::string& what, const std::function<bool()>& condition,
     std::chrono::seconds limit = std::chrono::seconds { 30 });
 
@@ -67,6 +68,8 @@
     void addAdmin(const std::string& name, const std::string& entry);
     /// Lines for the settings tree, besides targets, customers "large" and "small", and services.
     void setExtraSettings(std::string ini) { m_extraSettings = std::move(ini); }
+    /// Lines for [service/screening].
+    void setServiceSettings(std::string ini) { m_serviceSettings = std::move(ini); }
 
     /// Starts everything, applies the settings, and waits until every entry and batch process is ready.
     void start();
@@ -95,7 +98,7 @@
     completion complete(const std::string& node, const std::string& prompt, unsigned tokens,
         bool stream = true, const std::string& customer = "small", http_headers headers = {});
     http_request submission(const std::string& items, const std::string& key) const;
-    /// All result lines so far, by item id; a second result of one item fails the test.
+    /// All result lines so far, by item id; a second result of one item is an error.
     std::map<std::string, nlohmann::json> results(
         const std::string& node, const std::string& job, const std::string& customer = "small");
     nlohmann::json job(const std::string& node, const std::string& id, const std::string& customer = "small");
@@ -103,6 +106,9 @@
     /// Accepts an edit through the admin process; returns the reply.
     http_reply edit(
         const std::string& admin, const std::string& path, const std::map<std::string, std::string>& set);
+    /// host:port of a node's HTTP interface, and of a target behind the proxy.
+    std::string address(const std::string& node) const;
+    std::string targetAddress(const std::string& target) const;
     std::string folder() const { return m_folder; }
 
 private:
@@ -121,6 +127,7 @@
 
     std::string m_folder;
     std::string m_extraSettings;
+    std::string m_serviceSettings;
     std::uint16_t m_storePort;
     std::uint16_t m_storeControl;
     std::uint16_t m_proxyControl;
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <string_view>
@@ -281,6 +282,7 @@
 struct group_options {
     bulk_policy policy = adaptive_bulk {};
     fair_queue::order order = fair_queue::order::fair;
+    bool randomChoice = false; ///< Baseline: any target with room, without regard to load and prefixes.
 };
 
 /// Figures of a group for reports.
@@ -342,6 +344,7 @@
     unsigned slotsOf(const target_state& target, steady_time now) const;
     unsigned foreignWork(const target_state& target, steady_time now) const;
     unsigned freeSlots(const target_state& target, steady_time now) const;
+    double costOf(const grant_ask& ask, const target_state& target, steady_time now) const;
     target_state* chooseTarget(const grant_ask& ask, bool needFreeSlot, steady_time now);
     bool refuseHopeless(const grant_ask& ask, steady_time now);
     milliseconds expectedWait(const grant_ask& ask, steady_time now) const;
@@ -361,6 +364,7 @@
     fair_queue m_bulk;
     std::map<std::uint64_t, grant_record> m_grants;
     prefix_index m_prefixes;
+    std::minstd_rand m_random; ///< For the random baseline only; seeded the same in every process.
     std::vector<decision> m_decisions;
     std::uint64_t m_nextGrant = 1;
     double m_serviceTimeMs = 0; ///< Moving average of how long live grants are held.
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -40,6 +40,7 @@
 void target_group::setOptions(group_options options)
 {
     m_options.policy = options.policy;
+    m_options.randomChoice = options.randomChoice;
     if (options.order == m_options.order)
         return;
     m_options.order = options.order;
@@ -114,6 +115,18 @@
     return used < slots ? slots - used : 0;
 }
 
+/// What it costs to send an ask to a target: its load in shares of its slots, less what cached prefixes save.
+double target_group::costOf(const grant_ask& ask, const target_state& target, steady_time now) const
+{
+    const auto& name = target.description.name;
+    const double used = target.live + target.bulk + foreignWork(target, now);
+    const double blocks = std::max<double>(1, static_cast<double>(ask.prefixes.size()));
+    const double hit = static_cast<double>(m_prefixes.matched(ask.prefixes, name, now)) / blocks;
+    const double full = target.lastReport.memoryUsed > memoryFull ? 1 : 0;
+    const double avoided = name == ask.avoid ? avoidPenalty : 0;
+    return used / slotsOf(target, now) - affinityWeight * hit + full + avoided;
+}
+
 target_group::target_state* target_group::chooseTarget(
     const grant_ask& ask, bool needFreeSlot, steady_time now)
 {
@@ -122,14 +135,8 @@
     for (auto& [name, target] : m_targets) {
         if (!usable(target, now) || (needFreeSlot && freeSlots(target, now) == 0))
             continue;
-        const double load = static_cast<double>(target.live + target.bulk + foreignWork(target, now))
-            / slotsOf(target, now);
-        const double hit = ask.prefixes.empty()
-            ? 0
-            : static_cast<double>(m_prefixes.matched(ask.prefixes, name, now))
-                / static_cast<double>(ask.prefixes.size());
-        const double full = target.lastReport.memoryUsed > memoryFull ? 1 : 0;
-        const double cost = load - affinityWeight * hit + full + (name == ask.avoid ? avoidPenalty : 0);
+        const double cost
+            = m_options.randomChoice ? static_cast<double>(m_random() % 1000) : costOf(ask, target, now);
         if (!best || cost < bestCost) {
             best = &target;
             bestCost = cost;
--- a/libs/logging/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t queuedLines = 8192;
 
-std::shared_ptr<spdlog::logger> g_logger;
+std::shared_ptr<spdlog::logger> processLogger;
 
 spdlog::level::level_enum toLibrary(log_level level)
 {
@@ -37,13 +37,13 @@
     spdlog::init_thread_pool(queuedLines, 1);
     auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
     // A blocked reader of standard error must not hold up requests: the oldest lines are dropped instead.
-    g_logger = std::make_shared<spdlog::async_logger>(
+    processLogger = std::make_shared<spdlog::async_logger>(
         "yuccachute", sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     const auto names = nlohmann::json { { "program", program }, { "vm", vm } }.dump();
     const auto inner = names.substr(1, names.size() - 2);
-    g_logger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\"," + inner + ",%v");
-    g_logger->set_level(toLibrary(least));
-    g_logger->flush_on(spdlog::level::warn);
+    processLogger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\"," + inner + ",%v");
+    processLogger->set_level(toLibrary(least));
+    processLogger->flush_on(spdlog::level::warn);
 }
 
 std::string formatEvent(std::string_view event, std::initializer_list<log_field> fields)
@@ -57,16 +57,16 @@
 
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    if (!g_logger || !g_logger->should_log(toLibrary(level)))
+    if (!processLogger || !processLogger->should_log(toLibrary(level)))
         return;
     // The pattern has written the opening brace, the time and the names.
     const auto text = formatEvent(event, fields);
-    g_logger->log(toLibrary(level), "{}", text.substr(1));
+    processLogger->log(toLibrary(level), "{}", text.substr(1));
 }
 
 void stopLogging()
 {
-    g_logger.reset();
+    processLogger.reset();
     spdlog::shutdown();
 }
 
--- a/libs/node/src/settings_view.cpp
+++ b/libs/node/src/settings_view.cpp
@@ -38,6 +38,8 @@
         group.model = !service || service->model;
         group.options.policy = toPolicy(resolveRequest(tree, {}, group.service));
         const auto order = resolveKey(tree, "service/" + group.service, "queue_order").value;
+        group.options.randomChoice
+            = resolveKey(tree, "service/" + group.service, "target_choice").value == "random";
         group.options.order = order == "arrival" ? fair_queue::order::arrival : fair_queue::order::fair;
     }
 }
--- a/libs/settings/src/schema.cpp
+++ b/libs/settings/src/schema.cpp
@@ -66,6 +66,8 @@
     key_description { "scope", "text", "", 0, 0, "", bits({ node_kind::operator_account }),
         "path that the operator may edit, with all below it; empty for everything" },
     key_description { "slots", "integer", "8", 1, 4096, "", targetOnly, "requests the target runs at once" },
+    key_description { "target_choice", "choice", "affinity", 0, 0, "affinity|random", perService,
+        "by load and cached prefixes, or at random among targets with room" },
     key_description {
         "timeout_ms", "integer", "30000", 1, 3600000, "", callers, "timeout of a request that names none" },
     key_description { "token_sha256", "text", "", 0, 0, "", bits({ node_kind::operator_account }),
