A refused resume no longer makes a running request count as not run

Cause: a stream breaks because its engine dies; the resume is refused; the refusal's verdict, not_run, was taken for the whole attempt. A non-idempotent item was then run again on another engine. Found by taking out the continuation of broken streams, which the test of a killed engine survived: its retry had come from this wrong verdict. Ruled out: the batch process's own marks, which the test with killed workers proves. Change: once a stream has begun, an attempt that is not whole may have run.

--- a/libs/node/src/completion_call.cpp
+++ b/libs/node/src/completion_call.cpp
@@ -29,8 +29,12 @@
             failed = stream(resumeRequest());
         }
         m_outcome.whole = !failed;
-        if (failed)
+        if (failed) {
             m_outcome.error = std::move(*failed);
+            // A resume that was refused says only that the resume was not run: the request itself was.
+            if (m_streamBegan && m_outcome.error.ran == verdict::not_run)
+                m_outcome.error.ran = verdict::may_have_run;
+        }
         return std::move(m_outcome);
     }
 
--- a/tests/failures_jobs.cpp
+++ b/tests/failures_jobs.cpp
@@ -295,3 +295,36 @@
         + system.targetJson("e2", "/counts")["admitted"].get<int>();
     CHECK(admitted <= 60);
 }
+
+// Story: the engine that drafts a quote dies in the middle; the worker asks it to resume, the connection is
+// refused, "not run" is taken for the whole attempt, and another engine drafts the quote a second time.
+TEST_CASE("a non-idempotent item whose engine dies while it runs is not run again")
+{
+    test_system system;
+    system.addEngine("e1", "a", { "--slots", "16", "--step-us", "20000" });
+    system.addEngine("e2", "a", { "--slots", "16", "--step-us", "20000" });
+    system.addEntry("n1", "a");
+    system.addBatch("b1", "n1", shortLease);
+    system.start();
+    std::string items;
+    for (int i = 0; i < 12; ++i)
+        items += nlohmann::json { { "id", "q" + std::to_string(i) },
+            { "prompt", "quote " + std::to_string(i) }, { "max_tokens", 100 }, { "idempotent", false } }
+                     .dump()
+            + '\n';
+    const auto job = submit(system, "n1", items, "quotes");
+    int started = 0;
+    waitUntil("items on the engine", [&] {
+        return (started = system.targetJson("e1", "/counts")["admitted"].get<int>()) > 2
+            && system.targetJson("e1", "/counts")["tokens"].get<int>() > 50;
+    });
+    system.target("e1").signal(SIGKILL);
+    waitEnded(system, "n1", job);
+    const auto results = system.results("n1", job);
+    int failed = 0;
+    for (const auto& [id, line] : results)
+        failed += line["status"] == "failed";
+    CHECK(results.size() == 12);
+    CHECK(failed >= started);
+    CHECK(system.targetJson("e2", "/counts")["admitted"].get<int>() + failed == 12);
+}
