Control that does not grow with the fleet: heartbeat notes, three job supervisors, an index of keys

Cause: a digest of whole members is about 80 bytes each, four times a second and node; every batch process listed all running jobs every 2 s (400 reads/s at 400 nodes); each caller's key was compared with every customer's; targets were polled ten times a second over a connection each. Change: members travel as notes of about 15 bytes and whole only when asked for; the three first-ranked batch processes look for unheld jobs and hand them to those responsible; keys are found by hash; one poll a second.

--- a/libs/batch/src/batch_process.cpp
+++ b/libs/batch/src/batch_process.cpp
@@ -5,6 +5,7 @@
 
 #include "logging/logging.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace yuccachute {
@@ -13,7 +14,8 @@
 
 constexpr milliseconds maintainInterval { 100 };
 constexpr milliseconds idlePause { 20 };
-constexpr milliseconds cancelNoticeTimeout { 1000 };
+constexpr milliseconds noticeTimeout { 1000 };
+constexpr std::size_t supervisors = 3;
 constexpr milliseconds removalInterval { 5000 };
 constexpr std::size_t removalsAtOnce = 4;
 constexpr std::size_t resultsPageBytes = 1u << 20;
@@ -80,28 +82,56 @@
         }
     }
 
-    bool responsibleFor(const std::string& id) const
+    /// Batch processes in the order in which they are responsible for something.
+    std::vector<std::string> ranked(const std::string& what) const
     {
         std::vector<member_info> batches;
         for (const auto& member : follower.members()) {
             if (!member.batchAddress.empty())
                 batches.push_back(member);
         }
-        const auto ranked = rankMembers(id, batches);
-        return ranked.empty() || ranked.front().batchAddress == options.rpc;
+        std::vector<std::string> addresses;
+        for (const auto& member : rankMembers(what, batches))
+            addresses.push_back(member.batchAddress);
+        return addresses;
+    }
+
+    /// Whether this process is among the first so many; also if it knows of none, so that somebody is.
+    bool among(const std::string& what, std::size_t count) const
+    {
+        const auto order = ranked(what);
+        const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), count));
+        return order.empty() || std::find(order.begin(), end, options.rpc) != end;
+    }
+
+    /// Hands an unheld job to the process responsible for it; false if that is this one, or it does not
+    /// answer.
+    bool give(const std::string& id)
+    {
+        const auto order = ranked(id);
+        if (order.empty() || order.front() == options.rpc)
+            return false;
+        return rpc.adopt(order.front(), id, noticeTimeout).has_value();
     }
 
     void maintain()
     {
         const auto now = std::chrono::steady_clock::now();
-        holder.maintain([this](const std::string& id) { return responsibleFor(id); }, now);
+        holder.maintain(now);
         holder.commitDue(now, false);
-        if (now >= nextRemoval && responsibleFor("expiry")) {
+        if (among("job supervisor", supervisors))
+            holder.supervise([this](const std::string& id) { return give(id); }, now);
+        if (now >= nextRemoval && among("expiry", 1)) {
             nextRemoval = now + removalInterval;
             (void)jobs.removeExpired(wallClockMs(), removalsAtOnce);
         }
     }
 
+    void adopt(std::string_view id) override
+    {
+        holder.adopt(std::string(id), std::chrono::steady_clock::now());
+    }
+
     void observe(const http_request& request, reply_sink& sink)
     {
         if (request.path == "/healthz")
@@ -192,7 +222,7 @@
         // The holder learns of it at once; should this not reach it, its next commit or scan tells it.
         if (owner && owner.value() && *owner.value() != options.rpc
             && before.progress.state == job_state::running)
-            (void)rpc.cancel(*owner.value(), customer, id, cancelNoticeTimeout);
+            (void)rpc.cancel(*owner.value(), customer, id, noticeTimeout);
         return toView(job, true);
     }
 
--- a/libs/batch/src/job_holder.cpp
+++ b/libs/batch/src/job_holder.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr milliseconds scanInterval { 2000 };
-/// An unheld job is left to the process that is responsible for it for so long; then anyone takes it.
-constexpr milliseconds othersWait { 5000 };
 constexpr milliseconds leaseMargin { 500 };
 constexpr int renewalsPerTtl = 3;
 
@@ -82,19 +80,17 @@
     }
 }
 
-void job_holder::maintain(const std::function<bool(const std::string&)>& mine, steady_time now)
+void job_holder::maintain(steady_time now)
 {
-    if (!keepLease(now))
-        return;
-    retakeLost();
-    if (now >= m_nextScan && !m_stopping) {
-        m_nextScan = now + scanInterval;
-        scan(mine, now);
-    }
+    if (keepLease(now))
+        retakeLost();
 }
 
-void job_holder::scan(const std::function<bool(const std::string&)>& mine, steady_time now)
+void job_holder::supervise(const std::function<bool(const std::string&)>& give, steady_time now)
 {
+    if (now < m_nextScan || m_stopping)
+        return;
+    m_nextScan = now + scanInterval;
     const auto overview = m_jobs.scan();
     if (!overview)
         return;
@@ -114,16 +110,10 @@
             || (!job && job.error().kind == failure_kind::not_found))
             drop(id);
     }
-    std::map<std::string, steady_time> unheld;
     for (const auto& id : open) {
-        if (std::binary_search(held.begin(), held.end(), id))
-            continue;
-        const auto known = m_unheldSince.find(id);
-        unheld[id] = known == m_unheldSince.end() ? now : known->second;
-        if (heldJobs() < m_options.mostJobs && (mine(id) || now - unheld[id] > othersWait))
-            take(id, now);
+        if (!std::binary_search(held.begin(), held.end(), id) && !give(id))
+            adopt(id, now);
     }
-    m_unheldSince = std::move(unheld);
 }
 
 void job_holder::adopt(const std::string& id, steady_time now)
--- a/libs/batch/src/job_holder.h
+++ b/libs/batch/src/job_holder.h
@@ -37,10 +37,14 @@
 public:
     job_holder(job_store& jobs, config_store& store, std::string address, holder_options options);
 
-    /// Renews the lease, takes unheld jobs that `mine` chooses, retakes lost ones, commits what is due.
-    void maintain(const std::function<bool(const std::string& id)>& mine, steady_time now);
+    /// Renews the lease and retakes lost jobs.
+    void maintain(steady_time now);
+    /// Looks through the running jobs, now and then. Whoever supervises takes the unheld ones that `give`
+    /// does not find another holder for; with three supervisors whatever the fleet's size, the calls do not
+    /// grow with it.
+    void supervise(const std::function<bool(const std::string& id)>& give, steady_time now);
     void commitDue(steady_time now, bool everything);
-    /// Takes a job that was just accepted here.
+    /// Takes a job that was just accepted here, or that a supervisor found unheld.
     void adopt(const std::string& id, steady_time now);
 
     /// The item to run next, or nothing now.
@@ -71,7 +75,6 @@
 
     bool keepLease(steady_time now);
     void retakeLost();
-    void scan(const std::function<bool(const std::string&)>& mine, steady_time now);
     bool take(const std::string& id, steady_time now);
     void commitOne(const std::string& id, steady_time now);
     void dropLocked(job_map::iterator job);
@@ -82,7 +85,6 @@
     holder_options m_options;
     mutable std::mutex m_mutex;
     job_map m_held;
-    std::map<std::string, steady_time> m_unheldSince;
     std::int64_t m_lease = 0;
     steady_time m_leaseUntil;
     steady_time m_nextRenewal;
--- a/libs/entry/src/cluster.cpp
+++ b/libs/entry/src/cluster.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t contactsPerZone = 3;
 constexpr std::size_t watchersPerZone = 3;
 constexpr std::uint64_t roundsBetweenZones = 2;
+constexpr std::uint64_t roundsBetweenSeeds = 10;
 
 member_info describeSelf(const process_options& options)
 {
@@ -116,17 +117,43 @@
     return digest;
 }
 
-std::vector<member_info> cluster::gossip(std::span<const member_info> news)
+gossip_message cluster::describe(std::string_view zone) const
 {
-    std::vector<member_info> answer;
+    gossip_message message;
+    message.zone = m_options.zone;
+    for (const auto& member : digestFor(zone))
+        message.notes.push_back(noteOf(member));
+    return message;
+}
+
+std::vector<member_info> cluster::wantedMembers(std::span<const std::uint32_t> ids) const
+{
+    std::vector<member_info> found;
+    for (const auto& member : m_members.digest()) {
+        if (std::find(ids.begin(), ids.end(), noteOf(member).id) != ids.end())
+            found.push_back(member);
+    }
+    return found;
+}
+
+gossip_message cluster::gossip(const gossip_message& news)
+{
+    gossip_message answer;
+    bool newer = false;
     {
         const std::scoped_lock lock(m_mutex);
-        m_members.merge(news, std::chrono::steady_clock::now());
+        const auto now = std::chrono::steady_clock::now();
         m_members.setSettingsVersion(m_settings.version());
-        answer = digestFor(news.empty() ? std::string_view(m_options.zone) : news.front().zone);
+        m_members.merge(news.members, now);
+        auto wanted = m_members.mergeNotes(news.notes, now);
+        if (!news.notes.empty())
+            answer = describe(news.zone);
+        answer.zone = m_options.zone;
+        answer.wanted = std::move(wanted);
+        answer.members = wantedMembers(news.wanted);
+        newer = std::any_of(news.notes.begin(), news.notes.end(),
+            [&](const auto& note) { return note.settingsVersion > m_settings.version(); });
     }
-    const auto newer = std::any_of(news.begin(), news.end(),
-        [&](const auto& member) { return member.settingsVersion > m_settings.version(); });
     if (newer)
         m_gossipThread->wake();
     return answer;
@@ -155,40 +182,57 @@
         chosen.push_back(neighbours[m_random() % neighbours.size()]);
     if (contact && !strangers.empty() && m_rounds % roundsBetweenZones == 0)
         chosen.push_back(strangers[m_random() % strangers.size()]);
-    // Seeds are met until members are known, and now and then after, in case both sides have forgotten.
-    const bool lonely = neighbours.empty() || m_rounds % 10 == 0;
+    // All seeds are met until a neighbour is known; later one now and then, in case both sides have
+    // forgotten.
     for (const auto& seed : m_options.seeds) {
-        if (lonely && seed != m_options.rpc)
+        if (neighbours.empty() && seed != m_options.rpc)
+            chosen.emplace_back(seed, m_options.zone);
+    }
+    if (m_rounds % roundsBetweenSeeds == 0 && !m_options.seeds.empty()) {
+        const auto& seed = m_options.seeds[m_random() % m_options.seeds.size()];
+        if (seed != m_options.rpc)
             chosen.emplace_back(seed, m_options.zone);
     }
     return chosen;
 }
 
+/// One exchange of heartbeats; a second call only if one side lacks whole members.
 void cluster::exchange(const std::string& address, std::string_view zone)
 {
-    std::vector<member_info> digest;
+    gossip_message news;
     {
         const std::scoped_lock lock(m_mutex);
-        digest = digestFor(zone);
-        // The receiver answers for the zone of the first member: that is this one.
-        const auto self = std::find_if(
-            digest.begin(), digest.end(), [&](const auto& member) { return member.vm == m_options.vm; });
-        std::iter_swap(digest.begin(), self);
+        news = describe(zone);
     }
-    const auto answer = m_client.gossip(address, digest, gossipTimeout);
+    const auto answer = m_client.gossip(address, news, gossipTimeout);
     if (!answer)
         return reportUnreachable(address);
+    gossip_message rest;
+    rest.zone = m_options.zone;
     {
         const std::scoped_lock lock(m_mutex);
-        m_members.merge(answer.value(), std::chrono::steady_clock::now());
+        rest.wanted = m_members.mergeNotes(answer.value().notes, std::chrono::steady_clock::now());
+        rest.members = wantedMembers(answer.value().wanted);
+    }
+    if (!rest.wanted.empty() || !rest.members.empty()) {
+        const auto whole = m_client.gossip(address, rest, gossipTimeout);
+        if (!whole)
+            return reportUnreachable(address);
+        const std::scoped_lock lock(m_mutex);
+        m_members.merge(whole.value().members, std::chrono::steady_clock::now());
     }
-    pullFromNewest(answer.value());
+    pullFromNewest();
 }
 
-void cluster::pullFromNewest(std::span<const member_info> news)
+void cluster::pullFromNewest()
 {
+    std::vector<member_info> known;
+    {
+        const std::scoped_lock lock(m_mutex);
+        known = m_members.digest();
+    }
     const member_info* newest = nullptr;
-    for (const auto& member : news) {
+    for (const auto& member : known) {
         if (member.settingsVersion > m_settings.version()
             && (!newest || member.settingsVersion > newest->settingsVersion))
             newest = &member;
@@ -234,7 +278,6 @@
 void cluster::round()
 {
     std::vector<std::pair<std::string, std::string>> peers;
-    std::vector<member_info> known;
     {
         const std::scoped_lock lock(m_mutex);
         const auto now = std::chrono::steady_clock::now();
@@ -243,9 +286,8 @@
         m_members.tick(now);
         ++m_rounds;
         peers = pickPeers();
-        known = m_members.digest();
     }
-    pullFromNewest(known);
+    pullFromNewest();
     for (const auto& [address, zone] : peers)
         exchange(address, zone);
 }
--- a/libs/entry/src/cluster.h
+++ b/libs/entry/src/cluster.h
@@ -23,7 +23,7 @@
     std::vector<std::string> batchAddresses(const std::string& key) const;
 
     void reportUnreachable(const std::string& address);
-    std::vector<member_info> gossip(std::span<const member_info> news);
+    gossip_message gossip(const gossip_message& news);
     follow_reply follow(const follow_request& request);
     std::vector<member_view> view() const;
 
@@ -32,10 +32,12 @@
 
 private:
     std::vector<member_info> digestFor(std::string_view zone) const;
+    gossip_message describe(std::string_view zone) const;
+    std::vector<member_info> wantedMembers(std::span<const std::uint32_t> ids) const;
     void round();
     void exchange(const std::string& address, std::string_view zone);
     std::vector<std::pair<std::string, std::string>> pickPeers();
-    void pullFromNewest(std::span<const member_info> news);
+    void pullFromNewest();
     void offerSettings(settings_tree tree);
     void forgetSilentProcesses(steady_time now);
     void updateOthersVersion();
--- a/libs/entry/src/dispatcher_host.cpp
+++ b/libs/entry/src/dispatcher_host.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr milliseconds tickInterval { 20 };
-constexpr milliseconds pollInterval { 100 };
+/// Each poll is a connection of its own: the interval is what keeps control within its budget of bytes.
+constexpr milliseconds pollInterval { 1000 };
 constexpr milliseconds pollTimeout { 400 };
 
 std::optional<load_report> parseLoad(const std::string& body)
--- a/libs/entry/src/entry_process.cpp
+++ b/libs/entry/src/entry_process.cpp
@@ -32,10 +32,7 @@
         m_host.sessionReceived(session, std::move(message));
     }
     void sessionClosed(std::uint64_t session) override { m_host.sessionClosed(session); }
-    std::vector<member_info> gossip(std::span<const member_info> news) override
-    {
-        return m_peers.gossip(news);
-    }
+    gossip_message gossip(const gossip_message& news) override { return m_peers.gossip(news); }
     follow_reply follow(const follow_request& request) override { return m_peers.follow(request); }
 
     std::optional<settings_tree> pull(std::int64_t newerThan) override
@@ -122,7 +119,7 @@
         constexpr std::string_view scheme = "Bearer ";
         const auto authorization = findHeader(context.request.headers, "Authorization");
         const auto customer = authorization.substr(0, scheme.size()) == scheme
-            ? findCustomerByKey(context.settings->tree, authorization.substr(scheme.size()))
+            ? context.settings->customerOf(authorization.substr(scheme.size()))
             : std::nullopt;
         if (!customer)
             return sendFailure(context,
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -44,6 +44,19 @@
     }
 };
 
+/// What changes of a member from one heartbeat to the next, in a few bytes. Whoever does not know the rest,
+/// or knows another one by the fingerprint, asks for the whole.
+struct member_note {
+    std::uint32_t id = 0; ///< Hash of the VM's name.
+    std::uint32_t fingerprint = 0; ///< 16 bits over incarnation and addresses.
+    std::uint64_t heartbeat = 0;
+    std::int64_t settingsVersion = 0;
+    std::int64_t othersVersion = 0;
+    bool leaving = false;
+};
+
+member_note noteOf(const member_info& member);
+
 /// A member with what this process thinks of it.
 struct member_view {
     member_info info;
@@ -70,6 +83,9 @@
     /// its own heartbeat above it. Returns whether any state changed.
     bool merge(std::span<const member_info> news, steady_time now);
 
+    /// Takes over heartbeats. Returns the ids of members whose whole information is wanted.
+    std::vector<std::uint32_t> mergeNotes(std::span<const member_note> notes, steady_time now);
+
     /// A connection to that member broke: it is suspected at once, until its next heartbeat.
     void reportUnreachable(std::string_view vm, steady_time now);
 
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -19,6 +19,16 @@
     return "dead";
 }
 
+member_note noteOf(const member_info& member)
+{
+    constexpr std::uint64_t mask16 = 0xffff;
+    const auto parts
+        = member.zone + '|' + member.address + '|' + member.batchAddress + '|' + member.adminAddress;
+    const auto print = hashText(parts, member.incarnation);
+    return { static_cast<std::uint32_t>(hashText(member.vm)), static_cast<std::uint32_t>(print & mask16),
+        member.heartbeat, member.settingsVersion, member.othersVersion, member.leaving };
+}
+
 namespace {
 
 bool isNewer(const member_info& candidate, const member_info& known)
@@ -86,6 +96,34 @@
     return changed;
 }
 
+std::vector<std::uint32_t> membership::mergeNotes(std::span<const member_note> notes, steady_time now)
+{
+    std::map<std::uint32_t, member_view*> known;
+    for (auto& [vm, member] : m_others)
+        known[noteOf(member.info).id] = &member;
+    const auto own = noteOf(m_self);
+    std::vector<std::uint32_t> wanted;
+    for (const auto& note : notes) {
+        if (note.id == own.id) {
+            if (note.fingerprint != own.fingerprint)
+                wanted.push_back(note.id); // Perhaps of an earlier life with a clock that ran ahead.
+            continue;
+        }
+        const auto found = known.find(note.id);
+        if (found == known.end() || noteOf(found->second->info).fingerprint != note.fingerprint) {
+            wanted.push_back(note.id);
+            continue;
+        }
+        auto news = found->second->info;
+        news.heartbeat = note.heartbeat;
+        news.settingsVersion = note.settingsVersion;
+        news.othersVersion = note.othersVersion;
+        news.leaving = note.leaving;
+        merge(std::span(&news, 1), now);
+    }
+    return wanted;
+}
+
 void membership::reportUnreachable(std::string_view vm, steady_time)
 {
     const auto found = m_others.find(vm);
--- a/libs/membership/tests/test_membership.cpp
+++ b/libs/membership/tests/test_membership.cpp
@@ -106,3 +106,23 @@
     CHECK(moved > keys / 33 / 2);
     CHECK(moved < keys / 33 * 2);
 }
+
+TEST_CASE("a heartbeat note stands for a known member, and an unknown or changed one is asked for")
+{
+    membership self(make("a"), {}, start);
+    auto other = make("b");
+    const auto first = noteOf(other);
+    CHECK(self.mergeNotes(std::span(&first, 1), start) == std::vector<std::uint32_t> { first.id });
+    self.merge(std::span(&other, 1), start);
+    other.heartbeat = 7;
+    other.settingsVersion = 9;
+    const auto beat = noteOf(other);
+    CHECK(self.mergeNotes(std::span(&beat, 1), start + 2s).empty());
+    CHECK(self.view()[1].info.settingsVersion == 9);
+    CHECK(self.view()[1].lastNews == start + 2s);
+    other.batchAddress = "127.0.0.1:5";
+    const auto moved = noteOf(other);
+    CHECK(self.mergeNotes(std::span(&moved, 1), start + 3s).size() == 1);
+    const auto own = noteOf(self.self());
+    CHECK(self.mergeNotes(std::span(&own, 1), start).empty());
+}
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -59,6 +59,14 @@
     void add(envelope other);
 };
 
+/// Heartbeats between entries. Whole members travel only when asked for.
+struct gossip_message {
+    std::string zone; ///< Of the sender.
+    std::vector<member_note> notes;
+    std::vector<member_info> members;
+    std::vector<std::uint32_t> wanted; ///< Ids of members that the sender wants to know.
+};
+
 struct follow_request {
     std::string vm;
     std::string batchAddress;
--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 /// What all processes of the system share: options, the settings in force, grants, calls to targets,
@@ -106,9 +107,16 @@
     settings_tree tree;
     std::map<std::string, group_description, std::less<>> groups;
 
+    /// Customer of each key, by the key's SHA-256: with many customers a search through all is too slow.
+    std::unordered_map<std::string, std::string> customersByHash;
+
     explicit settings_view(settings_tree accepted);
     settings_view() = default;
 
+    /// The customer that a key belongs to. What is looked up is the key's hash, of which a caller cannot
+    /// choose a part, so the time taken says nothing about stored keys; the hash itself is compared in
+    /// constant time.
+    std::optional<std::string> customerOf(std::string_view key) const;
     /// Groups of a service in a zone.
     std::vector<const group_description*> groupsOf(std::string_view service, std::string_view zone) const;
     /// Availability zones that have targets of a service, in order of name.
--- a/libs/node/src/settings_view.cpp
+++ b/libs/node/src/settings_view.cpp
@@ -33,6 +33,8 @@
         group.zone = target.zone;
         group.targets.push_back({ target.name, target.address, target.slots, target.drain });
     }
+    for (const auto& [hash, customer] : listKeyHashes(tree))
+        customersByHash.emplace(hash, customer);
     for (auto& [name, group] : groups) {
         const auto service = findService(tree, group.service);
         group.model = !service || service->model;
@@ -44,6 +46,15 @@
     }
 }
 
+std::optional<std::string> settings_view::customerOf(std::string_view key) const
+{
+    const auto hash = sha256Hex(key);
+    const auto found = customersByHash.find(hash);
+    if (found == customersByHash.end() || !sameHash(found->first, hash))
+        return std::nullopt;
+    return found->second;
+}
+
 std::vector<const group_description*> settings_view::groupsOf(
     std::string_view service, std::string_view zone) const
 {
--- a/libs/node/tests/test_node.cpp
+++ b/libs/node/tests/test_node.cpp
@@ -62,6 +62,16 @@
     CHECK(cell.current()->tree.version == 6);
 }
 
+TEST_CASE("a customer is found by each of its keys")
+{
+    auto tree = treeOf(1);
+    tree.nodes["customer/armor"].values["api_key_sha256"] = sha256Hex("one") + ',' + sha256Hex("two");
+    const settings_view view(tree);
+    CHECK(view.customerOf("two") == "armor");
+    CHECK(!view.customerOf("three"));
+    CHECK(!view.customerOf(""));
+}
+
 TEST_CASE("readers see whole values while a writer replaces them")
 {
     settings_cell cell;
@@ -106,7 +116,7 @@
             withdrawn.push_back(withdrawal.askId);
     }
     void sessionClosed(std::uint64_t) override { }
-    std::vector<member_info> gossip(std::span<const member_info>) override { return {}; }
+    gossip_message gossip(const gossip_message&) override { return {}; }
     follow_reply follow(const follow_request&) override { return {}; }
     std::optional<settings_tree> pull(std::int64_t) override { return std::nullopt; }
 
--- a/libs/rpc/include/rpc/rpc.h
+++ b/libs/rpc/include/rpc/rpc.h
@@ -31,7 +31,7 @@
     virtual void sessionOpened(std::uint64_t session, std::function<void(envelope)> send) = 0;
     virtual void sessionReceived(std::uint64_t session, envelope message) = 0;
     virtual void sessionClosed(std::uint64_t session) = 0;
-    virtual std::vector<member_info> gossip(std::span<const member_info> news) = 0;
+    virtual gossip_message gossip(const gossip_message& news) = 0;
     virtual follow_reply follow(const follow_request& request) = 0;
     /// The settings in force if they are newer than the version named.
     virtual std::optional<settings_tree> pull(std::int64_t newerThan) = 0;
@@ -46,6 +46,8 @@
     virtual result<results_page> results(std::string_view customer, std::string_view id, std::uint64_t cursor)
         = 0;
     virtual result<job_view> cancel(std::string_view customer, std::string_view id) = 0;
+    /// A supervisor found the job unheld and this process responsible for it.
+    virtual void adopt(std::string_view id) = 0;
 };
 
 /// Serves peers, jobs or both on one port.
@@ -87,8 +89,7 @@
     std::shared_ptr<dispatcher_link> open(
         std::string_view address, std::function<void(envelope)> received, std::function<void()> closed);
 
-    result<std::vector<member_info>> gossip(
-        std::string_view address, std::span<const member_info> news, milliseconds timeout);
+    result<gossip_message> gossip(std::string_view address, const gossip_message& news, milliseconds timeout);
     result<follow_reply> follow(
         std::string_view address, const follow_request& request, milliseconds timeout);
     result<std::optional<settings_tree>> pull(
@@ -101,6 +102,7 @@
         std::uint64_t cursor, milliseconds timeout);
     result<job_view> cancel(
         std::string_view address, std::string_view customer, std::string_view id, milliseconds timeout);
+    result<void> adopt(std::string_view address, std::string_view id, milliseconds timeout);
 
 private:
     struct impl;
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -94,22 +94,18 @@
     return openLink(m_impl->channel(address), std::move(received), std::move(closed));
 }
 
-result<std::vector<member_info>> rpc_client::gossip(
-    std::string_view address, std::span<const member_info> news, milliseconds timeout)
+result<gossip_message> rpc_client::gossip(
+    std::string_view address, const gossip_message& news, milliseconds timeout)
 {
     grpc::ClientContext context;
     setTimeout(context, timeout);
     peer::Digest request;
-    for (const auto& member : news)
-        toWire(member, *request.add_members());
+    toWire(news, request);
     peer::Digest reply;
     if (const auto status = m_impl->stub<peer::Peer>(address)->Gossip(&context, request, &reply);
         !status.ok())
         return fromStatus(status);
-    std::vector<member_info> members;
-    for (const auto& member : reply.members())
-        members.push_back(fromWire(member));
-    return members;
+    return fromWire(reply);
 }
 
 result<follow_reply> rpc_client::follow(
@@ -199,4 +195,15 @@
         m_impl->stub<peer::Jobs>(address)->Cancel(&context, jobRequest(customer, id), &reply), reply);
 }
 
+result<void> rpc_client::adopt(std::string_view address, std::string_view id, milliseconds timeout)
+{
+    grpc::ClientContext context;
+    setTimeout(context, timeout);
+    peer::JobReply reply;
+    if (const auto status = m_impl->stub<peer::Jobs>(address)->Adopt(&context, jobRequest({}, id), &reply);
+        !status.ok())
+        return fromStatus(status);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 } // namespace yuccachute
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -111,11 +111,7 @@
     grpc::ServerUnaryReactor* Gossip(
         grpc::CallbackServerContext* context, const peer::Digest* request, peer::Digest* reply) override
     {
-        std::vector<member_info> news;
-        for (const auto& member : request->members())
-            news.push_back(fromWire(member));
-        for (const auto& member : m_handler.gossip(news))
-            toWire(member, *reply->add_members());
+        toWire(m_handler.gossip(fromWire(*request)), *reply);
         return finish(context);
     }
 
@@ -208,6 +204,12 @@
         return answer(m_handler.cancel(request->customer(), request->id()), *reply);
     }
 
+    grpc::Status Adopt(grpc::ServerContext*, const peer::JobRequest* request, peer::JobReply*) override
+    {
+        m_handler.adopt(request->id());
+        return grpc::Status::OK;
+    }
+
 private:
     static grpc::Status answer(const result<job_view>& outcome, peer::JobReply& reply)
     {
--- a/libs/rpc/tests/test_rpc.cpp
+++ b/libs/rpc/tests/test_rpc.cpp
@@ -37,10 +37,7 @@
         senders.erase(session);
         changed.notify_all();
     }
-    std::vector<member_info> gossip(std::span<const member_info> news) override
-    {
-        return { news.begin(), news.end() };
-    }
+    gossip_message gossip(const gossip_message& news) override { return news; }
     follow_reply follow(const follow_request& request) override
     {
         follow_reply reply;
@@ -63,6 +60,8 @@
 
 class refusing_jobs final : public jobs_handler {
 public:
+    void adopt(std::string_view id) override { adopted = id; }
+    std::string adopted;
     result<job_view> submit(submit_request request) override
     {
         return notRun(failure_kind::bad_request, "line 3: " + request.customer, 250ms);
@@ -127,12 +126,15 @@
     rpc_server server(address, {}, &handler, &jobs);
     rpc_client client({});
     const member_info self { "vm", "z", "a", "", "", 1, 2, false, 3, 0 };
-    const auto members = client.gossip(address, std::span(&self, 1), 5s);
-    REQUIRE(members);
-    CHECK(members.value().at(0).settingsVersion == 3);
+    const auto echoed = client.gossip(address, { "z", { noteOf(self) }, { self }, { 5 } }, 5s);
+    REQUIRE(echoed);
+    CHECK(echoed.value().members.at(0).settingsVersion == 3);
+    CHECK(echoed.value().notes.at(0).heartbeat == 2);
     CHECK(client.follow(address, { "vm", "b", "", 0 }, 5s).value().members.at(0).batchAddress == "b");
     CHECK(client.pull(address, 4, 5s).value()->version == 5);
     CHECK(!client.pull(address, 5, 5s).value());
+    CHECK(client.adopt(address, "j9", 5s));
+    CHECK(jobs.adopted == "j9");
     const auto refused = client.submit(address, { "armor", "s", "", 0ms, "" }, 5s);
     REQUIRE(!refused);
     CHECK(refused.error().ran == verdict::not_run);
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -151,8 +151,11 @@
 std::optional<service_settings> findService(const settings_tree& tree, std::string_view name);
 std::vector<target_settings> listTargets(const settings_tree& tree);
 
-/// Returns the customer whose api_key_sha256 holds the hash of the key, compared in constant time.
-std::optional<std::string> findCustomerByKey(const settings_tree& tree, std::string_view key);
+/// Returns the hash of every customer's keys with the customer's name.
+std::vector<std::pair<std::string, std::string>> listKeyHashes(const settings_tree& tree);
+
+/// Compares two hashes in constant time.
+bool sameHash(std::string_view left, std::string_view right);
 
 /// An operator and the part of the tree it may edit.
 struct operator_account {
--- a/libs/settings/src/hash.cpp
+++ b/libs/settings/src/hash.cpp
@@ -21,44 +21,38 @@
     return hex;
 }
 
-namespace {
-
 bool sameHash(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
-/// Looks at every node and hash whatever it has found, so that the time taken says nothing about the key.
-std::string findByHash(
-    const settings_tree& tree, std::string_view prefix, std::string_view key, const std::string& hash)
+std::vector<std::pair<std::string, std::string>> listKeyHashes(const settings_tree& tree)
 {
-    std::string owner;
+    constexpr std::string_view prefix = "customer/";
+    std::vector<std::pair<std::string, std::string>> hashes;
     for (auto node = tree.nodes.lower_bound(prefix);
          node != tree.nodes.end() && node->first.starts_with(prefix); ++node) {
-        const auto stored = node->second.values.find(key);
+        const auto stored = node->second.values.find("api_key_sha256");
         if (stored == node->second.values.end())
             continue;
-        for (auto candidate : splitText(stored->second, ',')) {
-            if (sameHash(candidate, hash))
-                owner = node->first.substr(prefix.size());
-        }
+        for (auto hash : splitText(stored->second, ','))
+            hashes.emplace_back(hash, node->first.substr(prefix.size()));
     }
-    return owner;
-}
-
-} // namespace
-
-std::optional<std::string> findCustomerByKey(const settings_tree& tree, std::string_view key)
-{
-    auto owner = findByHash(tree, "customer/", "api_key_sha256", sha256Hex(key));
-    if (owner.empty())
-        return std::nullopt;
-    return owner;
+    return hashes;
 }
 
 std::optional<operator_account> findOperatorByToken(const settings_tree& tree, std::string_view token)
 {
-    auto owner = findByHash(tree, "operator/", "token_sha256", sha256Hex(token));
+    constexpr std::string_view prefix = "operator/";
+    const auto hash = sha256Hex(token);
+    std::string owner;
+    // Looks at every operator whatever it has found, so that the time taken says nothing about the token.
+    for (auto node = tree.nodes.lower_bound(prefix);
+         node != tree.nodes.end() && node->first.starts_with(prefix); ++node) {
+        const auto stored = node->second.values.find("token_sha256");
+        if (stored != node->second.values.end() && sameHash(stored->second, hash))
+            owner = node->first.substr(prefix.size());
+    }
     if (owner.empty())
         return std::nullopt;
     return operator_account { owner, resolveKey(tree, "operator/" + owner, "scope").value };
--- a/libs/settings/tests/test_settings.cpp
+++ b/libs/settings/tests/test_settings.cpp
@@ -113,8 +113,11 @@
     const std::string hash = sha256Hex("secret");
     CHECK(hash == "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b");
     tree.nodes["customer/armor"].values["api_key_sha256"] = sha256Hex("other") + ',' + hash;
-    CHECK(findCustomerByKey(tree, "secret") == "armor");
-    CHECK(!findCustomerByKey(tree, "wrong"));
+    const auto hashes = listKeyHashes(tree);
+    REQUIRE(hashes.size() == 2);
+    CHECK(hashes[1] == std::pair<std::string, std::string>(hash, "armor"));
+    CHECK(sameHash(hash, hash));
+    CHECK(!sameHash(hash, hashes[0].first));
     tree.nodes["operator/ana"].values = { { "token_sha256", hash }, { "scope", "customer/armor" } };
     CHECK(findOperatorByToken(tree, "secret")->scope == "customer/armor");
     CHECK(scopeCovers("customer/armor", "customer/armor/service/screening"));
--- a/libs/settings_store/tests/test_settings_store.cpp
+++ b/libs/settings_store/tests/test_settings_store.cpp
@@ -56,6 +56,21 @@
     CHECK(readHistory(store, 10).value().size() == 2);
 }
 
+// Story: an operator's edit names the revision it was made against; its reply is lost, it is tried again, and
+// the operator is shown a conflict with his own change.
+TEST_CASE("an edit whose reply is lost does not conflict with itself")
+{
+    memory_store store;
+    const auto first = commitOne(store, setKey("fleet", "weight", "2"), "e1").value();
+    bool lose = true;
+    store.fault = [&](std::string_view call) -> std::optional<failure> {
+        if (call == "commit" && std::exchange(lose, false))
+            return mayHaveRun(failure_kind::unavailable, "lost");
+        return std::nullopt;
+    };
+    CHECK(commitOne(store, setKey("fleet", "weight", "5", first.version), "e2"));
+}
+
 TEST_CASE("an edit that never reached the store says so, and one that may have says so too")
 {
     memory_store store;
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -13,6 +13,9 @@
 void toWire(const member_info& member, peer::Member& out);
 member_info fromWire(const peer::Member& in);
 
+void toWire(const gossip_message& message, peer::Digest& out);
+gossip_message fromWire(const peer::Digest& in);
+
 void toWire(const settings_tree& tree, peer::Settings& out);
 settings_tree fromWire(const peer::Settings& in);
 
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -145,6 +145,47 @@
         in.heartbeat(), in.leaving(), in.settings_version(), in.others_version() };
 }
 
+void toWire(const gossip_message& message, peer::Digest& out)
+{
+    out.set_zone(message.zone);
+    std::int64_t highest = 0;
+    for (const auto& note : message.notes)
+        highest = std::max({ highest, note.settingsVersion, note.othersVersion });
+    out.set_highest_version(highest);
+    for (const auto& note : message.notes) {
+        auto& wire = *out.add_notes();
+        wire.set_id(note.id);
+        wire.set_fingerprint(note.fingerprint);
+        wire.set_heartbeat(note.heartbeat);
+        wire.set_settings_behind(static_cast<std::uint64_t>(highest - note.settingsVersion));
+        wire.set_others_behind(
+            note.othersVersion == 0 ? 0 : static_cast<std::uint64_t>(highest - note.othersVersion) + 1);
+        wire.set_leaving(note.leaving);
+    }
+    for (const auto& member : message.members)
+        toWire(member, *out.add_members());
+    for (auto id : message.wanted)
+        out.add_wanted(id);
+}
+
+gossip_message fromWire(const peer::Digest& in)
+{
+    gossip_message message;
+    message.zone = in.zone();
+    for (const auto& note : in.notes()) {
+        const auto others = note.others_behind() == 0
+            ? 0
+            : in.highest_version() - static_cast<std::int64_t>(note.others_behind()) + 1;
+        message.notes.push_back({ note.id(), note.fingerprint(), note.heartbeat(),
+            in.highest_version() - static_cast<std::int64_t>(note.settings_behind()), others,
+            note.leaving() });
+    }
+    for (const auto& member : in.members())
+        message.members.push_back(fromWire(member));
+    message.wanted.assign(in.wanted().begin(), in.wanted().end());
+    return message;
+}
+
 void toWire(const settings_tree& tree, peer::Settings& out)
 {
     out.set_version(tree.version);
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -68,3 +68,18 @@
     CHECK(copy.nodes.at("fleet").revision == 8);
     CHECK(copy.nodes.at("fleet").values.at("weight") == "2");
 }
+
+TEST_CASE("heartbeat notes survive their encoding")
+{
+    gossip_message message { "a", { { 1, 2, 3, 100, 90, false }, { 4, 5, 6, 80, 0, true } }, {}, { 7 } };
+    peer::Digest wire;
+    toWire(message, wire);
+    const auto copy = fromWire(wire);
+    CHECK(copy.zone == "a");
+    CHECK(copy.notes[0].settingsVersion == 100);
+    CHECK(copy.notes[0].othersVersion == 90);
+    CHECK(copy.notes[1].settingsVersion == 80);
+    CHECK(copy.notes[1].othersVersion == 0);
+    CHECK(copy.notes[1].leaving);
+    CHECK(copy.wanted == std::vector<std::uint32_t> { 7 });
+}
