--- a/bench/support/harness.cpp
+++ b/bench/support/harness.cpp
@@ -4,6 +4,7 @@
 #include "messages/messages.h"
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <fcntl.h>
@@ -33,6 +34,13 @@
         throw std::runtime_error(message);
 }
 
+/// The settings must name an engine's slots when they are not the default.
+std::string slotsLine(const std::vector<std::string>& flags)
+{
+    const auto found = std::find(flags.begin(), flags.end(), "--slots");
+    return found == flags.end() ? "" : "\nslots = " + *std::next(found);
+}
+
 std::string local(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
@@ -191,8 +199,9 @@
     std::string ini = "[fleet]\ntimeout_ms = 20000\n\n[service/screening]\nkind = model\n";
     ini += m_serviceSettings + "\n[service/registry]\nkind = plain\n\n";
     for (const auto& [name, target] : m_targets) {
-        ini += "[service/" + target.service + "/target/" + name + "]\naddress = "
-            + local(target.proxyPort ? target.proxyPort : target.port) + "\nzone = " + target.zone + "\n\n";
+        ini += "[service/" + target.service + "/target/" + name
+            + "]\naddress = " + local(target.proxyPort ? target.proxyPort : target.port)
+            + "\nzone = " + target.zone + slotsLine(target.flags) + "\n\n";
     }
     for (const char* customer : { "large", "small" })
         ini += "[customer/" + std::string(customer)
@@ -278,6 +287,8 @@
         return reply && reply.value().status == 200;
     });
     for (const auto& [name, one] : m_nodes) {
+        if (name == m_secureEntry)
+            continue;
         waitUntil(name + " to be ready", [&, name = name] {
             const auto reply = get(name, "/readyz");
             return reply && reply.value().status == 200;
@@ -291,7 +302,7 @@
         batches += program == "yuccachute-batch";
     }
     for (const auto& [name, program] : m_programs) {
-        if (program != "yuccachute-entry")
+        if (program != "yuccachute-entry" || name == m_secureEntry)
             continue;
         waitUntil(name + " to know the others", [&, name = name] {
             const auto members = nlohmann::json::parse(get(name, "/status").value().body)["members"];
@@ -308,6 +319,11 @@
     return local(m_nodes.at(node).http);
 }
 
+std::string test_system::rpcAddress(const std::string& node) const
+{
+    return local(m_nodes.at(node).rpc);
+}
+
 std::string test_system::targetAddress(const std::string& target) const
 {
     return local(m_targets.at(target).port);
--- a/bench/support/harness.h
+++ b/bench/support/harness.h
@@ -108,6 +108,9 @@
         const std::string& admin, const std::string& path, const std::map<std::string, std::string>& set);
     /// host:port of a node's HTTP interface, and of a target behind the proxy.
     std::string address(const std::string& node) const;
+    std::string rpcAddress(const std::string& node) const;
+    /// The harness speaks no TLS: start() does not wait for this entry.
+    void setSecureEntry(const std::string& name) { m_secureEntry = name; }
     std::string targetAddress(const std::string& target) const;
     std::string folder() const { return m_folder; }
 
@@ -128,6 +131,7 @@
     std::string m_folder;
     std::string m_extraSettings;
     std::string m_serviceSettings;
+    std::string m_secureEntry;
     std::uint16_t m_storePort;
     std::uint16_t m_storeControl;
     std::uint16_t m_proxyControl;
