A caller's request id no longer names anything towards targets or in the store

Cause: the caller's X-Request-Id named streams at engines, claims of idempotency keys and jobs without a key. Callers that send one id with every request got the rest of a stranger's answer when a stream broke; an order that was sent again with the same key and id was taken for the claim's own request and ran again; a second job without a key was refused as a conflict. Found by reading the code. Ruled out: the engine stand-in, which keeps streams by the id that it is given, as engines do. Change: each request has a token of its own for targets and store; the caller's id is echoed and logged, and only if it is short and plain.

--- a/libs/entry/src/claims.cpp
+++ b/libs/entry/src/claims.cpp
@@ -35,13 +35,13 @@
 }
 
 /// Reads a claim that exists already.
-request_claims::claim readClaim(const std::string& value, const std::string& requestId)
+request_claims::claim readClaim(const std::string& value, const std::string& token)
 {
     const auto document = json::from_msgpack(value, true, false);
     if (!document.is_object())
         return {};
     // A reply of the store was lost and the claim is this request's own.
-    if (document.value("request", "") == requestId)
+    if (document.value("request", "") == token)
         return { true, std::nullopt };
     return { false, keptAnswer(document) };
 }
@@ -66,7 +66,7 @@
 }
 
 result<request_claims::claim> request_claims::take(
-    const std::string& customer, std::string_view key, const std::string& requestId)
+    const std::string& customer, std::string_view key, const std::string& token)
 {
     const auto refuse = [](const failure& error) {
         return notRun(failure_kind::unavailable, "the idempotency key cannot be claimed: " + error.message,
@@ -78,20 +78,20 @@
     const auto at = claimKey(customer, key);
     store_transaction transaction;
     transaction.conditions.push_back({ store_condition::kind::absent, at, 0 });
-    transaction.writes.push_back({ at, writeClaim({ { "request", requestId } }), current.value() });
+    transaction.writes.push_back({ at, writeClaim({ { "request", token } }), current.value() });
     transaction.readOtherwise.push_back(at);
     const auto outcome = m_store.commit(transaction);
     if (outcome && outcome.value().applied)
         return claim { true, std::nullopt };
     if (outcome)
-        return readClaim(outcome.value().found.at(0).value, requestId);
+        return readClaim(outcome.value().found.at(0).value, token);
     if (outcome.error().ran == verdict::not_run)
         return refuse(outcome.error());
     // The claim may have been written although its reply was lost: reading tells whose it is.
     for (int attempt = 0; attempt < mostReads; ++attempt) {
         const auto found = m_store.get(at);
         if (found && found.value())
-            return readClaim(found.value()->value, requestId);
+            return readClaim(found.value()->value, token);
         if (found)
             break;
     }
@@ -99,12 +99,12 @@
 }
 
 void request_claims::keepAnswer(
-    const std::string& customer, std::string_view key, const std::string& requestId, const http_reply& reply)
+    const std::string& customer, std::string_view key, const std::string& token, const http_reply& reply)
 {
     const auto current = lease(std::chrono::steady_clock::now());
     if (!current || reply.body.size() > mostKeptBytes)
         return;
-    const json document { { "request", requestId }, { "status", reply.status },
+    const json document { { "request", token }, { "status", reply.status },
         { "type", std::string(findHeader(reply.headers, "Content-Type")) },
         { "body", json::binary({ reply.body.begin(), reply.body.end() }) } };
     store_transaction transaction;
--- a/libs/entry/src/claims.h
+++ b/libs/entry/src/claims.h
@@ -21,10 +21,10 @@
     };
 
     /// Claims the key before the request runs. The store being down is an honest not_run.
-    result<claim> take(const std::string& customer, std::string_view key, const std::string& requestId);
+    result<claim> take(const std::string& customer, std::string_view key, const std::string& token);
     /// Keeps the answer for resent requests. Best effort: without it they learn that it may have run.
-    void keepAnswer(const std::string& customer, std::string_view key, const std::string& requestId,
-        const http_reply& reply);
+    void keepAnswer(
+        const std::string& customer, std::string_view key, const std::string& token, const http_reply& reply);
     /// The request was not run after all: the key may be used again.
     void giveBack(const std::string& customer, std::string_view key);
 
--- a/libs/entry/src/entry_process.cpp
+++ b/libs/entry/src/entry_process.cpp
@@ -48,6 +48,15 @@
     const settings_cell& m_settings;
 };
 
+/// A caller's request id is echoed and logged, so it is kept short and plain.
+bool isRequestId(std::string_view text)
+{
+    constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:";
+    constexpr std::size_t longest = 128;
+    return !text.empty() && text.size() <= longest
+        && text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
 } // namespace
 
 struct entry_process::impl {
@@ -56,12 +65,12 @@
         , rpc(options.peers)
         , store(connectStore(options.store))
         , peers(options, rpc, *store, settings, [this] { settingsChanged(); })
-        , host(
-              settings, options.zone,
-              [this](const group_description& group) { return peers.ownerElsewhere(group.name); }, figures)
         , grants(
               rpc, [this](const auto& group, const auto& zone) { return peers.owners(group, zone); },
               [this](const auto& address) { peers.reportUnreachable(address); })
+        , host(
+              settings, options.zone,
+              [this](const group_description& group) { return peers.ownerElsewhere(group.name); }, figures)
         , claims(*store)
         , handler(peers, host, settings)
         , services { options, settings, peers, grants, chooser, limits, claims, rpc, figures, stopping }
@@ -101,9 +110,10 @@
         if (request.path == "/status")
             return sendStatus(sink);
         request_context context { request, sink, std::string(findHeader(request.headers, "X-Request-Id")), {},
-            settings.current(), std::chrono::steady_clock::now(), {}, {} };
-        if (context.requestId.empty() || context.requestId.size() > 128)
-            context.requestId = randomId();
+            {}, settings.current(), std::chrono::steady_clock::now(), {}, {} };
+        context.token = randomId();
+        if (!isRequestId(context.requestId))
+            context.requestId = context.token;
         const work_counter::token working(work);
         route(context);
     }
@@ -197,10 +207,10 @@
     rpc_client rpc;
     std::unique_ptr<config_store> store;
     cluster peers;
+    grant_client grants; ///< Outlives the host, whose decisions reach it.
     dispatcher_host host;
     self_choice chooser;
     customer_limits limits;
-    grant_client grants;
     request_claims claims;
     entry_peers handler;
     entry_services services;
--- a/libs/entry/src/job_requests.cpp
+++ b/libs/entry/src/job_requests.cpp
@@ -65,7 +65,7 @@
     }
     // Without a key of the caller's, a key for this request makes the tries below find one job.
     if (request.idempotencyKey.empty())
-        request.idempotencyKey = "request " + context.requestId;
+        request.idempotencyKey = "request " + context.token;
     const auto job = callAnyBatch(services, request.idempotencyKey,
         [&](const std::string& address) { return services.rpc.submit(address, request, submitTimeout); });
     sendJob(context, job, 202);
--- a/libs/entry/src/live_requests.cpp
+++ b/libs/entry/src/live_requests.cpp
@@ -99,7 +99,7 @@
         m_lastTarget = place.target;
         completion_attempt attempt;
         attempt.address = place.address;
-        attempt.requestId = m_context.requestId + '-' + std::to_string(number);
+        attempt.requestId = m_context.token + '-' + std::to_string(number);
         attempt.request = m_request;
         attempt.request.prompt += m_text;
         attempt.request.maxTokens -= m_tokens;
--- a/libs/entry/src/plain_requests.cpp
+++ b/libs/entry/src/plain_requests.cpp
@@ -64,7 +64,7 @@
         const std::string key(findHeader(m_context.request.headers, "Idempotency-Key"));
         if (m_idempotent || key.empty())
             return attempts();
-        const auto claim = m_services.claims.take(m_context.customer, key, m_context.requestId);
+        const auto claim = m_services.claims.take(m_context.customer, key, m_context.token);
         if (!claim)
             return claim.error();
         if (!claim.value().mine && claim.value().earlier)
@@ -75,7 +75,7 @@
                 milliseconds { 1000 } };
         auto reply = attempts();
         if (reply)
-            m_services.claims.keepAnswer(m_context.customer, key, m_context.requestId, reply.value());
+            m_services.claims.keepAnswer(m_context.customer, key, m_context.token, reply.value());
         else if (reply.error().ran == verdict::not_run)
             m_services.claims.giveBack(m_context.customer, key);
         return reply;
--- a/libs/entry/src/request_context.h
+++ b/libs/entry/src/request_context.h
@@ -38,7 +38,8 @@
 struct request_context {
     const http_request& request;
     reply_sink& sink;
-    std::string requestId;
+    std::string requestId; ///< The caller's, echoed and logged. Several requests may have the same.
+    std::string token; ///< Unique to this request: names it towards targets and in the store.
     std::string customer;
     std::shared_ptr<const settings_view> settings;
     steady_time started;
--- a/tests/failures_live.cpp
+++ b/tests/failures_live.cpp
@@ -482,3 +482,68 @@
         "the leaving target to be left alone", [&] { return !serves("e2"); }, std::chrono::seconds { 3 });
     CHECK(!serves("e2"));
 }
+
+// Story: a client library gives every request the same X-Request-Id. Broken streams are resumed under that
+// id, and a caller gets the rest of a stranger's answer.
+TEST_CASE("callers with one request id each get their own answer")
+{
+    test_system system;
+    system.addEngine("e1", "a", { "--step-us", "5000" }, true);
+    system.addEntry("n1", "a");
+    system.start();
+    system.route("e1", "drop_reply_after=3000");
+    std::vector<std::thread> callers;
+    std::atomic<int> right { 0 };
+    std::atomic<int> strange { 0 };
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&, i] {
+            const auto prompt = "same id " + std::to_string(i);
+            const auto expected = expectedCompletion(prompt, 50);
+            const auto answer
+                = system.complete("n1", prompt, 50, i % 2 == 0, "small", { { "X-Request-Id", "the-id" } });
+            right += answer.whole && answer.text == expected;
+            strange += expected.compare(0, answer.text.size(), answer.text) != 0;
+        });
+    }
+    waitUntil(
+        "broken streams", [&] { return system.targetJson("e1", "/counts")["tokens"].get<int>() > 200; });
+    system.route("e1", "drop_reply_after=-1");
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(strange == 0);
+    CHECK(right == 6);
+}
+
+// Story: a caller sends its order again with the same idempotency key and, as its library does, the same
+// request id. The claim is taken for this request's own, and the order is carried out twice.
+TEST_CASE("an idempotency key holds whatever the request id, and a request id claims nothing")
+{
+    test_system system;
+    system.addPlain("p1", "a");
+    system.addEngine("e1", "a");
+    system.addEntry("n1", "a");
+    system.addBatch("b1", "n1");
+    system.start();
+    for (int i = 0; i < 3; ++i) {
+        const auto reply = system.call("n1",
+            plainCall("POST", "/order", "once", { { "Idempotency-Key", "k" }, { "X-Request-Id", "same" } }));
+        REQUIRE(reply);
+        CHECK(reply.value().status == 200);
+    }
+    const auto executions = system.targetJson("p1", "/executions");
+    CHECK(executions["same"] == 1);
+    std::set<std::string> jobs;
+    for (int i = 0; i < 2; ++i) {
+        http_request request;
+        request.method = "POST";
+        request.path = "/v1/batches";
+        request.query = "service=screening";
+        request.headers.emplace_back("X-Request-Id", "same");
+        request.body = "{\"prompt\":\"job " + std::to_string(i) + "\"}\n";
+        const auto reply = system.call("n1", request);
+        REQUIRE(reply);
+        REQUIRE(reply.value().status == 202);
+        jobs.insert(nlohmann::json::parse(reply.value().body)["id"].get<std::string>());
+    }
+    CHECK(jobs.size() == 2);
+}
