A bulk grant is held for as long as its item may run

Cause: a grant lapsed at the time for which its ask would have waited, plus 2 s: 7 s for bulk items, which may run for minutes. Their slots were then given away a second time. Found by reading the code. Change: an ask says for how long its grant may be held; a lost holder's grants still lapse after 2 s. Also: one unused function removed.

--- a/libs/batch/src/item_runner.cpp
+++ b/libs/batch/src/item_runner.cpp
@@ -57,6 +57,7 @@
     grant_ask ask;
     ask.customer = item.customer;
     ask.workClass = work_class::bulk;
+    ask.hold = itemTimeout;
     ask.weight = effective.weight;
     ask.cost = static_cast<double>(item.request.prompt.size()) / bytesPerToken + item.request.maxTokens;
     ask.prefixes = prefixHashes(item.request.prompt);
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -235,7 +235,7 @@
         if (const auto* adaptive = std::get_if<adaptive_bulk>(&m_options.policy))
             m_liveHarmed = m_liveHarmed || waited > adaptive->longestLiveWait;
     }
-    const auto lapses = ask.deadline + grantGrace;
+    const auto lapses = std::max(ask.deadline, now + ask.hold) + grantGrace;
     m_grants.emplace(id, grant_record { std::move(ask), target.description.name, now, lapses, false });
 }
 
--- a/libs/dispatch/tests/test_dispatch.cpp
+++ b/libs/dispatch/tests/test_dispatch.cpp
@@ -261,6 +261,24 @@
     CHECK(only<grant_given>(later.takeDecisions()).empty());
 }
 
+// Story: bulk items that run for a minute are forgotten after the few seconds for which they were willing to wait;
+// their slots are given away again, and live requests queue at the engine behind both.
+TEST_CASE("a grant is held for as long as its request may run, not as long as it would have waited")
+{
+    auto group = makeGroup(fixed_bulk { 2 }, 1, 2);
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        auto ask = makeAsk(id, work_class::bulk);
+        ask.deadline = start + 5s;
+        ask.hold = 600s;
+        group.ask(ask, start);
+    }
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 2);
+    group.tick(start + 60s);
+    CHECK(group.summary(start + 60s).bulk == 2);
+    group.tick(start + 603s);
+    CHECK(group.summary(start + 603s).bulk == 0);
+}
+
 // Story: an entry dies with grants out and never releases them; the places it held are lost for ever and the
 // group shrinks with each death until nothing is served.
 TEST_CASE("the grants of a lost holder lapse")
--- a/libs/jobs/include/jobs/jobs.h
+++ b/libs/jobs/include/jobs/jobs.h
@@ -148,7 +148,6 @@
     std::size_t running() const { return m_running.size(); }
     std::size_t remaining() const;
     std::size_t uncommittedBytes() const { return m_bufferedBytes; }
-    bool hasStartable(steady_time now) const;
 
 private:
     struct item_state {
--- a/libs/jobs/src/job_run.cpp
+++ b/libs/jobs/src/job_run.cpp
@@ -57,19 +57,6 @@
     return m_items.size() - m_progress.completed - m_progress.failed;
 }
 
-bool job_run::hasStartable(steady_time now) const
-{
-    const auto startable = [&](std::uint32_t index) {
-        const auto state = m_states.find(index);
-        return (state == m_states.end() || state->second.notBefore <= now)
-            && (m_items[index].idempotent || m_marksCommitted.contains(index));
-    };
-    const bool suspectRuns = std::any_of(
-        m_running.begin(), m_running.end(), [&](auto index) { return m_suspectSet.contains(index); });
-    return std::any_of(m_waiting.begin(), m_waiting.end(), startable)
-        || (!suspectRuns && std::any_of(m_suspects.begin(), m_suspects.end(), startable));
-}
-
 std::optional<std::uint32_t> job_run::takeStartable(std::deque<std::uint32_t>& queue, steady_time now)
 {
     for (auto at = queue.begin(); at != queue.end(); ++at) {
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -22,6 +22,7 @@
     ask.prefixes = { 1, 2, 3 };
     ask.deadline = start + 5s;
     ask.due = start + 1h;
+    ask.hold = 7s;
     message.asks.push_back({ "screening/rennes-a/0", ask });
     message.grants.push_back({ 0, 7, 8, "s1", "127.0.0.1:7001", 12ms });
     message.refusals.push_back({ 0, 9, notRun(failure_kind::overloaded, "full", 1500ms) });
@@ -37,6 +38,7 @@
     const auto copy = fromWire(received, later);
     CHECK(copy.asks[0].ask.deadline == later + 5s);
     CHECK(copy.asks[0].ask.prefixes == ask.prefixes);
+    CHECK(copy.asks[0].ask.hold == 7s);
     CHECK(copy.asks[0].ask.workClass == work_class::bulk);
     CHECK(copy.grants[0].address == "127.0.0.1:7001");
     CHECK(copy.refusals[0].reason.retryAfter == 1500ms);
