Bulk yields in one step: live requests take revoked places at once, and the reserve covers only that step

Cause: adaptive bulk ran at a third of unlimited's throughput, because the reserve was the recent peak of concurrent live requests, although a revoked place is free within about 20 ms; and a live arrival waited for the release of the revoked grant before it was sent. Change: the reserve is the number of live arrivals in a busy span of 20 ms; a live request takes a revoked place at once and is admitted by the engine with the step at which the item leaves; the holder cancels at the target as soon as it is told, from threads of its own. A revocation alone no longer halves the window, a wait does.

--- a/libs/batch/src/item_runner.cpp
+++ b/libs/batch/src/item_runner.cpp
@@ -23,6 +23,45 @@
 {
 }
 
+cancel_queue::cancel_queue()
+{
+    for (unsigned i = 0; i < threads; ++i)
+        m_threads.emplace_back([this] { run(); });
+}
+
+cancel_queue::~cancel_queue()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_stopping = true;
+        m_changed.notify_all();
+    }
+    for (auto& thread : m_threads)
+        thread.join();
+}
+
+void cancel_queue::add(std::string address, std::string requestId)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_waiting.emplace_back(std::move(address), std::move(requestId));
+    m_changed.notify_one();
+}
+
+void cancel_queue::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        m_changed.wait(lock, [this] { return m_stopping || !m_waiting.empty(); });
+        if (m_waiting.empty())
+            continue;
+        const auto [address, requestId] = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        lock.unlock();
+        cancelCompletion(address, requestId);
+        lock.lock();
+    }
+}
+
 bool item_runner::runOne()
 {
     const auto item = m_holder.next(std::chrono::steady_clock::now());
@@ -87,15 +126,18 @@
     attempt.deadline = std::chrono::steady_clock::now() + itemTimeout;
     attempt.idleTimeout
         = resolveRequest(m_settings.current()->tree, item.customer, item.service).stallTimeout;
-    attempt.abandon = place.revoked.get();
+    attempt.abandon = place.revoked->flag();
     attempt.onEvent = [&](const completion_event& event) {
         text += event.text;
-        return !item.abandon->load() && !place.revoked->load();
+        return !item.abandon->load() && !place.revoked->requested();
     };
+    // The target is told at once, not when this stream next moves: the live request is on its way there.
+    place.revoked->onRequest([this, address = place.address, id = attempt.requestId] { m_cancels.add(address, id); });
     const auto outcome = runCompletion(attempt);
+    place.revoked->onRequest({});
     if (!outcome.whole && outcome.error.ran != verdict::not_run)
         cancelCompletion(place.address, attempt.requestId);
-    const bool revoked = place.revoked->load();
+    const bool revoked = place.revoked->requested();
     grant_release figures;
     figures.outcome = revoked || item.abandon->load() ? grant_outcome::abandoned : judgeTarget(outcome);
     figures.firstToken = outcome.firstToken;
--- a/libs/batch/src/item_runner.h
+++ b/libs/batch/src/item_runner.h
@@ -2,8 +2,32 @@
 
 #include "job_holder.h"
 
+#include <condition_variable>
+#include <deque>
+#include <thread>
+
 namespace yuccachute {
 
+/// Tells targets to stop requests, from threads of its own, because whoever learns of a revocation must not block.
+class cancel_queue {
+public:
+    cancel_queue();
+    ~cancel_queue();
+    cancel_queue(const cancel_queue&) = delete;
+    cancel_queue& operator=(const cancel_queue&) = delete;
+    void add(std::string address, std::string requestId);
+
+private:
+    static constexpr unsigned threads = 4;
+    void run();
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<std::pair<std::string, std::string>> m_waiting;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
 /// Runs items in spare capacity: asks for bulk grants, streams from targets, gives way when told to.
 class item_runner {
 public:
@@ -23,6 +47,7 @@
     const settings_cell& m_settings;
     std::string m_zone;
     metrics& m_figures;
+    cancel_queue m_cancels;
 };
 
 } // namespace yuccachute
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -112,10 +112,11 @@
     unsigned window = 4;
 };
 
-/// Bulk work fills measured slack only: free slots less a reserve for the live surge, within a window that
-/// grows additively while live requests are well and is halved when they are not.
+/// Bulk work fills measured slack only: free slots less a reserve for live arrivals, within a window that grows
+/// additively while live requests are well and is halved when they are not. The reserve need last only until
+/// revoked items have left their targets: it is what arrived in the busiest such spans of the last seconds.
 struct adaptive_bulk {
-    double reserve = 0.1; ///< Least share of all slots kept free for live arrivals.
+    double reserve = 0.05; ///< Least share of all slots kept free for live arrivals.
     milliseconds firstTokenObjective { 610 };
     milliseconds longestLiveWait { 10 }; ///< A live request that waited longer counts as harm.
 };
@@ -126,7 +127,7 @@
 struct bulk_situation {
     unsigned slots = 0; ///< Of all usable targets together.
     unsigned live = 0; ///< Live requests running.
-    unsigned recentLivePeak = 0; ///< Most live requests at once lately.
+    unsigned arrivals = 0; ///< Live requests that arrive within the time of a revocation, on a busy span.
     unsigned targets = 0;
     unsigned liveWaiting = 0;
     double window = 1; ///< Share of the slots that bulk may use at most, moved by adaptation.
@@ -281,6 +282,18 @@
 // --- A target group
 // ------------------------------------------------------------------------------------------
 
+/// Counts live arrivals in short spans, to tell how many come at once on a busy one.
+class arrival_history {
+public:
+    void record(steady_time now);
+    /// Arrivals in a span that only one in twenty of the last seconds exceeded.
+    unsigned busySpan(steady_time now) const;
+
+private:
+    /// Number of each span with its arrivals; spans without any are left out.
+    std::deque<std::pair<std::int64_t, unsigned>> m_spans;
+};
+
 struct group_options {
     bulk_policy policy = adaptive_bulk {};
     fair_queue::order order = fair_queue::order::fair;
@@ -333,6 +346,7 @@
         std::deque<std::pair<steady_time, unsigned>> ownPeaks; ///< Own grants lately, for that.
         unsigned live = 0;
         unsigned bulk = 0;
+        unsigned revoked = 0; ///< Bulk grants that were revoked and are not released yet.
         double firstTokenMs = 0; ///< Moving average.
     };
     struct grant_record {
@@ -376,7 +390,7 @@
     bool m_liveHarmed = false;
     bool m_windowFull = false;
     steady_time m_nextAdaptation;
-    std::deque<std::pair<steady_time, unsigned>> m_livePeaks;
+    arrival_history m_arrivals;
 };
 
 /// A group's name: service, zone and number. Groups hold at most 8 targets.
--- a/libs/dispatch/src/budgets.cpp
+++ b/libs/dispatch/src/budgets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace yuccachute {
 
@@ -37,4 +38,42 @@
     return true;
 }
 
+namespace {
+
+/// About the time from a revocation until the item has left its target.
+constexpr milliseconds spanLength { 20 };
+constexpr std::int64_t spansKept = 250;
+
+std::int64_t spanOf(steady_time time)
+{
+    return time.time_since_epoch() / spanLength;
+}
+
+} // namespace
+
+void arrival_history::record(steady_time now)
+{
+    const auto span = spanOf(now);
+    if (m_spans.empty() || m_spans.back().first != span)
+        m_spans.emplace_back(span, 0);
+    ++m_spans.back().second;
+    while (m_spans.front().first <= span - spansKept)
+        m_spans.pop_front();
+}
+
+unsigned arrival_history::busySpan(steady_time now) const
+{
+    constexpr std::size_t exceeding = spansKept / 20;
+    std::vector<unsigned> counts;
+    for (const auto& [span, count] : m_spans) {
+        if (span > spanOf(now) - spansKept)
+            counts.push_back(count);
+    }
+    // Spans without arrivals are not kept: with fewer busy ones than may exceed it, the answer is none.
+    if (counts.size() <= exceeding)
+        return 0;
+    std::nth_element(counts.begin(), counts.begin() + exceeding, counts.end(), std::greater<>());
+    return counts[exceeding];
+}
+
 } // namespace yuccachute
--- a/libs/dispatch/src/bulk_policy.cpp
+++ b/libs/dispatch/src/bulk_policy.cpp
@@ -23,8 +23,7 @@
     {
         if (now.liveWaiting > 0)
             return 0;
-        const double surge = std::max(0.0, static_cast<double>(now.recentLivePeak) - now.live);
-        const double reserve = std::max(policy.reserve * now.slots, surge);
+        const double reserve = std::max(policy.reserve * now.slots, static_cast<double>(now.arrivals));
         const double slack = now.slots - static_cast<double>(now.live) - reserve;
         const double allowed = std::min(slack, now.window * now.slots);
         return allowed <= 0 ? 0 : static_cast<unsigned>(std::floor(allowed));
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -12,7 +12,6 @@
 constexpr milliseconds reportLag { 1500 };
 constexpr milliseconds grantGrace { 2000 };
 constexpr milliseconds adaptationInterval { 100 };
-constexpr milliseconds peakMemory { 5000 };
 constexpr milliseconds leastRetryAfter { 1000 };
 constexpr milliseconds unavailableRetryAfter { 2000 };
 constexpr double affinityWeight = 0.6;
@@ -126,7 +125,9 @@
 
 unsigned target_group::freeSlots(const target_state& target, steady_time now) const
 {
-    const unsigned used = target.live + target.bulk + foreignWork(target, now);
+    // A revoked item is on its way out: a live request that takes its place reaches the target's queue meanwhile
+    // and is admitted with the step at which the item leaves.
+    const unsigned used = target.live + target.bulk - target.revoked + foreignWork(target, now);
     const unsigned slots = slotsOf(target, now);
     return used < slots ? slots - used : 0;
 }
@@ -218,6 +219,8 @@
             give(std::move(ask), *target, now, now);
         return;
     }
+    if (ask.workClass == work_class::live)
+        m_arrivals.record(now);
     auto& queue = ask.workClass == work_class::live ? m_live : m_bulk;
     queue.push(std::move(ask), now);
     pump(now);
@@ -250,8 +253,7 @@
         ++situation.targets;
     }
     situation.liveWaiting = static_cast<unsigned>(m_live.size());
-    for (const auto& [time, peak] : m_livePeaks)
-        situation.recentLivePeak = std::max(situation.recentLivePeak, peak);
+    situation.arrivals = m_arrivals.busySpan(now);
     situation.window = m_window;
     return situation;
 }
@@ -298,16 +300,15 @@
 {
     if (!std::holds_alternative<adaptive_bulk>(m_options.policy) || m_live.empty())
         return;
-    std::size_t coming = 0;
-    for (const auto& [id, grant] : m_grants)
-        coming += grant.revoked ? 1 : 0;
-    for (auto grant = m_grants.rbegin(); grant != m_grants.rend() && coming < m_live.size(); ++grant) {
+    std::size_t wanted = m_live.size();
+    for (auto grant = m_grants.rbegin(); grant != m_grants.rend() && wanted > 0; ++grant) {
         auto& record = grant->second;
-        if (record.revoked || record.ask.workClass != work_class::bulk)
+        const auto target = m_targets.find(record.target);
+        if (record.revoked || record.ask.workClass != work_class::bulk || target == m_targets.end())
             continue;
         record.revoked = true;
-        ++coming;
-        m_liveHarmed = true;
+        ++target->second.revoked;
+        --wanted;
         m_decisions.emplace_back(grant_revoked { record.ask.holder, grant->first });
     }
 }
@@ -316,16 +317,8 @@
 {
     while (pumpLive(now)) { }
     revokeForLive();
+    while (pumpLive(now)) { }
     while (pumpBulk(now)) { }
-    unsigned live = 0;
-    for (const auto& [name, target] : m_targets)
-        live += target.live;
-    if (m_livePeaks.empty() || now - m_livePeaks.back().first > adaptationInterval)
-        m_livePeaks.emplace_back(now, live);
-    else
-        m_livePeaks.back().second = std::max(m_livePeaks.back().second, live);
-    while (now - m_livePeaks.front().first > peakMemory)
-        m_livePeaks.pop_front();
 }
 
 void target_group::withdraw(std::uint64_t holder, std::uint64_t askId, steady_time now)
@@ -346,6 +339,8 @@
         auto& count
             = found->second.ask.workClass == work_class::live ? target->second.live : target->second.bulk;
         count -= count > 0 ? 1 : 0;
+        if (found->second.revoked && target->second.revoked > 0)
+            --target->second.revoked;
     }
     m_grants.erase(found);
 }
--- a/libs/entry/src/places.cpp
+++ b/libs/entry/src/places.cpp
@@ -40,7 +40,7 @@
     for (const auto& decision : chooser->takeDecisions()) {
         if (const auto* given = std::get_if<grant_given>(&decision))
             return held_grant { group.name, {}, given->grantId, given->target, given->address,
-                milliseconds { 0 }, std::make_shared<std::atomic<bool>>(false) };
+                milliseconds { 0 }, std::make_shared<revocation>() };
         if (const auto* refused = std::get_if<grant_refused>(&decision))
             return refused->reason;
     }
--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -178,6 +178,23 @@
 // --- Grants
 // --------------------------------------------------------------------------------------------------
 
+/// A dispatcher's wish to have a grant back. Thread-safe.
+class revocation {
+public:
+    void request();
+    bool requested() const { return m_requested.load(std::memory_order_relaxed); }
+    /// For calls that look at a flag.
+    const std::atomic<bool>* flag() const { return &m_requested; }
+    /// Calls the function when the grant is wanted back, at once if it is already; from a transport's thread, so it
+    /// must not block. An empty function ends that.
+    void onRequest(std::function<void()> notify);
+
+private:
+    std::atomic<bool> m_requested { false };
+    std::mutex m_mutex;
+    std::function<void()> m_notify;
+};
+
 /// A place at a target, to be released exactly once.
 struct held_grant {
     std::string group;
@@ -186,7 +203,7 @@
     std::string target;
     std::string address;
     milliseconds waited { 0 };
-    std::shared_ptr<std::atomic<bool>> revoked; ///< Set when the dispatcher wants the place back.
+    std::shared_ptr<revocation> revoked;
 };
 
 /// Asks dispatchers for grants over their streams. Thread-safe.
--- a/libs/node/src/grant_client.cpp
+++ b/libs/node/src/grant_client.cpp
@@ -20,6 +20,22 @@
 
 } // namespace
 
+void revocation::request()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_requested = true;
+    if (m_notify)
+        m_notify();
+}
+
+void revocation::onRequest(std::function<void()> notify)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_notify = std::move(notify);
+    if (m_notify && m_requested)
+        m_notify();
+}
+
 struct grant_client::waiter {
     std::mutex mutex;
     std::condition_variable changed;
@@ -36,7 +52,7 @@
     std::string address;
     std::mutex mutex;
     std::map<std::uint64_t, std::shared_ptr<waiter>> waiters;
-    std::map<std::pair<std::string, std::uint64_t>, std::shared_ptr<std::atomic<bool>>> revocable;
+    std::map<std::pair<std::string, std::uint64_t>, std::shared_ptr<revocation>> revocable;
     std::map<std::uint64_t, std::string> groups; ///< Group of each ask that waits.
     bool closed = false;
     std::shared_ptr<dispatcher_link> link;
@@ -138,7 +154,7 @@
             if (const auto found = from.groups.find(grant.askId); found != from.groups.end())
                 group = found->second;
             // A revocation may follow in the same envelope, before the waiting thread wakes.
-            from.revocable[{ group, grant.grantId }] = std::make_shared<std::atomic<bool>>(false);
+            from.revocable[{ group, grant.grantId }] = std::make_shared<revocation>();
         }
         const bool wanted = settle(grant.askId, true, [&](waiter& waiting) { waiting.given = grant; });
         if (wanted)
@@ -160,11 +176,15 @@
             settle(moved.askId, true, [&](waiter& waiting) { waiting.movedTo = moved.ownerAddress; });
     }
     for (const auto& revoke : message.revokes) {
-        const std::scoped_lock lock(from.mutex);
-        const auto found = from.revocable.find({ revoke.group, revoke.grantId });
-        if (found == from.revocable.end())
-            continue;
-        found->second->store(true);
+        std::shared_ptr<revocation> wanted;
+        {
+            const std::scoped_lock lock(from.mutex);
+            const auto found = from.revocable.find({ revoke.group, revoke.grantId });
+            if (found != from.revocable.end())
+                wanted = found->second;
+        }
+        if (wanted)
+            wanted->request();
     }
     if (!returned.empty())
         from.send(std::move(returned));
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -129,7 +129,7 @@
 struct bulk_settings {
     std::string policy; ///< none, unlimited, fixed or adaptive
     unsigned window = 4; ///< Items at once per target for the fixed policy.
-    double reserve = 0.1; ///< Least share of slots kept free for live arrivals.
+    double reserve = 0.05; ///< Least share of slots kept free for live arrivals.
 };
 
 /// Effective settings of one customer's requests to one service, after inheritance.
--- a/libs/settings/src/schema.cpp
+++ b/libs/settings/src/schema.cpp
@@ -34,7 +34,7 @@
         "SHA-256 of each key, separated by commas" },
     key_description { "bulk_policy", "choice", "adaptive", 0, 0, "none|unlimited|fixed|adaptive", perService,
         "how bulk work shares targets with live requests" },
-    key_description { "bulk_reserve", "number", "0.1", 0, 1, "", perService,
+    key_description { "bulk_reserve", "number", "0.05", 0, 1, "", perService,
         "least share of slots kept free for live arrivals" },
     key_description { "bulk_window", "integer", "4", 0, 4096, "", perService,
         "items at once per target under the fixed policy" },
