--- a/libs/batch/src/item_runner.cpp
+++ b/libs/batch/src/item_runner.cpp
@@ -132,7 +132,8 @@
         return !item.abandon->load() && !place.revoked->requested();
     };
     // The target is told at once, not when this stream next moves: the live request is on its way there.
-    place.revoked->onRequest([this, address = place.address, id = attempt.requestId] { m_cancels.add(address, id); });
+    place.revoked->onRequest(
+        [this, address = place.address, id = attempt.requestId] { m_cancels.add(address, id); });
     const auto outcome = runCompletion(attempt);
     place.revoked->onRequest({});
     if (!outcome.whole && outcome.error.ran != verdict::not_run)
--- a/libs/batch/src/item_runner.h
+++ b/libs/batch/src/item_runner.h
@@ -8,7 +8,8 @@
 
 namespace yuccachute {
 
-/// Tells targets to stop requests, from threads of its own, because whoever learns of a revocation must not block.
+/// Tells targets to stop requests, from threads of its own, because whoever learns of a revocation must not
+/// block.
 class cancel_queue {
 public:
     cancel_queue();
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -112,9 +112,10 @@
     unsigned window = 4;
 };
 
-/// Bulk work fills measured slack only: free slots less a reserve for live arrivals, within a window that grows
-/// additively while live requests are well and is halved when they are not. The reserve need last only until
-/// revoked items have left their targets: it is what arrived in the busiest such spans of the last seconds.
+/// Bulk work fills measured slack only: free slots less a reserve for live arrivals, within a window that
+/// grows additively while live requests are well and is halved when they are not. The reserve need last only
+/// until revoked items have left their targets: it is what arrived in the busiest such spans of the last
+/// seconds.
 struct adaptive_bulk {
     double reserve = 0.05; ///< Least share of all slots kept free for live arrivals.
     milliseconds firstTokenObjective { 610 };
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -125,8 +125,8 @@
 
 unsigned target_group::freeSlots(const target_state& target, steady_time now) const
 {
-    // A revoked item is on its way out: a live request that takes its place reaches the target's queue meanwhile
-    // and is admitted with the step at which the item leaves.
+    // A revoked item is on its way out: a live request that takes its place reaches the target's queue
+    // meanwhile and is admitted with the step at which the item leaves.
     const unsigned used = target.live + target.bulk - target.revoked + foreignWork(target, now);
     const unsigned slots = slotsOf(target, now);
     return used < slots ? slots - used : 0;
--- a/libs/dispatch/tests/test_dispatch.cpp
+++ b/libs/dispatch/tests/test_dispatch.cpp
@@ -281,8 +281,8 @@
     CHECK(only<grant_given>(later.takeDecisions()).empty());
 }
 
-// Story: bulk items that run for a minute are forgotten after the few seconds for which they were willing to wait;
-// their slots are given away again, and live requests queue at the engine behind both.
+// Story: bulk items that run for a minute are forgotten after the few seconds for which they were willing to
+// wait; their slots are given away again, and live requests queue at the engine behind both.
 TEST_CASE("a grant is held for as long as its request may run, not as long as it would have waited")
 {
     auto group = makeGroup(fixed_bulk { 2 }, 1, 2);
--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -185,8 +185,8 @@
     bool requested() const { return m_requested.load(std::memory_order_relaxed); }
     /// For calls that look at a flag.
     const std::atomic<bool>* flag() const { return &m_requested; }
-    /// Calls the function when the grant is wanted back, at once if it is already; from a transport's thread, so it
-    /// must not block. An empty function ends that.
+    /// Calls the function when the grant is wanted back, at once if it is already; from a transport's thread,
+    /// so it must not block. An empty function ends that.
     void onRequest(std::function<void()> notify);
 
 private:
