A test of the operators' command line by its exit codes

Cause: the command line was only tried by hand. Change: help, wrong usage, refusals, a conflict at undo, and an unreachable store, against a real admin process.

--- a/tests/failures_settings.cpp
+++ b/tests/failures_settings.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <fstream>
 #include <set>
 #include <thread>
 
@@ -13,8 +14,12 @@
 
 namespace {
 
+/// Version in force at an entry, or accepted as an admin process sees it.
 std::int64_t versionOf(test_system& system, const std::string& entry)
 {
+    if (entry == "admin")
+        return nlohmann::json::parse(system.get(entry, "/admin/status").value().body)["version"]
+            .get<std::int64_t>();
     return nlohmann::json::parse(system.get(entry, "/status").value().body)["settings_version"]
         .get<std::int64_t>();
 }
@@ -121,3 +126,51 @@
     });
     CHECK(system.complete("n2", "served by the other zone", 3).whole);
 }
+
+namespace {
+
+/// Runs the operators' command line against an admin process; returns its exit code.
+int ctl(test_system& system, const std::string& admin, std::vector<std::string> words)
+{
+    words.insert(words.begin(), { "--admin", system.address(admin) });
+    child_process run("yuccachutectl", words, system.folder() + "/ctl.log");
+    return run.wait();
+}
+
+std::string writeFile(test_system& system, const std::string& name, const std::string& text)
+{
+    const auto fileName = system.folder() + '/' + name;
+    std::ofstream(fileName) << text;
+    return fileName;
+}
+
+} // namespace
+
+TEST_CASE("the operators' command line tells scripts what happened by its exit code")
+{
+    test_system system;
+    system.addEntry("n1", "a");
+    system.addAdmin("admin", "n1");
+    system.start();
+    CHECK(ctl(system, "admin", { "--help" }) == 0);
+    CHECK(ctl(system, "admin", { "nonsense" }) == 2);
+    CHECK(ctl(system, "admin", { "set", "fleet" }) == 2);
+    CHECK(ctl(system, "admin", { "--wait", "5000", "set", "fleet", "weight=2" }) == 0);
+    CHECK(ctl(system, "admin", { "set", "fleet", "weigth=2" }) == 1);
+    CHECK(ctl(system, "admin", { "get", "customer/small", "weight" }) == 0);
+    CHECK(ctl(system, "admin", { "get", "customer/small", "nothing" }) == 1);
+    const auto file = writeFile(system, "change.ini", "[fleet]\nweight = 3\n");
+    CHECK(ctl(system, "admin", { "diff", file }) == 1);
+    CHECK(ctl(system, "admin", { "apply", file }) == 0);
+    CHECK(ctl(system, "admin", { "diff", file }) == 0);
+    CHECK(ctl(system, "admin", { "apply", writeFile(system, "bad.ini", "[fleet]\nweight = heavy\n") }) == 1);
+    const auto version = versionOf(system, "admin");
+    CHECK(ctl(system, "admin", { "undo", std::to_string(version) }) == 0);
+    CHECK(ctl(system, "admin", { "diff", file }) == 1);
+    // The node has changed since that edit: undoing it once more would undo the later one.
+    CHECK(ctl(system, "admin", { "undo", std::to_string(version) }) == 3);
+    CHECK(ctl(system, "admin", { "history" }) == 0);
+    CHECK(ctl(system, "admin", { "status" }) == 0);
+    system.store("down=true");
+    CHECK(ctl(system, "admin", { "set", "fleet", "weight=4" }) == 4);
+}
