State that nothing reads is gone

Cause: reading the whole change again: a target's average time to first token was kept and never read, the dispatcher host held metrics that it did not write, a work item carried a mark that only its job decides on, and take() had a time and an answer that no caller used. Change: those are removed; nothing else changes. Left: the tests of a killed and a frozen engine share their first lines in shape.

--- a/libs/batch/src/job_holder.cpp
+++ b/libs/batch/src/job_holder.cpp
@@ -126,29 +126,29 @@
         if (m_lease == 0 || now >= m_leaseUntil)
             return;
     }
-    take(id, now);
+    take(id);
 }
 
-bool job_holder::take(const std::string& id, steady_time)
+void job_holder::take(const std::string& id)
 {
     {
         const std::scoped_lock lock(m_mutex);
         if (m_held.contains(id))
-            return false;
+            return;
     }
     auto stored = m_jobs.read(id);
     if (!stored || stored.value().progress.state != job_state::running)
-        return false;
+        return;
     auto& job = stored.value();
     const auto epoch = m_jobs.claim(id, m_address, m_lease, job.progressRevision);
     if (!epoch || !epoch.value())
-        return false;
+        return;
     auto items = m_jobs.readItems(job.record);
     if (!items) {
         logEvent(
             log_level::error, "job cannot be read", { { "job", id }, { "message", items.error().message } });
         m_jobs.release(id, *epoch.value());
-        return false;
+        return;
     }
     held_job held;
     held.epoch = *epoch.value();
@@ -160,7 +160,6 @@
             { "remaining", static_cast<std::int64_t>(held.run->remaining()) } });
     const std::scoped_lock lock(m_mutex);
     m_held[id] = std::move(held);
-    return true;
 }
 
 /// The earliest due job first; among jobs due at about the same time, the one that has been served least.
@@ -191,8 +190,8 @@
         ++job->served;
         const auto& record = job->run->record();
         const auto& item = job->run->item(start->index);
-        work_item work { record.id, record.customer, record.service, record.dueMs, start->index,
-            item.idempotent, {}, job->abandon };
+        work_item work { record.id, record.customer, record.service, record.dueMs, start->index, {},
+            job->abandon };
         work.request.model = record.service;
         work.request.prompt = item.prompt + start->text;
         work.request.maxTokens = start->tokensLeft;
--- a/libs/batch/src/job_holder.h
+++ b/libs/batch/src/job_holder.h
@@ -19,7 +19,6 @@
     std::string service;
     std::int64_t dueMs = 0;
     std::uint32_t index = 0;
-    bool idempotent = true;
     completion_request request; ///< With the text of earlier attempts in the prompt.
     std::shared_ptr<std::atomic<bool>> abandon; ///< Set when the job is cancelled or lost.
 };
@@ -75,7 +74,7 @@
 
     bool keepLease(steady_time now);
     void retakeLost();
-    bool take(const std::string& id, steady_time now);
+    void take(const std::string& id);
     void commitOne(const std::string& id, steady_time now);
     void dropLocked(job_map::iterator job);
 
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -348,7 +348,6 @@
         unsigned live = 0;
         unsigned bulk = 0;
         unsigned revoked = 0; ///< Bulk grants that were revoked and are not released yet.
-        double firstTokenMs = 0; ///< Moving average.
     };
     struct grant_record {
         grant_ask ask;
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -363,9 +363,6 @@
         }
         if (release.outcome == grant_outcome::failed)
             state.health.failed(now);
-        if (release.firstToken.count() > 0)
-            state.firstTokenMs
-                = movingAverage(state.firstTokenMs, static_cast<double>(release.firstToken.count()));
     }
     if (live && release.outcome == grant_outcome::ok)
         m_serviceTimeMs = movingAverage(m_serviceTimeMs, elapsedMs(grant.since, now));
--- a/libs/entry/src/dispatcher_host.cpp
+++ b/libs/entry/src/dispatcher_host.cpp
@@ -50,12 +50,10 @@
     std::unique_ptr<periodic_thread> poller; ///< Destroyed first.
 };
 
-dispatcher_host::dispatcher_host(
-    const settings_cell& settings, std::string zone, ownership owner, metrics& figures)
+dispatcher_host::dispatcher_host(const settings_cell& settings, std::string zone, ownership owner)
     : m_settings(settings)
     , m_zone(std::move(zone))
     , m_owner(std::move(owner))
-    , m_metrics(figures)
     , m_ticker(std::make_unique<periodic_thread>(tickInterval, [this] { tick(); }))
 {
 }
--- a/libs/entry/src/dispatcher_host.h
+++ b/libs/entry/src/dispatcher_host.h
@@ -14,7 +14,7 @@
     /// Address of the entry that is responsible for a group; empty if that is this one.
     using ownership = std::function<std::string(const group_description& group)>;
 
-    dispatcher_host(const settings_cell& settings, std::string zone, ownership owner, metrics& figures);
+    dispatcher_host(const settings_cell& settings, std::string zone, ownership owner);
     ~dispatcher_host();
 
     void sessionOpened(std::uint64_t session, std::function<void(envelope)> send);
@@ -41,7 +41,6 @@
     const settings_cell& m_settings;
     std::string m_zone;
     ownership m_owner;
-    metrics& m_metrics;
     mutable std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<hosted_group>, std::less<>> m_groups;
     std::mutex m_sessionMutex;
--- a/libs/entry/src/entry_process.cpp
+++ b/libs/entry/src/entry_process.cpp
@@ -68,9 +68,8 @@
         , grants(
               rpc, [this](const auto& group, const auto& zone) { return peers.owners(group, zone); },
               [this](const auto& address) { peers.reportUnreachable(address); })
-        , host(
-              settings, options.zone,
-              [this](const group_description& group) { return peers.ownerElsewhere(group.name); }, figures)
+        , host(settings, options.zone,
+              [this](const group_description& group) { return peers.ownerElsewhere(group.name); })
         , claims(*store)
         , handler(peers, host, settings)
         , services { options, settings, peers, grants, chooser, limits, claims, rpc, figures, stopping }
