One event-driven HTTP library over Boost.Beast; cxxtools leaves the tree

Cause: cxxtools resends a POST by itself on a reused connection, reads no chunked requests, overlooks a last chunk that comes with data, takes cut bodies for whole and holds a thread for each stream. Callers that leave are noticed only at the next write.

Change: libs/event_loop (one thread, timers, signals) and libs/http anew: a listener and a client on the loop, and the blocking server and client made of them, so that every program uses the same reader and writer. The client never sends twice, keeps connections, tells whole from cut answers by their framing alone (the guesses from content are gone). Boost 1.81 in place of 1.74: its Outcome macro wants the declaration spelled out.

Tests: test_event_http is new (order, smuggling, limits by status, callers that leave, draining, extra bytes). Two checks change: a chunked body was refused with 411 because the old library could not read it; it is read now, so the same requests, which carry a length as well and are ambiguous, are checked to get 400.

--- a/build.sh
+++ b/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 
 out=out
-packages=(libcxxtools-dev libgrpc++-dev libprotobuf-dev libboost-dev libspdlog-dev libfmt-dev libtclap-dev catch2
+packages=(libgrpc++-dev libprotobuf-dev libboost1.81-dev libspdlog-dev libfmt-dev libtclap-dev catch2
     nlohmann-json3-dev liburcu-dev libxxhash-dev libzstd-dev libssl-dev libinih-dev
     ccache ninja-build cmake g++ pkg-config openssl curl gnuplot-nox clang-format clang-tidy)
 
--- a/libs/admin/src/admin_api.cpp
+++ b/libs/admin/src/admin_api.cpp
@@ -81,7 +81,7 @@
     if (const auto note = document.find("note"); note != document.end() && note->is_string())
         request.note = note->get<std::string>();
     for (const auto& edit : document["edits"]) {
-        BOOST_OUTCOME_TRY(parsed, parseEdit(edit, request.edits.size()));
+        BOOST_OUTCOME_TRY(auto parsed, parseEdit(edit, request.edits.size()));
         request.edits.push_back(std::move(parsed));
     }
     if (request.edits.empty())
--- a/libs/batch/src/batch_process.cpp
+++ b/libs/batch/src/batch_process.cpp
@@ -160,7 +160,7 @@
         if (!service || !service->model)
             return notRun(failure_kind::not_found,
                 "query parameter \"service\": there is no model service \"" + request.service + '"');
-        BOOST_OUTCOME_TRY(items, parseItems(request.items));
+        BOOST_OUTCOME_TRY(auto items, parseItems(request.items));
         const auto id = sha256Hex(request.customer + '\0' + request.idempotencyKey).substr(0, 32);
         const auto effective = resolveRequest(tree->tree, request.customer, request.service, id);
         const auto chunks = packItems(items);
@@ -176,7 +176,7 @@
         record.dueMs = record.createdMs + (request.due.count() > 0 ? request.due : effective.jobDue).count();
         record.retentionMs = std::chrono::duration_cast<milliseconds>(effective.jobRetention).count();
         record.attempts = effective.jobAttempts;
-        BOOST_OUTCOME_TRY(created, jobs.create(std::move(record), chunks));
+        BOOST_OUTCOME_TRY(auto created, jobs.create(std::move(record), chunks));
         if (!created.existed)
             holder.adopt(id, std::chrono::steady_clock::now());
         return toView(created.job, created.existed);
@@ -185,7 +185,7 @@
     /// Another customer's job does not exist for this one.
     result<job_store::stored_job> readFor(std::string_view customer, std::string_view id)
     {
-        BOOST_OUTCOME_TRY(job, jobs.read(id));
+        BOOST_OUTCOME_TRY(auto job, jobs.read(id));
         if (job.record.customer != customer)
             return notRun(failure_kind::not_found, "there is no job " + std::string(id));
         return job;
@@ -193,18 +193,18 @@
 
     result<job_view> describe(std::string_view customer, std::string_view id) override
     {
-        BOOST_OUTCOME_TRY(job, readFor(customer, id));
+        BOOST_OUTCOME_TRY(auto job, readFor(customer, id));
         return toView(job, true);
     }
 
     result<results_page> results(
         std::string_view customer, std::string_view id, std::uint64_t cursor) override
     {
-        BOOST_OUTCOME_TRY(job, readFor(customer, id));
+        BOOST_OUTCOME_TRY(auto job, readFor(customer, id));
         results_page page;
         page.nextCursor = cursor;
         while (page.nextCursor < job.progress.resultChunks && page.lines.size() < resultsPageBytes) {
-            BOOST_OUTCOME_TRY(lines, jobs.readResults(id, static_cast<std::uint32_t>(page.nextCursor)));
+            BOOST_OUTCOME_TRY(auto lines, jobs.readResults(id, static_cast<std::uint32_t>(page.nextCursor)));
             if (!lines)
                 return notRun(failure_kind::gone, "the results of job " + std::string(id) + " have expired");
             page.lines += *lines;
@@ -216,9 +216,9 @@
 
     result<job_view> cancel(std::string_view customer, std::string_view id) override
     {
-        BOOST_OUTCOME_TRY(before, readFor(customer, id));
+        BOOST_OUTCOME_TRY(auto before, readFor(customer, id));
         const auto owner = jobs.holder(id);
-        BOOST_OUTCOME_TRY(job, jobs.cancel(id, randomId(), wallClockMs()));
+        BOOST_OUTCOME_TRY(auto job, jobs.cancel(id, randomId(), wallClockMs()));
         holder.drop(std::string(id));
         // The holder learns of it at once; should this not reach it, its next commit or scan tells it.
         if (owner && owner.value() && *owner.value() != options.rpc
--- a/libs/batch/src/job_store.cpp
+++ b/libs/batch/src/job_store.cpp
@@ -65,18 +65,18 @@
 
 result<job_store::stored_job> job_store::read(std::string_view id)
 {
-    BOOST_OUTCOME_TRY(record, m_store.get(key(recordPrefix, id)));
+    BOOST_OUTCOME_TRY(auto record, m_store.get(key(recordPrefix, id)));
     if (!record)
         return notRun(failure_kind::not_found, "there is no job " + std::string(id));
     stored_job job;
-    BOOST_OUTCOME_TRY(decoded, decodeRecord(record->value));
+    BOOST_OUTCOME_TRY(auto decoded, decodeRecord(record->value));
     job.record = std::move(decoded);
     if (job.record.expired)
         return notRun(failure_kind::gone, "the results of job " + std::string(id) + " have expired");
-    BOOST_OUTCOME_TRY(progress, m_store.get(key(progressPrefix, id)));
+    BOOST_OUTCOME_TRY(auto progress, m_store.get(key(progressPrefix, id)));
     if (!progress)
         return notRun(failure_kind::gone, "the results of job " + std::string(id) + " have expired");
-    BOOST_OUTCOME_TRY(decodedProgress, decodeProgress(progress->value));
+    BOOST_OUTCOME_TRY(auto decodedProgress, decodeProgress(progress->value));
     job.progress = std::move(decodedProgress);
     job.progressRevision = progress->modRevision;
     return job;
@@ -144,10 +144,10 @@
     std::vector<job_item> items;
     items.reserve(record.items);
     for (std::uint32_t number = 0; number < record.chunks; ++number) {
-        BOOST_OUTCOME_TRY(chunk, m_store.get(chunkKey(inputPrefix, record.id, number)));
+        BOOST_OUTCOME_TRY(auto chunk, m_store.get(chunkKey(inputPrefix, record.id, number)));
         if (!chunk)
             return notRun(failure_kind::internal, "an input chunk of job " + record.id + " is missing");
-        BOOST_OUTCOME_TRY(unpacked, unpackItems(chunk->value));
+        BOOST_OUTCOME_TRY(auto unpacked, unpackItems(chunk->value));
         std::move(unpacked.begin(), unpacked.end(), std::back_inserter(items));
     }
     if (items.size() != record.items)
@@ -157,21 +157,21 @@
 
 result<std::optional<std::string>> job_store::readResults(std::string_view id, std::uint32_t chunk)
 {
-    BOOST_OUTCOME_TRY(stored, m_store.get(chunkKey(resultPrefix, id, chunk)));
+    BOOST_OUTCOME_TRY(auto stored, m_store.get(chunkKey(resultPrefix, id, chunk)));
     if (!stored)
         return std::optional<std::string>();
-    BOOST_OUTCOME_TRY(lines, decompress(stored->value));
+    BOOST_OUTCOME_TRY(auto lines, decompress(stored->value));
     return std::optional<std::string>(std::move(lines));
 }
 
 result<job_store::overview> job_store::scan()
 {
-    BOOST_OUTCOME_TRY(open, m_store.list(openPrefix, {}, 0, true));
+    BOOST_OUTCOME_TRY(auto open, m_store.list(openPrefix, {}, 0, true));
     overview all;
     all.open = idsOf(open, openPrefix);
     if (all.open.empty())
         return all;
-    BOOST_OUTCOME_TRY(held, m_store.list(ownerPrefix, {}, 0, true));
+    BOOST_OUTCOME_TRY(auto held, m_store.list(ownerPrefix, {}, 0, true));
     all.held = idsOf(held, ownerPrefix);
     return all;
 }
@@ -191,7 +191,7 @@
     if (outcome.error().ran == verdict::not_run)
         return outcome.error();
     // The reply was lost: the owner's lease tells whether the claim is ours.
-    BOOST_OUTCOME_TRY(found, readStubbornly(m_store, at));
+    BOOST_OUTCOME_TRY(auto found, readStubbornly(m_store, at));
     if (found && found->lease == lease)
         return std::optional(found->createRevision);
     return std::optional<std::int64_t>();
@@ -207,7 +207,7 @@
 
 result<std::optional<std::string>> job_store::holder(std::string_view id)
 {
-    BOOST_OUTCOME_TRY(found, m_store.get(key(ownerPrefix, id)));
+    BOOST_OUTCOME_TRY(auto found, m_store.get(key(ownerPrefix, id)));
     return found ? std::optional(found->value) : std::nullopt;
 }
 
@@ -244,7 +244,7 @@
         return unknownOutcome(found.error());
     if (!found.value())
         return std::optional<std::int64_t>();
-    BOOST_OUTCOME_TRY(progress, decodeProgress(found.value()->value));
+    BOOST_OUTCOME_TRY(auto progress, decodeProgress(found.value()->value));
     if (progress.token == commit.progress.token)
         return std::optional(found.value()->modRevision);
     if (outcome)
@@ -256,7 +256,7 @@
 result<job_store::stored_job> job_store::cancel(std::string_view id, std::string token, std::int64_t nowMs)
 {
     for (int race = 0; race < mostCancelRaces; ++race) {
-        BOOST_OUTCOME_TRY(job, read(id));
+        BOOST_OUTCOME_TRY(auto job, read(id));
         if (job.progress.state != job_state::running)
             return job;
         auto progress = job.progress;
@@ -285,7 +285,7 @@
 
 result<std::size_t> job_store::removeExpired(std::int64_t nowMs, std::size_t most)
 {
-    BOOST_OUTCOME_TRY(listing, m_store.list(expiryPrefix, {}, most, true));
+    BOOST_OUTCOME_TRY(auto listing, m_store.list(expiryPrefix, {}, most, true));
     std::size_t removed = 0;
     std::int64_t lease = 0;
     for (const auto& value : listing.values) {
@@ -295,7 +295,7 @@
             break;
         const auto id = text.substr(dash + 1);
         if (lease == 0) {
-            BOOST_OUTCOME_TRY(granted, m_store.grantLease(tombstoneLifetime));
+            BOOST_OUTCOME_TRY(auto granted, m_store.grantLease(tombstoneLifetime));
             lease = granted;
         }
         job_record tombstone;
--- a/libs/entry/src/claims.cpp
+++ b/libs/entry/src/claims.cpp
@@ -59,7 +59,7 @@
     const std::scoped_lock lock(m_mutex);
     if (m_lease != 0 && now < m_leaseRenewal)
         return m_lease;
-    BOOST_OUTCOME_TRY(granted, m_store.grantLease(claimLifetime));
+    BOOST_OUTCOME_TRY(auto granted, m_store.grantLease(claimLifetime));
     m_lease = granted;
     m_leaseRenewal = now + leaseChange;
     return m_lease;
--- a/libs/entry/src/plain_requests.cpp
+++ b/libs/entry/src/plain_requests.cpp
@@ -112,7 +112,7 @@
         ask.queueLimit = m_context.effective.queueLimit;
         ask.avoid = m_lastTarget;
         ask.deadline = m_context.deadline;
-        BOOST_OUTCOME_TRY(place, findPlace(m_services, m_context, m_service, ask));
+        BOOST_OUTCOME_TRY(auto place, findPlace(m_services, m_context, m_service, ask));
         m_reachedTarget = true;
         m_lastTarget = place.target;
         m_services.figures.observe(
--- /dev/null
+++ b/libs/http/src/byte_stream.cpp
@@ -0,0 +1,137 @@
+#include "byte_stream.h"
+
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
+namespace yuccachute {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Longer than a retransmission over a lossy link takes, shorter than callers wait.
+constexpr int unacknowledgedMs = 5000;
+constexpr int probeAfterIdleSeconds = 2;
+constexpr int probeIntervalSeconds = 1;
+constexpr int mostProbes = 3;
+
+class plain_stream final : public byte_stream {
+public:
+    explicit plain_stream(tcp::socket socket)
+        : m_socket(std::move(socket))
+    {
+    }
+
+    void accept(done_handler done) override { done({}); }
+
+    void readSome(asio::mutable_buffer into, transfer_handler done) override
+    {
+        m_socket.async_read_some(into, std::move(done));
+    }
+
+    void writeAll(asio::const_buffer from, transfer_handler done) override
+    {
+        asio::async_write(m_socket, from, std::move(done));
+    }
+
+    void finishSending() override
+    {
+        boost::system::error_code ignored; // The peer may have gone already.
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    void close() override
+    {
+        boost::system::error_code ignored; // Nothing can be done about a failed close.
+        m_socket.close(ignored);
+    }
+
+private:
+    tcp::socket m_socket;
+};
+
+class tls_stream final : public byte_stream {
+public:
+    tls_stream(tcp::socket socket, asio::ssl::context& context)
+        : m_stream(std::move(socket), context)
+    {
+    }
+
+    void accept(done_handler done) override
+    {
+        m_stream.async_handshake(asio::ssl::stream_base::server, std::move(done));
+    }
+
+    void readSome(asio::mutable_buffer into, transfer_handler done) override
+    {
+        m_stream.async_read_some(into, std::move(done));
+    }
+
+    void writeAll(asio::const_buffer from, transfer_handler done) override
+    {
+        asio::async_write(m_stream, from, std::move(done));
+    }
+
+    void finishSending() override
+    {
+        boost::system::error_code ignored; // As for a plain stream.
+        m_stream.next_layer().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    void close() override
+    {
+        boost::system::error_code ignored; // As for a plain stream.
+        m_stream.next_layer().close(ignored);
+    }
+
+private:
+    asio::ssl::stream<tcp::socket> m_stream;
+};
+
+} // namespace
+
+std::unique_ptr<byte_stream> plainStream(tcp::socket socket)
+{
+    return std::make_unique<plain_stream>(std::move(socket));
+}
+
+std::unique_ptr<byte_stream> tlsStream(tcp::socket socket, asio::ssl::context& context)
+{
+    return std::make_unique<tls_stream>(std::move(socket), context);
+}
+
+void setSocketOptions(tcp::socket& socket)
+{
+    boost::system::error_code ignored; // A connection without these options still works.
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const auto set = [&](int option, int value) {
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+    };
+    set(TCP_USER_TIMEOUT, unacknowledgedMs);
+    set(TCP_KEEPIDLE, probeAfterIdleSeconds);
+    set(TCP_KEEPINTVL, probeIntervalSeconds);
+    set(TCP_KEEPCNT, mostProbes);
+}
+
+tcp::endpoint parseEndpoint(std::string_view address, boost::system::error_code& error)
+{
+    const auto colon = address.rfind(':');
+    std::uint16_t port = 80;
+    if (colon != std::string_view::npos) {
+        const auto digits = address.substr(colon + 1);
+        const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+        if (parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size())
+            error = asio::error::invalid_argument;
+    }
+    const auto host = asio::ip::make_address(std::string(address.substr(0, colon)), error);
+    return { host, port };
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/http/tests/test_event_http.cpp
@@ -0,0 +1,347 @@
+#include "http/http.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace yuccachute;
+
+namespace {
+
+std::uint16_t freePort()
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    socklen_t length = sizeof address;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    ::close(fd);
+    return ntohs(address.sin_port);
+}
+
+/// A raw client connection to a listener on the same loop.
+class raw_client {
+public:
+    explicit raw_client(std::uint16_t port)
+        : m_fd(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    }
+    ~raw_client() { close(); }
+
+    void send(std::string_view text)
+    {
+        REQUIRE(::send(m_fd, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    }
+
+    /// What has arrived by now; sets closed() at the end of the connection.
+    std::string receive()
+    {
+        std::string all;
+        char buffer[4096];
+        ssize_t count = 0;
+        while ((count = ::recv(m_fd, buffer, sizeof buffer, MSG_DONTWAIT)) > 0)
+            all.append(buffer, static_cast<std::size_t>(count));
+        m_closed = count == 0;
+        return all;
+    }
+
+    void close()
+    {
+        if (m_fd >= 0)
+            ::close(m_fd);
+        m_fd = -1;
+    }
+    bool closed() const { return m_closed; }
+
+private:
+    int m_fd;
+    bool m_closed = false;
+};
+
+/// A listener that keeps what it is given.
+struct fixture {
+    fixture()
+    {
+        options.port = freePort();
+        options.limits.maxHeaderBytes = 500;
+        options.limits.maxBodyBytes = 100;
+        options.limits.headerTimeout = milliseconds { 50 };
+        options.limits.idleTimeout = milliseconds { 80 };
+        listener = std::make_unique<http_listener>(loop, options,
+            [this](std::shared_ptr<http_exchange> exchange) { exchanges.push_back(std::move(exchange)); });
+    }
+    void run(int ms = 20) { loop.runFor(milliseconds { ms }); }
+
+    event_loop loop;
+    http_listener_options options;
+    std::vector<std::shared_ptr<http_exchange>> exchanges;
+    std::unique_ptr<http_listener> listener;
+};
+
+constexpr std::string_view simple = "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("requests on one connection are answered in order, chunked bodies are read")
+{
+    fixture f;
+    raw_client client(f.options.port);
+    client.send(
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    client.send(simple);
+    f.run();
+    REQUIRE(f.exchanges.size() == 1);
+    CHECK(f.exchanges[0]->request().body == "abcde");
+    f.exchanges[0]->startStream(200, {}, std::nullopt);
+    f.exchanges[0]->write("one");
+    f.exchanges[0]->finish();
+    f.run();
+    REQUIRE(f.exchanges.size() == 2);
+    CHECK(f.exchanges[1]->request().target == "/a?b=c");
+    f.exchanges[1]->send({ 404, {}, "no" });
+    f.run();
+    const auto text = client.receive();
+    CHECK(text.find("3\r\none\r\n0\r\n\r\nHTTP/1.1 404 Not Found\r\nContent-Length: 2") != std::string::npos);
+    CHECK(f.listener->connections() == 1);
+    CHECK(f.listener->exchanges() == 0);
+}
+
+// Story: an answer is dropped by its handler right after its end, and the caller gets a cut connection,
+// because the connection was closed before the last bytes had been written.
+TEST_CASE("an exchange that is dropped after its end is still delivered, one without answer is cut")
+{
+    fixture f;
+    raw_client first(f.options.port);
+    raw_client second(f.options.port);
+    first.send(simple);
+    f.run();
+    f.exchanges[0]->send({ 200, {}, std::string(50000, 'x') });
+    f.exchanges.clear();
+    second.send(simple);
+    f.run();
+    REQUIRE(f.exchanges.size() == 1);
+    f.exchanges.clear();
+    f.run();
+    CHECK(first.receive().size() > 50000);
+    CHECK(second.receive().empty());
+    CHECK(second.closed());
+}
+
+// Story: a caller hides a second request in the body of a first one; whoever reads the length differently
+// runs a request that nobody sent.
+TEST_CASE("ambiguous lengths are refused and end the connection")
+{
+    for (const char* fields : { "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+             "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: +5\r\n",
+             "Content-Length: 5 \r\nBad Name: x\r\n" }) {
+        fixture f;
+        raw_client client(f.options.port);
+        client.send("POST /x HTTP/1.1\r\nHost: h\r\n" + std::string(fields)
+            + "\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n");
+        f.run();
+        CHECK(f.exchanges.empty());
+        CHECK(client.receive().substr(0, 12) == "HTTP/1.1 400");
+        f.run();
+        client.receive();
+        CHECK(client.closed());
+    }
+}
+
+TEST_CASE("limits are told by status")
+{
+    fixture f;
+    raw_client longHead(f.options.port);
+    longHead.send("GET /" + std::string(600, 'x') + " HTTP/1.1\r\n\r\n");
+    raw_client longBody(f.options.port);
+    longBody.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n");
+    raw_client slow(f.options.port);
+    slow.send("GET / HT");
+    raw_client idle(f.options.port);
+    f.run(120);
+    CHECK(longHead.receive().substr(0, 12) == "HTTP/1.1 431");
+    CHECK(longBody.receive().substr(0, 12) == "HTTP/1.1 413");
+    CHECK(slow.receive().substr(0, 12) == "HTTP/1.1 408");
+    CHECK(idle.receive().empty());
+    CHECK(idle.closed());
+}
+
+// Story: a caller gives up and closes its connection; the target goes on working for nobody.
+TEST_CASE("a caller that leaves is noticed at once, waiting and streaming")
+{
+    for (const bool streaming : { false, true }) {
+        fixture f;
+        auto client = std::make_unique<raw_client>(f.options.port);
+        client->send(simple);
+        f.run();
+        REQUIRE(f.exchanges.size() == 1);
+        bool gone = false;
+        f.exchanges[0]->onCallerGone([&] { gone = true; });
+        if (streaming) {
+            f.exchanges[0]->startStream(200, {}, std::nullopt);
+            f.exchanges[0]->write("data: 1\n\n");
+        }
+        f.run();
+        CHECK(!gone);
+        client.reset();
+        f.run();
+        CHECK(gone);
+        f.exchanges[0]->write("more");
+        f.exchanges[0]->finish();
+    }
+}
+
+TEST_CASE("a draining listener finishes what runs, then closes")
+{
+    fixture f;
+    raw_client busy(f.options.port);
+    raw_client idle(f.options.port);
+    busy.send(simple);
+    f.run();
+    f.listener->stopAccepting();
+    f.listener->closeAfterAnswers();
+    f.run();
+    idle.receive();
+    CHECK(idle.closed());
+    REQUIRE(f.exchanges.size() == 1);
+    f.exchanges[0]->send({ 200, {}, "done" });
+    f.run();
+    const auto text = busy.receive();
+    CHECK(text.find("Connection: close") != std::string::npos);
+    CHECK(text.substr(text.size() - 4) == "done");
+}
+
+namespace {
+
+struct observed {
+    std::string body;
+    unsigned status = 0;
+    bool whole = false;
+    std::optional<failure> error;
+
+    client_call_events events()
+    {
+        return { [this](const http_reply& head) {
+                    status = head.status;
+                    return true;
+                },
+            [this](std::string_view piece) {
+                body += piece;
+                return true;
+            },
+            [this] { whole = true; }, [this](const failure& given) { error = given; } };
+    }
+};
+
+client_call_options within(milliseconds time)
+{
+    client_call_options options;
+    options.deadline = std::chrono::steady_clock::now() + time;
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("the client keeps connections, and a fresh one is taken on demand")
+{
+    fixture f;
+    f.listener->setLimits({});
+    http_client client(f.loop, {});
+    const auto address = "127.0.0.1:" + std::to_string(f.options.port);
+    http_request request;
+    request.target = "/a?";
+    for (const bool fresh : { false, false, true }) {
+        observed seen;
+        auto options = within(milliseconds { 1000 });
+        options.freshConnection = fresh;
+        const auto call = client.start(address, request, options, seen.events());
+        f.run();
+        REQUIRE(f.exchanges.size() == 1);
+        CHECK(f.exchanges[0]->request().target == "/a?");
+        f.exchanges[0]->send({ 200, {}, "hi" });
+        f.exchanges.clear();
+        f.run();
+        CHECK(seen.whole);
+        CHECK(seen.body == "hi");
+    }
+    CHECK(client.connectionsOpened() == 2);
+}
+
+// Story: a server sends a second answer behind the first one; the next caller on that connection would get it
+// as the answer to its own request.
+TEST_CASE("a connection with bytes behind its answer is not used again")
+{
+    fixture f;
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(::listen(fd, 8) == 0);
+    socklen_t length = sizeof address;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    const auto where = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+
+    http_client client(f.loop, {});
+    const auto ask = [&](std::string_view reply, std::string_view later) {
+        observed seen;
+        const auto call = client.start(where, {}, within(milliseconds { 1000 }), seen.events());
+        f.run();
+        const int peer = ::accept(fd, nullptr, nullptr);
+        REQUIRE(peer >= 0);
+        REQUIRE(::send(peer, reply.data(), reply.size(), MSG_NOSIGNAL) > 0);
+        f.run();
+        if (!later.empty())
+            REQUIRE(::send(peer, later.data(), later.size(), MSG_NOSIGNAL) > 0);
+        f.run();
+        ::close(peer);
+        f.run();
+        return seen;
+    };
+    CHECK(ask(answer + "ok" + answer + "xx", "").body == "ok");
+    CHECK(ask(answer + "ok", answer + "yy").body == "ok");
+    CHECK(ask("HTTP/1.1 100 Continue\r\n\r\n" + answer + "ok", "").body == "ok");
+    CHECK(client.connectionsOpened() == 3);
+    const auto cut = ask("HTTP/1.1 200 OK\r\n\r\nhalf", "");
+    CHECK(!cut.whole);
+    REQUIRE(cut.error);
+    CHECK(cut.error->ran == verdict::may_have_run);
+    ::close(fd);
+}
+
+TEST_CASE("a cancelled call is noticed by the server, a silent one ends at its limit")
+{
+    fixture f;
+    f.listener->setLimits({});
+    http_client client(f.loop, {});
+    const auto address = "127.0.0.1:" + std::to_string(f.options.port);
+    observed first;
+    auto call = client.start(address, {}, within(milliseconds { 1000 }), first.events());
+    f.run();
+    REQUIRE(f.exchanges.size() == 1);
+    bool gone = false;
+    f.exchanges[0]->onCallerGone([&] { gone = true; });
+    call.reset();
+    f.run();
+    CHECK(gone);
+    CHECK(!first.error);
+    observed second;
+    auto options = within(milliseconds { 1000 });
+    options.idleTimeout = milliseconds { 30 };
+    call = client.start(address, {}, options, second.events());
+    f.run(80);
+    REQUIRE(second.error);
+    CHECK(second.error->kind == failure_kind::timeout);
+    CHECK(second.error->ran == verdict::may_have_run);
+}
--- a/libs/jobs/src/items.cpp
+++ b/libs/jobs/src/items.cpp
@@ -91,7 +91,7 @@
             return notRun(failure_kind::too_large,
                 "line " + std::to_string(line) + ": a job has at most " + std::to_string(mostItemsPerJob)
                     + " items");
-        BOOST_OUTCOME_TRY(item, parseItem(text, line, items.size()));
+        BOOST_OUTCOME_TRY(auto item, parseItem(text, line, items.size()));
         if (toLine(item).size() > mostChunkBytes)
             return badLine(line, "the item is larger than " + std::to_string(mostChunkBytes) + " bytes");
         if (!ids.insert(item.id).second)
@@ -112,7 +112,7 @@
 
 result<std::vector<job_item>> unpackItems(std::string_view chunk)
 {
-    BOOST_OUTCOME_TRY(text, decompress(chunk));
+    BOOST_OUTCOME_TRY(auto text, decompress(chunk));
     return parseItems(text);
 }
 
--- a/libs/jobs/src/records.cpp
+++ b/libs/jobs/src/records.cpp
@@ -53,7 +53,7 @@
 
 result<job_record> decodeRecord(std::string_view bytes)
 {
-    BOOST_OUTCOME_TRY(document, unpack(bytes));
+    BOOST_OUTCOME_TRY(auto document, unpack(bytes));
     job_record record;
     record.id = document.value("id", "");
     record.customer = document.value("customer", "");
@@ -97,7 +97,7 @@
 
 result<job_progress> decodeProgress(std::string_view bytes)
 {
-    BOOST_OUTCOME_TRY(document, unpack(bytes));
+    BOOST_OUTCOME_TRY(auto document, unpack(bytes));
     job_progress progress;
     try {
         progress.state = static_cast<job_state>(document.at("state").get<int>());
--- a/libs/node/src/completion_call.cpp
+++ b/libs/node/src/completion_call.cpp
@@ -93,7 +93,6 @@
             }
             return !stopped;
         };
-        options.isWhole = [&] { return reader.whole(); };
         const auto reply = httpCall(m_attempt.address, request, options);
         if (status != 0 && status != 200)
             return refusal(status, errorBody);
--- a/libs/node/src/process_options.cpp
+++ b/libs/node/src/process_options.cpp
@@ -90,8 +90,8 @@
 
 result<process_options> readProcessOptions(const std::string& fileName)
 {
-    BOOST_OUTCOME_TRY(text, readFile(fileName));
-    BOOST_OUTCOME_TRY(values, parseIni(fileName, text));
+    BOOST_OUTCOME_TRY(auto text, readFile(fileName));
+    BOOST_OUTCOME_TRY(auto values, parseIni(fileName, text));
     process_options options;
     for (const auto& value : values) {
         const std::string where = fileName + ':' + std::to_string(value.line) + ": [" + value.section + "] ";
--- a/libs/settings/src/ini.cpp
+++ b/libs/settings/src/ini.cpp
@@ -8,7 +8,7 @@
 
 result<std::vector<settings_edit>> readIni(std::string_view fileName, std::string_view text)
 {
-    BOOST_OUTCOME_TRY(values, parseIni(fileName, text));
+    BOOST_OUTCOME_TRY(auto values, parseIni(fileName, text));
     std::vector<settings_edit> edits;
     for (const auto& value : values) {
         const auto checked = checkValue(value.section, value.key, value.value);
--- a/libs/settings_store/src/settings_store.cpp
+++ b/libs/settings_store/src/settings_store.cpp
@@ -89,7 +89,7 @@
 
 result<settings_tree> readSettings(config_store& store)
 {
-    BOOST_OUTCOME_TRY(listing, store.list(settingsPrefix));
+    BOOST_OUTCOME_TRY(auto listing, store.list(settingsPrefix));
     settings_tree tree;
     for (const auto& stored : listing.values) {
         if (stored.key == headKey)
@@ -132,17 +132,17 @@
             error.ran = verdict::not_run;
             return error;
         }
-        BOOST_OUTCOME_TRY(after, applyEdits(before.value(), edits));
+        BOOST_OUTCOME_TRY(auto after, applyEdits(before.value(), edits));
         const auto description = describeEdits(before.value(), after, edits, author, editId, nowMs);
         const auto committed
             = store.commit(buildTransaction(before.value(), after, edits, head, historyAt, description));
         if (!committed && committed.error().ran == verdict::not_run)
             return committed.error();
         if (!committed) {
-            BOOST_OUTCOME_TRY(accepted, tookEffect(store, historyAt));
+            BOOST_OUTCOME_TRY(auto accepted, tookEffect(store, historyAt));
             if (!accepted)
                 continue;
-            BOOST_OUTCOME_TRY(now, readSettings(store));
+            BOOST_OUTCOME_TRY(auto now, readSettings(store));
             const auto version = now.version;
             return accepted_edit { version, std::move(now) };
         }
@@ -161,7 +161,7 @@
 
 result<std::vector<std::string>> readHistory(config_store& store, std::size_t most)
 {
-    BOOST_OUTCOME_TRY(listing, store.list(historyPrefix));
+    BOOST_OUTCOME_TRY(auto listing, store.list(historyPrefix));
     std::vector<std::string> entries;
     for (auto entry = listing.values.rbegin(); entry != listing.values.rend() && entries.size() < most;
          ++entry) {
--- a/libs/verdict/include/verdict/verdict.h
+++ b/libs/verdict/include/verdict/verdict.h
@@ -8,7 +8,7 @@
 #include <string_view>
 
 /// Errors of the whole system. Each failure says whether the request may have run at its target, because
-/// that alone decides whether it may be sent again. Layer: state. Compiles as C++17 for the HTTP transport.
+/// that alone decides whether it may be sent again. Layer: state.
 namespace yuccachute {
 
 /// Clock of every decision. Deciding functions take a time point as an argument and never read the clock.
