--- a/libs/bulk_process/tests/test_job_keeper.cpp
+++ b/libs/bulk_process/tests/test_job_keeper.cpp
@@ -1,2 +1,244 @@
 #include "bulk_process/bulk_process.h"
+
 #include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace yuccachute;
+
+namespace {
+
+/// The rules of the platform's store in memory. Answers can be lost, before or after the call takes effect, and calls
+/// can be executed later.
+class fake_store final : public async_store {
+public:
+    enum class fault : std::uint8_t { none, refused, lost_before, lost_after, executed_later };
+
+    void get(std::string_view key, callback<std::optional<stored_value>> done) override
+    {
+        const auto found = values.find(key);
+        done(found == values.end() ? std::nullopt : std::optional(found->second));
+    }
+    void list(std::string_view prefix, callback<store_listing> done) override
+    {
+        store_listing listing;
+        listing.revision = revision;
+        for (const auto& [key, value] : values) {
+            if (key.starts_with(prefix))
+                listing.values.push_back(value);
+        }
+        done(listing);
+    }
+    void commit(const store_transaction& transaction, callback<commit_outcome> done) override
+    {
+        const auto next = faults.empty() ? fault::none : faults.front();
+        if (!faults.empty())
+            faults.pop_front();
+        switch (next) {
+        case fault::refused:
+            return done(notRun(failure_kind::unavailable, "503"));
+        case fault::lost_before:
+            return done(mayHaveRun(failure_kind::timeout, "no answer"));
+        case fault::executed_later:
+            late.push_back(transaction);
+            return done(mayHaveRun(failure_kind::timeout, "no answer"));
+        case fault::lost_after:
+            execute(transaction);
+            return done(mayHaveRun(failure_kind::timeout, "no answer"));
+        case fault::none:
+            return done(execute(transaction));
+        }
+    }
+    void waitForChange(std::string_view, std::int64_t, milliseconds, callback<store_changes>) override { }
+    void grantLease(milliseconds, callback<std::int64_t>) override { }
+    void renewLease(std::int64_t, callback<bool>) override { }
+    void endLease(std::int64_t, callback<bool>) override { }
+
+    commit_outcome execute(const store_transaction& transaction)
+    {
+        for (const auto& condition : transaction.conditions) {
+            const auto found = values.find(condition.key);
+            const auto at = found == values.end() ? 0 : found->second.modRevision;
+            const auto wanted = condition.what == store_condition::kind::absent ? 0 : condition.revision;
+            if (at != wanted)
+                return {};
+        }
+        ++revision;
+        for (const auto& write : transaction.writes)
+            values[write.key] = { write.key, write.value, revision, revision, write.lease };
+        for (const auto& removal : transaction.removals)
+            values.erase(removal.key);
+        return { true, revision, {} };
+    }
+    void executeLate()
+    {
+        for (const auto& transaction : std::exchange(late, {}))
+            execute(transaction);
+    }
+
+    std::map<std::string, stored_value, std::less<>> values;
+    std::deque<fault> faults;
+    std::vector<store_transaction> late;
+    std::int64_t revision = 10;
+};
+
+bulk_record record(std::string id)
+{
+    return { std::move(id), "h", 1, { { "i0", "/p", {}, "b", 1 }, { "i1", "/p", {}, "b", 1 } } };
+}
+
+struct fixture {
+    template <typename T> std::function<void(result<T>)> into(std::optional<result<T>>& slot)
+    {
+        return [&slot](result<T> outcome) { slot.emplace(std::move(outcome)); };
+    }
+    result<job_keeper::creation> create(const std::string& id)
+    {
+        std::optional<result<job_keeper::creation>> outcome;
+        keeper.create(record(id), into(outcome));
+        return *outcome;
+    }
+    result<job_keeper::stored_job> load(const std::string& id)
+    {
+        std::optional<result<job_keeper::stored_job>> outcome;
+        keeper.load(id, into(outcome));
+        return *outcome;
+    }
+    result<job_keeper::commit_result> commit(
+        job_keeper& by, std::size_t number, const bulk_result_group& group, std::int64_t revision, bool completes)
+    {
+        std::optional<result<job_keeper::commit_result>> outcome;
+        by.commit("a", number, group, revision, completes, into(outcome));
+        return *outcome;
+    }
+    result<bool> end(const std::string& id)
+    {
+        std::optional<result<bool>> outcome;
+        keeper.end(id, into(outcome));
+        return *outcome;
+    }
+    job_keeper::open_jobs open()
+    {
+        std::optional<result<job_keeper::open_jobs>> outcome;
+        keeper.listOpen(into(outcome));
+        return outcome->value();
+    }
+    std::int64_t take(job_keeper& by, const job_keeper::open_job& job)
+    {
+        std::optional<result<std::int64_t>> outcome;
+        by.take(job, into(outcome));
+        return outcome->value();
+    }
+
+    event_loop loop;
+    fake_store store;
+    job_keeper keeper { loop, store, { "vm1", 1 } };
+    job_keeper other { loop, store, { "vm2", 2 } };
+};
+
+const bulk_result_group first { "t1", { { 0, true, "x" } } };
+const bulk_result_group second { "t2", { { 1, true, "y" } } };
+
+} // namespace
+
+TEST_CASE("a job is created once, however often it is submitted")
+{
+    fixture f;
+    CHECK(f.create("a").value().openRevision == 11);
+    CHECK(f.create("a").value().openRevision == 0);
+    const auto stored = f.load("a");
+    REQUIRE(stored);
+    CHECK(stored.value().holder == bulk_holder { "vm1", 1 });
+    CHECK(stored.value().openRevision == 11);
+    CHECK(!stored.value().ended);
+    CHECK(f.load("b").error().kind == failure_kind::not_found);
+}
+
+// Story: the store executes a submission, and its answer is lost. The caller is refused, though the job runs.
+TEST_CASE("a creation whose answer was lost is found, and never said not to exist")
+{
+    fixture f;
+    f.store.faults = { fake_store::fault::lost_after };
+    CHECK(f.create("a").value().openRevision == 0);
+    CHECK(f.load("a").value().holder == bulk_holder { "vm1", 1 });
+
+    f.store.faults = { fake_store::fault::refused };
+    CHECK(f.create("b").error().ran == verdict::not_run);
+    f.store.faults = { fake_store::fault::executed_later, fake_store::fault::refused,
+        fake_store::fault::refused };
+    CHECK(f.create("c").error().ran == verdict::may_have_run);
+    f.store.executeLate();
+    CHECK(f.create("c").value().openRevision == 0);
+}
+
+TEST_CASE("results are committed in order, and the last ones finish the job")
+{
+    fixture f;
+    const auto revision = f.create("a").value().openRevision;
+    CHECK(f.commit(f.keeper, 0, first, revision, false).value() == job_keeper::commit_result::committed);
+    CHECK(f.open().jobs.size() == 1);
+    CHECK(f.commit(f.keeper, 1, second, revision, true).value() == job_keeper::commit_result::committed);
+    CHECK(f.open().jobs.empty());
+    const auto stored = f.load("a");
+    CHECK(!stored.value().holder);
+    CHECK(!stored.value().ended);
+    REQUIRE(stored.value().groups.size() == 2);
+    CHECK(stored.value().groups[1].results[0].text == "y");
+}
+
+// Story: the answer to a commit is lost; the second try finds its place taken, by itself.
+TEST_CASE("a commit whose answer was lost is recognised as one's own")
+{
+    fixture f;
+    const auto revision = f.create("a").value().openRevision;
+    f.store.faults = { fake_store::fault::lost_after };
+    CHECK(!f.commit(f.keeper, 0, first, revision, false));
+    CHECK(f.commit(f.keeper, 0, first, revision, false).value() == job_keeper::commit_result::committed);
+    CHECK(f.load("a").value().groups.size() == 1);
+}
+
+// Story: a process is paused; its lease lapses and another takes the job and lists results. The first wakes, still
+// believes that it holds the job, and lists its own: positions change, items stand twice.
+TEST_CASE("a holder that was replaced can commit nothing, also by a call that is executed late")
+{
+    fixture f;
+    const auto revision = f.create("a").value().openRevision;
+    f.store.faults = { fake_store::fault::executed_later };
+    CHECK(!f.commit(f.keeper, 0, first, revision, false));
+    const auto taken = f.take(f.other, f.open().jobs.at(0));
+    REQUIRE(taken != 0);
+    CHECK(f.take(f.keeper, { "a", { "vm1", 1 }, revision }) == 0);
+    f.store.executeLate();
+    CHECK(f.load("a").value().groups.empty());
+    CHECK(f.commit(f.other, 0, second, taken, false).value() == job_keeper::commit_result::committed);
+    CHECK(f.commit(f.keeper, 0, first, revision, false).value() == job_keeper::commit_result::lost);
+    CHECK(f.commit(f.keeper, 1, first, revision, false).value() == job_keeper::commit_result::lost);
+    CHECK(f.load("a").value().groups.size() == 1);
+}
+
+// Story: a caller ends its job and is told so; a commit that was on its way revives it.
+TEST_CASE("an ended job takes no more results, and ending it again changes nothing")
+{
+    fixture f;
+    const auto revision = f.create("a").value().openRevision;
+    CHECK(f.commit(f.keeper, 0, first, revision, false));
+    CHECK(f.end("a").value());
+    CHECK(f.end("a").value());
+    CHECK(f.commit(f.keeper, 1, second, revision, true).value() == job_keeper::commit_result::lost);
+    const auto stored = f.load("a");
+    CHECK(stored.value().ended);
+    CHECK(stored.value().groups.size() == 1);
+    CHECK(f.end("nobody").error().kind == failure_kind::not_found);
+    f.create("b");
+    f.store.faults = { fake_store::fault::lost_after };
+    CHECK(f.end("b").value());
+}
+
+TEST_CASE("a removed job leaves nothing")
+{
+    fixture f;
+    const auto revision = f.create("a").value().openRevision;
+    CHECK(f.commit(f.keeper, 0, first, revision, false));
+    f.keeper.remove("a", 1);
+    CHECK(f.store.values.empty());
+}
