--- /dev/null
+++ b/bench/standins/platform.cpp
@@ -0,0 +1,282 @@
+// Stand-in of the users' platform for integration tests: its store, and model servers that list themselves
+// there. A control port injects faults and tells what the servers have run.
+
+#include "platform_store.h"
+
+#include <iostream>
+
+using namespace yuccachute;
+using namespace yuccachute::standin;
+using nlohmann::json;
+
+namespace {
+
+constexpr milliseconds firstEventAfter { 10 };
+const std::string serviceName = "llm";
+
+/// What the servers have run, for checks.
+struct run_record {
+    std::string id;
+    std::string server;
+    std::string lastEvent;
+    bool finished = false;
+};
+
+class model_server {
+public:
+    model_server(event_loop& loop, platform_store& store, std::vector<run_record>& runs, std::string zone,
+        std::string address, unsigned slots, milliseconds eventInterval)
+        : m_loop(loop)
+        , m_store(store)
+        , m_runs(runs)
+        , m_zone(std::move(zone))
+        , m_address(std::move(address))
+        , m_slots(slots)
+        , m_interval(eventInterval)
+        , m_ticker(loop, m_interval, [this] { tick(); })
+    {
+        start();
+    }
+
+    void start()
+    {
+        ++m_starts;
+        m_id = "i-" + m_address.substr(m_address.rfind(':') + 1) + "-" + std::to_string(m_starts);
+        http_listener_options options;
+        const auto colon = m_address.rfind(':');
+        options.address = m_address.substr(0, colon);
+        options.port = static_cast<std::uint16_t>(std::stoi(m_address.substr(colon + 1)));
+        m_listener = std::make_unique<http_listener>(
+            m_loop, options, [this](auto caller) { serve(std::move(caller)); });
+        list("ready");
+    }
+
+    void crash()
+    {
+        m_running.clear();
+        m_listener.reset();
+    }
+
+    void drain() { list("draining"); }
+    void unlist() { m_store.remove("servers/" + m_id); }
+    void setDark(bool dark) { m_dark = dark; }
+    const std::string& id() const { return m_id; }
+    std::size_t running() const { return m_running.size(); }
+
+private:
+    struct stream {
+        std::shared_ptr<http_exchange> caller;
+        std::shared_ptr<bool> gone;
+        std::size_t run = 0;
+        std::string id;
+        int next = 1;
+        int last = 0;
+        steady_time from;
+    };
+
+    void list(const std::string& state)
+    {
+        m_store.put("servers/" + m_id,
+            { { "service", serviceName }, { "address", m_address }, { "zone", m_zone }, { "version", "v1" },
+                { "slots", m_slots }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } });
+    }
+
+    void serve(std::shared_ptr<http_exchange> caller)
+    {
+        const auto& headers = caller->request().headers;
+        const std::string id(findHeader(headers, "Yuccachute-Request-Id"));
+        const auto expected = findHeader(headers, "Yuccachute-Expect-Instance");
+        if (!expected.empty() && expected != m_id)
+            return caller->send({ 421, { { "Yuccachute-Instance-Id", m_id } }, "" });
+        if (m_dark) {
+            m_silent.push_back(std::move(caller));
+            return;
+        }
+        if (m_running.size() >= m_slots)
+            return caller->send(
+                { 503, { { "Yuccachute-Not-Run", "1" }, { "Yuccachute-Request-Id", id } }, "" });
+        m_runs.push_back({ id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false });
+        const http_headers head { { "Yuccachute-Request-Id", id },
+            { "Yuccachute-Server-Seal", "seal-" + m_id } };
+        if (caller->request().method == "GET") {
+            m_runs.back().finished = true;
+            return caller->send({ 200, head, "plain " + id });
+        }
+        stream one;
+        one.caller = caller;
+        one.gone = std::make_shared<bool>(false);
+        caller->onCallerGone([gone = one.gone] { *gone = true; });
+        one.run = m_runs.size() - 1;
+        one.id = id;
+        const std::string tokens(findHeader(headers, "Yuccachute-Token-Count"));
+        one.last = std::stoi(tokens.substr(tokens.find(',') + 1));
+        if (!m_runs.back().lastEvent.empty())
+            one.next = std::stoi(m_runs.back().lastEvent) + 1;
+        one.from = std::chrono::steady_clock::now() + firstEventAfter;
+        auto streamHead = head;
+        streamHead.emplace_back("Content-Type", "text/event-stream");
+        caller->startStream(200, streamHead, std::nullopt);
+        m_running.push_back(std::move(one));
+    }
+
+    void tick()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        for (auto& one : m_running) {
+            if (*one.gone || now < one.from || m_dark)
+                continue;
+            if (one.next <= one.last) {
+                const auto number = std::to_string(one.next++);
+                one.caller->write("id: " + number + "\ndata: " + one.id + "-" + number + "\n\n");
+            }
+            if (one.next > one.last) {
+                m_runs[one.run].finished = true;
+                one.caller->finish();
+            }
+        }
+        std::erase_if(m_running, [](const auto& one) { return *one.gone || one.next > one.last; });
+    }
+
+    event_loop& m_loop;
+    platform_store& m_store;
+    std::vector<run_record>& m_runs;
+    std::string m_zone;
+    std::string m_address;
+    unsigned m_slots;
+    milliseconds m_interval;
+    std::string m_id;
+    int m_starts = 0;
+    bool m_dark = false;
+    std::vector<stream> m_running;
+    std::vector<std::shared_ptr<http_exchange>> m_silent;
+    std::unique_ptr<http_listener> m_listener;
+    loop_ticker m_ticker;
+};
+
+json configuration(std::int64_t version, int timeoutMs, bool extraRoute)
+{
+    const auto routeOf = [&](std::string name, std::string prefix, std::string kind, json more) {
+        json route { { "name", name }, { "host", "test.example" }, { "prefix", prefix }, { "kind", kind },
+            { "timeout_ms", timeoutMs }, { "target_latency_ms", 300 }, { "priority", 0 },
+            { "service", serviceName }, { "max_attempts", 2 } };
+        route.update(more);
+        return route;
+    };
+    auto routes = json::array({ routeOf("resumable", "/resumable/", "streaming", { { "resumable", true } }),
+        routeOf("once", "/once/", "streaming", { { "resumable", false } }),
+        routeOf("plain", "/plain/", "safe", json::object()), routeOf("unsafe", "/unsafe/", "unsafe", json::object()),
+        routeOf("jobs", "/jobs/", "batch",
+            { { "result_due_ms", 18000 }, { "expiry_s", 60 }, { "max_attempts", 3 },
+                { "timeout_ms", 15000 } }) });
+    if (extraRoute)
+        routes.push_back(routeOf("extra", "/extra/", "safe", json::object()));
+    return { { "version", version }, { "routes", routes },
+        { "services", json::array({ { { "name", serviceName }, { "engine", { { "slots", 4 } } } } }) },
+        { "limits",
+            { { "max_header_bytes", 16384 }, { "max_body_bytes", 100000 }, { "header_timeout_ms", 3000 },
+                { "idle_timeout_ms", 15000 } } } };
+}
+
+class platform {
+public:
+    platform(event_loop& loop, const std::string& address, const std::string& control)
+        : m_loop(loop)
+        , m_store(loop, address)
+    {
+        http_listener_options options;
+        const auto colon = control.rfind(':');
+        options.address = control.substr(0, colon);
+        options.port = static_cast<std::uint16_t>(std::stoi(control.substr(colon + 1)));
+        m_control = std::make_unique<http_listener>(loop, options, [this](auto caller) {
+            caller->send({ 200, { { "Content-Type", "application/json" } }, command(*caller).dump() });
+        });
+        m_store.put("op/config", configuration(m_version, 5000, false));
+    }
+
+    void addServer(std::string zone, const std::string& address, unsigned slots, milliseconds interval)
+    {
+        m_servers.push_back(std::make_unique<model_server>(
+            m_loop, m_store, m_runs, std::move(zone), address, slots, interval));
+    }
+
+private:
+    json command(http_exchange& caller)
+    {
+        const auto& request = caller.request();
+        const auto value = [&](const char* name) { return queryParameter(request.query, name); };
+        const auto number = [&](const char* name) {
+            const auto text = value(name);
+            return text.empty() ? 0 : std::stoi(text);
+        };
+        if (request.path == "/store") {
+            auto& faults = m_store.faults;
+            faults.down = number("down") != 0;
+            faults.busy = number("busy") != 0;
+            faults.lapse = number("lapse") != 0;
+            faults.delayMs = number("delay");
+            faults.loseAnswers = number("lose_percent") / 100.0;
+            faults.executeLaterMs = number("later");
+            if (number("revoke") != 0)
+                m_store.revokeAll();
+            if (number("compact") != 0)
+                m_store.compact();
+        }
+        if (request.path == "/config") {
+            m_store.put("op/config", configuration(++m_version, number("timeout"), number("extra") != 0));
+            return { { "version", m_version } };
+        }
+        if (request.path == "/order")
+            m_store.put(value("key"), { { "duration_s", 10 } });
+        if (request.path == "/key")
+            return m_store.get(value("key"));
+        if (request.path == "/server") {
+            auto& server = *m_servers.at(static_cast<std::size_t>(number("number")));
+            const auto what = value("do");
+            if (what == "crash")
+                server.crash();
+            if (what == "start")
+                server.start();
+            if (what == "drain")
+                server.drain();
+            if (what == "unlist")
+                server.unlist();
+            if (what == "dark")
+                server.setDark(number("on") != 0);
+            return { { "id", server.id() }, { "running", server.running() } };
+        }
+        auto runs = json::array();
+        for (const auto& run : m_runs)
+            runs.push_back({ { "id", run.id }, { "server", run.server }, { "last", run.lastEvent },
+                { "finished", run.finished } });
+        return { { "runs", runs }, { "calls", m_store.calls() },
+            { "open", m_store.count("yuccachute/open/") }, { "nodes", m_store.count("yuccachute/node/") } };
+    }
+
+    event_loop& m_loop;
+    platform_store m_store;
+    std::int64_t m_version = 3;
+    std::vector<run_record> m_runs;
+    std::vector<std::unique_ptr<model_server>> m_servers;
+    std::unique_ptr<http_listener> m_control;
+};
+
+} // namespace
+
+// Usage: standin-platform STORE CONTROL EVENT-MS SLOTS [ZONE=ADDRESS ...]
+int main(int argc, char** argv)
+{
+    if (argc < 5) {
+        std::cerr << "usage: standin-platform STORE CONTROL EVENT-MS SLOTS [ZONE=ADDRESS ...]\n";
+        return 2;
+    }
+    event_loop loop;
+    platform stand(loop, argv[1], argv[2]);
+    for (int i = 5; i < argc; ++i) {
+        const std::string text = argv[i];
+        const auto equals = text.find('=');
+        stand.addServer(text.substr(0, equals), text.substr(equals + 1),
+            static_cast<unsigned>(std::stoi(argv[4])), milliseconds { std::stoi(argv[3]) });
+    }
+    loop.run();
+    return 0;
+}
--- a/bench/support/harness.cpp
+++ b/bench/support/harness.cpp
@@ -60,7 +60,7 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 2, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_addopen(&actions, 1, "/dev/null", O_WRONLY, 0);
+    posix_spawn_file_actions_adddup2(&actions, 2, 1);
     const int failed
         = posix_spawn(&m_id, (binaries + '/' + program).c_str(), &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -213,7 +213,8 @@
     {
         if (held.openRevision == 0)
             return true; // Finished or ended: it cannot change any more.
-        return bootTime() - m_registration.confirmed() < memoryValidity;
+        return m_checkedGeneration == m_registration.generation()
+            && bootTime() - m_registration.confirmed() < memoryValidity;
     }
 
     void serve(std::shared_ptr<http_exchange> caller, const read_results_call& call)
@@ -538,12 +539,18 @@
         if (m_scanning)
             return;
         m_scanning = true;
-        m_keeper.listOpen([this](result<job_keeper::open_jobs> open) {
-            m_scanning = false;
-            m_nextScan = now() + scanInterval;
-            if (open)
+        m_lastScan = now();
+        m_keeper.listOpen(
+            [this, generation = m_registration.generation()](result<job_keeper::open_jobs> open) {
+                m_scanning = false;
+                m_nextScan = now() + scanInterval;
+                if (!open)
+                    return;
                 compare(open.value());
-        });
+                // A frozen process wakes, registers anew and believes that it holds what another has taken
+                // meanwhile: from here on it knows what it holds under this registration.
+                m_checkedGeneration = generation;
+            });
     }
 
     void compare(const job_keeper::open_jobs& open)
@@ -567,13 +574,17 @@
             else if (!mine && mayTake(job))
                 takeOver(job);
         }
-        for (auto& [id, held] : m_jobs) {
-            const bool missing
-                = held.openRevision != 0 && held.openRevision <= open.revision && !listed.contains(id);
+        for (auto job = m_jobs.begin(); job != m_jobs.end();) {
+            const auto current = job++;
+            const auto& held = current->second;
+            const bool missing = held.openRevision != 0 && held.openRevision <= open.revision
+                && !listed.contains(current->first);
             if (!missing || held.committing)
                 continue; // Its last commit may be what has removed it.
-            logEvent(log_level::info, "job ended elsewhere", { { "job", id } });
-            stopJob(held);
+            // Its caller has ended it, or another process has taken and finished it while this one was
+            // frozen. Only the store knows its results.
+            logEvent(log_level::info, "job finished elsewhere", { { "job", current->first } });
+            dropJob(current);
         }
     }
 
@@ -642,7 +653,8 @@
             commitDue(id, held);
             notifyReaders(held, false);
         }
-        if (time >= m_nextScan)
+        const bool unchecked = m_checkedGeneration != m_registration.generation();
+        if (time >= m_nextScan || (unchecked && time - m_lastScan >= commitRetry))
             scan();
         pump();
         removeOld(time);
@@ -717,6 +729,7 @@
         m_figures.set("yuccachute_place_grants", static_cast<double>(places.grants));
         m_figures.set("yuccachute_jobs", static_cast<double>(m_jobs.size()));
         m_figures.set("yuccachute_item_runs", static_cast<double>(runs()));
+        m_figures.set("yuccachute_log_lines_dropped", static_cast<double>(droppedLogLines()));
         m_figures.set("yuccachute_store_connected", m_fleet.storeConnected() ? 1 : 0);
     }
 
@@ -745,6 +758,8 @@
     std::unique_ptr<http_listener> m_listener;
     std::unique_ptr<http_listener> m_metrics;
     steady_time m_nextScan;
+    steady_time m_lastScan;
+    std::uint64_t m_checkedGeneration = 0; ///< Of the registration at the last look at the open jobs.
     steady_time m_stopAt;
     bool m_scanning = false;
     bool m_leaving = false;
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -38,6 +38,8 @@
     std::vector<std::uint64_t> prefixes; ///< Chained hashes of the prompt's leading blocks.
     std::string avoid; ///< Target that has just failed this request; taken only if there is no other.
     steady_time deadline; ///< Latest useful time of a grant.
+    /// The place is wanted at once or not at all, to look for one elsewhere; the deadline is not looked at.
+    bool atOnce = false;
     /// Longest time for which a grant may be held, should its release be lost; 0 for until the deadline.
     milliseconds hold { 0 };
     steady_time due; ///< Bulk only: when the job is due.
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -204,7 +204,7 @@
                 std::max(wait, leastRetryAfter)));
         return true;
     }
-    if (now + wait > ask.deadline) {
+    if (!ask.atOnce && now + wait > ask.deadline) {
         refuse(ask,
             notRun(failure_kind::overloaded, "the queue is longer than the request's timeout",
                 std::max(wait, leastRetryAfter)));
@@ -225,10 +225,12 @@
     if (ask.workClass == work_class::live)
         m_arrivals.record(now);
     auto& queue = ask.workClass == work_class::live ? m_live : m_bulk;
-    const bool waits = ask.deadline > now;
+    const bool atOnce = ask.atOnce;
+    if (atOnce)
+        ask.deadline = now; // What is not granted by the end of this step has expired.
     queue.push(std::move(ask), now);
     pump(now);
-    if (!waits)
+    if (atOnce)
         refuseExpired(now);
 }
 
@@ -423,8 +425,7 @@
     m_windowFull = false;
 }
 
-/// An ask whose deadline has come waits no longer; one that came with its deadline behind it wants a place at
-/// once or none, to look for one elsewhere.
+/// An ask whose deadline has come waits no longer.
 void target_group::refuseExpired(steady_time now)
 {
     for (const auto& ask : m_live.takeExpired(now))
--- a/libs/dispatch/tests/test_dispatch.cpp
+++ b/libs/dispatch/tests/test_dispatch.cpp
@@ -332,3 +332,23 @@
     CHECK(granted >= 14);
     CHECK(granted <= 15);
 }
+
+// Story: an entry asks its own zone for a place at once, to look in another zone if there is none. Each such
+// ask was refused, because its deadline had passed by the time that it was looked at: requests went from zone
+// to zone and ended in a queue although slots were free.
+TEST_CASE("an ask that wants a place at once gets a free one, or a refusal in the same step")
+{
+    auto group = makeGroup(adaptive_bulk {}, 1, 1);
+    auto first = makeAsk(1);
+    first.atOnce = true;
+    first.deadline = start;
+    group.ask(first, start + 5ms);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 1);
+    auto second = makeAsk(2);
+    second.atOnce = true;
+    group.ask(second, start + 6ms);
+    const auto refused = only<grant_refused>(group.takeDecisions());
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].reason.ran == verdict::not_run);
+    CHECK(group.summary(start + 6ms).liveWaiting == 0);
+}
--- a/libs/fleet/src/registration.cpp
+++ b/libs/fleet/src/registration.cpp
@@ -40,6 +40,7 @@
             return again(std::min(firstPause * m_failures, longestPause), &registration::grant);
         }
         m_failures = 0;
+        ++m_generation;
         m_lease = lease.value();
         write();
     });
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -229,6 +229,7 @@
             "yuccachute_target_connections_opened", static_cast<double>(m_client.connectionsOpened()));
         m_figures.set("yuccachute_configuration_version",
             m_fleet.configuration() ? static_cast<double>(m_fleet.configuration()->version) : 0);
+        m_figures.set("yuccachute_log_lines_dropped", static_cast<double>(droppedLogLines()));
         m_figures.set("yuccachute_store_connected", m_fleet.storeConnected() ? 1 : 0);
         for (const auto& [name, group] : m_broker.summaries(now)) {
             m_figures.set("yuccachute_group_live", group.live);
--- a/libs/logging/include/logging/logging.h
+++ b/libs/logging/include/logging/logging.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -17,10 +18,31 @@
     std::variant<std::string_view, std::int64_t, double> value;
 };
 
-/// Starts logging to standard error, asynchronously, with the program's and the VM's name in each line.
+/// Starts logging to standard output, asynchronously, with the program's and the VM's name in each line.
 void startLogging(std::string_view program, std::string_view vm, log_level least);
 
-/// Writes one line: time, level, program, vm, event and the fields. Does nothing before startLogging().
+/// Lines that were left out, because there were too many of them or nobody read the output. Such lines are
+/// also counted in the log itself.
+std::uint64_t droppedLogLines();
+
+/// Lets so many lines pass in a second. Keeps the volume of the log bounded under load.
+class log_budget {
+public:
+    explicit log_budget(unsigned perSecond)
+        : m_perSecond(perSecond)
+    {
+    }
+    bool take(std::chrono::steady_clock::time_point now);
+
+private:
+    unsigned m_perSecond;
+    unsigned m_used = 0;
+    std::chrono::steady_clock::time_point m_second;
+};
+
+/// Writes one line: time, level, program, vm, event and the fields. Does nothing before startLogging(). At
+/// most some hundred lines a second pass; those of failures have a budget of their own, so that successes,
+/// however many, never displace them.
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
 /// Returns the JSON object of one line without its time, for tests and for logEvent().
--- a/libs/logging/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -5,7 +5,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <atomic>
 #include <memory>
+#include <mutex>
 
 namespace yuccachute {
 
@@ -13,7 +15,24 @@
 
 constexpr std::size_t queuedLines = 8192;
 
+/// Ten times what an entry of today's deployments writes at its peak.
+constexpr unsigned infoLinesPerSecond = 200;
+constexpr unsigned warningLinesPerSecond = 400;
+
 std::shared_ptr<spdlog::logger> processLogger;
+std::mutex budgetMutex;
+log_budget infoBudget { infoLinesPerSecond };
+log_budget warningBudget { warningLinesPerSecond };
+std::atomic<std::uint64_t> overBudget { 0 };
+
+bool withinBudget(log_level level)
+{
+    const std::scoped_lock lock(budgetMutex);
+    auto& budget = level >= log_level::warning ? warningBudget : infoBudget;
+    const bool taken = budget.take(std::chrono::steady_clock::now());
+    overBudget += taken ? 0 : 1;
+    return taken;
+}
 
 spdlog::level::level_enum toLibrary(log_level level)
 {
@@ -35,8 +54,8 @@
 void startLogging(std::string_view program, std::string_view vm, log_level least)
 {
     spdlog::init_thread_pool(queuedLines, 1);
-    auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
-    // A blocked reader of standard error must not hold up requests: the oldest lines are dropped instead.
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    // A blocked reader of standard output must not hold up requests: the oldest lines are dropped instead.
     processLogger = std::make_shared<spdlog::async_logger>(
         "yuccachute", sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     const auto names = nlohmann::json { { "program", program }, { "vm", vm } }.dump();
@@ -57,13 +76,28 @@
 
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    if (!processLogger || !processLogger->should_log(toLibrary(level)))
+    if (!processLogger || !processLogger->should_log(toLibrary(level)) || !withinBudget(level))
         return;
     // The pattern has written the opening brace, the time and the names.
     const auto text = formatEvent(event, fields);
     processLogger->log(toLibrary(level), "{}", text.substr(1));
 }
 
+bool log_budget::take(std::chrono::steady_clock::time_point now)
+{
+    if (now - m_second >= std::chrono::seconds { 1 }) {
+        m_second = now;
+        m_used = 0;
+    }
+    return m_used++ < m_perSecond;
+}
+
+std::uint64_t droppedLogLines()
+{
+    const auto pool = spdlog::thread_pool();
+    return overBudget + (pool ? pool->overrun_counter() : 0);
+}
+
 void stopLogging()
 {
     processLogger.reset();
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -64,6 +64,8 @@
     std::string key;
     std::string value;
     std::int64_t revision = 0; ///< Of its last change.
+
+    bool operator==(const section_entry&) const = default;
 };
 
 /// All keys with a prefix, as of a revision of the store.
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -121,9 +121,13 @@
 {
     if (copy.prefix != m_section.prefix || copy.revision <= m_section.revision)
         return false;
-    logEvent(log_level::info, "copy taken from a peer",
-        { { "prefix", copy.prefix }, { "revision", copy.revision }, { "before", m_section.revision } });
+    const auto before = m_section.revision;
+    const bool changed = m_section.entries != copy.entries;
     m_section = copy;
+    if (!changed)
+        return true; // Only the store's revision is newer.
+    logEvent(log_level::info, "copy taken from a peer",
+        { { "prefix", copy.prefix }, { "revision", copy.revision }, { "before", before } });
     m_changed(*this);
     return true;
 }
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -104,11 +104,10 @@
         auto zones = m_owner->zonesOf(m_request.service);
         std::stable_partition(
             zones.begin(), zones.end(), [&](const auto& zone) { return zone == m_owner->self.zone; });
-        const auto now = std::chrono::steady_clock::now();
         // First for a free place anywhere, the own zone before the others; then in the queue of the zone that
         // expects the shortest wait.
         for (const auto& zone : zones)
-            m_steps.push_back({ zone, now });
+            m_steps.push_back({ zone, std::nullopt });
         if (zones.empty())
             return finish(notRun(failure_kind::unavailable,
                 "service " + m_request.service + " has no targets", milliseconds { 1000 }));
@@ -133,6 +132,11 @@
     void decided(const grant_refused& refused)
     {
         m_askId = 0;
+        if (m_request.workClass == work_class::live)
+            logEvent(log_level::info, "no place",
+                { { "group", m_group }, { "dispatcher", m_dispatcher }, { "reason", refused.reason.message },
+                    { "retry_after_ms", refused.reason.retryAfter.count() },
+                    { "queued", std::int64_t { m_queued } } });
         m_refusal = refused.reason;
         const auto wait = refused.reason.retryAfter;
         if (m_queueZone.empty() || wait < m_shortestWait) {
@@ -142,7 +146,18 @@
         nextStep();
     }
 
-    void acknowledged() { m_timer.cancel(); }
+    /// The ask is in the dispatcher's queue. A dispatcher that is frozen or cut off afterwards would never
+    /// refuse it.
+    void acknowledged()
+    {
+        if (m_dispatcher.empty())
+            return;
+        m_timer.armAt(m_until.value_or(std::chrono::steady_clock::now()) + acknowledgementTimeout,
+            [this, keep = weak_from_this()] {
+                if (keep.lock())
+                    silent();
+            });
+    }
 
     void dispatcherGone(const std::string& address)
     {
@@ -159,7 +174,7 @@
 private:
     struct step {
         std::string zone;
-        steady_time until;
+        std::optional<steady_time> until; ///< Nothing: at once or not at all.
     };
 
     void nextStep()
@@ -212,7 +227,8 @@
         wanted.cost = m_request.cost;
         wanted.prefixes = m_request.prefixes;
         wanted.avoid = m_request.avoid;
-        wanted.deadline = m_until;
+        wanted.atOnce = !m_until;
+        wanted.deadline = m_until.value_or(steady_time {});
         wanted.hold = m_request.hold;
         wanted.due = m_request.due;
         envelope message;
@@ -297,7 +313,7 @@
     std::string m_dispatcher;
     std::string m_queueZone;
     milliseconds m_shortestWait { 0 };
-    steady_time m_until;
+    std::optional<steady_time> m_until;
     std::uint64_t m_askId = 0;
     unsigned m_dispatchersTried = 0;
     std::optional<failure> m_refusal;
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -1,2 +1,202 @@
 #include "places/places.h"
+
 #include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace yuccachute;
+
+namespace {
+
+std::string freeAddress()
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    socklen_t length = sizeof address;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    ::close(fd);
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+/// One entry: its broker, served to its peers.
+class entry final : public peer_handler {
+public:
+    entry(event_loop& loop, std::string vm, std::string zone)
+        : self { std::move(vm), std::move(zone), freeAddress() }
+        , broker(loop, client, self)
+        , server(self.address, rpc_security {}, this, nullptr)
+    {
+    }
+    void sessionOpened(std::uint64_t session, std::function<void(envelope)> send) override
+    {
+        broker.sessionOpened(session, std::move(send));
+    }
+    void sessionReceived(std::uint64_t session, envelope message) override
+    {
+        if (!silent)
+            broker.sessionReceived(session, std::move(message));
+    }
+    void sessionClosed(std::uint64_t session) override { broker.sessionClosed(session); }
+
+    dispatcher_info self;
+    rpc_client client { {} };
+    place_broker broker;
+    std::atomic<bool> silent { false };
+    rpc_server server;
+};
+
+struct fixture {
+    fixture()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto& [id, zone] : { std::pair("ta", "a"), std::pair("tb", "b") })
+            targets[id] = { id, "llm", std::string(id) + ":1", zone, 2, false };
+        for (auto* one : { &a, &b }) {
+            one->broker.setDispatchers({ a.self, b.self });
+            one->broker.setTargets(targets, now);
+        }
+    }
+
+    std::shared_ptr<place_ask> ask(entry& from, work_class workClass = work_class::live, int latestMs = 300)
+    {
+        place_request request;
+        request.service = "llm";
+        request.customer = "c";
+        request.workClass = workClass;
+        request.hold = milliseconds { 5000 };
+        request.latest = std::chrono::steady_clock::now() + milliseconds { latestMs };
+        const auto number = outcomes.size();
+        outcomes.emplace_back();
+        return from.broker.acquire(
+            request, [this, number](result<place> found) { outcomes[number].emplace(std::move(found)); });
+    }
+    void run(int ms = 60) { loop.runFor(milliseconds { ms }); }
+    std::string target(std::size_t number) const
+    {
+        return outcomes[number] && *outcomes[number] ? outcomes[number]->value().target : "";
+    }
+
+    event_loop loop;
+    std::map<std::string, listed_target, std::less<>> targets;
+    entry a { loop, "vm-a", "a" };
+    entry b { loop, "vm-b", "b" };
+    std::vector<std::optional<result<place>>> outcomes;
+};
+
+} // namespace
+
+TEST_CASE("the own zone's free places come first, then other zones', then the queue")
+{
+    fixture f;
+    std::vector<std::shared_ptr<place_ask>> asks;
+    for (int i = 0; i < 4; ++i) {
+        asks.push_back(f.ask(f.a));
+        f.run();
+    }
+    CHECK(f.target(0) == "ta");
+    CHECK(f.target(1) == "ta");
+    CHECK(f.target(2) == "tb");
+    CHECK(f.target(3) == "tb");
+    asks.push_back(f.ask(f.a, work_class::live, 1000));
+    f.run();
+    CHECK(!f.outcomes[4]);
+    f.a.broker.release(f.outcomes[0]->value(), grant_outcome::ok, milliseconds { 1 });
+    f.a.broker.release(f.outcomes[2]->value(), grant_outcome::ok, milliseconds { 1 });
+    f.run();
+    CHECK(!f.target(4).empty());
+}
+
+TEST_CASE("a withdrawn ask takes no place")
+{
+    fixture f;
+    auto first = f.ask(f.a);
+    auto second = f.ask(f.a);
+    auto third = f.ask(f.a);
+    auto fourth = f.ask(f.a);
+    f.run();
+    auto waiting = f.ask(f.a, work_class::live, 1000);
+    f.run(20);
+    waiting.reset();
+    f.run(20);
+    for (int i = 0; i < 4; ++i)
+        f.a.broker.release(
+            f.outcomes[static_cast<std::size_t>(i)]->value(), grant_outcome::ok, milliseconds { 1 });
+    f.run();
+    CHECK(!f.outcomes[4]);
+    auto again = f.ask(f.a);
+    f.run();
+    CHECK(f.target(5) == "ta");
+}
+
+// Story: the entry that is dispatcher of another zone's targets is frozen; callers waited for it.
+TEST_CASE("a silent dispatcher is left after a moment")
+{
+    fixture f;
+    auto first = f.ask(f.a);
+    auto second = f.ask(f.a);
+    f.run();
+    f.b.silent = true;
+    auto third = f.ask(f.a);
+    f.run(120);
+    // The other entry takes over as dispatcher of that zone.
+    CHECK(f.target(2) == "tb");
+    CHECK(f.a.broker.figures().silentDispatchers == 1);
+}
+
+// Story: a dispatcher takes an ask into its queue and is frozen then; its caller waited until its own
+// deadline, though places were free elsewhere.
+TEST_CASE("an ask in the queue of a dispatcher that falls silent is not forgotten")
+{
+    fixture f;
+    std::vector<std::shared_ptr<place_ask>> asks;
+    for (int i = 0; i < 4; ++i) {
+        asks.push_back(f.ask(f.b));
+        f.run();
+    }
+    asks.push_back(f.ask(f.b, work_class::live, 150));
+    f.run(40);
+    f.a.silent = true;
+    f.b.silent = true;
+    f.run(400);
+    REQUIRE(f.outcomes[4]);
+    CHECK(!*f.outcomes[4]);
+}
+
+TEST_CASE("a bulk place is asked back when live requests need it")
+{
+    fixture f;
+    f.targets.erase("tb");
+    f.targets.at("ta").slots = 8;
+    for (auto* one : { &f.a, &f.b })
+        one->broker.setTargets(f.targets, std::chrono::steady_clock::now());
+    auto bulk = f.ask(f.b, work_class::bulk);
+    f.run();
+    REQUIRE(f.target(0) == "ta");
+    bool revoked = false;
+    f.b.broker.onRevoked(f.outcomes[0]->value(), [&] { revoked = true; });
+    std::vector<std::shared_ptr<place_ask>> live;
+    for (int i = 0; i < 7; ++i)
+        live.push_back(f.ask(f.a));
+    f.run();
+    CHECK(f.target(7) == "ta");
+    CHECK(!revoked);
+    live.push_back(f.ask(f.a));
+    f.run();
+    CHECK(f.target(8) == "ta");
+    CHECK(revoked);
+}
+
+TEST_CASE("dispatchers of a zone come first, in an order that all processes agree on")
+{
+    const std::vector<dispatcher_info> some { { "x", "a", "1" }, { "y", "b", "2" }, { "z", "b", "3" } };
+    const std::vector<dispatcher_info> others { some[2], some[0], some[1] };
+    const auto ranked = rankDispatchers("llm/b/0", "b", some);
+    CHECK(ranked[2].vm == "x");
+    CHECK(ranked[0].vm == rankDispatchers("llm/b/0", "b", others)[0].vm);
+}
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -28,6 +28,7 @@
     out.set_wait_ms(static_cast<std::uint32_t>(millisecondsUntil(ask.deadline, now)));
     out.set_due_in_ms(millisecondsUntil(ask.due, now));
     out.set_hold_ms(static_cast<std::uint32_t>(ask.hold.count()));
+    out.set_at_once(ask.atOnce);
 }
 
 ask_message fromWire(const peer::Ask& in, steady_time now)
@@ -45,6 +46,7 @@
     ask.avoid = in.avoid();
     ask.deadline = now + milliseconds { in.wait_ms() };
     ask.hold = milliseconds { in.hold_ms() };
+    ask.atOnce = in.at_once();
     ask.due = now + milliseconds { static_cast<std::int64_t>(in.due_in_ms()) };
     return message;
 }
--- /dev/null
+++ b/tests/failures_platform.cpp
@@ -0,0 +1,545 @@
+#include "harness.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <thread>
+
+using namespace yuccachute;
+using namespace yuccachute::testing;
+using nlohmann::json;
+
+namespace {
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string base64Of(const std::string& text)
+{
+    // Bodies of these tests have a length that needs no padding.
+    static const std::string digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string encoded;
+    for (std::size_t i = 0; i + 2 < text.size(); i += 3) {
+        const unsigned bits = static_cast<unsigned char>(text[i]) << 16
+            | static_cast<unsigned char>(text[i + 1]) << 8 | static_cast<unsigned char>(text[i + 2]);
+        for (int shift = 18; shift >= 0; shift -= 6)
+            encoded += digits[bits >> shift & 63];
+    }
+    return encoded;
+}
+
+/// Entries and batch processes on the stand-in of the platform, two zones, two servers a zone.
+class platform_system {
+public:
+    explicit platform_system(int eventMs = 5, int slots = 4)
+        : m_folder(std::filesystem::temp_directory_path()
+            / ("yuccachute-platform-" + std::to_string(::getpid()) + "-" + std::to_string(++made)))
+    {
+        std::filesystem::create_directories(m_folder);
+        std::vector<std::string> arguments { local(m_store), local(m_control), std::to_string(eventMs),
+            std::to_string(slots) };
+        for (const char* zone : { "a", "b" }) {
+            for (int i = 0; i < 2; ++i)
+                arguments.push_back(std::string(zone) + "=" + local(freePort()));
+        }
+        m_platform
+            = std::make_unique<child_process>("standin-platform", arguments, m_folder / "platform.log");
+        waitUntil(
+            "the platform", [&] { return bool(tryControl("/runs")); }, std::chrono::seconds { 10 });
+        for (const char* name : { "entry-a-1", "entry-a-2", "entry-b-1" })
+            entries[name] = { freePort(), freePort(), freePort(), freePort(), nullptr };
+        for (const char* name : { "batch-a-1", "batch-b-1" })
+            batches[name] = { 0, 0, 0, freePort(), nullptr };
+        for (const auto& [name, process] : entries)
+            startEntry(name);
+        for (const auto& [name, process] : batches)
+            startBatch(name);
+        for (const auto& [name, process] : entries)
+            waitReady(name);
+        waitUntil("all processes are registered", [&] { return control("/runs")["nodes"] == 5; });
+    }
+    ~platform_system()
+    {
+        entries.clear();
+        batches.clear();
+        m_platform.reset();
+        if (std::uncaught_exceptions() == 0 && !std::getenv("YUCCACHUTE_KEEP_LOGS"))
+            std::filesystem::remove_all(m_folder);
+    }
+
+    struct process {
+        std::uint16_t callers = 0;
+        std::uint16_t readiness = 0;
+        std::uint16_t control = 0;
+        std::uint16_t inner = 0;
+        std::unique_ptr<child_process> running;
+    };
+
+    void startEntry(const std::string& name)
+    {
+        auto& one = entries.at(name);
+        write(name, one, true);
+        one.running = std::make_unique<child_process>("yuccachute-platform-entry",
+            std::vector<std::string> { "--config", m_folder / (name + ".ini") }, m_folder / (name + ".log"));
+    }
+    void startBatch(const std::string& name)
+    {
+        auto& one = batches.at(name);
+        write(name, one, false);
+        one.running = std::make_unique<child_process>("yuccachute-platform-batch",
+            std::vector<std::string> { "--config", m_folder / (name + ".ini") }, m_folder / (name + ".log"));
+    }
+    bool ready(const std::string& name)
+    {
+        const auto reply = call(entries.at(name).readiness, "GET", "/readyz", {}, "", milliseconds { 1000 });
+        return reply && reply.value().status == 200;
+    }
+    void waitReady(const std::string& name)
+    {
+        waitUntil(name + " is ready", [&] { return ready(name); });
+    }
+
+    json control(const std::string& path) { return json::parse(tryControl(path).value().body); }
+
+    result<http_reply> call(std::uint16_t port, const std::string& method, const std::string& target,
+        http_headers headers, std::string body, milliseconds limit = milliseconds { 8000 })
+    {
+        http_request request;
+        request.method = method;
+        request.target = target;
+        request.headers = std::move(headers);
+        request.headers.emplace_back("Host", "test.example");
+        request.body = std::move(body);
+        http_call_options options;
+        options.deadline = std::chrono::steady_clock::now() + limit;
+        return httpCall(local(port), request, options);
+    }
+
+    static http_headers requestHeaders(const std::string& id, int events = 0)
+    {
+        return { { "Yuccachute-Request-Id", id }, { "Yuccachute-Deadline-Ms", "5000" },
+            { "Yuccachute-Token-Count", "100," + std::to_string(events) },
+            { "Yuccachute-Prompt-Prefix", "ab:50,cd:50" } };
+    }
+
+    result<http_reply> stream(
+        const std::string& entry, const std::string& route, const std::string& id, int events)
+    {
+        return call(
+            entries.at(entry).callers, "POST", "/" + route + "/x", requestHeaders(id, events), "prompt");
+    }
+    result<http_reply> plain(const std::string& entry, const std::string& route, const std::string& id)
+    {
+        return call(entries.at(entry).callers, "GET", "/" + route + "/x", requestHeaders(id), "");
+    }
+
+    static std::string wholeStream(const std::string& id, int events)
+    {
+        std::string text;
+        for (int i = 1; i <= events; ++i)
+            text += "id: " + std::to_string(i) + "\ndata: " + id + "-" + std::to_string(i) + "\n\n";
+        return text;
+    }
+
+    /// Submits a job as its callers do: again and again, until it is accepted.
+    unsigned submit(const std::string& entry, const std::string& id, int items, int events)
+    {
+        auto list = json::array();
+        for (int i = 0; i < items; ++i)
+            list.push_back({ { "id", id + "-" + std::to_string(i) }, { "path", "/jobs/1" },
+                { "headers", { { "Yuccachute-Token-Count", "100," + std::to_string(events) } } },
+                { "body", base64Of("abc" + std::to_string(100 + i)) }, { "tokens", 100 + events } });
+        const auto reply = call(entries.at(entry).callers, "POST", "/jobs/1", requestHeaders(id),
+            json { { "items", list } }.dump());
+        return reply ? reply.value().status : 0;
+    }
+    std::optional<json> results(const std::string& entry, const std::string& id, std::size_t after = 0)
+    {
+        const auto reply = call(entries.at(entry).callers, "GET",
+            "/lots/" + id + "?after=" + std::to_string(after), { { "Yuccachute-Wait-Ms", "300" } }, "");
+        if (!reply || reply.value().status != 200)
+            return std::nullopt;
+        return json::parse(reply.value().body);
+    }
+    /// Waits for all results and checks that positions never change while they come.
+    json allResults(const std::string& entry, const std::string& id, std::size_t items)
+    {
+        json known = json::array();
+        waitUntil("the results of " + id, [&] {
+            const auto page = results(entry, id);
+            if (!page)
+                return false;
+            REQUIRE((*page)["total"] == items);
+            const auto& listed = (*page)["results"];
+            for (std::size_t i = 0; i < std::min(known.size(), listed.size()); ++i)
+                REQUIRE(known[i] == listed[i]);
+            if (listed.size() > known.size())
+                known = listed;
+            return known.size() == items;
+        });
+        std::set<std::string> ids;
+        for (const auto& entryOf : known)
+            REQUIRE(ids.insert(entryOf["id"]).second);
+        return known;
+    }
+    /// Runs of a request or item, as its servers saw them.
+    std::vector<json> runsOf(const std::string& id)
+    {
+        std::vector<json> found;
+        const auto all = control("/runs");
+        for (const auto& run : all["runs"]) {
+            if (run["id"] == id)
+                found.push_back(run);
+        }
+        return found;
+    }
+
+    /// Whether the VM is reported to be empty.
+    bool reported(const std::string& vm)
+    {
+        const auto status = control("/key?key=status/retire/" + vm);
+        return status.is_object() && status["state"] == "done";
+    }
+
+    std::string logOf(const std::string& name) const
+    {
+        std::ifstream file(m_folder / (name + ".log"));
+        return { std::istreambuf_iterator<char>(file), {} };
+    }
+
+    std::map<std::string, process> entries;
+    std::map<std::string, process> batches;
+
+private:
+    result<http_reply> tryControl(const std::string& path)
+    {
+        return call(m_control, "GET", path, {}, "", milliseconds { 2000 });
+    }
+
+    void write(const std::string& name, const process& one, bool entry) const
+    {
+        std::ofstream file(m_folder / (name + ".ini"));
+        file << "[process]\nvm = " << name << "\nzone = " << name.substr(6, 1)
+             << "\naddress = 127.0.0.1\ngrace_ms = 6000\n[listen]\n";
+        if (entry)
+            file << "callers = " << local(one.callers) << "\nreadiness = " << local(one.readiness)
+                 << "\ncontrol = " << local(one.control) << "\n";
+        file << "first_inner_port = " << one.inner << "\nlast_inner_port = " << one.inner
+             << "\n[peers]\nseeds = " << local(entries.begin()->second.control)
+             << "\n[store]\naddress = " << local(m_store)
+             << "\n[limits]\nmemory_mb = 100\ndescriptors = 1000\n";
+    }
+
+    static inline int made = 0;
+    std::filesystem::path m_folder;
+    std::uint16_t m_store = freePort();
+    std::uint16_t m_control = freePort();
+    std::unique_ptr<child_process> m_platform;
+};
+
+} // namespace
+
+TEST_CASE("streams, plain requests and jobs are served whole")
+{
+    platform_system system;
+    for (const auto& [name, process] : system.entries) {
+        const auto streamed = system.stream(name, "resumable", "s-" + name, 20);
+        REQUIRE(streamed);
+        CHECK(streamed.value().body == platform_system::wholeStream("s-" + name, 20));
+        CHECK(!findHeader(streamed.value().headers, "Yuccachute-Server-Seal").empty());
+        CHECK(system.plain(name, "plain", "p-" + name).value().body == "plain p-" + name);
+        CHECK(system.plain(name, "nowhere", "n-" + name).value().status == 404);
+        CHECK(system.runsOf("s-" + name).size() == 1);
+    }
+    CHECK(system.submit("entry-a-1", "job", 6, 30) == 202);
+    CHECK(system.submit("entry-b-1", "job", 6, 30) == 202);
+    const auto listed = system.allResults("entry-a-2", "job", 6);
+    for (const auto& entry : listed) {
+        CHECK(entry["state"] == "done");
+        const std::string id = entry["id"];
+        CHECK(entry["text"].get<std::string>().starts_with(id + "-1\n" + id + "-2\n"));
+        CHECK(entry["text"].get<std::string>().ends_with(id + "-30"));
+    }
+    CHECK(
+        system.call(system.entries.at("entry-b-1").callers, "GET", "/items/job?id=job-3", {}, "").value().body
+        == "abc103");
+    CHECK(system.call(system.entries.at("entry-b-1").callers, "GET", "/lots/nobody?after=0", {}, "")
+              .value()
+              .status
+        == 404);
+    const auto logged = system.logOf("entry-a-1");
+    CHECK(logged.find("\"request_id\":\"s-entry-a-1\"") != std::string::npos);
+}
+
+// Story: a server dies while it streams to callers. Streams that may be resumed must reach their end without
+// a gap, those that may not must not run a second time, and their callers must not take half an answer for a
+// whole one.
+TEST_CASE("a killed server loses no resumable stream and doubles no other")
+{
+    platform_system system(10, 8);
+    std::atomic<int> wholeStreams { 0 };
+    std::atomic<int> cutOnes { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.emplace_back([&, i] {
+            const auto id = "k-" + std::to_string(i);
+            const auto route = i % 2 == 0 ? "resumable" : "once";
+            const auto reply = system.stream(i % 3 == 0 ? "entry-a-1" : "entry-b-1", route, id, 60);
+            const bool whole = reply && reply.value().body == platform_system::wholeStream(id, 60);
+            if (i % 2 == 0)
+                wholeStreams += whole ? 1 : 0;
+            else
+                cutOnes += !whole && reply && reply.value().status == 200 ? 1 : 0;
+        });
+    }
+    std::this_thread::sleep_for(milliseconds { 250 });
+    system.control("/server?number=0&do=crash");
+    system.control("/server?number=2&do=crash");
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(wholeStreams == 6);
+    CHECK(cutOnes == 0);
+    for (int i = 1; i < 12; i += 2)
+        CHECK(system.runsOf("k-" + std::to_string(i)).size() == 1);
+}
+
+// Story: a server goes dark: it accepts connections and says nothing. Callers waited until their deadline.
+TEST_CASE("a dark server costs its callers a fraction of their objective")
+{
+    platform_system system;
+    system.control("/server?number=0&do=dark&on=1");
+    for (int i = 0; i < 8; ++i) {
+        const auto id = "d-" + std::to_string(i);
+        const auto begun = std::chrono::steady_clock::now();
+        const auto reply = system.stream("entry-a-1", "resumable", id, 5);
+        const auto took = std::chrono::steady_clock::now() - begun;
+        REQUIRE(reply);
+        CHECK(reply.value().body == platform_system::wholeStream(id, 5));
+        CHECK(took < milliseconds { 600 });
+    }
+}
+
+// Story: the entry that is dispatcher of a zone is killed; requests of the other entries waited for it, or
+// were refused although servers were free.
+TEST_CASE("a killed dispatcher costs the other entries nothing but a moment")
+{
+    platform_system system;
+    std::atomic<int> failed { 0 };
+    std::atomic<bool> stop { false };
+    std::vector<std::thread> callers;
+    for (int c = 0; c < 3; ++c) {
+        callers.emplace_back([&, c] {
+            for (int i = 0; !stop; ++i) {
+                const auto id = "q-" + std::to_string(c) + "-" + std::to_string(i);
+                const auto reply = system.stream("entry-b-1", "resumable", id, 5);
+                const bool whole = reply && reply.value().body == platform_system::wholeStream(id, 5);
+                failed += whole ? 0 : 1;
+                if (!whole)
+                    std::fprintf(stderr, "%s: %s\n", id.c_str(),
+                        (reply ? std::to_string(reply.value().status) + reply.value().body : reply.error().message).c_str());
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds { 300 });
+    system.entries.at("entry-a-1").running->signal(SIGKILL);
+    std::this_thread::sleep_for(milliseconds { 300 });
+    system.entries.at("entry-a-2").running->signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds { 700 });
+    stop = true;
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(failed == 0);
+    system.entries.at("entry-a-2").running->signal(SIGCONT);
+}
+
+// Story: a store machine is lost right after it has acknowledged a job; the job was never run, or was listed
+// twice.
+TEST_CASE("a job outlives the process that accepted it, and each result keeps its place")
+{
+    platform_system system(10);
+    REQUIRE(system.submit("entry-a-1", "lost", 8, 40) == 202);
+    for (const auto& [name, process] : system.batches) {
+        if (system.logOf(name).find("\"event\":\"job accepted\",\"job\":\"lost\"") != std::string::npos)
+            process.running->signal(SIGKILL);
+    }
+    for (const auto& entry : system.allResults("entry-b-1", "lost", 8))
+        CHECK(entry["state"] == "done");
+    CHECK(system.control("/runs")["open"] == 0);
+}
+
+// Story: the holder of a job is frozen for seconds and wakes with its belief unchanged; meanwhile another has
+// listed results. The first lists its own over them.
+TEST_CASE("a frozen holder that wakes changes no position")
+{
+    platform_system system(10);
+    REQUIRE(system.submit("entry-a-1", "frozen", 8, 60) == 202);
+    child_process* holder = nullptr;
+    for (const auto& [name, process] : system.batches) {
+        if (system.logOf(name).find("\"event\":\"job accepted\",\"job\":\"frozen\"") != std::string::npos)
+            holder = process.running.get();
+    }
+    REQUIRE(holder);
+    holder->signal(SIGSTOP);
+    const auto listed = system.allResults("entry-b-1", "frozen", 8);
+    holder->signal(SIGCONT);
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    for (const auto& [name, process] : system.entries) {
+        const auto page = system.results(name, "frozen");
+        REQUIRE(page);
+        CHECK((*page)["results"].size() == listed.size());
+        CHECK(((*page)["results"] == listed)); // Both texts would fill the screen.
+    }
+}
+
+// Story: the store is away for seconds. Live callers must not notice; a job is refused, or its outcome
+// unknown, but never refused and run all the same.
+TEST_CASE("an outage of the store stops no live request and makes no refusal false")
+{
+    platform_system system;
+    REQUIRE(system.submit("entry-a-1", "before", 4, 20) == 202);
+    system.control("/store?down=1&lapse=1");
+    std::this_thread::sleep_for(milliseconds { 300 });
+    for (int i = 0; i < 10; ++i) {
+        const auto id = "o-" + std::to_string(i);
+        const auto reply = system.stream("entry-a-1", "resumable", id, 5);
+        CHECK((reply && reply.value().body == platform_system::wholeStream(id, 5)));
+        std::this_thread::sleep_for(milliseconds { 200 });
+    }
+    const auto status = system.submit("entry-b-1", "during", 2, 5);
+    CHECK((status == 502 || status == 503));
+    system.control("/store?down=0");
+    system.allResults("entry-a-2", "before", 4);
+    // A new process finds its way once the store is back; a job that was not accepted is accepted now.
+    waitUntil("the job is accepted", [&] { return system.submit("entry-b-1", "during", 2, 5) == 202; });
+    system.allResults("entry-a-2", "during", 2);
+}
+
+// Story: answers of the store are lost and calls executed seconds later; a caller sends its job again and
+// again. It must be accepted once and listed once.
+TEST_CASE("lost answers and late calls accept and list everything once")
+{
+    platform_system system;
+    system.control("/store?lose_percent=40&later=700");
+    for (int i = 0; i < 3; ++i) {
+        const auto id = "late-" + std::to_string(i);
+        waitUntil("the job is accepted", [&] { return system.submit("entry-a-1", id, 3, 10) == 202; });
+    }
+    for (int i = 0; i < 3; ++i)
+        system.allResults("entry-b-1", "late-" + std::to_string(i), 3);
+    system.control("/store?lose_percent=0");
+    for (int i = 0; i < 3; ++i)
+        system.allResults("entry-a-2", "late-" + std::to_string(i), 3);
+}
+
+// Story: an operator changes a route; an entry that the store turns away, or one that has just started, goes
+// on with the old configuration.
+TEST_CASE("a configuration is in force everywhere soon, and never goes back")
+{
+    platform_system system;
+    system.control("/config?timeout=5000&extra=1");
+    for (const auto& [name, process] : system.entries)
+        waitUntil(
+            "the new route at " + name,
+            [&] { return system.plain(name, "extra", "c-" + name).value().status == 200; },
+            std::chrono::seconds { 2 });
+    system.control("/store?down=1");
+    // A process that starts without the store learns the configuration from its peers.
+    system.entries.at("entry-b-1").running.reset();
+    system.startEntry("entry-b-1");
+    system.waitReady("entry-b-1");
+    CHECK(system.plain("entry-b-1", "extra", "peer").value().status == 200);
+    system.control("/store?down=0");
+    system.control("/store?compact=1");
+    system.control("/config?timeout=5000&extra=0");
+    for (const auto& [name, process] : system.entries)
+        waitUntil(
+            "the route is gone at " + name,
+            [&] { return system.plain(name, "extra", "g-" + name).value().status == 404; },
+            std::chrono::seconds { 3 });
+}
+
+// Story: an entry is stopped while it streams. Its callers got cut answers, or new ones were turned away
+// before the platform had taken it out.
+TEST_CASE("a stopped entry finishes what it has begun and still takes what comes")
+{
+    platform_system system(20);
+    std::atomic<bool> whole { false };
+    std::thread caller([&] {
+        const auto reply = system.stream("entry-a-1", "once", "stop", 100);
+        whole = reply && reply.value().body == platform_system::wholeStream("stop", 100);
+    });
+    std::this_thread::sleep_for(milliseconds { 300 });
+    auto& process = *system.entries.at("entry-a-1").running;
+    process.signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds { 200 });
+    CHECK(!system.ready("entry-a-1"));
+    CHECK(system.plain("entry-a-1", "plain", "late").value().status == 200);
+    caller.join();
+    CHECK(whole);
+    CHECK(process.wait() == 0);
+}
+
+// Story: a server announces that it leaves, or its entry vanishes; requests that reach it later are lost when
+// it goes.
+TEST_CASE("a leaving server gets nothing new at once")
+{
+    platform_system system;
+    const std::string drained = system.control("/server?number=0&do=drain")["id"];
+    const std::string unlisted = system.control("/server?number=3&do=unlist")["id"];
+    std::this_thread::sleep_for(milliseconds { 300 });
+    const auto before = system.control("/runs")["runs"].size();
+    for (int i = 0; i < 20; ++i)
+        REQUIRE(
+            system.stream(i % 2 == 0 ? "entry-a-1" : "entry-b-1", "resumable", "v-" + std::to_string(i), 3));
+    const auto runs = system.control("/runs")["runs"];
+    REQUIRE(runs.size() == before + 20);
+    for (std::size_t i = before; i < runs.size(); ++i) {
+        CHECK(runs[i]["server"] != drained);
+        CHECK(runs[i]["server"] != unlisted);
+    }
+}
+
+// Story: an operator orders a machine to be emptied; the order is never answered when its process is dead.
+TEST_CASE("an order to empty a machine is answered, also for a dead one")
+{
+    platform_system system(10);
+    REQUIRE(system.submit("entry-a-1", "moved", 6, 60) == 202);
+    system.control("/order?key=op/retire/batch-a-1");
+    waitUntil(
+        "the machine reports that it is empty",
+        [&] { return system.reported("batch-a-1"); },
+        std::chrono::seconds { 4 });
+    system.allResults("entry-b-1", "moved", 6);
+    system.batches.at("batch-a-1").running->signal(SIGKILL);
+    system.startBatch("batch-a-1");
+    system.batches.at("batch-b-1").running->signal(SIGKILL);
+    system.control("/order?key=op/retire/batch-b-1");
+    waitUntil(
+        "another process reports for the dead one",
+        [&] { return system.reported("batch-b-1"); },
+        std::chrono::seconds { 10 });
+}
+
+// Story: a caller ends its job and is told so; items of it still start seconds later.
+TEST_CASE("an ended job stops, whichever entry is asked")
+{
+    platform_system system(20);
+    REQUIRE(system.submit("entry-a-1", "ended", 12, 200) == 202);
+    waitUntil("items run", [&] { return !system.runsOf("ended-0").empty(); });
+    const auto target = system.entries.at("entry-b-1").callers;
+    CHECK(system.call(target, "DELETE", "/lots/ended", {}, "").value().status == 200);
+    CHECK(system.call(target, "DELETE", "/lots/ended", {}, "").value().status == 200);
+    std::this_thread::sleep_for(milliseconds { 300 });
+    const auto before = system.control("/runs")["runs"].size();
+    std::this_thread::sleep_for(milliseconds { 800 });
+    CHECK(system.control("/runs")["runs"].size() == before);
+    for (int number = 0; number < 4; ++number)
+        CHECK(system.control("/server?do=none&number=" + std::to_string(number))["running"] == 0);
+}
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -19,7 +19,7 @@
 start() { # start NAME PROGRAM ARGUMENTS...
     local name=$1
     shift
-    "$@" 2>"$work/$name.log" &
+    "$@" >"$work/$name.log" 2>&1 &
     pids+=($!)
     eval "pid_${name//-/_}=$!"
 }
