Fewer calls of the store, and items in the order in which they can still be on time

Change: a call on a job that is not held here asks for its holder alone, answers from memory if nobody else has taken it, and the entry remembers where it was sent; waits pause 150 ms after a change; results wait 0.9 s for each other unless they are nearly due; a job whose next item can only be late, by the mean run, goes last.

--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -99,11 +99,13 @@
     std::size_t groups() const { return m_groups; }
     bool complete() const { return m_listed.size() == m_record.items.size(); }
 
-    /// The next item to run, or nothing. Items that have begun come first: they are nearest to their end.
+    /// The next item to run, or nothing: the one that has come furthest.
     std::optional<bulk_start> next();
     /// Items that wait to be run.
     std::size_t waiting() const { return m_waiting.size(); }
     std::size_t running() const { return m_running; }
+    /// Events that the next item to run has already.
+    std::size_t nextProgress() const;
 
     /// An event of a running item has arrived. Returns false if it does not follow its predecessor.
     bool event(std::uint32_t index, std::optional<std::uint64_t> id, std::string data);
@@ -131,6 +133,8 @@
     };
 
     void settle(std::uint32_t index, bool done, steady_time now);
+    /// The waiting item that is nearest to its end.
+    std::deque<std::uint32_t>::const_iterator furthest() const;
 
     bulk_record m_record;
     bulk_limits m_limits;
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -36,7 +36,6 @@
 void bulk_job::committed(const bulk_result_group& group)
 {
     ++m_groups;
-    m_committing.reset();
     for (const auto& entry : group.results) {
         if (entry.index >= m_items.size())
             continue; // Cannot be: groups are written by holders of the same record.
@@ -45,15 +44,26 @@
         std::erase_if(m_finished, [&](const auto& finished) { return finished.index == entry.index; });
         m_listed.push_back(entry);
     }
+    m_committing.reset(); // Last: it may be what the caller has passed.
+}
+
+std::deque<std::uint32_t>::const_iterator bulk_job::furthest() const
+{
+    return std::max_element(m_waiting.begin(), m_waiting.end(), [&](std::uint32_t left, std::uint32_t right) {
+        return m_items[left].events.size() < m_items[right].events.size();
+    });
+}
+
+std::size_t bulk_job::nextProgress() const
+{
+    return m_waiting.empty() ? 0 : m_items[*furthest()].events.size();
 }
 
 std::optional<bulk_start> bulk_job::next()
 {
     if (m_waiting.empty())
         return std::nullopt;
-    const auto begun = std::find_if(m_waiting.begin(), m_waiting.end(),
-        [&](std::uint32_t index) { return m_items[index].lastEvent.has_value(); });
-    const auto chosen = begun != m_waiting.end() ? begun : m_waiting.begin();
+    const auto chosen = furthest();
     const auto index = *chosen;
     m_waiting.erase(chosen);
     m_items[index].running = true;
--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -120,6 +120,9 @@
     void create(const bulk_record& record, callback<creation> done);
     /// Reads a job; fails with not_found only if the store has just said that there is none.
     void load(const std::string& id, callback<stored_job> done);
+    /// Who holds an unfinished job, and since which revision; nothing if the job is finished, ended or not
+    /// there.
+    void holderOf(const std::string& id, callback<std::optional<open_job>> done);
     /// Takes a job whose holder has gone; reports the new revision of open/ID, or 0 if somebody else was
     /// first.
     void take(const open_job& job, callback<std::int64_t> done);
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -16,11 +16,14 @@
 
 constexpr milliseconds tickInterval { 50 };
 /// Results are committed together: each commit is a priced call, and a caller asks twice a second.
-constexpr milliseconds commitAge { 300 };
+constexpr milliseconds commitAge { 900 };
+/// Shortly before it is due a job's results are committed sooner.
+constexpr milliseconds commitAgeWhenDue { 150 };
+constexpr milliseconds nearlyDue { 3000 };
 constexpr milliseconds commitRetry { 200 };
 /// The list of open jobs is looked through so often: it finds jobs whose holder has gone, and jobs that were
 /// ended elsewhere, which must stop within three seconds.
-constexpr milliseconds scanInterval { 1500 };
+constexpr milliseconds scanInterval { 2000 };
 /// Own results may be told from memory so long after a renewal of the registration that the store confirmed:
 /// if another process had taken the job since, its results could not be older than that.
 constexpr milliseconds memoryValidity { 1000 };
@@ -29,8 +32,10 @@
 constexpr milliseconds retryAfter { 500 };
 /// Runs and asks for places at once; each costs a few kilobytes.
 constexpr std::size_t mostRuns = 160;
-/// An item takes about five seconds on a full target; what is due sooner than this cannot be on time.
-constexpr milliseconds shortestRun { 2500 };
+/// What a run takes until some have been seen: a few hundred events, 20 ms each.
+constexpr double firstMeanRunMs = 4000;
+constexpr double firstMeanEventMs = 20;
+
 constexpr milliseconds stopPoll { 20 };
 constexpr milliseconds endMargin { 1000 };
 constexpr std::size_t keptPerTarget = 24;
@@ -74,6 +79,12 @@
     bool ended = false; ///< By its caller.
 };
 
+/// What is seen of one run, for the mean of them.
+struct run_figures {
+    steady_time begun; ///< First event.
+    std::size_t events = 0;
+};
+
 class bulk_process {
 public:
     bulk_process(const process_settings& settings, const bulk_adapter& adapter,
@@ -247,24 +258,44 @@
             });
     }
 
-    /// Reads a job that is not held here. A caller whose job another live process holds is sent there.
-    void withStored(std::shared_ptr<http_exchange> caller, const std::string& id,
-        std::function<void(http_exchange&, const bulk_job&)> use)
+    using job_reader = std::function<void(http_exchange&, const bulk_job&)>;
+
+    /// Answers from the store what this process does not know, or cannot be sure of.
+    void withStored(std::shared_ptr<http_exchange> caller, const std::string& id, job_reader use)
+    {
+        m_keeper.holderOf(
+            id, [this, caller, id, use = std::move(use)](result<std::optional<job_keeper::open_job>> open) {
+                if (!open)
+                    return answer(*caller, open.error());
+                const auto known = m_jobs.find(id);
+                const bool stillHeld = open.value() && known != m_jobs.end()
+                    && known->second.openRevision == open.value()->revision;
+                if (stillHeld) // Nobody else can have committed anything.
+                    return use(*caller, *known->second.job);
+                const auto address = open.value() ? liveHolder(open.value()->holder) : std::string();
+                if (!address.empty())
+                    return caller->send({ 503, { { std::string(holderHeader), address } }, "" });
+                loadFor(caller, id, use);
+            });
+    }
+
+    /// Address of another process that holds a job, if it lives.
+    std::string liveHolder(const bulk_holder& holder) const
+    {
+        for (const auto& node : m_fleet.registered(node_role::batch)) {
+            if (node.vm == holder.vm && node.incarnation == holder.incarnation && node.vm != m_self.vm)
+                return node.address;
+        }
+        return {};
+    }
+
+    void loadFor(std::shared_ptr<http_exchange> caller, const std::string& id, job_reader use)
     {
-        m_keeper.load(id, [this, caller, use = std::move(use)](result<job_keeper::stored_job> stored) {
+        m_keeper.load(id, [this, caller, id, use = std::move(use)](result<job_keeper::stored_job> stored) {
             if (!stored)
                 return answer(*caller, stored.error());
-            auto& job = stored.value();
-            if (job.holder) {
-                for (const auto& node : m_fleet.registered(node_role::batch)) {
-                    if (node.vm == job.holder->vm && node.incarnation == job.holder->incarnation
-                        && node.vm != m_self.vm)
-                        return caller->send({ 503, { { std::string(holderHeader), node.address } }, "" });
-                }
-            }
-            const bool final = !job.holder;
-            const auto id = job.record.id;
-            auto made = build(std::move(job));
+            const bool final = !stored.value().holder;
+            auto made = build(std::move(stored.value()));
             use(*caller, *made.job);
             // What is final is kept: it will be asked for again.
             if (final)
@@ -413,11 +444,10 @@
             if (held.openRevision != 0 && !held.ended && held.job->waiting() > 0)
                 order.push_back(&held);
         }
-        const auto hopeless
-            = [time = now()](const held_job& held) { return held.job->due() < time + shortestRun; };
-        std::sort(order.begin(), order.end(), [&](const auto* left, const auto* right) {
-            if (hopeless(*left) != hopeless(*right))
-                return hopeless(*right);
+        std::sort(order.begin(), order.end(), [this, time = now()](const auto* left, const auto* right) {
+            const bool leftHopeless = hopeless(*left->job, time);
+            if (leftHopeless != hopeless(*right->job, time))
+                return !leftHopeless;
             return left->job->due() < right->job->due();
         });
         auto running = runs();
@@ -427,6 +457,24 @@
         }
     }
 
+    /// Whether the job's next item can only be late, by what items have taken lately.
+    bool hopeless(const bulk_job& job, steady_time time) const
+    {
+        const double left = m_meanRunMs - static_cast<double>(job.nextProgress()) * m_meanEventMs;
+        return job.due() < time + milliseconds { static_cast<std::int64_t>(std::max(0.0, left)) };
+    }
+
+    /// Follows how long an undisturbed run takes, in all and by event.
+    void noteRun(const run_figures& run)
+    {
+        constexpr double keep = 0.9;
+        const double took = std::chrono::duration<double, std::milli>(now() - run.begun).count();
+        if (run.events == 0)
+            return;
+        m_meanRunMs = keep * m_meanRunMs + (1 - keep) * took;
+        m_meanEventMs = keep * m_meanEventMs + (1 - keep) * took / static_cast<double>(run.events);
+    }
+
     bool startItem(held_job& held, const routing_table& table)
     {
         auto& job = *held.job;
@@ -440,6 +488,7 @@
             job.giveUpWaiting(now());
             return false;
         }
+        const bool late = hopeless(job, now());
         const auto next = job.next();
         const auto& item = record.items[next->index];
         item_order order;
@@ -449,18 +498,25 @@
         order.customer = matched->name;
         order.cost = static_cast<double>(item.tokens);
         // To dispatchers a hopeless item is overdue already.
-        order.due = job.due() < now() + shortestRun ? now() : job.due();
+        order.due = late ? now() : job.due();
         order.expiry = now() + defaultRunTime;
         order.lastEvent = next->lastEvent;
         item_events events;
         const auto id = record.id;
         const auto index = next->index;
-        events.event = [this, id, index](std::optional<std::uint64_t> event, std::string data) {
+        const auto figures = std::make_shared<run_figures>();
+        events.event = [this, id, index, figures](std::optional<std::uint64_t> event, std::string data) {
+            if (figures->events++ == 0)
+                figures->begun = now();
             const auto found = m_jobs.find(id);
             return found != m_jobs.end() && found->second.job->event(index, event, std::move(data));
         };
         events.ended
-            = [this, id, index](run_end how, std::string_view reason) { itemEnded(id, index, how, reason); };
+            = [this, id, index, figures, fresh = !next->lastEvent](run_end how, std::string_view reason) {
+                  if (how == run_end::whole && fresh)
+                      noteRun(*figures);
+                  itemEnded(id, index, how, reason);
+              };
         held.runs[index] = runItem(m_items, std::move(order), std::move(events));
         return true;
     }
@@ -770,6 +826,8 @@
     steady_time m_lastScan;
     std::uint64_t m_checkedGeneration = 0; ///< Of the registration at the last look at the open jobs.
     steady_time m_stopAt;
+    double m_meanRunMs = firstMeanRunMs;
+    double m_meanEventMs = firstMeanEventMs;
     bool m_scanning = false;
     bool m_leaving = false;
     bool m_stopping = false;
--- a/libs/bulk_process/src/job_keeper.cpp
+++ b/libs/bulk_process/src/job_keeper.cpp
@@ -94,23 +94,34 @@
         });
 }
 
-void job_keeper::readHolder(std::shared_ptr<stored_job> job, callback<stored_job> done)
+void job_keeper::holderOf(const std::string& id, callback<std::optional<open_job>> done)
 {
-    m_store.get(keyOf(openPrefix, job->record.id),
-        [this, job, done = std::move(done)](result<std::optional<stored_value>> found) {
+    m_store.get(
+        keyOf(openPrefix, id), [id, done = std::move(done)](result<std::optional<stored_value>> found) {
             if (!found)
                 return done(found.error());
-            if (found.value()) {
-                auto holder = decodeHolder(found.value()->value);
-                if (!holder)
-                    return done(holder.error());
-                job->holder = std::move(holder.value());
-                job->openRevision = found.value()->modRevision;
-            }
-            readGroups(job, done);
+            if (!found.value())
+                return done(std::optional<open_job>());
+            auto holder = decodeHolder(found.value()->value);
+            if (!holder)
+                return done(holder.error());
+            done(std::optional(open_job { id, std::move(holder.value()), found.value()->modRevision }));
         });
 }
 
+void job_keeper::readHolder(std::shared_ptr<stored_job> job, callback<stored_job> done)
+{
+    holderOf(job->record.id, [this, job, done = std::move(done)](result<std::optional<open_job>> open) {
+        if (!open)
+            return done(open.error());
+        if (open.value()) {
+            job->holder = open.value()->holder;
+            job->openRevision = open.value()->revision;
+        }
+        readGroups(job, done);
+    });
+}
+
 void job_keeper::readGroups(std::shared_ptr<stored_job> job, callback<stored_job> done)
 {
     m_store.list(keyOf(resultPrefix, job->record.id) + '/',
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -15,6 +15,9 @@
 /// Otherwise now and then, for a watch that has gone silent without an error.
 constexpr milliseconds syncOrdinarily { 1000 };
 constexpr milliseconds syncTimeout { 500 };
+/// Targets and processes come and go in groups. A target that leaves is known well within the two seconds for
+/// which it goes on serving.
+constexpr milliseconds pauseAfterChange { 150 };
 /// A process that is missing from the list is asked last for so long, in case its registration has only
 /// lapsed.
 constexpr milliseconds missingNodeGrace { 3000 };
@@ -32,11 +35,12 @@
     , m_self(std::move(self))
     , m_options(std::move(options))
     , m_notify(std::move(notify))
-    , m_ordersMirror(loop, store, codec.ordersPrefix(), [this](const auto& mirror) { ordersChanged(mirror); })
-    , m_targetsMirror(
-          loop, store, codec.targetsPrefix(), [this](const auto& mirror) { targetsChanged(mirror); })
-    , m_nodesMirror(
-          loop, store, std::string(nodesPrefix), [this](const auto& mirror) { nodesChanged(mirror); })
+    , m_ordersMirror(loop, store, codec.ordersPrefix(), milliseconds { 0 },
+          [this](const auto& mirror) { ordersChanged(mirror); })
+    , m_targetsMirror(loop, store, codec.targetsPrefix(), pauseAfterChange,
+          [this](const auto& mirror) { targetsChanged(mirror); })
+    , m_nodesMirror(loop, store, std::string(nodesPrefix), pauseAfterChange,
+          [this](const auto& mirror) { nodesChanged(mirror); })
     , m_ticker(loop, tickInterval, [this] { tick(); })
     , m_random(std::random_device {}())
 {
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -19,6 +19,8 @@
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
 constexpr std::size_t mostRedirections = 2;
+/// Jobs that have moved; more than run at once on the largest deployments.
+constexpr std::size_t mostRemembered = 4000;
 
 } // namespace
 
@@ -74,6 +76,7 @@
         events.failed = [this](const failure& error) {
             m_unknown = m_unknown || error.ran != verdict::not_run;
             m_lastReason = error.message;
+            m_owner.forget(m_jobId);
             next();
         };
         ++m_sends;
@@ -90,6 +93,7 @@
                 m_redirected.push_back(holder);
                 std::erase(m_candidates, holder);
                 m_candidates.push_front(holder);
+                m_owner.remember(m_jobId, holder);
             }
             return next();
         }
@@ -167,9 +171,29 @@
     std::vector<std::string> addresses;
     for (const auto& node : nodes)
         addresses.push_back(node.address);
+    if (const auto known = m_holders.find(jobId); known != m_holders.end()) {
+        std::erase(addresses, known->second);
+        addresses.insert(addresses.begin(), known->second);
+    }
     return addresses;
 }
 
+void job_forwarder::remember(const std::string& jobId, const std::string& holder)
+{
+    if (!m_holders.contains(jobId))
+        m_remembered.push_back(jobId);
+    m_holders[jobId] = holder;
+    if (m_remembered.size() <= mostRemembered)
+        return;
+    m_holders.erase(m_remembered.front());
+    m_remembered.pop_front();
+}
+
+void job_forwarder::forget(const std::string& jobId)
+{
+    m_holders.erase(jobId); // Its place among the remembered is taken again with the next hint.
+}
+
 void job_forwarder::forward(
     std::shared_ptr<http_exchange> caller, const std::string& jobId, milliseconds patience, milliseconds held)
 {
--- a/libs/front/src/job_forwarder.h
+++ b/libs/front/src/job_forwarder.h
@@ -2,6 +2,9 @@
 
 #include "front/front.h"
 
+#include <deque>
+#include <map>
+
 namespace yuccachute {
 
 /// Passes the callers' calls on batch jobs to the batch process that holds the job, as they are. Any batch
@@ -22,11 +25,16 @@
     class forwarded_call;
 
     std::vector<std::string> candidates(const std::string& jobId) const;
+    void remember(const std::string& jobId, const std::string& holder);
+    void forget(const std::string& jobId);
 
     event_loop& m_loop;
     http_client& m_client;
     node_list m_nodes;
     metrics& m_figures;
+    /// Holders that callers were sent to: they are asked first. Hints only.
+    std::map<std::string, std::string> m_holders;
+    std::deque<std::string> m_remembered; ///< Job ids, the oldest first.
 };
 
 } // namespace yuccachute
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -22,7 +22,10 @@
     /// Told after each change of the copy, and at its first reading.
     using listener = std::function<void(const store_mirror&)>;
 
-    store_mirror(event_loop& loop, async_store& store, std::string prefix, listener changed);
+    /// After a change the next waiting call is sent only after the pause, so that changes that come in a row
+    /// are told by one call: each is priced.
+    store_mirror(event_loop& loop, async_store& store, std::string prefix, milliseconds pauseAfterChange,
+        listener changed);
 
     /// Begins to read and follow.
     void start();
@@ -46,6 +49,7 @@
     async_store& m_store;
     listener m_changed;
     store_section m_section;
+    milliseconds m_pauseAfterChange;
     loop_timer m_pause;
     std::minstd_rand m_random;
     bool m_connected = false;
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -21,10 +21,12 @@
 
 } // namespace
 
-store_mirror::store_mirror(event_loop& loop, async_store& store, std::string prefix, listener changed)
+store_mirror::store_mirror(
+    event_loop& loop, async_store& store, std::string prefix, milliseconds pauseAfterChange, listener changed)
     : m_loop(loop)
     , m_store(store)
     , m_changed(std::move(changed))
+    , m_pauseAfterChange(pauseAfterChange)
     , m_pause(loop)
     , m_random(std::random_device {}())
 {
@@ -91,7 +93,9 @@
                 return failed(changes.error(), [this] { follow(); });
             answered();
             apply(changes.value());
-            follow();
+            if (changes.value().events.empty() || m_pauseAfterChange.count() == 0)
+                return follow();
+            m_pause.arm(m_pauseAfterChange, [this] { follow(); });
         });
 }
 
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -146,8 +146,8 @@
     return std::optional<settings_update>(fromWire(reply));
 }
 
-void rpc_client::sync(std::string_view address, std::span<const section_revision> known,
-    milliseconds timeout, std::function<void(result<std::vector<store_section>>)> done)
+void rpc_client::sync(std::string_view address, std::span<const section_revision> known, milliseconds timeout,
+    std::function<void(result<std::vector<store_section>>)> done)
 {
     struct pending_sync {
         grpc::ClientContext context;
