Callers of a dead dispatcher wait for its successor instead of being refused

Cause: 'a killed dispatcher loses no request of other entries' failed beside six busy processes in 2 of 6 runs (and 1 of 5): 503 'no dispatcher answers, and this entry's own share of the targets is in use'. Traced by keeping the first refusal's text in the test: when the dispatcher dies, the asks of an entry fall back to the entry's own share at the same moment, exceed it, and the rest were refused although targets were free. Change: such a request looks again every 20 ms, for as long as a takeover lasts (1.5 s) and its deadline allows.

--- a/libs/entry/src/places.cpp
+++ b/libs/entry/src/places.cpp
@@ -3,6 +3,7 @@
 #include "logging/logging.h"
 
 #include <algorithm>
+#include <thread>
 
 namespace yuccachute {
 
@@ -10,6 +11,10 @@
 
 /// Share of a target's slots that an entry takes when it chooses for itself.
 constexpr double selfChoiceShare = 0.5;
+/// A dispatcher's successor answers within about this time of its death, also on a busy VM.
+constexpr milliseconds takeoverTime { 1500 };
+/// A place of the own share comes back, or the successor answers, within some of these.
+constexpr milliseconds ownSharePause { 20 };
 
 bool noDispatcher(const failure& error)
 {
@@ -57,8 +62,12 @@
     }
 }
 
-result<held_grant> findPlace(
-    entry_services& services, request_context& context, const std::string& service, const grant_ask& ask)
+namespace {
+
+/// One round through the zones. Sets ownShareUsed if no dispatcher answered and the entry's own share was in
+/// use.
+result<held_grant> searchZones(entry_services& services, request_context& context, const std::string& service,
+    const grant_ask& ask, bool& ownShareUsed)
 {
     auto zones = context.settings->zonesOf(service);
     // The own zone first; the others in an order that spreads different prompts.
@@ -80,6 +89,7 @@
                 services.figures.count("yuccachute_self_choices_total", "zone", zone);
                 place
                     = services.chooser.acquire(*group, ask, services.peers.owners(group->name, zone).size());
+                ownShareUsed = ownShareUsed || !place;
             }
             // The target that has just failed this request is the last resort, after all other groups and
             // zones.
@@ -103,6 +113,24 @@
     return last;
 }
 
+} // namespace
+
+/// When a dispatcher dies, the asks of an entry come back to it all at once and exceed its own share of the
+/// targets. To refuse the rest would tell callers that there is no room while targets are free; the successor
+/// is only not there yet. So they wait for it, for as long as a takeover lasts.
+result<held_grant> findPlace(
+    entry_services& services, request_context& context, const std::string& service, const grant_ask& ask)
+{
+    const auto until = std::min(context.deadline, std::chrono::steady_clock::now() + takeoverTime);
+    for (;;) {
+        bool ownShareUsed = false;
+        auto found = searchZones(services, context, service, ask, ownShareUsed);
+        if (found || !ownShareUsed || std::chrono::steady_clock::now() >= until)
+            return found;
+        std::this_thread::sleep_for(ownSharePause);
+    }
+}
+
 void returnPlace(entry_services& services, const held_grant& grant, const grant_release& figures)
 {
     if (grant.dispatcher.empty())
--- a/tests/failures_live.cpp
+++ b/tests/failures_live.cpp
@@ -33,12 +33,10 @@
                     const bool refused = !answer.whole && (answer.status == 503 || answer.status == 0)
                         && answer.text.empty();
                     ++(right ? m_right : refused ? m_refused : m_wrong);
-                    if (!right && !refused) {
-                        const std::scoped_lock lock(m_mutex);
-                        m_firstWrong = m_firstWrong.empty()
-                            ? std::to_string(answer.status) + ' ' + answer.error
-                            : m_firstWrong;
-                    }
+                    const std::scoped_lock lock(m_mutex);
+                    auto& first = refused ? m_firstRefused : m_firstWrong;
+                    if (!right && first.empty())
+                        first = std::to_string(answer.status) + ' ' + answer.error;
                 }
             });
         }
@@ -61,6 +59,11 @@
         const std::scoped_lock lock(m_mutex);
         return m_firstWrong;
     }
+    std::string firstRefused()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_firstRefused;
+    }
 
 private:
     std::atomic<bool> m_stop { false };
@@ -69,6 +72,7 @@
     std::atomic<unsigned> m_wrong { 0 };
     std::mutex m_mutex;
     std::string m_firstWrong;
+    std::string m_firstRefused;
     std::vector<std::thread> m_threads;
 };
 
@@ -210,7 +214,7 @@
     const auto before = load.right();
     waitUntil("load to go on", [&] { return load.right() > before + 200; });
     load.stop();
-    INFO(load.firstWrong());
+    INFO(load.firstWrong() << " / " << load.firstRefused());
     CHECK(load.wrong() == 0);
     CHECK(load.refused() == 0);
 }
