--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -343,7 +343,9 @@
                 failed += whole ? 0 : 1;
                 if (!whole)
                     std::fprintf(stderr, "%s: %s\n", id.c_str(),
-                        (reply ? std::to_string(reply.value().status) + reply.value().body : reply.error().message).c_str());
+                        (reply ? std::to_string(reply.value().status) + reply.value().body
+                               : reply.error().message)
+                            .c_str());
             }
         });
     }
@@ -513,8 +515,7 @@
     REQUIRE(system.submit("entry-a-1", "moved", 6, 60) == 202);
     system.control("/order?key=op/retire/batch-a-1");
     waitUntil(
-        "the machine reports that it is empty",
-        [&] { return system.reported("batch-a-1"); },
+        "the machine reports that it is empty", [&] { return system.reported("batch-a-1"); },
         std::chrono::seconds { 4 });
     system.allResults("entry-b-1", "moved", 6);
     system.batches.at("batch-a-1").running->signal(SIGKILL);
@@ -522,8 +523,7 @@
     system.batches.at("batch-b-1").running->signal(SIGKILL);
     system.control("/order?key=op/retire/batch-b-1");
     waitUntil(
-        "another process reports for the dead one",
-        [&] { return system.reported("batch-b-1"); },
+        "another process reports for the dead one", [&] { return system.reported("batch-b-1"); },
         std::chrono::seconds { 10 });
 }
 
