--- a/build.sh
+++ b/build.sh
@@ -33,17 +33,40 @@
 }
 
 lint() {
+    check_names
     sources | xargs clang-format --dry-run --Werror
     # clang-tidy knows no -std=c++20 library that boost outcome needs less than this; generated code is left out.
     sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$out" 2>/dev/null
 }
 
+# The platform's header names, paths and keys are decoded in platform/ alone. Tests and stand-ins speak them too.
+check_names() {
+    local names='Yuccachute-|/kv-(key|range|txn|watch|lease|keep)|"(servers|op)/|/lots/|max_attempts"|target_latency_ms'
+    local leaks
+    leaks=$(git grep -nE "$names" -- '*.cpp' '*.h' ':!platform' ':!bench/standins' ':(exclude,glob)**/tests/**' ':!tests') || true
+    [ -z "$leaks" ] && return
+    echo "names of the platform outside of platform/:"
+    echo "$leaks"
+    exit 1
+}
+
+# Runs all tests. A test program that KNOWN-RED.txt names ("NAME: cause ...") may fail; its line is printed.
+run_tests() {
+    local red='^$'
+    if [ -s KNOWN-RED.txt ]; then
+        echo "known to be red, passed over:"
+        cat KNOWN-RED.txt
+        red="^($(sed -n 's/^\([A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd '|'))\$"
+    fi
+    (cd "$out" && ctest --output-on-failure --no-tests=error -j 4 -E "$red")
+}
+
 case "${1:-build}" in
 build) build ;;
 test)
     build
     lint
-    (cd "$out" && ctest --output-on-failure --no-tests=error -j 4)
+    run_tests
     ;;
 demo)
     build
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -39,7 +39,6 @@
 constexpr milliseconds stopPoll { 20 };
 constexpr milliseconds endMargin { 1000 };
 constexpr std::size_t keptPerTarget = 24;
-constexpr std::string_view holderHeader = "X-Yuccachute-Holder";
 constexpr unsigned accepted = 202;
 constexpr unsigned badGateway = 502;
 /// An item is given up so long before its hopeless end that the result is in time; for routes without an
@@ -274,7 +273,7 @@
                     return use(*caller, *known->second.job);
                 const auto address = open.value() ? liveHolder(open.value()->holder) : std::string();
                 if (!address.empty())
-                    return caller->send({ 503, { { std::string(holderHeader), address } }, "" });
+                    return caller->send({ 503, { { std::string(jobHolderHeader), address } }, "" });
                 loadFor(caller, id, use);
             });
     }
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -28,6 +28,7 @@
     void start()
     {
         place_request wanted;
+        wanted.requestId = m_order.itemId;
         wanted.service = m_order.service;
         wanted.customer = m_order.customer;
         wanted.workClass = work_class::bulk;
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -26,6 +26,9 @@
     milliseconds wait { 0 }; ///< How long an answer may be held back until there is something to tell.
 };
 
+/// In an answer of a batch process to an entry: host:port of the one that holds the job.
+constexpr std::string_view jobHolderHeader = "X-Job-Holder";
+
 /// Recognises the callers' calls on batch jobs. Stateless.
 class job_call_protocol {
 public:
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -14,8 +14,6 @@
 constexpr milliseconds answerTime { 1500 };
 constexpr milliseconds connectTimeout { 300 };
 constexpr milliseconds retryAfter { 500 };
-/// Where a batch process names the one that holds the job.
-constexpr std::string_view holderHeader = "X-Yuccachute-Holder";
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
 constexpr std::size_t mostRedirections = 2;
@@ -85,7 +83,7 @@
 
     void answered()
     {
-        if (const auto holder = std::string(findHeader(m_reply.headers, holderHeader)); !holder.empty()) {
+        if (const auto holder = std::string(findHeader(m_reply.headers, jobHolderHeader)); !holder.empty()) {
             const bool known
                 = std::find(m_redirected.begin(), m_redirected.end(), holder) != m_redirected.end();
             m_lastReason = "held by " + holder;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -74,6 +74,7 @@
     void seek()
     {
         place_request wanted;
+        wanted.requestId = m_facts.id;
         wanted.service = m_route.pickService(std::hash<std::string> {}(m_facts.id));
         wanted.customer = m_route.name;
         wanted.cost = static_cast<double>(1 + m_facts.promptTokens + m_facts.mostOutputTokens);
@@ -116,6 +117,7 @@
         m_reason = reason.message;
         if (m_begun)
             return giveUp(m_lastFailure.value_or(reason));
+        m_head.status = httpStatus(reason.kind);
         finish("refused");
         refuse(*m_caller, reason);
         end();
@@ -338,12 +340,13 @@
     /// What was begun cannot be brought to its end.
     void giveUp(const failure& error)
     {
+        if (!m_headPassed)
+            m_head.status = error.kind == failure_kind::timeout ? gatewayTimeout : badGateway;
         finish("broken");
         if (m_headPassed)
             m_caller->abort();
         else
-            m_caller->send({ error.kind == failure_kind::timeout ? gatewayTimeout : badGateway,
-                { { "Content-Type", "text/plain" } }, error.message + "\n" });
+            m_caller->send({ m_head.status, { { "Content-Type", "text/plain" } }, error.message + "\n" });
         end();
     }
 
@@ -352,9 +355,7 @@
         m_reason = "the time is over";
         if (m_sends > 0)
             return giveUp(mayHaveRun(failure_kind::timeout, "no whole answer in time"));
-        finish("refused");
-        refuse(*m_caller, notRun(failure_kind::overloaded, "no place in time", defaultRetryAfter));
-        end();
+        unplaced(notRun(failure_kind::overloaded, "no place in time", defaultRetryAfter));
     }
 
     void callerGone()
--- a/libs/logging/include/logging/logging.h
+++ b/libs/logging/include/logging/logging.h
@@ -3,9 +3,11 @@
 #include <chrono>
 #include <cstdint>
 #include <initializer_list>
+#include <iosfwd>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 /// JSON-line logs through spdlog. Layer: state.
 namespace yuccachute {
@@ -51,4 +53,10 @@
 /// Writes out what is buffered.
 void stopLogging();
 
+/// What the logs of all processes tell of one request, batch job or item, in order of time: the lines that
+/// name its id, and what the processes concerned learned shortly before about the store, their peers, the
+/// configuration and the targets that the request was sent to. Reads log lines, each of which may have a
+/// prefix before its JSON object.
+std::vector<std::string> timelineOf(std::string_view id, std::istream& logs);
+
 } // namespace yuccachute
--- a/libs/logging/tests/test_logging.cpp
+++ b/libs/logging/tests/test_logging.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <sstream>
+
 using namespace yuccachute;
 
 TEST_CASE("a log line is one JSON object, whatever the fields hold")
@@ -24,3 +26,25 @@
     CHECK(!budget.take(start + std::chrono::milliseconds { 999 }));
     CHECK(budget.take(start + std::chrono::milliseconds { 1000 }));
 }
+
+TEST_CASE("a timeline has the lines of one id and what its processes knew shortly before")
+{
+    const auto line = [](const char* second, const char* vm, const char* rest) {
+        return std::string("12.3 x {\"time\":\"2026-01-31T10:20:") + second + ".000+00:00\",\"vm\":\"" + vm
+            + "\"," + rest + "}\n";
+    };
+    std::stringstream logs(
+        line("30", "b", R"("event":"request","request_id":"r1","target":"t1","took_ms":900)")
+        + line("28", "b", R"("event":"store does not answer","prefix":"op/")")
+        + line("28", "c", R"("event":"store does not answer","prefix":"op/")")
+        + line("27", "b", R"("event":"target gone","target":"t1")")
+        + line("27", "b", R"("event":"target gone","target":"t2")") + line("10", "b", R"("event":"stopping")")
+        + "no log line\n" + line("29", "b", R"("event":"request","request_id":"r2")"));
+    const auto timeline = timelineOf("r1", logs);
+    REQUIRE(timeline.size() == 3);
+    CHECK(timeline[0] == "  2026-01-31T10:20:27.000+00:00 b  target gone: target=t1");
+    CHECK(timeline[1].find("store does not answer") != std::string::npos);
+    CHECK(timeline[2].substr(0, 2) == "* ");
+    std::stringstream none("{}\n");
+    CHECK(timelineOf("r1", none).empty());
+}
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -27,6 +27,7 @@
 
 /// What is wanted.
 struct place_request {
+    std::string requestId; ///< For logs.
     std::string service;
     std::string customer;
     work_class workClass = work_class::live;
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -134,7 +134,8 @@
         m_askId = 0;
         if (m_request.workClass == work_class::live)
             logEvent(log_level::info, "no place",
-                { { "group", m_group }, { "dispatcher", m_dispatcher }, { "reason", refused.reason.message },
+                { { "request_id", m_request.requestId }, { "group", m_group }, { "dispatcher", m_dispatcher },
+                    { "reason", refused.reason.message },
                     { "retry_after_ms", refused.reason.retryAfter.count() },
                     { "queued", std::int64_t { m_queued } } });
         m_refusal = refused.reason;
--- a/tools/ctl/ctl.cpp
+++ b/tools/ctl/ctl.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http.h"
 #include "ini/ini.h"
+#include "logging/logging.h"
 #include "settings/settings.h"
 
 #include <nlohmann/json.hpp>
@@ -345,6 +346,17 @@
     return exitOk;
 }
 
+/// Reads the processes' logs from standard input.
+int explain(const ctl_options& options)
+{
+    const auto timeline = timelineOf(word(options, 1, "ID"), std::cin);
+    for (const auto& line : timeline)
+        std::cout << line << '\n';
+    if (timeline.empty())
+        fail(exitRefused, "no line names this id");
+    return exitOk;
+}
+
 struct command {
     std::string_view usage;
     std::string_view meaning;
@@ -369,6 +381,9 @@
         { "jobs",
             { "jobs ID [--watch]", "progress of a bulk job (needs --entry and a customer's key)", jobs } },
         { "cancel", { "cancel ID", "cancel a bulk job (needs --entry and a customer's key)", cancelJob } },
+        { "explain",
+            { "explain ID < LOGS", "what the logs of all processes tell of a request, batch job or item",
+                explain } },
         { "hash", { "hash SECRET", "SHA-256 of a key or token, as the tree keeps it", hash } },
     };
     return all;
