Work goes to no target that its sender knows to leave, and copies of served neighbours are believed

Change: a copy says whether its owner has been in touch with the store long enough (settled), and is believed then; and nobody takes a place at a target that he knows to be draining or gone. Tests: test_fleet 'turned away', test_places 'known to leave', both failed first.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -6,6 +6,7 @@
 #include "rpc/rpc.h"
 #include "store/store.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -163,6 +164,8 @@
     steady_time m_nextSync;
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    bool m_takingSettled = false; ///< The copy that is being taken over can be trusted.
+    std::atomic<bool> m_settled { false }; ///< For peers, as of the last tick.
     mutable std::mutex m_publishedMutex; ///< Peers ask from the transport's threads.
     std::map<std::string, std::shared_ptr<const store_section>> m_published;
 };
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -69,6 +69,8 @@
         if (found != m_published.end() && found->second->revision > asked.revision)
             newer.push_back(*found->second);
     }
+    for (auto& section : newer)
+        section.settled = m_settled;
     return newer;
 }
 
@@ -111,7 +113,8 @@
                 { { "key", entry.key }, { "message", decoded.error().message } });
     }
     const auto before = m_targets.targets();
-    if (!m_targets.update(std::move(listed), listsTrustedFrom(), std::chrono::steady_clock::now()))
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_targets.update(std::move(listed), m_takingSettled ? now : listsTrustedFrom(), now))
         return;
     logTargetChanges(before);
     m_notify.targets();
@@ -165,6 +168,7 @@
 void fleet_watch::tick()
 {
     const auto now = std::chrono::steady_clock::now();
+    m_settled = now >= listsTrustedFrom() && m_targetsMirror.connected() && m_nodesMirror.connected();
     if (m_targets.keepsMissing()) {
         const auto before = m_targets.targets();
         if (m_targets.expire(listsTrustedFrom(), now)) {
@@ -225,9 +229,13 @@
 {
     const auto now = std::chrono::steady_clock::now();
     for (const auto& copy : copies) {
+        // A process that the store turns away cannot tell a lapsed entry from one of a target that has left;
+        // a neighbour that the store serves can.
+        m_takingSettled = copy.settled;
         for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror })
             mirror->offer(copy, now);
     }
+    m_takingSettled = false;
 }
 
 std::vector<node_record> fleet_watch::nodes(node_role role) const
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 using namespace yuccachute;
 
 TEST_CASE("a process's record survives the store")
@@ -17,3 +19,110 @@
     CHECK(!decodeNode("{\"vm\":1}"));
     CHECK(!decodeNode("nonsense"));
 }
+
+namespace {
+
+/// A store that turns every call away.
+class closed_store final : public async_store {
+public:
+    explicit closed_store(event_loop& loop)
+        : m_loop(loop)
+    {
+    }
+    void get(std::string_view, callback<std::optional<stored_value>> done) override
+    {
+        refuse(std::move(done));
+    }
+    void list(std::string_view, callback<store_listing> done) override { refuse(std::move(done)); }
+    void commit(const store_transaction&, callback<commit_outcome> done) override { refuse(std::move(done)); }
+    void waitForChange(std::string_view, std::int64_t, milliseconds, callback<store_changes> done) override
+    {
+        refuse(std::move(done));
+    }
+    void grantLease(milliseconds, callback<std::int64_t> done) override { refuse(std::move(done)); }
+    void renewLease(std::int64_t, callback<bool> done) override { refuse(std::move(done)); }
+    void endLease(std::int64_t, callback<bool> done) override { refuse(std::move(done)); }
+
+private:
+    template <typename T> void refuse(callback<T> done)
+    {
+        m_loop.post([done] { done(notRun(failure_kind::unavailable, "busy")); });
+    }
+    event_loop& m_loop;
+};
+
+class plain_codec final : public fleet_codec {
+public:
+    std::string ordersPrefix() const override { return "orders/"; }
+    std::string configurationKey() const override { return "orders/config"; }
+    std::string targetsPrefix() const override { return "targets/"; }
+    result<routing_table> decodeConfiguration(std::string_view document) const override
+    {
+        routing_table table;
+        table.version = std::stoll(std::string(document));
+        return table;
+    }
+    result<listed_target> decodeTarget(std::string_view key, std::string_view) const override
+    {
+        return listed_target { std::string(key), "s", "a", "z", 1, false };
+    }
+};
+
+/// A neighbour that the store serves.
+class neighbour final : public peer_handler {
+public:
+    void sessionOpened(std::uint64_t, std::function<void(envelope)>) override { }
+    void sessionReceived(std::uint64_t, envelope) override { }
+    void sessionClosed(std::uint64_t) override { }
+    std::vector<store_section> sync(std::span<const section_revision> known) override
+    {
+        std::vector<store_section> newer;
+        for (const auto& section : sections) {
+            for (const auto& one : known) {
+                if (one.prefix == section.prefix && one.revision < section.revision)
+                    newer.push_back(section);
+            }
+        }
+        return newer;
+    }
+    std::vector<store_section> sections;
+};
+
+} // namespace
+
+// Story: the store turns an entry away for seconds. A target leaves meanwhile; the entry hears of it from a
+// neighbour, takes it for a lapsed entry, and sends work to it long after it has left.
+TEST_CASE("a process that the store turns away believes a neighbour that the store serves")
+{
+    const std::string address = "127.0.0.1:" + std::to_string(19000 + ::getpid() % 900);
+    neighbour peer;
+    peer.sections = { { "targets/", 5, { { "targets/a", "", 2 }, { "targets/b", "", 3 } }, true },
+        { "orders/", 5, { { "orders/config", "7", 4 } }, true } };
+    auto server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
+    event_loop loop;
+    closed_store closed(loop);
+    observed_store store(closed);
+    rpc_client client { {} };
+    const plain_codec codec;
+    const auto ignore = [] {};
+    fleet_watch watch(loop, store, client, codec, { "vm", node_role::entry, "z", "127.0.0.1:1", 1, false },
+        { { address } }, { ignore, ignore, ignore, ignore });
+    watch.start();
+    const auto runUntil = [&](const std::function<bool()>& condition) {
+        for (int i = 0; i < 300 && !condition(); ++i)
+            loop.runFor(milliseconds { 10 });
+        return condition();
+    };
+    REQUIRE(runUntil([&] { return watch.targets().targets().size() == 2 && watch.configuration(); }));
+    CHECK(watch.configuration()->version == 7);
+    server.reset();
+    peer.sections[0] = { "targets/", 9, { { "targets/a", "", 2 } }, true };
+    server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
+    CHECK(runUntil([&] { return watch.targets().targets().size() == 1; }));
+    server.reset();
+    // The neighbour itself has just come back to the store: what its list lacks may have lapsed.
+    peer.sections[0] = { "targets/", 12, {}, false };
+    server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
+    CHECK(runUntil([&] { return watch.newerThan({}).empty() && watch.targets().keepsMissing(); }));
+    CHECK(watch.targets().targets().size() == 1);
+}
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t localSession = 0;
 /// Asks whose late grants are still recognised; a late one comes within seconds.
 constexpr std::size_t mostGivenUp = 1000;
+/// Targets that have left are remembered as long as a dispatcher could still name them, and for much longer.
+constexpr std::size_t mostGone = 2000;
 
 } // namespace
 
@@ -56,6 +58,14 @@
         return found != silentUntil.end() && now < found->second;
     }
 
+    /// Whether this process knows that a target leaves or has left. A dispatcher that the store turns away
+    /// may not know it yet, and would send work to it.
+    bool leaving(const std::string& target) const
+    {
+        const auto known = targets.find(target);
+        return known != targets.end() ? known->second.draining : gone.contains(target);
+    }
+
     std::vector<std::string> zonesOf(const std::string& service) const
     {
         const auto found = zonesByService.find(service);
@@ -75,6 +85,9 @@
     group_host host;
     std::vector<dispatcher_info> dispatchers;
     std::map<std::string, std::vector<std::string>> zonesByService;
+    std::map<std::string, listed_target, std::less<>> targets;
+    std::set<std::string, std::less<>>
+        gone; ///< Ids of targets that were listed once; an id never comes anew.
     std::map<std::string, link> links;
     std::map<std::string, steady_time> silentUntil;
     std::map<std::uint64_t, std::weak_ptr<ask_run>> asks;
@@ -116,6 +129,13 @@
 
     void decided(const grant_given& given)
     {
+        if (m_owner->leaving(given.target)) {
+            m_owner->released(
+                m_dispatcher, { m_group, { given.grantId, grant_outcome::refused, milliseconds { 0 }, 0 } });
+            m_askId = 0;
+            m_request.avoid = given.target;
+            return nextStep();
+        }
         place found;
         found.group = m_group;
         found.dispatcher = m_dispatcher;
@@ -464,12 +484,18 @@
 void place_broker::setTargets(
     const std::map<std::string, listed_target, std::less<>>& targets, steady_time now)
 {
+    for (const auto& [id, target] : m_impl->targets)
+        m_impl->gone.insert(id);
+    m_impl->targets = targets;
     m_impl->zonesByService.clear();
     for (const auto& [id, target] : targets) {
+        m_impl->gone.erase(id); // It had only been missing.
         auto& zones = m_impl->zonesByService[target.service];
         if (std::find(zones.begin(), zones.end(), target.zone) == zones.end())
             zones.push_back(target.zone);
     }
+    while (m_impl->gone.size() > mostGone)
+        m_impl->gone.erase(m_impl->gone.begin());
     m_impl->host.setTargets(targets, now);
 }
 
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -192,6 +192,26 @@
     CHECK(revoked);
 }
 
+// Story: a dispatcher that the store turns away does not know that a target has left; others send their work
+// there on its word, though they know it, and it is cut off when the target goes.
+TEST_CASE("a place at a target that is known to leave is not taken")
+{
+    fixture f;
+    auto here = f.targets;
+    here.erase("tb");
+    here.at("ta").draining = true;
+    here["tc"] = { "tc", "llm", "tc:1", "a", 2, false };
+    f.a.broker.setTargets(here, std::chrono::steady_clock::now());
+    f.a.broker.setDispatchers({ f.b.self }); // Which still believes in both.
+    auto ask = f.ask(f.a, work_class::live, 100);
+    f.run(200);
+    CHECK(f.target(0).empty());
+    f.b.broker.setTargets(here, std::chrono::steady_clock::now());
+    auto again = f.ask(f.a);
+    f.run();
+    CHECK(f.target(1) == "tc");
+}
+
 TEST_CASE("dispatchers of a zone come first, in an order that all processes agree on")
 {
     const std::vector<dispatcher_info> some { { "x", "a", "1" }, { "y", "b", "2" }, { "z", "b", "3" } };
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -226,6 +226,7 @@
 {
     out.set_prefix(section.prefix);
     out.set_revision(section.revision);
+    out.set_settled(section.settled);
     for (const auto& entry : section.entries) {
         auto* added = out.add_entries();
         added->set_key(entry.key);
@@ -236,7 +237,7 @@
 
 store_section fromWire(const peer::Section& in)
 {
-    store_section section { in.prefix(), in.revision(), {} };
+    store_section section { in.prefix(), in.revision(), {}, in.settled() };
     for (const auto& entry : in.entries())
         section.entries.push_back({ entry.key(), entry.value(), entry.revision() });
     return section;
