Only the first dispatcher of a group gives places to bulk work

Entries and batch processes came back at different moments and took different entries for the dispatcher of a zone; one filled the slots with items that the other, which got the live requests, neither saw nor could ask back. Ruled out: slow targets (first events after 20 ms, streams of 0.64 s). Change: a dispatcher that is not first, as far as it knows, refuses bulk asks and asks its bulk grants back; bulk work leaves the places of a dispatcher whose stream has broken.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -354,6 +354,8 @@
     void dropHolder(std::uint64_t holder, steady_time now);
     /// To be called every 20 ms or so.
     void tick(steady_time now);
+    /// Asks for all bulk grants back: this dispatcher is no longer the one that sees all work of the targets.
+    void revokeBulk();
 
     /// Decisions since the last call, in order.
     std::vector<decision> takeDecisions();
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -466,6 +466,15 @@
     pump(now);
 }
 
+void target_group::revokeBulk()
+{
+    for (const auto& [id, record] : m_grants) {
+        const bool bulk = record.ask.workClass == work_class::bulk && !record.revoked;
+        if (bulk && m_targets.contains(record.target))
+            revoke(id);
+    }
+}
+
 std::vector<decision> target_group::takeDecisions()
 {
     return std::exchange(m_decisions, {});
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -61,8 +61,13 @@
 public:
     /// Sends what a group has decided to the session that asked.
     using sender = std::function<void(std::uint64_t session, envelope message)>;
+    /// Whether this process is the first dispatcher of a group, as far as it knows.
+    using ownership = std::function<bool(const std::string& group)>;
 
-    group_host(event_loop& loop, sender send);
+    /// Two dispatchers of one group each fill the slots with bulk work that the other does not see and cannot ask
+    /// back; live requests then find their targets full. So only the first one gives places to bulk work, and one
+    /// that is not first any more asks its own back.
+    group_host(event_loop& loop, sender send, ownership first);
 
     /// All targets of the fleet; a group has those of one service in one zone.
     void setTargets(const std::map<std::string, listed_target, std::less<>>& targets, steady_time now);
@@ -87,6 +92,7 @@
     void tick();
 
     sender m_send;
+    ownership m_first;
     std::map<std::string, std::vector<target_description>> m_targets; ///< By group.
     std::map<std::string, hosted_group> m_groups;
     loop_ticker m_ticker;
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -9,11 +9,13 @@
 /// A target that is full although it should have room works on something that this dispatcher does not know
 /// of, such as requests granted by its predecessor; these end within about so long.
 constexpr milliseconds refusalPause { 150 };
+constexpr milliseconds notDispatcherRetry { 200 };
 
 } // namespace
 
-group_host::group_host(event_loop& loop, sender send)
+group_host::group_host(event_loop& loop, sender send, ownership first)
     : m_send(std::move(send))
+    , m_first(std::move(first))
     , m_ticker(loop, tickInterval, [this] { tick(); })
 {
 }
@@ -64,6 +66,13 @@
     envelope acknowledgement;
     for (auto& one : message.asks) {
         one.ask.holder = session;
+        if (one.ask.workClass == work_class::bulk && !m_first(one.group)) {
+            envelope refusal;
+            refusal.refusals.push_back({ session, one.ask.id,
+                notRun(failure_kind::overloaded, "another entry is dispatcher", notDispatcherRetry) });
+            m_send(session, std::move(refusal));
+            continue;
+        }
         acknowledgement.moved.push_back({ one.ask.id, "" });
         find(one.group, now).group.ask(std::move(one.ask), now);
         touched.insert(one.group);
@@ -101,6 +110,8 @@
 {
     const auto now = std::chrono::steady_clock::now();
     for (auto& [name, hosted] : m_groups) {
+        if (!m_first(name))
+            hosted.group.revokeBulk();
         hosted.group.tick(now);
         deliver(name, hosted);
     }
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -48,10 +48,26 @@
         : loop(eventLoop)
         , client(rpc)
         , self(std::move(own))
-        , host(loop, [this](std::uint64_t session, envelope message) { answer(session, std::move(message)); })
+        , host(
+              loop, [this](std::uint64_t session, envelope message) { answer(session, std::move(message)); },
+              [this](const std::string& group) { return isFirst(group, std::chrono::steady_clock::now()); })
     {
     }
 
+    /// Whether no other entry that answers comes before this process as dispatcher of a group.
+    bool isFirst(const std::string& group, steady_time now) const
+    {
+        const auto slash = group.find('/');
+        const auto zone = group.substr(slash + 1, group.rfind('/') - slash - 1);
+        for (const auto& candidate : rankDispatchers(group, zone, dispatchers)) {
+            if (candidate.address == self.address)
+                return true;
+            if (!silent(candidate.address, now))
+                return false;
+        }
+        return true;
+    }
+
     bool silent(const std::string& address, steady_time now) const
     {
         const auto found = silentUntil.find(address);
@@ -387,6 +403,14 @@
     links.erase(found);
     logEvent(log_level::warning, "dispatcher lost", { { "dispatcher", address } });
     silentUntil[address] = std::chrono::steady_clock::now() + silentFor;
+    // Its successor does not know of the places that it gave: bulk work leaves them and asks anew.
+    std::vector<revoked> lost;
+    for (const auto& [key, notify] : revocations) {
+        if (std::get<0>(key) == address)
+            lost.push_back(notify);
+    }
+    for (const auto& notify : lost)
+        notify();
     std::vector<ask_ptr> waiting;
     for (const auto& [id, weak] : asks) {
         if (auto run = weak.lock())
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -212,6 +212,53 @@
     CHECK(f.target(1) == "tc");
 }
 
+// Story: after a restart of all processes some take one entry for the dispatcher of a zone, some another. The
+// one fills the slots with bulk work; the other, which gets the live requests, finds every target full for
+// seconds.
+TEST_CASE("only the first dispatcher gives places to bulk work, and a former one asks them back")
+{
+    fixture f;
+    f.targets.erase("tb");
+    for (auto* one : { &f.a, &f.b })
+        one->broker.setTargets(f.targets, std::chrono::steady_clock::now());
+    f.a.broker.setDispatchers({ f.b.self }); // Does not know itself yet.
+    f.b.broker.setDispatchers({ f.b.self });
+    auto bulk = f.ask(f.a, work_class::bulk);
+    f.run();
+    REQUIRE(f.target(0) == "ta");
+    bool revoked = false;
+    f.a.broker.onRevoked(f.outcomes[0]->value(), [&] { revoked = true; });
+    for (auto* one : { &f.a, &f.b })
+        one->broker.setDispatchers({ f.a.self, f.b.self });
+    f.run();
+    CHECK(revoked);
+    auto again = f.ask(f.b, work_class::bulk, 100);
+    f.run();
+    REQUIRE(f.target(1) == "ta");
+    CHECK(f.outcomes[1]->value().dispatcher == f.a.self.address);
+}
+
+// Story: a dispatcher is killed; its successor does not know of the bulk work on the targets and sends live
+// requests to full ones.
+TEST_CASE("bulk work leaves the places of a dispatcher that was lost")
+{
+    fixture f;
+    f.targets.erase("tb");
+    auto c = std::make_unique<entry>(f.loop, "vm-c", "a");
+    c->broker.setDispatchers({ c->self });
+    c->broker.setTargets(f.targets, std::chrono::steady_clock::now());
+    f.b.broker.setTargets(f.targets, std::chrono::steady_clock::now());
+    f.b.broker.setDispatchers({ c->self });
+    auto bulk = f.ask(f.b, work_class::bulk);
+    f.run();
+    REQUIRE(f.target(0) == "ta");
+    bool revoked = false;
+    f.b.broker.onRevoked(f.outcomes[0]->value(), [&] { revoked = true; });
+    c.reset();
+    f.run(200);
+    CHECK(revoked);
+}
+
 TEST_CASE("dispatchers of a zone come first, in an order that all processes agree on")
 {
     const std::vector<dispatcher_info> some { { "x", "a", "1" }, { "y", "b", "2" }, { "z", "b", "3" } };
