--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -164,7 +164,8 @@
     };
     auto routes = json::array({ routeOf("resumable", "/resumable/", "streaming", { { "resumable", true } }),
         routeOf("once", "/once/", "streaming", { { "resumable", false } }),
-        routeOf("plain", "/plain/", "safe", json::object()), routeOf("unsafe", "/unsafe/", "unsafe", json::object()),
+        routeOf("plain", "/plain/", "safe", json::object()),
+        routeOf("unsafe", "/unsafe/", "unsafe", json::object()),
         routeOf("jobs", "/jobs/", "batch",
             { { "result_due_ms", 18000 }, { "expiry_s", 60 }, { "max_attempts", 3 },
                 { "timeout_ms", 15000 } }) });
--- a/libs/bulk_process/tests/test_job_keeper.cpp
+++ b/libs/bulk_process/tests/test_job_keeper.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// The rules of the platform's store in memory. Answers can be lost, before or after the call takes effect, and calls
-/// can be executed later.
+/// The rules of the platform's store in memory. Answers can be lost, before or after the call takes effect,
+/// and calls can be executed later.
 class fake_store final : public async_store {
 public:
     enum class fault : std::uint8_t { none, refused, lost_before, lost_after, executed_later };
@@ -104,8 +104,8 @@
         keeper.load(id, into(outcome));
         return *outcome;
     }
-    result<job_keeper::commit_result> commit(
-        job_keeper& by, std::size_t number, const bulk_result_group& group, std::int64_t revision, bool completes)
+    result<job_keeper::commit_result> commit(job_keeper& by, std::size_t number,
+        const bulk_result_group& group, std::int64_t revision, bool completes)
     {
         std::optional<result<job_keeper::commit_result>> outcome;
         by.commit("a", number, group, revision, completes, into(outcome));
@@ -164,8 +164,8 @@
 
     f.store.faults = { fake_store::fault::refused };
     CHECK(f.create("b").error().ran == verdict::not_run);
-    f.store.faults = { fake_store::fault::executed_later, fake_store::fault::refused,
-        fake_store::fault::refused };
+    f.store.faults
+        = { fake_store::fault::executed_later, fake_store::fault::refused, fake_store::fault::refused };
     CHECK(f.create("c").error().ran == verdict::may_have_run);
     f.store.executeLate();
     CHECK(f.create("c").value().openRevision == 0);
@@ -197,8 +197,8 @@
     CHECK(f.load("a").value().groups.size() == 1);
 }
 
-// Story: a process is paused; its lease lapses and another takes the job and lists results. The first wakes, still
-// believes that it holds the job, and lists its own: positions change, items stand twice.
+// Story: a process is paused; its lease lapses and another takes the job and lists results. The first wakes,
+// still believes that it holds the job, and lists its own: positions change, items stand twice.
 TEST_CASE("a holder that was replaced can commit nothing, also by a call that is executed late")
 {
     fixture f;
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -70,8 +70,8 @@
     /// When the last renewal that the store confirmed was sent, by a clock that counts suspended time. From
     /// then on the key existed at least until the next renewal failed, unless it was taken away.
     steady_time confirmed() const { return m_confirmed; }
-    /// How often the process has been registered anew. Whoever held something under the registration must look
-    /// whether it still does after each time: it may have been taken by others in between.
+    /// How often the process has been registered anew. Whoever held something under the registration must
+    /// look whether it still does after each time: it may have been taken by others in between.
     std::uint64_t generation() const { return m_generation; }
     const node_record& record() const { return m_self; }
 
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -52,7 +52,8 @@
         ~ask() override { owner.withdrawn = true; }
         scripted_places& owner;
     };
-    std::shared_ptr<place_ask> acquire(place_request request, std::function<void(result<place>)> done) override
+    std::shared_ptr<place_ask> acquire(
+        place_request request, std::function<void(result<place>)> done) override
     {
         ++asks;
         last = std::move(request);
@@ -208,8 +209,8 @@
     CHECK(f.places.released == "t1:0 ");
 }
 
-// Story: a target dies in the middle of an event of a stream that may be resumed. The caller must get the rest from
-// another target, with no event twice, none missing and no half one.
+// Story: a target dies in the middle of an event of a stream that may be resumed. The caller must get the
+// rest from another target, with no event twice, none missing and no half one.
 TEST_CASE("a broken stream goes on behind its last whole event, with its first head")
 {
     fixture f;
@@ -241,8 +242,8 @@
     CHECK(f.caller->body == event(1));
 }
 
-// Story: a server breaks off a request that must not run twice. The caller is told "not run", sends it again, and
-// it runs a second time.
+// Story: a server breaks off a request that must not run twice. The caller is told "not run", sends it again,
+// and it runs a second time.
 TEST_CASE("a request that may not be repeated is sent once and answered 502")
 {
     for (const auto kind : { request_kind::unsafe, request_kind::streaming }) {
@@ -283,8 +284,8 @@
     CHECK(findHeader(f.caller->whole->headers, "Retry-After") == "1.500");
 }
 
-// Story: a safe request ran at a target whose answer was lost, and no other has room. Saying 503 would claim that it
-// has not run.
+// Story: a safe request ran at a target whose answer was lost, and no other has room. Saying 503 would claim
+// that it has not run.
 TEST_CASE("a request that has begun is never said not to have run")
 {
     fixture f(request_kind::safe);
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -73,8 +73,8 @@
     std::string prefix;
     std::int64_t revision = 0;
     std::vector<section_entry> entries; ///< In order of their keys.
-    /// The process that has the copy has been in touch with the store for so long that no entry can be missing only
-    /// because its lease lapsed.
+    /// The process that has the copy has been in touch with the store for so long that no entry can be
+    /// missing only because its lease lapsed.
     bool settled = false;
 };
 
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -51,7 +51,8 @@
     event_loop loop;
     scripted_store store;
     int changes = 0;
-    store_mirror mirror { loop, store, "op/", milliseconds { 0 }, [this](const store_mirror&) { ++changes; } };
+    store_mirror mirror { loop, store, "op/", milliseconds { 0 },
+        [this](const store_mirror&) { ++changes; } };
 };
 
 } // namespace
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -64,9 +64,9 @@
     /// Whether this process is the first dispatcher of a group, as far as it knows.
     using ownership = std::function<bool(const std::string& group)>;
 
-    /// Two dispatchers of one group each fill the slots with bulk work that the other does not see and cannot ask
-    /// back; live requests then find their targets full. So only the first one gives places to bulk work, and one
-    /// that is not first any more asks its own back.
+    /// Two dispatchers of one group each fill the slots with bulk work that the other does not see and cannot
+    /// ask back; live requests then find their targets full. So only the first one gives places to bulk work,
+    /// and one that is not first any more asks its own back.
     group_host(event_loop& loop, sender send, ownership first);
 
     /// All targets of the fleet; a group has those of one service in one zone.
--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -446,11 +446,13 @@
 {
     platform_system system;
     system.control("/config?timeout=5000&extra=1");
-    for (const auto& [name, process] : system.entries)
+    for (const auto& entry : system.entries) {
+        const auto& name = entry.first;
         waitUntil(
             "the new route at " + name,
             [&] { return system.plain(name, "extra", "c-" + name).value().status == 200; },
             std::chrono::seconds { 2 });
+    }
     system.control("/store?down=1");
     // A process that starts without the store learns the configuration from its peers.
     system.entries.at("entry-b-1").running.reset();
@@ -460,11 +462,13 @@
     system.control("/store?down=0");
     system.control("/store?compact=1");
     system.control("/config?timeout=5000&extra=0");
-    for (const auto& [name, process] : system.entries)
+    for (const auto& entry : system.entries) {
+        const auto& name = entry.first;
         waitUntil(
             "the route is gone at " + name,
             [&] { return system.plain(name, "extra", "g-" + name).value().status == 404; },
             std::chrono::seconds { 3 });
+    }
 }
 
 // Story: an entry is stopped while it streams. Its callers got cut answers, or new ones were turned away
