Settings that nothing reads are gone; a job that does not fit into the store is refused at once

memory_mb and last_inner_port were accepted and not used; first_inner_port is inner_port, for batch processes only. value_bytes now bounds a job's record: a larger one would have got 502 at every try.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -109,7 +109,7 @@
     {
         http_listener_options options;
         options.address = m_settings.address;
-        options.port = m_settings.firstInnerPort;
+        options.port = m_settings.innerPort;
         options.limits.maxConnections = m_settings.descriptors / 2;
         m_listener = std::make_unique<http_listener>(
             m_loop, options, [this](std::shared_ptr<http_exchange> caller) { serve(std::move(caller)); });
@@ -140,7 +140,7 @@
         node_record self;
         self.vm = settings.vm;
         self.zone = settings.zone;
-        self.address = settings.address + ':' + std::to_string(settings.firstInnerPort);
+        self.address = settings.address + ':' + std::to_string(settings.innerPort);
         self.role = node_role::batch;
         // Two starts in the same millisecond must differ, and clocks may jump back.
         self.incarnation = std::mt19937_64 { std::random_device {}() }() >> 1;
@@ -194,6 +194,9 @@
                 notRun(failure_kind::unavailable, m_leaving ? "leaving" : "no configuration is known yet",
                     retryAfter));
         record.value().acceptedMs = wallClockMs();
+        if (encodeRecord(record.value()).size() > m_settings.storeValueBytes)
+            return answer(*caller,
+                notRun(failure_kind::too_large, "the job is larger than a value of the store may be"));
         const auto id = record.value().id;
         const auto known = m_jobs.find(id);
         if (known != m_jobs.end())
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -131,7 +131,6 @@
         m_lastTarget = m_place->target;
         m_waited += m_place->waited;
         m_splitter.restart();
-        m_headTaken = false;
         m_body.clear();
         m_wantsMove = false;
         m_sentAt = now();
@@ -171,7 +170,6 @@
     bool takeHead(const http_reply& head)
     {
         m_meaning = m_services.protocol.classify(head, m_facts.id);
-        m_headTaken = true;
         if (m_meaning == answer_meaning::foreign)
             return false;
         if (m_meaning == answer_meaning::own) {
@@ -440,7 +438,6 @@
     unsigned m_sends = 0;
     unsigned m_attempts = 0; ///< Targets on which it may have run, before the present one.
     bool m_begun = false; ///< It may have run somewhere: "not run" cannot be said any more.
-    bool m_headTaken = false;
     bool m_headPassed = false;
     bool m_wantsMove = false;
     bool m_seeking = false;
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -19,15 +19,13 @@
     std::string callers; ///< Where callers connect; empty for a process without any.
     std::string readiness; ///< Where the platform asks whether the process is ready.
     std::string control; ///< Where entries listen for the system's other processes.
-    std::uint16_t firstInnerPort = 0; ///< Free for what the system's processes say to each other.
-    std::uint16_t lastInnerPort = 0;
+    std::uint16_t innerPort = 0; ///< Where a batch process listens for entries.
     std::uint16_t metricsPort = 0; ///< 0 for none.
     std::vector<std::string> seeds; ///< Control addresses of some entries; they may be stale.
 
     std::string store; ///< The platform's store.
     std::size_t storeValueBytes = 1u << 20; ///< Largest value that it takes.
 
-    std::uint64_t memoryMb = 256; ///< The process is ended beyond.
     unsigned descriptors = 1024; ///< Files and sockets that it may have open.
 
     milliseconds grace { 8000 }; ///< From the stop signal to the end of the process.
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -110,12 +110,10 @@
         { "listen.callers", { address(&process_settings::callers), false } },
         { "listen.readiness", { address(&process_settings::readiness), false } },
         { "listen.control", { address(&process_settings::control), false } },
-        { "listen.first_inner_port",
-            { number(1, mostPort,
-                [](auto& s, auto value) { s.firstInnerPort = static_cast<std::uint16_t>(value); }) } },
-        { "listen.last_inner_port",
-            { number(1, mostPort,
-                [](auto& s, auto value) { s.lastInnerPort = static_cast<std::uint16_t>(value); }) } },
+        { "listen.inner_port",
+            { number(
+                  1, mostPort, [](auto& s, auto value) { s.innerPort = static_cast<std::uint16_t>(value); }),
+                false } },
         { "listen.metrics_port",
             { number(1, mostPort,
                   [](auto& s, auto value) { s.metricsPort = static_cast<std::uint16_t>(value); }),
@@ -124,7 +122,6 @@
         { "store.address", { address(&process_settings::store) } },
         { "store.value_bytes",
             { number(1024, 1u << 30, [](auto& s, auto value) { s.storeValueBytes = value; }), false } },
-        { "limits.memory_mb", { number(16, 1u << 20, [](auto& s, auto value) { s.memoryMb = value; }) } },
         { "limits.descriptors",
             { number(
                 64, 1u << 20, [](auto& s, auto value) { s.descriptors = static_cast<unsigned>(value); }) } },
@@ -160,8 +157,6 @@
             return bad(std::string(fileName) + ": [" + name.substr(0, name.find('.')) + "] "
                 + name.substr(name.find('.') + 1) + ": is missing");
     }
-    if (settings.lastInnerPort < settings.firstInnerPort)
-        return bad(std::string(fileName) + ": [listen] last_inner_port: is lower than first_inner_port");
     return settings;
 }
 
