Two tests wait for what they start

Change: startTarget() waits until the target listens; the platform's set-up waits until each entry reaches a batch process. No check is changed.

--- a/bench/support/harness.cpp
+++ b/bench/support/harness.cpp
@@ -46,6 +46,18 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+bool listens(std::uint16_t port)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool connected = ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    ::close(fd);
+    return connected;
+}
+
 } // namespace
 
 child_process::child_process(
@@ -236,6 +248,8 @@
     target.process
         = std::make_unique<child_process>(target.service == "screening" ? "standin-engine" : "standin-plain",
             arguments, m_folder + '/' + name + ".log");
+    // On a busy machine a test would ask it before it listens.
+    waitUntil(name + " to listen", [&] { return listens(target.port); });
 }
 
 void test_system::start()
--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -64,6 +64,13 @@
         for (const auto& [name, process] : entries)
             waitReady(name);
         waitUntil("all processes are registered", [&] { return control("/runs")["nodes"] == 5; });
+        // An entry learns of a batch process a moment after it has registered; until then it refuses jobs,
+        // truthfully.
+        for (const auto& entry : entries)
+            waitUntil(entry.first + " reaches the batch processes", [&] {
+                const auto reply = call(entry.second.callers, "GET", "/lots/nobody?after=0", {}, "");
+                return reply && reply.value().status == 404;
+            });
     }
     ~platform_system()
     {
