A comment that said something else than its constant

Found while reading the whole change again: defaultExpiry is the age at which items of a route without an expiry are given up. Comment only.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -41,8 +41,7 @@
 constexpr std::size_t keptPerTarget = 24;
 constexpr unsigned accepted = 202;
 constexpr unsigned badGateway = 502;
-/// An item is given up so long before its hopeless end that the result is in time; for routes without an
-/// expiry.
+/// When items are given up whose route names no expiry.
 constexpr std::chrono::hours defaultExpiry { 24 };
 
 std::string randomToken()
