The client of grant streams outlives them: no callback lets go of the last channel

Cause: test_places aborted in gRPC (ref_counted.h: prior > 0). The backtrace shows the thread of gRPC's callback queue releasing that queue: ~rpc_client dropped its channels while a grant stream was still ending, so the stream's last callback let go of the last channel, and with it of the queue whose thread it ran on. A process that is told to stop does the same. Change: the client ends its streams and calls and waits for their last callbacks before it drops its channels; a call lets go of its channel before it is counted as ended. The server side starts no read after its Finish. The new test of test_rpc fails without the change.

--- a/libs/rpc/include/rpc/rpc.h
+++ b/libs/rpc/include/rpc/rpc.h
@@ -82,6 +82,7 @@
 class rpc_client {
 public:
     explicit rpc_client(rpc_security security);
+    /// Ends all streams and calls and waits for their callbacks; not to be called from one of them.
     ~rpc_client();
     rpc_client(const rpc_client&) = delete;
     rpc_client& operator=(const rpc_client&) = delete;
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -44,6 +44,9 @@
         : credentials(channelCredentials(security))
     {
     }
+    ~impl() { calls->cancelAndWait(); }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
 
     std::shared_ptr<grpc::Channel> channel(std::string_view address)
     {
@@ -70,12 +73,21 @@
     }
 
     std::shared_ptr<grpc::ChannelCredentials> credentials;
+    std::shared_ptr<running_calls> calls = std::make_shared<running_calls>();
     std::mutex mutex;
     std::map<std::string, std::shared_ptr<grpc::Channel>, std::less<>> channels;
 };
 
 namespace {
 
+std::vector<store_section> newerSections(const peer::SyncReply& reply)
+{
+    std::vector<store_section> newer;
+    for (const auto& section : reply.newer())
+        newer.push_back(fromWire(section));
+    return newer;
+}
+
 void setTimeout(grpc::ClientContext& context, milliseconds timeout)
 {
     context.set_deadline(std::chrono::system_clock::now() + timeout);
@@ -93,7 +105,7 @@
 std::shared_ptr<dispatcher_link> rpc_client::open(
     std::string_view address, std::function<void(envelope)> received, std::function<void()> closed)
 {
-    return openLink(m_impl->channel(address), std::move(received), std::move(closed));
+    return openLink(m_impl->calls, m_impl->channel(address), std::move(received), std::move(closed));
 }
 
 result<gossip_message> rpc_client::gossip(
@@ -150,27 +162,43 @@
     std::function<void(result<std::vector<store_section>>)> done)
 {
     struct pending_sync {
-        grpc::ClientContext context;
+        std::mutex mutex;
+        std::unique_ptr<grpc::ClientContext> context = std::make_unique<grpc::ClientContext>();
         peer::SyncRequest request;
         peer::SyncReply reply;
         std::unique_ptr<peer::Peer::Stub> stub;
+        std::uint64_t call = 0;
+
+        void cancel()
+        {
+            const std::scoped_lock lock(mutex);
+            if (context)
+                context->TryCancel();
+        }
+        void releaseChannel()
+        {
+            const std::scoped_lock lock(mutex);
+            context.reset();
+            stub.reset();
+        }
     };
     const auto pending = std::make_shared<pending_sync>();
-    setTimeout(pending->context, timeout);
+    setTimeout(*pending->context, timeout);
     for (const auto& section : known) {
         auto* added = pending->request.add_known();
         added->set_prefix(section.prefix);
         added->set_revision(section.revision);
     }
     pending->stub = m_impl->stub<peer::Peer>(address);
-    pending->stub->async()->Sync(&pending->context, &pending->request, &pending->reply,
-        [pending, done = std::move(done)](const grpc::Status& status) {
-            if (!status.ok())
-                return done(fromStatus(status));
-            std::vector<store_section> newer;
-            for (const auto& section : pending->reply.newer())
-                newer.push_back(fromWire(section));
-            done(std::move(newer));
+    pending->call = m_impl->calls->add([pending] { pending->cancel(); });
+    pending->stub->async()->Sync(pending->context.get(), &pending->request, &pending->reply,
+        [pending, calls = m_impl->calls, done = std::move(done)](const grpc::Status& status) {
+            if (status.ok())
+                done(newerSections(pending->reply));
+            else
+                done(fromStatus(status));
+            pending->releaseChannel();
+            calls->remove(pending->call);
         });
 }
 
--- a/libs/rpc/src/link.cpp
+++ b/libs/rpc/src/link.cpp
@@ -15,9 +15,11 @@
                          public grpc::ClientBidiReactor<peer::Envelope, peer::Envelope>,
                          public std::enable_shared_from_this<grant_link> {
 public:
-    grant_link(std::shared_ptr<grpc::Channel> channel, std::function<void(envelope)> received,
-        std::function<void()> closed)
-        : m_stub(peer::Peer::NewStub(std::move(channel)))
+    grant_link(std::shared_ptr<running_calls> calls, std::shared_ptr<grpc::Channel> channel,
+        std::function<void(envelope)> received, std::function<void()> closed)
+        : m_calls(std::move(calls))
+        , m_stub(peer::Peer::NewStub(std::move(channel)))
+        , m_context(std::make_unique<grpc::ClientContext>())
         , m_received(std::move(received))
         , m_closed(std::move(closed))
     {
@@ -26,7 +28,8 @@
     void start()
     {
         m_self = shared_from_this();
-        m_stub->async()->Exchange(&m_context, this);
+        m_call = m_calls->add([link = shared_from_this()] { link->close(); });
+        m_stub->async()->Exchange(m_context.get(), this);
         StartRead(&m_incoming);
         AddHold(); // Writes are started from other threads.
         StartCall();
@@ -34,7 +37,11 @@
 
     void close()
     {
-        m_context.TryCancel();
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (m_context)
+                m_context->TryCancel();
+        }
         dropHold();
     }
 
@@ -71,6 +78,8 @@
         dropAlive();
         m_closed();
         const auto self = std::move(m_self);
+        releaseChannel();
+        m_calls->remove(m_call);
     }
 
 private:
@@ -85,6 +94,14 @@
         StartWrite(&m_outgoing);
     }
 
+    /// The stub and the context hold the channel, and the owner may hold this object for long.
+    void releaseChannel()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_context.reset();
+        m_stub.reset();
+    }
+
     void dropAlive()
     {
         const std::scoped_lock lock(m_mutex);
@@ -98,8 +115,10 @@
             RemoveHold();
     }
 
+    std::shared_ptr<running_calls> m_calls;
+    std::uint64_t m_call = 0;
     std::unique_ptr<peer::Peer::Stub> m_stub;
-    grpc::ClientContext m_context;
+    std::unique_ptr<grpc::ClientContext> m_context; ///< Nothing after the end.
     std::function<void(envelope)> m_received;
     std::function<void()> m_closed;
     std::shared_ptr<grant_link> m_self;
@@ -129,10 +148,12 @@
 
 } // namespace
 
-std::shared_ptr<dispatcher_link> openLink(std::shared_ptr<grpc::Channel> channel,
-    std::function<void(envelope)> received, std::function<void()> closed)
+std::shared_ptr<dispatcher_link> openLink(std::shared_ptr<running_calls> calls,
+    std::shared_ptr<grpc::Channel> channel, std::function<void(envelope)> received,
+    std::function<void()> closed)
 {
-    auto link = std::make_shared<grant_link>(std::move(channel), std::move(received), std::move(closed));
+    auto link = std::make_shared<grant_link>(
+        std::move(calls), std::move(channel), std::move(received), std::move(closed));
     link->start();
     return std::make_shared<link_owner>(std::move(link));
 }
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -40,7 +40,9 @@
             return end();
         m_handler.sessionReceived(m_id, fromWire(m_incoming, std::chrono::steady_clock::now()));
         m_incoming.Clear();
-        StartRead(&m_incoming);
+        const std::scoped_lock lock(m_shared->mutex);
+        if (!m_ended) // Nothing may be started once end() has finished the stream.
+            StartRead(&m_incoming);
     }
 
     void OnWriteDone(bool ok) override
--- a/libs/rpc/tests/test_rpc.cpp
+++ b/libs/rpc/tests/test_rpc.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -145,3 +146,28 @@
     CHECK(client.cancel(address, "c", "j1", 5s).error().ran == verdict::may_have_run);
     CHECK(client.describe("127.0.0.1:1", "c", "j1", 300ms).error().ran == verdict::may_have_run);
 }
+
+// Story: an entry that was told to stop ended with SIGABRT in gRPC instead of code 0. It dropped its client
+// while a grant stream was still ending; the stream's last callback then let go of the last channel, and with
+// it of the queue whose thread it ran on.
+TEST_CASE("a client outlives its streams and calls, so that no callback lets go of the last channel")
+{
+    for (int round = 0; round < 20; ++round) {
+        std::atomic<int> closed { 0 };
+        std::atomic<int> answered { 0 };
+        std::shared_ptr<dispatcher_link> keptLonger;
+        {
+            rpc_client client({});
+            auto dropped = client.open(
+                "127.0.0.1:1", [](envelope) {}, [&] { ++closed; });
+            keptLonger = client.open(
+                "127.0.0.1:1", [](envelope) {}, [&] { ++closed; });
+            client.sync("127.0.0.1:1", {}, 20s, [&](const auto&) { ++answered; });
+            dropped.reset();
+        }
+        REQUIRE(closed == 2);
+        REQUIRE(answered == 1);
+        CHECK(!keptLonger->alive());
+        keptLonger->send({});
+    }
+}
