A randomized soak of the programs for the platform, and a last log line of a process that crashes

./build.sh soak [--seed S] [--seeds N] [--minutes M] [--processes P]: entries and batch processes on the stand-in of the platform, each behind a route of the fault proxy. It stops, kills, freezes and restarts processes, harms the store, the ways to it and to the servers, lets servers drain, crash and fall silent, changes the configuration and empties VMs, in overlapping series. Callers check answers, runs, refusals, configurations, positions and ends of jobs. A seed names its mood: planned work only (no request may break), the store only (live callers must not notice), everything. The stand-in's servers queue a few requests, as the platform's do; the fault proxy cuts idle connections, resets, and silences one way.

--- a/bench/standins/fault_proxy.cpp
+++ b/bench/standins/fault_proxy.cpp
@@ -2,7 +2,7 @@
 // bytes.
 //
 // fault-proxy --control PORT --route NAME:LISTENPORT:HOST:PORT ...
-// POST /routes/NAME?mode=pass|cut|silent[&delay_ms=N][&drop_reply_after=N]
+// POST /routes/NAME?mode=pass|cut|reset|silent|silent_up|silent_down[&delay_ms=N][&drop_reply_after=N]
 
 #include "flags.h"
 #include "http/http.h"
@@ -26,9 +26,23 @@
 enum class route_mode : int {
     pass,
     cut, ///< Close what is open and every new connection.
-    silent ///< Accept, keep and forward nothing: a network partition as TCP sees it.
+    reset, ///< Reset what is open, and let new connections pass.
+    silent, ///< Accept, keep and forward nothing: a network partition as TCP sees it.
+    silent_up, ///< Forward nothing to the target: a partition one way.
+    silent_down ///< Forward nothing to the caller.
 };
 
+route_mode modeOf(const std::string& text)
+{
+    static const std::map<std::string, route_mode> modes { { "cut", route_mode::cut },
+        { "reset", route_mode::reset }, { "silent", route_mode::silent },
+        { "silent_up", route_mode::silent_up }, { "silent_down", route_mode::silent_down } };
+    const auto found = modes.find(text);
+    return found == modes.end() ? route_mode::pass : found->second;
+}
+
+class connection;
+
 struct route {
     std::string name;
     tcp::endpoint target;
@@ -41,6 +55,7 @@
     std::atomic<unsigned> epoch { 0 }; ///< Grows with each cut: connections of earlier epochs close.
     std::atomic<std::uint64_t> bytes { 0 };
     std::atomic<std::uint64_t> connections { 0 };
+    std::list<std::weak_ptr<connection>> open; ///< On the network's thread.
 };
 
 /// One forwarded connection. Both directions read, wait out the route's state, and write.
@@ -66,9 +81,27 @@
         });
     }
 
+    /// With a reset instead of an orderly end if asked for.
+    void cut(bool reset)
+    {
+        boost::system::error_code ignored;
+        if (reset) {
+            m_client.set_option(asio::socket_base::linger(true, 0), ignored);
+            m_target.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        close();
+    }
+
 private:
     using buffer = std::array<char, 16384>;
 
+    bool silent(bool reply) const
+    {
+        const auto mode = m_route.mode.load();
+        return mode == route_mode::silent
+            || mode == (reply ? route_mode::silent_down : route_mode::silent_up);
+    }
+
     void pump(tcp::socket& from, tcp::socket& to, buffer& data, bool reply)
     {
         from.async_read_some(asio::buffer(data),
@@ -83,11 +116,11 @@
     {
         if (m_epoch != m_route.epoch)
             return close();
-        const bool silent = m_route.mode == route_mode::silent;
-        const int delay = silent ? 50 : m_route.delayMs.load();
+        const bool held = silent(reply);
+        const int delay = held ? 50 : m_route.delayMs.load();
         const auto timer
             = std::make_shared<asio::steady_timer>(from.get_executor(), std::chrono::milliseconds(delay));
-        if (silent)
+        if (held)
             return timer->async_wait([self = shared_from_this(), timer, &from, &to, &data, count, reply](
                                          const auto&) { self->forward(from, to, data, count, reply); });
         if (delay > 0)
@@ -169,11 +202,9 @@
         if (const auto value = queryParameter(request.query, "drop_reply_after"); !value.empty())
             chosen.dropReplyAfter = std::stol(value);
         if (const auto value = queryParameter(request.query, "mode"); !value.empty()) {
-            chosen.mode = value == "cut" ? route_mode::cut
-                : value == "silent"      ? route_mode::silent
-                                         : route_mode::pass;
-            if (value == "cut")
-                cutAll(chosen);
+            chosen.mode = modeOf(value);
+            if (chosen.mode == route_mode::cut || chosen.mode == route_mode::reset)
+                cutAll(chosen, chosen.mode == route_mode::reset);
         }
         return "{\"bytes\":" + std::to_string(chosen.bytes)
             + ",\"connections\":" + std::to_string(chosen.connections) + "}\n";
@@ -187,12 +218,23 @@
                 ++through.connections;
                 auto opened = std::make_shared<connection>(through, std::move(client));
                 opened->start();
+                std::erase_if(through.open, [](const auto& one) { return one.expired(); });
+                through.open.push_back(opened);
             }
             accept(through);
         });
     }
 
-    void cutAll(route& through) { ++through.epoch; }
+    void cutAll(route& through, bool reset)
+    {
+        ++through.epoch;
+        asio::post(m_context, [&through, reset] {
+            for (const auto& one : std::exchange(through.open, {})) {
+                if (const auto alive = one.lock())
+                    alive->cut(reset);
+            }
+        });
+    }
 
     asio::io_context m_context;
     std::map<std::string, std::unique_ptr<route>> m_routes;
--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds firstEventAfter { 10 };
+/// Requests that wait for a slot; more are refused.
+constexpr std::size_t queueLength = 24;
 const std::string serviceName = "llm";
 
 /// What the servers have run, for checks.
@@ -20,17 +22,25 @@
     std::string server;
     std::string lastEvent;
     bool finished = false;
+    std::int64_t beganMs = 0; ///< By the steady clock, which all processes of a machine share.
 };
 
+std::int64_t steadyMs()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
 class model_server {
 public:
     model_server(event_loop& loop, platform_store& store, std::vector<run_record>& runs, std::string zone,
-        std::string address, unsigned slots, milliseconds eventInterval)
+        std::string address, std::string listedAddress, unsigned slots, milliseconds eventInterval)
         : m_loop(loop)
         , m_store(store)
         , m_runs(runs)
         , m_zone(std::move(zone))
         , m_address(std::move(address))
+        , m_listedAddress(std::move(listedAddress))
         , m_slots(slots)
         , m_interval(eventInterval)
         , m_ticker(loop, m_interval, [this] { tick(); })
@@ -67,7 +77,8 @@
     struct stream {
         std::shared_ptr<http_exchange> caller;
         std::shared_ptr<bool> gone;
-        std::size_t run = 0;
+        run_record run;
+        std::optional<std::size_t> begun; ///< Its place among the runs, once it has a slot.
         std::string id;
         int next = 1;
         int last = 0;
@@ -77,8 +88,9 @@
     void list(const std::string& state)
     {
         m_store.put("servers/" + m_id,
-            { { "service", serviceName }, { "address", m_address }, { "zone", m_zone }, { "version", "v1" },
-                { "slots", m_slots }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } });
+            { { "service", serviceName }, { "address", m_listedAddress }, { "zone", m_zone },
+                { "version", "v1" }, { "slots", m_slots }, { "state", state }, { "cold_left_ms", 0 },
+                { "call_seq", 0 } });
     }
 
     void serve(std::shared_ptr<http_exchange> caller)
@@ -92,13 +104,15 @@
             m_silent.push_back(std::move(caller));
             return;
         }
-        if (m_running.size() >= m_slots)
+        if (m_running.size() >= m_slots + queueLength)
             return caller->send(
                 { 503, { { "Yuccachute-Not-Run", "1" }, { "Yuccachute-Request-Id", id } }, "" });
-        m_runs.push_back({ id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false });
+        const run_record run { id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false, 0 };
         const http_headers head { { "Yuccachute-Request-Id", id },
             { "Yuccachute-Server-Seal", "seal-" + m_id } };
         if (caller->request().method == "GET") {
+            m_runs.push_back(run);
+            m_runs.back().beganMs = steadyMs();
             m_runs.back().finished = true;
             return caller->send({ 200, head, "plain " + id });
         }
@@ -106,13 +120,12 @@
         one.caller = caller;
         one.gone = std::make_shared<bool>(false);
         caller->onCallerGone([gone = one.gone] { *gone = true; });
-        one.run = m_runs.size() - 1;
+        one.run = run;
         one.id = id;
         const std::string tokens(findHeader(headers, "Yuccachute-Token-Count"));
         one.last = std::stoi(tokens.substr(tokens.find(',') + 1));
-        if (!m_runs.back().lastEvent.empty())
-            one.next = std::stoi(m_runs.back().lastEvent) + 1;
-        one.from = std::chrono::steady_clock::now() + firstEventAfter;
+        if (!run.lastEvent.empty())
+            one.next = std::stoi(run.lastEvent) + 1;
         auto streamHead = head;
         streamHead.emplace_back("Content-Type", "text/event-stream");
         caller->startStream(200, streamHead, std::nullopt);
@@ -122,26 +135,40 @@
     void tick()
     {
         const auto now = std::chrono::steady_clock::now();
-        for (auto& one : m_running) {
-            if (*one.gone || now < one.from || m_dark)
-                continue;
-            if (one.next <= one.last) {
-                const auto number = std::to_string(one.next++);
-                one.caller->write("id: " + number + "\ndata: " + one.id + "-" + number + "\n\n");
-            }
-            if (one.next > one.last) {
-                m_runs[one.run].finished = true;
-                one.caller->finish();
-            }
+        for (std::size_t i = 0; i < std::min<std::size_t>(m_running.size(), m_slots); ++i) {
+            if (!*m_running[i].gone && !m_dark)
+                advance(m_running[i], now);
         }
         std::erase_if(m_running, [](const auto& one) { return *one.gone || one.next > one.last; });
     }
 
+    /// One step of a request that has a slot.
+    void advance(stream& one, steady_time now)
+    {
+        if (!one.begun) {
+            one.begun = m_runs.size();
+            m_runs.push_back(one.run);
+            m_runs.back().beganMs = steadyMs();
+            one.from = now + firstEventAfter;
+        }
+        if (now < one.from)
+            return;
+        if (one.next <= one.last) {
+            const auto number = std::to_string(one.next++);
+            one.caller->write("id: " + number + "\ndata: " + one.id + "-" + number + "\n\n");
+        }
+        if (one.next > one.last) {
+            m_runs[*one.begun].finished = true;
+            one.caller->finish();
+        }
+    }
+
     event_loop& m_loop;
     platform_store& m_store;
     std::vector<run_record>& m_runs;
     std::string m_zone;
     std::string m_address;
+    std::string m_listedAddress; ///< Where callers reach it; a proxy may stand there.
     unsigned m_slots;
     milliseconds m_interval;
     std::string m_id;
@@ -153,7 +180,8 @@
     loop_ticker m_ticker;
 };
 
-json configuration(std::int64_t version, int timeoutMs, bool extraRoute)
+/// With a route "/stepN/" for each step up to the given one, by which callers tell how far a process is.
+json configuration(std::int64_t version, int timeoutMs, bool extraRoute, int steps)
 {
     const auto routeOf = [&](std::string name, std::string prefix, std::string kind, json more) {
         json route { { "name", name }, { "host", "test.example" }, { "prefix", prefix }, { "kind", kind },
@@ -169,6 +197,10 @@
         routeOf("jobs", "/jobs/", "batch",
             { { "result_due_ms", 18000 }, { "expiry_s", 60 }, { "max_attempts", 3 },
                 { "timeout_ms", 15000 } }) });
+    for (int step = 1; step <= steps; ++step) {
+        const auto name = "step" + std::to_string(step);
+        routes.push_back(routeOf(name, "/" + name + "/", "safe", json::object()));
+    }
     if (extraRoute)
         routes.push_back(routeOf("extra", "/extra/", "safe", json::object()));
     return { { "version", version }, { "routes", routes },
@@ -191,13 +223,14 @@
         m_control = std::make_unique<http_listener>(loop, options, [this](auto caller) {
             caller->send({ 200, { { "Content-Type", "application/json" } }, command(*caller).dump() });
         });
-        m_store.put("op/config", configuration(m_version, 5000, false));
+        m_store.put("op/config", configuration(m_version, 5000, false, 0));
     }
 
-    void addServer(std::string zone, const std::string& address, unsigned slots, milliseconds interval)
+    void addServer(std::string zone, const std::string& address, const std::string& listedAddress,
+        unsigned slots, milliseconds interval)
     {
         m_servers.push_back(std::make_unique<model_server>(
-            m_loop, m_store, m_runs, std::move(zone), address, slots, interval));
+            m_loop, m_store, m_runs, std::move(zone), address, listedAddress, slots, interval));
     }
 
 private:
@@ -223,11 +256,14 @@
                 m_store.compact();
         }
         if (request.path == "/config") {
-            m_store.put("op/config", configuration(++m_version, number("timeout"), number("extra") != 0));
+            m_store.put("op/config",
+                configuration(++m_version, number("timeout"), number("extra") != 0, number("steps")));
             return { { "version", m_version } };
         }
         if (request.path == "/order")
             m_store.put(value("key"), { { "duration_s", 10 } });
+        if (request.path == "/remove")
+            m_store.remove(value("key"));
         if (request.path == "/key")
             return m_store.get(value("key"));
         if (request.path == "/server") {
@@ -248,7 +284,7 @@
         auto runs = json::array();
         for (const auto& run : m_runs)
             runs.push_back({ { "id", run.id }, { "server", run.server }, { "last", run.lastEvent },
-                { "finished", run.finished } });
+                { "finished", run.finished }, { "began_ms", run.beganMs } });
         return { { "runs", runs }, { "calls", m_store.calls() },
             { "open", m_store.count("yuccachute/open/") }, { "nodes", m_store.count("yuccachute/node/") } };
     }
@@ -263,11 +299,11 @@
 
 } // namespace
 
-// Usage: standin-platform STORE CONTROL EVENT-MS SLOTS [ZONE=ADDRESS ...]
+// Usage: standin-platform STORE CONTROL EVENT-MS SLOTS [ZONE=ADDRESS[@LISTED] ...]
 int main(int argc, char** argv)
 {
     if (argc < 5) {
-        std::cerr << "usage: standin-platform STORE CONTROL EVENT-MS SLOTS [ZONE=ADDRESS ...]\n";
+        std::cerr << "usage: standin-platform STORE CONTROL EVENT-MS SLOTS [ZONE=ADDRESS[@LISTED] ...]\n";
         return 2;
     }
     event_loop loop;
@@ -275,7 +311,10 @@
     for (int i = 5; i < argc; ++i) {
         const std::string text = argv[i];
         const auto equals = text.find('=');
-        stand.addServer(text.substr(0, equals), text.substr(equals + 1),
+        const auto address = text.substr(equals + 1);
+        const auto at = address.find('@');
+        stand.addServer(text.substr(0, equals), address.substr(0, at),
+            at == std::string::npos ? address : address.substr(at + 1),
             static_cast<unsigned>(std::stoi(argv[4])), milliseconds { std::stoi(argv[3]) });
     }
     loop.run();
--- a/build.sh
+++ b/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds and runs yuccachute. Usage: ./build.sh [build|test|demo [--keep]|measure|lint|format|clean]
+# Builds and runs yuccachute. Usage: ./build.sh [build|test|demo [--keep]|measure|soak [OPTIONS]|lint|format|clean]
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -78,6 +78,11 @@
     shift
     bench/measure.sh "$@"
     ;;
+soak)
+    build
+    shift
+    "$out/bin/soak" "$@"
+    ;;
 lint)
     build
     lint
--- a/libs/logging/include/logging/logging.h
+++ b/libs/logging/include/logging/logging.h
@@ -20,7 +20,8 @@
     std::variant<std::string_view, std::int64_t, double> value;
 };
 
-/// Starts logging to standard output, asynchronously, with the program's and the VM's name in each line.
+/// Starts logging to standard output, asynchronously, with the program's and the VM's name in each line. From
+/// then on a crash writes a last line with the signal and the stack ("FILE+OFFSET", for addr2line).
 void startLogging(std::string_view program, std::string_view vm, log_level least);
 
 /// Lines that were left out, because there were too many of them or nobody read the output. Such lines are
--- a/libs/logging/src/logging.cpp
+++ b/libs/logging/src/logging.cpp
@@ -1,5 +1,7 @@
 #include "logging/logging.h"
 
+#include "crash_report.h"
+
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -63,6 +65,7 @@
     processLogger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\"," + inner + ",%v");
     processLogger->set_level(toLibrary(least));
     processLogger->flush_on(spdlog::level::warn);
+    reportCrashes(inner);
 }
 
 std::string formatEvent(std::string_view event, std::initializer_list<log_field> fields)
--- a/libs/logging/tests/test_logging.cpp
+++ b/libs/logging/tests/test_logging.cpp
@@ -1,6 +1,11 @@
 #include "logging/logging.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <sstream>
 
@@ -48,3 +53,33 @@
     std::stringstream none("{}\n");
     CHECK(timelineOf("r1", none).empty());
 }
+
+// Story: a process vanished; its log ended without a word, and nobody could tell where it had failed.
+TEST_CASE("a crash writes a last line with the signal and the stack")
+{
+    int ends[2];
+    REQUIRE(::pipe(ends) == 0);
+    const auto child = ::fork();
+    REQUIRE(child >= 0);
+    if (child == 0) {
+        ::dup2(ends[1], STDOUT_FILENO);
+        startLogging("test", "vm-1", log_level::info);
+        __builtin_trap();
+    }
+    ::close(ends[1]);
+    std::string text;
+    char piece[4096];
+    for (ssize_t count = 0; (count = ::read(ends[0], piece, sizeof piece)) > 0;)
+        text.append(piece, static_cast<std::size_t>(count));
+    ::close(ends[0]);
+    int status = 0;
+    ::waitpid(child, &status, 0);
+    CHECK(WIFSIGNALED(status));
+    CHECK(WTERMSIG(status) == SIGILL);
+    const auto line = nlohmann::json::parse(text);
+    CHECK(line["event"] == "crashed");
+    CHECK(line["vm"] == "vm-1");
+    CHECK(line["signal"] == SIGILL);
+    CHECK(line["at"].get<std::string>().starts_with("test_logging+0x"));
+    CHECK(line["stack"].size() > 3);
+}
--- /dev/null
+++ b/tests/soak/soak_load.cpp
@@ -0,0 +1,272 @@
+#include "soak_load.h"
+
+#include "event_loop/event_loop.h"
+
+#include <algorithm>
+
+namespace yuccachute::soak {
+
+using nlohmann::json;
+using testing::platform_system;
+
+namespace {
+
+constexpr milliseconds answerLimit { 7000 }; ///< Routes answer within 5 s.
+constexpr std::int64_t routeTimeoutMs = 5000;
+constexpr std::int64_t overdueMs = 600;
+/// A configuration is in force within 2 s; the prober's own call takes a moment.
+constexpr std::int64_t inForceMs = 2500;
+/// After a disturbance a process has this long to catch up.
+constexpr std::int64_t catchUpMs = 4800;
+constexpr std::int64_t jobsEndMs = 45000;
+
+/// Keeps its connections, also to processes that stop, until they are closed.
+class kept_caller {
+public:
+    /// Leaves after `leaveAfter` if that is not zero.
+    result<http_reply> call(std::uint16_t port, const std::string& method, const std::string& target,
+        http_headers headers, std::string body, milliseconds leaveAfter = milliseconds { 0 })
+    {
+        http_request request;
+        request.method = method;
+        request.target = target;
+        request.headers = std::move(headers);
+        request.headers.emplace_back("Host", "test.example");
+        request.body = std::move(body);
+        std::optional<result<http_reply>> outcome;
+        http_reply reply;
+        client_call_events events;
+        events.head = [&](const http_reply& head) {
+            reply = head;
+            return true;
+        };
+        events.body = [&](std::string_view piece) {
+            reply.body.append(piece);
+            return true;
+        };
+        events.whole = [&] { outcome.emplace(std::move(reply)); };
+        events.failed = [&](const failure& error) { outcome.emplace(error); };
+        client_call_options options;
+        const auto now = std::chrono::steady_clock::now();
+        options.deadline = now + answerLimit;
+        auto running
+            = m_client.start("127.0.0.1:" + std::to_string(port), request, options, std::move(events));
+        while (!outcome) {
+            if (leaveAfter.count() > 0 && std::chrono::steady_clock::now() - now > leaveAfter) {
+                running.reset();
+                return mayHaveRun(failure_kind::cancelled, "the caller left");
+            }
+            m_loop.runFor(milliseconds { 5 });
+        }
+        return std::move(*outcome);
+    }
+
+private:
+    event_loop m_loop;
+    http_client m_client { m_loop, {} };
+};
+
+std::string wholeAnswer(route_kind kind, const std::string& id, int events)
+{
+    const bool streams = kind == route_kind::resumable || kind == route_kind::once;
+    return streams ? platform_system::wholeStream(id, events) : "plain " + id;
+}
+
+bool mayBeAnswered(unsigned status)
+{
+    static const std::vector<unsigned> allowed { 200, 408, 421, 429, 502, 503, 504 };
+    return std::find(allowed.begin(), allowed.end(), status) != allowed.end();
+}
+
+/// Sends one live request and checks its answer by itself.
+unsigned sendOne(
+    soak_state& state, kept_caller& caller, seen_request& seen, int events, milliseconds leaveAfter)
+{
+    const auto headers = platform_system::requestHeaders(seen.id, events);
+    const bool streams = seen.kind == route_kind::resumable || seen.kind == route_kind::once;
+    seen.beganMs = steadyMs();
+    const auto reply = caller.call(state.system.entries.at(seen.entry).callers, streams ? "POST" : "GET",
+        "/" + std::string(prefixOf(seen.kind)) + "/x", headers, streams ? "prompt" : "", leaveAfter);
+    seen.endedMs = steadyMs();
+    seen.left = !reply && reply.error().kind == failure_kind::cancelled;
+    seen.status = reply ? reply.value().status : 0;
+    const auto what = "request " + seen.id + " (" + prefixOf(seen.kind) + " at " + seen.entry + ")";
+    if (reply && !mayBeAnswered(seen.status))
+        state.book.violation(what + " was answered " + std::to_string(seen.status));
+    if (seen.status == 200 && reply.value().body != wholeAnswer(seen.kind, seen.id, events))
+        state.book.violation(
+            what + " got another answer that looked whole: " + reply.value().body.substr(0, 200));
+    if (seen.endedMs - seen.beganMs > routeTimeoutMs + overdueMs
+        && state.book.disturbed.calm(seen.entry, seen.beganMs - catchUpMs, seen.endedMs))
+        state.book.violation(what + " was held for " + std::to_string(seen.endedMs - seen.beganMs) + " ms");
+    return seen.status;
+}
+
+/// Submits until the job is accepted, or gives up after a few attempts, as callers do.
+void submitJob(soak_state& state, kept_caller& caller, seen_job& job, std::mt19937& random)
+{
+    constexpr int attempts = 5;
+    constexpr milliseconds pause { 300 };
+    const auto body = platform_system::submission(job.id, job.items, job.events);
+    for (int attempt = 0; attempt < attempts && !job.accepted; ++attempt) {
+        if (attempt > 0)
+            std::this_thread::sleep_for(pause);
+        const auto& entry = state.entryNames[random() % state.entryNames.size()];
+        const auto reply = caller.call(state.system.entries.at(entry).callers, "POST", "/jobs/1",
+            platform_system::requestHeaders(job.id), body);
+        const auto status = reply ? reply.value().status : 0;
+        job.accepted = status == 202;
+        job.refusedAlways = job.refusedAlways && (status == 503 || status == 429);
+        if (status != 0 && status != 202 && !mayBeAnswered(status))
+            state.book.violation("job " + job.id + " was answered " + std::to_string(status));
+    }
+}
+
+/// One read at one entry, at times from an earlier position.
+void readJob(soak_state& state, kept_caller& caller, seen_job& job, std::mt19937& random)
+{
+    const auto& entry = state.entryNames[random() % state.entryNames.size()];
+    const auto after = random() % 4 == 0 ? random() % (job.positions.size() + 1) : job.positions.size();
+    const auto reply = caller.call(state.system.entries.at(entry).callers, "GET",
+        "/lots/" + job.id + "?after=" + std::to_string(after), { { "Yuccachute-Wait-Ms", "400" } }, "");
+    if (!reply)
+        return;
+    if (reply.value().status == 200)
+        state.book.takePage(job, after, json::parse(reply.value().body));
+    else if (reply.value().status == 404 || reply.value().status == 410)
+        state.book.violation("job " + job.id + " is unknown at " + entry);
+}
+
+void endJob(soak_state& state, kept_caller& caller, seen_job& job, std::mt19937& random)
+{
+    const auto& entry = state.entryNames[random() % state.entryNames.size()];
+    const auto reply
+        = caller.call(state.system.entries.at(entry).callers, "DELETE", "/lots/" + job.id, {}, "");
+    if (reply && reply.value().status == 200)
+        job.endedMs = steadyMs();
+}
+
+bool finished(const seen_job& job)
+{
+    return !job.accepted || job.endedMs != 0 || job.positions.size() == static_cast<std::size_t>(job.items);
+}
+
+} // namespace
+
+void sendLive(soak_state& state, unsigned seed)
+{
+    std::mt19937 random(seed);
+    kept_caller caller;
+    for (int number = 0; !state.stop; ++number) {
+        static constexpr std::array kinds { route_kind::resumable, route_kind::resumable, route_kind::once,
+            route_kind::plain, route_kind::unsafe };
+        seen_request seen;
+        seen.id = "r" + std::to_string(seed) + "-" + std::to_string(number);
+        seen.kind = kinds[random() % kinds.size()];
+        seen.entry = state.entryNames[random() % state.entryNames.size()];
+        const int events = 5 + static_cast<int>(random() % 50);
+        const milliseconds leaveAfter { random() % 12 == 0 ? 1 + random() % 200 : 0 };
+        const auto status = sendOne(state, caller, seen, events, leaveAfter);
+        state.book.add(std::move(seen));
+        std::this_thread::sleep_for(milliseconds { status == 200 ? random() % 40 : 50 + random() % 150 });
+    }
+}
+
+void sendJobs(soak_state& state, unsigned seed)
+{
+    std::mt19937 random(seed);
+    kept_caller caller;
+    std::vector<seen_job> jobs;
+    for (int number = 0; !state.stopJobs; ++number) {
+        seen_job job;
+        job.id = "j" + std::to_string(seed) + "x" + std::to_string(number);
+        job.items = 1 + static_cast<int>(random() % 8);
+        job.events = 5 + static_cast<int>(random() % 80);
+        submitJob(state, caller, job, random);
+        if (job.accepted && random() % 6 == 0)
+            endJob(state, caller, job, random);
+        jobs.push_back(std::move(job));
+        for (int read = 0; read < 4; ++read) {
+            if (auto& one = jobs[random() % jobs.size()]; one.accepted)
+                readJob(state, caller, one, random);
+        }
+    }
+    const auto until = steadyMs() + jobsEndMs;
+    for (auto& job : jobs) {
+        while (!finished(job) && steadyMs() < until)
+            readJob(state, caller, job, random);
+        if (!finished(job))
+            state.book.violation("job " + job.id + " is not finished: " + std::to_string(job.positions.size())
+                + " of " + std::to_string(job.items) + " items are listed");
+        if (job.accepted) { // Once more from the start.
+            for (int read = 0; read < 2; ++read)
+                readJob(state, caller, job, random);
+        }
+        state.book.add(std::move(job));
+    }
+}
+
+void probeConfiguration(soak_state& state)
+{
+    struct known_step {
+        int starts = 0;
+        int step = 0;
+    };
+    std::map<std::string, known_step> known;
+    while (!state.stop) {
+        for (const auto& entry : state.entryNames) {
+            const int step = state.step;
+            const auto acknowledged = state.stepMs.load();
+            const int starts = state.starts.at(entry);
+            auto& seen = known[entry];
+            if (seen.starts != starts)
+                seen = { starts, 0 };
+            const auto probe = [&](int number) {
+                const auto id = "c-" + std::to_string(steadyMs()) + entry;
+                const auto reply = state.system.call(state.system.entries.at(entry).callers, "GET",
+                    "/step" + std::to_string(number) + "/x", platform_system::requestHeaders(id), "",
+                    milliseconds { 800 });
+                return reply ? reply.value().status : 0u;
+            };
+            if (step == 0 || state.stop)
+                continue;
+            const auto began = steadyMs();
+            const auto status = probe(step);
+            if (starts != state.starts.at(entry))
+                continue;
+            const bool calm = state.book.disturbed.calm(entry, acknowledged - catchUpMs, began)
+                && state.book.disturbed.calm("store", acknowledged - catchUpMs, began);
+            if (status == 404 && calm && began - acknowledged > inForceMs)
+                state.book.violation("step " + std::to_string(step)
+                    + " of the configuration is not in force at " + entry + " after "
+                    + std::to_string(began - acknowledged) + " ms");
+            if (seen.step > 0 && probe(seen.step) == 404 && starts == state.starts.at(entry))
+                state.book.violation("step " + std::to_string(seen.step)
+                    + " of the configuration was in force at " + entry + " and is not any more");
+            if (status == 200)
+                seen.step = std::max(seen.step, step);
+        }
+        std::this_thread::sleep_for(milliseconds { 50 });
+    }
+}
+
+void checkCalm(soak_state& state, unsigned seed)
+{
+    constexpr int requestsEach = 5;
+    kept_caller caller;
+    for (const auto& entry : state.entryNames) {
+        for (int number = 0; number < requestsEach; ++number) {
+            seen_request seen;
+            seen.id = "calm" + std::to_string(seed) + entry + std::to_string(number);
+            seen.kind = number % 2 == 0 ? route_kind::resumable : route_kind::plain;
+            seen.entry = entry;
+            const auto status = sendOne(state, caller, seen, 10, milliseconds { 0 });
+            if (status != 200)
+                state.book.violation(
+                    "after the last disturbance " + entry + " answers " + std::to_string(status));
+            state.book.add(std::move(seen));
+        }
+    }
+}
+
+} // namespace yuccachute::soak
--- /dev/null
+++ b/tests/soak/soak_load.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "soak_ledger.h"
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+/// The callers of a soak: live requests over kept connections, jobs, and a prober of the configuration.
+namespace yuccachute::soak {
+
+/// What the callers and the one who disturbs the system share.
+struct soak_state {
+    testing::platform_system& system;
+    ledger& book;
+    std::vector<std::string> entryNames;
+    std::vector<std::string> batchNames;
+    std::atomic<bool> stop { false };
+    std::atomic<bool> stopJobs { false }; ///< No new jobs.
+    std::atomic<int> step { 0 }; ///< Last step of the configuration that the store has acknowledged.
+    std::atomic<std::int64_t> stepMs { 0 }; ///< When.
+    std::map<std::string, std::atomic<int>> starts; ///< Of each entry.
+};
+
+/// Sends live requests of all kinds to all entries until it is told to stop.
+void sendLive(soak_state& state, unsigned seed);
+/// Submits jobs, reads their results at all entries, ends some; waits for the open ones at the end.
+void sendJobs(soak_state& state, unsigned seed);
+/// Checks at each entry that a configuration is in force soon and never goes back.
+void probeConfiguration(soak_state& state);
+
+/// After the last disturbance: every request is served at every entry.
+void checkCalm(soak_state& state, unsigned seed);
+
+} // namespace yuccachute::soak
