Questions of callers do not reach a store that turns the process away

Change: after three failures in a row a batch process refuses such questions at once; its own renewals find the store again. Calls of the store are counted by kind in the metrics.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -91,7 +91,7 @@
         , m_adapter(adapter)
         , m_client(m_loop, { keptPerTarget })
         , m_platformStore(connect(m_loop, m_client))
-        , m_store(*m_platformStore)
+        , m_store(*m_platformStore, m_figures)
         , m_rpc({})
         , m_self(ownRecord(settings))
         , m_fleet(m_loop, m_store, m_rpc, adapter.documents, m_self, { settings.seeds }, listeners())
@@ -183,6 +183,18 @@
         caller.send({ badGateway, {}, error.message + "\n" });
     }
 
+    /// While the store turns this process away, each question of a caller would be one more priced call that
+    /// fails, up to thousands a second, and wait for its timeout if the store is silent. The caller is told
+    /// at once, and its entry asks another process; this one notices the store's return by its own renewals.
+    bool refusedWhileStoreAway(http_exchange& caller)
+    {
+        if (!m_store.away())
+            return false;
+        refuse(
+            caller, notRun(failure_kind::unavailable, "the store does not answer this process", retryAfter));
+        return true;
+    }
+
     void submit(std::shared_ptr<http_exchange> caller)
     {
         auto record = m_adapter.jobs.parseSubmission(caller->request());
@@ -200,6 +212,8 @@
         const auto known = m_jobs.find(id);
         if (known != m_jobs.end())
             return caller->send({ accepted, {}, "" });
+        if (refusedWhileStoreAway(*caller))
+            return;
         m_keeper.create(record.value(),
             [this, caller, record = record.value(), id](result<job_keeper::creation> created) {
                 if (!created) {
@@ -264,6 +278,8 @@
     /// Answers from the store what this process does not know, or cannot be sure of.
     void withStored(std::shared_ptr<http_exchange> caller, const std::string& id, job_reader use)
     {
+        if (refusedWhileStoreAway(*caller))
+            return;
         m_keeper.holderOf(
             id, [this, caller, id, use = std::move(use)](result<std::optional<job_keeper::open_job>> open) {
                 if (!open)
@@ -321,6 +337,8 @@
 
     void serve(std::shared_ptr<http_exchange> caller, const end_job_call& call)
     {
+        if (refusedWhileStoreAway(*caller))
+            return;
         m_keeper.end(call.jobId, [this, caller, id = call.jobId](result<bool> ended) {
             if (!ended)
                 return answer(*caller, ended.error());
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -101,7 +101,8 @@
     auto server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     event_loop loop;
     closed_store closed(loop);
-    observed_store store(closed);
+    metrics figures;
+    observed_store store(closed, figures);
     rpc_client client { {} };
     const plain_codec codec;
     const auto ignore = [] {};
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -74,7 +74,7 @@
         , m_adapter(adapter)
         , m_client(m_loop, { keptPerTarget })
         , m_platformStore(connect(m_loop, m_client))
-        , m_store(*m_platformStore)
+        , m_store(*m_platformStore, m_figures)
         , m_rpc({})
         , m_self(ownRecord(settings))
         , m_fleet(m_loop, m_store, m_rpc, adapter.documents, m_self, { settings.seeds }, listeners())
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "metrics/metrics.h"
 #include "verdict/verdict.h"
 
 #include <cstdint>
@@ -133,17 +134,22 @@
     virtual void endLease(std::int64_t lease, callback<bool> done) = 0;
 };
 
-/// Passes calls on to another store and notes when it could not be reached. Who reads a list shortly after an
-/// outage must know of it: entries under leases may have lapsed meanwhile.
+/// Passes calls on to another store, counts them by kind, and notes when it could not be reached. Who reads a
+/// list shortly after an outage must know of it: entries under leases may have lapsed meanwhile.
 class observed_store final : public async_store {
 public:
-    explicit observed_store(async_store& store)
+    /// Each call has its price, so each kind is counted in the metrics: "yuccachute_store_calls_total".
+    observed_store(async_store& store, metrics& figures)
         : m_store(store)
+        , m_figures(figures)
     {
     }
 
     /// Whether the last call that ended was answered, however it was answered.
     bool reachable() const { return m_reachable; }
+    /// Whether several calls in a row were not answered: further ones that can be spared should be. Single
+    /// lost answers do not count, as calls between them are answered.
+    bool away() const { return m_failuresInRow >= failuresOfOutage; }
     /// When the store answered again after the last outage; long ago if there was none.
     steady_time reachableSince() const { return m_reachableSince; }
 
@@ -157,10 +163,14 @@
     void endLease(std::int64_t lease, callback<bool> done) override;
 
 private:
-    template <typename T> callback<T> observed(callback<T> done);
+    template <typename T> callback<T> observed(std::string_view call, callback<T> done);
     void note(bool answered, steady_time now);
 
+    static constexpr unsigned failuresOfOutage = 3;
+
     async_store& m_store;
+    metrics& m_figures;
+    unsigned m_failuresInRow = 0;
     bool m_reachable = true;
     steady_time m_reachableSince;
 };
--- a/libs/store/src/observed_store.cpp
+++ b/libs/store/src/observed_store.cpp
@@ -25,10 +25,13 @@
     if (answered && !m_reachable)
         m_reachableSince = now;
     m_reachable = answered;
+    m_failuresInRow = answered ? 0 : m_failuresInRow + 1;
 }
 
-template <typename T> observed_store::callback<T> observed_store::observed(callback<T> done)
+template <typename T>
+observed_store::callback<T> observed_store::observed(std::string_view call, callback<T> done)
 {
+    m_figures.count("yuccachute_store_calls_total", "call", call);
     return [this, done = std::move(done)](result<T> outcome) {
         note(outcome || !tellsOutage(outcome.error()), std::chrono::steady_clock::now());
         done(std::move(outcome));
@@ -37,38 +40,38 @@
 
 void observed_store::get(std::string_view key, callback<std::optional<stored_value>> done)
 {
-    m_store.get(key, observed(std::move(done)));
+    m_store.get(key, observed("get", std::move(done)));
 }
 
 void observed_store::list(std::string_view prefix, callback<store_listing> done)
 {
-    m_store.list(prefix, observed(std::move(done)));
+    m_store.list(prefix, observed("list", std::move(done)));
 }
 
 void observed_store::commit(const store_transaction& transaction, callback<commit_outcome> done)
 {
-    m_store.commit(transaction, observed(std::move(done)));
+    m_store.commit(transaction, observed("commit", std::move(done)));
 }
 
 void observed_store::waitForChange(
     std::string_view prefix, std::int64_t after, milliseconds time, callback<store_changes> done)
 {
-    m_store.waitForChange(prefix, after, time, observed(std::move(done)));
+    m_store.waitForChange(prefix, after, time, observed("wait", std::move(done)));
 }
 
 void observed_store::grantLease(milliseconds timeToLive, callback<std::int64_t> done)
 {
-    m_store.grantLease(timeToLive, observed(std::move(done)));
+    m_store.grantLease(timeToLive, observed("grant lease", std::move(done)));
 }
 
 void observed_store::renewLease(std::int64_t lease, callback<bool> done)
 {
-    m_store.renewLease(lease, observed(std::move(done)));
+    m_store.renewLease(lease, observed("renew lease", std::move(done)));
 }
 
 void observed_store::endLease(std::int64_t lease, callback<bool> done)
 {
-    m_store.endLease(lease, observed(std::move(done)));
+    m_store.endLease(lease, observed("end lease", std::move(done)));
 }
 
 } // namespace yuccachute
--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -310,3 +310,34 @@
     for (int number = 0; number < 4; ++number)
         CHECK(system.control("/server?do=none&number=" + std::to_string(number))["running"] == 0);
 }
+
+// Story: the store turns every process away for seconds, and callers go on asking for their jobs. Each
+// question became a call by every batch process in turn, thousands in a few seconds, all refused and each
+// priced.
+TEST_CASE("questions of callers do not reach a store that turns the process away")
+{
+    platform_system system(10);
+    REQUIRE(system.submit("entry-a-1", "asked", 4, 300) == 202);
+    system.control("/store?busy=1");
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    const auto before = system.control("/runs")["calls"].get<int>();
+    std::atomic<bool> stop { false };
+    std::atomic<int> asked { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.emplace_back([&] {
+            for (; !stop; ++asked)
+                system.results("entry-b-1", "asked");
+        });
+    }
+    std::this_thread::sleep_for(milliseconds { 2000 });
+    const auto calls = system.control("/runs")["calls"].get<int>() - before;
+    stop = true;
+    for (auto& caller : callers)
+        caller.join();
+    REQUIRE(asked > 100);
+    // Five processes that look for the store again by themselves, a few times a second each.
+    CHECK(calls < 250);
+    system.control("/store?busy=0");
+    system.allResults("entry-b-1", "asked", 4);
+}
