Changes of the lists of targets and processes that come in a row share a call

Cause: each change is told to each of 62 processes by a call; a roll of all processes changes the list of processes three times a second. Change: the next wait follows 400 ms (targets) and 1 s (processes) after a change instead of 150 ms.

--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -15,9 +15,12 @@
 /// Otherwise now and then, for a watch that has gone silent without an error.
 constexpr milliseconds syncOrdinarily { 1000 };
 constexpr milliseconds syncTimeout { 500 };
-/// Targets and processes come and go in groups. A target that leaves is known well within the two seconds for
-/// which it goes on serving.
-constexpr milliseconds pauseAfterChange { 150 };
+/// Targets and processes come and go in groups, and each change is told to each process by a call: in a row
+/// they shall share one. A target that leaves is known well within the two seconds for which it goes on serving.
+constexpr milliseconds pauseAfterTargets { 400 };
+/// A roll of all processes changes their list three times a second for a minute. What hurries is known sooner
+/// from the links between processes, which break when one goes.
+constexpr milliseconds pauseAfterNodes { 1000 };
 /// A process that is missing from the list is asked last for so long, in case its registration has only
 /// lapsed.
 constexpr milliseconds missingNodeGrace { 3000 };
@@ -37,9 +40,9 @@
     , m_notify(std::move(notify))
     , m_ordersMirror(loop, store, codec.ordersPrefix(), milliseconds { 0 },
           [this](const auto& mirror) { ordersChanged(mirror); })
-    , m_targetsMirror(loop, store, codec.targetsPrefix(), pauseAfterChange,
+    , m_targetsMirror(loop, store, codec.targetsPrefix(), pauseAfterTargets,
           [this](const auto& mirror) { targetsChanged(mirror); })
-    , m_nodesMirror(loop, store, std::string(nodesPrefix), pauseAfterChange,
+    , m_nodesMirror(loop, store, std::string(nodesPrefix), pauseAfterNodes,
           [this](const auto& mirror) { nodesChanged(mirror); })
     , m_ticker(loop, tickInterval, [this] { tick(); })
     , m_random(std::random_device {}())
