--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -112,16 +112,10 @@
         options.limits.maxConnections = m_settings.descriptors / 2;
         m_listener = std::make_unique<http_listener>(
             m_loop, options, [this](std::shared_ptr<http_exchange> caller) { serve(std::move(caller)); });
-        if (m_settings.metricsPort != 0) {
-            http_listener_options metricsOptions;
-            metricsOptions.address = m_settings.address;
-            metricsOptions.port = m_settings.metricsPort;
-            m_metrics = std::make_unique<
-                http_listener>(m_loop, metricsOptions, [this](std::shared_ptr<http_exchange> caller) {
-                refreshFigures();
-                caller->send({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_figures.text() });
-            });
-        }
+        if (m_settings.metricsPort != 0)
+            m_metrics
+                = serveMetrics(m_loop, m_settings.address + ':' + std::to_string(m_settings.metricsPort),
+                    m_figures, [this] { refreshFigures(); });
         m_fleet.start();
         m_registration.start();
         m_ticker = std::make_unique<loop_ticker>(m_loop, tickInterval, [this] { tick(); });
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -16,7 +16,8 @@
 constexpr milliseconds syncOrdinarily { 1000 };
 constexpr milliseconds syncTimeout { 500 };
 /// Targets and processes come and go in groups, and each change is told to each process by a call: in a row
-/// they shall share one. A target that leaves is known well within the two seconds for which it goes on serving.
+/// they shall share one. A target that leaves is known well within the two seconds for which it goes on
+/// serving.
 constexpr milliseconds pauseAfterTargets { 400 };
 /// A roll of all processes changes their list three times a second for a minute. What hurries is known sooner
 /// from the links between processes, which break when one goes.
@@ -230,13 +231,12 @@
 
 void fleet_watch::takeCopies(const std::vector<store_section>& copies)
 {
-    const auto now = std::chrono::steady_clock::now();
     for (const auto& copy : copies) {
         // A process that the store turns away cannot tell a lapsed entry from one of a target that has left;
         // a neighbour that the store serves can.
         m_takingSettled = copy.settled;
         for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror })
-            mirror->offer(copy, now);
+            mirror->offer(copy);
     }
     m_takingSettled = false;
 }
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -71,6 +71,14 @@
 /// Answers a request that has not run, and says when to come back.
 void refuse(http_exchange& caller, const failure& reason);
 
+/// Answers the platform's question whether the process takes requests: 200 if so, else 503.
+std::unique_ptr<http_listener> serveReadiness(
+    event_loop& loop, const std::string& address, std::function<bool()> ready);
+
+/// Serves the metrics in the Prometheus text format. `refresh` is called before each answer.
+std::unique_ptr<http_listener> serveMetrics(
+    event_loop& loop, const std::string& address, metrics& figures, std::function<void()> refresh);
+
 /// Everything that an entry needs from the platform's adapter.
 struct platform_adapter {
     const fleet_codec& documents;
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -2,9 +2,7 @@
 
 #include "job_forwarder.h"
 #include "logging/logging.h"
-#include "readiness.h"
 
-#include <charconv>
 #include <csignal>
 
 namespace yuccachute {
@@ -22,14 +20,6 @@
 constexpr unsigned reservedDescriptors = 800;
 constexpr std::size_t keptPerTarget = 24;
 
-std::pair<std::string, std::uint16_t> splitAddress(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    std::uint16_t port = 0;
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    return { address.substr(0, colon), port };
-}
-
 class broker_places final : public place_source {
 public:
     explicit broker_places(place_broker& broker)
--- a/libs/front/src/readiness.cpp
+++ b/libs/front/src/readiness.cpp
@@ -1,6 +1,6 @@
-#include "readiness.h"
+#include "front/front.h"
 
-#include <charconv>
+#include <tuple>
 
 namespace yuccachute {
 
@@ -9,9 +9,7 @@
 http_listener_options listenAt(const std::string& address)
 {
     http_listener_options options;
-    const auto colon = address.rfind(':');
-    options.address = address.substr(0, colon);
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(), options.port);
+    std::tie(options.address, options.port) = splitAddress(address);
     options.limits.maxConnections = 64; // The platform and an engineer or two.
     return options;
 }
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -40,6 +40,9 @@
     std::string body;
 };
 
+/// "host:port" in two parts; the port is 0 if there is none.
+std::pair<std::string, std::uint16_t> splitAddress(std::string_view address);
+
 /// Returns the decoded value of a query parameter, or an empty string.
 std::string queryParameter(std::string_view query, std::string_view name);
 
@@ -185,8 +188,6 @@
     std::shared_ptr<client_call> start(std::string_view address, const http_request& request,
         const client_call_options& options, client_call_events events);
 
-    /// Closes the idle connections to an address.
-    void forget(std::string_view address);
     std::uint64_t connectionsOpened() const;
 
     struct impl; ///< Hidden; public only for the library's own files.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -111,7 +111,6 @@
 
     connection_ptr takeKept(std::string_view address);
     void keep(const connection_ptr& connection, milliseconds time);
-    void forget(std::string_view address);
     void read(const connection_ptr& connection);
 
     event_loop& loop;
@@ -152,16 +151,6 @@
     read(connection);
 }
 
-void http_client::impl::forget(std::string_view address)
-{
-    const auto found = kept.find(address);
-    if (found == kept.end())
-        return;
-    for (const auto& connection : found->second)
-        connection->close();
-    kept.erase(found);
-}
-
 void http_client::impl::read(const connection_ptr& connection)
 {
     if (connection->reading || connection->closed)
@@ -491,11 +480,6 @@
     return owner;
 }
 
-void http_client::forget(std::string_view address)
-{
-    m_impl->forget(address);
-}
-
 std::uint64_t http_client::connectionsOpened() const
 {
     return m_impl->opened;
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cstdlib>
 
 namespace yuccachute {
@@ -58,4 +59,14 @@
     return {};
 }
 
+std::pair<std::string, std::uint16_t> splitAddress(std::string_view address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+        return { std::string(address), 0 };
+    std::uint16_t port = 0;
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    return { std::string(address.substr(0, colon)), port };
+}
+
 } // namespace yuccachute
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -30,7 +30,7 @@
     /// Begins to read and follow.
     void start();
     /// Takes over a peer's copy if it is newer. Returns whether it was.
-    bool offer(const store_section& copy, steady_time now);
+    bool offer(const store_section& copy);
 
     const store_section& section() const { return m_section; }
     /// Whether there is a copy, from the store or a peer.
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -121,7 +121,7 @@
         m_changed(*this);
 }
 
-bool store_mirror::offer(const store_section& copy, steady_time now)
+bool store_mirror::offer(const store_section& copy)
 {
     if (copy.prefix != m_section.prefix || copy.revision <= m_section.revision)
         return false;
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -94,8 +94,8 @@
     f.store.pendingList(store_listing { { value("op/a", "1", 3) }, 5, false });
     f.store.pendingWait(mayHaveRun(failure_kind::unavailable, "turned away"));
     CHECK(!f.mirror.connected());
-    CHECK(!f.mirror.offer({ "op/", 5, { { "op/a", "old", 2 } } }, {}));
-    CHECK(f.mirror.offer({ "op/", 9, { { "op/a", "2", 9 } } }, {}));
+    CHECK(!f.mirror.offer({ "op/", 5, { { "op/a", "old", 2 } } }));
+    CHECK(f.mirror.offer({ "op/", 9, { { "op/a", "2", 9 } } }));
     CHECK(f.content() == "op/a=2;");
     f.loop.runFor(milliseconds { 200 });
     CHECK(f.store.waitedFrom == 9);
--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -172,9 +172,6 @@
     std::unique_ptr<periodic_thread> m_thread;
 };
 
-/// "host:port" in two parts.
-std::pair<std::string, std::uint16_t> splitAddress(const std::string& address);
-
 // --- Grants
 // --------------------------------------------------------------------------------------------------
 
--- a/libs/node/src/entry_follower.cpp
+++ b/libs/node/src/entry_follower.cpp
@@ -12,13 +12,6 @@
 
 } // namespace
 
-std::pair<std::string, std::uint16_t> splitAddress(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    return { address.substr(0, colon),
-        static_cast<std::uint16_t>(std::atoi(address.substr(colon + 1).c_str())) };
-}
-
 entry_follower::entry_follower(rpc_client& client, std::vector<std::string> entries,
     follow_request announcement, settings_cell& settings)
     : m_client(client)
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -57,7 +57,6 @@
 
 struct service_description {
     std::string name;
-    unsigned maxConnections = 0; ///< That one target takes from all callers together; 0: not told.
     unsigned slots = 1; ///< Requests that a target works on at once.
 };
 
