A job larger than a value of the store is kept in parts

Change: the record is cut into at most 16 values, all written by the call that creates the job, so that it is there whole or not at all; read and removed with the job. A record is packed once, not for a check and again for the call.

--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -72,7 +72,8 @@
 // ---------------------------------------------------------------------------------------
 
 /// Keeps jobs in the platform's store. Keys, all under yuccachute/:
-///   job/ID         record, written once
+///   job/ID         record, written once; the first part of it if it is larger than a value of the store
+///   part/ID/N      N-th further part of the record
 ///   open/ID        holder of a job that is not finished
 ///   result/ID/N    N-th group of results, written once
 ///   end/ID         "complete" or "ended"
@@ -112,11 +113,12 @@
         std::int64_t revision = 0; ///< Jobs that were created later are not among them.
     };
 
-    job_keeper(event_loop& loop, async_store& store, bulk_holder self);
+    /// `valueBytes` is the largest value that the store takes.
+    job_keeper(event_loop& loop, async_store& store, bulk_holder self, std::size_t valueBytes);
 
     /// Creates a job, or finds the one that an earlier submission created: the job is durable when this
     /// reports success. A failure with verdict not_run says that it does not exist and was not created; one
-    /// with may_have_run that this is not known.
+    /// with may_have_run that this is not known. A job that does not fit is refused with too_large.
     void create(const bulk_record& record, callback<creation> done);
     /// Reads a job; fails with not_found only if the store has just said that there is none.
     void load(const std::string& id, callback<stored_job> done);
@@ -133,10 +135,14 @@
     void end(const std::string& id, callback<bool> done);
     void listOpen(callback<open_jobs> done);
     /// Removes what is left of a job, in groups.
-    void remove(const std::string& id, std::size_t groups);
+    void remove(const bulk_record& record, std::size_t groups);
 
 private:
-    void settleCreation(const bulk_record& record, unsigned attempt, callback<creation> done);
+    void settleCreation(
+        std::shared_ptr<const store_transaction> creating, unsigned attempt, callback<creation> done);
+    void readParts(const std::string& id, std::shared_ptr<std::string> encoded, std::size_t next,
+        std::size_t parts, callback<stored_job> done);
+    void decodeStored(std::string_view encoded, const callback<stored_job>& done);
     void readGroups(std::shared_ptr<stored_job> job, callback<stored_job> done);
     void readHolder(std::shared_ptr<stored_job> job, callback<stored_job> done);
     void settleCommit(
@@ -146,6 +152,7 @@
     event_loop& m_loop;
     async_store& m_store;
     bulk_holder m_self;
+    std::size_t m_valueBytes;
 };
 
 struct bulk_adapter {
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -29,7 +29,7 @@
     , m_registration(m_loop, m_store, m_self, registrationTimes)
     , m_broker(m_loop, m_rpc, { m_self.vm, m_self.zone, "" })
     , m_items { m_loop, m_broker, m_client, adapter.callers }
-    , m_keeper(m_loop, m_store, { m_self.vm, m_self.incarnation })
+    , m_keeper(m_loop, m_store, { m_self.vm, m_self.incarnation }, settings.storeValueBytes)
     , m_retirement(m_loop, m_store, adapter.jobs, m_self.vm, [this] { retire(); })
     , m_stopTimer(m_loop)
 {
@@ -109,7 +109,7 @@
             continue;
         }
         logEvent(log_level::info, "job removed", { { "job", job->first } });
-        m_keeper.remove(job->first, job->second.job->groups());
+        m_keeper.remove(job->second.job->record(), job->second.job->groups());
         job = m_jobs.erase(job);
     }
 }
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -51,9 +51,6 @@
             notRun(failure_kind::unavailable, m_leaving ? "leaving" : "no configuration is known yet",
                 retryAfter));
     record.value().acceptedMs = wallClockMs();
-    if (encodeRecord(record.value()).size() > m_settings.storeValueBytes)
-        return answer(
-            *caller, notRun(failure_kind::too_large, "the job is larger than a value of the store may be"));
     const auto id = record.value().id;
     const auto known = m_jobs.find(id);
     if (known != m_jobs.end())
@@ -67,7 +64,8 @@
                     { { "job", id }, { "verdict", toString(created.error().ran) },
                         { "message", created.error().message } });
                 auto error = created.error();
-                error.retryAfter = retryAfter;
+                if (error.kind != failure_kind::too_large)
+                    error.retryAfter = retryAfter;
                 return answer(*caller, error);
             }
             const auto revision = created.value().openRevision;
--- a/libs/bulk_process/src/job_keeper.cpp
+++ b/libs/bulk_process/src/job_keeper.cpp
@@ -3,6 +3,7 @@
 #include "logging/logging.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 
 namespace yuccachute {
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr std::string_view recordPrefix = "yuccachute/job/";
+constexpr std::string_view partPrefix = "yuccachute/part/";
 constexpr std::string_view openPrefix = "yuccachute/open/";
 constexpr std::string_view resultPrefix = "yuccachute/result/";
 constexpr std::string_view endPrefix = "yuccachute/end/";
@@ -17,6 +19,13 @@
 constexpr std::string_view endedMark = "ended";
 /// An unknown outcome is looked into so often before the caller is told that it is unknown.
 constexpr unsigned mostAttempts = 3;
+/// A job is written by one call, which may have 32 entries: two are its other keys, and a job of 4 MB, the
+/// most that callers may send, has 5 parts in a store that takes 1 MB a value.
+constexpr std::size_t mostParts = 16;
+/// What a record in parts begins with; others begin with the magic number of their compression.
+constexpr std::string_view partsMark = "parts ";
+/// Of a value, left for the mark and the number of parts.
+constexpr std::size_t partsHeaderBytes = 32;
 constexpr std::size_t mostRemovals = 30; ///< Of the 32 entries that one call may have.
 
 std::string keyOf(std::string_view prefix, std::string_view id)
@@ -31,6 +40,38 @@
     return keyOf(resultPrefix, id) + digits;
 }
 
+std::string partKey(std::string_view id, std::size_t number)
+{
+    return keyOf(partPrefix, id) + '/' + std::to_string(number);
+}
+
+/// Cuts a record into values that the store takes. The first one tells how many there are, unless it is the
+/// only one.
+std::vector<std::string> cutRecord(std::string encoded, std::size_t valueBytes)
+{
+    if (encoded.size() <= valueBytes)
+        return { std::move(encoded) };
+    const auto each = valueBytes - partsHeaderBytes;
+    std::vector<std::string> parts;
+    for (std::size_t begin = 0; begin < encoded.size(); begin += each)
+        parts.push_back(encoded.substr(begin, each));
+    parts.front().insert(0, std::string(partsMark) + std::to_string(parts.size()) + '\n');
+    return parts;
+}
+
+/// How many parts may belong to a job: what is not there is removed without harm.
+std::size_t partsAtMost(const bulk_record& record, std::size_t valueBytes)
+{
+    std::size_t bytes = 0;
+    for (const auto& item : record.items) {
+        bytes += item.body.size() + item.path.size() + item.id.size();
+        for (const auto& [name, value] : item.headers)
+            bytes += name.size() + value.size();
+    }
+    // Compression makes bodies that are random bytes a little longer.
+    return bytes < valueBytes / 2 ? 0 : std::min(mostParts, 2 + bytes / (valueBytes - partsHeaderBytes));
+}
+
 store_condition absent(std::string key)
 {
     return { store_condition::kind::absent, std::move(key), 0 };
@@ -43,37 +84,45 @@
 
 } // namespace
 
-job_keeper::job_keeper(event_loop& loop, async_store& store, bulk_holder self)
+job_keeper::job_keeper(event_loop& loop, async_store& store, bulk_holder self, std::size_t valueBytes)
     : m_loop(loop)
     , m_store(store)
     , m_self(std::move(self))
+    , m_valueBytes(valueBytes)
 {
 }
 
 void job_keeper::create(const bulk_record& record, callback<creation> done)
 {
-    settleCreation(record, 0, std::move(done));
+    auto parts = cutRecord(encodeRecord(record), m_valueBytes);
+    if (parts.size() > mostParts)
+        return done(notRun(failure_kind::too_large, "the job is larger than the store takes"));
+    const auto creating = std::make_shared<store_transaction>();
+    const auto recordKey = keyOf(recordPrefix, record.id);
+    creating->conditions.push_back(absent(recordKey));
+    creating->writes.push_back({ recordKey, std::move(parts.front()), 0 });
+    for (std::size_t number = 1; number < parts.size(); ++number)
+        creating->writes.push_back({ partKey(record.id, number), std::move(parts[number]), 0 });
+    creating->writes.push_back({ keyOf(openPrefix, record.id), encodeHolder(m_self), 0 });
+    settleCreation(creating, 0, std::move(done));
 }
 
-void job_keeper::settleCreation(const bulk_record& record, unsigned attempt, callback<creation> done)
+void job_keeper::settleCreation(
+    std::shared_ptr<const store_transaction> creating, unsigned attempt, callback<creation> done)
 {
-    store_transaction creating;
-    const auto recordKey = keyOf(recordPrefix, record.id);
-    creating.conditions.push_back(absent(recordKey));
-    creating.writes.push_back({ recordKey, encodeRecord(record), 0 });
-    creating.writes.push_back({ keyOf(openPrefix, record.id), encodeHolder(m_self), 0 });
-    m_store.commit(creating, [this, record, attempt, done = std::move(done)](result<commit_outcome> outcome) {
-        if (outcome && outcome.value().applied)
-            return done(creation { outcome.value().revision });
-        if (outcome)
-            return done(creation {}); // It exists.
-        const bool unknownBefore = attempt > 0;
-        if (outcome.error().ran == verdict::not_run && !unknownBefore)
-            return done(outcome.error());
-        if (attempt + 1 < mostAttempts)
-            return settleCreation(record, attempt + 1, done);
-        done(mayHaveRun(failure_kind::unavailable, "it is not known whether the job was created"));
-    });
+    m_store.commit(
+        *creating, [this, creating, attempt, done = std::move(done)](result<commit_outcome> outcome) {
+            if (outcome && outcome.value().applied)
+                return done(creation { outcome.value().revision });
+            if (outcome)
+                return done(creation {}); // It exists.
+            const bool unknownBefore = attempt > 0;
+            if (outcome.error().ran == verdict::not_run && !unknownBefore)
+                return done(outcome.error());
+            if (attempt + 1 < mostAttempts)
+                return settleCreation(creating, attempt + 1, done);
+            done(mayHaveRun(failure_kind::unavailable, "it is not known whether the job was created"));
+        });
 }
 
 void job_keeper::load(const std::string& id, callback<stored_job> done)
@@ -84,16 +133,47 @@
                 return done(found.error());
             if (!found.value())
                 return done(notRun(failure_kind::not_found, "there is no job " + id));
-            auto decoded = decodeBulkRecord(found.value()->value);
-            if (!decoded)
-                return done(decoded.error());
-            auto job = std::make_shared<stored_job>();
-            job->record = std::move(decoded.value());
-            // The holder before the results: a holder that is read later could have committed more.
-            readHolder(std::move(job), done);
+            std::string_view value = found.value()->value;
+            if (!value.starts_with(partsMark))
+                return decodeStored(value, done);
+            value.remove_prefix(partsMark.size());
+            std::size_t parts = 0;
+            const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), parts);
+            if (error != std::errc() || parts > mostParts || end == value.data() + value.size())
+                return done(notRun(failure_kind::internal, "the record of job " + id + " is damaged"));
+            value.remove_prefix(static_cast<std::size_t>(end - value.data()) + 1);
+            readParts(id, std::make_shared<std::string>(value), 1, parts, done);
+        });
+}
+
+/// Parts are written once, together with the record, so they can be read one after the other.
+void job_keeper::readParts(const std::string& id, std::shared_ptr<std::string> encoded, std::size_t next,
+    std::size_t parts, callback<stored_job> done)
+{
+    if (next == parts)
+        return decodeStored(*encoded, done);
+    m_store.get(partKey(id, next),
+        [this, id, encoded, next, parts, done = std::move(done)](result<std::optional<stored_value>> found) {
+            if (!found)
+                return done(found.error());
+            if (!found.value())
+                return done(notRun(failure_kind::not_found, "job " + id + " is being removed"));
+            encoded->append(found.value()->value);
+            readParts(id, encoded, next + 1, parts, done);
         });
 }
 
+void job_keeper::decodeStored(std::string_view encoded, const callback<stored_job>& done)
+{
+    auto decoded = decodeBulkRecord(encoded);
+    if (!decoded)
+        return done(decoded.error());
+    auto job = std::make_shared<stored_job>();
+    job->record = std::move(decoded.value());
+    // The holder before the results: a holder that is read later could have committed more.
+    readHolder(std::move(job), done);
+}
+
 void job_keeper::holderOf(const std::string& id, callback<std::optional<open_job>> done)
 {
     m_store.get(
@@ -254,11 +334,14 @@
     });
 }
 
-void job_keeper::remove(const std::string& id, std::size_t groups)
+void job_keeper::remove(const bulk_record& record, std::size_t groups)
 {
+    const auto& id = record.id;
     std::vector<std::string> keys { keyOf(recordPrefix, id), keyOf(openPrefix, id), keyOf(endPrefix, id) };
     for (std::size_t number = 0; number < groups; ++number)
         keys.push_back(groupKey(id, number));
+    for (std::size_t number = 1; number < partsAtMost(record, m_valueBytes); ++number)
+        keys.push_back(partKey(id, number));
     for (std::size_t begin = 0; begin < keys.size(); begin += mostRemovals) {
         store_transaction removing;
         for (std::size_t i = begin; i < std::min(begin + mostRemovals, keys.size()); ++i)
