An item that every target cuts is not blamed on the targets, and waits

Each cut counted against the server, the item ran again at once, and after three cuts a server all were left alone: every live caller was refused, at every entry. Change: after two cuts in a row without a new event an item's cuts no longer count against targets, and it waits 0.1 to 2 s before its next run.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -70,6 +70,8 @@
     void drain() { list("draining"); }
     void unlist() { m_store.remove("servers/" + m_id); }
     void setDark(bool dark) { m_dark = dark; }
+    /// Breaks off each answer to requests whose id begins so.
+    void cutAnswersTo(std::string id) { m_cutId = std::move(id); }
     const std::string& id() const { return m_id; }
     std::size_t running() const { return m_running.size(); }
 
@@ -83,6 +85,7 @@
         int next = 1;
         int last = 0;
         steady_time from;
+        bool finished = false;
     };
 
     void list(const std::string& state)
@@ -104,6 +107,10 @@
             m_silent.push_back(std::move(caller));
             return;
         }
+        if (!m_cutId.empty() && id.starts_with(m_cutId)) {
+            caller->startStream(200, { { "Yuccachute-Request-Id", id } }, std::nullopt);
+            return caller->abort();
+        }
         if (m_running.size() >= m_slots + queueLength)
             return caller->send(
                 { 503, { { "Yuccachute-Not-Run", "1" }, { "Yuccachute-Request-Id", id } }, "" });
@@ -139,7 +146,7 @@
             if (!*m_running[i].gone && !m_dark)
                 advance(m_running[i], now);
         }
-        std::erase_if(m_running, [](const auto& one) { return *one.gone || one.next > one.last; });
+        std::erase_if(m_running, [](const auto& one) { return *one.gone || one.finished; });
     }
 
     /// One step of a request that has a slot.
@@ -159,6 +166,7 @@
         }
         if (one.next > one.last) {
             m_runs[*one.begun].finished = true;
+            one.finished = true;
             one.caller->finish();
         }
     }
@@ -174,6 +182,7 @@
     std::string m_id;
     int m_starts = 0;
     bool m_dark = false;
+    std::string m_cutId;
     std::vector<stream> m_running;
     std::vector<std::shared_ptr<http_exchange>> m_silent;
     std::unique_ptr<http_listener> m_listener;
@@ -262,6 +271,10 @@
         }
         if (request.path == "/order")
             m_store.put(value("key"), { { "duration_s", 10 } });
+        if (request.path == "/cut") {
+            for (auto& server : m_servers)
+                server->cutAnswersTo(value("id"));
+        }
         if (request.path == "/remove")
             m_store.remove(value("key"));
         if (request.path == "/key")
--- a/bench/support/harness.cpp
+++ b/bench/support/harness.cpp
@@ -118,12 +118,27 @@
     return false;
 }
 
+namespace {
+
+/// Below the range that outgoing connections take their ports from, and apart for each test program.
+std::uint16_t firstPort()
+{
+    return static_cast<std::uint16_t>(11000 + ::getpid() % 200 * 100);
+}
+
+std::uint16_t nextPort = firstPort();
+
+} // namespace
+
+void reuseFreePorts()
+{
+    nextPort = firstPort();
+}
+
 std::uint16_t freePort()
 {
-    // Below the range that outgoing connections take their ports from, and apart for each test program.
-    static std::uint16_t next = static_cast<std::uint16_t>(11000 + ::getpid() % 200 * 100);
     for (;;) {
-        const auto port = next++;
+        const auto port = nextPort++;
         const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
         const int reuse = 1;
         ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
--- a/bench/support/harness.h
+++ b/bench/support/harness.h
@@ -39,6 +39,10 @@
 /// Reserves a port of the loopback interface that nobody listens on.
 std::uint16_t freePort();
 
+/// Lets freePort() begin its range anew: a program that starts one system after the other must not run into
+/// the range of another program.
+void reuseFreePorts();
+
 /// Waits until the condition holds; fails after the limit.
 void waitUntil(const std::string& what, const std::function<bool()>& condition,
     std::chrono::seconds limit = std::chrono::seconds { 30 });
--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -73,6 +73,7 @@
 enum class run_end : std::uint8_t {
     whole, ///< All events have been received.
     broken, ///< It broke off, was revoked, or was refused; it goes on behind its last event.
+    cut, ///< Broken off by the target, or answered in a way that means nothing; may be repeated.
     failed, ///< The target failed on it.
     impossible ///< The target says that it can never be done.
 };
@@ -149,4 +150,11 @@
     std::optional<bulk_result_group> m_committing;
 };
 
+/// After so many cuts in a row without a new event the item is the cause, not the targets: they are not
+/// blamed any more. Each target would be blamed in turn, and all be left alone, live callers included.
+constexpr unsigned cutsBlamedOnTargets = 2;
+
+/// How long an item waits after so many cuts in a row: zero while they are blamed on targets.
+milliseconds pauseAfterCuts(unsigned cuts);
+
 } // namespace yuccachute
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+/// An item that every target cuts would else run hundreds of times a second until it expires.
+constexpr milliseconds firstCutPause { 100 };
+constexpr milliseconds longestCutPause { 2000 };
+constexpr unsigned mostCutDoublings = 5;
+
 /// A group stays below the size of a value in the store, encoded.
 constexpr std::size_t mostGroupBytes = 400u << 10;
 
@@ -99,6 +104,7 @@
             return settle(index, false, now);
         break;
     case run_end::broken:
+    case run_end::cut:
         break;
     }
     m_waiting.push_back(index);
@@ -147,4 +153,12 @@
     return m_listed.size() + group.results.size() == m_record.items.size();
 }
 
+milliseconds pauseAfterCuts(unsigned cuts)
+{
+    if (cuts < cutsBlamedOnTargets)
+        return milliseconds { 0 };
+    const auto doublings = std::min(cuts - cutsBlamedOnTargets, mostCutDoublings);
+    return std::min(firstCutPause * (1 << doublings), longestCutPause);
+}
+
 } // namespace yuccachute
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -134,3 +134,18 @@
     held.expire(at(60002));
     CHECK(held.uncommitted() == 2);
 }
+
+// Story: an item that every target broke off was tried on each of them again and again without a pause; each
+// was blamed for it, until none was left for live callers.
+TEST_CASE("an item that is cut again and again waits, and its targets are not blamed")
+{
+    CHECK(pauseAfterCuts(0) == milliseconds { 0 });
+    CHECK(pauseAfterCuts(cutsBlamedOnTargets - 1) == milliseconds { 0 });
+    CHECK(pauseAfterCuts(cutsBlamedOnTargets) >= milliseconds { 50 });
+    CHECK(pauseAfterCuts(cutsBlamedOnTargets + 3) > pauseAfterCuts(cutsBlamedOnTargets));
+    CHECK(pauseAfterCuts(1000) == milliseconds { 2000 });
+    auto held = job(1);
+    held.next();
+    held.ended(0, run_end::cut, at(1));
+    CHECK(held.waiting() == 1);
+}
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -86,8 +86,8 @@
         events.whole = [this] { takeWhole(); };
         events.failed = [this](const failure& error) {
             m_call.reset();
-            release(grant_outcome::failed);
-            end(run_end::broken, error.message);
+            release(outcomeOfCut());
+            end(run_end::cut, error.message);
         };
         m_call = m_services.targets.start(m_place->address,
             m_services.callers.forTarget(m_order.request, envelope), options, std::move(events));
@@ -128,12 +128,12 @@
             return end(run_end::whole, "");
         }
         // An item that fails says nothing about its target.
-        release(m_status == 200 ? grant_outcome::failed : grant_outcome::ok);
+        release(m_status == 200 ? outcomeOfCut() : grant_outcome::ok);
         if (m_status == impossibleStatus)
             return end(run_end::impossible, "the target says that it can never be done");
         if (m_status == failedStatus)
             return end(run_end::failed, "the target failed on it");
-        end(run_end::broken, "status " + std::to_string(m_status));
+        end(run_end::cut, "status " + std::to_string(m_status));
     }
 
     /// Live work needs the place: the run stops at its last whole event.
@@ -148,6 +148,11 @@
         end(run_end::broken, "revoked");
     }
 
+    grant_outcome outcomeOfCut() const
+    {
+        return m_order.blameTarget ? grant_outcome::failed : grant_outcome::abandoned;
+    }
+
     void release(grant_outcome outcome)
     {
         if (!m_place)
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -36,6 +36,7 @@
     steady_time due;
     steady_time expiry;
     std::optional<std::uint64_t> lastEvent;
+    bool blameTarget = true; ///< Whether a cut counts against the target's health.
 };
 
 std::unique_ptr<item_run> runItem(item_services& services, item_order order, item_events events);
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -173,6 +173,8 @@
     order.due = late ? now() : job.due();
     order.expiry = now() + defaultRunTime;
     order.lastEvent = next->lastEvent;
+    const auto cuts = held.cuts.find(next->index);
+    order.blameTarget = cuts == held.cuts.end() || cuts->second < cutsBlamedOnTargets;
     item_events events;
     const auto id = record.id;
     const auto index = next->index;
@@ -181,6 +183,8 @@
         if (figures->events++ == 0)
             figures->begun = now();
         const auto found = m_jobs.find(id);
+        if (found != m_jobs.end())
+            found->second.cuts.erase(index);
         return found != m_jobs.end() && found->second.job->event(index, event, std::move(data));
     };
     events.ended
@@ -193,6 +197,20 @@
     return true;
 }
 
+void bulk_process::putBack(const std::string& id, std::uint32_t index, run_end how, milliseconds pause)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return;
+    if (pause.count() == 0)
+        return found->second.job->ended(index, how, now());
+    auto& timer = found->second.pauses.try_emplace(index, m_loop).first->second;
+    timer.arm(pause, [this, id, index, how] {
+        putBack(id, index, how, milliseconds { 0 });
+        pump();
+    });
+}
+
 void bulk_process::itemEnded(const std::string& id, std::uint32_t index, run_end how, std::string_view reason)
 {
     const auto found = m_jobs.find(id);
@@ -203,10 +221,11 @@
     const std::string target = run == held.runs.end() ? "" : run->second->target();
     const bool placed = !target.empty();
     held.runs.erase(index);
-    held.job->ended(index, how, now());
+    putBack(id, index, how, how == run_end::cut ? pauseAfterCuts(++held.cuts[index]) : milliseconds { 0 });
     m_figures.count("yuccachute_item_runs_total", "end",
         how == run_end::whole        ? "whole"
             : how == run_end::broken ? (placed ? "broken" : "no place")
+            : how == run_end::cut    ? "cut"
             : how == run_end::failed ? "failed"
                                      : "impossible");
     if (placed)
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -31,6 +31,8 @@
     std::unique_ptr<bulk_job> job;
     std::int64_t openRevision = 0; ///< 0: finished or ended, and only read.
     std::map<std::uint32_t, std::unique_ptr<item_run>> runs;
+    std::map<std::uint32_t, unsigned> cuts; ///< In a row without a new event, by item.
+    std::map<std::uint32_t, loop_timer> pauses; ///< Of items that were cut.
     std::vector<waiting_reader> readers;
     steady_time nextCommit;
     steady_time acceptedAt;
@@ -102,6 +104,8 @@
     void noteRun(const run_figures& run);
     bool startItem(held_job& held, const routing_table& table);
     void itemEnded(const std::string& id, std::uint32_t index, run_end how, std::string_view reason);
+    /// Lets the item wait for its next run, at once or after a pause.
+    void putBack(const std::string& id, std::uint32_t index, run_end how, milliseconds pause);
 
     // --- Committing
     void commitDue(const std::string& id, held_job& held);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -96,6 +96,7 @@
 /// Returns whether all promises were kept.
 bool soakOnce(unsigned seed, const soak_options& options)
 {
+    testing::reuseFreePorts();
     testing::platform_system system(layoutOf(options.processes));
     ledger book;
     soak_state state { system, book };
--- a/tests/soak/soak_load.cpp
+++ b/tests/soak/soak_load.cpp
@@ -131,8 +131,11 @@
         "/lots/" + job.id + "?after=" + std::to_string(after), { { "Yuccachute-Wait-Ms", "400" } }, "");
     if (!reply)
         return;
-    if (reply.value().status == 200)
-        state.book.takePage(job, after, json::parse(reply.value().body));
+    const auto page = json::parse(reply.value().body, nullptr, false);
+    if (reply.value().status == 200 && !page.is_object())
+        state.book.violation("job " + job.id + ": " + entry + " answers 200 without results");
+    else if (reply.value().status == 200)
+        state.book.takePage(job, after, page);
     else if (reply.value().status == 404 || reply.value().status == 410)
         state.book.violation("job " + job.id + " is unknown at " + entry);
 }
