--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -94,7 +94,8 @@
 // neighbour, takes it for a lapsed entry, and sends work to it long after it has left.
 TEST_CASE("a process that the store turns away believes a neighbour that the store serves")
 {
-    const std::string address = "127.0.0.1:" + std::to_string(19000 + ::getpid() % 900);
+    // No port, which another program could have.
+    const std::string address = "unix-abstract:yuccachute-test-fleet-" + std::to_string(::getpid());
     neighbour peer;
     peer.sections = { { "targets/", 5, { { "targets/a", "", 2 }, { "targets/b", "", 3 } }, true },
         { "orders/", 5, { { "orders/config", "7", 4 } }, true } };
--- a/tests/soak/soak_load.cpp
+++ b/tests/soak/soak_load.cpp
@@ -158,6 +158,45 @@
     return !job.accepted || job.endAsked || job.positions.size() == static_cast<std::size_t>(job.items);
 }
 
+/// The last step of the configuration that was seen in force at an entry since its last start.
+struct known_step {
+    int starts = 0;
+    int step = 0;
+};
+
+/// Asks for the route that came with a step; the status, or 0 if there was no answer.
+unsigned probeStep(soak_state& state, const std::string& entry, int step)
+{
+    constexpr milliseconds limit { 800 };
+    const auto id = "c-" + std::to_string(steadyMs()) + entry;
+    const auto reply = state.system.call(state.system.entries.at(entry).callers, "GET",
+        "/step" + std::to_string(step) + "/x", platform_system::requestHeaders(id), "", limit);
+    return reply ? reply.value().status : 0;
+}
+
+void probeEntry(soak_state& state, const std::string& entry, known_step& seen)
+{
+    const int step = state.step;
+    const auto acknowledged = state.stepMs.load();
+    const int starts = state.starts.at(entry);
+    if (seen.starts != starts)
+        seen = { starts, 0 };
+    const auto began = steadyMs();
+    const auto status = probeStep(state, entry, step);
+    if (starts != state.starts.at(entry))
+        return; // Started anew meanwhile: the answer may be of either.
+    const bool calm = state.book.disturbed.calm(entry, acknowledged - catchUpMs, began)
+        && state.book.disturbed.calm("store", acknowledged - catchUpMs, began);
+    if (status == 404 && calm && began - acknowledged > inForceMs)
+        state.book.violation("step " + std::to_string(step) + " of the configuration is not in force at "
+            + entry + " after " + std::to_string(began - acknowledged) + " ms");
+    if (seen.step > 0 && probeStep(state, entry, seen.step) == 404 && starts == state.starts.at(entry))
+        state.book.violation("step " + std::to_string(seen.step) + " of the configuration was in force at "
+            + entry + " and is not any more");
+    if (status == 200)
+        seen.step = std::max(seen.step, step);
+}
+
 } // namespace
 
 void sendLive(soak_state& state, unsigned seed)
@@ -209,9 +248,9 @@
             state.book.add(std::move(job));
             continue;
         }
-        do // At least once, however long the ones before took.
+        readJob(state, caller, job, random); // At least once, however long the ones before took.
+        while (!finished(job) && steadyMs() < until)
             readJob(state, caller, job, random);
-        while (!finished(job) && steadyMs() < until);
         if (!finished(job))
             state.book.violation("job " + job.id + " is not finished: " + std::to_string(job.positions.size())
                 + " of " + std::to_string(job.items) + " items are listed");
@@ -222,43 +261,11 @@
 
 void probeConfiguration(soak_state& state)
 {
-    struct known_step {
-        int starts = 0;
-        int step = 0;
-    };
     std::map<std::string, known_step> known;
     while (!state.stop) {
         for (const auto& entry : state.entryNames) {
-            const int step = state.step;
-            const auto acknowledged = state.stepMs.load();
-            const int starts = state.starts.at(entry);
-            auto& seen = known[entry];
-            if (seen.starts != starts)
-                seen = { starts, 0 };
-            const auto probe = [&](int number) {
-                const auto id = "c-" + std::to_string(steadyMs()) + entry;
-                const auto reply = state.system.call(state.system.entries.at(entry).callers, "GET",
-                    "/step" + std::to_string(number) + "/x", platform_system::requestHeaders(id), "",
-                    milliseconds { 800 });
-                return reply ? reply.value().status : 0u;
-            };
-            if (step == 0 || state.stop)
-                continue;
-            const auto began = steadyMs();
-            const auto status = probe(step);
-            if (starts != state.starts.at(entry))
-                continue;
-            const bool calm = state.book.disturbed.calm(entry, acknowledged - catchUpMs, began)
-                && state.book.disturbed.calm("store", acknowledged - catchUpMs, began);
-            if (status == 404 && calm && began - acknowledged > inForceMs)
-                state.book.violation("step " + std::to_string(step)
-                    + " of the configuration is not in force at " + entry + " after "
-                    + std::to_string(began - acknowledged) + " ms");
-            if (seen.step > 0 && probe(seen.step) == 404 && starts == state.starts.at(entry))
-                state.book.violation("step " + std::to_string(seen.step)
-                    + " of the configuration was in force at " + entry + " and is not any more");
-            if (status == 200)
-                seen.step = std::max(seen.step, step);
+            if (state.step != 0 && !state.stop)
+                probeEntry(state, entry, known[entry]);
         }
         std::this_thread::sleep_for(milliseconds { 50 });
     }
