--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -250,16 +250,16 @@
     process.stoppedAt = steadyMs();
     m_state.book.disturbed.begin(name, steadyMs());
     processOf(name)->signal(SIGTERM);
-    auto* stopped = processOf(name);
+    const auto stopped = processOf(name)->id();
     const auto frozenBefore = process.frozen;
     later(graceMs + graceSlackMs, [this, name, stopped, frozenBefore] {
         auto& late = m_processes.at(name);
-        if (!late.up || processOf(name) != stopped || late.killed)
+        if (!late.up || processOf(name)->id() != stopped || late.killed)
             return;
         if (!frozenBefore && !late.frozen)
             m_state.book.violation(name + " did not stop within its grace time");
         late.killed = true;
-        stopped->signal(SIGKILL);
+        processOf(name)->signal(SIGKILL);
         later(100, [this, name] { start(name); });
     });
 }
@@ -270,13 +270,13 @@
     if (!process.up || process.frozen)
         return;
     process.frozen = true;
-    auto* frozen = processOf(name);
-    frozen->signal(SIGSTOP);
+    const auto frozen = processOf(name)->id();
+    processOf(name)->signal(SIGSTOP);
     disturb(name, lasts);
     later(lasts, [this, name, frozen] {
-        if (processOf(name) != frozen)
+        if (processOf(name)->id() != frozen)
             return;
-        frozen->signal(SIGCONT);
+        processOf(name)->signal(SIGCONT);
         m_processes.at(name).frozen = false;
     });
 }
