Dispatchers ask their targets what they run

Hypothesis: live answers are late because a dispatcher takes slots for free that work of its predecessor, of another dispatcher across a cut or of a dead holder still fills. Targets are asked twice a second, ten times while in doubt; a run that this dispatcher gave no place to counts as foreign work; a new dispatcher starts full; a target that misses two reports gets nothing.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -30,6 +30,7 @@
 struct grant_ask {
     std::uint64_t holder = 0; ///< Session that asks; all its asks go when it goes.
     std::uint64_t id = 0; ///< Unique within the holder.
+    std::string requestId; ///< By which the target names the run in its load report; may be empty.
     std::string customer;
     work_class workClass = work_class::live;
     double weight = 1;
@@ -98,6 +99,8 @@
     unsigned slots = 0; ///< 0: not told.
     double memoryUsed = 0; ///< Share of KV memory in use, from 0 to 1.
     bool leaving = false;
+    /// Ids of the requests that run; nothing if the target does not tell them.
+    std::optional<std::vector<std::string>> runs;
 };
 
 // --- Policies for bulk work
@@ -321,6 +324,14 @@
     /// How long a target that refused a request is left alone; 0 for until its next load report.
     milliseconds refusalPause { 0 };
     std::optional<fair_queue::order> bulkOrder; ///< Of waiting bulk asks; as the order of live ones if unset.
+    /// Whether targets are asked for load reports when reportsDue() says so.
+    bool asksForReports = false;
+};
+
+/// A target that is to be asked for its load.
+struct report_due {
+    std::string target;
+    std::string address;
 };
 
 /// Figures of a group for reports.
@@ -349,6 +360,10 @@
     void report(std::string_view target, const load_report& report, steady_time now);
     /// The target did not answer when asked for its load.
     void reportUnreachable(std::string_view target, steady_time now);
+    /// Targets to ask for their load now; each is named once until the answer, or its lack, is reported.
+    std::vector<report_due> reportsDue(steady_time now);
+    /// The target was named by reportsDue() and has not answered.
+    void reportMissing(std::string_view target, steady_time now);
     /// The holder's connection is gone: its asks go, its grants stay until they lapse, because the target may
     /// still be working on them.
     void dropHolder(std::uint64_t holder, steady_time now);
@@ -373,6 +388,15 @@
         unsigned bulk = 0;
         unsigned revoked = 0; ///< Bulk grants that were revoked and are not released yet.
         steady_time refusedUntil; ///< It said that it is full.
+        steady_time listedSince;
+        /// Requests that ended lately, which a report that lags may still name.
+        std::deque<std::pair<steady_time, std::string>> ended;
+        unsigned foreignRuns = 0; ///< Of the last report that named its runs.
+        unsigned reportsMissed = 0; ///< In a row.
+        bool reportAsked = false;
+        steady_time nextReport;
+
+        bool silent() const;
     };
     struct grant_record {
         grant_ask ask;
@@ -385,6 +409,9 @@
     bool usable(const target_state& target, steady_time now) const;
     unsigned slotsOf(const target_state& target, steady_time now) const;
     unsigned foreignWork(const target_state& target, steady_time now) const;
+    /// Work in a report that names its runs which this dispatcher has not given a place.
+    unsigned unknownRuns(target_state& target, const load_report& report, steady_time now) const;
+    bool allSilent() const;
     unsigned freeSlots(const target_state& target, steady_time now) const;
     double costOf(const grant_ask& ask, const target_state& target, steady_time now) const;
     target_state* chooseTarget(const grant_ask& ask, bool needFreeSlot, steady_time now);
@@ -418,6 +445,7 @@
     bool m_windowFull = false;
     steady_time m_nextAdaptation;
     arrival_history m_arrivals;
+    steady_time m_lastAsk;
 };
 
 /// A group's name: service, zone and number. Groups hold at most 8 targets.
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace yuccachute {
 
@@ -11,6 +12,22 @@
 /// A report may describe the target as it was so long ago.
 constexpr milliseconds reportLag { 1500 };
 constexpr milliseconds grantGrace { 2000 };
+/// Without doubt about a target it is asked twice a second: a request that is sent into work that this
+/// dispatcher does not know of waits for that work's end, up to a second. A report costs some 0.3 ms of
+/// processor time.
+constexpr milliseconds reportInterval { 500 };
+/// While a target works on what others sent, or does not answer: a slot that comes free is seen this soon.
+constexpr milliseconds reportIntervalInDoubt { 100 };
+/// A target that is new to this dispatcher counts as full until its first report, for so long at most.
+constexpr milliseconds firstReportPatience { 150 };
+/// A report shows the target as it was some 50 ms ago, and a run that is cancelled ends within a step of the
+/// engine; an id that is still named after this belongs to a run whose end did not reach the target.
+constexpr milliseconds endedMemory { 600 };
+/// One lost packet delays an answer beyond its timeout; two reports in a row are missed once in a thousand
+/// times on a link that loses 3 of 100.
+constexpr unsigned missedReports = 2;
+/// A group that nobody asks for places does not ask its targets either.
+constexpr milliseconds activeFor { 2000 };
 constexpr milliseconds adaptationInterval { 100 };
 constexpr milliseconds leastRetryAfter { 1000 };
 constexpr milliseconds unavailableRetryAfter { 2000 };
@@ -31,6 +48,11 @@
 
 } // namespace
 
+bool target_group::target_state::silent() const
+{
+    return reportsMissed >= missedReports;
+}
+
 target_group::target_group(group_options options)
     : m_options(std::move(options))
     , m_live(m_options.order)
@@ -72,6 +94,8 @@
         auto& target = updated[description.name];
         if (same)
             target = std::move(known->second);
+        else
+            target.listedSince = now;
         target.description = description;
     }
     for (const auto& [name, target] : m_targets) {
@@ -88,6 +112,10 @@
         return false;
     if (now < target.refusedUntil)
         return false;
+    // A dark target swallows what it is sent: a stream that may not run twice is lost with it. Where none
+    // answers it is more likely this process that cannot hear them.
+    if (target.silent() && !allSilent())
+        return false;
     const bool fresh = now - target.reportTime < reportMaxAge;
     return !(fresh && target.lastReport.leaving);
 }
@@ -120,12 +148,74 @@
 /// until the next report, and leave their slots empty.
 unsigned target_group::foreignWork(const target_state& target, steady_time now) const
 {
+    if (m_options.asksForReports && target.reportTime == steady_time {})
+        return now - target.listedSince < firstReportPatience ? target.description.slots : 0;
     if (now - target.reportTime >= reportMaxAge)
         return 0;
+    if (target.lastReport.runs)
+        return target.foreignRuns;
     const unsigned reported = target.lastReport.running + target.lastReport.queued;
     return reported > target.grantsAtReport ? reported - target.grantsAtReport : 0;
 }
 
+unsigned target_group::unknownRuns(target_state& target, const load_report& report, steady_time now) const
+{
+    while (!target.ended.empty() && now - target.ended.front().first > endedMemory)
+        target.ended.pop_front();
+    std::set<std::string_view> ended;
+    for (const auto& [time, id] : target.ended)
+        ended.insert(id);
+    std::set<std::string_view> granted;
+    for (const auto& [id, grant] : m_grants) {
+        if (grant.target == target.description.name)
+            granted.insert(grant.ask.requestId);
+    }
+    unsigned foreign = 0;
+    unsigned ownRuns = 0;
+    for (const auto& id : *report.runs) {
+        if (granted.contains(id))
+            ++ownRuns;
+        else if (!ended.contains(id))
+            ++foreign;
+    }
+    // Own requests that do not run yet may be those that wait.
+    const auto ownGrants = static_cast<unsigned>(granted.size());
+    const auto ownWaiting = ownGrants - std::min(ownGrants, ownRuns);
+    return foreign + report.queued - std::min(report.queued, ownWaiting);
+}
+
+bool target_group::allSilent() const
+{
+    return std::all_of(
+        m_targets.begin(), m_targets.end(), [](const auto& entry) { return entry.second.silent(); });
+}
+
+std::vector<report_due> target_group::reportsDue(steady_time now)
+{
+    std::vector<report_due> due;
+    if (!m_options.asksForReports || now - m_lastAsk > activeFor)
+        return due;
+    for (auto& [name, target] : m_targets) {
+        if (target.reportAsked || now < target.nextReport)
+            continue;
+        target.reportAsked = true;
+        due.push_back({ name, target.description.address });
+    }
+    return due;
+}
+
+void target_group::reportMissing(std::string_view target, steady_time now)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    auto& state = found->second;
+    state.reportAsked = false;
+    ++state.reportsMissed;
+    state.nextReport = now + reportIntervalInDoubt;
+    pump(now);
+}
+
 unsigned target_group::freeSlots(const target_state& target, steady_time now) const
 {
     // A revoked item is on its way out: a live request that takes its place reaches the target's queue
@@ -215,6 +305,7 @@
 
 void target_group::ask(grant_ask ask, steady_time now)
 {
+    m_lastAsk = now;
     if (refuseHopeless(ask, now))
         return;
     if (std::holds_alternative<unlimited_bulk>(m_options.policy)) {
@@ -365,6 +456,8 @@
         count -= count > 0 ? 1 : 0;
         if (found->second.revoked && target->second.revoked > 0)
             --target->second.revoked;
+        if (m_options.asksForReports)
+            target->second.ended.emplace_back(now, std::move(found->second.ask.requestId));
     }
     m_grants.erase(found);
 }
@@ -382,13 +475,16 @@
             state.health.succeeded(now);
         if (release.outcome == grant_outcome::refused && m_options.refusalPause.count() > 0) {
             state.refusedUntil = now + m_options.refusalPause;
+            state.nextReport = now;
         } else if (release.outcome == grant_outcome::refused) {
             // Its own word that it takes nothing: believed until its next report.
             state.lastReport.leaving = true;
             state.reportTime = now;
         }
-        if (release.outcome == grant_outcome::failed)
+        if (release.outcome == grant_outcome::failed) {
             state.health.failed(now);
+            state.nextReport = now;
+        }
     }
     if (live && release.outcome == grant_outcome::ok)
         m_serviceTimeMs = movingAverage(m_serviceTimeMs, elapsedMs(grant.since, now));
@@ -406,6 +502,10 @@
     auto& state = found->second;
     state.lastReport = report;
     state.reportTime = now;
+    state.reportAsked = false;
+    state.reportsMissed = 0;
+    state.foreignRuns = report.runs ? unknownRuns(state, report, now) : 0;
+    state.nextReport = now + (state.foreignRuns > 0 ? reportIntervalInDoubt : reportInterval);
     notePeak(state, now);
     state.grantsAtReport = 0;
     for (const auto& [time, own] : state.ownPeaks)
@@ -428,6 +528,8 @@
         if (grant.ask.holder == holder)
             grant.lapses = std::min(grant.lapses, now + grantGrace);
     }
+    for (auto& [name, target] : m_targets)
+        target.nextReport = std::min(target.nextReport, now + reportIntervalInDoubt);
     pump(now);
 }
 
--- a/libs/dispatch/tests/test_dispatch.cpp
+++ b/libs/dispatch/tests/test_dispatch.cpp
@@ -416,3 +416,140 @@
     CHECK(queue.pop().first.id == 1);
     CHECK(queue.pop().first.id == 2);
 }
+
+namespace {
+
+target_group makeReportingGroup(unsigned targets, unsigned slots)
+{
+    group_options options;
+    options.policy = spare_bulk {};
+    options.bulkOrder = fair_queue::order::due;
+    options.refusalPause = 150ms;
+    options.asksForReports = true;
+    target_group group(options);
+    std::vector<target_description> all;
+    for (unsigned i = 0; i < targets; ++i)
+        all.push_back({ "t" + std::to_string(i), "127.0.0.1:" + std::to_string(7000 + i), slots, false });
+    group.setTargets(all, start);
+    return group;
+}
+
+grant_ask namedAsk(std::uint64_t id, bool atOnce = false)
+{
+    auto ask = makeAsk(id);
+    ask.requestId = "r" + std::to_string(id);
+    ask.atOnce = atOnce;
+    return ask;
+}
+
+load_report runningReport(std::vector<std::string> runs, unsigned queued = 0)
+{
+    load_report report;
+    report.running = static_cast<unsigned>(runs.size());
+    report.queued = queued;
+    report.runs = std::move(runs);
+    return report;
+}
+
+} // namespace
+
+// Story: a dispatcher dies while its targets are full of items. Its successor took them for empty and gave
+// live requests places at once: they stood in the targets' own queues, with first events after half a second.
+TEST_CASE("a new dispatcher counts its targets as full until they have told what they run")
+{
+    auto group = makeReportingGroup(2, 2);
+    group.ask(namedAsk(1), start);
+    CHECK(group.takeDecisions().empty());
+    REQUIRE(group.reportsDue(start).size() == 2);
+    CHECK(group.reportsDue(start + 10ms).empty()); // Each is asked once until it answers.
+    group.report("t0", runningReport({ "x", "y" }), start + 5ms);
+    CHECK(group.takeDecisions().empty());
+    group.report("t1", runningReport({ "z" }), start + 6ms);
+    const auto given = only<grant_given>(group.takeDecisions());
+    REQUIRE(given.size() == 1);
+    CHECK(given[0].target == "t1");
+    // The work of others is looked at again soon, and its places are used as they come free.
+    group.ask(namedAsk(2), start + 10ms);
+    CHECK(group.takeDecisions().empty());
+    CHECK(group.reportsDue(start + 110ms).size() == 2);
+    group.report("t0", runningReport({ "x" }), start + 115ms);
+    REQUIRE(only<grant_given>(group.takeDecisions()).size() == 1);
+}
+
+TEST_CASE("a target that cannot tell its load is used after a moment")
+{
+    auto group = makeReportingGroup(1, 2);
+    group.ask(namedAsk(1), start);
+    group.reportsDue(start);
+    group.reportMissing("t0", start + 100ms);
+    CHECK(group.takeDecisions().empty());
+    group.tick(start + 150ms);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 1);
+}
+
+// Story: a zone is cut off for five seconds. The holders of its items close their connections, but the
+// targets do not hear of it and work on to the end; the dispatcher had counted those places as free two
+// seconds later.
+TEST_CASE("runs whose holder has gone hold their places for as long as the target works on them")
+{
+    auto group = makeReportingGroup(1, 2);
+    group.reportsDue(start);
+    group.report("t0", runningReport({}), start);
+    group.ask(namedAsk(1), start);
+    group.ask(namedAsk(2), start);
+    REQUIRE(only<grant_given>(group.takeDecisions()).size() == 2);
+    group.dropHolder(1, start + 100ms);
+    group.tick(start + 2200ms); // The grants have lapsed.
+    auto late = namedAsk(3);
+    late.holder = 2;
+    late.deadline = start + 30s;
+    group.report("t0", runningReport({ "r1", "r2" }), start + 3000ms);
+    group.ask(late, start + 3010ms);
+    CHECK(group.takeDecisions().empty());
+    group.report("t0", runningReport({ "r2" }), start + 3100ms);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 1);
+}
+
+TEST_CASE("own requests in a report, running, waiting or just ended, are not the work of others")
+{
+    auto group = makeReportingGroup(1, 4);
+    group.reportsDue(start);
+    group.report("t0", runningReport({}), start);
+    group.ask(namedAsk(1), start);
+    group.ask(namedAsk(2), start);
+    group.ask(namedAsk(3), start);
+    const auto given = only<grant_given>(group.takeDecisions());
+    REQUIRE(given.size() == 3);
+    group.release({ given[0].grantId, grant_outcome::ok, 5ms, 3 }, start + 500ms);
+    // The report is a little old: r1 still runs in it, r3 waits.
+    group.report("t0", runningReport({ "r1", "r2" }, 1), start + 520ms);
+    group.ask(namedAsk(4), start + 530ms);
+    group.ask(namedAsk(5), start + 530ms);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 2);
+}
+
+// Story: a target goes dark. Each request that may not run twice was sent to it until its own deadline, 5 s
+// later, told that it had failed.
+TEST_CASE("a target that misses two reports gets nothing until it answers, unless none answers")
+{
+    auto group = makeReportingGroup(2, 4);
+    for (const auto* name : { "t0", "t1" })
+        group.report(name, runningReport({}), start);
+    group.ask(namedAsk(1), start);
+    group.takeDecisions();
+    group.reportMissing("t0", start + 250ms);
+    group.reportMissing("t0", start + 600ms);
+    for (std::uint64_t id = 2; id <= 5; ++id)
+        group.ask(namedAsk(id, true), start + 610ms);
+    for (const auto& given : only<grant_given>(group.takeDecisions()))
+        CHECK(given.target == "t1");
+    group.reportMissing("t1", start + 700ms);
+    group.reportMissing("t1", start + 1000ms);
+    group.ask(namedAsk(6), start + 1010ms);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 1);
+    group.report("t0", runningReport({}), start + 1100ms);
+    group.ask(namedAsk(7), start + 1110ms);
+    const auto given = only<grant_given>(group.takeDecisions());
+    REQUIRE(given.size() == 1);
+    CHECK(given[0].target == "t0");
+}
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -2,6 +2,7 @@
 
 #include "job_forwarder.h"
 #include "logging/logging.h"
+#include "target_loads.h"
 
 #include <csignal>
 
@@ -69,7 +70,8 @@
         , m_self(ownRecord(settings))
         , m_fleet(m_loop, m_store, m_rpc, adapter.documents, m_self, { settings.seeds }, listeners())
         , m_registration(m_loop, m_store, m_self, {})
-        , m_broker(m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address })
+        , m_loads(m_loop, m_client, adapter.loads)
+        , m_broker(m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address }, &m_loads)
         , m_places(m_broker)
         , m_targets(m_client)
         , m_live { m_loop, m_places, m_targets, adapter.callers, m_figures }
@@ -278,6 +280,7 @@
     node_record m_self;
     fleet_watch m_fleet;
     registration m_registration;
+    target_loads m_loads;
     place_broker m_broker;
     broker_places m_places;
     http_targets m_targets;
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -56,6 +56,16 @@
     virtual ~place_ask() = default;
 };
 
+/// Asks targets for their load.
+class load_source {
+public:
+    using callback = std::function<void(result<load_report>)>;
+
+    virtual ~load_source() = default;
+    /// Exactly one answer comes, later; a failure after a fraction of a second if the target is silent.
+    virtual void ask(const std::string& address, callback done) = 0;
+};
+
 /// The groups of targets that this process is dispatcher of. On the loop's thread.
 class group_host {
 public:
@@ -67,7 +77,12 @@
     /// Two dispatchers of one group each fill the slots with bulk work that the other does not see and cannot
     /// ask back; live requests then find their targets full. So only the first one gives places to bulk work,
     /// and one that is not first any more asks its own back.
-    group_host(event_loop& loop, sender send, ownership first);
+    ///
+    /// A dispatcher sees only the places that it has given. Work that its predecessor placed, that another
+    /// one placed across a cut, or whose holder has died holds slots that it takes for free; live requests
+    /// then wait in the target's own queue. With a source of load reports it learns of such work; the source
+    /// may be null.
+    group_host(event_loop& loop, sender send, ownership first, load_source* loads);
 
     /// All targets of the fleet; a group has those of one service in one zone.
     void setTargets(const std::map<std::string, listed_target, std::less<>>& targets, steady_time now);
@@ -90,7 +105,11 @@
     std::vector<target_description> targetsOf(const std::string& name) const;
     void deliver(const std::string& name, hosted_group& hosted);
     void tick();
+    void askForReports(const std::string& name, hosted_group& hosted, steady_time now);
+    void takeReport(const std::string& name, const std::string& target, const result<load_report>& report);
 
+    load_source* m_loads;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Answers may come after the end.
     sender m_send;
     ownership m_first;
     std::map<std::string, std::vector<target_description>> m_targets; ///< By group.
@@ -113,8 +132,9 @@
     using granted = std::function<void(result<place>)>;
     using revoked = std::function<void()>;
 
-    /// The process's own address is empty if it is no entry: then it hosts no group.
-    place_broker(event_loop& loop, rpc_client& client, dispatcher_info self);
+    /// The process's own address is empty if it is no entry: then it hosts no group, and needs no load
+    /// reports.
+    place_broker(event_loop& loop, rpc_client& client, dispatcher_info self, load_source* loads = nullptr);
     ~place_broker();
     place_broker(const place_broker&) = delete;
     place_broker& operator=(const place_broker&) = delete;
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-group_host::group_host(event_loop& loop, sender send, ownership first)
-    : m_send(std::move(send))
+group_host::group_host(event_loop& loop, sender send, ownership first, load_source* loads)
+    : m_loads(loads)
+    , m_send(std::move(send))
     , m_first(std::move(first))
     , m_ticker(loop, tickInterval, [this] { tick(); })
 {
@@ -47,6 +48,7 @@
     options.refusalPause = refusalPause;
     options.policy = spare_bulk {};
     options.bulkOrder = fair_queue::order::due;
+    options.asksForReports = m_loads != nullptr;
     auto& hosted = m_groups.emplace(name, options).first->second;
     hosted.group.setTargets(targetsOf(name), now);
     return hosted;
@@ -114,9 +116,33 @@
             hosted.group.revokeBulk();
         hosted.group.tick(now);
         deliver(name, hosted);
+        askForReports(name, hosted, now);
     }
 }
 
+void group_host::askForReports(const std::string& name, hosted_group& hosted, steady_time now)
+{
+    for (const auto& due : hosted.group.reportsDue(now)) {
+        m_loads->ask(due.address,
+            [this, alive = std::weak_ptr(m_alive), name, target = due.target](result<load_report> report) {
+                if (!alive.expired())
+                    takeReport(name, target, report);
+            });
+    }
+}
+
+void group_host::takeReport(
+    const std::string& name, const std::string& target, const result<load_report>& report)
+{
+    auto& hosted = m_groups.at(name);
+    const auto now = std::chrono::steady_clock::now();
+    if (report)
+        hosted.group.report(target, report.value(), now);
+    else
+        hosted.group.reportMissing(target, now);
+    deliver(name, hosted);
+}
+
 std::map<std::string, group_summary> group_host::summaries(steady_time now) const
 {
     std::map<std::string, group_summary> all;
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -44,13 +44,14 @@
     class ask_run;
     using ask_ptr = std::shared_ptr<ask_run>;
 
-    impl(event_loop& eventLoop, rpc_client& rpc, dispatcher_info own)
+    impl(event_loop& eventLoop, rpc_client& rpc, dispatcher_info own, load_source* loads)
         : loop(eventLoop)
         , client(rpc)
         , self(std::move(own))
         , host(
               loop, [this](std::uint64_t session, envelope message) { answer(session, std::move(message)); },
-              [this](const std::string& group) { return isFirst(group, std::chrono::steady_clock::now()); })
+              [this](const std::string& group) { return isFirst(group, std::chrono::steady_clock::now()); },
+              loads)
     {
     }
 
@@ -103,7 +104,7 @@
     std::map<std::string, std::vector<std::string>> zonesByService;
     std::map<std::string, listed_target, std::less<>> targets;
     std::set<std::string, std::less<>>
-        gone; ///< Ids of targets that were listed once; an id never comes anew.
+        gone; ///< Ids of targets that were listed once; another start of a target has another id.
     std::map<std::string, link> links;
     std::map<std::string, steady_time> silentUntil;
     std::map<std::uint64_t, std::weak_ptr<ask_run>> asks;
@@ -259,6 +260,7 @@
         ++m_owner->figures.asks;
         grant_ask wanted;
         wanted.id = m_askId;
+        wanted.requestId = m_request.requestId;
         wanted.customer = m_request.customer;
         wanted.workClass = m_request.workClass;
         wanted.cost = m_request.cost;
@@ -489,8 +491,8 @@
 
 } // namespace
 
-place_broker::place_broker(event_loop& loop, rpc_client& client, dispatcher_info self)
-    : m_impl(std::make_shared<impl>(loop, client, std::move(self)))
+place_broker::place_broker(event_loop& loop, rpc_client& client, dispatcher_info self, load_source* loads)
+    : m_impl(std::make_shared<impl>(loop, client, std::move(self), loads))
 {
 }
 
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -29,6 +29,7 @@
     out.set_due_in_ms(millisecondsUntil(ask.due, now));
     out.set_hold_ms(static_cast<std::uint32_t>(ask.hold.count()));
     out.set_at_once(ask.atOnce);
+    out.set_request_id(ask.requestId);
 }
 
 ask_message fromWire(const peer::Ask& in, steady_time now)
@@ -47,6 +48,7 @@
     ask.deadline = now + milliseconds { in.wait_ms() };
     ask.hold = milliseconds { in.hold_ms() };
     ask.atOnce = in.at_once();
+    ask.requestId = in.request_id();
     ask.due = now + milliseconds { static_cast<std::int64_t>(in.due_in_ms()) };
     return message;
 }
