--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -118,11 +118,9 @@
         if (held.openRevision != 0 && !held.ended && held.job->waiting() > 0)
             order.push_back(&held);
     }
-    std::sort(order.begin(), order.end(), [this, time = now()](const auto* left, const auto* right) {
-        const bool leftHopeless = hopeless(*left->job, time);
-        if (leftHopeless != hopeless(*right->job, time))
-            return !leftHopeless;
-        return left->job->due() < right->job->due();
+    const auto time = now();
+    std::sort(order.begin(), order.end(), [&](const auto* left, const auto* right) {
+        return nextRank(*left->job, time) < nextRank(*right->job, time);
     });
     auto running = runs();
     for (auto* held : order) {
@@ -131,20 +129,20 @@
     }
 }
 
-bool bulk_process::hopeless(const bulk_job& job, steady_time time) const
+steady_time bulk_process::nextRank(const bulk_job& job, steady_time time) const
 {
-    const double left = m_meanRunMs - static_cast<double>(job.nextProgress()) * m_meanEventMs;
-    return job.due() < time + milliseconds { static_cast<std::int64_t>(std::max(0.0, left)) };
+    return rankOf({ job.nextProgress(), job.due() }, m_runTimes, time);
 }
 
-void bulk_process::noteRun(const run_figures& run)
+void bulk_process::noteEnd(held_job& held, std::uint32_t index, const run_figures& run, bool fresh)
 {
-    constexpr double keep = 0.9;
-    const double took = std::chrono::duration<double, std::milli>(now() - run.begun).count();
-    if (run.events == 0)
-        return;
-    m_meanRunMs = keep * m_meanRunMs + (1 - keep) * took;
-    m_meanEventMs = keep * m_meanEventMs + (1 - keep) * took / static_cast<double>(run.events);
+    const auto since
+        = [](steady_time from) { return std::chrono::duration_cast<milliseconds>(now() - from); };
+    if (fresh)
+        m_runTimes.noteRun(since(run.begun), run.events);
+    const auto begun = held.begun.find(index);
+    if (begun != held.begun.end())
+        m_runTimes.noteFinished(since(begun->second), held.job->progressOf(index));
 }
 
 bool bulk_process::startItem(held_job& held, const routing_table& table)
@@ -160,7 +158,7 @@
         job.giveUpWaiting(now());
         return false;
     }
-    const bool late = hopeless(job, now());
+    const auto rank = nextRank(job, now());
     const auto next = job.next();
     const auto& item = record.items[next->index];
     item_order order;
@@ -169,8 +167,7 @@
     order.service = matched->pickService(std::hash<std::string> {}(item.id));
     order.customer = matched->name;
     order.cost = static_cast<double>(item.tokens);
-    // To dispatchers a hopeless item is overdue already.
-    order.due = late ? now() : job.due();
+    order.rank = rank;
     order.expiry = now() + defaultRunTime;
     order.lastEvent = next->lastEvent;
     const auto cuts = held.cuts.find(next->index);
@@ -183,14 +180,17 @@
         if (figures->events++ == 0)
             figures->begun = now();
         const auto found = m_jobs.find(id);
-        if (found != m_jobs.end())
+        if (found != m_jobs.end()) {
             found->second.cuts.erase(index);
+            found->second.begun.try_emplace(index, figures->begun);
+        }
         return found != m_jobs.end() && found->second.job->event(index, event, std::move(data));
     };
     events.ended
         = [this, id, index, figures, fresh = !next->lastEvent](run_end how, std::string_view reason) {
-              if (how == run_end::whole && fresh)
-                  noteRun(*figures);
+              const auto found = m_jobs.find(id);
+              if (how == run_end::whole && found != m_jobs.end())
+                  noteEnd(found->second, index, *figures, fresh);
               itemEnded(id, index, how, reason);
           };
     held.runs[index] = runItem(m_items, std::move(order), std::move(events));
