Under overload live requests are refused on arrival, and told when the spell will be over

Retry-After was a second, whatever the spell. Now a request joins the queue only if 1.7 times its expected wait is short enough, and Retry-After follows the length of the last spells.

--- a/libs/bulk/src/item_rank.cpp
+++ b/libs/bulk/src/item_rank.cpp
@@ -12,8 +12,8 @@
 constexpr double leastShareLeft = 0.05;
 /// Pauses beyond this are an outage, and say nothing about the next item.
 constexpr double mostStretch = 3;
-/// Ranks lie in three ranges, one behind the other. The first begins further away than a run takes, so that no
-/// rank passes while its item runs: dispatchers take places from what is overdue first.
+/// Ranks lie in three ranges, one behind the other. The first begins further away than a run takes, so that
+/// no rank passes while its item runs: dispatchers take places from what is overdue first.
 constexpr std::chrono::minutes begunOffset { 2 };
 constexpr std::chrono::minutes notBegunOffset { 10 };
 constexpr std::chrono::hours lateOffset { 24 * 365 };
@@ -42,7 +42,8 @@
 {
     const double undisturbed = m_eventMs * static_cast<double>(events);
     if (undisturbed > 0)
-        follow(m_stretch, std::clamp(static_cast<double>(sinceFirstEvent.count()) / undisturbed, 1.0, mostStretch));
+        follow(m_stretch,
+            std::clamp(static_cast<double>(sinceFirstEvent.count()) / undisturbed, 1.0, mostStretch));
 }
 
 milliseconds run_times::remaining(std::size_t events) const
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -317,6 +317,21 @@
     std::deque<std::pair<std::int64_t, unsigned>> m_spans;
 };
 
+/// Follows how long spells of overload last, to tell refused callers when one will be over.
+class overload_spells {
+public:
+    /// A live request found no place in time.
+    void refused(steady_time now);
+    /// When a request that is refused now shall come back: a little after the end of the present spell, if it
+    /// lasts as long as the last ones did.
+    milliseconds returnAfter(steady_time now) const;
+
+private:
+    steady_time m_begin;
+    steady_time m_last;
+    double m_meanMs = 1000; ///< A guess until a spell was seen.
+};
+
 struct group_options {
     bulk_policy policy = adaptive_bulk {};
     fair_queue::order order = fair_queue::order::fair;
@@ -324,6 +339,10 @@
     /// How long a target that refused a request is left alone; 0 for until its next load report.
     milliseconds refusalPause { 0 };
     std::optional<fair_queue::order> bulkOrder; ///< Of waiting bulk asks; as the order of live ones if unset.
+    /// A request is refused on arrival if so many times the expected wait would be too long. At 1 a queue
+    /// under overload settles where half of those that wait are refused at the end of their wait, too late to
+    /// come back in time, and the others are served with no time to spare.
+    double waitMargin = 1;
     /// Whether targets are asked for load reports when reportsDue() says so.
     bool asksForReports = false;
 };
@@ -417,6 +436,8 @@
     target_state* chooseTarget(const grant_ask& ask, bool needFreeSlot, steady_time now);
     bool refuseHopeless(const grant_ask& ask, steady_time now);
     milliseconds expectedWait(const grant_ask& ask, steady_time now) const;
+    /// Refuses a live ask for lack of room.
+    void refuseForLoad(const grant_ask& ask, std::string why, steady_time now);
     bulk_situation situation(steady_time now) const;
     void give(grant_ask ask, target_state& target, steady_time since, steady_time now);
     void pump(steady_time now);
@@ -445,6 +466,7 @@
     bool m_windowFull = false;
     steady_time m_nextAdaptation;
     arrival_history m_arrivals;
+    overload_spells m_spells;
     steady_time m_lastAsk;
 };
 
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -258,8 +258,10 @@
 milliseconds target_group::expectedWait(const grant_ask& ask, steady_time now) const
 {
     unsigned slots = 0;
-    for (const auto& [name, target] : m_targets)
-        slots += usable(target, now) ? slotsOf(target, now) : 0;
+    for (const auto& [name, target] : m_targets) {
+        if (usable(target, now))
+            slots += slotsOf(target, now) - std::min(slotsOf(target, now), foreignWork(target, now));
+    }
     if (slots == 0)
         return unavailableRetryAfter;
     const double ahead = static_cast<double>(
@@ -274,6 +276,15 @@
     m_decisions.emplace_back(grant_refused { ask.holder, ask.id, std::move(reason) });
 }
 
+void target_group::refuseForLoad(const grant_ask& ask, std::string why, steady_time now)
+{
+    const auto wait = expectedWait(ask, now);
+    if (ask.atOnce) // It will be asked for again in a queue.
+        return refuse(ask, notRun(failure_kind::overloaded, std::move(why), wait));
+    m_spells.refused(now);
+    refuse(ask, notRun(failure_kind::overloaded, std::move(why), std::max(wait, m_spells.returnAfter(now))));
+}
+
 /// A request that cannot be served in time is told so at once, and when to come back.
 bool target_group::refuseHopeless(const grant_ask& ask, steady_time now)
 {
@@ -294,10 +305,8 @@
                 std::max(wait, leastRetryAfter)));
         return true;
     }
-    if (!ask.atOnce && now + wait > ask.deadline) {
-        refuse(ask,
-            notRun(failure_kind::overloaded, "the queue is longer than the request's timeout",
-                std::max(wait, leastRetryAfter)));
+    if (!ask.atOnce && now + wait * m_options.waitMargin > ask.deadline) {
+        refuseForLoad(ask, "the queue is longer than the request's timeout", now);
         return true;
     }
     return false;
@@ -547,9 +556,7 @@
 void target_group::refuseExpired(steady_time now)
 {
     for (const auto& ask : m_live.takeExpired(now))
-        refuse(ask,
-            notRun(failure_kind::overloaded, "no target had room before the timeout",
-                std::max(expectedWait(ask, now), leastRetryAfter)));
+        refuseForLoad(ask, "no target had room before the timeout", now);
     for (const auto& ask : m_bulk.takeExpired(now))
         refuse(ask, notRun(failure_kind::overloaded, "no spare capacity for bulk work", leastRetryAfter));
 }
--- a/libs/dispatch/tests/test_dispatch.cpp
+++ b/libs/dispatch/tests/test_dispatch.cpp
@@ -553,3 +553,61 @@
     REQUIRE(given.size() == 1);
     CHECK(given[0].target == "t0");
 }
+
+// Story: live requests come at half again the rate that the targets can serve. The queue grew until its
+// expected wait was what a request may wait; half of those that joined were refused at the end of their wait,
+// when they could not come back in time any more.
+TEST_CASE("under overload a request that would probably wait too long is refused on arrival")
+{
+    group_options options;
+    options.policy = spare_bulk {};
+    options.waitMargin = 1.7;
+    target_group group(options);
+    const std::vector<target_description> targets { { "t", "a", 10, false } };
+    group.setTargets(targets, start);
+    // Requests take a second: a place comes free every 100 ms.
+    for (std::uint64_t id = 1; id <= 10; ++id)
+        group.ask(makeAsk(id), start);
+    for (const auto& given : only<grant_given>(group.takeDecisions()))
+        group.release({ given.grantId, grant_outcome::ok, 30ms, 0 }, start + 1s);
+    for (std::uint64_t id = 11; id <= 20; ++id)
+        group.ask(makeAsk(id), start + 1s);
+    group.takeDecisions();
+    for (std::uint64_t id = 21; id <= 24; ++id) {
+        auto ask = makeAsk(id);
+        ask.deadline = start + 1250ms;
+        group.ask(ask, start + 1s);
+    }
+    // Those with 0, 1 and 2 ahead: 1.7 times 200 ms would be too long for the third.
+    const auto refused = only<grant_refused>(group.takeDecisions());
+    REQUIRE(refused.size() == 2);
+    CHECK(refused[0].askId == 23);
+    CHECK(refused[0].reason.ran == verdict::not_run);
+    CHECK(refused[0].reason.retryAfter >= 200ms);
+}
+
+// Story: overload comes in spells of three seconds. Refused callers were told to return after a second, met
+// the next refusal in the same spell, and had no retry left.
+TEST_CASE("refused callers are told to return after the spell of overload, as long as the last ones were")
+{
+    overload_spells spells;
+    auto now = start;
+    const auto spell = [&](milliseconds length) {
+        for (auto end = now + length; now < end; now += 20ms)
+            spells.refused(now);
+        now += 4s;
+    };
+    for (int i = 0; i < 12; ++i)
+        spell(3000ms);
+    spells.refused(now);
+    const auto atBegin = spells.returnAfter(now);
+    CHECK(atBegin > 2800ms);
+    CHECK(atBegin < 3600ms);
+    for (int i = 0; i < 100; ++i)
+        spells.refused(now += 20ms);
+    CHECK(spells.returnAfter(now) < atBegin - 1800ms);
+    for (int i = 0; i < 100; ++i)
+        spells.refused(now += 20ms);
+    // It lasts longer than expected: callers do not return at once.
+    CHECK(spells.returnAfter(now) >= 500ms);
+}
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -10,6 +10,9 @@
 /// of, such as requests granted by its predecessor; these end within about so long.
 constexpr milliseconds refusalPause { 150 };
 constexpr milliseconds notDispatcherRetry { 200 };
+/// A dispatcher of six targets sees a slot come free every 20 ms or so; the sum of the eight waits that fill
+/// 150 ms exceeds the mean by 70% in one case of twenty.
+constexpr double waitMargin = 1.7;
 
 } // namespace
 
@@ -48,6 +51,7 @@
     options.refusalPause = refusalPause;
     options.policy = spare_bulk {};
     options.bulkOrder = fair_queue::order::due;
+    options.waitMargin = waitMargin;
     options.asksForReports = m_loads != nullptr;
     auto& hosted = m_groups.emplace(name, options).first->second;
     hosted.group.setTargets(targetsOf(name), now);
