Batch jobs respect their route's limit of waiting tokens

Cause: nothing of the sort existed; each process accepted whatever came. Weighed: shares of the limit held by the processes and moved between them (a share that is cut off cannot be used, and moving it costs calls of its own) and a counter of its own (drifts when a commit's outcome is unknown). Taken: an account that each creation rewrites on condition, beside the list of unfinished jobs that is read every two seconds anyway: one call a job, two where processes create in turn. Tests: test_job_admission, test_bulk (the limit over two processes fails on the former code).

--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -33,6 +33,9 @@
     std::vector<bulk_item> items;
 };
 
+/// Tokens of all items of a job.
+std::uint64_t tokensOf(const bulk_record& record);
+
 std::string encodeRecord(const bulk_record& record);
 result<bulk_record> decodeBulkRecord(std::string_view bytes);
 
@@ -60,8 +63,57 @@
     bool operator==(const bulk_holder&) const = default;
 };
 
-std::string encodeHolder(const bulk_holder& holder);
-result<bulk_holder> decodeHolder(std::string_view bytes);
+/// Tokens of a job that count against the limit of its route.
+struct token_claim {
+    std::string route; ///< Empty if the job's route was not known when it was accepted.
+    std::uint64_t tokens = 0;
+
+    bool operator==(const token_claim&) const = default;
+};
+
+/// What is stored of an unfinished job beside its record.
+struct bulk_opening {
+    bulk_holder holder;
+    token_claim claim;
+};
+
+std::string encodeOpening(const bulk_opening& opening);
+result<bulk_opening> decodeOpening(std::string_view bytes);
+
+/// The unfinished jobs of a route, as far as a listing of the store shows them.
+struct open_claims {
+    std::int64_t revision = 0; ///< Of the store: jobs that were created later are not among them.
+    std::map<std::string, std::uint64_t> tokens; ///< Of items without a result, by job.
+};
+
+/// The account of a route's limit in the store. Each creation of a job rewrites it on condition that it has
+/// not changed since it was read. So all creations come one after the other, and whoever creates a job has
+/// counted all before it: in its listing of unfinished jobs, or here.
+class token_account {
+public:
+    /// Reads the account; `revision` is that of its key, 0 if there is none yet.
+    static result<token_account> decode(std::string_view bytes, std::int64_t revision);
+    std::string encode() const;
+
+    std::int64_t revision() const { return m_revision; }
+    /// Whether a listing together with this account shows all jobs.
+    bool covers(const open_claims& listed) const { return listed.revision >= m_coveredTo; }
+    /// Tokens that wait at most.
+    std::uint64_t waiting(const open_claims& listed) const;
+    /// The account with one more job, to be written on condition of revision().
+    token_account with(std::string_view job, std::uint64_t tokens) const;
+
+private:
+    struct admitted {
+        std::string job;
+        std::uint64_t tokens = 0;
+        std::int64_t revision = 0; ///< Of its creation; 0 for the latest, which is that of the account.
+    };
+
+    std::int64_t m_revision = 0;
+    std::int64_t m_coveredTo = 0; ///< Jobs up to this revision are not kept here any more.
+    std::vector<admitted> m_latest;
+};
 
 /// Limits of a job's route.
 struct bulk_limits {
@@ -124,6 +176,8 @@
     /// the commit be executed later.
     const bulk_result_group& nextGroup(std::string_view token);
     bool completes(const bulk_result_group& group) const;
+    /// Tokens of the items that have no listed result once a group is committed.
+    std::uint64_t tokensLeftAfter(const bulk_result_group& group) const;
 
 private:
     struct item_state {
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -153,6 +153,16 @@
     return m_listed.size() + group.results.size() == m_record.items.size();
 }
 
+std::uint64_t bulk_job::tokensLeftAfter(const bulk_result_group& group) const
+{
+    auto left = tokensOf(m_record);
+    for (const auto& entry : m_listed)
+        left -= m_record.items[entry.index].tokens;
+    for (const auto& entry : group.results)
+        left -= m_record.items[entry.index].tokens;
+    return left;
+}
+
 milliseconds pauseAfterCuts(unsigned cuts)
 {
     if (cuts < cutsBlamedOnTargets)
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <numeric>
+
 namespace yuccachute {
 
 namespace {
@@ -68,6 +70,12 @@
 
 } // namespace
 
+std::uint64_t tokensOf(const bulk_record& record)
+{
+    return std::accumulate(record.items.begin(), record.items.end(), std::uint64_t { 0 },
+        [](std::uint64_t sum, const bulk_item& item) { return sum + item.tokens; });
+}
+
 std::string encodeRecord(const bulk_record& record)
 {
     auto items = json::array();
@@ -97,17 +105,28 @@
     return unpack<bulk_result_group>(bytes, "a group of results", readGroup);
 }
 
-std::string encodeHolder(const bulk_holder& holder)
+std::string encodeOpening(const bulk_opening& opening)
 {
-    return json { { "vm", holder.vm }, { "incarnation", holder.incarnation } }.dump();
+    json document { { "vm", opening.holder.vm }, { "incarnation", opening.holder.incarnation } };
+    if (!opening.claim.route.empty())
+        document.update({ { "route", opening.claim.route }, { "tokens", opening.claim.tokens } });
+    return document.dump();
 }
 
-result<bulk_holder> decodeHolder(std::string_view bytes)
+result<bulk_opening> decodeOpening(std::string_view bytes)
 {
     const auto document = json::parse(bytes, nullptr, false);
-    if (!document.is_object() || !document.contains("vm") || !document.contains("incarnation"))
-        return notRun(failure_kind::internal, "the holder of a job in the store is damaged");
-    return bulk_holder { document["vm"].get<std::string>(), document["incarnation"].get<std::uint64_t>() };
+    try {
+        bulk_opening opening;
+        opening.holder.vm = document.at("vm").get<std::string>();
+        opening.holder.incarnation = document.at("incarnation").get<std::uint64_t>();
+        opening.claim.route = document.value("route", "");
+        opening.claim.tokens = document.value("tokens", std::uint64_t { 0 });
+        return opening;
+    } catch (const json::exception& error) {
+        return notRun(failure_kind::internal,
+            std::string("the holder of a job in the store is damaged: ") + error.what());
+    }
 }
 
 } // namespace yuccachute
--- /dev/null
+++ b/libs/bulk/src/token_account.cpp
@@ -0,0 +1,74 @@
+#include "bulk/bulk.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace yuccachute {
+
+namespace {
+
+using nlohmann::json;
+
+/// Jobs that an account names at most: more than are created between two listings of a process, two seconds
+/// apart. Whoever listed earlier lists anew.
+constexpr std::size_t mostNamed = 64;
+
+} // namespace
+
+result<token_account> token_account::decode(std::string_view bytes, std::int64_t revision)
+{
+    token_account account;
+    account.m_revision = revision;
+    if (revision == 0)
+        return account;
+    const auto document = json::parse(bytes, nullptr, false);
+    try {
+        account.m_coveredTo = document.at("covered_to").get<std::int64_t>();
+        for (const auto& entry : document.at("latest"))
+            account.m_latest.push_back({ entry.at(0).get<std::string>(), entry.at(1).get<std::uint64_t>(),
+                entry.at(2).get<std::int64_t>() });
+    } catch (const json::exception& error) {
+        return notRun(
+            failure_kind::internal, std::string("a route's account of waiting tokens is damaged: ") + error.what());
+    }
+    if (!account.m_latest.empty())
+        account.m_latest.back().revision = revision;
+    return account;
+}
+
+std::string token_account::encode() const
+{
+    auto latest = json::array();
+    for (const auto& entry : m_latest)
+        latest.push_back({ entry.job, entry.tokens, entry.revision });
+    return json { { "covered_to", m_coveredTo }, { "latest", std::move(latest) } }.dump();
+}
+
+std::uint64_t token_account::waiting(const open_claims& listed) const
+{
+    std::uint64_t tokens = 0;
+    for (const auto& [job, left] : listed.tokens)
+        tokens += left;
+    for (const auto& entry : m_latest) {
+        // What the listing should show and does not show is finished.
+        if (entry.revision > listed.revision && !listed.tokens.contains(entry.job))
+            tokens += entry.tokens;
+    }
+    return tokens;
+}
+
+token_account token_account::with(std::string_view job, std::uint64_t tokens) const
+{
+    auto next = *this;
+    next.m_latest.push_back({ std::string(job), tokens, 0 });
+    const auto surplus = next.m_latest.size() - std::min(next.m_latest.size(), mostNamed);
+    if (surplus > 0) {
+        const auto end = next.m_latest.begin() + static_cast<std::ptrdiff_t>(surplus);
+        next.m_coveredTo = std::max(next.m_coveredTo, (end - 1)->revision);
+        next.m_latest.erase(next.m_latest.begin(), end);
+    }
+    return next;
+}
+
+} // namespace yuccachute
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -40,10 +40,13 @@
     REQUIRE(group);
     CHECK(group.value().results[0].text == "a\nb");
     CHECK(!group.value().results[1].done);
-    CHECK(decodeHolder(encodeHolder({ "v", 7 })).value() == bulk_holder { "v", 7 });
+    const auto opening = decodeOpening(encodeOpening({ { "v", 7 }, { "r", 940 } }));
+    CHECK(opening.value().holder == bulk_holder { "v", 7 });
+    CHECK(opening.value().claim == token_claim { "r", 940 });
+    CHECK(decodeOpening(encodeOpening({ { "v", 7 }, {} })).value().claim == token_claim {});
     CHECK(!decodeBulkRecord("nonsense"));
     CHECK(!decodeGroup(encodeRecord(record(1))));
-    CHECK(!decodeHolder("[]"));
+    CHECK(!decodeOpening("[]"));
 }
 
 TEST_CASE("an item goes on behind its last event and is listed with the whole text")
@@ -149,3 +152,59 @@
     held.ended(0, run_end::cut, at(1));
     CHECK(held.waiting() == 1);
 }
+
+TEST_CASE("an account counts what a listing cannot show, and nothing twice")
+{
+    open_claims listed { 100, { { "a", 50 }, { "b", 70 } } };
+    auto account = token_account::decode("", 0).value();
+    CHECK(account.covers(listed));
+    CHECK(account.waiting(listed) == 120);
+    // Written at 90: the listing at 100 would show it, so it is finished.
+    account = token_account::decode(account.with("gone", 1000).encode(), 90).value();
+    CHECK(account.waiting(listed) == 120);
+    account = token_account::decode(account.with("b", 80).encode(), 101).value();
+    account = token_account::decode(account.with("c", 200).encode(), 102).value();
+    CHECK(account.revision() == 102);
+    CHECK(account.waiting(listed) == 320);
+    listed = { 102, { { "c", 150 } } };
+    CHECK(account.waiting(listed) == 150);
+    CHECK(!token_account::decode("[]", 5));
+    CHECK(!token_account::decode("\xff", 5));
+}
+
+TEST_CASE("an account names no more jobs than a listing may be behind by")
+{
+    auto account = token_account::decode("", 0).value();
+    for (int i = 1; i <= 200; ++i)
+        account = token_account::decode(account.with("job" + std::to_string(i), 1).encode(), i).value();
+    CHECK(account.encode().size() < 4000);
+    CHECK(!account.covers({ 100, {} }));
+    CHECK(account.covers({ 150, {} }));
+    CHECK(account.waiting({ 150, {} }) == 50);
+}
+
+// Story: twice as many items came as the targets can run. Each was run until shortly before it was due, was
+// passed by those that were due sooner, and ended a little late: of hundreds nearly none was on time.
+TEST_CASE("items that have begun go first, and what can only be late goes last")
+{
+    const steady_time now = steady_time {} + std::chrono::hours { 1 };
+    const auto due = [&](int ms) { return now + milliseconds { ms }; };
+    run_times times;
+    for (int i = 0; i < 100; ++i) {
+        times.noteRun(milliseconds { 5000 }, 250);
+        times.noteFinished(milliseconds { 10000 }, 250);
+    }
+    const auto rank = [&](std::size_t events, int dueMs) {
+        return rankOf({ events, due(dueMs) }, times, now);
+    };
+    CHECK(rank(200, 15000) < rank(100, 9000));
+    CHECK(rank(1, 17000) < rank(0, 11000));
+    CHECK(rank(0, 11000) < rank(0, 17000));
+    // A new item needs twice its time, because it will be interrupted; one that has begun is finished.
+    CHECK(rank(0, 17000) < rank(0, 9000));
+    CHECK(rank(200, 1500) < rank(0, 17000));
+    CHECK(rank(0, 17000) < rank(200, 500));
+    CHECK(rank(200, 500) < rank(0, 9000));
+    // No rank passes while its item runs.
+    CHECK(rank(249, 1000) > now + std::chrono::minutes { 1 });
+}
--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -74,7 +74,9 @@
 /// Keeps jobs in the platform's store. Keys, all under yuccachute/:
 ///   job/ID         record, written once; the first part of it if it is larger than a value of the store
 ///   part/ID/N      N-th further part of the record
-///   open/ID        holder of a job that is not finished
+///   open/ID        holder of a job that is not finished, and its claim on the limit of waiting tokens
+///   open/ID/left   what is left of that claim, once results were listed
+///   tokens/ROUTE   account of the limit (job_admission)
 ///   result/ID/N    N-th group of results, written once
 ///   end/ID         "complete" or "ended"
 ///
@@ -93,6 +95,7 @@
         bulk_record record;
         std::vector<bulk_result_group> groups;
         std::optional<bulk_holder> holder; ///< Of an unfinished job.
+        token_claim claim;
         std::int64_t openRevision = 0;
         bool ended = false; ///< By its caller.
     };
@@ -105,6 +108,8 @@
     struct open_job {
         std::string id;
         bulk_holder holder;
+        token_claim claim;
+        std::uint64_t tokensLeft = 0; ///< Of the claim, for items without a result.
         std::int64_t revision = 0;
     };
 
@@ -119,7 +124,9 @@
     /// Creates a job, or finds the one that an earlier submission created: the job is durable when this
     /// reports success. A failure with verdict not_run says that it does not exist and was not created; one
     /// with may_have_run that this is not known. A job that does not fit is refused with too_large.
-    void create(const bulk_record& record, callback<creation> done);
+    void create(const bulk_record& record, token_claim claim, callback<creation> done);
+    /// The call that creates a job; its first condition is that there is none. Fails with too_large.
+    result<store_transaction> creationOf(const bulk_record& record, token_claim claim) const;
     /// Reads a job; fails with not_found only if the store has just said that there is none.
     void load(const std::string& id, callback<stored_job> done);
     /// Who holds an unfinished job, and since which revision; nothing if the job is finished, ended or not
@@ -128,9 +135,16 @@
     /// Takes a job whose holder has gone; reports the new revision of open/ID, or 0 if somebody else was
     /// first.
     void take(const open_job& job, callback<std::int64_t> done);
+    /// A group of results to be committed.
+    struct group_commit {
+        std::size_t number = 0;
+        const bulk_result_group& group;
+        std::int64_t openRevision = 0;
+        bool completes = false;
+        std::optional<std::uint64_t> tokensLeft; ///< Of the job's claim, if it has one.
+    };
     /// Commits a group, again and again until the outcome is known. A failure means that it is not known yet.
-    void commit(const std::string& id, std::size_t number, const bulk_result_group& group,
-        std::int64_t openRevision, bool completes, callback<commit_result> done);
+    void commit(const std::string& id, const group_commit& what, callback<commit_result> done);
     /// Ends a job on its caller's behalf. Fails with not_found if there is none.
     void end(const std::string& id, callback<bool> done);
     void listOpen(callback<open_jobs> done);
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -30,6 +30,7 @@
     , m_broker(m_loop, m_rpc, { m_self.vm, m_self.zone, "" })
     , m_items { m_loop, m_broker, m_client, adapter.callers }
     , m_keeper(m_loop, m_store, { m_self.vm, m_self.incarnation }, settings.storeValueBytes)
+    , m_admission(m_store, m_keeper)
     , m_retirement(m_loop, m_store, adapter.jobs, m_self.vm, [this] { retire(); })
     , m_stopTimer(m_loop)
 {
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -57,14 +57,15 @@
         return caller->send({ accepted, {}, "" });
     if (refusedWhileStoreAway(*caller))
         return;
-    m_keeper.create(
-        record.value(), [this, caller, record = record.value(), id](result<job_keeper::creation> created) {
+    const auto limit = limitFor(record.value());
+    m_admission.create(record.value(), limit,
+        [this, limit, caller, record = record.value(), id](result<job_keeper::creation> created) {
             if (!created) {
                 logEvent(log_level::warning, "job not accepted",
                     { { "job", id }, { "verdict", toString(created.error().ran) },
                         { "message", created.error().message } });
                 auto error = created.error();
-                if (error.kind != failure_kind::too_large)
+                if (error.kind != failure_kind::too_large && error.kind != failure_kind::limited)
                     error.retryAfter = retryAfter;
                 return answer(*caller, error);
             }
@@ -73,13 +74,20 @@
                 { { "job", id }, { "items", static_cast<std::int64_t>(record.items.size()) },
                     { "revision", revision }, { "existed", std::int64_t { revision == 0 } } });
             if (revision != 0)
-                hold({ record, {}, std::nullopt, revision, false });
+                hold({ record, {}, std::nullopt, claimOf(record, limit), revision, false });
             else
                 m_nextScan = now(); // It may be an own one, created by a call whose answer was lost.
             caller->send({ accepted, {}, "" });
         });
 }
 
+token_limit bulk_process::limitFor(const bulk_record& record) const
+{
+    const auto table = m_fleet.configuration();
+    const auto* matched = table->match(record.host, record.items.front().path);
+    return matched ? token_limit { matched->name, matched->mostWaitingTokens } : token_limit {};
+}
+
 bool bulk_process::current(const held_job& held) const
 {
     if (held.openRevision == 0)
--- a/libs/bulk_process/src/job_commits.cpp
+++ b/libs/bulk_process/src/job_commits.cpp
@@ -30,7 +30,11 @@
         return;
     held.committing = true;
     const auto& group = held.job->nextGroup(randomToken());
-    m_keeper.commit(id, held.job->groups(), group, held.openRevision, held.job->completes(group),
+    std::optional<std::uint64_t> tokensLeft;
+    if (!held.claim.route.empty())
+        tokensLeft = held.job->tokensLeftAfter(group);
+    m_keeper.commit(id,
+        { held.job->groups(), group, held.openRevision, held.job->completes(group), tokensLeft },
         [this, id, revision = held.openRevision](
             result<job_keeper::commit_result> outcome) { committed(id, revision, outcome); });
 }
--- a/libs/bulk_process/src/job_keeper.cpp
+++ b/libs/bulk_process/src/job_keeper.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view recordPrefix = "yuccachute/job/";
 constexpr std::string_view partPrefix = "yuccachute/part/";
 constexpr std::string_view openPrefix = "yuccachute/open/";
+constexpr std::string_view leftSuffix = "/left"; ///< Ids of jobs hold no slash.
 constexpr std::string_view resultPrefix = "yuccachute/result/";
 constexpr std::string_view endPrefix = "yuccachute/end/";
 constexpr std::string_view completeMark = "complete";
@@ -72,6 +73,32 @@
     return bytes < valueBytes / 2 ? 0 : std::min(mostParts, 2 + bytes / (valueBytes - partsHeaderBytes));
 }
 
+std::string leftKey(std::string_view id)
+{
+    return keyOf(openPrefix, id).append(leftSuffix);
+}
+
+/// Adds one key of the list of unfinished jobs. What is left of a job's claim stands behind the job itself.
+void addOpen(const stored_value& value, std::vector<job_keeper::open_job>& jobs)
+{
+    const auto id = std::string_view(value.key).substr(openPrefix.size());
+    if (id.ends_with(leftSuffix)) {
+        const bool known = !jobs.empty() && jobs.back().id == id.substr(0, id.size() - leftSuffix.size());
+        const char* end = value.value.data() + value.value.size();
+        std::uint64_t left = 0;
+        if (known && std::from_chars(value.value.data(), end, left).ec == std::errc())
+            jobs.back().tokensLeft = left;
+        return;
+    }
+    auto opening = decodeOpening(value.value);
+    if (!opening)
+        return logEvent(log_level::error, "holder not understood",
+            { { "key", value.key }, { "message", opening.error().message } });
+    const auto tokens = opening.value().claim.tokens;
+    jobs.push_back({ std::string(id), std::move(opening.value().holder), std::move(opening.value().claim),
+        tokens, value.modRevision });
+}
+
 store_condition absent(std::string key)
 {
     return { store_condition::kind::absent, std::move(key), 0 };
@@ -92,19 +119,29 @@
 {
 }
 
-void job_keeper::create(const bulk_record& record, callback<creation> done)
+result<store_transaction> job_keeper::creationOf(const bulk_record& record, token_claim claim) const
 {
     auto parts = cutRecord(encodeRecord(record), m_valueBytes);
     if (parts.size() > mostParts)
-        return done(notRun(failure_kind::too_large, "the job is larger than the store takes"));
-    const auto creating = std::make_shared<store_transaction>();
+        return notRun(failure_kind::too_large, "the job is larger than the store takes");
+    store_transaction creating;
     const auto recordKey = keyOf(recordPrefix, record.id);
-    creating->conditions.push_back(absent(recordKey));
-    creating->writes.push_back({ recordKey, std::move(parts.front()), 0 });
+    creating.conditions.push_back(absent(recordKey));
+    creating.writes.push_back({ recordKey, std::move(parts.front()), 0 });
     for (std::size_t number = 1; number < parts.size(); ++number)
-        creating->writes.push_back({ partKey(record.id, number), std::move(parts[number]), 0 });
-    creating->writes.push_back({ keyOf(openPrefix, record.id), encodeHolder(m_self), 0 });
-    settleCreation(creating, 0, std::move(done));
+        creating.writes.push_back({ partKey(record.id, number), std::move(parts[number]), 0 });
+    creating.writes.push_back(
+        { keyOf(openPrefix, record.id), encodeOpening({ m_self, std::move(claim) }), 0 });
+    return creating;
+}
+
+void job_keeper::create(const bulk_record& record, token_claim claim, callback<creation> done)
+{
+    auto creating = creationOf(record, std::move(claim));
+    if (!creating)
+        return done(creating.error());
+    settleCreation(
+        std::make_shared<const store_transaction>(std::move(creating.value())), 0, std::move(done));
 }
 
 void job_keeper::settleCreation(
@@ -182,10 +219,11 @@
                 return done(found.error());
             if (!found.value())
                 return done(std::optional<open_job>());
-            auto holder = decodeHolder(found.value()->value);
-            if (!holder)
-                return done(holder.error());
-            done(std::optional(open_job { id, std::move(holder.value()), found.value()->modRevision }));
+            auto opening = decodeOpening(found.value()->value);
+            if (!opening)
+                return done(opening.error());
+            done(std::optional(open_job { id, std::move(opening.value().holder),
+                std::move(opening.value().claim), 0, found.value()->modRevision }));
         });
 }
 
@@ -196,6 +234,7 @@
             return done(open.error());
         if (open.value()) {
             job->holder = open.value()->holder;
+            job->claim = open.value()->claim;
             job->openRevision = open.value()->revision;
         }
         readGroups(job, done);
@@ -229,7 +268,7 @@
     store_transaction taking;
     const auto key = keyOf(openPrefix, job.id);
     taking.conditions.push_back(unchanged(key, job.revision));
-    taking.writes.push_back({ key, encodeHolder(m_self), 0 });
+    taking.writes.push_back({ key, encodeOpening({ m_self, job.claim }), 0 });
     m_store.commit(taking, [done = std::move(done)](result<commit_outcome> outcome) {
         if (!outcome)
             return done(outcome.error()); // The next look at the open jobs tells.
@@ -237,19 +276,23 @@
     });
 }
 
-void job_keeper::commit(const std::string& id, std::size_t number, const bulk_result_group& group,
-    std::int64_t openRevision, bool completes, callback<commit_result> done)
+void job_keeper::commit(const std::string& id, const group_commit& what, callback<commit_result> done)
 {
     store_transaction committing;
-    committing.conditions.push_back(absent(groupKey(id, number)));
-    committing.conditions.push_back(unchanged(keyOf(openPrefix, id), openRevision));
-    committing.writes.push_back({ groupKey(id, number), encodeGroup(group), 0 });
-    if (completes) {
+    committing.conditions.push_back(absent(groupKey(id, what.number)));
+    committing.conditions.push_back(unchanged(keyOf(openPrefix, id), what.openRevision));
+    committing.writes.push_back({ groupKey(id, what.number), encodeGroup(what.group), 0 });
+    if (what.completes) {
         committing.writes.push_back({ keyOf(endPrefix, id), std::string(completeMark), 0 });
         committing.removals.push_back({ keyOf(openPrefix, id), false });
+        if (what.tokensLeft)
+            committing.removals.push_back({ leftKey(id), false });
+    } else if (what.tokensLeft) {
+        committing.writes.push_back({ leftKey(id), std::to_string(*what.tokensLeft), 0 });
     }
     m_store.commit(committing,
-        [this, id, number, token = group.token, done = std::move(done)](result<commit_outcome> outcome) {
+        [this, id, number = what.number, token = what.group.token, done = std::move(done)](
+            result<commit_outcome> outcome) {
             if (!outcome)
                 return done(outcome.error()); // The caller tries the same group again.
             if (outcome.value().applied)
@@ -305,6 +348,7 @@
             ending.conditions.push_back(unchanged(openKey, open.value()->modRevision));
             ending.writes.push_back({ keyOf(endPrefix, id), std::string(endedMark), 0 });
             ending.removals.push_back({ openKey, false });
+            ending.removals.push_back({ leftKey(id), false });
             m_store.commit(ending, [done, again](result<commit_outcome> outcome) {
                 if (outcome && outcome.value().applied)
                     return done(true);
@@ -322,14 +366,8 @@
             return done(listing.error());
         open_jobs open;
         open.revision = listing.value().revision;
-        for (const auto& value : listing.value().values) {
-            if (auto holder = decodeHolder(value.value))
-                open.jobs.push_back(
-                    { value.key.substr(openPrefix.size()), std::move(holder.value()), value.modRevision });
-            else
-                logEvent(log_level::error, "holder not understood",
-                    { { "key", value.key }, { "message", holder.error().message } });
-        }
+        for (const auto& value : listing.value().values)
+            addOpen(value, open.jobs);
         done(std::move(open));
     });
 }
@@ -337,7 +375,8 @@
 void job_keeper::remove(const bulk_record& record, std::size_t groups)
 {
     const auto& id = record.id;
-    std::vector<std::string> keys { keyOf(recordPrefix, id), keyOf(openPrefix, id), keyOf(endPrefix, id) };
+    std::vector<std::string> keys { keyOf(recordPrefix, id), keyOf(openPrefix, id), leftKey(id),
+        keyOf(endPrefix, id) };
     for (std::size_t number = 0; number < groups; ++number)
         keys.push_back(groupKey(id, number));
     for (std::size_t number = 1; number < partsAtMost(record, m_valueBytes); ++number)
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -43,6 +43,7 @@
         m_settings.resultRetention);
     held_job held;
     held.openRevision = stored.holder || stored.openRevision != 0 ? stored.openRevision : 0;
+    held.claim = stored.claim;
     held.ended = stored.ended;
     held.acceptedAt = now() - age;
     const auto limits = limitsOf(stored.record, age);
--- a/libs/bulk_process/src/job_takeover.cpp
+++ b/libs/bulk_process/src/job_takeover.cpp
@@ -23,6 +23,7 @@
         m_nextScan = now() + scanInterval;
         if (!open)
             return;
+        m_admission.listed(open.value(), now());
         compare(open.value());
         // A frozen process wakes, registers anew and believes that it holds what another has taken
         // meanwhile: from here on it knows what it holds under this registration.
@@ -91,7 +92,7 @@
     m_keeper.take(job, [this, id = job.id](result<std::int64_t> revision) {
         m_taking.erase(id);
         if (revision && revision.value() != 0)
-            loadOwn({ id, {}, revision.value() });
+            loadOwn({ id, {}, {}, 0, revision.value() });
     });
 }
 
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -3,6 +3,7 @@
 #include "bulk_process/bulk_process.h"
 
 #include "item_run.h"
+#include "job_admission.h"
 #include "logging/logging.h"
 #include "membership/membership.h"
 #include "retirement.h"
@@ -27,6 +28,7 @@
 struct held_job {
     std::unique_ptr<bulk_job> job;
     std::int64_t openRevision = 0; ///< 0: finished or ended, and only read.
+    token_claim claim;
     std::map<std::uint32_t, std::unique_ptr<item_run>> runs;
     std::map<std::uint32_t, unsigned> cuts; ///< In a row without a new event, by item.
     std::map<std::uint32_t, loop_timer> pauses; ///< Of items that were cut.
@@ -67,6 +69,8 @@
     /// at once, and its entry asks another process; this one notices the store's return by its own renewals.
     bool refusedWhileStoreAway(http_exchange& caller);
     void submit(std::shared_ptr<http_exchange> caller);
+    /// The limit of waiting tokens that a submission is under.
+    token_limit limitFor(const bulk_record& record) const;
     /// Whether what this process knows of a job is what the store knows.
     bool current(const held_job& held) const;
     void serve(std::shared_ptr<http_exchange> caller, const read_results_call& call);
@@ -143,6 +147,7 @@
     place_broker m_broker;
     item_services m_items;
     job_keeper m_keeper;
+    job_admission m_admission;
     retirement m_retirement;
     loop_timer m_stopTimer;
     job_map m_jobs;
--- /dev/null
+++ b/libs/bulk_process/tests/test_job_admission.cpp
@@ -0,0 +1,198 @@
+#include "../src/job_admission.h"
+#include "fake_store.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace yuccachute;
+
+namespace {
+
+/// Two items of 100 tokens each.
+bulk_record record(std::string id)
+{
+    return { std::move(id), "h", 1, { { "i0", "/p", {}, "b", 100 }, { "i1", "/p", {}, "b", 100 } } };
+}
+
+/// A batch process, as far as it accepts jobs.
+struct node {
+    node(event_loop& loop, fake_store& store, std::string vm)
+        : keeper(loop, store, { std::move(vm), 1 }, 100000)
+        , admission(store, keeper)
+    {
+    }
+
+    std::optional<result<job_keeper::creation>> submit(const std::string& id, std::uint64_t most = 500)
+    {
+        std::optional<result<job_keeper::creation>> outcome;
+        admission.create(record(id), { "r", most },
+            [&](result<job_keeper::creation> created) { outcome.emplace(std::move(created)); });
+        return outcome;
+    }
+    bool accepted(const std::string& id, std::uint64_t most = 500)
+    {
+        const auto outcome = submit(id, most);
+        return outcome && *outcome;
+    }
+    bool refused(const std::string& id, std::uint64_t most = 500)
+    {
+        const auto outcome = submit(id, most);
+        return outcome && !*outcome && outcome->error().kind == failure_kind::limited
+            && outcome->error().ran == verdict::not_run && outcome->error().retryAfter.count() > 0;
+    }
+
+    job_keeper keeper;
+    job_admission admission;
+};
+
+struct fixture {
+    void commit(node& by, const std::string& id, std::uint32_t index, std::int64_t revision, std::size_t number,
+        std::optional<std::uint64_t> left)
+    {
+        const bulk_result_group group { "t" + std::to_string(index), { { index, true, "x" } } };
+        std::optional<result<job_keeper::commit_result>> outcome;
+        by.keeper.commit(id, { number, group, revision, left == 0, left },
+            [&](result<job_keeper::commit_result> committed) { outcome.emplace(std::move(committed)); });
+        REQUIRE(outcome->value() == job_keeper::commit_result::committed);
+    }
+    /// Tokens of all jobs that the store holds as unfinished.
+    std::uint64_t waiting()
+    {
+        std::uint64_t tokens = 0;
+        one.keeper.listOpen([&](result<job_keeper::open_jobs> open) {
+            for (const auto& job : open.value().jobs)
+                tokens += job.tokensLeft;
+        });
+        return tokens;
+    }
+    void pause() { std::this_thread::sleep_for(milliseconds { 450 }); } // Listings are believed for 400 ms.
+
+    event_loop loop;
+    fake_store store;
+    node one { loop, store, "vm1" };
+    node two { loop, store, "vm2" };
+};
+
+} // namespace
+
+// Story: each batch process counted its own jobs only. Three of them accepted three times what the operators allow.
+TEST_CASE("a route's limit holds over all processes")
+{
+    fixture f;
+    CHECK(f.one.accepted("a"));
+    CHECK(f.two.accepted("b"));
+    CHECK(f.one.refused("c"));
+    CHECK(f.two.refused("c"));
+    CHECK(f.waiting() == 400);
+    CHECK(f.two.accepted("a")); // It is there already, however full the route is.
+    CHECK(f.one.accepted("c", 0)); // No limit.
+    f.pause();
+    CHECK(f.two.refused("d", 700));
+    CHECK(f.two.accepted("d", 800));
+}
+
+TEST_CASE("the limit holds where a refused change does not tell what has changed")
+{
+    fixture f;
+    f.store.namesFound = false;
+    CHECK(f.one.accepted("a"));
+    CHECK(f.two.accepted("b"));
+    CHECK(f.two.accepted("b"));
+    CHECK(f.one.refused("c"));
+}
+
+TEST_CASE("listed results and ended jobs make room")
+{
+    fixture f;
+    const auto a = f.one.submit("a");
+    CHECK(f.one.accepted("b"));
+    CHECK(f.two.refused("c"));
+    f.commit(f.one, "a", 0, a->value().openRevision, 0, 100);
+    f.pause();
+    CHECK(f.waiting() == 300);
+    CHECK(f.two.accepted("c"));
+    CHECK(f.one.refused("d"));
+    f.commit(f.one, "a", 1, a->value().openRevision, 1, 0);
+    f.pause();
+    CHECK(f.waiting() == 400);
+    f.one.keeper.end("b", [](result<bool> ended) { CHECK(ended); });
+    f.pause();
+    CHECK(f.waiting() == 200);
+    CHECK(f.one.accepted("d"));
+    CHECK(f.two.refused("e"));
+}
+
+TEST_CASE("operators may move the limit below what waits: nothing more is accepted, nothing is lost")
+{
+    fixture f;
+    CHECK(f.one.accepted("a"));
+    CHECK(f.one.accepted("b"));
+    CHECK(f.two.refused("c", 100));
+    CHECK(f.two.accepted("a", 100));
+    CHECK(f.waiting() == 400);
+}
+
+TEST_CASE("a taken-over job keeps its claim")
+{
+    fixture f;
+    CHECK(f.one.accepted("a"));
+    f.two.keeper.listOpen([&](result<job_keeper::open_jobs> open) {
+        f.two.keeper.take(open.value().jobs.at(0), [](result<std::int64_t> taken) { CHECK(taken.value() != 0); });
+    });
+    CHECK(f.waiting() == 200);
+    CHECK(f.two.refused("b", 300));
+}
+
+// Story: the answer to a creation is lost, and the creation takes effect seconds later. The job had been refused
+// meanwhile, and its items ran all the same; or it was created twice over the limit.
+TEST_CASE("a job whose creation may still happen is not refused, and does not pass the limit when it happens")
+{
+    fixture f;
+    CHECK(f.one.accepted("a"));
+    f.store.faults.assign(3, fake_store::fault::executed_later);
+    const auto unknown = f.one.submit("b");
+    REQUIRE(unknown);
+    REQUIRE(!*unknown);
+    CHECK(unknown->error().ran == verdict::may_have_run);
+    CHECK(f.two.accepted("c"));
+    f.store.executeLate();
+    CHECK(f.waiting() == 400);
+    CHECK(f.one.refused("b"));
+}
+
+TEST_CASE("a lost answer to a creation that took effect is found out")
+{
+    fixture f;
+    f.store.faults = { fake_store::fault::lost_after };
+    CHECK(f.one.accepted("a"));
+    CHECK(f.waiting() == 200);
+    f.store.faults = { fake_store::fault::refused };
+    const auto refused = f.one.submit("b");
+    REQUIRE(!*refused);
+    CHECK(refused->error().ran == verdict::not_run);
+    CHECK(f.waiting() == 200);
+}
+
+// The price of the limit: one call a job, and another one where two processes create in turn.
+TEST_CASE("accepting a job costs one call while there is room, two if another process was last")
+{
+    fixture f;
+    f.one.accepted("a", 100000);
+    f.two.accepted("b", 100000);
+    const auto before = f.store.commits;
+    const auto listings = f.store.listings;
+    f.two.accepted("c", 100000);
+    CHECK(f.store.commits == before + 1);
+    f.one.accepted("d", 100000);
+    CHECK(f.store.commits == before + 3);
+    CHECK(f.store.listings == listings);
+}
+
+TEST_CASE("jobs from before there was a limit count")
+{
+    fixture f;
+    CHECK(f.one.accepted("a", 0));
+    CHECK(f.one.accepted("b", 0));
+    CHECK(f.two.refused("c"));
+}
--- a/libs/bulk_process/tests/test_job_keeper.cpp
+++ b/libs/bulk_process/tests/test_job_keeper.cpp
@@ -1,88 +1,13 @@
-#include "bulk_process/bulk_process.h"
+#include "fake_store.h"
 
 #include <catch2/catch.hpp>
 
-#include <deque>
 #include <random>
 
 using namespace yuccachute;
 
 namespace {
 
-/// The rules of the platform's store in memory. Answers can be lost, before or after the call takes effect,
-/// and calls can be executed later.
-class fake_store final : public async_store {
-public:
-    enum class fault : std::uint8_t { none, refused, lost_before, lost_after, executed_later };
-
-    void get(std::string_view key, callback<std::optional<stored_value>> done) override
-    {
-        const auto found = values.find(key);
-        done(found == values.end() ? std::nullopt : std::optional(found->second));
-    }
-    void list(std::string_view prefix, callback<store_listing> done) override
-    {
-        store_listing listing;
-        listing.revision = revision;
-        for (const auto& [key, value] : values) {
-            if (key.starts_with(prefix))
-                listing.values.push_back(value);
-        }
-        done(listing);
-    }
-    void commit(const store_transaction& transaction, callback<commit_outcome> done) override
-    {
-        const auto next = faults.empty() ? fault::none : faults.front();
-        if (!faults.empty())
-            faults.pop_front();
-        switch (next) {
-        case fault::refused:
-            return done(notRun(failure_kind::unavailable, "503"));
-        case fault::lost_before:
-            return done(mayHaveRun(failure_kind::timeout, "no answer"));
-        case fault::executed_later:
-            late.push_back(transaction);
-            return done(mayHaveRun(failure_kind::timeout, "no answer"));
-        case fault::lost_after:
-            execute(transaction);
-            return done(mayHaveRun(failure_kind::timeout, "no answer"));
-        case fault::none:
-            return done(execute(transaction));
-        }
-    }
-    void waitForChange(std::string_view, std::int64_t, milliseconds, callback<store_changes>) override { }
-    void grantLease(milliseconds, callback<std::int64_t>) override { }
-    void renewLease(std::int64_t, callback<bool>) override { }
-    void endLease(std::int64_t, callback<bool>) override { }
-
-    commit_outcome execute(const store_transaction& transaction)
-    {
-        for (const auto& condition : transaction.conditions) {
-            const auto found = values.find(condition.key);
-            const auto at = found == values.end() ? 0 : found->second.modRevision;
-            const auto wanted = condition.what == store_condition::kind::absent ? 0 : condition.revision;
-            if (at != wanted)
-                return {};
-        }
-        ++revision;
-        for (const auto& write : transaction.writes)
-            values[write.key] = { write.key, write.value, revision, revision, write.lease };
-        for (const auto& removal : transaction.removals)
-            values.erase(removal.key);
-        return { true, revision, {} };
-    }
-    void executeLate()
-    {
-        for (const auto& transaction : std::exchange(late, {}))
-            execute(transaction);
-    }
-
-    std::map<std::string, stored_value, std::less<>> values;
-    std::deque<fault> faults;
-    std::vector<store_transaction> late;
-    std::int64_t revision = 10;
-};
-
 bulk_record record(std::string id)
 {
     return { std::move(id), "h", 1, { { "i0", "/p", {}, "b", 1 }, { "i1", "/p", {}, "b", 1 } } };
@@ -111,7 +36,7 @@
     result<job_keeper::creation> create(const std::string& id)
     {
         std::optional<result<job_keeper::creation>> outcome;
-        keeper.create(record(id), into(outcome));
+        keeper.create(record(id), {}, into(outcome));
         return *outcome;
     }
     result<job_keeper::stored_job> load(const std::string& id)
@@ -124,7 +49,7 @@
         const bulk_result_group& group, std::int64_t revision, bool completes)
     {
         std::optional<result<job_keeper::commit_result>> outcome;
-        by.commit("a", number, group, revision, completes, into(outcome));
+        by.commit("a", { number, group, revision, completes, std::nullopt }, into(outcome));
         return *outcome;
     }
     result<bool> end(const std::string& id)
@@ -223,7 +148,7 @@
     CHECK(!f.commit(f.keeper, 0, first, revision, false));
     const auto taken = f.take(f.other, f.open().jobs.at(0));
     REQUIRE(taken != 0);
-    CHECK(f.take(f.keeper, { "a", { "vm1", 1 }, revision }) == 0);
+    CHECK(f.take(f.keeper, { "a", { "vm1", 1 }, {}, 0, revision }) == 0);
     f.store.executeLate();
     CHECK(f.load("a").value().groups.empty());
     CHECK(f.commit(f.other, 0, second, taken, false).value() == job_keeper::commit_result::committed);
@@ -267,7 +192,7 @@
     const auto large = largeRecord("large", 3 * valueBytes);
     std::optional<result<job_keeper::creation>> created;
     f.store.faults = { fake_store::fault::lost_after };
-    f.keeper.create(large, f.into(created));
+    f.keeper.create(large, {}, f.into(created));
     REQUIRE(*created);
     for (const auto& [key, value] : f.store.values)
         CHECK(value.value.size() <= valueBytes);
@@ -284,7 +209,7 @@
 {
     fixture f;
     std::optional<result<job_keeper::creation>> created;
-    f.keeper.create(largeRecord("huge", 20 * valueBytes), f.into(created));
+    f.keeper.create(largeRecord("huge", 20 * valueBytes), {}, f.into(created));
     REQUIRE(!*created);
     CHECK(created->error().kind == failure_kind::too_large);
     CHECK(created->error().ran == verdict::not_run);
--- a/libs/dispatch/src/overload_spells.cpp
+++ b/libs/dispatch/src/overload_spells.cpp
@@ -27,7 +27,8 @@
 {
     if (m_last == steady_time {} || now - m_last > longestGap) {
         if (m_last != steady_time {})
-            m_meanMs = spellKeep * m_meanMs + (1 - spellKeep) * std::min(toMs(m_last - m_begin), longestSpellMs);
+            m_meanMs
+                = spellKeep * m_meanMs + (1 - spellKeep) * std::min(toMs(m_last - m_begin), longestSpellMs);
         m_begin = now;
     }
     m_last = now;
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -45,6 +45,7 @@
     std::vector<service_share> shares;
     milliseconds resultsDue { 0 }; ///< Batch: from the first submission to the last result.
     milliseconds expiry { 0 }; ///< Batch: after which an item may be given up.
+    std::uint64_t mostWaitingTokens = 0; ///< Batch: of all accepted items without a result; 0 for no limit.
 
     /// Whether a request may run again after an unknown outcome.
     bool repeatable() const
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -55,8 +55,9 @@
 struct commit_outcome {
     bool applied = false;
     std::int64_t revision = 0; ///< The store's revision after the transaction.
-    std::vector<stored_value>
-        found; ///< Values of readOtherwise, in order; those that do not exist have createRevision 0.
+    /// Values of readOtherwise, in order; those that do not exist have createRevision 0. A store that reads
+    /// the keys of the conditions instead names those that exist.
+    std::vector<stored_value> found;
 };
 
 struct store_listing {
