--- a/libs/bulk/src/token_account.cpp
+++ b/libs/bulk/src/token_account.cpp
@@ -29,8 +29,8 @@
             account.m_latest.push_back({ entry.at(0).get<std::string>(), entry.at(1).get<std::uint64_t>(),
                 entry.at(2).get<std::int64_t>() });
     } catch (const json::exception& error) {
-        return notRun(
-            failure_kind::internal, std::string("a route's account of waiting tokens is damaged: ") + error.what());
+        return notRun(failure_kind::internal,
+            std::string("a route's account of waiting tokens is damaged: ") + error.what());
     }
     if (!account.m_latest.empty())
         account.m_latest.back().revision = revision;
--- a/libs/bulk_process/src/job_admission.cpp
+++ b/libs/bulk_process/src/job_admission.cpp
@@ -18,9 +18,12 @@
     return std::string("yuccachute/tokens/") + digits;
 }
 
-/// A job is refused only by a listing that is not older: results that were listed within it are counted a second
-/// late at most, the time that the platform's pages leave for it.
+/// A job is refused only by a listing that is not older: results that were listed within it are counted a
+/// second late at most, the time that the platform's pages leave for it.
 constexpr milliseconds listingFreshFor { 400 };
+/// After a route's limit has changed for this process, another may go on for two seconds without one, and its
+/// jobs are in no account. Only fresh listings are believed meanwhile.
+constexpr milliseconds limitSettlesIn { 3000 };
 /// Creations of one route that wait for each other in one process; each takes some 5 ms.
 constexpr std::size_t mostWaiting = 200;
 /// Tries that meet another process's creation: with ten processes that create at once, the last one of them.
@@ -76,8 +79,8 @@
     const auto route = wanted->limit.route;
     auto& waiting = m_waiting[route];
     if (waiting.size() >= mostWaiting)
-        return wanted->done(
-            notRun(failure_kind::unavailable, "too many jobs of this route are being accepted", leastRetryAfter));
+        return wanted->done(notRun(
+            failure_kind::unavailable, "too many jobs of this route are being accepted", leastRetryAfter));
     waiting.push_back(std::move(wanted));
     if (waiting.size() == 1)
         runNext(route);
@@ -106,11 +109,15 @@
     // Without any listing, jobs from before the route had a limit would not be counted.
     if (m_listedRevision == 0 || !account.covers(listed))
         return listAnew(wanted);
+    const auto now = std::chrono::steady_clock::now();
+    const bool fresh = now - m_listedAt <= listingFreshFor;
+    const bool settled = limitSettled(wanted->limit, now);
+    if (!fresh && !settled)
+        return listAnew(wanted);
     const auto waiting = account.waiting(listed);
     if (waiting + wanted->tokens <= wanted->limit.most)
         return commit(wanted);
-    const auto now = std::chrono::steady_clock::now();
-    if (now - m_listedAt > listingFreshFor)
+    if (!fresh)
         return listAnew(wanted);
     logEvent(log_level::info, "job does not fit",
         { { "job", wanted->job }, { "route", wanted->limit.route },
@@ -121,6 +128,14 @@
     refuse(wanted);
 }
 
+bool job_admission::limitSettled(const token_limit& limit, steady_time now)
+{
+    auto& known = m_limits[limit.route];
+    if (known.most != limit.most)
+        known = { limit.most, now };
+    return now - known.since > limitSettlesIn;
+}
+
 void job_admission::listAnew(const request_ptr& wanted)
 {
     m_keeper.listOpen([this, wanted](result<job_keeper::open_jobs> open) {
@@ -146,7 +161,8 @@
     const auto seconds = std::chrono::duration<double>(now - m_listedAt).count();
     constexpr double leastSpan = 0.2; // Shorter ones say little.
     if (m_listedRevision != 0 && seconds > leastSpan) {
-        m_finishedPerSecond = total < m_listedTokens ? static_cast<double>(m_listedTokens - total) / seconds : 0;
+        m_finishedPerSecond
+            = total < m_listedTokens ? static_cast<double>(m_listedTokens - total) / seconds : 0;
         m_listedTokens = total;
     }
     m_listedRevision = open.revision;
@@ -159,7 +175,8 @@
     const auto key = accountKey(wanted->limit.route);
     const auto next = account.with(wanted->job, wanted->tokens).encode();
     auto creating = wanted->creation;
-    const auto kind = account.revision() == 0 ? store_condition::kind::absent : store_condition::kind::mod_revision;
+    const auto kind
+        = account.revision() == 0 ? store_condition::kind::absent : store_condition::kind::mod_revision;
     creating.conditions.push_back({ kind, key, account.revision() });
     creating.writes.push_back({ key, next, 0 });
     m_store.commit(creating, [this, wanted, next](result<commit_outcome> outcome) {
@@ -205,24 +222,26 @@
             return callFailed(wanted, record.error());
         if (record.value())
             return finish(wanted, job_keeper::creation {});
-        m_store.get(accountKey(wanted->limit.route), [this, wanted](result<std::optional<stored_value>> found) {
-            if (!found)
-                return callFailed(wanted, found.error());
-            commit_outcome outcome;
-            if (found.value())
-                outcome.found.push_back(std::move(*found.value()));
-            if (!outcome.found.empty())
-                return conditionFailed(wanted, outcome);
-            m_accounts[wanted->limit.route] = {};
-            if (++wanted->tries >= mostTries)
-                return finish(wanted, notRun(failure_kind::unavailable, "the account changes", leastRetryAfter));
-            decide(wanted);
-        });
+        m_store.get(
+            accountKey(wanted->limit.route), [this, wanted](result<std::optional<stored_value>> found) {
+                if (!found)
+                    return callFailed(wanted, found.error());
+                commit_outcome outcome;
+                if (found.value())
+                    outcome.found.push_back(std::move(*found.value()));
+                if (!outcome.found.empty())
+                    return conditionFailed(wanted, outcome);
+                m_accounts[wanted->limit.route] = {};
+                if (++wanted->tries >= mostTries)
+                    return finish(
+                        wanted, notRun(failure_kind::unavailable, "the account changes", leastRetryAfter));
+                decide(wanted);
+            });
     });
 }
 
-/// A creation without an answer may still be executed, as long as the account has not changed: it is tried again, and
-/// "not run" is said only if no try can have been executed.
+/// A creation without an answer may still be executed, as long as the account has not changed: it is tried
+/// again, and "not run" is said only if no try can have been executed.
 void job_admission::callFailed(const request_ptr& wanted, const failure& error)
 {
     const bool unknown = error.ran != verdict::not_run;
@@ -234,20 +253,20 @@
     finish(wanted, mayHaveRun(failure_kind::unavailable, "it is not known whether the job was created"));
 }
 
-/// The job does not fit. It may exist all the same: a caller that missed our answer submits it again. What was tried
-/// before cannot take effect any more, because the account has changed since; with an unknown try under the present
-/// account that is not so, and nothing is promised.
+/// The job does not fit. It may exist all the same: a caller that missed our answer submits it again. What
+/// was tried before cannot take effect any more, because the account has changed since; with an unknown try
+/// under the present account that is not so, and nothing is promised.
 void job_admission::refuse(const request_ptr& wanted)
 {
-    m_store.get(wanted->creation.conditions.front().key,
-        [this, wanted](result<std::optional<stored_value>> record) {
+    m_store.get(
+        wanted->creation.conditions.front().key, [this, wanted](result<std::optional<stored_value>> record) {
             if (!record)
                 return callFailed(wanted, record.error());
             if (record.value())
                 return finish(wanted, job_keeper::creation {});
             if (wanted->unknown > 0)
-                return finish(
-                    wanted, mayHaveRun(failure_kind::unavailable, "it is not known whether the job was created"));
+                return finish(wanted,
+                    mayHaveRun(failure_kind::unavailable, "it is not known whether the job was created"));
             const auto& listed = m_listed[wanted->limit.route];
             const auto waiting = m_accounts[wanted->limit.route].waiting(listed) + wanted->tokens;
             finish(wanted,
@@ -261,7 +280,8 @@
     if (m_finishedPerSecond <= 0)
         return longestRetryAfter;
     const auto ms = 1000 * static_cast<double>(excess) / m_finishedPerSecond;
-    return std::clamp(milliseconds { static_cast<std::int64_t>(std::min(ms, 1e6)) }, leastRetryAfter, longestRetryAfter);
+    return std::clamp(
+        milliseconds { static_cast<std::int64_t>(std::min(ms, 1e6)) }, leastRetryAfter, longestRetryAfter);
 }
 
 } // namespace yuccachute
--- a/libs/bulk_process/src/job_admission.h
+++ b/libs/bulk_process/src/job_admission.h
@@ -17,19 +17,19 @@
 
 /// Creates jobs, and refuses those that do not fit into the limit of their route. On the loop's thread.
 ///
-/// The limit holds over all processes. A creation is written on condition that the route's account has not changed
-/// since it was read (see token_account), so two processes cannot both use the same room, and a call that is executed
-/// late finds its condition broken. What counts are unfinished jobs as the store lists them: a holder that dies, or a
-/// zone that is cut off, changes nothing. Cost: one more call for a creation that meets another process's, nothing
-/// else while there is room; routes without a limit have no account.
+/// The limit holds over all processes. A creation is written on condition that the route's account has not
+/// changed since it was read (see token_account), so two processes cannot both use the same room, and a call
+/// that is executed late finds its condition broken. What counts are unfinished jobs as the store lists them:
+/// a holder that dies, or a zone that is cut off, changes nothing. Cost: one more call for a creation that
+/// meets another process's, nothing else while there is room; routes without a limit have no account.
 class job_admission {
 public:
     using callback = job_keeper::callback<job_keeper::creation>;
 
     job_admission(async_store& store, job_keeper& keeper);
 
-    /// As job_keeper::create(). Fails with `limited` and not_run, and with the time after which there may be room, if
-    /// the job does not fit, does not exist and cannot be created any more.
+    /// As job_keeper::create(). Fails with `limited` and not_run, and with the time after which there may be
+    /// room, if the job does not fit, does not exist and cannot be created any more.
     void create(const bulk_record& record, const token_limit& limit, callback done);
     /// Takes over a listing that was asked for anyway.
     void listed(const job_keeper::open_jobs& open, steady_time now);
@@ -41,6 +41,7 @@
     void enqueue(request_ptr wanted);
     void runNext(const std::string& route);
     void decide(const request_ptr& wanted);
+    bool limitSettled(const token_limit& limit, steady_time now);
     void listAnew(const request_ptr& wanted);
     void commit(const request_ptr& wanted);
     void conditionFailed(const request_ptr& wanted, const commit_outcome& outcome);
@@ -53,6 +54,12 @@
     async_store& m_store;
     job_keeper& m_keeper;
     std::map<std::string, std::deque<request_ptr>> m_waiting; ///< By route; the first one runs.
+    struct known_limit {
+        std::uint64_t most = 0;
+        steady_time since;
+    };
+
+    std::map<std::string, known_limit> m_limits;
     std::map<std::string, token_account> m_accounts;
     std::map<std::string, open_claims> m_listed;
     std::int64_t m_listedRevision = 0;
--- a/libs/bulk_process/tests/fake_store.h
+++ b/libs/bulk_process/tests/fake_store.h
@@ -63,7 +63,8 @@
             const auto at = found == values.end() ? 0 : found->second.modRevision;
             const auto wanted = condition.what == store_condition::kind::absent ? 0 : condition.revision;
             if (at != wanted)
-                return { false, revision, namesFound ? conditionKeys(transaction) : std::vector<stored_value>() };
+                return { false, revision,
+                    namesFound ? conditionKeys(transaction) : std::vector<stored_value>() };
         }
         ++revision;
         for (const auto& write : transaction.writes)
--- a/libs/bulk_process/tests/test_job_admission.cpp
+++ b/libs/bulk_process/tests/test_job_admission.cpp
@@ -47,8 +47,8 @@
 };
 
 struct fixture {
-    void commit(node& by, const std::string& id, std::uint32_t index, std::int64_t revision, std::size_t number,
-        std::optional<std::uint64_t> left)
+    void commit(node& by, const std::string& id, std::uint32_t index, std::int64_t revision,
+        std::size_t number, std::optional<std::uint64_t> left)
     {
         const bulk_result_group group { "t" + std::to_string(index), { { index, true, "x" } } };
         std::optional<result<job_keeper::commit_result>> outcome;
@@ -76,7 +76,8 @@
 
 } // namespace
 
-// Story: each batch process counted its own jobs only. Three of them accepted three times what the operators allow.
+// Story: each batch process counted its own jobs only. Three of them accepted three times what the operators
+// allow.
 TEST_CASE("a route's limit holds over all processes")
 {
     fixture f;
@@ -138,14 +139,15 @@
     fixture f;
     CHECK(f.one.accepted("a"));
     f.two.keeper.listOpen([&](result<job_keeper::open_jobs> open) {
-        f.two.keeper.take(open.value().jobs.at(0), [](result<std::int64_t> taken) { CHECK(taken.value() != 0); });
+        f.two.keeper.take(
+            open.value().jobs.at(0), [](result<std::int64_t> taken) { CHECK(taken.value() != 0); });
     });
     CHECK(f.waiting() == 200);
     CHECK(f.two.refused("b", 300));
 }
 
-// Story: the answer to a creation is lost, and the creation takes effect seconds later. The job had been refused
-// meanwhile, and its items ran all the same; or it was created twice over the limit.
+// Story: the answer to a creation is lost, and the creation takes effect seconds later. The job had been
+// refused meanwhile, and its items ran all the same; or it was created twice over the limit.
 TEST_CASE("a job whose creation may still happen is not refused, and does not pass the limit when it happens")
 {
     fixture f;
@@ -180,6 +182,9 @@
     fixture f;
     f.one.accepted("a", 100000);
     f.two.accepted("b", 100000);
+    f.one.accepted(
+        "e", 100000); // Their listings are fresh: they have just seen the limit for the first time.
+    f.two.accepted("f", 100000);
     const auto before = f.store.commits;
     const auto listings = f.store.listings;
     f.two.accepted("c", 100000);
