--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -159,7 +159,6 @@
     std::size_t running() const { return m_running; }
     /// Events that the next item to run has already.
     std::size_t nextProgress() const;
-    std::size_t progressOf(std::uint32_t index) const { return m_items[index].events.size(); }
 
     /// An event of a running item has arrived. Returns false if it does not follow its predecessor.
     bool event(std::uint32_t index, std::optional<std::uint64_t> id, std::string data);
@@ -205,40 +204,6 @@
     std::optional<bulk_result_group> m_committing;
 };
 
-/// Follows how long items take, from the runs that this process has seen.
-class run_times {
-public:
-    /// An undisturbed run from the first event to the last.
-    void noteRun(milliseconds took, std::size_t events);
-    /// An item was finished so long after its first event, pauses included.
-    void noteFinished(milliseconds sinceFirstEvent, std::size_t events);
-
-    /// What an item still takes without a pause that has so many of its events.
-    milliseconds remaining(std::size_t events) const;
-    /// What a new item takes from its first event to its last, pauses included.
-    milliseconds wholeWithPauses() const;
-
-private:
-    /// Until runs were seen: a few hundred events, 20 ms each.
-    double m_runMs = 4000;
-    double m_eventMs = 20;
-    double m_stretch = 1.5; ///< Finished after so many times the time of an undisturbed run.
-};
-
-/// An item that wants a place.
-struct item_outlook {
-    std::size_t events = 0; ///< That it has already.
-    steady_time due;
-};
-
-/// The time by which dispatchers order an item: earlier goes first.
-///
-/// Under overload, by due time alone every item runs until shortly before it is due, is passed by others that
-/// are due sooner, and ends a little late. So what has begun goes before what has not, the nearest to its end
-/// first: begun work is finished, and what finds no place is never begun. An item that can only be late goes
-/// last.
-steady_time rankOf(const item_outlook& item, const run_times& times, steady_time now);
-
 /// After so many cuts in a row without a new event the item is the cause, not the targets: they are not
 /// blamed any more. Each target would be blamed in turn, and all be left alone, live callers included.
 constexpr unsigned cutsBlamedOnTargets = 2;
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -182,29 +182,3 @@
     CHECK(account.covers({ 150, {} }));
     CHECK(account.waiting({ 150, {} }) == 50);
 }
-
-// Story: twice as many items came as the targets can run. Each was run until shortly before it was due, was
-// passed by those that were due sooner, and ended a little late: of hundreds nearly none was on time.
-TEST_CASE("items that have begun go first, and what can only be late goes last")
-{
-    const steady_time now = steady_time {} + std::chrono::hours { 1 };
-    const auto due = [&](int ms) { return now + milliseconds { ms }; };
-    run_times times;
-    for (int i = 0; i < 100; ++i) {
-        times.noteRun(milliseconds { 5000 }, 250);
-        times.noteFinished(milliseconds { 10000 }, 250);
-    }
-    const auto rank = [&](std::size_t events, int dueMs) {
-        return rankOf({ events, due(dueMs) }, times, now);
-    };
-    CHECK(rank(200, 15000) < rank(100, 9000));
-    CHECK(rank(1, 17000) < rank(0, 11000));
-    CHECK(rank(0, 11000) < rank(0, 17000));
-    // A new item needs twice its time, because it will be interrupted; one that has begun is finished.
-    CHECK(rank(0, 17000) < rank(0, 9000));
-    CHECK(rank(200, 1500) < rank(0, 17000));
-    CHECK(rank(0, 17000) < rank(200, 500));
-    CHECK(rank(200, 500) < rank(0, 9000));
-    // No rank passes while its item runs.
-    CHECK(rank(249, 1000) > now + std::chrono::minutes { 1 });
-}
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -36,7 +36,7 @@
         wanted.latest = std::chrono::steady_clock::now() + placeWait;
         wanted.hold
             = std::chrono::duration_cast<milliseconds>(m_order.expiry - std::chrono::steady_clock::now());
-        wanted.due = m_order.rank;
+        wanted.due = m_order.due;
         m_ask = m_services.places.acquire(std::move(wanted), [this](result<place> found) {
             m_ask.reset();
             if (!found)
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -33,7 +33,7 @@
     std::string service;
     std::string customer;
     double cost = 1;
-    steady_time rank; ///< Earlier goes first.
+    steady_time due;
     steady_time expiry;
     std::optional<std::uint64_t> lastEvent;
     bool blameTarget = true; ///< Whether a cut counts against the target's health.
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -119,9 +119,11 @@
         if (held.openRevision != 0 && !held.ended && held.job->waiting() > 0)
             order.push_back(&held);
     }
-    const auto time = now();
-    std::sort(order.begin(), order.end(), [&](const auto* left, const auto* right) {
-        return nextRank(*left->job, time) < nextRank(*right->job, time);
+    std::sort(order.begin(), order.end(), [this, time = now()](const auto* left, const auto* right) {
+        const bool leftHopeless = hopeless(*left->job, time);
+        if (leftHopeless != hopeless(*right->job, time))
+            return !leftHopeless;
+        return left->job->due() < right->job->due();
     });
     auto running = runs();
     for (auto* held : order) {
@@ -130,20 +132,20 @@
     }
 }
 
-steady_time bulk_process::nextRank(const bulk_job& job, steady_time time) const
+bool bulk_process::hopeless(const bulk_job& job, steady_time time) const
 {
-    return rankOf({ job.nextProgress(), job.due() }, m_runTimes, time);
+    const double left = m_meanRunMs - static_cast<double>(job.nextProgress()) * m_meanEventMs;
+    return job.due() < time + milliseconds { static_cast<std::int64_t>(std::max(0.0, left)) };
 }
 
-void bulk_process::noteEnd(held_job& held, std::uint32_t index, const run_figures& run, bool fresh)
+void bulk_process::noteRun(const run_figures& run)
 {
-    const auto since
-        = [](steady_time from) { return std::chrono::duration_cast<milliseconds>(now() - from); };
-    if (fresh)
-        m_runTimes.noteRun(since(run.begun), run.events);
-    const auto begun = held.begun.find(index);
-    if (begun != held.begun.end())
-        m_runTimes.noteFinished(since(begun->second), held.job->progressOf(index));
+    constexpr double keep = 0.9;
+    const double took = std::chrono::duration<double, std::milli>(now() - run.begun).count();
+    if (run.events == 0)
+        return;
+    m_meanRunMs = keep * m_meanRunMs + (1 - keep) * took;
+    m_meanEventMs = keep * m_meanEventMs + (1 - keep) * took / static_cast<double>(run.events);
 }
 
 bool bulk_process::startItem(held_job& held, const routing_table& table)
@@ -159,7 +161,7 @@
         job.giveUpWaiting(now());
         return false;
     }
-    const auto rank = nextRank(job, now());
+    const bool late = hopeless(job, now());
     const auto next = job.next();
     const auto& item = record.items[next->index];
     item_order order;
@@ -168,7 +170,8 @@
     order.service = matched->pickService(std::hash<std::string> {}(item.id));
     order.customer = matched->name;
     order.cost = static_cast<double>(item.tokens);
-    order.rank = rank;
+    // To dispatchers a hopeless item is overdue already.
+    order.due = late ? now() : job.due();
     order.expiry = now() + defaultRunTime;
     order.lastEvent = next->lastEvent;
     const auto cuts = held.cuts.find(next->index);
@@ -181,17 +184,14 @@
         if (figures->events++ == 0)
             figures->begun = now();
         const auto found = m_jobs.find(id);
-        if (found != m_jobs.end()) {
+        if (found != m_jobs.end())
             found->second.cuts.erase(index);
-            found->second.begun.try_emplace(index, figures->begun);
-        }
         return found != m_jobs.end() && found->second.job->event(index, event, std::move(data));
     };
     events.ended
         = [this, id, index, figures, fresh = !next->lastEvent](run_end how, std::string_view reason) {
-              const auto found = m_jobs.find(id);
-              if (how == run_end::whole && found != m_jobs.end())
-                  noteEnd(found->second, index, *figures, fresh);
+              if (how == run_end::whole && fresh)
+                  noteRun(*figures);
               itemEnded(id, index, how, reason);
           };
     held.runs[index] = runItem(m_items, std::move(order), std::move(events));
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -16,6 +16,9 @@
 
 constexpr milliseconds commitRetry { 200 };
 constexpr milliseconds retryAfter { 500 };
+/// What a run takes until some have been seen: a few hundred events, 20 ms each.
+constexpr double firstMeanRunMs = 4000;
+constexpr double firstMeanEventMs = 20;
 
 /// A caller that waits for a result of a job.
 struct waiting_reader {
@@ -32,7 +35,6 @@
     std::map<std::uint32_t, std::unique_ptr<item_run>> runs;
     std::map<std::uint32_t, unsigned> cuts; ///< In a row without a new event, by item.
     std::map<std::uint32_t, loop_timer> pauses; ///< Of items that were cut.
-    std::map<std::uint32_t, steady_time> begun; ///< First event that this process saw of an item.
     std::vector<waiting_reader> readers;
     steady_time nextCommit;
     steady_time acceptedAt;
@@ -97,12 +99,13 @@
 
     // --- Running items
     std::size_t runs() const;
-    /// Starts what may start, in the order of rankOf().
+    /// Starts what may start: the job that is due first goes first, but one that can only be late goes last.
+    /// Under overload, the earliest due alone would finish everything a little too late.
     void pump();
-    /// The rank of the item that the job would run next.
-    steady_time nextRank(const bulk_job& job, steady_time time) const;
-    /// Follows how long items take. Called when an item is whole, before its job hears of it.
-    void noteEnd(held_job& held, std::uint32_t index, const run_figures& run, bool fresh);
+    /// Whether the job's next item can only be late, by what items have taken lately.
+    bool hopeless(const bulk_job& job, steady_time time) const;
+    /// Follows how long an undisturbed run takes, in all and by event.
+    void noteRun(const run_figures& run);
     bool startItem(held_job& held, const routing_table& table);
     void itemEnded(const std::string& id, std::uint32_t index, run_end how, std::string_view reason);
     /// Lets the item wait for its next run, at once or after a pause.
@@ -159,7 +162,8 @@
     steady_time m_lastScan;
     std::uint64_t m_checkedGeneration = 0; ///< Of the registration at the last look at the open jobs.
     steady_time m_stopAt;
-    run_times m_runTimes;
+    double m_meanRunMs = firstMeanRunMs;
+    double m_meanEventMs = firstMeanEventMs;
     bool m_scanning = false;
     bool m_leaving = false;
     bool m_stopping = false;
--- /dev/null
+++ b/libs/load_player/include/load_player/load_player.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "verdict/verdict.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+/// Plays a load against the real decisions of one dispatcher (libs/dispatch, ranks of libs/bulk) and a model of the
+/// targets, in simulated time, and tells what callers got. For tests of policies: no network, no threads, and the same
+/// outcome each time. Layer: coordination.
+///
+/// The model: a target works on as many requests at once as it has slots, admits what waits in order of arrival, makes
+/// the first event 25 ms after admission, and needs the same time for each request of a kind. It reports what it runs,
+/// 50 ms late. A run whose sender has closed its connection ends at once. Not modelled: prompts and their cache, batches
+/// that slow down as they fill, several dispatchers and zones.
+namespace yuccachute {
+
+/// Live requests from a moment on.
+struct rate_step {
+    milliseconds from { 0 };
+    double perSecond = 0;
+};
+
+struct played_live {
+    std::vector<rate_step> rates; ///< In order of time.
+    milliseconds run { 1000 }; ///< From admission to the last event.
+    milliseconds objective { 300 }; ///< For the first event, from the first attempt.
+    milliseconds patience { 5000 };
+};
+
+struct played_items {
+    double perSecond = 0;
+    milliseconds until { 0 }; ///< None comes later.
+    milliseconds run { 5000 };
+    milliseconds due { 18000 }; ///< After its arrival.
+};
+
+/// The targets go on with what they run, but this dispatcher gets none of it back: its former dispatcher has died, or the
+/// holder's connections were cut in silence.
+struct runs_orphaned {
+    milliseconds at { 0 };
+};
+
+/// Targets that get nothing more and finish what they run.
+struct targets_leave {
+    milliseconds at { 0 };
+    unsigned count = 0;
+};
+
+/// Targets that make no event and answer nothing any more.
+struct targets_dark {
+    milliseconds at { 0 };
+    unsigned count = 0;
+};
+
+using played_event = std::variant<runs_orphaned, targets_leave, targets_dark>;
+
+/// How the system decides. The defaults are those of the processes on a platform.
+struct played_policy {
+    bool reports = true; ///< Targets are asked for their load.
+    double waitMargin = 1.7;
+    std::optional<milliseconds> retryAfter; ///< Told instead of what the dispatcher says.
+    bool ranks = true; ///< Items by rankOf(); else by due time.
+};
+
+struct load_plan {
+    unsigned targets = 6;
+    unsigned slots = 8;
+    milliseconds length { 30000 };
+    played_live live;
+    played_items items;
+    std::vector<played_event> events;
+    played_policy policy;
+    std::uint64_t seed = 1;
+};
+
+struct load_outcome {
+    unsigned asked = 0;
+    unsigned onTime = 0; ///< First event within the objective.
+    unsigned onTimeOnReturn = 0; ///< Refused within a quarter of it, and then on time from the new attempt.
+    unsigned late = 0;
+    unsigned unserved = 0;
+    unsigned toldEarly = 0; ///< Refusals within a quarter of the objective.
+    unsigned toldLate = 0;
+    unsigned stoodAtTarget = 0; ///< Late, though the place was given in time: it waited in the target's own queue.
+    unsigned items = 0;
+    unsigned itemsOnTime = 0;
+    unsigned itemsLate = 0;
+};
+
+/// Plays a plan to its end, and 20 s longer for what has begun.
+load_outcome play(const load_plan& plan);
+
+/// Rates that alternate between a trough and a peak, the trough first.
+std::vector<rate_step> squareWave(
+    double trough, milliseconds troughTime, double peak, milliseconds peakTime, milliseconds length);
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/load_player/src/load_player.cpp
@@ -0,0 +1,398 @@
+#include "load_player/load_player.h"
+
+#include "bulk/bulk.h"
+#include "dispatch/dispatch.h"
+#include "played_target.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace yuccachute {
+
+namespace {
+
+constexpr milliseconds step { 2 };
+constexpr milliseconds groupTick { 10 };
+/// After the last arrival, for what has begun.
+constexpr milliseconds runOut { 20000 };
+/// A report shows the target as it was so long ago.
+constexpr milliseconds reportDelay { 50 };
+constexpr milliseconds reportTimeout { 250 };
+/// An entry wants a place so long before the first event is due.
+constexpr milliseconds firstEventTime { 50 };
+/// Items ask anew for a place after so long.
+constexpr milliseconds itemPatience { 1000 };
+/// Callers follow a Retry-After up to this part of the time that they have left.
+constexpr int followedPart = 3;
+constexpr std::size_t eventsOfItem = 250;
+
+struct caller {
+    steady_time arrived; ///< First attempt.
+    steady_time attempt;
+    steady_time placed;
+    bool returned = false;
+    bool refusedEarly = false;
+    bool firstEvent = false;
+};
+
+struct item {
+    steady_time due;
+    milliseconds left { 0 };
+    std::optional<steady_time> firstBegun;
+};
+
+struct granted {
+    std::uint64_t request = 0;
+    std::size_t target = 0;
+    std::uint64_t grant = 0;
+};
+
+class player {
+public:
+    explicit player(const load_plan& plan)
+        : m_plan(plan)
+        , m_random(plan.seed)
+        , m_group(options())
+    {
+        std::vector<target_description> listed;
+        for (unsigned i = 0; i < plan.targets; ++i) {
+            m_targets.emplace_back("t" + std::to_string(i), plan.slots);
+            listed.push_back({ m_targets.back().name(), "a", plan.slots, false });
+        }
+        m_listed = listed;
+        m_group.setTargets(listed, m_now);
+    }
+
+    load_outcome run()
+    {
+        const auto end = m_begin + m_plan.length + runOut;
+        for (; m_now < end; m_now += step) {
+            applyEvents();
+            arrive();
+            work();
+            if ((m_now - m_begin) % groupTick == milliseconds { 0 })
+                m_group.tick(m_now);
+            exchangeReports();
+            decide();
+        }
+        for (const auto& [id, one] : m_callers)
+            m_outcome.unserved += one.firstEvent ? 0 : 1;
+        return m_outcome;
+    }
+
+private:
+    group_options options() const
+    {
+        group_options options;
+        options.policy = spare_bulk {};
+        options.bulkOrder = fair_queue::order::due;
+        options.refusalPause = milliseconds { 150 };
+        options.waitMargin = m_plan.policy.waitMargin;
+        options.asksForReports = m_plan.policy.reports;
+        return options;
+    }
+
+    milliseconds elapsed() const { return std::chrono::duration_cast<milliseconds>(m_now - m_begin); }
+
+    // --- What happens from outside
+
+    void applyEvents()
+    {
+        for (const auto& event : m_plan.events)
+            std::visit(
+                [this](const auto& one) {
+                    if (elapsed() == one.at)
+                        apply(one);
+                },
+                event);
+    }
+
+    void apply(const runs_orphaned&)
+    {
+        m_group = target_group(options());
+        m_group.setTargets(m_listed, m_now);
+        // Items that nobody reads any more run on at their targets; their holders begin them anew.
+        for (const auto& one : m_granted) {
+            if (const auto lost = m_items.find(one.request); lost != m_items.end()) {
+                const auto again = m_nextId++;
+                m_items[again] = lost->second;
+                m_items.erase(lost);
+                askForItem(again);
+            }
+        }
+        m_granted.clear();
+        std::vector<std::uint64_t> waiting;
+        for (const auto& [id, one] : m_items) {
+            if (m_askedItems.contains(id))
+                waiting.push_back(id);
+        }
+        for (const auto id : waiting)
+            askForItem(id);
+    }
+
+    void apply(const targets_leave& event)
+    {
+        for (unsigned i = 0; i < event.count && i < m_listed.size(); ++i)
+            m_listed[i].drain = true;
+        m_group.setTargets(m_listed, m_now);
+    }
+
+    void apply(const targets_dark& event)
+    {
+        for (unsigned i = 0; i < event.count && i < m_targets.size(); ++i)
+            m_targets[i].goDark();
+    }
+
+    double liveRate() const
+    {
+        double rate = 0;
+        for (const auto& one : m_plan.live.rates)
+            rate = elapsed() >= one.from ? one.perSecond : rate;
+        return rate;
+    }
+
+    bool happens(double perSecond)
+    {
+        const double chance = perSecond * static_cast<double>(step.count()) / 1000;
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < chance;
+    }
+
+    void arrive()
+    {
+        for (auto back = m_returns.begin(); back != m_returns.end() && back->first <= m_now;) {
+            auto one = back->second;
+            back = m_returns.erase(back);
+            one.attempt = m_now;
+            ask(one);
+        }
+        if (elapsed() >= m_plan.length)
+            return;
+        if (happens(liveRate())) {
+            ++m_outcome.asked;
+            ask({ m_now, m_now, {} });
+        }
+        if (elapsed() < m_plan.items.until && happens(m_plan.items.perSecond)) {
+            ++m_outcome.items;
+            const auto id = m_nextId++;
+            m_items[id] = { m_now + m_plan.items.due, m_plan.items.run, std::nullopt };
+            askForItem(id);
+        }
+    }
+
+    // --- Asking for places
+
+    void ask(const caller& who)
+    {
+        const auto id = m_nextId++;
+        m_callers[id] = who;
+        grant_ask wanted;
+        wanted.id = id;
+        wanted.requestId = std::to_string(id);
+        wanted.customer = "live";
+        wanted.deadline = who.attempt + m_plan.live.objective - firstEventTime;
+        wanted.hold = m_plan.live.patience;
+        m_group.ask(std::move(wanted), m_now);
+    }
+
+    void askForItem(std::uint64_t id)
+    {
+        const auto& one = m_items.at(id);
+        const auto done = m_plan.items.run - one.left;
+        const auto events = static_cast<std::size_t>(done * eventsOfItem / m_plan.items.run);
+        grant_ask wanted;
+        wanted.id = id;
+        wanted.requestId = std::to_string(id);
+        wanted.customer = "items";
+        wanted.workClass = work_class::bulk;
+        wanted.deadline = m_now + itemPatience;
+        wanted.hold = m_plan.length;
+        wanted.due = m_plan.policy.ranks ? rankOf({ events, one.due }, m_times, m_now) : dueOf(one);
+        m_askedItems[id] = true;
+        m_group.ask(std::move(wanted), m_now);
+    }
+
+    /// Without ranks: by due time, and what can only be late by what an undisturbed run takes is overdue.
+    steady_time dueOf(const item& one) const { return one.due < m_now + one.left ? m_now : one.due; }
+
+    // --- Targets
+
+    void work()
+    {
+        for (std::size_t number = 0; number < m_targets.size(); ++number) {
+            for (const auto& told : m_targets[number].advance(step))
+                progress(told);
+        }
+    }
+
+    void progress(const target_progress& told)
+    {
+        if (const auto live = m_callers.find(told.request); live != m_callers.end()) {
+            if (told.firstEvent)
+                firstEvent(live->second);
+            if (told.finished)
+                m_callers.erase(live);
+        } else if (const auto one = m_items.find(told.request); one != m_items.end()) {
+            if (told.firstEvent && !one->second.firstBegun)
+                one->second.firstBegun = m_now;
+            if (told.finished)
+                itemFinished(one);
+        }
+        if (told.finished)
+            release(told.request, grant_outcome::ok);
+    }
+
+    void firstEvent(caller& who)
+    {
+        who.firstEvent = true;
+        const bool inTime = m_now - who.attempt <= m_plan.live.objective;
+        if (inTime && !who.returned)
+            ++m_outcome.onTime;
+        else if (inTime && who.refusedEarly)
+            ++m_outcome.onTimeOnReturn;
+        else
+            ++m_outcome.late;
+        const bool placedInTime = who.placed + firstEventTime <= who.attempt + m_plan.live.objective;
+        m_outcome.stoodAtTarget += !inTime && placedInTime ? 1 : 0;
+    }
+
+    void itemFinished(std::map<std::uint64_t, item>::iterator one)
+    {
+        (m_now <= one->second.due ? m_outcome.itemsOnTime : m_outcome.itemsLate) += 1;
+        const auto since = std::chrono::duration_cast<milliseconds>(
+            m_now - one->second.firstBegun.value_or(m_now - m_plan.items.run));
+        m_times.noteRun(m_plan.items.run, eventsOfItem);
+        m_times.noteFinished(since, eventsOfItem);
+        m_items.erase(one);
+    }
+
+    void release(std::uint64_t request, grant_outcome outcome)
+    {
+        const auto found = std::find_if(m_granted.begin(), m_granted.end(),
+            [&](const granted& one) { return one.request == request; });
+        if (found == m_granted.end())
+            return; // Orphaned.
+        const auto grant = found->grant;
+        m_granted.erase(found);
+        m_group.release({ grant, outcome, milliseconds { 0 }, 0 }, m_now);
+    }
+
+    void exchangeReports()
+    {
+        for (const auto& due : m_group.reportsDue(m_now)) {
+            const auto& target = targetNamed(due.target);
+            if (target.dark())
+                m_missing.emplace(m_now + reportTimeout, due.target);
+            else
+                m_reports.emplace(m_now + reportDelay, std::pair(due.target, target.report()));
+        }
+        for (auto one = m_reports.begin(); one != m_reports.end() && one->first <= m_now;) {
+            m_group.report(one->second.first, one->second.second, m_now);
+            one = m_reports.erase(one);
+        }
+        for (auto one = m_missing.begin(); one != m_missing.end() && one->first <= m_now;) {
+            m_group.reportMissing(one->second, m_now);
+            one = m_missing.erase(one);
+        }
+    }
+
+    played_target& targetNamed(const std::string& name)
+    {
+        return *std::find_if(
+            m_targets.begin(), m_targets.end(), [&](const auto& target) { return target.name() == name; });
+    }
+
+    // --- Decisions
+
+    void decide()
+    {
+        for (auto decisions = m_group.takeDecisions(); !decisions.empty();
+             decisions = m_group.takeDecisions()) {
+            for (const auto& one : decisions)
+                std::visit([this](const auto& typed) { carryOut(typed); }, one);
+        }
+    }
+
+    void carryOut(const grant_given& given)
+    {
+        auto& target = targetNamed(given.target);
+        const auto number = static_cast<std::size_t>(&target - m_targets.data());
+        m_granted.push_back({ given.askId, number, given.grantId });
+        if (const auto live = m_callers.find(given.askId); live != m_callers.end()) {
+            live->second.placed = m_now;
+            return target.take(given.askId, m_plan.live.run);
+        }
+        m_askedItems.erase(given.askId);
+        target.take(given.askId, m_items.at(given.askId).left);
+    }
+
+    void carryOut(const grant_refused& refused)
+    {
+        const auto live = m_callers.find(refused.askId);
+        if (live == m_callers.end())
+            return askForItem(refused.askId);
+        auto who = live->second;
+        m_callers.erase(live);
+        const bool early = m_now - who.attempt <= m_plan.live.objective / 4;
+        (early ? m_outcome.toldEarly : m_outcome.toldLate) += 1;
+        if (who.returned) {
+            ++m_outcome.unserved;
+            return;
+        }
+        who.returned = true;
+        who.refusedEarly = early;
+        const auto left = who.arrived + m_plan.live.patience - m_now;
+        const auto told = m_plan.policy.retryAfter.value_or(refused.reason.retryAfter);
+        m_returns.emplace(m_now + std::min<steady_time::duration>(told, left / followedPart), who);
+    }
+
+    void carryOut(const grant_revoked& revoked)
+    {
+        const auto found = std::find_if(m_granted.begin(), m_granted.end(),
+            [&](const granted& one) { return one.grant == revoked.grantId; });
+        if (found == m_granted.end())
+            return;
+        const auto id = found->request;
+        m_items.at(id).left = m_targets[found->target].drop(id);
+        release(id, grant_outcome::abandoned);
+        askForItem(id);
+    }
+
+    const load_plan& m_plan;
+    std::mt19937_64 m_random;
+    steady_time m_begin = steady_time {} + std::chrono::hours { 1 };
+    steady_time m_now = m_begin;
+    target_group m_group;
+    std::vector<played_target> m_targets;
+    std::vector<target_description> m_listed;
+    std::map<std::uint64_t, caller> m_callers;
+    std::map<std::uint64_t, item> m_items;
+    std::map<std::uint64_t, bool> m_askedItems;
+    std::vector<granted> m_granted;
+    std::multimap<steady_time, caller> m_returns;
+    std::multimap<steady_time, std::pair<std::string, load_report>> m_reports;
+    std::multimap<steady_time, std::string> m_missing;
+    run_times m_times;
+    std::uint64_t m_nextId = 1;
+    load_outcome m_outcome;
+};
+
+} // namespace
+
+load_outcome play(const load_plan& plan)
+{
+    return player(plan).run();
+}
+
+std::vector<rate_step> squareWave(
+    double trough, milliseconds troughTime, double peak, milliseconds peakTime, milliseconds length)
+{
+    std::vector<rate_step> rates;
+    for (milliseconds at { 0 }; at < length; at += troughTime + peakTime) {
+        rates.push_back({ at, trough });
+        rates.push_back({ at + troughTime, peak });
+    }
+    return rates;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/load_player/src/played_target.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "dispatch/dispatch.h"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace yuccachute {
+
+/// What a target tells of a request.
+struct target_progress {
+    std::uint64_t request = 0;
+    bool firstEvent = false;
+    bool finished = false;
+};
+
+/// The model of one target.
+class played_target {
+public:
+    played_target(std::string name, unsigned slots)
+        : m_name(std::move(name))
+        , m_slots(slots)
+    {
+    }
+
+    const std::string& name() const { return m_name; }
+    unsigned slots() const { return m_slots; }
+    void take(std::uint64_t request, milliseconds work);
+    /// The request's connection is closed. Returns the work that is left.
+    milliseconds drop(std::uint64_t request);
+    void goDark() { m_dark = true; }
+    bool dark() const { return m_dark; }
+    /// Works for a while.
+    std::vector<target_progress> advance(milliseconds time);
+    load_report report() const;
+
+private:
+    struct run {
+        std::uint64_t request = 0;
+        milliseconds left { 0 };
+        milliseconds worked { 0 };
+    };
+
+    std::string m_name;
+    unsigned m_slots;
+    bool m_dark = false;
+    std::vector<run> m_running;
+    std::deque<run> m_queue;
+};
+
+} // namespace yuccachute
