A load player; refused callers return after a whole spell of overload

Hypothesis: callers that return to the end of a spell, or after a fixed second, meet its queue and have used up their retry.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -317,19 +317,21 @@
     std::deque<std::pair<std::int64_t, unsigned>> m_spans;
 };
 
-/// Follows how long spells of overload last, to tell refused callers when one will be over.
+/// Follows how long spells of overload last, to tell refused callers when to come back.
 class overload_spells {
 public:
     /// A live request found no place in time.
     void refused(steady_time now);
-    /// When a request that is refused now shall come back: a little after the end of the present spell, if it
-    /// lasts as long as the last ones did.
+    /// When a request that is refused now shall come back: after as long as a whole spell lasts, not only
+    /// what is left of the present one. Whoever returns to the end of a spell meets the queue that it has
+    /// left, and those who return to its middle use up their retry for another refusal.
     milliseconds returnAfter(steady_time now) const;
 
 private:
     steady_time m_begin;
     steady_time m_last;
-    double m_meanMs = 1000; ///< A guess until a spell was seen.
+    double m_refusals = 0;
+    double m_meanMs = 1700; ///< A guess until a spell was seen.
 };
 
 struct group_options {
--- a/libs/load_player/include/load_player/load_player.h
+++ b/libs/load_player/include/load_player/load_player.h
@@ -7,14 +7,14 @@
 #include <variant>
 #include <vector>
 
-/// Plays a load against the real decisions of one dispatcher (libs/dispatch, ranks of libs/bulk) and a model of the
-/// targets, in simulated time, and tells what callers got. For tests of policies: no network, no threads, and the same
+/// Plays a load against the real decisions of one dispatcher (libs/dispatch) and a model of the targets, in
+/// simulated time, and tells what callers got. For tests of policies: no network, no threads, and the same
 /// outcome each time. Layer: coordination.
 ///
-/// The model: a target works on as many requests at once as it has slots, admits what waits in order of arrival, makes
-/// the first event 25 ms after admission, and needs the same time for each request of a kind. It reports what it runs,
-/// 50 ms late. A run whose sender has closed its connection ends at once. Not modelled: prompts and their cache, batches
-/// that slow down as they fill, several dispatchers and zones.
+/// The model: a target works on as many requests at once as it has slots, admits what waits in order of
+/// arrival, makes the first event 25 ms after admission, and needs the same time for each request of a kind.
+/// It reports what it runs, 50 ms late. A run whose sender has closed its connection ends at once. Not
+/// modelled: prompts and their cache, batches that slow down as they fill, several dispatchers and zones.
 namespace yuccachute {
 
 /// Live requests from a moment on.
@@ -37,8 +37,8 @@
     milliseconds due { 18000 }; ///< After its arrival.
 };
 
-/// The targets go on with what they run, but this dispatcher gets none of it back: its former dispatcher has died, or the
-/// holder's connections were cut in silence.
+/// The targets go on with what they run, but this dispatcher gets none of it back: its former dispatcher has
+/// died, or the holder's connections were cut in silence.
 struct runs_orphaned {
     milliseconds at { 0 };
 };
@@ -62,7 +62,6 @@
     bool reports = true; ///< Targets are asked for their load.
     double waitMargin = 1.7;
     std::optional<milliseconds> retryAfter; ///< Told instead of what the dispatcher says.
-    bool ranks = true; ///< Items by rankOf(); else by due time.
 };
 
 struct load_plan {
@@ -84,7 +83,8 @@
     unsigned unserved = 0;
     unsigned toldEarly = 0; ///< Refusals within a quarter of the objective.
     unsigned toldLate = 0;
-    unsigned stoodAtTarget = 0; ///< Late, though the place was given in time: it waited in the target's own queue.
+    unsigned stoodAtTarget
+        = 0; ///< Late, though the place was given in time: it waited in the target's own queue.
     unsigned items = 0;
     unsigned itemsOnTime = 0;
     unsigned itemsLate = 0;
--- a/libs/load_player/src/load_player.cpp
+++ b/libs/load_player/src/load_player.cpp
@@ -1,12 +1,13 @@
 #include "load_player/load_player.h"
 
-#include "bulk/bulk.h"
 #include "dispatch/dispatch.h"
 #include "played_target.h"
 
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
+#include <utility>
 
 namespace yuccachute {
 
@@ -25,7 +26,6 @@
 constexpr milliseconds itemPatience { 1000 };
 /// Callers follow a Retry-After up to this part of the time that they have left.
 constexpr int followedPart = 3;
-constexpr std::size_t eventsOfItem = 250;
 
 struct caller {
     steady_time arrived; ///< First attempt.
@@ -39,7 +39,6 @@
 struct item {
     steady_time due;
     milliseconds left { 0 };
-    std::optional<steady_time> firstBegun;
 };
 
 struct granted {
@@ -112,23 +111,29 @@
     {
         m_group = target_group(options());
         m_group.setTargets(m_listed, m_now);
-        // Items that nobody reads any more run on at their targets; their holders begin them anew.
-        for (const auto& one : m_granted) {
-            if (const auto lost = m_items.find(one.request); lost != m_items.end()) {
-                const auto again = m_nextId++;
-                m_items[again] = lost->second;
-                m_items.erase(lost);
-                askForItem(again);
-            }
-        }
+        for (const auto& one : m_granted)
+            orphan(one.request);
         m_granted.clear();
-        std::vector<std::uint64_t> waiting;
-        for (const auto& [id, one] : m_items) {
-            if (m_askedItems.contains(id))
-                waiting.push_back(id);
+        // Whoever waited asks the new dispatcher.
+        const auto waiting = std::exchange(m_asked, {});
+        for (const auto id : waiting) {
+            if (m_items.contains(id))
+                askForItem(id);
+            else
+                askFor(id);
         }
-        for (const auto id : waiting)
-            askForItem(id);
+    }
+
+    /// An item that nobody reads any more runs on at its target; its holder begins it anew.
+    void orphan(std::uint64_t request)
+    {
+        const auto lost = m_items.find(request);
+        if (lost == m_items.end())
+            return;
+        const auto again = m_nextId++;
+        m_items[again] = lost->second;
+        m_items.erase(request);
+        m_asked.insert(again);
     }
 
     void apply(const targets_leave& event)
@@ -175,7 +180,7 @@
         if (elapsed() < m_plan.items.until && happens(m_plan.items.perSecond)) {
             ++m_outcome.items;
             const auto id = m_nextId++;
-            m_items[id] = { m_now + m_plan.items.due, m_plan.items.run, std::nullopt };
+            m_items[id] = { m_now + m_plan.items.due, m_plan.items.run };
             askForItem(id);
         }
     }
@@ -186,6 +191,13 @@
     {
         const auto id = m_nextId++;
         m_callers[id] = who;
+        askFor(id);
+    }
+
+    void askFor(std::uint64_t id)
+    {
+        const auto& who = m_callers.at(id);
+        m_asked.insert(id);
         grant_ask wanted;
         wanted.id = id;
         wanted.requestId = std::to_string(id);
@@ -198,8 +210,6 @@
     void askForItem(std::uint64_t id)
     {
         const auto& one = m_items.at(id);
-        const auto done = m_plan.items.run - one.left;
-        const auto events = static_cast<std::size_t>(done * eventsOfItem / m_plan.items.run);
         grant_ask wanted;
         wanted.id = id;
         wanted.requestId = std::to_string(id);
@@ -207,14 +217,12 @@
         wanted.workClass = work_class::bulk;
         wanted.deadline = m_now + itemPatience;
         wanted.hold = m_plan.length;
-        wanted.due = m_plan.policy.ranks ? rankOf({ events, one.due }, m_times, m_now) : dueOf(one);
-        m_askedItems[id] = true;
+        wanted.due
+            = one.due < m_now + one.left ? m_now : one.due; // What can only be late is overdue already.
+        m_asked.insert(id);
         m_group.ask(std::move(wanted), m_now);
     }
 
-    /// Without ranks: by due time, and what can only be late by what an undisturbed run takes is overdue.
-    steady_time dueOf(const item& one) const { return one.due < m_now + one.left ? m_now : one.due; }
-
     // --- Targets
 
     void work()
@@ -233,8 +241,6 @@
             if (told.finished)
                 m_callers.erase(live);
         } else if (const auto one = m_items.find(told.request); one != m_items.end()) {
-            if (told.firstEvent && !one->second.firstBegun)
-                one->second.firstBegun = m_now;
             if (told.finished)
                 itemFinished(one);
         }
@@ -259,17 +265,13 @@
     void itemFinished(std::map<std::uint64_t, item>::iterator one)
     {
         (m_now <= one->second.due ? m_outcome.itemsOnTime : m_outcome.itemsLate) += 1;
-        const auto since = std::chrono::duration_cast<milliseconds>(
-            m_now - one->second.firstBegun.value_or(m_now - m_plan.items.run));
-        m_times.noteRun(m_plan.items.run, eventsOfItem);
-        m_times.noteFinished(since, eventsOfItem);
         m_items.erase(one);
     }
 
     void release(std::uint64_t request, grant_outcome outcome)
     {
-        const auto found = std::find_if(m_granted.begin(), m_granted.end(),
-            [&](const granted& one) { return one.request == request; });
+        const auto found = std::find_if(
+            m_granted.begin(), m_granted.end(), [&](const granted& one) { return one.request == request; });
         if (found == m_granted.end())
             return; // Orphaned.
         const auto grant = found->grant;
@@ -318,11 +320,11 @@
         auto& target = targetNamed(given.target);
         const auto number = static_cast<std::size_t>(&target - m_targets.data());
         m_granted.push_back({ given.askId, number, given.grantId });
+        m_asked.erase(given.askId);
         if (const auto live = m_callers.find(given.askId); live != m_callers.end()) {
             live->second.placed = m_now;
             return target.take(given.askId, m_plan.live.run);
         }
-        m_askedItems.erase(given.askId);
         target.take(given.askId, m_items.at(given.askId).left);
     }
 
@@ -333,6 +335,7 @@
             return askForItem(refused.askId);
         auto who = live->second;
         m_callers.erase(live);
+        m_asked.erase(refused.askId);
         const bool early = m_now - who.attempt <= m_plan.live.objective / 4;
         (early ? m_outcome.toldEarly : m_outcome.toldLate) += 1;
         if (who.returned) {
@@ -367,12 +370,11 @@
     std::vector<target_description> m_listed;
     std::map<std::uint64_t, caller> m_callers;
     std::map<std::uint64_t, item> m_items;
-    std::map<std::uint64_t, bool> m_askedItems;
+    std::set<std::uint64_t> m_asked; ///< Callers and items that wait for a place.
     std::vector<granted> m_granted;
     std::multimap<steady_time, caller> m_returns;
     std::multimap<steady_time, std::pair<std::string, load_report>> m_reports;
     std::multimap<steady_time, std::string> m_missing;
-    run_times m_times;
     std::uint64_t m_nextId = 1;
     load_outcome m_outcome;
 };
