Some entries of a zone follow the store, the others ask them

Now one entry in six, and at least one a zone, follows the store; the others ask one of these every 250 ms over the links between processes, and follow the store themselves once they hear of none that the store answers. Test: test_fleet.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -100,6 +100,11 @@
 };
 
 /// Follows the store, and peers while the store turns this process away. On the loop's thread.
+///
+/// Each change is told to each process that follows the store by a priced call. So only some entries of an
+/// availability zone follow it, the first by rendezvous hashing; the others ask one of these several times a
+/// second over the links between processes. One that hears of none that the store answers follows the store
+/// itself.
 class fleet_watch {
 public:
     struct listeners {
@@ -128,6 +133,8 @@
     /// lapsed entries to be back.
     bool nodesSettled(steady_time now) const;
 
+    /// From any thread.
+    store_contact storeContact() const { return { m_watches, m_settled }; }
     /// Copies that are newer than the asker's. From any thread.
     std::vector<store_section> newerThan(std::span<const section_revision> known) const;
 
@@ -139,6 +146,11 @@
     steady_time listsTrustedFrom() const;
     void logTargetChanges(const std::map<std::string, listed_target, std::less<>>& before) const;
     void askPeer();
+    /// Entries of the own zone that follow the store; this process may be among them.
+    std::vector<node_record> watchers() const;
+    bool isWatcher() const;
+    std::vector<std::string> peersToAsk() const;
+    void peerAnswered(const sync_answer& answer);
     void takeCopies(const std::vector<store_section>& copies);
     void tick();
     std::vector<section_revision> known() const;
@@ -168,6 +180,10 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     bool m_takingSettled = false; ///< The copy that is being taken over can be trusted.
     std::atomic<bool> m_settled { false }; ///< For peers, as of the last tick.
+    std::atomic<bool> m_watches { false }; ///< Likewise.
+    bool m_direct = true; ///< This process follows the store itself.
+    steady_time m_watcherHeard; ///< When one that the store answers was last heard of.
+    bool m_watcherSettled = false; ///< What it said of its copies.
     mutable std::mutex m_publishedMutex; ///< Peers ask from the transport's threads.
     std::map<std::string, std::shared_ptr<const store_section>> m_published;
 };
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet.h"
 
 #include "logging/logging.h"
+#include "membership/membership.h"
 
 #include <algorithm>
 
@@ -15,6 +16,15 @@
 /// Otherwise now and then, for a watch that has gone silent without an error.
 constexpr milliseconds syncOrdinarily { 1000 };
 constexpr milliseconds syncTimeout { 500 };
+/// A process that does not follow the store asks one that does at this interval: with the 400 ms by which
+/// targets are told in groups, one that leaves is known within 0.7 s of the two seconds for which it goes on
+/// serving.
+constexpr milliseconds syncAsFollower { 250 };
+/// After two questions without an answer from a process that the store serves, it follows the store itself.
+constexpr milliseconds watcherSilentFor { 700 };
+/// One entry in so many follows the store, and at least one in each zone: with 17 entries in a zone three,
+/// each asked 19 times a second.
+constexpr std::size_t entriesPerWatcher = 6;
 /// Targets and processes come and go in groups, and each change is told to each process by a call: in a row
 /// they shall share one. A target that leaves is known well within the two seconds for which it goes on
 /// serving.
@@ -137,6 +147,9 @@
 
 steady_time fleet_watch::listsTrustedFrom() const
 {
+    // A process that does not follow the store may miss an outage that its watcher has seen.
+    if (!m_direct)
+        return m_watcherSettled ? steady_time {} : steady_time::max();
     return m_store.reachable() ? m_store.reachableSince() + entriesBackAfter : steady_time::max();
 }
 
@@ -183,7 +196,14 @@
 void fleet_watch::tick()
 {
     const auto now = std::chrono::steady_clock::now();
-    m_settled = now >= listsTrustedFrom() && m_targetsMirror.connected() && m_nodesMirror.connected();
+    const bool watcher = isWatcher();
+    m_direct = watcher || now - m_watcherHeard > watcherSilentFor;
+    for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror })
+        mirror->setFollowing(m_direct);
+    const bool connected
+        = m_ordersMirror.connected() && m_targetsMirror.connected() && m_nodesMirror.connected();
+    m_watches = m_direct && connected;
+    m_settled = m_watches && now >= listsTrustedFrom();
     if (m_targets.keepsMissing()) {
         const auto before = m_targets.targets();
         if (m_targets.expire(listsTrustedFrom(), now)) {
@@ -197,11 +217,9 @@
     }) > 0;
     if (drop)
         m_notify.nodes();
-    const bool cutOff
-        = !m_ordersMirror.connected() || !m_targetsMirror.connected() || !m_nodesMirror.connected();
     if (now < m_nextSync)
         return;
-    m_nextSync = now + (cutOff ? syncWhenCutOff : syncOrdinarily);
+    m_nextSync = now + (!connected ? syncWhenCutOff : watcher ? syncOrdinarily : syncAsFollower);
     askPeer();
 }
 
@@ -213,33 +231,77 @@
     return revisions;
 }
 
-void fleet_watch::askPeer()
+std::vector<node_record> fleet_watch::watchers() const
+{
+    auto entries = nodes(node_role::entry);
+    std::erase_if(entries, [&](const auto& node) { return node.zone != m_self.zone; });
+    std::sort(entries.begin(), entries.end(),
+        [](const auto& left, const auto& right) { return hashText(left.vm) > hashText(right.vm); });
+    const auto most = 1 + entries.size() / entriesPerWatcher;
+    entries.resize(std::min(entries.size(), most));
+    return entries;
+}
+
+bool fleet_watch::isWatcher() const
 {
+    // Batch processes decide about jobs by what they read: they are few, and do not take it from others.
+    if (m_self.role != node_role::entry)
+        return true;
+    const auto first = watchers();
+    return std::any_of(first.begin(), first.end(), [&](const auto& node) { return node.vm == m_self.vm; });
+}
+
+std::vector<std::string> fleet_watch::peersToAsk() const
+{
+    // A process that the store does not answer asks anybody. The others ask who follows the store: in their
+    // own zone, or, if they follow it themselves, anywhere, for a watch that has gone silent without an
+    // error.
+    const bool connected
+        = m_targetsMirror.connected() && m_ordersMirror.connected() && m_nodesMirror.connected();
     std::vector<std::string> addresses;
-    for (const auto& node : nodes(node_role::entry)) {
-        if (node.address != m_self.address)
-            addresses.push_back(node.address);
+    const auto add = [&](const std::string& address) {
+        if (address != m_self.address)
+            addresses.push_back(address);
+    };
+    if (connected) {
+        for (const auto& node : watchers())
+            add(node.address);
     }
     if (addresses.empty()) {
-        for (const auto& seed : m_options.seeds) {
-            if (seed != m_self.address)
-                addresses.push_back(seed);
-        }
+        for (const auto& node : nodes(node_role::entry))
+            add(node.address);
     }
+    if (addresses.empty())
+        std::for_each(m_options.seeds.begin(), m_options.seeds.end(), add);
+    return addresses;
+}
+
+void fleet_watch::askPeer()
+{
+    const auto addresses = peersToAsk();
     if (addresses.empty())
         return;
     const auto& address = addresses[m_random() % addresses.size()];
-    m_peers.sync(address, known(), syncTimeout,
-        [this, alive = std::weak_ptr(m_alive)](result<std::vector<store_section>> copies) {
-            if (!copies || copies.value().empty() || alive.expired())
+    m_peers.sync(
+        address, known(), syncTimeout, [this, alive = std::weak_ptr(m_alive)](result<sync_answer> answer) {
+            if (!answer || alive.expired())
                 return; // A peer that does not answer: another one is asked in the next round.
-            m_loop.post([this, alive, copies = std::move(copies.value())] {
+            m_loop.post([this, alive, answer = std::move(answer.value())] {
                 if (!alive.expired())
-                    takeCopies(copies);
+                    peerAnswered(answer);
             });
         });
 }
 
+void fleet_watch::peerAnswered(const sync_answer& answer)
+{
+    if (answer.contact.watches) {
+        m_watcherHeard = std::chrono::steady_clock::now();
+        m_watcherSettled = answer.contact.settled;
+    }
+    takeCopies(answer.newer);
+}
+
 void fleet_watch::takeCopies(const std::vector<store_section>& copies)
 {
     for (const auto& copy : copies) {
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -1,4 +1,5 @@
 #include "fleet/fleet.h"
+#include "membership/membership.h"
 
 #include <catch2/catch.hpp>
 
@@ -128,3 +129,135 @@
     CHECK(runUntil([&] { return watch.newerThan({}).empty() && watch.targets().keepsMissing(); }));
     CHECK(watch.targets().targets().size() == 1);
 }
+
+namespace {
+
+/// A store that answers, counts the calls that wait, and tells nothing new.
+class quiet_store final : public async_store {
+public:
+    explicit quiet_store(event_loop& loop)
+        : m_loop(loop)
+    {
+    }
+    void get(std::string_view, callback<std::optional<stored_value>> done) override
+    {
+        m_loop.post([done] { done(std::optional<stored_value>()); });
+    }
+    void list(std::string_view prefix, callback<store_listing> done) override
+    {
+        store_listing listing;
+        listing.revision = 5;
+        for (const auto& [key, value] : values) {
+            if (key.starts_with(prefix))
+                listing.values.push_back({ key, value, 1, 1, 0 });
+        }
+        m_loop.post([done, listing] { done(listing); });
+    }
+    void commit(const store_transaction&, callback<commit_outcome>) override { }
+    void waitForChange(
+        std::string_view, std::int64_t after, milliseconds, callback<store_changes> done) override
+    {
+        ++waits;
+        waiting.push_back([done, after] { done(store_changes { {}, after }); });
+    }
+    void grantLease(milliseconds, callback<std::int64_t>) override { }
+    void renewLease(std::int64_t, callback<bool>) override { }
+    void endLease(std::int64_t, callback<bool>) override { }
+    /// Lets all waiting calls return.
+    void wake()
+    {
+        for (const auto& answer : std::exchange(waiting, {}))
+            m_loop.post(answer);
+    }
+
+    std::map<std::string, std::string> values;
+    std::vector<std::function<void()>> waiting;
+    unsigned waits = 0;
+
+private:
+    event_loop& m_loop;
+};
+
+/// A neighbour that follows the store for others.
+class watcher_peer final : public peer_handler {
+public:
+    void sessionOpened(std::uint64_t, std::function<void(envelope)>) override { }
+    void sessionReceived(std::uint64_t, envelope) override { }
+    void sessionClosed(std::uint64_t) override { }
+    std::vector<store_section> sync(std::span<const section_revision> known) override
+    {
+        std::vector<store_section> newer;
+        for (const auto& one : known) {
+            if (one.prefix == section.prefix && one.revision < section.revision)
+                newer.push_back(section);
+        }
+        return newer;
+    }
+    store_contact storeContact() override { return contact; }
+
+    store_section section { "targets/", 0, {}, false };
+    store_contact contact { true, true };
+};
+
+} // namespace
+
+// Story: in a zone of 17 entries each change of the list of targets cost 17 calls of the store. Now the
+// others ask the first ones; and when the store turns those away, or they die, the others must not stay with
+// an old list.
+TEST_CASE(
+    "an entry that is not among the first of its zone leaves the store to those, as long as it hears of them")
+{
+    const std::string address = "unix-abstract:yuccachute-test-watcher-" + std::to_string(::getpid());
+    watcher_peer peer;
+    auto server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
+    event_loop loop;
+    quiet_store quiet(loop);
+    // Whichever of the two is first in the zone: this process is the other one.
+    const node_record one { "vm-1", node_role::entry, "z", "127.0.0.1:1", 1, false };
+    const node_record other { "vm-2", node_role::entry, "z", "127.0.0.1:1", 2, false };
+    const bool oneIsFirst = hashText(one.vm) > hashText(other.vm);
+    auto first = oneIsFirst ? one : other;
+    const auto self = oneIsFirst ? other : one;
+    first.address = address;
+    for (const auto& node : { first, self })
+        quiet.values[nodeKey(node)] = encodeNode(node);
+    quiet.values["targets/a"] = "";
+    metrics figures;
+    observed_store store(quiet, figures);
+    rpc_client client { {} };
+    const plain_codec codec;
+    const auto ignore = [] {};
+    fleet_watch watch(loop, store, client, codec, self, { {} }, { ignore, ignore, ignore, ignore });
+    watch.start();
+    const auto runUntil = [&](const std::function<bool()>& condition) {
+        for (int i = 0; i < 300 && !condition(); ++i)
+            loop.runFor(milliseconds { 10 });
+        return condition();
+    };
+    REQUIRE(runUntil([&] { return watch.storeContact().watches; }));
+    REQUIRE(runUntil([&] { return !watch.storeContact().watches; }));
+    CHECK(watch.targets().targets().size() == 1);
+    quiet.wake();
+    const auto waits = quiet.waits;
+    loop.runFor(milliseconds { 1000 });
+    CHECK(quiet.waits == waits);
+    // News come from the first entry. It has just come back to the store itself: what its list lacks may have
+    // lapsed.
+    server.reset();
+    peer.contact = { true, false };
+    peer.section = { "targets/", 9, { { "targets/b", "", 9 } }, false };
+    server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
+    REQUIRE(runUntil([&] { return watch.targets().targets().contains("targets/b"); }));
+    loop.runFor(milliseconds { 400 });
+    CHECK(watch.targets().targets().contains("targets/a"));
+    server.reset();
+    peer.contact = { true, true };
+    server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
+    CHECK(runUntil([&] { return !watch.targets().targets().contains("targets/a"); }));
+    // The store turns the first entry away.
+    server.reset();
+    peer.contact = { false, false };
+    server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
+    CHECK(runUntil([&] { return quiet.waits > waits; }));
+    CHECK(runUntil([&] { return watch.storeContact().watches; }));
+}
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -119,6 +119,7 @@
     {
         return m_fleet.newerThan(known);
     }
+    store_contact storeContact() override { return m_fleet.storeContact(); }
 
 private:
     static node_record ownRecord(const process_settings& settings)
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -78,6 +78,19 @@
     bool settled = false;
 };
 
+/// How a process stands with the store.
+struct store_contact {
+    bool watches = false; ///< It follows the store itself, and the store answers it.
+    bool settled
+        = false; ///< And has done so for so long that no entry can be missing only because it lapsed.
+};
+
+/// What a process answers to one that asks for newer copies.
+struct sync_answer {
+    std::vector<store_section> newer;
+    store_contact contact;
+};
+
 /// How new a process's copy of a section is.
 struct section_revision {
     std::string prefix;
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -29,6 +29,9 @@
 
     /// Begins to read and follow.
     void start();
+    /// Whether to go on with waiting calls. Without them only a peer's copies bring news; a call that waits
+    /// already is left to end.
+    void setFollowing(bool following);
     /// Takes over a peer's copy if it is newer. Returns whether it was.
     bool offer(const store_section& copy);
 
@@ -53,6 +56,8 @@
     loop_timer m_pause;
     std::minstd_rand m_random;
     bool m_connected = false;
+    bool m_following = true;
+    bool m_idle = false; ///< No call is under way or planned.
     unsigned m_failures = 0;
     std::uint64_t m_round = 0; ///< Answers to calls of earlier rounds are dropped.
 };
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -3,6 +3,7 @@
 #include "logging/logging.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccachute {
 
@@ -81,8 +82,18 @@
     });
 }
 
+void store_mirror::setFollowing(bool following)
+{
+    m_following = following;
+    if (m_following && std::exchange(m_idle, false))
+        follow();
+}
+
 void store_mirror::follow()
 {
+    m_idle = !m_following;
+    if (m_idle)
+        return;
     m_store.waitForChange(m_section.prefix, m_section.revision, longestWait,
         [this, round = ++m_round](result<store_changes> changes) {
             if (round != m_round)
--- a/libs/rpc/include/rpc/rpc.h
+++ b/libs/rpc/include/rpc/rpc.h
@@ -37,6 +37,7 @@
     virtual std::optional<settings_update> pull(std::int64_t newerThan) { return std::nullopt; }
     /// Copies of sections of the store that are newer here than the asker's.
     virtual std::vector<store_section> sync(std::span<const section_revision> known) { return {}; }
+    virtual store_contact storeContact() { return {}; }
 };
 
 /// What a batch process answers. Called from several threads; may block on the store.
@@ -100,7 +101,7 @@
 
     /// Asks for newer copies of sections of the store. The callback comes from a thread of the transport.
     void sync(std::string_view address, std::span<const section_revision> known, milliseconds timeout,
-        std::function<void(result<std::vector<store_section>>)> done);
+        std::function<void(result<sync_answer>)> done);
 
     result<job_view> submit(std::string_view address, const submit_request& request, milliseconds timeout);
     result<job_view> describe(
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -159,7 +159,7 @@
 }
 
 void rpc_client::sync(std::string_view address, std::span<const section_revision> known, milliseconds timeout,
-    std::function<void(result<std::vector<store_section>>)> done)
+    std::function<void(result<sync_answer>)> done)
 {
     struct pending_sync {
         std::mutex mutex;
@@ -194,7 +194,8 @@
     pending->stub->async()->Sync(pending->context.get(), &pending->request, &pending->reply,
         [pending, calls = m_impl->calls, done = std::move(done)](const grpc::Status& status) {
             if (status.ok())
-                done(newerSections(pending->reply));
+                done(sync_answer { newerSections(pending->reply),
+                    { pending->reply.watches_store(), pending->reply.settled() } });
             else
                 done(fromStatus(status));
             pending->releaseChannel();
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -145,6 +145,9 @@
             known.push_back({ section.prefix(), section.revision() });
         for (const auto& section : m_handler.sync(known))
             toWire(section, *reply->add_newer());
+        const auto contact = m_handler.storeContact();
+        reply->set_watches_store(contact.watches);
+        reply->set_settled(contact.settled);
         return finish(context);
     }
 
