--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -172,7 +172,9 @@
         m_meaning = m_services.protocol.classify(head, m_facts.id);
         if (m_meaning == answer_meaning::foreign)
             return false;
-        if (m_meaning == answer_meaning::own) {
+        // The caller has the head of an event stream: what another target says in its place is no part of it.
+        m_failedOnRest = m_headPassed && m_meaning == answer_meaning::own && head.status != m_head.status;
+        if (m_meaning == answer_meaning::own && !m_failedOnRest) {
             m_head.status = head.status;
             // The answer keeps the headers of its first target, also when it goes on at another one.
             if (!m_headPassed)
@@ -197,7 +199,7 @@
 
     bool takeBody(std::string_view piece)
     {
-        if (m_meaning != answer_meaning::own)
+        if (m_meaning != answer_meaning::own || m_failedOnRest)
             return true;
         if (!eventStream())
             return keepBody(piece);
@@ -278,6 +280,9 @@
             break;
         }
         ++m_attempts;
+        if (m_failedOnRest)
+            return broken(
+                mayHaveRun(failure_kind::incomplete, "the target failed on the rest of the stream"));
         if (eventStream() && m_splitter.midEvent())
             return broken(mayHaveRun(failure_kind::incomplete, "the stream ended within an event"));
         const bool failedThere = m_head.status >= serverErrors && m_route.repeatable() && !m_headPassed;
@@ -439,6 +444,8 @@
     unsigned m_attempts = 0; ///< Targets on which it may have run, before the present one.
     bool m_begun = false; ///< It may have run somewhere: "not run" cannot be said any more.
     bool m_headPassed = false;
+    bool m_failedOnRest
+        = false; ///< The present target answers a failure after the caller has the head of a stream.
     bool m_wantsMove = false;
     bool m_seeking = false;
 };
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -231,6 +231,26 @@
 }
 
 // Story: after a break the second target begins at the wrong event; the caller would miss a piece.
+// Story: a stream breaks in the middle and goes on at another target, which fails and answers 500. The
+// failure's body went to the caller as the rest of the stream, which then ended as if it were whole.
+TEST_CASE("a target that fails on the rest of a stream does not end it for the caller")
+{
+    fixture f;
+    f.places.grant("t1");
+    f.targets.head(200);
+    f.targets.body("id: 1\ndata: a\n\nid: 2\nda");
+    f.targets.fail(mayHaveRun(failure_kind::incomplete, "broke off"));
+    f.places.grant("t2");
+    f.targets.head(500, { { "Content-Length", "7" } });
+    f.targets.body("no luck");
+    f.targets.whole();
+    f.run();
+    CHECK(f.caller->body == "id: 1\ndata: a\n\n");
+    CHECK(!f.caller->finished);
+    CHECK(f.caller->aborted);
+    CHECK(f.places.released == "t1:2 t2:2 ");
+}
+
 TEST_CASE("a stream with a gap is not passed on")
 {
     fixture f;
