--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -341,6 +341,13 @@
     /// How long a target that refused a request is left alone; 0 for until its next load report.
     milliseconds refusalPause { 0 };
     std::optional<fair_queue::order> bulkOrder; ///< Of waiting bulk asks; as the order of live ones if unset.
+    /// A slot that a live request has left is kept for the next one for so long; 0 to give it to bulk work at
+    /// once.
+    ///
+    /// At a peak the next live request comes within milliseconds and takes it back: an item that is sent
+    /// there and called back has done nothing, but its prompt and all that it has generated were read, while
+    /// the target's other requests waited.
+    milliseconds keptForLive { 0 };
     /// A request is refused on arrival if so many times the expected wait would be too long. At 1 a queue
     /// under overload settles where half of those that wait are refused at the end of their wait, too late to
     /// come back in time, and the others are served with no time to spare.
@@ -409,6 +416,7 @@
         unsigned bulk = 0;
         unsigned revoked = 0; ///< Bulk grants that were revoked and are not released yet.
         steady_time refusedUntil; ///< It said that it is full.
+        std::deque<steady_time> liveLeft; ///< When live requests left slots that are kept for others.
         steady_time listedSince;
         /// Requests that ended lately, which a report that lags may still name.
         std::deque<std::pair<steady_time, std::string>> ended;
@@ -434,6 +442,8 @@
     unsigned unknownRuns(target_state& target, const load_report& report, steady_time now) const;
     bool allSilent() const;
     unsigned freeSlots(const target_state& target, steady_time now) const;
+    /// Free slots that bulk work may take.
+    unsigned spareSlots(const target_state& target, steady_time now) const;
     double costOf(const grant_ask& ask, const target_state& target, steady_time now) const;
     target_state* chooseTarget(const grant_ask& ask, bool needFreeSlot, steady_time now);
     bool refuseHopeless(const grant_ask& ask, steady_time now);
@@ -448,6 +458,7 @@
     void revokeForLive(steady_time now);
     void revoke(std::uint64_t grantId);
     void forgetGrant(std::uint64_t grantId, steady_time now);
+    void keepForLive(target_state& target, steady_time now) const;
     static void notePeak(target_state& target, steady_time now);
     void adapt(steady_time now);
     void refuse(const grant_ask& ask, failure reason);
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -225,6 +225,14 @@
     return used < slots ? slots - used : 0;
 }
 
+unsigned target_group::spareSlots(const target_state& target, steady_time now) const
+{
+    const auto kept = std::count_if(target.liveLeft.begin(), target.liveLeft.end(),
+        [&](steady_time left) { return now - left < m_options.keptForLive; });
+    const auto slots = freeSlots(target, now);
+    return slots - std::min(slots, static_cast<unsigned>(kept));
+}
+
 /// What it costs to send an ask to a target: its load in shares of its slots, less what cached prefixes save.
 double target_group::costOf(const grant_ask& ask, const target_state& target, steady_time now) const
 {
@@ -243,7 +251,10 @@
     target_state* best = nullptr;
     double bestCost = 0;
     for (auto& [name, target] : m_targets) {
-        if (!usable(target, now) || (needFreeSlot && freeSlots(target, now) == 0))
+        const bool live = ask.workClass == work_class::live;
+        if (!usable(target, now))
+            continue;
+        if (needFreeSlot && (live ? freeSlots(target, now) : spareSlots(target, now)) == 0)
             continue;
         const double cost
             = m_options.randomChoice ? static_cast<double>(m_random() % 1000) : costOf(ask, target, now);
@@ -338,6 +349,8 @@
 {
     const auto waited = std::chrono::duration_cast<milliseconds>(now - since);
     (ask.workClass == work_class::live ? target.live : target.bulk) += 1;
+    if (ask.workClass == work_class::live && !target.liveLeft.empty())
+        target.liveLeft.pop_front();
     m_prefixes.record(ask.prefixes, target.description.name, now);
     const auto id = m_nextGrant++;
     m_decisions.emplace_back(
@@ -452,6 +465,13 @@
     pump(now);
 }
 
+void target_group::keepForLive(target_state& target, steady_time now) const
+{
+    while (!target.liveLeft.empty() && now - target.liveLeft.front() >= m_options.keptForLive)
+        target.liveLeft.pop_front();
+    target.liveLeft.push_back(now);
+}
+
 void target_group::forgetGrant(std::uint64_t grantId, steady_time now)
 {
     const auto found = m_grants.find(grantId);
@@ -460,8 +480,10 @@
     const auto target = m_targets.find(found->second.target);
     if (target != m_targets.end()) {
         notePeak(target->second, now);
-        auto& count
-            = found->second.ask.workClass == work_class::live ? target->second.live : target->second.bulk;
+        const bool live = found->second.ask.workClass == work_class::live;
+        if (live && m_options.keptForLive.count() > 0)
+            keepForLive(target->second, now);
+        auto& count = live ? target->second.live : target->second.bulk;
         count -= count > 0 ? 1 : 0;
         if (found->second.revoked && target->second.revoked > 0)
             --target->second.revoked;
--- a/libs/load_player/include/load_player/load_player.h
+++ b/libs/load_player/include/load_player/load_player.h
@@ -13,8 +13,9 @@
 ///
 /// The model: a target works on as many requests at once as it has slots, admits what waits in order of
 /// arrival, makes the first event 25 ms after admission, and needs the same time for each request of a kind.
+/// While it reads the prompt of one that it admits, and what that one has generated already, the others wait.
 /// It reports what it runs, 50 ms late. A run whose sender has closed its connection ends at once. Not
-/// modelled: prompts and their cache, batches that slow down as they fill, several dispatchers and zones.
+/// modelled: the cache of prompts, batches that slow down as they fill, several dispatchers and zones.
 namespace yuccachute {
 
 /// Live requests from a moment on.
@@ -61,6 +62,7 @@
 struct played_policy {
     bool reports = true; ///< Targets are asked for their load.
     double waitMargin = 1.7;
+    milliseconds keptForLive { 50 };
     std::optional<milliseconds> retryAfter; ///< Told instead of what the dispatcher says.
 };
 
@@ -88,6 +90,7 @@
     unsigned items = 0;
     unsigned itemsOnTime = 0;
     unsigned itemsLate = 0;
+    unsigned revocations = 0;
 };
 
 /// Plays a plan to its end, and 20 s longer for what has begun.
--- a/libs/load_player/src/load_player.cpp
+++ b/libs/load_player/src/load_player.cpp
@@ -27,6 +27,11 @@
 /// Callers follow a Retry-After up to this part of the time that they have left.
 constexpr int followedPart = 3;
 
+/// 450 tokens of prompt, 55 of them in a millisecond.
+constexpr milliseconds readingTime { 8 };
+/// What was generated is read again so many times as fast: 55 tokens in a millisecond where 0.27 are made.
+constexpr int generatedReadFaster = 200;
+
 struct caller {
     steady_time arrived; ///< First attempt.
     steady_time attempt;
@@ -88,6 +93,7 @@
         options.bulkOrder = fair_queue::order::due;
         options.refusalPause = milliseconds { 150 };
         options.waitMargin = m_plan.policy.waitMargin;
+        options.keptForLive = m_plan.policy.keptForLive;
         options.asksForReports = m_plan.policy.reports;
         return options;
     }
@@ -323,9 +329,10 @@
         m_asked.erase(given.askId);
         if (const auto live = m_callers.find(given.askId); live != m_callers.end()) {
             live->second.placed = m_now;
-            return target.take(given.askId, m_plan.live.run);
+            return target.take(given.askId, m_plan.live.run, readingTime);
         }
-        target.take(given.askId, m_items.at(given.askId).left);
+        const auto& one = m_items.at(given.askId);
+        target.take(given.askId, one.left, readingTime + (m_plan.items.run - one.left) / generatedReadFaster);
     }
 
     void carryOut(const grant_refused& refused)
@@ -355,6 +362,7 @@
             [&](const granted& one) { return one.grant == revoked.grantId; });
         if (found == m_granted.end())
             return;
+        ++m_outcome.revocations;
         const auto id = found->request;
         m_items.at(id).left = m_targets[found->target].drop(id);
         release(id, grant_outcome::abandoned);
--- a/libs/load_player/src/played_target.cpp
+++ b/libs/load_player/src/played_target.cpp
@@ -11,9 +11,9 @@
 
 } // namespace
 
-void played_target::take(std::uint64_t request, milliseconds work)
+void played_target::take(std::uint64_t request, milliseconds work, milliseconds reading)
 {
-    m_queue.push_back({ request, work, milliseconds { 0 } });
+    m_queue.push_back({ request, work, milliseconds { 0 }, reading });
 }
 
 milliseconds played_target::drop(std::uint64_t request)
@@ -36,9 +36,13 @@
     if (m_dark)
         return told;
     while (m_running.size() < m_slots && !m_queue.empty()) {
+        m_reading += m_queue.front().reading;
         m_running.push_back(m_queue.front());
         m_queue.pop_front();
     }
+    const auto spent = std::min(m_reading, time);
+    m_reading -= spent;
+    time -= spent;
     for (auto& one : m_running) {
         const bool before = one.worked >= firstEventAfter;
         one.worked += time;
--- a/libs/load_player/src/played_target.h
+++ b/libs/load_player/src/played_target.h
@@ -27,7 +27,8 @@
 
     const std::string& name() const { return m_name; }
     unsigned slots() const { return m_slots; }
-    void take(std::uint64_t request, milliseconds work);
+    /// `reading` is how long the others wait when it is admitted.
+    void take(std::uint64_t request, milliseconds work, milliseconds reading);
     /// The request's connection is closed. Returns the work that is left.
     milliseconds drop(std::uint64_t request);
     void goDark() { m_dark = true; }
@@ -41,11 +42,13 @@
         std::uint64_t request = 0;
         milliseconds left { 0 };
         milliseconds worked { 0 };
+        milliseconds reading { 0 };
     };
 
     std::string m_name;
     unsigned m_slots;
     bool m_dark = false;
+    milliseconds m_reading { 0 }; ///< Of prompts, before the next events are made.
     std::vector<run> m_running;
     std::deque<run> m_queue;
 };
