--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -352,6 +352,8 @@
     /// under overload settles where half of those that wait are refused at the end of their wait, too late to
     /// come back in time, and the others are served with no time to spare.
     double waitMargin = 1;
+    /// What a cached prompt is worth at the choice of a target, in shares of its slots.
+    double affinity = 0.6;
     /// Whether targets are asked for load reports when reportsDue() says so.
     bool asksForReports = false;
 };
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -31,7 +31,6 @@
 constexpr milliseconds adaptationInterval { 100 };
 constexpr milliseconds leastRetryAfter { 1000 };
 constexpr milliseconds unavailableRetryAfter { 2000 };
-constexpr double affinityWeight = 0.6;
 constexpr double avoidPenalty = 10;
 constexpr double averageKeep = 0.9;
 constexpr double memoryFull = 0.98;
@@ -242,7 +241,7 @@
     const double hit = static_cast<double>(m_prefixes.matched(ask.prefixes, name, now)) / blocks;
     const double full = target.lastReport.memoryUsed > memoryFull ? 1 : 0;
     const double avoided = name == ask.avoid ? avoidPenalty : 0;
-    return used / slotsOf(target, now) - affinityWeight * hit + full + avoided;
+    return used / slotsOf(target, now) - m_options.affinity * hit + full + avoided;
 }
 
 target_group::target_state* target_group::chooseTarget(
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -97,6 +97,7 @@
 
 struct fleet_options {
     std::vector<std::string> seeds; ///< host:port of entries to ask while none is known.
+    bool followPeers = true; ///< Whether entries beyond the first of a zone leave the store to those.
 };
 
 /// Follows the store, and peers while the store turns this process away. On the loop's thread.
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -245,7 +245,7 @@
 bool fleet_watch::isWatcher() const
 {
     // Batch processes decide about jobs by what they read: they are few, and do not take it from others.
-    if (m_self.role != node_role::entry)
+    if (m_self.role != node_role::entry || !m_options.followPeers)
         return true;
     const auto first = watchers();
     return std::any_of(first.begin(), first.end(), [&](const auto& node) { return node.vm == m_self.vm; });
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -21,6 +21,16 @@
 constexpr unsigned reservedDescriptors = 800;
 constexpr std::size_t keptPerTarget = 24;
 
+group_options groupOptions(const process_settings& settings)
+{
+    auto options = defaultGroupOptions();
+    options.asksForReports = settings.dispatch.loadReports;
+    options.waitMargin = settings.dispatch.waitMarginPercent / 100.0;
+    options.keptForLive = settings.dispatch.keptForLive;
+    options.affinity = settings.dispatch.affinityPercent / 100.0;
+    return options;
+}
+
 class broker_places final : public place_source {
 public:
     explicit broker_places(place_broker& broker)
@@ -68,10 +78,12 @@
         , m_store(*m_platformStore, m_figures)
         , m_rpc({})
         , m_self(ownRecord(settings))
-        , m_fleet(m_loop, m_store, m_rpc, adapter.documents, m_self, { settings.seeds }, listeners())
+        , m_fleet(m_loop, m_store, m_rpc, adapter.documents, m_self, { settings.seeds, settings.followPeers },
+              listeners())
         , m_registration(m_loop, m_store, m_self, {})
         , m_loads(m_loop, m_client, adapter.loads)
-        , m_broker(m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address }, &m_loads)
+        , m_broker(
+              m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address }, &m_loads, groupOptions(settings))
         , m_places(m_broker)
         , m_targets(m_client)
         , m_live { m_loop, m_places, m_targets, adapter.callers, m_figures }
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -66,6 +66,9 @@
     virtual void ask(const std::string& address, callback done) = 0;
 };
 
+/// How targets are given to requests on a platform: bulk work fills the spare slots, by due time.
+group_options defaultGroupOptions();
+
 /// The groups of targets that this process is dispatcher of. On the loop's thread.
 class group_host {
 public:
@@ -82,7 +85,8 @@
     /// one placed across a cut, or whose holder has died holds slots that it takes for free; live requests
     /// then wait in the target's own queue. With a source of load reports it learns of such work; the source
     /// may be null.
-    group_host(event_loop& loop, sender send, ownership first, load_source* loads);
+    group_host(
+        event_loop& loop, sender send, ownership first, load_source* loads, const group_options& options);
 
     /// All targets of the fleet; a group has those of one service in one zone.
     void setTargets(const std::map<std::string, listed_target, std::less<>>& targets, steady_time now);
@@ -109,6 +113,7 @@
     void takeReport(const std::string& name, const std::string& target, const result<load_report>& report);
 
     load_source* m_loads;
+    group_options m_options;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Answers may come after the end.
     sender m_send;
     ownership m_first;
@@ -134,7 +139,8 @@
 
     /// The process's own address is empty if it is no entry: then it hosts no group, and needs no load
     /// reports.
-    place_broker(event_loop& loop, rpc_client& client, dispatcher_info self, load_source* loads = nullptr);
+    place_broker(event_loop& loop, rpc_client& client, dispatcher_info self, load_source* loads = nullptr,
+        const group_options& options = defaultGroupOptions());
     ~place_broker();
     place_broker(const place_broker&) = delete;
     place_broker& operator=(const place_broker&) = delete;
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -10,18 +10,22 @@
 /// of, such as requests granted by its predecessor; these end within about so long.
 constexpr milliseconds refusalPause { 150 };
 constexpr milliseconds notDispatcherRetry { 200 };
-/// A dispatcher of six targets sees a slot come free every 20 ms or so; the sum of the eight waits that fill
-/// 150 ms exceeds the mean by 70% in one case of twenty.
-constexpr double waitMargin = 1.7;
-/// Of 0, 20, 50, 100, 150 and 250 ms the one with the most answers and items on time in the model of
-/// libs/load_player: with 30 live requests and 7 items a second on 48 slots 3,621 of 4,140 answers and 699 of
-/// 925 items instead of 3,575 and 680 at 0, and 1,234 revocations instead of 2,224.
-constexpr milliseconds keptForLive { 50 };
 
 } // namespace
 
-group_host::group_host(event_loop& loop, sender send, ownership first, load_source* loads)
+group_options defaultGroupOptions()
+{
+    group_options options;
+    options.refusalPause = refusalPause;
+    options.policy = spare_bulk {};
+    options.bulkOrder = fair_queue::order::due;
+    return options;
+}
+
+group_host::group_host(
+    event_loop& loop, sender send, ownership first, load_source* loads, const group_options& options)
     : m_loads(loads)
+    , m_options(options)
     , m_send(std::move(send))
     , m_first(std::move(first))
     , m_ticker(loop, tickInterval, [this] { tick(); })
@@ -51,13 +55,8 @@
     const auto found = m_groups.find(name);
     if (found != m_groups.end())
         return found->second;
-    group_options options;
-    options.refusalPause = refusalPause;
-    options.policy = spare_bulk {};
-    options.bulkOrder = fair_queue::order::due;
-    options.waitMargin = waitMargin;
-    options.keptForLive = keptForLive;
-    options.asksForReports = m_loads != nullptr;
+    auto options = m_options;
+    options.asksForReports = options.asksForReports && m_loads;
     auto& hosted = m_groups.emplace(name, options).first->second;
     hosted.group.setTargets(targetsOf(name), now);
     return hosted;
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -44,14 +44,15 @@
     class ask_run;
     using ask_ptr = std::shared_ptr<ask_run>;
 
-    impl(event_loop& eventLoop, rpc_client& rpc, dispatcher_info own, load_source* loads)
+    impl(event_loop& eventLoop, rpc_client& rpc, dispatcher_info own, load_source* loads,
+        const group_options& options)
         : loop(eventLoop)
         , client(rpc)
         , self(std::move(own))
         , host(
               loop, [this](std::uint64_t session, envelope message) { answer(session, std::move(message)); },
               [this](const std::string& group) { return isFirst(group, std::chrono::steady_clock::now()); },
-              loads)
+              loads, options)
     {
     }
 
@@ -491,8 +492,9 @@
 
 } // namespace
 
-place_broker::place_broker(event_loop& loop, rpc_client& client, dispatcher_info self, load_source* loads)
-    : m_impl(std::make_shared<impl>(loop, client, std::move(self), loads))
+place_broker::place_broker(event_loop& loop, rpc_client& client, dispatcher_info self, load_source* loads,
+    const group_options& options)
+    : m_impl(std::make_shared<impl>(loop, client, std::move(self), loads, options))
 {
 }
 
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -10,6 +10,24 @@
 /// The INI file of a process that runs on a platform's VM. Layer: state.
 namespace yuccachute {
 
+/// How an entry gives places to requests. Each mechanism can be switched off, to measure what it is worth.
+/// Figures with "model" are from libs/load_player.
+struct dispatch_settings {
+    /// Targets are asked what they run. Without: 884 instead of 29 of 3,003 callers late in the model when
+    /// work is orphaned twice.
+    bool loadReports = true;
+    /// A request joins a queue only if this part of the expected wait is short enough. A dispatcher of six
+    /// targets sees a slot come free every 20 ms or so; the sum of the eight waits that fill 150 ms exceeds
+    /// the mean by 70% in one case of twenty.
+    unsigned waitMarginPercent = 170;
+    /// A slot that a live request has left is kept for the next one for so long. Of 0, 20, 50, 100, 150 and
+    /// 250 ms the one with the most answers and items on time in the model: with 30 live requests and 7 items
+    /// a second on 48 slots 3,621 of 4,140 answers and 699 of 925 items, instead of 3,575 and 680 at 0.
+    milliseconds keptForLive { 50 };
+    /// What a cached prompt is worth at the choice of a target, in shares of its slots.
+    unsigned affinityPercent = 60;
+};
+
 /// What a process learns at its start. All addresses are host:port.
 struct process_settings {
     std::string vm; ///< Unique name of the VM.
@@ -28,6 +46,10 @@
 
     unsigned descriptors = 1024; ///< Files and sockets that it may have open.
 
+    dispatch_settings dispatch;
+    /// Entries beyond the first of a zone ask these instead of following the store.
+    bool followPeers = true;
+
     milliseconds grace { 8000 }; ///< From the stop signal to the end of the process.
     milliseconds resultRetention { 120000 }; ///< Of a batch job's records, from its submission.
     std::string logLevel = "info";
--- a/libs/process_settings/tests/test_process_settings.cpp
+++ b/libs/process_settings/tests/test_process_settings.cpp
@@ -45,3 +45,27 @@
         problemOf(replaced(whole, "inner_port = 7000", "inner_port = 0")).find("f.ini:8: [listen] inner_port")
         == 0);
 }
+
+TEST_CASE("mechanisms of the dispatcher can be switched off, and wrong values are refused with their key")
+{
+    const std::string least = "[process]\nvm = v\nzone = z\naddress = 10.0.0.1\ngrace_ms = 8000\n"
+                              "[store]\naddress = 10.0.0.2:1\n[limits]\ndescriptors = 100\n";
+    const auto defaults = parseProcessSettings("f", least);
+    REQUIRE(defaults);
+    CHECK(defaults.value().dispatch.loadReports);
+    CHECK(defaults.value().followPeers);
+    const auto off = parseProcessSettings("f",
+        least
+            + "[dispatch]\nload_reports = 0\nwait_margin_percent = 100\nkept_for_live_ms = "
+              "0\naffinity_percent = 0\n"
+              "[peers]\nfollow = 0\n");
+    REQUIRE(off);
+    CHECK(!off.value().dispatch.loadReports);
+    CHECK(off.value().dispatch.waitMarginPercent == 100);
+    CHECK(off.value().dispatch.keptForLive.count() == 0);
+    CHECK(off.value().dispatch.affinityPercent == 0);
+    CHECK(!off.value().followPeers);
+    const auto wrong = parseProcessSettings("f", least + "[dispatch]\nwait_margin_percent = 50\n");
+    REQUIRE(!wrong);
+    CHECK(wrong.error().message.find("[dispatch] wait_margin_percent") != std::string::npos);
+}
