--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -115,6 +115,18 @@
     std::vector<admitted> m_latest;
 };
 
+/// How far an item has come that has no result yet.
+struct item_progress {
+    std::uint32_t index = 0;
+    std::uint64_t lastEvent = 0;
+    std::vector<std::string> events; ///< Data of all events so far.
+
+    bool operator==(const item_progress&) const = default;
+};
+
+std::string encodeItemProgress(std::span<const item_progress> items);
+result<std::vector<item_progress>> decodeItemProgress(std::string_view bytes);
+
 /// Limits of a job's route.
 struct bulk_limits {
     unsigned maxAttempts = 1; ///< Failures at targets after which an item is given up.
@@ -160,6 +172,14 @@
     /// Events that the next item to run has already.
     std::size_t nextProgress() const;
 
+    /// How far the items without a result have come.
+    std::vector<item_progress> progress() const;
+    /// Events of the items without a result, together.
+    std::size_t eventsHeld() const;
+    /// Takes over what a former holder has saved: its items go on where they stood. Called before the first
+    /// next().
+    void restore(std::vector<item_progress> saved);
+
     /// An event of a running item has arrived. Returns false if it does not follow its predecessor.
     bool event(std::uint32_t index, std::optional<std::uint64_t> id, std::string data);
     void ended(std::uint32_t index, run_end how, steady_time now);
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -64,6 +64,33 @@
     return m_waiting.empty() ? 0 : m_items[*furthest()].events.size();
 }
 
+std::vector<item_progress> bulk_job::progress() const
+{
+    std::vector<item_progress> all;
+    for (std::uint32_t index = 0; index < m_items.size(); ++index) {
+        const auto& item = m_items[index];
+        if (!item.settled && item.lastEvent)
+            all.push_back({ index, *item.lastEvent, item.events });
+    }
+    return all;
+}
+
+std::size_t bulk_job::eventsHeld() const
+{
+    return std::accumulate(m_items.begin(), m_items.end(), std::size_t { 0 },
+        [](std::size_t sum, const item_state& item) { return sum + item.events.size(); });
+}
+
+void bulk_job::restore(std::vector<item_progress> saved)
+{
+    for (auto& one : saved) {
+        if (one.index >= m_items.size() || m_items[one.index].settled)
+            continue; // Its result was committed after it was saved.
+        m_items[one.index].lastEvent = one.lastEvent;
+        m_items[one.index].events = std::move(one.events);
+    }
+}
+
 std::optional<bulk_start> bulk_job::next()
 {
     if (m_waiting.empty())
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -68,6 +68,19 @@
     return group;
 }
 
+std::vector<item_progress> readProgress(const json& document)
+{
+    std::vector<item_progress> items;
+    for (const auto& entry : document.at("items")) {
+        item_progress item { entry.at("index").get<std::uint32_t>(), entry.at("last").get<std::uint64_t>(),
+            {} };
+        for (const auto& event : entry.at("events"))
+            item.events.push_back(textOf(event));
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
 } // namespace
 
 std::uint64_t tokensOf(const bulk_record& record)
@@ -105,6 +118,24 @@
     return unpack<bulk_result_group>(bytes, "a group of results", readGroup);
 }
 
+std::string encodeItemProgress(std::span<const item_progress> items)
+{
+    auto list = json::array();
+    for (const auto& item : items) {
+        auto events = json::array();
+        for (const auto& event : item.events)
+            events.push_back(bytesOf(event));
+        list.push_back(
+            { { "index", item.index }, { "last", item.lastEvent }, { "events", std::move(events) } });
+    }
+    return pack({ { "items", std::move(list) } });
+}
+
+result<std::vector<item_progress>> decodeItemProgress(std::string_view bytes)
+{
+    return unpack<std::vector<item_progress>>(bytes, "the progress of a job", readProgress);
+}
+
 std::string encodeOpening(const bulk_opening& opening)
 {
     json document { { "vm", opening.holder.vm }, { "incarnation", opening.holder.incarnation } };
--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -76,6 +76,7 @@
 ///   part/ID/N      N-th further part of the record
 ///   open/ID        holder of a job that is not finished, and its claim on the limit of waiting tokens
 ///   open/ID/left   what is left of that claim, once results were listed
+///   progress/ID    how far the items without a result had come a moment ago
 ///   tokens/ROUTE   account of the limit (job_admission)
 ///   result/ID/N    N-th group of results, written once
 ///   end/ID         "complete" or "ended"
@@ -94,6 +95,7 @@
     struct stored_job {
         bulk_record record;
         std::vector<bulk_result_group> groups;
+        std::vector<item_progress> progress; ///< Of an unfinished job; may be missing.
         std::optional<bulk_holder> holder; ///< Of an unfinished job.
         token_claim claim;
         std::int64_t openRevision = 0;
@@ -145,6 +147,17 @@
     };
     /// Commits a group, again and again until the outcome is known. A failure means that it is not known yet.
     void commit(const std::string& id, const group_commit& what, callback<commit_result> done);
+    /// Progress of a job to be saved.
+    struct progress_save {
+        std::string id;
+        std::int64_t openRevision = 0;
+        std::string encoded; ///< By encodeItemProgress().
+    };
+    /// At most so many jobs can be saved by one call.
+    static constexpr std::size_t mostSaves = 15;
+    /// Saves progress of several jobs by one call. If one of them has been taken by another process, none is
+    /// saved.
+    void saveProgress(std::span<const progress_save> jobs, callback<bool> done);
     /// Ends a job on its caller's behalf. Fails with not_found if there is none.
     void end(const std::string& id, callback<bool> done);
     void listOpen(callback<open_jobs> done);
@@ -159,6 +172,7 @@
     void decodeStored(std::string_view encoded, const callback<stored_job>& done);
     void readGroups(std::shared_ptr<stored_job> job, callback<stored_job> done);
     void readHolder(std::shared_ptr<stored_job> job, callback<stored_job> done);
+    void readProgress(std::shared_ptr<stored_job> job, callback<stored_job> done);
     void settleCommit(
         const std::string& id, std::size_t number, const std::string& token, callback<commit_result> done);
     void tryEnd(const std::string& id, unsigned attempt, callback<bool> done);
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -97,6 +97,8 @@
     const bool unchecked = m_checkedGeneration != m_registration.generation();
     if (time >= m_nextScan || (unchecked && time - m_lastScan >= commitRetry))
         scan();
+    if (time >= m_nextSave)
+        saveProgress();
     pump();
     removeOld(time);
 }
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -74,7 +74,7 @@
                 { { "job", id }, { "items", static_cast<std::int64_t>(record.items.size()) },
                     { "revision", revision }, { "existed", std::int64_t { revision == 0 } } });
             if (revision != 0)
-                hold({ record, {}, std::nullopt, claimOf(record, limit), revision, false });
+                hold({ record, {}, {}, std::nullopt, claimOf(record, limit), revision, false });
             else
                 m_nextScan = now(); // It may be an own one, created by a call whose answer was lost.
             caller->send({ accepted, {}, "" });
--- a/libs/bulk_process/src/job_keeper.cpp
+++ b/libs/bulk_process/src/job_keeper.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view openPrefix = "yuccachute/open/";
 constexpr std::string_view leftSuffix = "/left"; ///< Ids of jobs hold no slash.
 constexpr std::string_view resultPrefix = "yuccachute/result/";
+constexpr std::string_view progressPrefix = "yuccachute/progress/";
 constexpr std::string_view endPrefix = "yuccachute/end/";
 constexpr std::string_view completeMark = "complete";
 constexpr std::string_view endedMark = "ended";
@@ -255,7 +256,9 @@
                 results += group.value().results.size();
                 job->groups.push_back(std::move(group.value()));
             }
-            if (job->holder || results == job->record.items.size())
+            if (job->holder)
+                return readProgress(job, done);
+            if (results == job->record.items.size())
                 return done(std::move(*job));
             // Neither held nor whole: its caller has ended it.
             job->ended = true;
@@ -263,6 +266,37 @@
         });
 }
 
+void job_keeper::readProgress(std::shared_ptr<stored_job> job, callback<stored_job> done)
+{
+    m_store.get(keyOf(progressPrefix, job->record.id),
+        [job, done = std::move(done)](result<std::optional<stored_value>> found) {
+            if (!found)
+                return done(found.error());
+            if (!found.value())
+                return done(std::move(*job));
+            if (auto progress = decodeItemProgress(found.value()->value))
+                job->progress = std::move(progress.value());
+            else // Without it the items begin anew.
+                logEvent(log_level::error, "progress not understood",
+                    { { "job", job->record.id }, { "message", progress.error().message } });
+            done(std::move(*job));
+        });
+}
+
+void job_keeper::saveProgress(std::span<const progress_save> jobs, callback<bool> done)
+{
+    store_transaction saving;
+    for (const auto& job : jobs) {
+        saving.conditions.push_back(unchanged(keyOf(openPrefix, job.id), job.openRevision));
+        saving.writes.push_back({ keyOf(progressPrefix, job.id), job.encoded, 0 });
+    }
+    m_store.commit(saving, [done = std::move(done)](result<commit_outcome> outcome) {
+        if (!outcome)
+            return done(outcome.error());
+        done(outcome.value().applied);
+    });
+}
+
 void job_keeper::take(const open_job& job, callback<std::int64_t> done)
 {
     store_transaction taking;
@@ -285,6 +319,7 @@
     if (what.completes) {
         committing.writes.push_back({ keyOf(endPrefix, id), std::string(completeMark), 0 });
         committing.removals.push_back({ keyOf(openPrefix, id), false });
+        committing.removals.push_back({ keyOf(progressPrefix, id), false });
         if (what.tokensLeft)
             committing.removals.push_back({ leftKey(id), false });
     } else if (what.tokensLeft) {
@@ -349,6 +384,7 @@
             ending.writes.push_back({ keyOf(endPrefix, id), std::string(endedMark), 0 });
             ending.removals.push_back({ openKey, false });
             ending.removals.push_back({ leftKey(id), false });
+            ending.removals.push_back({ keyOf(progressPrefix, id), false });
             m_store.commit(ending, [done, again](result<commit_outcome> outcome) {
                 if (outcome && outcome.value().applied)
                     return done(true);
@@ -376,7 +412,7 @@
 {
     const auto& id = record.id;
     std::vector<std::string> keys { keyOf(recordPrefix, id), keyOf(openPrefix, id), leftKey(id),
-        keyOf(endPrefix, id) };
+        keyOf(progressPrefix, id), keyOf(endPrefix, id) };
     for (std::size_t number = 0; number < groups; ++number)
         keys.push_back(groupKey(id, number));
     for (std::size_t number = 1; number < partsAtMost(record, m_valueBytes); ++number)
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -51,6 +51,8 @@
     held.job = std::make_unique<bulk_job>(std::move(stored.record), limits, due);
     for (const auto& group : stored.groups)
         held.job->committed(group);
+    held.job->restore(std::move(stored.progress));
+    held.eventsSaved = held.job->eventsHeld();
     return held;
 }
 
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -37,6 +37,7 @@
     std::map<std::uint32_t, loop_timer> pauses; ///< Of items that were cut.
     std::vector<waiting_reader> readers;
     steady_time nextCommit;
+    std::size_t eventsSaved = 0; ///< At the last saving of progress.
     steady_time acceptedAt;
     bool committing = false;
     bool ended = false; ///< By its caller.
@@ -116,6 +117,10 @@
     void committed(
         const std::string& id, std::int64_t revision, const result<job_keeper::commit_result>& outcome);
 
+    // --- Saving progress
+    /// Saves how far items have come, so that a job that changes hands goes on where it stood.
+    void saveProgress();
+
     // --- Jobs of others
     void scan();
     void compare(const job_keeper::open_jobs& open);
@@ -164,6 +169,8 @@
     steady_time m_stopAt;
     double m_meanRunMs = firstMeanRunMs;
     double m_meanEventMs = firstMeanEventMs;
+    steady_time m_nextSave;
+    bool m_saving = false;
     bool m_scanning = false;
     bool m_leaving = false;
     bool m_stopping = false;
--- a/libs/bulk_process/tests/test_job_keeper.cpp
+++ b/libs/bulk_process/tests/test_job_keeper.cpp
@@ -215,3 +215,50 @@
     CHECK(created->error().ran == verdict::not_run);
     CHECK(f.store.values.empty());
 }
+
+// Story: the process that holds a job is killed while ten of its items are nearly done. The next holder began
+// all of them anew; they ended late, and their targets had worked twice.
+TEST_CASE("a job that changes hands goes on where its items stood")
+{
+    fixture f;
+    const auto revision = f.create("a").value().openRevision;
+    bulk_job job(record("a"), {}, {});
+    const auto started = job.next();
+    for (std::uint64_t id = 0; id < 3; ++id)
+        REQUIRE(job.event(started->index, id, "e" + std::to_string(id)));
+    std::optional<result<bool>> saved;
+    const std::vector<job_keeper::progress_save> saves { { "a", revision, encodeItemProgress(job.progress()) } };
+    f.keeper.saveProgress(saves, f.into(saved));
+    CHECK(saved->value());
+    const auto taken = f.take(f.other, f.open().jobs.at(0));
+    auto stored = f.load("a").value();
+    REQUIRE(stored.progress.size() == 1);
+    bulk_job again(stored.record, {}, {});
+    again.restore(stored.progress);
+    const auto next = again.next();
+    CHECK(next->index == started->index);
+    CHECK(next->lastEvent == 2);
+    CHECK(again.progress() == job.progress());
+    // A former holder's late save does nothing.
+    saved.reset();
+    const std::vector<job_keeper::progress_save> late { { "a", revision, encodeItemProgress({}) } };
+    f.keeper.saveProgress(late, f.into(saved));
+    CHECK(!saved->value());
+    CHECK(f.load("a").value().progress.size() == 1);
+    // It goes with the job's end.
+    REQUIRE(f.commit(f.other, 0, first, taken, false).value() == job_keeper::commit_result::committed);
+    REQUIRE(f.commit(f.other, 1, second, taken, true).value() == job_keeper::commit_result::committed);
+    CHECK(!f.store.values.contains("yuccachute/progress/a"));
+}
+
+TEST_CASE("saved progress of an item that has got its result since is not taken over")
+{
+    bulk_job job(record("a"), {}, {});
+    job.committed(first);
+    job.restore({ { 0, 5, { "x" } }, { 1, 7, { "y", "z" } }, { 9, 1, { "w" } } });
+    const auto next = job.next();
+    CHECK(next->index == 1);
+    CHECK(next->lastEvent == 7);
+    CHECK(job.progress().size() == 1);
+    CHECK(!decodeItemProgress("nonsense"));
+}
