--- a/libs/bulk_process/src/job_progress.cpp
+++ b/libs/bulk_process/src/job_progress.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// A job whose holder goes loses half of this on average, of runs of five to seven seconds; one call each time.
+/// A job whose holder goes loses half of this on average, of runs of five to seven seconds; one call each
+/// time.
 constexpr milliseconds saveInterval { 2000 };
 /// Less is not worth the bytes: some two seconds of one item.
 constexpr std::size_t leastEvents = 100;
@@ -25,9 +26,9 @@
 
 } // namespace
 
-/// Guards against whole runs being repeated: a process that is killed, frozen or cut off takes with it what its items
-/// have received, up to their last event; the next holder began them anew and made them late. What is saved is a
-/// prefix of the item's text, whoever received it, so an older save does no harm.
+/// Guards against whole runs being repeated: a process that is killed, frozen or cut off takes with it what
+/// its items have received, up to their last event; the next holder began them anew and made them late. What
+/// is saved is a prefix of the item's text, whoever received it, so an older save does no harm.
 void bulk_process::saveProgress()
 {
     m_nextSave = now() + saveInterval;
--- a/libs/bulk_process/tests/test_job_keeper.cpp
+++ b/libs/bulk_process/tests/test_job_keeper.cpp
@@ -227,7 +227,8 @@
     for (std::uint64_t id = 0; id < 3; ++id)
         REQUIRE(job.event(started->index, id, "e" + std::to_string(id)));
     std::optional<result<bool>> saved;
-    const std::vector<job_keeper::progress_save> saves { { "a", revision, encodeItemProgress(job.progress()) } };
+    const std::vector<job_keeper::progress_save> saves { { "a", revision,
+        encodeItemProgress(job.progress()) } };
     f.keeper.saveProgress(saves, f.into(saved));
     CHECK(saved->value());
     const auto taken = f.take(f.other, f.open().jobs.at(0));
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -410,8 +410,9 @@
             { { "request_id", m_facts.id }, { "route", m_route.name }, { "config", m_table->version },
                 { "outcome", outcome }, { "status", std::int64_t { m_head.status } },
                 { "target", m_lastTarget }, { "sends", std::int64_t { m_sends } },
-                { "waited_ms", m_waited.count() }, { "first_event_ms", m_firstEvent.count() },
-                { "took_ms", toMs(took).count() }, { "reason", m_reason } });
+                { "objective_ms", m_route.objective.count() }, { "waited_ms", m_waited.count() },
+                { "first_event_ms", m_firstEvent.count() }, { "took_ms", toMs(took).count() },
+                { "reason", m_reason } });
     }
 
     live_services& m_services;
--- a/libs/logging/include/logging/logging.h
+++ b/libs/logging/include/logging/logging.h
@@ -60,4 +60,10 @@
 /// prefix before its JSON object.
 std::vector<std::string> timelineOf(std::string_view id, std::istream& logs);
 
+/// Where callers lost, added up from the logs of all processes: a table of live requests and items that were
+/// not served on time, by route, availability zone and reason, and a plot over time. Empty if there is no
+/// line. A request that was refused and served later counts as refused; successes beyond the budget of a log
+/// are missing.
+std::string describeLosses(std::istream& logs);
+
 } // namespace yuccachute
--- a/libs/logging/src/timeline.cpp
+++ b/libs/logging/src/timeline.cpp
@@ -1,18 +1,15 @@
 #include "logging/logging.h"
 
-#include <nlohmann/json.hpp>
+#include "log_lines.h"
 
 #include <algorithm>
 #include <array>
-#include <istream>
 #include <set>
 
 namespace yuccachute {
 
 namespace {
 
-using nlohmann::json;
-
 /// Fields in which an id can stand.
 constexpr std::array<const char*, 3> idFields { "request_id", "job", "item" };
 /// What happened to a process explains its requests of the next seconds.
@@ -21,53 +18,6 @@
     "store answers again", "dispatcher lost", "dispatcher is silent", "registration lapsed", "target gone",
     "target drains", "stopping", "started", "job taken by another" };
 
-struct parsed_line {
-    json fields;
-    std::string time;
-    double seconds = 0; ///< Since midnight, for distances.
-};
-
-double secondsOf(const std::string& time)
-{
-    // "2026-01-31T10:20:30.123+00:00"
-    constexpr std::size_t clockBegin = 11;
-    constexpr std::size_t clockSize = 12;
-    if (time.size() < clockBegin + clockSize)
-        return 0;
-    try {
-        return 3600 * std::stod(time.substr(clockBegin, 2)) + 60 * std::stod(time.substr(clockBegin + 3, 2))
-            + std::stod(time.substr(clockBegin + 6, 6));
-    } catch (const std::exception&) {
-        return 0; // A line of another program.
-    }
-}
-
-std::string textOf(const json& fields, const char* name)
-{
-    const auto found = fields.find(name);
-    return found != fields.end() && found->is_string() ? found->get<std::string>() : std::string();
-}
-
-std::vector<parsed_line> readLines(std::istream& logs)
-{
-    std::vector<parsed_line> lines;
-    for (std::string text; std::getline(logs, text);) {
-        const auto brace = text.find('{');
-        if (brace == std::string::npos)
-            continue;
-        auto fields
-            = json::parse(text.begin() + static_cast<std::ptrdiff_t>(brace), text.end(), nullptr, false);
-        if (!fields.is_object() || !fields.contains("event"))
-            continue;
-        auto time = textOf(fields, "time");
-        const auto seconds = secondsOf(time);
-        lines.push_back({ std::move(fields), std::move(time), seconds });
-    }
-    std::stable_sort(lines.begin(), lines.end(),
-        [](const auto& left, const auto& right) { return left.time < right.time; });
-    return lines;
-}
-
 bool names(const parsed_line& line, const std::string& id)
 {
     return std::any_of(idFields.begin(), idFields.end(),
--- a/libs/logging/tests/test_logging.cpp
+++ b/libs/logging/tests/test_logging.cpp
@@ -83,3 +83,37 @@
     CHECK(line["at"].get<std::string>().starts_with("test_logging+0x"));
     CHECK(line["stack"].size() > 3);
 }
+
+TEST_CASE("losses are added up by route, zone and reason")
+{
+    const auto line = [](double second, const std::string& rest) {
+        char time[40];
+        std::snprintf(time, sizeof time, "2026-01-31T10:20:%06.3f+00:00", second);
+        return "prefix {\"time\":\"" + std::string(time) + "\"," + rest + "}\n";
+    };
+    const auto request = [&](double second, const std::string& outcome, int sends, int waited, int first) {
+        return line(second,
+            R"("vm":"e1","event":"request","route":"r","objective_ms":300,"status":200,"reason":"full","outcome":")"
+                + outcome + R"(","sends":)" + std::to_string(sends) + R"(,"waited_ms":)"
+                + std::to_string(waited) + R"(,"first_event_ms":)" + std::to_string(first));
+    };
+    std::istringstream logs("no line of a log\n" + line(0, R"("vm":"e1","event":"started","zone":"north")")
+        + request(1, "served", 1, 0, 30) + request(1.1, "served", 1, 200, 310)
+        + request(1.2, "served", 1, 0, 700) + request(1.3, "served", 2, 0, 700)
+        + request(5, "refused", 0, 250, 0) + request(5.1, "broken", 1, 0, 40)
+        + line(6, R"("vm":"b1","event":"item run","job":"j","item":"i1","end":1,"reason":"revoked")")
+        + line(7, R"("vm":"b1","event":"item listed","job":"j","item":"i1","done":1,"late_ms":50)")
+        + line(7, R"("vm":"b1","event":"item listed","job":"j","item":"i2","done":1,"late_ms":-50)"));
+    const auto table = describeLosses(logs);
+    INFO(table);
+    for (const auto* row : { "1     6      r                north            late: waited for a place",
+             "1     6      r                north            late: at the target",
+             "1     6      r                north            late: several targets",
+             "1     6      r                north            refused: full",
+             "1     6      r                north            stream broken",
+             "1     2      items            -                late: called back for live requests",
+             "0       3     0     ###", "4       2     0     ##", "6       0     1     o" })
+        CHECK(table.find(row) != std::string::npos);
+    std::istringstream none("");
+    CHECK(describeLosses(none).empty());
+}
--- a/tools/ctl/ctl.cpp
+++ b/tools/ctl/ctl.cpp
@@ -357,6 +357,16 @@
     return exitOk;
 }
 
+/// Reads the processes' logs from standard input.
+int losses(const ctl_options&)
+{
+    const auto table = describeLosses(std::cin);
+    std::cout << table;
+    if (table.empty())
+        fail(exitRefused, "no line of a log");
+    return exitOk;
+}
+
 struct command {
     std::string_view usage;
     std::string_view meaning;
@@ -384,6 +394,8 @@
         { "explain",
             { "explain ID < LOGS", "what the logs of all processes tell of a request, batch job or item",
                 explain } },
+        { "losses",
+            { "losses < LOGS", "where callers lost: by route, zone and reason, and over time", losses } },
         { "hash", { "hash SECRET", "SHA-256 of a key or token, as the tree keeps it", hash } },
     };
     return all;
