--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// A wait for a place is begun anew after so long, because another zone may have room by then. With 1 s, 84 of 100 items
-/// were on time on days with trouble of a deployment of 18 targets, with 0.4 s 85, for 4% more processor time.
+/// A wait for a place is begun anew after so long, because another zone may have room by then. With 1 s, 84
+/// of 100 items were on time on days with trouble of a deployment of 18 targets, with 0.4 s 85, for 4% more
+/// processor time.
 constexpr milliseconds placeWait { 400 };
 /// An item's events come every 20 ms, every 100 ms from a slowed target; a target that is silent for longer
 /// does not work on it.
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -103,6 +104,61 @@
     std::optional<std::vector<std::string>> runs;
 };
 
+/// What a dispatcher knows of the work at one target beyond the places that it has given: from the target's
+/// reports, which lag, and from their absence. Work of its predecessor, of another dispatcher across a cut,
+/// or of a holder that has died holds slots that the dispatcher would take for free.
+class target_load {
+public:
+    target_load() = default;
+    /// `asked`: whether the target is asked for reports when takeDue() says so.
+    target_load(bool asked, steady_time now);
+
+    /// Slots that work of others holds, of so many.
+    unsigned foreignWork(unsigned slots, steady_time now) const;
+    /// It said that it takes nothing new.
+    bool leaving(steady_time now) const;
+    /// Slots that it has told, if it has.
+    std::optional<unsigned> slots(steady_time now) const;
+    double memoryUsed() const { return m_last.memoryUsed; }
+    /// It has missed reports in a row.
+    bool silent() const;
+
+    /// The number of own grants has changed, or is about to.
+    void noteOwn(unsigned own, steady_time now);
+    /// An own request has ended; a report that lags may still name it.
+    void ended(std::string requestId, steady_time now);
+    /// `granted`: ids of the requests that have a place there now.
+    void report(
+        const load_report& report, const std::set<std::string_view>& granted, unsigned own, steady_time now);
+    /// The target has not answered when it was asked.
+    void missed(steady_time now);
+    /// Its own word, in place of an answer to a request, that it takes nothing: believed until its next
+    /// report.
+    void refusedByItself(steady_time now);
+    /// Whether to ask for a report now; then not again before its answer, or the lack of one.
+    bool takeDue(steady_time now);
+    /// Something happened that makes what is known doubtful.
+    void askNow(steady_time now) { m_nextReport = now; }
+    void askSoon(steady_time now);
+
+private:
+    bool fresh(steady_time now) const;
+    void forgetEnded(steady_time now);
+    unsigned unknownRuns(const std::set<std::string_view>& granted, steady_time now);
+
+    bool m_asked = false;
+    steady_time m_listedSince;
+    load_report m_last;
+    steady_time m_reportTime;
+    steady_time m_nextReport;
+    bool m_waiting = false; ///< For an answer.
+    unsigned m_missed = 0; ///< In a row.
+    unsigned m_foreignRuns = 0; ///< Of the last report that named its runs.
+    unsigned m_grantsAtReport = 0; ///< Most own grants at once in the time that the report may stem from.
+    std::deque<std::pair<steady_time, unsigned>> m_ownPeaks; ///< Own grants lately, for that.
+    std::deque<std::pair<steady_time, std::string>> m_ended;
+};
+
 // --- Policies for bulk work
 // ----------------------------------------------------------------------------------
 
@@ -410,24 +466,12 @@
     struct target_state {
         target_description description;
         target_health health;
-        load_report lastReport;
-        steady_time reportTime;
-        unsigned grantsAtReport = 0; ///< Most own grants at once in the time that the report may stem from.
-        std::deque<std::pair<steady_time, unsigned>> ownPeaks; ///< Own grants lately, for that.
+        target_load load;
         unsigned live = 0;
         unsigned bulk = 0;
         unsigned revoked = 0; ///< Bulk grants that were revoked and are not released yet.
         steady_time refusedUntil; ///< It said that it is full.
         std::deque<steady_time> liveLeft; ///< When live requests left slots that are kept for others.
-        steady_time listedSince;
-        /// Requests that ended lately, which a report that lags may still name.
-        std::deque<std::pair<steady_time, std::string>> ended;
-        unsigned foreignRuns = 0; ///< Of the last report that named its runs.
-        unsigned reportsMissed = 0; ///< In a row.
-        bool reportAsked = false;
-        steady_time nextReport;
-
-        bool silent() const;
     };
     struct grant_record {
         grant_ask ask;
@@ -440,8 +484,6 @@
     bool usable(const target_state& target, steady_time now) const;
     unsigned slotsOf(const target_state& target, steady_time now) const;
     unsigned foreignWork(const target_state& target, steady_time now) const;
-    /// Work in a report that names its runs which this dispatcher has not given a place.
-    unsigned unknownRuns(target_state& target, const load_report& report, steady_time now) const;
     bool allSilent() const;
     unsigned freeSlots(const target_state& target, steady_time now) const;
     /// Free slots that bulk work may take.
@@ -461,7 +503,6 @@
     void revoke(std::uint64_t grantId);
     void forgetGrant(std::uint64_t grantId, steady_time now);
     void keepForLive(target_state& target, steady_time now) const;
-    static void notePeak(target_state& target, steady_time now);
     void adapt(steady_time now);
     void refuse(const grant_ask& ask, failure reason);
     void refuseExpired(steady_time now);
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -8,24 +8,7 @@
 
 namespace {
 
-constexpr milliseconds reportMaxAge { 5000 };
-/// A report may describe the target as it was so long ago.
-constexpr milliseconds reportLag { 1500 };
 constexpr milliseconds grantGrace { 2000 };
-/// Without doubt about a target it is asked twice a second: a request that is sent into work that this
-/// dispatcher does not know of waits for that work's end, up to a second. A report costs some 0.3 ms of
-/// processor time.
-constexpr milliseconds reportInterval { 500 };
-/// While a target works on what others sent, or does not answer: a slot that comes free is seen this soon.
-constexpr milliseconds reportIntervalInDoubt { 100 };
-/// A target that is new to this dispatcher counts as full until its first report, for so long at most.
-constexpr milliseconds firstReportPatience { 150 };
-/// A report shows the target as it was some 50 ms ago, and a run that is cancelled ends within a step of the
-/// engine; an id that is still named after this belongs to a run whose end did not reach the target.
-constexpr milliseconds endedMemory { 600 };
-/// One lost packet delays an answer beyond its timeout; two reports in a row are missed once in a thousand
-/// times on a link that loses 3 of 100.
-constexpr unsigned missedReports = 2;
 /// A group that nobody asks for places does not ask its targets either.
 constexpr milliseconds activeFor { 2000 };
 constexpr milliseconds adaptationInterval { 100 };
@@ -47,11 +30,6 @@
 
 } // namespace
 
-bool target_group::target_state::silent() const
-{
-    return reportsMissed >= missedReports;
-}
-
 target_group::target_group(group_options options)
     : m_options(std::move(options))
     , m_live(m_options.order)
@@ -94,7 +72,7 @@
         if (same)
             target = std::move(known->second);
         else
-            target.listedSince = now;
+            target.load = target_load(m_options.asksForReports, now);
         target.description = description;
     }
     for (const auto& [name, target] : m_targets) {
@@ -113,80 +91,27 @@
         return false;
     // A dark target swallows what it is sent: a stream that may not run twice is lost with it. Where none
     // answers it is more likely this process that cannot hear them.
-    if (target.silent() && !allSilent())
+    if (target.load.silent() && !allSilent())
         return false;
-    const bool fresh = now - target.reportTime < reportMaxAge;
-    return !(fresh && target.lastReport.leaving);
+    return !target.load.leaving(now);
 }
 
 unsigned target_group::slotsOf(const target_state& target, steady_time now) const
 {
     if (target.health.at(now) == target_health::state::probing)
         return 1;
-    const bool fresh = now - target.reportTime < reportMaxAge;
-    if (fresh && target.lastReport.slots > 0)
-        return std::min(target.lastReport.slots, target.description.slots);
-    return target.description.slots;
-}
-
-/// Remembers how many own grants a target had when the number falls, in steps of an eighth of the lag.
-void target_group::notePeak(target_state& target, steady_time now)
-{
-    constexpr int steps = 8;
-    const unsigned own = target.live + target.bulk;
-    if (target.ownPeaks.empty() || now - target.ownPeaks.back().first > reportLag / steps)
-        target.ownPeaks.emplace_back(now, own);
-    else
-        target.ownPeaks.back().second = std::max(target.ownPeaks.back().second, own);
-    while (now - target.ownPeaks.front().first > reportLag)
-        target.ownPeaks.pop_front();
+    return std::min(target.load.slots(now).value_or(target.description.slots), target.description.slots);
 }
 
-/// Work that others have sent past this dispatcher: what the target reported beyond the most grants that were
-/// out in the time that the report may describe. Grants that ended meanwhile would otherwise count as foreign
-/// until the next report, and leave their slots empty.
 unsigned target_group::foreignWork(const target_state& target, steady_time now) const
 {
-    if (m_options.asksForReports && target.reportTime == steady_time {})
-        return now - target.listedSince < firstReportPatience ? target.description.slots : 0;
-    if (now - target.reportTime >= reportMaxAge)
-        return 0;
-    if (target.lastReport.runs)
-        return target.foreignRuns;
-    const unsigned reported = target.lastReport.running + target.lastReport.queued;
-    return reported > target.grantsAtReport ? reported - target.grantsAtReport : 0;
-}
-
-unsigned target_group::unknownRuns(target_state& target, const load_report& report, steady_time now) const
-{
-    while (!target.ended.empty() && now - target.ended.front().first > endedMemory)
-        target.ended.pop_front();
-    std::set<std::string_view> ended;
-    for (const auto& [time, id] : target.ended)
-        ended.insert(id);
-    std::set<std::string_view> granted;
-    for (const auto& [id, grant] : m_grants) {
-        if (grant.target == target.description.name)
-            granted.insert(grant.ask.requestId);
-    }
-    unsigned foreign = 0;
-    unsigned ownRuns = 0;
-    for (const auto& id : *report.runs) {
-        if (granted.contains(id))
-            ++ownRuns;
-        else if (!ended.contains(id))
-            ++foreign;
-    }
-    // Own requests that do not run yet may be those that wait.
-    const auto ownGrants = static_cast<unsigned>(granted.size());
-    const auto ownWaiting = ownGrants - std::min(ownGrants, ownRuns);
-    return foreign + report.queued - std::min(report.queued, ownWaiting);
+    return target.load.foreignWork(target.description.slots, now);
 }
 
 bool target_group::allSilent() const
 {
     return std::all_of(
-        m_targets.begin(), m_targets.end(), [](const auto& entry) { return entry.second.silent(); });
+        m_targets.begin(), m_targets.end(), [](const auto& entry) { return entry.second.load.silent(); });
 }
 
 std::vector<report_due> target_group::reportsDue(steady_time now)
@@ -195,10 +120,8 @@
     if (!m_options.asksForReports || now - m_lastAsk > activeFor)
         return due;
     for (auto& [name, target] : m_targets) {
-        if (target.reportAsked || now < target.nextReport)
-            continue;
-        target.reportAsked = true;
-        due.push_back({ name, target.description.address });
+        if (target.load.takeDue(now))
+            due.push_back({ name, target.description.address });
     }
     return due;
 }
@@ -208,10 +131,7 @@
     const auto found = m_targets.find(target);
     if (found == m_targets.end())
         return;
-    auto& state = found->second;
-    state.reportAsked = false;
-    ++state.reportsMissed;
-    state.nextReport = now + reportIntervalInDoubt;
+    found->second.load.missed(now);
     pump(now);
 }
 
@@ -239,7 +159,7 @@
     const double used = target.live + target.bulk + foreignWork(target, now);
     const double blocks = std::max<double>(1, static_cast<double>(ask.prefixes.size()));
     const double hit = static_cast<double>(m_prefixes.matched(ask.prefixes, name, now)) / blocks;
-    const double full = target.lastReport.memoryUsed > memoryFull ? 1 : 0;
+    const double full = target.load.memoryUsed() > memoryFull ? 1 : 0;
     const double avoided = name == ask.avoid ? avoidPenalty : 0;
     return used / slotsOf(target, now) - m_options.affinity * hit + full + avoided;
 }
@@ -478,7 +398,7 @@
         return;
     const auto target = m_targets.find(found->second.target);
     if (target != m_targets.end()) {
-        notePeak(target->second, now);
+        target->second.load.noteOwn(target->second.live + target->second.bulk, now);
         const bool live = found->second.ask.workClass == work_class::live;
         if (live && m_options.keptForLive.count() > 0)
             keepForLive(target->second, now);
@@ -486,8 +406,7 @@
         count -= count > 0 ? 1 : 0;
         if (found->second.revoked && target->second.revoked > 0)
             --target->second.revoked;
-        if (m_options.asksForReports)
-            target->second.ended.emplace_back(now, std::move(found->second.ask.requestId));
+        target->second.load.ended(std::move(found->second.ask.requestId), now);
     }
     m_grants.erase(found);
 }
@@ -505,15 +424,13 @@
             state.health.succeeded(now);
         if (release.outcome == grant_outcome::refused && m_options.refusalPause.count() > 0) {
             state.refusedUntil = now + m_options.refusalPause;
-            state.nextReport = now;
+            state.load.askNow(now);
         } else if (release.outcome == grant_outcome::refused) {
-            // Its own word that it takes nothing: believed until its next report.
-            state.lastReport.leaving = true;
-            state.reportTime = now;
+            state.load.refusedByItself(now);
         }
         if (release.outcome == grant_outcome::failed) {
             state.health.failed(now);
-            state.nextReport = now;
+            state.load.askNow(now);
         }
     }
     if (live && release.outcome == grant_outcome::ok)
@@ -530,16 +447,12 @@
     if (found == m_targets.end())
         return;
     auto& state = found->second;
-    state.lastReport = report;
-    state.reportTime = now;
-    state.reportAsked = false;
-    state.reportsMissed = 0;
-    state.foreignRuns = report.runs ? unknownRuns(state, report, now) : 0;
-    state.nextReport = now + (state.foreignRuns > 0 ? reportIntervalInDoubt : reportInterval);
-    notePeak(state, now);
-    state.grantsAtReport = 0;
-    for (const auto& [time, own] : state.ownPeaks)
-        state.grantsAtReport = std::max(state.grantsAtReport, own);
+    std::set<std::string_view> granted;
+    for (const auto& [id, grant] : m_grants) {
+        if (grant.target == target)
+            granted.insert(grant.ask.requestId);
+    }
+    state.load.report(report, granted, state.live + state.bulk, now);
     pump(now);
 }
 
@@ -559,7 +472,7 @@
             grant.lapses = std::min(grant.lapses, now + grantGrace);
     }
     for (auto& [name, target] : m_targets)
-        target.nextReport = std::min(target.nextReport, now + reportIntervalInDoubt);
+        target.load.askSoon(now);
     pump(now);
 }
 
