--- a/libs/bulk_process/src/job_commits.cpp
+++ b/libs/bulk_process/src/job_commits.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// Results are committed together: each commit is a priced call, and a caller asks twice a second.
-constexpr milliseconds commitAge { 900 };
+/// Results are committed together: each commit is a priced call, and a caller asks twice a second. What is
+/// not committed when its process is killed or cut off runs again as a whole: with 900 ms 84 of 100 items
+/// were on time on days with trouble of a deployment of 18 targets, with 500 ms 87, for 3% more calls.
+constexpr milliseconds commitAge { 500 };
 
 std::string randomToken()
 {
--- a/libs/dispatch/src/target_load.cpp
+++ b/libs/dispatch/src/target_load.cpp
@@ -9,18 +9,19 @@
 constexpr milliseconds reportMaxAge { 5000 };
 /// A report may describe the target as it was so long ago.
 constexpr milliseconds reportLag { 1500 };
-/// Without doubt about a target it is asked twice a second: a request that is sent into work that this dispatcher does not
-/// know of waits for that work's end, up to a second. A report costs some 0.3 ms of processor time.
+/// Without doubt about a target it is asked twice a second: a request that is sent into work that this
+/// dispatcher does not know of waits for that work's end, up to a second. A report costs some 0.3 ms of
+/// processor time.
 constexpr milliseconds reportInterval { 500 };
 /// While a target works on what others sent, or does not answer: a slot that comes free is seen this soon.
 constexpr milliseconds reportIntervalInDoubt { 100 };
 /// A target that is new to this dispatcher counts as full until its first report, for so long at most.
 constexpr milliseconds firstReportPatience { 150 };
-/// A report shows the target as it was some 50 ms ago, and a run that is cancelled ends within a step of the engine; an
-/// id that is still named after this belongs to a run whose end did not reach the target.
+/// A report shows the target as it was some 50 ms ago, and a run that is cancelled ends within a step of the
+/// engine; an id that is still named after this belongs to a run whose end did not reach the target.
 constexpr milliseconds endedMemory { 600 };
-/// One lost packet delays an answer beyond its timeout; two reports in a row are missed once in a thousand times on a
-/// link that loses 3 of 100.
+/// One lost packet delays an answer beyond its timeout; two reports in a row are missed once in a thousand
+/// times on a link that loses 3 of 100.
 constexpr unsigned missedReports = 2;
 
 } // namespace
@@ -59,7 +60,8 @@
         return 0;
     if (m_last.runs)
         return m_foreignRuns;
-    // Grants that ended meanwhile would otherwise count as foreign until the next report, and leave their slots empty.
+    // Grants that ended meanwhile would otherwise count as foreign until the next report, and leave their
+    // slots empty.
     const unsigned reported = m_last.running + m_last.queued;
     return reported > m_grantsAtReport ? reported - m_grantsAtReport : 0;
 }
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -22,6 +22,10 @@
 constexpr milliseconds syncAsFollower { 250 };
 /// After two questions without an answer from a process that the store serves, it follows the store itself.
 constexpr milliseconds watcherSilentFor { 700 };
+/// While the store does not answer, those that follow it ask again every second. The others ask seldom:
+/// refused calls are priced too, and of the store's return they hear from the first ones.
+constexpr milliseconds longestPauseOfWatcher { 1000 };
+constexpr milliseconds longestPauseOfOthers { 4000 };
 /// One entry in so many follows the store, and at least one in each zone: with 17 entries in a zone three,
 /// each asked 19 times a second.
 constexpr std::size_t entriesPerWatcher = 6;
@@ -198,8 +202,10 @@
     const auto now = std::chrono::steady_clock::now();
     const bool watcher = isWatcher();
     m_direct = watcher || now - m_watcherHeard > watcherSilentFor;
-    for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror })
+    for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror }) {
+        mirror->setLongestPause(watcher ? longestPauseOfWatcher : longestPauseOfOthers);
         mirror->setFollowing(m_direct);
+    }
     const bool connected
         = m_ordersMirror.connected() && m_targetsMirror.connected() && m_nodesMirror.connected();
     m_watches = m_direct && connected;
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -32,6 +32,8 @@
     /// Whether to go on with waiting calls. Without them only a peer's copies bring news; a call that waits
     /// already is left to end.
     void setFollowing(bool following);
+    /// How long to wait at most before the next call while the store does not answer.
+    void setLongestPause(milliseconds pause) { m_longestPause = pause; }
     /// Takes over a peer's copy if it is newer. Returns whether it was.
     bool offer(const store_section& copy);
 
@@ -53,6 +55,7 @@
     listener m_changed;
     store_section m_section;
     milliseconds m_pauseAfterChange;
+    milliseconds m_longestPause { 1000 };
     loop_timer m_pause;
     std::minstd_rand m_random;
     bool m_connected = false;
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -12,8 +12,7 @@
 /// Each return of a waiting call is priced, so it waits long; the connection's probes find one that has died.
 constexpr milliseconds longestWait { 30000 };
 constexpr milliseconds firstPause { 60 };
-constexpr milliseconds longestPause { 1000 };
-constexpr unsigned mostDoublings = 4;
+constexpr unsigned mostDoublings = 8;
 
 bool byKey(const section_entry& entry, const std::string& key)
 {
@@ -55,7 +54,7 @@
                 { "message", error.message } });
     m_connected = false;
     // With jitter: all processes lose the store at the same moment and must not come back at the same moment.
-    const auto pause = std::min(firstPause * (1 << std::min(m_failures, mostDoublings)), longestPause);
+    const auto pause = std::min(firstPause * (1 << std::min(m_failures, mostDoublings)), m_longestPause);
     const auto jitter = milliseconds { m_random() % static_cast<unsigned>(pause.count()) };
     ++m_failures;
     m_pause.arm(pause / 2 + jitter, std::move(again));
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -104,3 +104,24 @@
     CHECK(f.changes == 2);
     CHECK(f.mirror.connected());
 }
+
+// Story: the store is down for seven seconds; sixty processes ask it again once a second, three times each,
+// and every refused call is priced. Those that hear of its return from others need not ask.
+TEST_CASE("while the store does not answer, pauses grow up to the longest")
+{
+    const auto callsWithin = [](milliseconds longest) {
+        fixture f;
+        f.mirror.setLongestPause(longest);
+        for (int i = 0; i < 150; ++i) {
+            if (const auto answer = std::exchange(f.store.pendingList, nullptr))
+                answer(notRun(failure_kind::unavailable, "503"));
+            f.loop.runFor(milliseconds { 10 });
+        }
+        return f.store.lists;
+    };
+    const int often = callsWithin(milliseconds { 100 });
+    const int seldom = callsWithin(milliseconds { 4000 });
+    CHECK(often >= 8);
+    CHECK(seldom >= 2);
+    CHECK(seldom <= 7);
+}
