--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -107,6 +107,8 @@
             m_silent.push_back(std::move(caller));
             return;
         }
+        if (caller->request().path == "/report")
+            return caller->send({ 200, { { "Content-Type", "application/json" } }, report().dump() });
         if (!m_cutId.empty() && id.starts_with(m_cutId)) {
             caller->startStream(200, { { "Yuccachute-Request-Id", id } }, std::nullopt);
             return caller->abort();
@@ -139,6 +141,17 @@
         m_running.push_back(std::move(one));
     }
 
+    /// Load as of now; it needs no slot.
+    json report() const
+    {
+        auto runs = json::array();
+        const auto running = std::min<std::size_t>(m_running.size(), m_slots);
+        for (std::size_t i = 0; i < running; ++i)
+            runs.push_back({ m_running[i].id, 0, m_running[i].next - 1, 0 });
+        return { { "running", running }, { "waiting", m_running.size() - running },
+            { "runs", std::move(runs) } };
+    }
+
     void tick()
     {
         const auto now = std::chrono::steady_clock::now();
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -120,6 +120,8 @@
     /// Slots that it has told, if it has.
     std::optional<unsigned> slots(steady_time now) const;
     double memoryUsed() const { return m_last.memoryUsed; }
+    /// It has reported at least once.
+    bool known() const { return m_reportTime != steady_time {}; }
     /// It has missed reports in a row.
     bool silent() const;
 
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -189,8 +189,11 @@
 {
     unsigned slots = 0;
     for (const auto& [name, target] : m_targets) {
-        if (usable(target, now))
-            slots += slotsOf(target, now) - std::min(slotsOf(target, now), foreignWork(target, now));
+        if (!usable(target, now))
+            continue;
+        // A target that has not reported yet does so within milliseconds: whoever asks waits for that.
+        const auto foreign = target.load.known() ? foreignWork(target, now) : 0;
+        slots += slotsOf(target, now) - std::min(slotsOf(target, now), foreign);
     }
     if (slots == 0)
         return unavailableRetryAfter;
--- a/libs/dispatch/src/target_load.cpp
+++ b/libs/dispatch/src/target_load.cpp
@@ -54,7 +54,7 @@
 
 unsigned target_load::foreignWork(unsigned slots, steady_time now) const
 {
-    if (m_asked && m_reportTime == steady_time {})
+    if (m_asked && !known())
         return now - m_listedSince < firstReportPatience ? slots : 0;
     if (!fresh(now))
         return 0;
--- a/libs/dispatch/tests/test_dispatch.cpp
+++ b/libs/dispatch/tests/test_dispatch.cpp
@@ -476,6 +476,20 @@
     REQUIRE(only<grant_given>(group.takeDecisions()).size() == 1);
 }
 
+// Story: the first callers of a new dispatcher were refused at once, on an idle fleet: until the first
+// reports its targets count as full, and a fleet without a free slot had no expected end of the wait.
+TEST_CASE("the first callers of a new dispatcher wait for the first reports instead of being refused")
+{
+    auto group = makeReportingGroup(2, 2);
+    auto ask = namedAsk(1);
+    ask.deadline = start + 250ms;
+    group.ask(ask, start);
+    CHECK(group.takeDecisions().empty());
+    group.reportsDue(start);
+    group.report("t0", runningReport({}), start + 5ms);
+    CHECK(only<grant_given>(group.takeDecisions()).size() == 1);
+}
+
 TEST_CASE("a target that cannot tell its load is used after a moment")
 {
     auto group = makeReportingGroup(1, 2);
--- a/libs/front/src/target_loads.cpp
+++ b/libs/front/src/target_loads.cpp
@@ -1,5 +1,7 @@
 #include "target_loads.h"
 
+#include "logging/logging.h"
+
 namespace yuccachute {
 
 namespace {
@@ -45,7 +47,14 @@
         running->reply.body.append(piece);
         return true;
     };
-    events.whole = [this, running, end] { end(m_protocol.readLoad(running->reply)); };
+    events.whole = [this, running, end] {
+        auto read = m_protocol.readLoad(running->reply);
+        if (read)
+            return end(std::move(read));
+        // A target that answers otherwise than with a report is alive, and tells nothing of its work.
+        logEvent(log_level::debug, "load report not understood", { { "message", read.error().message } });
+        end(load_report {});
+    };
     events.failed = [end](const failure& error) { end(error); };
     running->handle = m_client.start(address, m_protocol.loadRequest(), options, std::move(events));
 }
--- a/libs/logging/src/losses.cpp
+++ b/libs/logging/src/losses.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <sstream>
+#include <tuple>
 
 namespace yuccachute {
 
@@ -24,7 +25,10 @@
     std::string zone;
     std::string reason;
 
-    auto operator<=>(const loss&) const = default;
+    bool operator<(const loss& other) const
+    {
+        return std::tie(what, zone, reason) < std::tie(other.what, other.zone, other.reason);
+    }
 };
 
 struct tally {
