Updates for older copies without the whole section; followers do not wait for a silent store or a dead neighbour

Each process had read its lists a moment before those that it asked, and was sent 900 KB of targets. Now an update for a copy older than the known removals carries a digest of the keys; only a copy that has others afterwards asks for all of it.

--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -198,8 +198,10 @@
         if (!ended)
             return answer(*caller, ended.error());
         logEvent(log_level::info, "job ended by its caller", { { "job", id } });
+        // Not kept as final: a commit whose answer was lost may have listed results that are not known here,
+        // and whoever has read them elsewhere must find them again.
         if (const auto found = m_jobs.find(id); found != m_jobs.end())
-            stopJob(found->second);
+            dropJob(found);
         caller->send({ 200, {}, "" });
     });
 }
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -80,15 +80,6 @@
     m_jobs.erase(job);
 }
 
-void bulk_process::stopJob(held_job& held)
-{
-    held.ended = true;
-    held.openRevision = 0;
-    held.runs.clear();
-    held.committing = false;
-    notifyReaders(held, true);
-}
-
 void bulk_process::notifyReaders(held_job& held, bool all)
 {
     std::vector<waiting_reader> kept;
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -98,8 +98,6 @@
     held_job build(job_keeper::stored_job stored);
     void hold(job_keeper::stored_job stored);
     void dropJob(job_map::iterator job);
-    /// Its caller has ended it: nothing of it runs any more.
-    void stopJob(held_job& held);
     void notifyReaders(held_job& held, bool all);
 
     // --- Running items
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -196,7 +196,11 @@
     void chooseWatchers();
     bool isWatcher() const;
     std::vector<std::string> peersToAsk() const;
-    void peerAnswered(const sync_answer& answer);
+    void peerAnswered(const std::string& address, const sync_answer& answer);
+    /// The store answers this process, as far as it knows.
+    bool connected() const;
+    /// Others may ask this process: it is registered, or about to be.
+    bool reliedOn() const;
     void takeUpdates(const std::vector<section_update>& updates);
     void tick();
     std::vector<section_revision> known() const;
@@ -236,6 +240,7 @@
     steady_time m_patientUntil;
     steady_time m_watcherHeard; ///< When one that the store answers was last heard of.
     bool m_watcherSettled = false; ///< What it said of its copies.
+    bool m_peerSilent = false; ///< The peer that was asked last did not answer.
     mutable std::mutex m_publishedMutex; ///< Peers ask from the transport's threads.
     std::map<std::string, std::shared_ptr<const section_history>> m_published;
 };
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -245,15 +245,13 @@
 {
     const auto now = std::chrono::steady_clock::now();
     const bool watcher = isWatcher() && (m_offered || now >= m_patientUntil);
-    const auto patience = m_offered || listed() ? watcherSilentFor : watcherSilentForOthers;
+    const auto patience = reliedOn() ? watcherSilentFor : watcherSilentForOthers;
     m_direct = watcher || now - m_watcherHeard > patience;
     for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror }) {
         mirror->setLongestPause(watcher ? longestPauseOfWatcher : longestPauseOfOthers);
         mirror->setFollowing(m_direct);
     }
-    const bool connected
-        = m_ordersMirror.connected() && m_targetsMirror.connected() && m_nodesMirror.connected();
-    m_watches = m_direct && connected;
+    m_watches = m_direct && connected();
     m_settled = m_watches && now >= listsTrustedFrom();
     if (m_targets.keepsMissing()) {
         const auto before = m_targets.targets();
@@ -270,7 +268,7 @@
         notifyNodes();
     if (now < m_nextSync)
         return;
-    m_nextSync = now + (!connected ? syncWhenCutOff : watcher ? syncOrdinarily : syncAsFollower);
+    m_nextSync = now + (!connected() ? syncWhenCutOff : watcher ? syncOrdinarily : syncAsFollower);
     askPeer();
 }
 
@@ -278,7 +276,7 @@
 {
     std::vector<section_revision> revisions;
     for (const auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror })
-        revisions.push_back({ mirror->section().prefix, mirror->section().revision });
+        revisions.push_back({ mirror->section().prefix, mirror->history().askFrom() });
     return revisions;
 }
 
@@ -321,15 +319,13 @@
     // A process that the store does not answer asks anybody, and so does one that has not heard of the store
     // for a moment. The others ask who follows the store: in their own zone, or, if they follow it
     // themselves, anywhere, for a watch that has gone silent without an error.
-    const bool connected
-        = m_targetsMirror.connected() && m_ordersMirror.connected() && m_nodesMirror.connected();
     const bool heard = m_direct || std::chrono::steady_clock::now() - m_watcherHeard < askWiderAfter;
     std::vector<std::string> addresses;
     const auto add = [&](const std::string& address) {
         if (address != m_self.address)
             addresses.push_back(address);
     };
-    if (connected && heard) {
+    if (connected() && heard && !m_peerSilent) {
         for (const auto& node : m_watchers)
             add(node.address);
     }
@@ -348,24 +344,45 @@
     if (addresses.empty())
         return;
     const auto& address = addresses[m_random() % addresses.size()];
-    m_peers.sync(
-        address, known(), syncTimeout, [this, alive = std::weak_ptr(m_alive)](result<sync_answer> answer) {
-            if (!answer || alive.expired())
-                return; // A peer that does not answer: another one is asked in the next round.
-            m_loop.post([this, alive, answer = std::move(answer.value())] {
-                if (!alive.expired())
-                    peerAnswered(answer);
+    m_peers.sync(address, known(), syncTimeout,
+        [this, address, alive = std::weak_ptr(m_alive)](result<sync_answer> answer) {
+            if (alive.expired())
+                return;
+            m_loop.post([this, alive, address, answer = std::move(answer)] {
+                if (alive.expired())
+                    return;
+                // Of a zone's watchers all may be gone; whoever follows others must not wait for them.
+                m_peerSilent = !answer;
+                if (answer)
+                    peerAnswered(address, answer.value());
             });
         });
 }
 
-void fleet_watch::peerAnswered(const sync_answer& answer)
+void fleet_watch::peerAnswered(const std::string& address, const sync_answer& answer)
 {
-    if (answer.contact.watches) {
-        m_watcherHeard = std::chrono::steady_clock::now();
+    const auto now = std::chrono::steady_clock::now();
+    const bool ownWatcher = std::any_of(
+        m_watchers.begin(), m_watchers.end(), [&](const auto& node) { return node.address == address; });
+    // One that others rely on is content with its own zone's: it follows the store itself if these are gone.
+    if (answer.contact.watches && (ownWatcher || !reliedOn())) {
+        m_watcherHeard = now;
         m_watcherSettled = answer.contact.settled;
     }
-    takeUpdates(answer.newer);
+    // A copy of one that the store turns away is not known to be settled, and would be kept as such although
+    // others have a settled one of the same revision. Only who hears of nobody else takes it.
+    if (answer.contact.watches || !connected() || now < m_patientUntil)
+        takeUpdates(answer.newer);
+}
+
+bool fleet_watch::connected() const
+{
+    return m_ordersMirror.connected() && m_targetsMirror.connected() && m_nodesMirror.connected();
+}
+
+bool fleet_watch::reliedOn() const
+{
+    return m_offered || listed();
 }
 
 void fleet_watch::takeUpdates(const std::vector<section_update>& updates)
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -276,6 +276,9 @@
     peer.contact = { false, false };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     CHECK(runUntil([&] { return quiet.waits > waits; }));
+    // It says so once the store has answered it, not before.
+    CHECK(!watch.storeContact().watches);
+    quiet.wake();
     CHECK(runUntil([&] { return watch.storeContact().watches; }));
 }
 
@@ -441,3 +444,38 @@
         loop.runFor(milliseconds { 10 });
     CHECK(closed.refused == 0);
 }
+
+// Story: in a zone of two entries the one that follows the store is replaced while the store is silent. The
+// other asked only its dead neighbour, served callers by a configuration that was half a minute old, and sent
+// requests to targets that had left.
+TEST_CASE("an entry whose zone has nobody left that follows the store asks others while the store is silent")
+{
+    const std::string elsewhere = "unix-abstract:yuccachute-test-elsewhere-" + std::to_string(::getpid());
+    watcher_peer peer;
+    peer.section = { "orders/", 9, { { "orders/config", "8", 9 } }, true };
+    const rpc_server server(elsewhere, rpc_security {}, &peer, nullptr);
+    event_loop loop;
+    quiet_store silent(loop); // Waits are never answered.
+    const node_record one { "vm-1", node_role::entry, "z", "127.0.0.1:1", 1, false };
+    const node_record two { "vm-2", node_role::entry, "z", "127.0.0.1:1", 2, false };
+    const bool oneIsFirst = hashText(one.vm) > hashText(two.vm);
+    const auto self = oneIsFirst ? two : one;
+    const node_record other { "vm-3", node_role::entry, "y", elsewhere, 3, false };
+    for (const auto& node : { one, two, other })
+        silent.values[nodeKey(node)] = encodeNode(node);
+    silent.values["orders/config"] = "7";
+    metrics figures;
+    observed_store store(silent, figures);
+    rpc_client client { {} };
+    const plain_codec codec;
+    const auto ignore = [] {};
+    fleet_options options;
+    options.patienceAtStart = milliseconds { 300 };
+    fleet_watch watch(loop, store, client, codec, self, options, { ignore, ignore, ignore, ignore });
+    watch.start();
+    for (int i = 0; i < 400 && !(watch.configuration() && watch.configuration()->version == 8); ++i)
+        loop.runFor(milliseconds { 10 });
+    REQUIRE(watch.configuration());
+    CHECK(watch.configuration()->version == 8);
+    CHECK(!watch.storeContact().watches); // It must not claim to follow a store that has not answered it.
+}
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -87,6 +87,9 @@
     /// The update holds for copies of this revision and later ones; 0: `changed` is the whole section.
     std::int64_t basedOn = 0;
     std::vector<std::string> removed; ///< Keys; a key that came back is in `changed` too.
+    /// Of the keys of the newer copy, if the sender does not know all that went since `basedOn`: only a copy
+    /// that has just these keys afterwards is right. 0: nothing to check.
+    std::uint64_t keysDigest = 0;
 };
 
 /// How a process stands with the store.
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -34,8 +34,11 @@
     /// Takes over a peer's update if it is newer and holds for this copy. Returns nothing if it was not
     /// taken, else whether anything changed.
     std::optional<bool> apply(const section_update& update);
-    /// What leads from a copy of a revision to this one; the whole section if that is too long ago.
+    /// What leads from a copy of a revision to this one; the whole section for a copy that is empty.
     section_update since(std::int64_t revision) const;
+    /// The revision that a peer is to be asked from: 0 if an update has left keys that the peer does not
+    /// have.
+    std::int64_t askFrom() const { return m_wantsWhole ? 0 : m_section.revision; }
 
 private:
     struct removal {
@@ -50,6 +53,7 @@
     store_section m_section;
     std::deque<removal> m_removals; ///< In order of their revisions.
     std::int64_t m_completeFrom = 0; ///< All removals after this revision are known.
+    bool m_wantsWhole = false;
 };
 
 /// A copy of all keys with a prefix.
@@ -86,8 +90,9 @@
     const section_history& history() const { return m_history; }
     /// Whether there is a copy, from the store or a peer.
     bool known() const { return section().revision > 0; }
-    /// Whether the store's last call was answered.
-    bool connected() const { return m_connected; }
+    /// Whether the store's last call was answered; for a process that follows the store, also since it began
+    /// to do so or last failed.
+    bool connected() const { return m_connected && (!m_following || m_confirmed); }
 
 private:
     void read(first_read how = first_read::exact);
@@ -105,6 +110,8 @@
     loop_timer m_pause;
     std::minstd_rand m_random;
     bool m_connected = false;
+    bool m_confirmed
+        = false; ///< The store has answered since this process began to follow it, or last failed.
     bool m_following = true;
     bool m_idle = false; ///< No call is under way or planned.
     unsigned m_failures = 0;
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -11,6 +11,9 @@
 
 /// Each return of a waiting call is priced, so it waits long; the connection's probes find one that has died.
 constexpr milliseconds longestWait { 30000 };
+/// The first wait after an outage, or of a process that begins to follow the store. A store that accepts
+/// calls and is silent would hold a long one for half a minute, while the process took itself for connected.
+constexpr milliseconds firstWait { 500 };
 constexpr milliseconds firstPause { 60 };
 constexpr unsigned mostDoublings = 8;
 
@@ -39,6 +42,7 @@
         logEvent(log_level::info, "store answers again", { { "prefix", section().prefix } });
     m_failures = 0;
     m_connected = true;
+    m_confirmed = true;
 }
 
 void store_mirror::failed(const failure& error, std::function<void()> again)
@@ -48,6 +52,7 @@
             { { "prefix", section().prefix }, { "revision", section().revision },
                 { "message", error.message } });
     m_connected = false;
+    m_confirmed = false;
     // With jitter: all processes lose the store at the same moment and must not come back at the same moment.
     const auto pause = std::min(firstPause * (1 << std::min(m_failures, mostDoublings)), m_longestPause);
     const auto jitter = milliseconds { m_random() % static_cast<unsigned>(pause.count()) };
@@ -85,8 +90,10 @@
 void store_mirror::setFollowing(bool following)
 {
     m_following = following;
-    if (m_following && std::exchange(m_idle, false))
-        follow();
+    if (!m_following || !std::exchange(m_idle, false))
+        return;
+    m_confirmed = false;
+    follow();
 }
 
 void store_mirror::follow()
@@ -94,7 +101,7 @@
     m_idle = !m_following;
     if (m_idle)
         return;
-    m_store.waitForChange(section().prefix, section().revision, longestWait,
+    m_store.waitForChange(section().prefix, section().revision, m_confirmed ? longestWait : firstWait,
         [this, round = ++m_round](result<store_changes> changes) {
             if (round != m_round)
                 return;
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -230,6 +230,7 @@
     out.set_revision(update.revision);
     out.set_settled(update.settled);
     out.set_based_on(update.basedOn);
+    out.set_keys_digest(update.keysDigest);
     for (const auto& entry : update.changed) {
         auto* added = out.add_entries();
         added->set_key(entry.key);
@@ -242,7 +243,8 @@
 
 section_update fromWire(const peer::Section& in)
 {
-    section_update update { in.prefix(), in.revision(), {}, in.settled(), in.based_on(), {} };
+    section_update update { in.prefix(), in.revision(), {}, in.settled(), in.based_on(), {},
+        in.keys_digest() };
     for (const auto& entry : in.entries())
         update.changed.push_back({ entry.key(), entry.value(), entry.revision() });
     update.removed.assign(in.removed().begin(), in.removed().end());
