--- a/libs/bulk_process/src/open_lookup.cpp
+++ b/libs/bulk_process/src/open_lookup.cpp
@@ -53,14 +53,15 @@
 void open_lookup::answer(const questions& asked, const result<job_keeper::open_jobs>& open)
 {
     ended();
-    for (const auto& [id, done] : asked) {
+    for (const auto& question : asked) {
+        const auto& done = question.second;
         if (!open) {
             done(open.error());
             continue;
         }
         const auto& jobs = open.value().jobs;
-        const auto found
-            = std::find_if(jobs.begin(), jobs.end(), [&](const auto& job) { return job.id == id; });
+        const auto found = std::find_if(
+            jobs.begin(), jobs.end(), [&](const auto& job) { return job.id == question.first; });
         done(found == jobs.end() ? std::nullopt : std::optional(*found));
     }
 }
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -240,6 +240,7 @@
     steady_time m_patientUntil;
     steady_time m_watcherHeard; ///< When one that the store answers was last heard of.
     bool m_watcherSettled = false; ///< What it said of its copies.
+    unsigned m_questions = 0; ///< To peers so far.
     bool m_peerSilent = false; ///< The peer that was asked last did not answer.
     mutable std::mutex m_publishedMutex; ///< Peers ask from the transport's threads.
     std::map<std::string, std::shared_ptr<const section_history>> m_published;
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -14,9 +14,9 @@
 /// While the store does not answer, a neighbour's copy is asked for at this interval: with two rounds a
 /// change is everywhere well within the two seconds that operators are promised.
 constexpr milliseconds syncWhenCutOff { 250 };
-/// Otherwise now and then, for a watch that has gone silent without an error: one that is cut off notices it by
-/// the connection's timeout of 5 s only, and those that follow it believe it until then. Of nine peers that it
-/// asks in turn some know better within a second.
+/// Otherwise now and then, for a watch that has gone silent without an error: one that is cut off notices it
+/// by the connection's timeout of 5 s only, and those that follow it believe it until then. Of nine peers
+/// that it asks in turn some know better within a second.
 constexpr milliseconds syncOrdinarily { 500 };
 constexpr milliseconds syncTimeout { 500 };
 /// A process that does not follow the store asks one that does at this interval: with the 400 ms by which
@@ -31,6 +31,10 @@
 constexpr milliseconds watcherSilentForOthers { 6000 };
 /// After one question without an answer others than the zone's watchers are asked too.
 constexpr milliseconds askWiderAfter { 400 };
+/// And so is every so many'th question: a watcher that is cut off from the store takes itself for connected
+/// until its connection's timeout of 5 s, and its followers would believe its old list of targets for as
+/// long.
+constexpr unsigned askWiderEvery = 3;
 /// While the store does not answer, those that follow it ask again every second. The others ask seldom:
 /// refused calls are priced too, and of the store's return they hear from the first ones.
 constexpr milliseconds longestPauseOfWatcher { 1000 };
@@ -327,7 +331,7 @@
         if (address != m_self.address)
             addresses.push_back(address);
     };
-    if (connected() && heard && !m_peerSilent) {
+    if (connected() && heard && !m_peerSilent && m_questions % askWiderEvery != 0) {
         for (const auto& node : m_watchers)
             add(node.address);
     }
@@ -342,6 +346,7 @@
 
 void fleet_watch::askPeer()
 {
+    ++m_questions;
     const auto addresses = peersToAsk();
     if (addresses.empty())
         return;
