--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -77,7 +77,14 @@
         return from.broker.acquire(
             request, [this, number](result<place> found) { outcomes[number].emplace(std::move(found)); });
     }
-    void run(int ms = 60) { loop.runFor(milliseconds { ms }); }
+    /// For the whole time. A loop without anything to do returns at once, though messages of peers and ends
+    /// of links are still on their way in the transport's threads.
+    void run(int ms = 60)
+    {
+        loop_timer end(loop);
+        end.arm(milliseconds { ms + 1 }, [] {});
+        loop.runFor(milliseconds { ms });
+    }
     std::string target(std::size_t number) const
     {
         return outcomes[number] && *outcomes[number] ? outcomes[number]->value().target : "";
