--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -208,6 +208,6 @@
 
 /// Runs the batch process until it is told to stop. Returns the exit code.
 int runBulk(const process_settings& settings, const bulk_adapter& adapter,
-    const std::function<std::unique_ptr<async_store>(event_loop&, http_client&)>& connect);
+    const std::function<std::unique_ptr<async_store>(http_client&)>& connect);
 
 } // namespace yuccachute
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -17,11 +17,11 @@
 } // namespace
 
 bulk_process::bulk_process(const process_settings& settings, const bulk_adapter& adapter,
-    const std::function<std::unique_ptr<async_store>(event_loop&, http_client&)>& connect)
+    const std::function<std::unique_ptr<async_store>(http_client&)>& connect)
     : m_settings(settings)
     , m_adapter(adapter)
     , m_client(m_loop, { keptPerTarget })
-    , m_platformStore(connect(m_loop, m_client))
+    , m_platformStore(connect(m_client))
     , m_store(*m_platformStore, m_figures)
     , m_rpc({})
     , m_self(ownRecord(settings))
@@ -91,7 +91,7 @@
     for (auto& [id, held] : m_jobs) {
         if (held.openRevision != 0)
             held.job->expire(time);
-        notifyReaders(held, false);
+        notifyReaders(held);
     }
     commitDue();
     const bool unchecked = m_checkedGeneration != m_registration.generation();
@@ -176,7 +176,7 @@
 }
 
 int runBulk(const process_settings& settings, const bulk_adapter& adapter,
-    const std::function<std::unique_ptr<async_store>(event_loop&, http_client&)>& connect)
+    const std::function<std::unique_ptr<async_store>(http_client&)>& connect)
 {
     return bulk_process(settings, adapter, connect).run();
 }
--- a/libs/bulk_process/src/job_commits.cpp
+++ b/libs/bulk_process/src/job_commits.cpp
@@ -134,7 +134,7 @@
         held.openRevision = 0;
         held.runs.clear();
     }
-    notifyReaders(held, false);
+    notifyReaders(held);
 }
 
 } // namespace yuccachute
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -80,12 +80,12 @@
     m_jobs.erase(job);
 }
 
-void bulk_process::notifyReaders(held_job& held, bool all)
+void bulk_process::notifyReaders(held_job& held)
 {
     std::vector<waiting_reader> kept;
     const auto time = now();
     for (auto& reader : held.readers) {
-        const bool told = all || held.job->listed().size() > reader.after || reader.until <= time;
+        const bool told = held.job->listed().size() > reader.after || reader.until <= time;
         if (!told)
             kept.push_back(std::move(reader));
         else if (current(held))
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -57,7 +57,7 @@
 class bulk_process {
 public:
     bulk_process(const process_settings& settings, const bulk_adapter& adapter,
-        const std::function<std::unique_ptr<async_store>(event_loop&, http_client&)>& connect);
+        const std::function<std::unique_ptr<async_store>(http_client&)>& connect);
     int run();
 
 private:
@@ -98,7 +98,7 @@
     held_job build(job_keeper::stored_job stored);
     void hold(job_keeper::stored_job stored);
     void dropJob(job_map::iterator job);
-    void notifyReaders(held_job& held, bool all);
+    void notifyReaders(held_job& held);
 
     // --- Running items
     std::size_t runs() const;
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -154,6 +154,7 @@
     void start();
     /// This process has decided to register itself: from now on it counts among the fleet's processes.
     void offerSelf();
+    bool offered() const { return m_offered; }
 
     /// Null until one is known.
     std::shared_ptr<const routing_table> configuration() const { return m_configuration; }
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -4,7 +4,6 @@
 #include "membership/membership.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace yuccachute {
 
@@ -288,27 +287,15 @@
 
 void fleet_watch::chooseWatchers()
 {
-    struct candidate {
-        bool large;
-        std::uint64_t score;
-        const node_record* node;
-    };
     auto entries = nodes(node_role::entry);
     std::erase_if(entries, [&](const auto& node) { return node.zone != m_self.zone; });
-    double mostCores = 0;
-    for (const auto& node : entries)
-        mostCores = std::max(mostCores, node.cores);
-    std::vector<candidate> candidates;
-    for (const auto& node : entries)
-        candidates.push_back({ isLarge(node, mostCores), hashText(node.vm), &node });
-    std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
-        return std::tie(left.large, left.score) > std::tie(right.large, right.score);
-    });
-    const auto most = std::min(mostWatchers, 1 + candidates.size() / entriesPerWatcher);
-    candidates.resize(std::min(candidates.size(), most));
+    const std::span<const node_record> zone = entries;
+    auto ranked = rankByHash(zone, 0, [&](const auto& node) { return largeAmong(node, zone); });
+    const auto most = std::min(mostWatchers, 1 + ranked.size() / entriesPerWatcher);
+    ranked.resize(std::min(ranked.size(), most));
     m_watchers.clear();
-    for (const auto& one : candidates)
-        m_watchers.push_back(*one.node);
+    for (const auto* node : ranked)
+        m_watchers.push_back(*node);
 }
 
 bool fleet_watch::isWatcher() const
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -40,7 +40,25 @@
 
 namespace {
 
-/// A store that turns every call away.
+bool runUntil(event_loop& loop, const std::function<bool()>& condition)
+{
+    for (int i = 0; i < 300 && !condition(); ++i)
+        loop.runFor(milliseconds { 10 });
+    return condition();
+}
+
+store_listing listingOf(const std::map<std::string, std::string>& values, std::string_view prefix)
+{
+    store_listing listing;
+    listing.revision = 5;
+    for (const auto& [key, value] : values) {
+        if (key.starts_with(prefix))
+            listing.values.push_back({ key, value, 1, 1, 0 });
+    }
+    return listing;
+}
+
+/// A store that turns every call away and counts them. It may answer first readings.
 class closed_store final : public async_store {
 public:
     explicit closed_store(event_loop& loop)
@@ -51,7 +69,12 @@
     {
         refuse(std::move(done));
     }
-    void list(std::string_view, callback<store_listing> done) override { refuse(std::move(done)); }
+    void list(std::string_view prefix, callback<store_listing> done) override
+    {
+        if (!listsAnswered)
+            return refuse(std::move(done));
+        m_loop.post([done, listing = listingOf(values, prefix)] { done(listing); });
+    }
     void commit(const store_transaction&, callback<commit_outcome> done) override { refuse(std::move(done)); }
     void waitForChange(std::string_view, std::int64_t, milliseconds, callback<store_changes> done) override
     {
@@ -61,9 +84,14 @@
     void renewLease(std::int64_t, callback<bool> done) override { refuse(std::move(done)); }
     void endLease(std::int64_t, callback<bool> done) override { refuse(std::move(done)); }
 
+    std::map<std::string, std::string> values;
+    bool listsAnswered = false;
+    unsigned refused = 0;
+
 private:
     template <typename T> void refuse(callback<T> done)
     {
+        ++refused;
         m_loop.post([done] { done(notRun(failure_kind::unavailable, "busy")); });
     }
     event_loop& m_loop;
@@ -128,22 +156,17 @@
     fleet_watch watch(loop, store, client, codec, { "vm", node_role::entry, "z", "127.0.0.1:1", 1, false },
         { { address } }, { ignore, ignore, ignore, ignore });
     watch.start();
-    const auto runUntil = [&](const std::function<bool()>& condition) {
-        for (int i = 0; i < 300 && !condition(); ++i)
-            loop.runFor(milliseconds { 10 });
-        return condition();
-    };
-    REQUIRE(runUntil([&] { return watch.targets().targets().size() == 2 && watch.configuration(); }));
+    REQUIRE(runUntil(loop, [&] { return watch.targets().targets().size() == 2 && watch.configuration(); }));
     CHECK(watch.configuration()->version == 7);
     server.reset();
     peer.sections[0] = { "targets/", 9, { { "targets/a", "", 2 } }, true };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
-    CHECK(runUntil([&] { return watch.targets().targets().size() == 1; }));
+    CHECK(runUntil(loop, [&] { return watch.targets().targets().size() == 1; }));
     server.reset();
     // The neighbour itself has just come back to the store: what its list lacks may have lapsed.
     peer.sections[0] = { "targets/", 12, {}, false };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
-    CHECK(runUntil([&] { return watch.newerThan({}).empty() && watch.targets().keepsMissing(); }));
+    CHECK(runUntil(loop, [&] { return watch.newerThan({}).empty() && watch.targets().keepsMissing(); }));
     CHECK(watch.targets().targets().size() == 1);
 }
 
@@ -162,13 +185,7 @@
     }
     void list(std::string_view prefix, callback<store_listing> done) override
     {
-        store_listing listing;
-        listing.revision = 5;
-        for (const auto& [key, value] : values) {
-            if (key.starts_with(prefix))
-                listing.values.push_back({ key, value, 1, 1, 0 });
-        }
-        m_loop.post([done, listing] { done(listing); });
+        m_loop.post([done, listing = listingOf(values, prefix)] { done(listing); });
     }
     void commit(const store_transaction&, callback<commit_outcome>) override { }
     void waitForChange(
@@ -246,13 +263,8 @@
     const auto ignore = [] {};
     fleet_watch watch(loop, store, client, codec, self, { {} }, { ignore, ignore, ignore, ignore });
     watch.start();
-    const auto runUntil = [&](const std::function<bool()>& condition) {
-        for (int i = 0; i < 300 && !condition(); ++i)
-            loop.runFor(milliseconds { 10 });
-        return condition();
-    };
-    REQUIRE(runUntil([&] { return watch.storeContact().watches; }));
-    REQUIRE(runUntil([&] { return !watch.storeContact().watches; }));
+    REQUIRE(runUntil(loop, [&] { return watch.storeContact().watches; }));
+    REQUIRE(runUntil(loop, [&] { return !watch.storeContact().watches; }));
     CHECK(watch.targets().targets().size() == 1);
     quiet.wake();
     const auto waits = quiet.waits;
@@ -264,22 +276,22 @@
     peer.contact = { true, false };
     peer.section = { "targets/", 9, { { "targets/b", "", 9 } }, false };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
-    REQUIRE(runUntil([&] { return watch.targets().targets().contains("targets/b"); }));
+    REQUIRE(runUntil(loop, [&] { return watch.targets().targets().contains("targets/b"); }));
     loop.runFor(milliseconds { 400 });
     CHECK(watch.targets().targets().contains("targets/a"));
     server.reset();
     peer.contact = { true, true };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
-    CHECK(runUntil([&] { return !watch.targets().targets().contains("targets/a"); }));
+    CHECK(runUntil(loop, [&] { return !watch.targets().targets().contains("targets/a"); }));
     // The store turns the first entry away.
     server.reset();
     peer.contact = { false, false };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
-    CHECK(runUntil([&] { return quiet.waits > waits; }));
+    CHECK(runUntil(loop, [&] { return quiet.waits > waits; }));
     // It says so once the store has answered it, not before.
     CHECK(!watch.storeContact().watches);
     quiet.wake();
-    CHECK(runUntil([&] { return watch.storeContact().watches; }));
+    CHECK(runUntil(loop, [&] { return watch.storeContact().watches; }));
 }
 
 namespace {
@@ -361,55 +373,6 @@
     CHECK(offerNeed(entryOf("elsewhere", "y", 0.12), listed) == offer_need::urgent);
 }
 
-namespace {
-
-/// A store that turns every call away and counts them.
-class counting_closed_store final : public async_store {
-public:
-    explicit counting_closed_store(event_loop& loop)
-        : m_loop(loop)
-    {
-    }
-    void get(std::string_view, callback<std::optional<stored_value>> done) override
-    {
-        refuse(std::move(done));
-    }
-    void list(std::string_view prefix, callback<store_listing> done) override
-    {
-        if (!open)
-            return refuse(std::move(done));
-        store_listing listing;
-        listing.revision = 5;
-        for (const auto& [key, value] : values) {
-            if (key.starts_with(prefix))
-                listing.values.push_back({ key, value, 1, 1, 0 });
-        }
-        m_loop.post([done, listing] { done(listing); });
-    }
-    void commit(const store_transaction&, callback<commit_outcome> done) override { refuse(std::move(done)); }
-    void waitForChange(std::string_view, std::int64_t, milliseconds, callback<store_changes> done) override
-    {
-        refuse(std::move(done));
-    }
-    void grantLease(milliseconds, callback<std::int64_t> done) override { refuse(std::move(done)); }
-    void renewLease(std::int64_t, callback<bool> done) override { refuse(std::move(done)); }
-    void endLease(std::int64_t, callback<bool> done) override { refuse(std::move(done)); }
-
-    std::map<std::string, std::string> values;
-    bool open = true;
-    unsigned refused = 0;
-
-private:
-    template <typename T> void refuse(callback<T> done)
-    {
-        ++refused;
-        m_loop.post([done] { done(notRun(failure_kind::unavailable, "busy")); });
-    }
-    event_loop& m_loop;
-};
-
-} // namespace
-
 // Story: the store is down for some seconds. Each of 250 entries that follow others asked it three times at
 // once, again and again; each refused call is priced. Here those that follow it say that it does not answer.
 TEST_CASE("an entry that nobody relies on leaves an outage of the store to those that follow it")
@@ -418,7 +381,8 @@
     watcher_peer peer;
     auto server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     event_loop loop;
-    counting_closed_store closed(loop);
+    closed_store closed(loop);
+    closed.listsAnswered = true;
     const node_record first { "vm-1", node_role::entry, "z", address, 1, false };
     closed.values[nodeKey(first)] = encodeNode(first);
     closed.values["orders/config"] = "7";
@@ -436,7 +400,7 @@
         loop.runFor(milliseconds { 10 });
     REQUIRE(watch.configuration());
     CHECK(closed.refused == 0); // It has not followed the store for a moment.
-    closed.open = false;
+    closed.listsAnswered = false;
     server.reset();
     peer.contact = { false, false };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -105,6 +105,6 @@
 
 /// Runs the entry process until it is told to stop. Returns the exit code.
 int runFront(const process_settings& settings, const platform_adapter& adapter,
-    const std::function<std::unique_ptr<async_store>(event_loop&, http_client&)>& connect);
+    const std::function<std::unique_ptr<async_store>(http_client&)>& connect);
 
 } // namespace yuccachute
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -76,11 +76,11 @@
 class front_process final : public peer_handler {
 public:
     front_process(const process_settings& settings, const platform_adapter& adapter,
-        const std::function<std::unique_ptr<async_store>(event_loop&, http_client&)>& connect)
+        const std::function<std::unique_ptr<async_store>(http_client&)>& connect)
         : m_settings(settings)
         , m_adapter(adapter)
         , m_client(m_loop, { keptPerTarget })
-        , m_platformStore(connect(m_loop, m_client))
+        , m_platformStore(connect(m_client))
         , m_store(*m_platformStore, m_figures)
         , m_rpc({})
         , m_self(ownRecord(settings))
@@ -89,7 +89,7 @@
                   settings.followPeers ? patienceAtStart : milliseconds { 0 } },
               listeners())
         , m_registration(m_loop, m_store, m_self, {})
-        , m_loads(m_loop, m_client, adapter.loads)
+        , m_loads(m_client, adapter.loads)
         , m_broker(
               m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address }, &m_loads, groupOptions(settings))
         , m_places(m_broker)
@@ -195,7 +195,7 @@
     {
         m_broker.setDispatchers(dispatchersAmong(m_fleet.nodes(node_role::entry)));
         // A start of this process before has left its entry: whoever relied on that goes on doing so.
-        if (!m_offered && m_fleet.listed())
+        if (!m_fleet.offered() && m_fleet.listed())
             return offer();
         if (m_started)
             considerOffer();
@@ -221,7 +221,7 @@
     {
         const auto seen = need();
         const bool awaited = m_offerTimer.armed() && m_awaited >= seen;
-        if (m_offered || seen == offer_need::none || awaited)
+        if (m_fleet.offered() || seen == offer_need::none || awaited)
             return;
         m_awaited = seen;
         m_offerTimer.arm(jitter(longestOfferDelay(seen, m_self.cores)), [this] {
@@ -234,9 +234,8 @@
 
     void offer()
     {
-        if (m_offered || m_stopping)
+        if (m_fleet.offered() || m_stopping)
             return;
-        m_offered = true;
         m_offerTimer.cancel();
         m_fleet.offerSelf();
         m_registration.start();
@@ -371,7 +370,6 @@
     steady_time m_stopAt;
     bool m_started = false; ///< The time to wait for larger VMs is over.
     offer_need m_awaited = offer_need::none; ///< What the timer was armed for.
-    bool m_offered = false; ///< This process has registered itself.
     bool m_stopping = false;
 };
 
@@ -392,7 +390,7 @@
 }
 
 int runFront(const process_settings& settings, const platform_adapter& adapter,
-    const std::function<std::unique_ptr<async_store>(event_loop&, http_client&)>& connect)
+    const std::function<std::unique_ptr<async_store>(http_client&)>& connect)
 {
     return front_process(settings, adapter, connect).run();
 }
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <deque>
 #include <set>
-#include <tuple>
 
 namespace yuccachute {
 
@@ -174,22 +173,7 @@
 std::vector<const node_record*> rankNodes(
     const std::string& jobId, std::string_view zone, std::span<const node_record> batchNodes)
 {
-    struct candidate {
-        bool near;
-        std::uint64_t score;
-        const node_record* node;
-    };
-    std::vector<candidate> candidates;
-    const auto seed = hashText(jobId);
-    for (const auto& node : batchNodes)
-        candidates.push_back({ node.zone == zone, hashText(node.vm, seed), &node });
-    std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
-        return std::tie(left.near, left.score) > std::tie(right.near, right.score);
-    });
-    std::vector<const node_record*> ranked;
-    for (const auto& one : candidates)
-        ranked.push_back(one.node);
-    return ranked;
+    return rankByHash(batchNodes, hashText(jobId), [&](const auto& node) { return node.zone == zone; });
 }
 
 } // namespace
--- a/libs/front/tests/test_job_forwarder.cpp
+++ b/libs/front/tests/test_job_forwarder.cpp
@@ -1,12 +1,9 @@
 #include "../src/job_forwarder.h"
+#include "support/free_port.h"
 
 #include <catch2/catch.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <time.h>
-#include <unistd.h>
 
 using namespace yuccachute;
 
@@ -17,19 +14,6 @@
     return { vm, node_role::batch, zone, address, 1, false, 0.3 };
 }
 
-std::uint16_t freePort()
-{
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-    socklen_t length = sizeof address;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-    ::close(fd);
-    return ntohs(address.sin_port);
-}
-
 /// A batch process that may hold the job, and counts what it is asked.
 struct fake_batch {
     fake_batch(event_loop& loop, bool holdsJob)
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -188,6 +188,11 @@
     std::shared_ptr<client_call> start(std::string_view address, const http_request& request,
         const client_call_options& options, client_call_events events);
 
+    /// The same for a whole reply. The call keeps itself alive until `done`, which comes exactly once; it
+    /// cannot be cancelled.
+    void fetch(std::string_view address, const http_request& request, const client_call_options& options,
+        std::function<void(result<http_reply>)> done);
+
     std::uint64_t connectionsOpened() const;
 
     struct impl; ///< Hidden; public only for the library's own files.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -480,6 +480,34 @@
     return owner;
 }
 
+void http_client::fetch(std::string_view address, const http_request& request,
+    const client_call_options& options, std::function<void(result<http_reply>)> done)
+{
+    // The handle is kept by the call's own callbacks, which are dropped at its end.
+    struct running_call {
+        std::shared_ptr<client_call> handle;
+        http_reply reply;
+    };
+    const auto running = std::make_shared<running_call>();
+    const auto end = [owner = m_impl, running, done = std::move(done)](result<http_reply> outcome) {
+        // Dropped outside of its own step.
+        owner->loop.post([handle = std::move(running->handle)] {});
+        done(std::move(outcome));
+    };
+    client_call_events events;
+    events.head = [running](const http_reply& head) {
+        running->reply = head;
+        return true;
+    };
+    events.body = [running](std::string_view piece) {
+        running->reply.body.append(piece);
+        return true;
+    };
+    events.whole = [running, end] { end(std::move(running->reply)); };
+    events.failed = [end](const failure& error) { end(error); };
+    running->handle = start(address, request, options, std::move(events));
+}
+
 std::uint64_t http_client::connectionsOpened() const
 {
     return m_impl->opened;
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -1,4 +1,5 @@
 #include "http/http.h"
+#include "support/free_port.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,19 +12,6 @@
 
 namespace {
 
-std::uint16_t freePort()
-{
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-    socklen_t length = sizeof address;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-    ::close(fd);
-    return ntohs(address.sin_port);
-}
-
 /// A raw client connection to a listener on the same loop.
 class raw_client {
 public:
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -2,6 +2,7 @@
 
 #include "verdict/verdict.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -130,4 +131,30 @@
 /// 64-bit hash used for rendezvous and prefixes.
 std::uint64_t hashText(std::string_view text, std::uint64_t seed = 0);
 
+/// Items that have a name `vm`, by rendezvous hashing within classes: those of a greater class first. The
+/// class is any value that can be compared. The pointers are into the span.
+template <typename Item, typename ClassOf>
+std::vector<const Item*> rankByHash(std::span<const Item> items, std::uint64_t seed, ClassOf classOf)
+{
+    struct ranked {
+        decltype(classOf(items.front())) itemClass;
+        std::uint64_t score;
+        const Item* item;
+    };
+    std::vector<ranked> order;
+    order.reserve(items.size());
+    for (const auto& item : items)
+        order.push_back({ classOf(item), hashText(item.vm, seed), &item });
+    std::sort(order.begin(), order.end(), [](const auto& left, const auto& right) {
+        if (left.itemClass != right.itemClass)
+            return left.itemClass > right.itemClass;
+        return left.score != right.score ? left.score > right.score : left.item->vm < right.item->vm;
+    });
+    std::vector<const Item*> result;
+    result.reserve(order.size());
+    for (const auto& entry : order)
+        result.push_back(entry.item);
+    return result;
+}
+
 } // namespace yuccachute
--- a/libs/mirror/src/section_history.cpp
+++ b/libs/mirror/src/section_history.cpp
@@ -1,6 +1,6 @@
 #include "mirror/mirror.h"
 
-#include <xxhash.h>
+#include "membership/membership.h"
 
 #include <algorithm>
 #include <utility>
@@ -28,7 +28,7 @@
 {
     std::uint64_t digest = entries.size();
     for (const auto& entry : entries)
-        digest += XXH3_64bits(entry.key.data(), entry.key.size());
+        digest += hashText(entry.key);
     return digest == 0 ? 1 : digest;
 }
 
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -31,25 +31,11 @@
 std::vector<dispatcher_info> rankDispatchers(
     const std::string& group, std::string_view zone, std::span<const dispatcher_info> dispatchers)
 {
-    struct candidate {
-        bool inZone;
-        bool large;
-        std::uint64_t score;
-        const dispatcher_info* info;
-    };
-    std::vector<candidate> candidates;
-    candidates.reserve(dispatchers.size());
-    const auto seed = hashText(group);
-    for (const auto& info : dispatchers)
-        candidates.push_back({ info.zone == zone, info.large, hashText(info.vm, seed), &info });
-    std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
-        return std::tie(left.inZone, left.large, left.score)
-            > std::tie(right.inZone, right.large, right.score);
-    });
+    const auto classOf = [&](const auto& info) { return std::pair(info.zone == zone, info.large); };
     std::vector<dispatcher_info> ranked;
-    ranked.reserve(candidates.size());
-    for (const auto& one : candidates)
-        ranked.push_back(*one.info);
+    ranked.reserve(dispatchers.size());
+    for (const auto* info : rankByHash(dispatchers, hashText(group), classOf))
+        ranked.push_back(*info);
     return ranked;
 }
 
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -1,35 +1,19 @@
 #include "places/places.h"
+#include "support/free_port.h"
 
 #include <catch2/catch.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <time.h>
-#include <unistd.h>
 
 using namespace yuccachute;
 
 namespace {
 
-std::string freeAddress()
-{
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-    socklen_t length = sizeof address;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-    ::close(fd);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 /// One entry: its broker, served to its peers.
 class entry final : public peer_handler {
 public:
     entry(event_loop& loop, std::string vm, std::string zone)
-        : self { std::move(vm), std::move(zone), freeAddress() }
+        : self { std::move(vm), std::move(zone), "127.0.0.1:" + std::to_string(freePort()) }
         , broker(loop, client, self)
         , server(self.address, rpc_security {}, this, nullptr)
     {
--- a/tests/platform_store.cpp
+++ b/tests/platform_store.cpp
@@ -48,7 +48,7 @@
     std::string address = "127.0.0.1:" + std::to_string(9000 + ::getpid() % 900);
     standin::platform_store stand { loop, address };
     http_client client { loop, {} };
-    std::unique_ptr<async_store> store = platform::connectStore(loop, client, address);
+    std::unique_ptr<async_store> store = platform::connectStore(client, address);
 };
 
 } // namespace
