--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -10,8 +10,8 @@
 constexpr std::size_t mostRuns = 160;
 /// Of these, items that wait for a place; the first ones by due time. As soon as one has its place the next
 /// asks, within a few milliseconds, so this many fill thousands of slots a second when a live peak ends. With
-/// all items asking, 1,000 of them at a peak made 12,000 asks a second, which the dispatchers answered in
-/// place of live requests.
+/// all items asking, 1,000 of them at a peak would be 12,000 asks a second,
+/// which the dispatchers answer in place of live requests.
 constexpr std::size_t mostWaiting = 24;
 /// When items are given up whose route names no expiry.
 constexpr std::chrono::hours defaultExpiry { 24 };
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -304,7 +304,7 @@
 } // namespace
 
 // Story: each of 250 entries registered itself, renewed that, and was told of each restart of another: a
-// third of all calls of the store, and more bytes than all requests. Here a zone of 51 starts at once; a
+// third of the calls of the store in a quiet minute, by reckoning. Here a zone of 51 starts at once; a
 // registration is in everybody's copy 1.3 s later.
 TEST_CASE("of a large zone a few entries register themselves, the larger VMs among them")
 {
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -18,9 +18,8 @@
 namespace yuccachute {
 
 /// A copy of all keys with a prefix that remembers which keys went, so that a peer with an earlier copy is
-/// told what changed and not all of it. In a fleet of 300 processes a list of them is 75 KB: told as a whole
-/// at each change, and read as a whole by each process, it took most of a small VM's processor time while
-/// processes were restarted one after the other. No I/O.
+/// told what changed and not all of it. In a fleet of 300 processes a list of them is some 75 KB,
+/// which each of them would be sent, and read, at each change of one. No I/O.
 class section_history {
 public:
     explicit section_history(std::string prefix) { m_section.prefix = std::move(prefix); }
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -174,9 +174,9 @@
 /// Availability zones that had no room for bulk work a moment ago.
 ///
 /// At a live peak all items wait, and each that asked all zones again on each try made the dispatchers answer
-/// refusals instead of live requests: 1,000 waiting items, five zones and a try every 400 ms are 12,000 asks
-/// a second. So a zone that has just refused one item of a process is not asked at once for its others; they
-/// wait in a queue, and one of them finds out when there is room again.
+/// refusals instead of live requests: 1,000 waiting items, five zones and a try every 400 ms would be
+/// 12,000 asks a second. So a zone that has just refused one item of a process is not asked at once for its
+/// others; they wait in a queue, and one of them finds out when there is room again.
 class full_zones {
 public:
     void noteFull(std::string_view zone, steady_time now);
