--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -148,7 +148,7 @@
         std::function<void()> orders; ///< What operators wrote has changed.
     };
 
-    fleet_watch(event_loop& loop, observed_store& store, rpc_client& peers, const fleet_codec& codec,
+    fleet_watch(event_loop& loop, observed_store& store, peer_sync& peers, const fleet_codec& codec,
         node_record self, fleet_options options, listeners notify);
 
     void start();
@@ -174,8 +174,8 @@
 
     /// From any thread.
     store_contact storeContact() const { return { m_watches, m_settled }; }
-    /// What leads from the asker's copies to newer ones. From any thread.
-    std::vector<section_update> newerThan(std::span<const section_revision> known) const;
+    /// What a peer with these copies is answered. From any thread.
+    sync_answer answer(std::span<const section_revision> known) const;
 
 private:
     /// An entry of a target as it was read; without a target if it could not be.
@@ -192,6 +192,7 @@
     std::shared_ptr<const section_history> published(const std::string& prefix) const;
     steady_time listsTrustedFrom() const;
     void logTargetChanges(const std::map<std::string, listed_target, std::less<>>& before) const;
+    void logMissingTargets();
     void askPeer();
     void notifyNodes();
     void chooseWatchers();
@@ -208,7 +209,7 @@
 
     event_loop& m_loop;
     const observed_store& m_store;
-    rpc_client& m_peers;
+    peer_sync& m_peers;
     const fleet_codec& m_codec;
     node_record m_self;
     fleet_options m_options;
@@ -218,6 +219,7 @@
     store_mirror m_nodesMirror;
     std::shared_ptr<const routing_table> m_configuration;
     target_directory m_targets;
+    std::size_t m_missingLogged = 0; ///< How many kept targets the log told of last.
     std::int64_t m_configurationRevision = 0; ///< Of the entry that was read last.
     /// By key. Each entry is read, and complained of, once a change, and not all of them at each change of
     /// one.
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -4,6 +4,7 @@
 #include "membership/membership.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccachute {
 
@@ -58,7 +59,7 @@
 
 } // namespace
 
-fleet_watch::fleet_watch(event_loop& loop, observed_store& store, rpc_client& peers, const fleet_codec& codec,
+fleet_watch::fleet_watch(event_loop& loop, observed_store& store, peer_sync& peers, const fleet_codec& codec,
     node_record self, fleet_options options, listeners notify)
     : m_loop(loop)
     , m_store(store)
@@ -109,17 +110,18 @@
     m_published[copy->section().prefix] = std::move(copy);
 }
 
-std::vector<section_update> fleet_watch::newerThan(std::span<const section_revision> known) const
+sync_answer fleet_watch::answer(std::span<const section_revision> known) const
 {
-    std::vector<section_update> newer;
+    sync_answer answer;
+    answer.contact = storeContact();
     for (const auto& asked : known) {
         const auto copy = published(asked.prefix);
         if (copy && copy->section().revision > asked.revision)
-            newer.push_back(copy->since(asked.revision));
+            answer.newer.push_back(copy->since(asked.revision));
     }
-    for (auto& update : newer)
-        update.settled = m_settled;
-    return newer;
+    for (auto& update : answer.newer)
+        update.settled = answer.contact.settled;
+    return answer;
 }
 
 std::shared_ptr<const section_history> fleet_watch::published(const std::string& prefix) const
@@ -183,7 +185,9 @@
     m_readTargets = std::move(read);
     const auto before = m_targets.targets();
     const auto now = std::chrono::steady_clock::now();
-    if (!m_targets.update(std::move(listed), m_takingSettled ? now : listsTrustedFrom(), now))
+    const bool changed = m_targets.update(std::move(listed), m_takingSettled ? now : listsTrustedFrom(), now);
+    logMissingTargets();
+    if (!changed)
         return;
     logTargetChanges(before);
     m_notify.targets();
@@ -214,6 +218,21 @@
     }
 }
 
+void fleet_watch::logMissingTargets()
+{
+    const auto missing = m_targets.missing();
+    if (missing.size() == std::exchange(m_missingLogged, missing.size()))
+        return;
+    std::string ids;
+    for (const auto& [id, since] : missing)
+        ids += (ids.empty() ? "" : " ") + id;
+    logEvent(log_level::info, "missing targets kept",
+        { { "targets", ids }, { "revision", m_targetsMirror.section().revision },
+            { "follows_store", std::int64_t { m_direct } },
+            { "store_reachable", std::int64_t { m_store.reachable() } },
+            { "watcher_settled", std::int64_t { m_watcherSettled } } });
+}
+
 void fleet_watch::nodesChanged(const store_mirror& mirror)
 {
     publish(mirror);
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -120,16 +120,16 @@
     void sessionOpened(std::uint64_t, std::function<void(envelope)>) override { }
     void sessionReceived(std::uint64_t, envelope) override { }
     void sessionClosed(std::uint64_t) override { }
-    std::vector<section_update> sync(std::span<const section_revision> known) override
+    sync_answer sync(std::span<const section_revision> known) override
     {
-        std::vector<section_update> newer;
+        sync_answer answer;
         for (const auto& section : sections) {
             for (const auto& one : known) {
                 if (one.prefix == section.prefix && one.revision < section.revision)
-                    newer.push_back(section);
+                    answer.newer.push_back(section);
             }
         }
-        return newer;
+        return answer;
     }
     std::vector<section_update> sections;
 };
@@ -166,7 +166,7 @@
     // The neighbour itself has just come back to the store: what its list lacks may have lapsed.
     peer.sections[0] = { "targets/", 12, {}, false };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
-    CHECK(runUntil(loop, [&] { return watch.newerThan({}).empty() && watch.targets().keepsMissing(); }));
+    CHECK(runUntil(loop, [&] { return watch.answer({}).newer.empty() && watch.targets().keepsMissing(); }));
     CHECK(watch.targets().targets().size() == 1);
 }
 
@@ -218,16 +218,15 @@
     void sessionOpened(std::uint64_t, std::function<void(envelope)>) override { }
     void sessionReceived(std::uint64_t, envelope) override { }
     void sessionClosed(std::uint64_t) override { }
-    std::vector<section_update> sync(std::span<const section_revision> known) override
+    sync_answer sync(std::span<const section_revision> known) override
     {
-        std::vector<section_update> newer;
+        sync_answer answer { {}, contact };
         for (const auto& one : known) {
             if (one.prefix == section.prefix && one.revision < section.revision)
-                newer.push_back(section);
+                answer.newer.push_back(section);
         }
-        return newer;
+        return answer;
     }
-    store_contact storeContact() override { return contact; }
 
     section_update section { "targets/", 0, {}, false };
     store_contact contact { true, true };
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -137,11 +137,7 @@
         m_broker.sessionReceived(session, std::move(message));
     }
     void sessionClosed(std::uint64_t session) override { m_broker.sessionClosed(session); }
-    std::vector<section_update> sync(std::span<const section_revision> known) override
-    {
-        return m_fleet.newerThan(known);
-    }
-    store_contact storeContact() override { return m_fleet.storeContact(); }
+    sync_answer sync(std::span<const section_revision> known) override { return m_fleet.answer(known); }
 
 private:
     static node_record ownRecord(const process_settings& settings)
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -112,6 +112,8 @@
 
     /// Whether some targets are kept although they are missing from the list.
     bool keepsMissing() const { return !m_missingSince.empty(); }
+    /// Ids of these, and since when they are missing.
+    const std::map<std::string, steady_time, std::less<>>& missing() const { return m_missingSince; }
 
     const std::map<std::string, listed_target, std::less<>>& targets() const { return m_targets; }
 
--- a/libs/rpc/include/rpc/rpc.h
+++ b/libs/rpc/include/rpc/rpc.h
@@ -36,8 +36,7 @@
     /// What leads from the version named to the settings in force, if they are newer.
     virtual std::optional<settings_update> pull(std::int64_t newerThan) { return std::nullopt; }
     /// What leads from the asker's copies of sections of the store to newer ones.
-    virtual std::vector<section_update> sync(std::span<const section_revision> known) { return {}; }
-    virtual store_contact storeContact() { return {}; }
+    virtual sync_answer sync(std::span<const section_revision> known) { return {}; }
 };
 
 /// What a batch process answers. Called from several threads; may block on the store.
@@ -79,12 +78,22 @@
     virtual bool alive() const = 0;
 };
 
+/// Asks other processes for what they know of the store.
+class peer_sync {
+public:
+    virtual ~peer_sync() = default;
+    /// Asks for newer copies of sections of the store. The callback comes from a thread of the transport.
+    virtual void sync(std::string_view address, std::span<const section_revision> known, milliseconds timeout,
+        std::function<void(result<sync_answer>)> done)
+        = 0;
+};
+
 /// Client side of all calls, with one channel per address. Thread-safe.
-class rpc_client {
+class rpc_client final : public peer_sync {
 public:
     explicit rpc_client(rpc_security security);
     /// Ends all streams and calls and waits for their callbacks; not to be called from one of them.
-    ~rpc_client();
+    ~rpc_client() override;
     rpc_client(const rpc_client&) = delete;
     rpc_client& operator=(const rpc_client&) = delete;
 
@@ -99,9 +108,8 @@
     result<std::optional<settings_update>> pull(
         std::string_view address, std::int64_t newerThan, milliseconds timeout);
 
-    /// Asks for newer copies of sections of the store. The callback comes from a thread of the transport.
     void sync(std::string_view address, std::span<const section_revision> known, milliseconds timeout,
-        std::function<void(result<sync_answer>)> done);
+        std::function<void(result<sync_answer>)> done) override;
 
     result<job_view> submit(std::string_view address, const submit_request& request, milliseconds timeout);
     result<job_view> describe(
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -143,11 +143,11 @@
         std::vector<section_revision> known;
         for (const auto& section : request->known())
             known.push_back({ section.prefix(), section.revision() });
-        for (const auto& update : m_handler.sync(known))
+        const auto answer = m_handler.sync(known);
+        for (const auto& update : answer.newer)
             toWire(update, *reply->add_newer());
-        const auto contact = m_handler.storeContact();
-        reply->set_watches_store(contact.watches);
-        reply->set_settled(contact.settled);
+        reply->set_watches_store(answer.contact.watches);
+        reply->set_settled(answer.contact.settled);
         return finish(context);
     }
 
