--- /dev/null
+++ b/libs/fleet/tests/model_fleet.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "fleet/fleet.h"
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+/// A fleet in one program: a store, processes that know of it by it and by each other, and links between them
+/// that can be broken. Time is real, messages are function calls.
+namespace yuccachute {
+
+/// Configurations are a number, targets the word "ready" or "draining".
+class model_codec final : public fleet_codec {
+public:
+    std::string ordersPrefix() const override { return "orders/"; }
+    std::string configurationKey() const override { return "orders/config"; }
+    std::string targetsPrefix() const override { return "targets/"; }
+    result<routing_table> decodeConfiguration(std::string_view document) const override;
+    result<listed_target> decodeTarget(std::string_view key, std::string_view document) const override;
+};
+
+/// What the store holds, and every change of it.
+class model_store {
+public:
+    void write(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+    std::int64_t revision() const { return m_revision; }
+    store_listing list(std::string_view prefix) const;
+    /// The list as it was before the latest changes.
+    store_listing listAsOf(std::string_view prefix, std::int64_t revision) const;
+    store_changes changesAfter(std::string_view prefix, std::int64_t revision) const;
+    /// Called after each change.
+    std::vector<std::function<void()>> listeners;
+
+private:
+    std::vector<store_event> m_events; ///< In order of their revisions.
+    std::int64_t m_revision = 1;
+};
+
+/// The link of one process to the store.
+class model_link final : public async_store {
+public:
+    model_link(event_loop& loop, model_store& store);
+
+    /// From now on nothing arrives and nothing is answered. What waits is never answered, also after a
+    /// return: its connection is dead, and ends by its timeout.
+    void cut();
+    /// The same in one direction: calls arrive and take effect.
+    void loseAnswers();
+    void restore();
+    /// The connections of all waiting calls die, without an error that anybody sees; new calls are answered.
+    void silenceWaits();
+    /// How many calls wait for changes on a connection that lives.
+    std::size_t waiting() const;
+    /// Readings that may be stale are those of this revision; 0 for new ones.
+    std::int64_t staleRevision = 0;
+    /// Calls that were sent so far, answered or not.
+    unsigned calls = 0;
+
+    void get(std::string_view key, callback<std::optional<stored_value>> done) override;
+    void list(std::string_view prefix, callback<store_listing> done) override;
+    void listStale(std::string_view prefix, callback<store_listing> done) override;
+    void commit(const store_transaction& transaction, callback<commit_outcome> done) override;
+    void waitForChange(std::string_view prefix, std::int64_t after, milliseconds time,
+        callback<store_changes> done) override;
+    void grantLease(milliseconds timeToLive, callback<std::int64_t> done) override;
+    void renewLease(std::int64_t lease, callback<bool> done) override;
+    void endLease(std::int64_t lease, callback<bool> done) override;
+
+private:
+    struct wait {
+        std::string prefix;
+        std::int64_t after = 0;
+        steady_time until;
+        callback<store_changes> done;
+        bool dead = false;
+        loop_timer timer;
+    };
+
+    template <typename T> void answer(callback<T> done, std::function<T()> value);
+    template <typename T> void neverAnswer(callback<T> done, milliseconds timeout);
+    void answerWaits();
+    void keepLease(milliseconds timeToLive);
+    void endWait(wait& ended, result<store_changes> outcome);
+
+    event_loop& m_loop;
+    model_store& m_store;
+    bool m_cut = false;
+    bool m_answersLost = false;
+    std::vector<std::shared_ptr<wait>> m_waits;
+    std::vector<std::unique_ptr<loop_timer>> m_timeouts;
+    milliseconds m_timeToLive { 0 };
+    loop_timer m_lease; ///< Lapses unless it is renewed.
+    std::vector<std::string> m_leased; ///< Keys that go with it.
+};
+
+class model_fleet;
+
+/// A process's questions to others.
+class model_peers final : public peer_sync {
+public:
+    model_peers(model_fleet& fleet, std::size_t self)
+        : m_fleet(fleet)
+        , m_self(self)
+    {
+    }
+    void sync(std::string_view address, std::span<const section_revision> known, milliseconds timeout,
+        std::function<void(result<sync_answer>)> done) override;
+
+private:
+    model_fleet& m_fleet;
+    std::size_t m_self;
+    std::vector<std::unique_ptr<loop_timer>> m_timeouts;
+};
+
+struct model_process {
+    model_process(model_fleet& fleet, std::size_t index, node_record record, const fleet_options& options);
+
+    /// Whether a request could be sent to the target now.
+    bool uses(const std::string& target) const;
+
+    node_record record;
+    model_link link;
+    metrics figures;
+    observed_store store;
+    model_peers peers;
+    fleet_watch watch;
+    registration registered; ///< Renewed once it has been started.
+    bool apart = false; ///< Neither asks other processes nor is asked by them.
+};
+
+/// Of each zone so many entries register themselves.
+constexpr std::size_t registeredPerZone = 4;
+
+class model_fleet {
+public:
+    /// As many entries in each zone. The first ones of each zone register themselves, one after the other.
+    model_fleet(event_loop& loop, std::size_t zones, std::size_t entriesPerZone);
+
+    /// Adds an entry that starts now.
+    model_process& add(const std::string& zone, bool registers);
+    std::vector<model_process*> of(const std::string& zone);
+    model_process* at(std::string_view address);
+
+    event_loop& loop;
+    model_store store;
+    std::vector<std::unique_ptr<model_process>> processes;
+
+private:
+    std::vector<std::unique_ptr<loop_timer>> m_starts;
+};
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/fleet/tests/test_fleet_freshness.cpp
@@ -0,0 +1,223 @@
+#include "model_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace yuccachute;
+
+namespace {
+
+/// A target that leaves goes on serving for two seconds after the store has acknowledged it; a request that
+/// is sent later than this may find nobody.
+constexpr milliseconds promised { 2000 };
+/// A process that was out of touch with the store counts as in touch again after so long.
+constexpr milliseconds backInTouch { 3000 };
+/// What a request takes from the choice of its target to its arrival there.
+constexpr milliseconds sending { 100 };
+
+constexpr milliseconds settling { 6000 };
+const std::string target = "targets/leaving";
+const std::string otherTarget = "targets/staying";
+
+/// Fleets that run at the same time, of several sizes.
+struct fleets {
+    fleets(std::initializer_list<std::pair<std::size_t, std::size_t>> zonesAndEntries)
+    {
+        for (const auto& [zones, entries] : zonesAndEntries) {
+            all.push_back(std::make_unique<model_fleet>(loop, zones, entries));
+            all.back()->store.write(target, "ready");
+            all.back()->store.write(otherTarget, "ready");
+        }
+        run(settling);
+    }
+
+    void run(milliseconds time)
+    {
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end)
+            loop.runFor(milliseconds { 10 });
+    }
+
+    /// Names of processes that would still send to the target; of many the first ones.
+    std::vector<std::string> senders(const std::function<bool(const model_process&)>& counts) const
+    {
+        constexpr std::size_t most = 8;
+        std::vector<std::string> names;
+        for (const auto& fleet : all) {
+            for (const auto& process : fleet->processes) {
+                if (names.size() < most && counts(*process) && process->uses(target))
+                    names.push_back(process->record.vm + " of " + std::to_string(fleet->processes.size()));
+            }
+        }
+        return names;
+    }
+
+    event_loop loop;
+    std::vector<std::unique_ptr<model_fleet>> all;
+};
+
+const std::vector<std::string> nobody;
+
+bool anybody(const model_process&)
+{
+    return true;
+}
+
+} // namespace
+
+// Story: a caller's request reaches a target 2.4 s after it has left. Some entries of a zone lose the store's
+// answers without noticing, among them the one that follows it for the zone. The target's entry is removed;
+// another entry of the zone, whose first call still waits, hears of that at once from the store itself, but
+// takes the entry for lapsed, because its zone's watcher says that lists cannot be trusted, and keeps the
+// target.
+TEST_CASE("who hears of a removal from the store believes it whatever has become of its zone's watcher")
+{
+    fleets played { { 1, 3 }, { 3, 3 }, { 3, 3 }, { 3, 3 }, { 3, 10 } };
+    std::set<const model_process*> blind;
+    for (const auto& fleet : played.all) {
+        for (const auto* name : { "zone-0", "zone-1", "zone-2" }) {
+            // The zone's registered entries but one, those that follow the store among them.
+            auto zone = fleet->of(name);
+            zone.resize(std::min(zone.size(), registeredPerZone));
+            const auto spared = std::find_if(zone.begin(), zone.end(), [](const auto* process) {
+                return !process->watch.storeContact().watches && process->link.waiting() > 0;
+            });
+            if (spared == zone.end())
+                continue;
+            zone.erase(spared);
+            for (auto* process : zone)
+                process->link.loseAnswers();
+            blind.insert(zone.begin(), zone.end());
+        }
+    }
+    REQUIRE(!blind.empty());
+    played.run(milliseconds { 3000 });
+    for (const auto& fleet : played.all)
+        fleet->store.remove(target);
+    played.run(promised - sending);
+    const auto inTouch = [&](const model_process& process) { return !blind.contains(&process); };
+    CHECK(played.senders(inTouch) == nobody);
+}
+
+// Story: entries hear of a removal from a peer that has just come back to the store and cannot tell whether
+// the entry has lapsed. Peers that know better have no news for them, as their copies are of the same
+// revision, and the target got requests for ten seconds more.
+TEST_CASE("a removal that was heard of from a peer in doubt is confirmed by others")
+{
+    fleets played { { 3, 3 }, { 3, 10 } };
+    for (const auto& fleet : played.all) {
+        for (auto* process : fleet->of("zone-0"))
+            process->link.cut();
+    }
+    played.run(milliseconds { 6000 });
+    for (const auto& fleet : played.all) {
+        for (auto* process : fleet->of("zone-0"))
+            process->link.restore();
+    }
+    played.run(milliseconds { 1500 });
+    for (const auto& fleet : played.all)
+        fleet->store.remove(target);
+    played.run(promised - sending);
+    CHECK(played.senders(anybody) == nobody);
+}
+
+// Story: the connections on which processes wait for news of the store die, and nothing tells so: there is
+// nothing to send on them. New calls would be answered. For 5 s all took themselves for connected, and a
+// target that left in that time got requests.
+TEST_CASE("a waiting call that has died is found out before a target that leaves has gone")
+{
+    fleets played { { 1, 3 }, { 3, 3 }, { 3, 10 } };
+    for (const auto& fleet : played.all) {
+        for (const auto& process : fleet->processes)
+            process->link.silenceWaits();
+    }
+    for (const auto& fleet : played.all)
+        fleet->store.write(target, "draining");
+    played.run(promised - sending);
+    CHECK(played.senders(anybody) == nobody);
+}
+
+// Story: a zone is cut off from the store and the other zones and comes back. Its connections to the store
+// are dead, its own watcher is as blind as all others, and a target leaves while they come back.
+TEST_CASE("a zone that has come back knows of what left meanwhile when it is in touch again")
+{
+    fleets played { { 3, 3 }, { 3, 10 } };
+    const auto setApart = [&](bool apart) {
+        for (const auto& fleet : played.all) {
+            for (auto* process : fleet->of("zone-1")) {
+                process->apart = apart;
+                if (apart)
+                    process->link.cut();
+                else
+                    process->link.restore();
+            }
+        }
+    };
+    setApart(true);
+    played.run(milliseconds { 2500 });
+    setApart(false);
+    played.run(milliseconds { 900 });
+    for (const auto& fleet : played.all)
+        fleet->store.remove(target);
+    played.run(backInTouch - milliseconds { 900 } - sending);
+    CHECK(played.senders(anybody) == nobody);
+}
+
+// Story: an entry starts in a zone whose watchers have lost the store without noticing. Its first reading may
+// be stale and names a target that has left; those that it asks know no better.
+TEST_CASE("a process that starts among blind ones knows of what has left when it is in touch")
+{
+    fleets played { { 3, 3 }, { 3, 10 } };
+    std::vector<model_process*> started;
+    for (const auto& fleet : played.all) {
+        for (auto* process : fleet->of("zone-2"))
+            process->link.cut();
+        const auto before = fleet->store.revision();
+        fleet->store.remove(target);
+        auto& fresh = fleet->add("zone-2", true);
+        fresh.link.staleRevision = before;
+        started.push_back(&fresh);
+    }
+    played.run(backInTouch - sending);
+    const auto fresh = [&](const model_process& process) {
+        return std::find(started.begin(), started.end(), &process) != started.end();
+    };
+    CHECK(played.senders(fresh) == nobody);
+}
+
+// Story: the same as with waiting calls that have died, in a fleet of 300 entries in which 245 hear of the
+// store from others only.
+TEST_CASE("a fleet of 300 entries finds out as soon as a small one")
+{
+    fleets played { { 5, 60 } };
+    auto& fleet = *played.all.front();
+    for (const auto& process : fleet.processes)
+        process->link.silenceWaits();
+    fleet.store.remove(target);
+    played.run(promised - sending);
+    CHECK(played.senders(anybody) == nobody);
+}
+
+// Story: the store is down and the entries of all targets lapse. They are back within two seconds of its
+// return; a process that believed the list of that moment would refuse all callers meanwhile.
+TEST_CASE("targets that have lapsed during an outage of the store are kept until they can be back")
+{
+    fleets played { { 3, 3 } };
+    auto& fleet = *played.all.front();
+    for (const auto& process : fleet.processes)
+        process->link.cut();
+    played.run(milliseconds { 5500 });
+    fleet.store.remove(target);
+    fleet.store.remove(otherTarget);
+    for (const auto& process : fleet.processes)
+        process->link.restore();
+    played.run(milliseconds { 1800 });
+    for (const auto& process : fleet.processes)
+        CHECK(process->uses(otherTarget));
+    fleet.store.write(otherTarget, "ready");
+    played.run(milliseconds { 4000 });
+    for (const auto& process : fleet.processes)
+        CHECK(process->uses(otherTarget));
+    CHECK(played.senders(anybody) == nobody);
+}
