A removal is believed on what is known of the list it is missing from, not on who says so

Callers' requests reached targets 2.3 and 2.4 s after these had left. Cause: entries that are missing from a list may only have lapsed while the store was away, and are kept until that is ruled out. Whether it was ruled out went by what the process is at the moment: one that is not its zone's watcher asked its watcher's last word, however old, and a peer that knew better had no way to say so, as its copy was of the same revision.

Now each answer between processes names the revision up to which missing entries are known to have gone, also without news, and what was heard from the store itself counts by itself. A waiting call that fails on a dead connection after later calls were answered is no outage: it had made processes distrust lists for 2.2 s more.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -6,6 +6,7 @@
 #include "rpc/rpc.h"
 #include "store/store.h"
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -173,7 +174,7 @@
     bool nodesSettled(steady_time now) const;
 
     /// From any thread.
-    store_contact storeContact() const { return { m_watches, m_settled }; }
+    store_contact storeContact() const { return { m_watches }; }
     /// What a peer with these copies is answered. From any thread.
     sync_answer answer(std::span<const section_revision> known) const;
 
@@ -188,9 +189,18 @@
     read_target readTarget(const section_entry& entry) const;
     void targetsChanged(const store_mirror& mirror);
     void nodesChanged(const store_mirror& mirror);
+    /// A copy as peers are told of it.
+    struct published_section {
+        std::shared_ptr<const section_history> history;
+        section_standing standing;
+    };
+
     void publish(const store_mirror& mirror);
-    std::shared_ptr<const section_history> published(const std::string& prefix) const;
-    steady_time listsTrustedFrom() const;
+    void publishStandings();
+    published_section published(const std::string& prefix) const;
+    /// Whether the store has been in reach of this process for so long that lapsed entries are back.
+    bool listsAreComplete() const;
+    void dropMissingTargets();
     void logTargetChanges(const std::map<std::string, listed_target, std::less<>>& before) const;
     void logMissingTargets();
     void askPeer();
@@ -199,11 +209,12 @@
     bool isWatcher() const;
     std::vector<std::string> peersToAsk() const;
     void peerAnswered(const std::string& address, const sync_answer& answer);
+    std::array<store_mirror*, 3> mirrors() { return { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror }; }
     /// The store answers this process, as far as it knows.
     bool connected() const;
     /// Others may ask this process: it is registered, or about to be.
     bool reliedOn() const;
-    void takeUpdates(const std::vector<section_update>& updates);
+    void takeAnswer(const sync_answer& answer);
     void tick();
     std::vector<section_revision> known() const;
 
@@ -220,6 +231,7 @@
     std::shared_ptr<const routing_table> m_configuration;
     target_directory m_targets;
     std::size_t m_missingLogged = 0; ///< How many kept targets the log told of last.
+    std::int64_t m_missingRevision = 0; ///< Of the list from which one of them was missing first.
     std::int64_t m_configurationRevision = 0; ///< Of the entry that was read last.
     /// By key. Each entry is read, and complained of, once a change, and not all of them at each change of
     /// one.
@@ -235,18 +247,15 @@
     steady_time m_nextSync;
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-    bool m_takingSettled = false; ///< The copy that is being taken over can be trusted.
-    std::atomic<bool> m_settled { false }; ///< For peers, as of the last tick.
-    std::atomic<bool> m_watches { false }; ///< Likewise.
+    std::atomic<bool> m_watches { false }; ///< For peers, as of the last tick.
     bool m_direct = true; ///< This process follows the store itself.
     bool m_offered = false; ///< It has decided to register itself.
     steady_time m_patientUntil;
     steady_time m_watcherHeard; ///< When one that the store answers was last heard of.
-    bool m_watcherSettled = false; ///< What it said of its copies.
     unsigned m_questions = 0; ///< To peers so far.
     bool m_peerSilent = false; ///< The peer that was asked last did not answer.
     mutable std::mutex m_publishedMutex; ///< Peers ask from the transport's threads.
-    std::map<std::string, std::shared_ptr<const section_history>> m_published;
+    std::map<std::string, published_section> m_published;
 };
 
 } // namespace yuccachute
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -70,8 +70,9 @@
     , m_notify(std::move(notify))
     , m_ordersMirror(loop, store, codec.ordersPrefix(), milliseconds { 0 },
           [this](const auto& mirror) { ordersChanged(mirror); })
-    , m_targetsMirror(loop, store, codec.targetsPrefix(), pauseAfterTargets,
-          [this](const auto& mirror) { targetsChanged(mirror); })
+    , m_targetsMirror(
+          loop, store, codec.targetsPrefix(), pauseAfterTargets,
+          [this](const auto& mirror) { targetsChanged(mirror); }, [this] { return listsAreComplete(); })
     , m_nodesMirror(loop, store, std::string(nodesPrefix), pauseAfterNodes,
           [this](const auto& mirror) { nodesChanged(mirror); })
     , m_ticker(loop, tickInterval, [this] { tick(); })
@@ -107,7 +108,21 @@
 {
     auto copy = std::make_shared<const section_history>(mirror.history());
     const std::scoped_lock lock(m_publishedMutex);
-    m_published[copy->section().prefix] = std::move(copy);
+    m_published[copy->section().prefix] = { copy, mirror.standing() };
+}
+
+void fleet_watch::publishStandings()
+{
+    const std::scoped_lock lock(m_publishedMutex);
+    for (const auto* mirror : mirrors()) {
+        const auto found = m_published.find(mirror->section().prefix);
+        if (found == m_published.end())
+            continue;
+        auto& [history, standing] = found->second;
+        standing = mirror->standing();
+        // The store's revision moves on without a change of the section, which is not published anew.
+        standing.revision = history->section().revision;
+    }
 }
 
 sync_answer fleet_watch::answer(std::span<const section_revision> known) const
@@ -116,19 +131,20 @@
     answer.contact = storeContact();
     for (const auto& asked : known) {
         const auto copy = published(asked.prefix);
-        if (copy && copy->section().revision > asked.revision)
-            answer.newer.push_back(copy->since(asked.revision));
+        if (!copy.history)
+            continue;
+        answer.standings.push_back(copy.standing);
+        if (copy.history->section().revision > asked.revision)
+            answer.newer.push_back(copy.history->since(asked.revision));
     }
-    for (auto& update : answer.newer)
-        update.settled = answer.contact.settled;
     return answer;
 }
 
-std::shared_ptr<const section_history> fleet_watch::published(const std::string& prefix) const
+fleet_watch::published_section fleet_watch::published(const std::string& prefix) const
 {
     const std::scoped_lock lock(m_publishedMutex);
     const auto found = m_published.find(prefix);
-    return found == m_published.end() ? nullptr : found->second;
+    return found == m_published.end() ? published_section {} : found->second;
 }
 
 void fleet_watch::ordersChanged(const store_mirror& mirror)
@@ -185,7 +201,15 @@
     m_readTargets = std::move(read);
     const auto before = m_targets.targets();
     const auto now = std::chrono::steady_clock::now();
-    const bool changed = m_targets.update(std::move(listed), m_takingSettled ? now : listsTrustedFrom(), now);
+    const auto revision = mirror.section().revision;
+    const auto missingBefore = m_targets.missing();
+    const bool changed
+        = m_targets.update(std::move(listed), mirror.settled(revision) ? now : steady_time::max(), now);
+    const auto& missing = m_targets.missing();
+    const bool more = std::any_of(
+        missing.begin(), missing.end(), [&](const auto& one) { return !missingBefore.contains(one.first); });
+    if (more)
+        m_missingRevision = revision;
     logMissingTargets();
     if (!changed)
         return;
@@ -193,12 +217,24 @@
     m_notify.targets();
 }
 
-steady_time fleet_watch::listsTrustedFrom() const
+bool fleet_watch::listsAreComplete() const
 {
-    // A process that does not follow the store may miss an outage that its watcher has seen.
-    if (!m_direct)
-        return m_watcherSettled ? steady_time {} : steady_time::max();
-    return m_store.reachable() ? m_store.reachableSince() + entriesBackAfter : steady_time::max();
+    const auto now = std::chrono::steady_clock::now();
+    return m_store.reachable() && now >= m_store.reachableSince() + entriesBackAfter;
+}
+
+void fleet_watch::dropMissingTargets()
+{
+    if (!m_targets.keepsMissing())
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    const auto before = m_targets.targets();
+    const bool gone = m_targetsMirror.settled(m_missingRevision);
+    if (!m_targets.expire(gone ? now : steady_time::max(), now))
+        return;
+    logTargetChanges(before);
+    logMissingTargets();
+    m_notify.targets();
 }
 
 void fleet_watch::logTargetChanges(const std::map<std::string, listed_target, std::less<>>& before) const
@@ -228,9 +264,9 @@
         ids += (ids.empty() ? "" : " ") + id;
     logEvent(log_level::info, "missing targets kept",
         { { "targets", ids }, { "revision", m_targetsMirror.section().revision },
+            { "missing_at", m_missingRevision }, { "settled_at", m_targetsMirror.standing().settledRevision },
             { "follows_store", std::int64_t { m_direct } },
-            { "store_reachable", std::int64_t { m_store.reachable() } },
-            { "watcher_settled", std::int64_t { m_watcherSettled } } });
+            { "store_reachable", std::int64_t { m_store.reachable() } } });
 }
 
 void fleet_watch::nodesChanged(const store_mirror& mirror)
@@ -271,19 +307,13 @@
     const bool watcher = isWatcher() && (m_offered || now >= m_patientUntil);
     const auto patience = reliedOn() ? watcherSilentFor : watcherSilentForOthers;
     m_direct = watcher || now - m_watcherHeard > patience;
-    for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror }) {
+    for (auto* mirror : mirrors()) {
         mirror->setLongestPause(watcher ? longestPauseOfWatcher : longestPauseOfOthers);
         mirror->setFollowing(m_direct);
     }
     m_watches = m_direct && connected();
-    m_settled = m_watches && now >= listsTrustedFrom();
-    if (m_targets.keepsMissing()) {
-        const auto before = m_targets.targets();
-        if (m_targets.expire(listsTrustedFrom(), now)) {
-            logTargetChanges(before);
-            m_notify.targets();
-        }
-    }
+    publishStandings();
+    dropMissingTargets();
     // While the store is away nobody can register again: what is missing stays.
     const bool drop = m_nodesMirror.connected() && std::erase_if(m_nodes, [&](const auto& entry) {
         return entry.second.missingSince && now - *entry.second.missingSince > missingNodeGrace;
@@ -377,11 +407,9 @@
     const bool ownWatcher = std::any_of(
         m_watchers.begin(), m_watchers.end(), [&](const auto& node) { return node.address == address; });
     // One that others rely on is content with its own zone's: it follows the store itself if these are gone.
-    if (answer.contact.watches && (ownWatcher || !reliedOn())) {
+    if (answer.contact.watches && (ownWatcher || !reliedOn()))
         m_watcherHeard = std::chrono::steady_clock::now();
-        m_watcherSettled = answer.contact.settled;
-    }
-    takeUpdates(answer.newer);
+    takeAnswer(answer);
 }
 
 bool fleet_watch::connected() const
@@ -394,16 +422,19 @@
     return m_offered || listed();
 }
 
-void fleet_watch::takeUpdates(const std::vector<section_update>& updates)
+void fleet_watch::takeAnswer(const sync_answer& answer)
 {
-    for (const auto& update : updates) {
-        // A process that the store turns away cannot tell a lapsed entry from one of a target that has left;
-        // a neighbour that the store serves can.
-        m_takingSettled = update.settled;
-        for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror })
-            mirror->offer(update);
+    for (auto* mirror : mirrors()) {
+        const auto& prefix = mirror->section().prefix;
+        for (const auto& standing : answer.standings) {
+            if (standing.prefix == prefix)
+                mirror->noteStanding(standing);
+        }
+        for (const auto& update : answer.newer)
+            mirror->offer(update); // Takes only what is of its own section.
     }
-    m_takingSettled = false;
+    publishStandings();
+    dropMissingTargets();
 }
 
 std::vector<node_record> fleet_watch::nodes(node_role role) const
@@ -432,7 +463,7 @@
 
 bool fleet_watch::nodesSettled(steady_time now) const
 {
-    return m_nodesMirror.known() && m_nodesMirror.connected() && now >= listsTrustedFrom();
+    return m_nodesMirror.known() && m_nodesMirror.connected() && m_direct && listsAreComplete();
 }
 
 } // namespace yuccachute
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -128,10 +128,12 @@
                 if (one.prefix == section.prefix && one.revision < section.revision)
                     answer.newer.push_back(section);
             }
+            answer.standings.push_back({ section.prefix, section.revision, settled ? section.revision : 0 });
         }
         return answer;
     }
     std::vector<section_update> sections;
+    bool settled = true; ///< What is missing from its sections has gone.
 };
 
 } // namespace
@@ -143,8 +145,8 @@
     // No port, which another program could have.
     const std::string address = "unix-abstract:yuccachute-test-fleet-" + std::to_string(::getpid());
     neighbour peer;
-    peer.sections = { { "targets/", 5, { { "targets/a", "", 2 }, { "targets/b", "", 3 } }, true },
-        { "orders/", 5, { { "orders/config", "7", 4 } }, true } };
+    peer.sections = { { "targets/", 5, { { "targets/a", "", 2 }, { "targets/b", "", 3 } } },
+        { "orders/", 5, { { "orders/config", "7", 4 } } } };
     auto server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     event_loop loop;
     closed_store closed(loop);
@@ -159,12 +161,13 @@
     REQUIRE(runUntil(loop, [&] { return watch.targets().targets().size() == 2 && watch.configuration(); }));
     CHECK(watch.configuration()->version == 7);
     server.reset();
-    peer.sections[0] = { "targets/", 9, { { "targets/a", "", 2 } }, true };
+    peer.sections[0] = { "targets/", 9, { { "targets/a", "", 2 } } };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     CHECK(runUntil(loop, [&] { return watch.targets().targets().size() == 1; }));
     server.reset();
     // The neighbour itself has just come back to the store: what its list lacks may have lapsed.
-    peer.sections[0] = { "targets/", 12, {}, false };
+    peer.sections[0] = { "targets/", 12, {} };
+    peer.settled = false;
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     CHECK(runUntil(loop, [&] { return watch.answer({}).newer.empty() && watch.targets().keepsMissing(); }));
     CHECK(watch.targets().targets().size() == 1);
@@ -224,12 +227,15 @@
         for (const auto& one : known) {
             if (one.prefix == section.prefix && one.revision < section.revision)
                 answer.newer.push_back(section);
+            const auto revision = one.prefix == section.prefix ? section.revision : one.revision;
+            answer.standings.push_back({ one.prefix, revision, settled ? revision : 0 });
         }
         return answer;
     }
 
-    section_update section { "targets/", 0, {}, false };
-    store_contact contact { true, true };
+    section_update section { "targets/", 0, {} };
+    store_contact contact { true };
+    bool settled = true; ///< What is missing from its section has gone.
 };
 
 } // namespace
@@ -272,19 +278,19 @@
     // News come from the first entry. It has just come back to the store itself: what its list lacks may have
     // lapsed.
     server.reset();
-    peer.contact = { true, false };
-    peer.section = { "targets/", 9, { { "targets/b", "", 9 } }, false };
+    peer.settled = false;
+    peer.section = { "targets/", 9, { { "targets/b", "", 9 } } };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     REQUIRE(runUntil(loop, [&] { return watch.targets().targets().contains("targets/b"); }));
     loop.runFor(milliseconds { 400 });
     CHECK(watch.targets().targets().contains("targets/a"));
     server.reset();
-    peer.contact = { true, true };
+    peer.settled = true;
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     CHECK(runUntil(loop, [&] { return !watch.targets().targets().contains("targets/a"); }));
     // The store turns the first entry away.
     server.reset();
-    peer.contact = { false, false };
+    peer.contact = { false };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     CHECK(runUntil(loop, [&] { return quiet.waits > waits; }));
     // It says so once the store has answered it, not before.
@@ -401,7 +407,7 @@
     CHECK(closed.refused == 0); // It has not followed the store for a moment.
     closed.listsAnswered = false;
     server.reset();
-    peer.contact = { false, false };
+    peer.contact = { false };
     server = std::make_unique<rpc_server>(address, rpc_security {}, &peer, nullptr);
     for (int i = 0; i < 250; ++i)
         loop.runFor(milliseconds { 10 });
@@ -415,7 +421,7 @@
 {
     const std::string elsewhere = "unix-abstract:yuccachute-test-elsewhere-" + std::to_string(::getpid());
     watcher_peer peer;
-    peer.section = { "orders/", 9, { { "orders/config", "8", 9 } }, true };
+    peer.section = { "orders/", 9, { { "orders/config", "8", 9 } } };
     const rpc_server server(elsewhere, rpc_security {}, &peer, nullptr);
     event_loop loop;
     quiet_store silent(loop); // Waits are never answered.
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -73,9 +73,6 @@
     std::string prefix;
     std::int64_t revision = 0;
     std::vector<section_entry> entries; ///< In order of their keys.
-    /// The process that has the copy has been in touch with the store for so long that no entry can be
-    /// missing only because its lease lapsed.
-    bool settled = false;
 };
 
 /// What leads from an earlier copy of a section to a newer one, or a whole section.
@@ -83,7 +80,6 @@
     std::string prefix;
     std::int64_t revision = 0; ///< Of the newer copy.
     std::vector<section_entry> changed; ///< New and changed ones, in order of their keys.
-    bool settled = false; ///< As in store_section.
     /// The update holds for copies of this revision and later ones; 0: `changed` is the whole section.
     std::int64_t basedOn = 0;
     std::vector<std::string> removed; ///< Keys; a key that came back is in `changed` too.
@@ -92,17 +88,26 @@
     std::uint64_t keysDigest = 0;
 };
 
+/// What a process knows of its copy of a section beside the content. It is told with each answer, also
+/// without news: an asker whose copy is as new may know less of it.
+struct section_standing {
+    std::string prefix;
+    std::int64_t revision = 0; ///< Of the copy.
+    /// What was missing from a copy of this revision, or an earlier one, has gone: it has not only lapsed
+    /// while the store was away. 0: nothing is known.
+    std::int64_t settledRevision = 0;
+};
+
 /// How a process stands with the store.
 struct store_contact {
     bool watches = false; ///< It follows the store itself, and the store answers it.
-    bool settled
-        = false; ///< And has done so for so long that no entry can be missing only because it lapsed.
 };
 
 /// What a process answers to one that asks for newer copies.
 struct sync_answer {
     std::vector<section_update> newer;
     store_contact contact;
+    std::vector<section_standing> standings; ///< Of the sections asked for that it has copies of.
 };
 
 /// How new a process's copy of a section is.
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -64,11 +64,14 @@
 public:
     /// Told after each change of the copy, and at its first reading.
     using listener = std::function<void(const store_mirror&)>;
+    /// Whether what the store lists now is all there is. Just after an outage of the store entries may be
+    /// missing that have only lapsed.
+    using completeness = std::function<bool()>;
 
     /// After a change the next waiting call is sent only after the pause, so that changes that come in a row
     /// are told by one call: each is priced.
     store_mirror(event_loop& loop, async_store& store, std::string prefix, milliseconds pauseAfterChange,
-        listener changed);
+        listener changed, completeness listsAreComplete = nullptr);
 
     enum class first_read : std::uint8_t {
         exact,
@@ -84,6 +87,16 @@
     void setLongestPause(milliseconds pause) { m_longestPause = pause; }
     /// Takes over what a peer tells if it is newer. Returns whether it was.
     bool offer(const section_update& update);
+    /// Takes over what a peer knows of its copy. To be told before the update of the same answer, as whoever
+    /// hears of the change asks for settled().
+    void noteStanding(const section_standing& standing);
+    /// Whether what was missing from the copy at a revision has gone, and has not only lapsed.
+    ///
+    /// It goes by what is known of that revision, from the store itself or from whichever peer: a process
+    /// that judged by its own contact with the store, or by its zone's watcher alone, kept targets that had
+    /// left for up to 10 s although it had heard of their removal within 6 ms.
+    bool settled(std::int64_t revision) const;
+    section_standing standing() const;
 
     const store_section& section() const { return m_history.section(); }
     const section_history& history() const { return m_history; }
@@ -99,11 +112,14 @@
     void follow();
     void failed(const failure& error, std::function<void()> again);
     void answered();
+    void noteSettled();
 
     event_loop& m_loop;
     async_store& m_store;
     listener m_changed;
+    completeness m_listsAreComplete;
     section_history m_history;
+    std::int64_t m_settledRevision = 0;
     milliseconds m_pauseAfterChange;
     milliseconds m_longestPause { 1000 };
     loop_timer m_pause;
--- a/libs/mirror/src/section_history.cpp
+++ b/libs/mirror/src/section_history.cpp
@@ -110,7 +110,6 @@
 {
     if (update.prefix != m_section.prefix || update.revision <= m_section.revision)
         return std::nullopt;
-    m_section.settled = update.settled;
     if (update.basedOn == 0)
         return replace(update.revision, update.changed);
     if (m_section.revision < update.basedOn)
@@ -128,7 +127,7 @@
 
 section_update section_history::since(std::int64_t revision) const
 {
-    section_update update { m_section.prefix, m_section.revision, {}, m_section.settled, 0, {} };
+    section_update update { m_section.prefix, m_section.revision, {}, 0, {} };
     if (revision == 0) {
         update.changed = m_section.entries;
         return update;
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -19,11 +19,12 @@
 
 } // namespace
 
-store_mirror::store_mirror(
-    event_loop& loop, async_store& store, std::string prefix, milliseconds pauseAfterChange, listener changed)
+store_mirror::store_mirror(event_loop& loop, async_store& store, std::string prefix,
+    milliseconds pauseAfterChange, listener changed, completeness listsAreComplete)
     : m_loop(loop)
     , m_store(store)
     , m_changed(std::move(changed))
+    , m_listsAreComplete(std::move(listsAreComplete))
     , m_history(std::move(prefix))
     , m_pauseAfterChange(pauseAfterChange)
     , m_pause(loop)
@@ -82,6 +83,8 @@
         for (const auto& value : listing.value().values)
             entries.push_back({ value.key, value.value, value.modRevision });
         m_history.replace(listing.value().revision, std::move(entries));
+        if (how == first_read::exact)
+            noteSettled();
         m_changed(*this);
     }
     follow();
@@ -110,7 +113,9 @@
             if (!changes)
                 return failed(changes.error(), [this] { follow(); });
             answered();
-            if (m_history.apply(changes.value().events, changes.value().revision))
+            const bool changed = m_history.apply(changes.value().events, changes.value().revision);
+            noteSettled();
+            if (changed)
                 m_changed(*this);
             if (changes.value().events.empty() || m_pauseAfterChange.count() == 0)
                 return follow();
@@ -118,6 +123,28 @@
         });
 }
 
+void store_mirror::noteSettled()
+{
+    if (m_listsAreComplete && m_listsAreComplete())
+        m_settledRevision = std::max(m_settledRevision, section().revision);
+}
+
+void store_mirror::noteStanding(const section_standing& standing)
+{
+    m_settledRevision = std::max(m_settledRevision, standing.settledRevision);
+}
+
+bool store_mirror::settled(std::int64_t revision) const
+{
+    // A settled copy that is newer than this one may have entries again that this one lacks.
+    return revision <= m_settledRevision && m_settledRevision <= section().revision;
+}
+
+section_standing store_mirror::standing() const
+{
+    return { section().prefix, section().revision, std::min(m_settledRevision, section().revision) };
+}
+
 bool store_mirror::offer(const section_update& update)
 {
     const auto before = section().revision;
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -184,8 +184,8 @@
 {
     section_history late("n/");
     late.replace(5, { { "n/old", "1", 2 } });
-    CHECK(!late.apply(section_update { "n/", 12, { { "n/z", "1", 12 } }, false, 10, {} }));
-    CHECK(!late.apply(section_update { "other/", 99, {}, false, 0, {} }));
+    CHECK(!late.apply(section_update { "n/", 12, { { "n/z", "1", 12 } }, 10, {} }));
+    CHECK(!late.apply(section_update { "other/", 99, {}, 0, {} }));
     CHECK(contentOf(late) == "n/old=1;");
 }
 
@@ -252,7 +252,7 @@
 {
     fixture f;
     f.store.pendingList(store_listing { { value("op/a", "1", 3) }, 5, false });
-    CHECK(f.mirror.offer({ "op/", 9, { { "op/b", "1", 8 } }, false, 5, { "op/a" } }));
+    CHECK(f.mirror.offer({ "op/", 9, { { "op/b", "1", 8 } }, 5, { "op/a" } }));
     CHECK(f.content() == "op/b=1;");
     f.store.pendingWait(store_changes { { { false, value("op/a", "2", 6) } }, 6 });
     CHECK(f.content() == "op/b=1;");
--- a/libs/rpc/src/client.cpp
+++ b/libs/rpc/src/client.cpp
@@ -80,14 +80,6 @@
 
 namespace {
 
-std::vector<section_update> newerSections(const peer::SyncReply& reply)
-{
-    std::vector<section_update> newer;
-    for (const auto& section : reply.newer())
-        newer.push_back(fromWire(section));
-    return newer;
-}
-
 void setTimeout(grpc::ClientContext& context, milliseconds timeout)
 {
     context.set_deadline(std::chrono::system_clock::now() + timeout);
@@ -194,8 +186,7 @@
     pending->stub->async()->Sync(pending->context.get(), &pending->request, &pending->reply,
         [pending, calls = m_impl->calls, done = std::move(done)](const grpc::Status& status) {
             if (status.ok())
-                done(sync_answer { newerSections(pending->reply),
-                    { pending->reply.watches_store(), pending->reply.settled() } });
+                done(fromWire(pending->reply));
             else
                 done(fromStatus(status));
             pending->releaseChannel();
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -143,11 +143,7 @@
         std::vector<section_revision> known;
         for (const auto& section : request->known())
             known.push_back({ section.prefix(), section.revision() });
-        const auto answer = m_handler.sync(known);
-        for (const auto& update : answer.newer)
-            toWire(update, *reply->add_newer());
-        reply->set_watches_store(answer.contact.watches);
-        reply->set_settled(answer.contact.settled);
+        toWire(m_handler.sync(known), *reply);
         return finish(context);
     }
 
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -152,7 +152,8 @@
     {
     }
 
-    /// Whether the last call that ended was answered, however it was answered.
+    /// Whether the last call was answered, however it was answered. A call that fails although a later one
+    /// was answered tells of a connection that died, not of the store.
     bool reachable() const { return m_reachable; }
     /// Whether several calls in a row were not answered: further ones that can be spared should be. Single
     /// lost answers do not count, as calls between them are answered.
@@ -172,7 +173,7 @@
 
 private:
     template <typename T> callback<T> observed(std::string_view call, callback<T> done);
-    void note(bool answered, steady_time now);
+    void note(bool answered, steady_time sent, steady_time now);
 
     static constexpr unsigned failuresOfOutage = 3;
 
@@ -181,6 +182,7 @@
     unsigned m_failuresInRow = 0;
     bool m_reachable = true;
     steady_time m_reachableSince;
+    steady_time m_lastAnswered; ///< When the latest call that was answered had been sent.
 };
 
 /// Connects to the service at "host:port". Calls time out after the time given.
--- a/libs/store/src/observed_store.cpp
+++ b/libs/store/src/observed_store.cpp
@@ -1,5 +1,7 @@
 #include "store/store.h"
 
+#include <algorithm>
+
 namespace yuccachute {
 
 namespace {
@@ -20,8 +22,14 @@
 
 } // namespace
 
-void observed_store::note(bool answered, steady_time now)
+void observed_store::note(bool answered, steady_time sent, steady_time now)
 {
+    // A call that waits on a dead connection fails seconds after the store has answered others. Taken for an
+    // outage, it made processes keep targets that left in the next two seconds.
+    if (!answered && sent < m_lastAnswered)
+        return;
+    if (answered)
+        m_lastAnswered = std::max(m_lastAnswered, sent);
     if (answered && !m_reachable)
         m_reachableSince = now;
     m_reachable = answered;
@@ -32,8 +40,9 @@
 observed_store::callback<T> observed_store::observed(std::string_view call, callback<T> done)
 {
     m_figures.count("yuccachute_store_calls_total", "call", call);
-    return [this, done = std::move(done)](result<T> outcome) {
-        note(outcome || !tellsOutage(outcome.error()), std::chrono::steady_clock::now());
+    const auto sent = std::chrono::steady_clock::now();
+    return [this, sent, done = std::move(done)](result<T> outcome) {
+        note(outcome || !tellsOutage(outcome.error()), sent, std::chrono::steady_clock::now());
         done(std::move(outcome));
     };
 }
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -228,7 +228,6 @@
 {
     out.set_prefix(update.prefix);
     out.set_revision(update.revision);
-    out.set_settled(update.settled);
     out.set_based_on(update.basedOn);
     out.set_keys_digest(update.keysDigest);
     for (const auto& entry : update.changed) {
@@ -243,12 +242,35 @@
 
 section_update fromWire(const peer::Section& in)
 {
-    section_update update { in.prefix(), in.revision(), {}, in.settled(), in.based_on(), {},
-        in.keys_digest() };
+    section_update update { in.prefix(), in.revision(), {}, in.based_on(), {}, in.keys_digest() };
     for (const auto& entry : in.entries())
         update.changed.push_back({ entry.key(), entry.value(), entry.revision() });
     update.removed.assign(in.removed().begin(), in.removed().end());
     return update;
 }
 
+void toWire(const sync_answer& answer, peer::SyncReply& out)
+{
+    for (const auto& update : answer.newer)
+        toWire(update, *out.add_newer());
+    out.set_watches_store(answer.contact.watches);
+    for (const auto& standing : answer.standings) {
+        auto* added = out.add_standings();
+        added->set_prefix(standing.prefix);
+        added->set_revision(standing.revision);
+        added->set_settled_revision(standing.settledRevision);
+    }
+}
+
+sync_answer fromWire(const peer::SyncReply& in)
+{
+    sync_answer answer;
+    for (const auto& section : in.newer())
+        answer.newer.push_back(fromWire(section));
+    answer.contact.watches = in.watches_store();
+    for (const auto& standing : in.standings())
+        answer.standings.push_back({ standing.prefix(), standing.revision(), standing.settled_revision() });
+    return answer;
+}
+
 } // namespace yuccachute
