Each copy knows how old it is, and an old one is confirmed before a target that leaves has gone

What callers saw: requests to targets that had left, and routes of old configurations, whenever a process took an old copy for a new one: a waiting call whose connection had died (5 s until that is noticed), a watcher that was blind itself. Each was made rarer before by asking more often; nothing bounded it, as a silent waiting call proves nothing.

Now a copy has an age: the time since it was last proved to be what the store holds, by this process's clock, carried and added up over every hop. The first of those that follow the store proves its copies by a call of its own beside the waiting one when they are 0.6 s old, which also finds what a dead waiting call has missed; the others ask it, and do the same later. Who is in doubt (1.1 s, or a missing target kept) asks an entry of each zone at once; one that others rely on follows the store itself at 1.5 s. The age is a metric and stands in the log of each request.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -173,6 +173,9 @@
     m_figures.set("yuccachute_item_runs", static_cast<double>(runs()));
     m_figures.set("yuccachute_log_lines_dropped", static_cast<double>(droppedLogLines()));
     m_figures.set("yuccachute_store_connected", m_fleet.storeConnected() ? 1 : 0);
+    m_figures.set(
+        "yuccachute_configuration_age_ms", static_cast<double>(m_fleet.configurationAge(now()).count()));
+    m_figures.set("yuccachute_targets_age_ms", static_cast<double>(m_fleet.targetsAge(now()).count()));
 }
 
 int runBulk(const process_settings& settings, const bulk_adapter& adapter,
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -6,6 +6,7 @@
 #include "rpc/rpc.h"
 #include "store/store.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <functional>
@@ -169,6 +170,9 @@
     bool listed() const { return m_nodes.contains(nodeKey(m_self)); }
     const store_section& orders() const { return m_ordersMirror.section(); }
     bool storeConnected() const { return m_ordersMirror.connected(); }
+    /// Since when the configuration, or the list of targets, may be another than the one in force here.
+    milliseconds configurationAge(steady_time now) const { return ageOf(m_ordersMirror, now); }
+    milliseconds targetsAge(steady_time now) const { return ageOf(m_targetsMirror, now); }
     /// Whether the list of processes was read from the store, and the store has been in reach long enough for
     /// lapsed entries to be back.
     bool nodesSettled(steady_time now) const;
@@ -192,7 +196,8 @@
     /// A copy as peers are told of it.
     struct published_section {
         std::shared_ptr<const section_history> history;
-        section_standing standing;
+        section_standing standing; ///< As of the last tick, but for its age.
+        steady_time confirmed;
     };
 
     void publish(const store_mirror& mirror);
@@ -203,18 +208,31 @@
     void dropMissingTargets();
     void logTargetChanges(const std::map<std::string, listed_target, std::less<>>& before) const;
     void logMissingTargets();
-    void askPeer();
+    static milliseconds ageOf(const store_mirror& mirror, steady_time now)
+    {
+        return std::chrono::duration_cast<milliseconds>(now - mirror.confirmed());
+    }
+    /// Of what callers' requests are decided by.
+    milliseconds age(steady_time now) const { return std::max(configurationAge(now), targetsAge(now)); }
+    bool inDoubt(steady_time now) const;
+    /// How much later than the first of those that follow the store this one has its copies confirmed.
+    std::size_t confirmStepsOfSelf() const;
+    void confirmCopies(steady_time now);
+    milliseconds syncInterval(steady_time now) const;
+    void askPeers(steady_time now);
     void notifyNodes();
     void chooseWatchers();
     bool isWatcher() const;
-    std::vector<std::string> peersToAsk() const;
-    void peerAnswered(const std::string& address, const sync_answer& answer);
+    void ask(const std::string& address);
+    std::vector<std::string> peersToAsk(steady_time now);
+    std::vector<std::string> someOfEachZone();
+    void peerAnswered(const std::string& address, const sync_answer& answer, steady_time asked);
     std::array<store_mirror*, 3> mirrors() { return { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror }; }
     /// The store answers this process, as far as it knows.
     bool connected() const;
     /// Others may ask this process: it is registered, or about to be.
     bool reliedOn() const;
-    void takeAnswer(const sync_answer& answer);
+    void takeAnswer(const sync_answer& answer, steady_time asked);
     void tick();
     std::vector<section_revision> known() const;
 
@@ -243,8 +261,9 @@
     };
     std::map<std::string, known_node, std::less<>> m_nodes; ///< By key.
     std::vector<node_record> m_watchers; ///< Entries of the own zone that follow the store.
+    std::vector<node_record> m_allWatchers; ///< And of all zones, in the same order at all processes.
     loop_ticker m_ticker;
-    steady_time m_nextSync;
+    steady_time m_lastSync;
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::atomic<bool> m_watches { false }; ///< For peers, as of the last tick.
@@ -252,7 +271,6 @@
     bool m_offered = false; ///< It has decided to register itself.
     steady_time m_patientUntil;
     steady_time m_watcherHeard; ///< When one that the store answers was last heard of.
-    unsigned m_questions = 0; ///< To peers so far.
     bool m_peerSilent = false; ///< The peer that was asked last did not answer.
     mutable std::mutex m_publishedMutex; ///< Peers ask from the transport's threads.
     std::map<std::string, published_section> m_published;
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -14,9 +14,8 @@
 /// While the store does not answer, a neighbour's copy is asked for at this interval: with two rounds a
 /// change is everywhere well within the two seconds that operators are promised.
 constexpr milliseconds syncWhenCutOff { 250 };
-/// Otherwise now and then, for a watch that has gone silent without an error: one that is cut off notices it
-/// by the connection's timeout of 5 s only, and those that follow it believe it until then. Of nine peers
-/// that it asks in turn some know better within a second.
+/// Otherwise those that follow the store ask the first among them at this interval, for what their own calls
+/// may have missed.
 constexpr milliseconds syncOrdinarily { 500 };
 constexpr milliseconds syncTimeout { 500 };
 /// A process that does not follow the store asks one that does at this interval: with the 400 ms by which
@@ -29,12 +28,21 @@
 /// it answers them, and those of other zones are asked too. While the store is away 250 processes that ask it
 /// themselves are thousands of refused calls, each of them priced.
 constexpr milliseconds watcherSilentForOthers { 6000 };
-/// After one question without an answer others than the zone's watchers are asked too.
-constexpr milliseconds askWiderAfter { 400 };
-/// And so is every so many'th question: a watcher that is cut off from the store takes itself for connected
-/// until its connection's timeout of 5 s, and its followers would believe its old list of targets for as
-/// long.
-constexpr unsigned askWiderEvery = 3;
+/// The first of those that follow the store has its copies confirmed when they are so old; the others ask it
+/// for that. With the figures below, a tick and a hop, every process in touch knows of a target that leaves
+/// 1.5 s later, of the two seconds for which that goes on serving.
+constexpr milliseconds confirmAfter { 600 };
+/// The second one does so after another step, the others after two: each call of the store is priced, and in
+/// a fleet of 300 there are 25 that follow it. Batch processes, which choose no targets, wait for three.
+constexpr milliseconds confirmStep { 400 };
+constexpr std::size_t confirmSteps = 2;
+constexpr std::size_t confirmStepsOfBatch = 3;
+/// A process whose copies are older asks one entry of each zone: whom it asked until now may be as blind as
+/// itself and not know it, such as a watcher whose connection to the store has died. Those that follow
+/// others have copies of up to 1 s in a quiet fleet.
+constexpr milliseconds doubtAfter { 1100 };
+/// One that others rely on follows the store itself when asking has not helped.
+constexpr milliseconds directAfter { 1500 };
 /// While the store does not answer, those that follow it ask again every second. The others ask seldom:
 /// refused calls are priced too, and of the store's return they hear from the first ones.
 constexpr milliseconds longestPauseOfWatcher { 1000 };
@@ -107,19 +115,22 @@
 void fleet_watch::publish(const store_mirror& mirror)
 {
     auto copy = std::make_shared<const section_history>(mirror.history());
+    const auto standing = mirror.standing(std::chrono::steady_clock::now());
     const std::scoped_lock lock(m_publishedMutex);
-    m_published[copy->section().prefix] = { copy, mirror.standing() };
+    m_published[copy->section().prefix] = { copy, standing, mirror.confirmed() };
 }
 
 void fleet_watch::publishStandings()
 {
+    const auto now = std::chrono::steady_clock::now();
     const std::scoped_lock lock(m_publishedMutex);
     for (const auto* mirror : mirrors()) {
         const auto found = m_published.find(mirror->section().prefix);
         if (found == m_published.end())
             continue;
-        auto& [history, standing] = found->second;
-        standing = mirror->standing();
+        auto& [history, standing, confirmed] = found->second;
+        standing = mirror->standing(now);
+        confirmed = mirror->confirmed();
         // The store's revision moves on without a change of the section, which is not published anew.
         standing.revision = history->section().revision;
     }
@@ -127,6 +138,7 @@
 
 sync_answer fleet_watch::answer(std::span<const section_revision> known) const
 {
+    const auto now = std::chrono::steady_clock::now();
     sync_answer answer;
     answer.contact = storeContact();
     for (const auto& asked : known) {
@@ -134,6 +146,7 @@
         if (!copy.history)
             continue;
         answer.standings.push_back(copy.standing);
+        answer.standings.back().age = std::chrono::duration_cast<milliseconds>(now - copy.confirmed);
         if (copy.history->section().revision > asked.revision)
             answer.newer.push_back(copy.history->since(asked.revision));
     }
@@ -264,7 +277,7 @@
         ids += (ids.empty() ? "" : " ") + id;
     logEvent(log_level::info, "missing targets kept",
         { { "targets", ids }, { "revision", m_targetsMirror.section().revision },
-            { "missing_at", m_missingRevision }, { "settled_at", m_targetsMirror.standing().settledRevision },
+            { "missing_at", m_missingRevision }, { "settled_at", m_targetsMirror.settledRevision() },
             { "follows_store", std::int64_t { m_direct } },
             { "store_reachable", std::int64_t { m_store.reachable() } } });
 }
@@ -306,12 +319,13 @@
     const auto now = std::chrono::steady_clock::now();
     const bool watcher = isWatcher() && (m_offered || now >= m_patientUntil);
     const auto patience = reliedOn() ? watcherSilentFor : watcherSilentForOthers;
-    m_direct = watcher || now - m_watcherHeard > patience;
+    m_direct = watcher || now - m_watcherHeard > patience || (reliedOn() && age(now) > directAfter);
     for (auto* mirror : mirrors()) {
         mirror->setLongestPause(watcher ? longestPauseOfWatcher : longestPauseOfOthers);
         mirror->setFollowing(m_direct);
     }
-    m_watches = m_direct && connected();
+    m_watches = m_direct && connected() && age(now) <= doubtAfter;
+    confirmCopies(now);
     publishStandings();
     dropMissingTargets();
     // While the store is away nobody can register again: what is missing stays.
@@ -320,10 +334,42 @@
     }) > 0;
     if (drop)
         notifyNodes();
-    if (now < m_nextSync)
+    if (now - m_lastSync >= syncInterval(now))
+        askPeers(now);
+}
+
+milliseconds fleet_watch::syncInterval(steady_time now) const
+{
+    if (!connected() || inDoubt(now))
+        return syncWhenCutOff;
+    return isWatcher() && age(now) <= confirmAfter ? syncOrdinarily : syncAsFollower;
+}
+
+bool fleet_watch::inDoubt(steady_time now) const
+{
+    return age(now) > doubtAfter || m_targets.keepsMissing();
+}
+
+std::size_t fleet_watch::confirmStepsOfSelf() const
+{
+    if (m_self.role != node_role::entry)
+        return confirmStepsOfBatch;
+    const auto found = std::find_if(
+        m_allWatchers.begin(), m_allWatchers.end(), [&](const auto& node) { return node.vm == m_self.vm; });
+    return std::min(confirmSteps, static_cast<std::size_t>(std::distance(m_allWatchers.begin(), found)));
+}
+
+void fleet_watch::confirmCopies(steady_time now)
+{
+    if (!m_direct || !connected())
         return;
-    m_nextSync = now + (!connected() ? syncWhenCutOff : watcher ? syncOrdinarily : syncAsFollower);
-    askPeer();
+    const auto after = confirmAfter + confirmStep * confirmStepsOfSelf();
+    // What is missing since an outage has gone if the store still lacks it when lapsed entries are back.
+    const bool missing = m_targets.keepsMissing() && listsAreComplete();
+    if (missing || targetsAge(now) > after)
+        m_targetsMirror.confirm(now);
+    if (configurationAge(now) > after)
+        m_ordersMirror.confirm(now);
 }
 
 std::vector<section_revision> fleet_watch::known() const
@@ -336,15 +382,24 @@
 
 void fleet_watch::chooseWatchers()
 {
-    auto entries = nodes(node_role::entry);
-    std::erase_if(entries, [&](const auto& node) { return node.zone != m_self.zone; });
-    const std::span<const node_record> zone = entries;
-    auto ranked = rankByHash(zone, 0, [&](const auto& node) { return largeAmong(node, zone); });
-    const auto most = std::min(mostWatchers, 1 + ranked.size() / entriesPerWatcher);
-    ranked.resize(std::min(ranked.size(), most));
+    std::map<std::string, std::vector<node_record>> byZone;
+    for (auto& node : nodes(node_role::entry))
+        byZone[node.zone].push_back(std::move(node));
     m_watchers.clear();
-    for (const auto* node : ranked)
-        m_watchers.push_back(*node);
+    m_allWatchers.clear();
+    for (const auto& [name, entries] : byZone) {
+        const std::span<const node_record> zone = entries;
+        auto ranked = rankByHash(zone, 0, [&](const auto& node) { return largeAmong(node, zone); });
+        const auto most = std::min(mostWatchers, 1 + ranked.size() / entriesPerWatcher);
+        ranked.resize(std::min(ranked.size(), most));
+        for (const auto* node : ranked) {
+            m_allWatchers.push_back(*node);
+            if (name == m_self.zone)
+                m_watchers.push_back(*node);
+        }
+    }
+    std::sort(m_allWatchers.begin(), m_allWatchers.end(),
+        [](const auto& left, const auto& right) { return hashText(left.vm) > hashText(right.vm); });
 }
 
 bool fleet_watch::isWatcher() const
@@ -356,60 +411,87 @@
         m_watchers.begin(), m_watchers.end(), [&](const auto& node) { return node.vm == m_self.vm; });
 }
 
-std::vector<std::string> fleet_watch::peersToAsk() const
+std::vector<std::string> fleet_watch::someOfEachZone()
 {
-    // A process that the store does not answer asks anybody, and so does one that has not heard of the store
-    // for a moment. The others ask who follows the store: in their own zone, or, if they follow it
-    // themselves, anywhere, for a watch that has gone silent without an error.
-    const bool heard = m_direct || std::chrono::steady_clock::now() - m_watcherHeard < askWiderAfter;
+    std::map<std::string, std::vector<std::string>> byZone;
+    for (const auto& node : nodes(node_role::entry)) {
+        if (node.address != m_self.address)
+            byZone[node.zone].push_back(node.address);
+    }
+    std::vector<std::string> some;
+    for (const auto& [zone, addresses] : byZone)
+        some.push_back(addresses[m_random() % addresses.size()]);
+    // One that nobody relies on is one of many: it asks its own zone and one of the others.
+    constexpr std::size_t mostZones = 2;
+    const auto own = std::find_if(
+        byZone.begin(), byZone.end(), [&](const auto& zone) { return zone.first == m_self.zone; });
+    if (reliedOn() || some.size() <= mostZones)
+        return some;
+    if (own != byZone.end())
+        std::swap(some.front(), some[static_cast<std::size_t>(std::distance(byZone.begin(), own))]);
+    std::shuffle(some.begin() + 1, some.end(), m_random);
+    some.resize(mostZones);
+    return some;
+}
+
+std::vector<std::string> fleet_watch::peersToAsk(steady_time now)
+{
+    if (!connected() || inDoubt(now) || m_peerSilent) {
+        if (auto some = someOfEachZone(); !some.empty())
+            return some;
+    }
     std::vector<std::string> addresses;
     const auto add = [&](const std::string& address) {
         if (address != m_self.address)
             addresses.push_back(address);
     };
-    if (connected() && heard && !m_peerSilent && m_questions % askWiderEvery != 0) {
+    if (!isWatcher()) {
         for (const auto& node : m_watchers)
             add(node.address);
-    }
-    if (addresses.empty()) {
-        for (const auto& node : nodes(node_role::entry))
-            add(node.address);
-    }
+    } else if (!m_allWatchers.empty())
+        add(m_allWatchers.front().address);
+    if (addresses.empty() && m_allWatchers.size() > 1)
+        add(m_allWatchers[1 + m_random() % (m_allWatchers.size() - 1)].address);
     if (addresses.empty())
         std::for_each(m_options.seeds.begin(), m_options.seeds.end(), add);
-    return addresses;
+    if (addresses.empty())
+        return {};
+    return { addresses[m_random() % addresses.size()] };
 }
 
-void fleet_watch::askPeer()
+void fleet_watch::askPeers(steady_time now)
 {
-    ++m_questions;
-    const auto addresses = peersToAsk();
-    if (addresses.empty())
-        return;
-    const auto& address = addresses[m_random() % addresses.size()];
+    m_lastSync = now;
+    for (const auto& address : peersToAsk(now))
+        ask(address);
+}
+
+void fleet_watch::ask(const std::string& address)
+{
+    const auto asked = std::chrono::steady_clock::now();
     m_peers.sync(address, known(), syncTimeout,
-        [this, address, alive = std::weak_ptr(m_alive)](result<sync_answer> answer) {
+        [this, address, asked, alive = std::weak_ptr(m_alive)](result<sync_answer> answer) {
             if (alive.expired())
                 return;
-            m_loop.post([this, alive, address, answer = std::move(answer)] {
+            m_loop.post([this, alive, address, asked, answer = std::move(answer)] {
                 if (alive.expired())
                     return;
                 // Of a zone's watchers all may be gone; whoever follows others must not wait for them.
                 m_peerSilent = !answer;
                 if (answer)
-                    peerAnswered(address, answer.value());
+                    peerAnswered(address, answer.value(), asked);
             });
         });
 }
 
-void fleet_watch::peerAnswered(const std::string& address, const sync_answer& answer)
+void fleet_watch::peerAnswered(const std::string& address, const sync_answer& answer, steady_time asked)
 {
     const bool ownWatcher = std::any_of(
         m_watchers.begin(), m_watchers.end(), [&](const auto& node) { return node.address == address; });
     // One that others rely on is content with its own zone's: it follows the store itself if these are gone.
     if (answer.contact.watches && (ownWatcher || !reliedOn()))
         m_watcherHeard = std::chrono::steady_clock::now();
-    takeAnswer(answer);
+    takeAnswer(answer, asked);
 }
 
 bool fleet_watch::connected() const
@@ -422,16 +504,19 @@
     return m_offered || listed();
 }
 
-void fleet_watch::takeAnswer(const sync_answer& answer)
+void fleet_watch::takeAnswer(const sync_answer& answer, steady_time asked)
 {
     for (auto* mirror : mirrors()) {
-        const auto& prefix = mirror->section().prefix;
-        for (const auto& standing : answer.standings) {
-            if (standing.prefix == prefix)
-                mirror->noteStanding(standing);
-        }
+        const auto standing = std::find_if(answer.standings.begin(), answer.standings.end(),
+            [&](const auto& one) { return one.prefix == mirror->section().prefix; });
+        const bool told = standing != answer.standings.end();
+        if (told)
+            mirror->noteStanding(*standing);
         for (const auto& update : answer.newer)
             mirror->offer(update); // Takes only what is of its own section.
+        // By the clock of this process, and no later than it was: the peer told its age after it was asked.
+        if (told)
+            mirror->noteConfirmed(standing->revision, asked - standing->age);
     }
     publishStandings();
     dropMissingTargets();
--- a/libs/fleet/tests/model_fleet.cpp
+++ b/libs/fleet/tests/model_fleet.cpp
@@ -115,7 +115,6 @@
 
 template <typename T> void model_link::answer(callback<T> done, std::function<T()> value)
 {
-    ++calls;
     if (m_answersLost)
         value();
     if (m_cut || m_answersLost)
@@ -152,7 +151,7 @@
 void model_link::waitForChange(
     std::string_view prefix, std::int64_t after, milliseconds time, callback<store_changes> done)
 {
-    ++calls;
+    ++waits;
     if (m_cut || m_answersLost)
         return neverAnswer(std::move(done), std::min(time + callTimeout, deadConnection));
     m_waits.push_back(std::make_shared<wait>(wait { std::string(prefix), after,
--- a/libs/fleet/tests/model_fleet.h
+++ b/libs/fleet/tests/model_fleet.h
@@ -58,8 +58,8 @@
     std::size_t waiting() const;
     /// Readings that may be stale are those of this revision; 0 for new ones.
     std::int64_t staleRevision = 0;
-    /// Calls that were sent so far, answered or not.
-    unsigned calls = 0;
+    /// Calls for changes that were sent so far, answered or not.
+    unsigned waits = 0;
 
     void get(std::string_view key, callback<std::optional<stored_value>> done) override;
     void list(std::string_view prefix, callback<store_listing> done) override;
--- a/libs/fleet/tests/test_fleet_freshness.cpp
+++ b/libs/fleet/tests/test_fleet_freshness.cpp
@@ -221,3 +221,32 @@
         CHECK(process->uses(otherTarget));
     CHECK(played.senders(anybody) == nobody);
 }
+
+// Story: that nobody acts on an old list takes calls of the store, each of them priced. If every process that
+// follows the store had its copies confirmed by itself, 25 of them would make 80 calls a second. Before there
+// were confirmations a quiet fleet made next to none, and nobody knew how old its copies were.
+TEST_CASE("in a quiet fleet one confirmation serves all")
+{
+    fleets played { { 1, 3 }, { 3, 3 }, { 3, 10 }, { 5, 60 } };
+    constexpr int seconds = 4;
+    constexpr unsigned sections = 2; ///< Configuration and targets.
+    constexpr unsigned aim = 2; ///< Calls a section and second.
+    for (const auto& fleet : played.all) {
+        for (const auto& process : fleet->processes)
+            process->link.waits = 0;
+    }
+    played.run(seconds * milliseconds { 1000 });
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& fleet : played.all) {
+        unsigned waits = 0;
+        milliseconds oldest { 0 };
+        for (const auto& process : fleet->processes) {
+            waits += process->link.waits;
+            oldest = std::max(oldest, process->watch.targetsAge(now));
+        }
+        INFO(fleet->processes.size() << " processes, oldest list " << oldest.count() << " ms");
+        CHECK(waits > 0);
+        CHECK(waits <= seconds * sections * aim);
+        CHECK(oldest <= promised - sending);
+    }
+}
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -66,6 +66,8 @@
     target_client& targets;
     const caller_protocol& protocol;
     metrics& figures;
+    /// How old the list of targets is, for the log.
+    std::function<milliseconds()> targetsAge = [] { return milliseconds { 0 }; };
 };
 
 /// Serves one request of a live route to its end. It keeps itself alive until then.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -94,7 +94,8 @@
               m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address }, &m_loads, groupOptions(settings))
         , m_places(m_broker)
         , m_targets(m_client)
-        , m_live { m_loop, m_places, m_targets, adapter.callers, m_figures }
+        , m_live { m_loop, m_places, m_targets, adapter.callers, m_figures,
+            [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); } }
         , m_jobs(
               m_loop, m_client, settings.zone, [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
         , m_offerTimer(m_loop)
@@ -293,6 +294,9 @@
             m_fleet.configuration() ? static_cast<double>(m_fleet.configuration()->version) : 0);
         m_figures.set("yuccachute_log_lines_dropped", static_cast<double>(droppedLogLines()));
         m_figures.set("yuccachute_store_connected", m_fleet.storeConnected() ? 1 : 0);
+        m_figures.set(
+            "yuccachute_configuration_age_ms", static_cast<double>(m_fleet.configurationAge(now).count()));
+        m_figures.set("yuccachute_targets_age_ms", static_cast<double>(m_fleet.targetsAge(now).count()));
         for (const auto& [name, group] : m_broker.summaries(now)) {
             m_figures.set("yuccachute_group_live", group.live);
             m_figures.set("yuccachute_group_bulk", group.bulk);
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -129,6 +129,7 @@
     {
         m_place = std::move(taken);
         m_lastTarget = m_place->target;
+        m_targetsAge = m_services.targetsAge();
         m_waited += m_place->waited;
         m_splitter.restart();
         m_body.clear();
@@ -409,10 +410,10 @@
         logEvent(outcome == "served" ? log_level::info : log_level::warning, "request",
             { { "request_id", m_facts.id }, { "route", m_route.name }, { "config", m_table->version },
                 { "outcome", outcome }, { "status", std::int64_t { m_head.status } },
-                { "target", m_lastTarget }, { "sends", std::int64_t { m_sends } },
-                { "objective_ms", m_route.objective.count() }, { "waited_ms", m_waited.count() },
-                { "first_event_ms", m_firstEvent.count() }, { "took_ms", toMs(took).count() },
-                { "reason", m_reason } });
+                { "target", m_lastTarget }, { "targets_age_ms", m_targetsAge.count() },
+                { "sends", std::int64_t { m_sends } }, { "objective_ms", m_route.objective.count() },
+                { "waited_ms", m_waited.count() }, { "first_event_ms", m_firstEvent.count() },
+                { "took_ms", toMs(took).count() }, { "reason", m_reason } });
     }
 
     live_services& m_services;
@@ -426,6 +427,7 @@
     steady_time m_deadline;
     steady_time m_onTimeUntil;
     steady_time m_sentAt;
+    milliseconds m_targetsAge { 0 }; ///< When the last target was chosen.
     std::shared_ptr<place_ask> m_ask;
     std::optional<place> m_place;
     std::shared_ptr<client_call> m_call;
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -96,6 +96,8 @@
     /// What was missing from a copy of this revision, or an earlier one, has gone: it has not only lapsed
     /// while the store was away. 0: nothing is known.
     std::int64_t settledRevision = 0;
+    /// Since the copy was last known to be what the store held.
+    milliseconds age { 0 };
 };
 
 /// How a process stands with the store.
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -96,7 +96,19 @@
     /// that judged by its own contact with the store, or by its zone's watcher alone, kept targets that had
     /// left for up to 10 s although it had heard of their removal within 6 ms.
     bool settled(std::int64_t revision) const;
-    section_standing standing() const;
+    std::int64_t settledRevision() const { return m_settledRevision; }
+
+    /// When this copy was last known to be what the store held, by the steady clock; the clock's beginning if
+    /// never. A call that waits proves nothing: a connection that has died is as silent as a store without
+    /// news.
+    steady_time confirmed() const { return m_confirmedAt; }
+    /// A peer's copy was known to be right at a moment. If this copy is as new, so was this one.
+    void noteConfirmed(std::int64_t revision, steady_time when);
+    /// Asks the store beside the waiting call whether the copy is what it holds, at most every 300 ms, and
+    /// less often while it does not answer. What the waiting call has missed is taken over, and another takes
+    /// its place.
+    void confirm(steady_time now);
+    section_standing standing(steady_time now) const;
 
     const store_section& section() const { return m_history.section(); }
     const section_history& history() const { return m_history; }
@@ -113,6 +125,7 @@
     void failed(const failure& error, std::function<void()> again);
     void answered();
     void noteSettled();
+    void takeConfirmation(const result<store_changes>& changes, steady_time sent);
 
     event_loop& m_loop;
     async_store& m_store;
@@ -120,6 +133,10 @@
     completeness m_listsAreComplete;
     section_history m_history;
     std::int64_t m_settledRevision = 0;
+    steady_time m_confirmedAt;
+    steady_time m_nextConfirmation;
+    unsigned m_unconfirmed = 0; ///< Confirmations in a row that were asked for and have not come.
+    bool m_waits = false; ///< A call that waits for changes is under way.
     milliseconds m_pauseAfterChange;
     milliseconds m_longestPause { 1000 };
     loop_timer m_pause;
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -16,6 +16,15 @@
 constexpr milliseconds firstWait { 500 };
 constexpr milliseconds firstPause { 60 };
 constexpr unsigned mostDoublings = 8;
+/// Long enough to be a wait at all: the store answers a call that finds nothing new as soon as it is over.
+constexpr milliseconds confirmationWait { 1 };
+/// The store answers within milliseconds, within 200 ms when it is slow.
+constexpr milliseconds confirmationPause { 300 };
+/// While confirmations do not come the pause grows to four times that: a process that comes back into touch
+/// with the store has 3 s until it must know what has left.
+constexpr unsigned confirmationDoublings = 2;
+/// A waiting call that lives tells of a change this soon after a confirmation has.
+constexpr milliseconds waitAfterConfirmation { 50 };
 
 } // namespace
 
@@ -63,9 +72,14 @@
 
 void store_mirror::read(first_read how)
 {
-    auto done = [this, how, round = ++m_round](const result<store_listing>& listing) {
-        if (round == m_round)
-            take(listing, how);
+    m_waits = false;
+    const auto sent = std::chrono::steady_clock::now();
+    auto done = [this, how, sent, round = ++m_round](const result<store_listing>& listing) {
+        if (round != m_round)
+            return;
+        take(listing, how);
+        if (listing && how == first_read::exact)
+            noteConfirmed(listing.value().revision, sent);
     };
     if (how == first_read::stale)
         m_store.listStale(section().prefix, std::move(done));
@@ -104,16 +118,25 @@
     m_idle = !m_following;
     if (m_idle)
         return;
-    m_store.waitForChange(section().prefix, section().revision, m_confirmed ? longestWait : firstWait,
-        [this, round = ++m_round](result<store_changes> changes) {
+    m_waits = true;
+    const auto sent = std::chrono::steady_clock::now();
+    const auto time = m_confirmed ? longestWait : firstWait;
+    m_store.waitForChange(section().prefix, section().revision, time,
+        [this, sent, time, round = ++m_round](result<store_changes> changes) {
             if (round != m_round)
                 return;
+            m_waits = false;
             if (!changes && changes.error().kind == failure_kind::gone)
                 return read();
             if (!changes)
                 return failed(changes.error(), [this] { follow(); });
             answered();
             const bool changed = m_history.apply(changes.value().events, changes.value().revision);
+            // Without news the store has answered when the time was over. When it told of changes is not
+            // known, only that it was after the call was sent.
+            const bool waitedOut
+                = changes.value().events.empty() && std::chrono::steady_clock::now() >= sent + time;
+            noteConfirmed(changes.value().revision, waitedOut ? sent + time : sent);
             noteSettled();
             if (changed)
                 m_changed(*this);
@@ -134,15 +157,51 @@
     m_settledRevision = std::max(m_settledRevision, standing.settledRevision);
 }
 
+void store_mirror::noteConfirmed(std::int64_t revision, steady_time when)
+{
+    if (section().revision >= revision)
+        m_confirmedAt = std::max(m_confirmedAt, when);
+}
+
+void store_mirror::confirm(steady_time now)
+{
+    if (now < m_nextConfirmation || !known())
+        return;
+    m_nextConfirmation = now + confirmationPause * (1 << m_unconfirmed);
+    m_unconfirmed = std::min(m_unconfirmed + 1, confirmationDoublings);
+    m_store.waitForChange(section().prefix, section().revision, confirmationWait,
+        [this, now](const result<store_changes>& changes) { takeConfirmation(changes, now); });
+}
+
+void store_mirror::takeConfirmation(const result<store_changes>& changes, steady_time sent)
+{
+    if (!changes && changes.error().kind == failure_kind::gone && m_following)
+        return read();
+    if (!changes)
+        return; // The copy grows older; the waiting call finds out why.
+    m_unconfirmed = 0;
+    const bool changed = m_history.apply(changes.value().events, changes.value().revision);
+    noteConfirmed(changes.value().revision, sent);
+    noteSettled();
+    if (!changed)
+        return;
+    m_changed(*this);
+    // The waiting call should have told of this. Its connection may have died: another one takes its place,
+    // unless it tells meanwhile.
+    if (m_waits)
+        m_pause.arm(std::max(m_pauseAfterChange, waitAfterConfirmation), [this] { follow(); });
+}
+
 bool store_mirror::settled(std::int64_t revision) const
 {
     // A settled copy that is newer than this one may have entries again that this one lacks.
     return revision <= m_settledRevision && m_settledRevision <= section().revision;
 }
 
-section_standing store_mirror::standing() const
+section_standing store_mirror::standing(steady_time now) const
 {
-    return { section().prefix, section().revision, std::min(m_settledRevision, section().revision) };
+    return { section().prefix, section().revision, std::min(m_settledRevision, section().revision),
+        std::chrono::duration_cast<milliseconds>(now - m_confirmedAt) };
 }
 
 bool store_mirror::offer(const section_update& update)
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -281,3 +281,99 @@
     f.loop.runFor(milliseconds { 200 });
     CHECK(f.store.waitedFor <= milliseconds { 1000 });
 }
+
+// Story: the connection of a waiting call dies, and the call stays silent for seconds. The copy missed a
+// change, took itself for right, and told peers so.
+TEST_CASE("a confirmation tells of what a dead waiting call has missed, and another call takes its place")
+{
+    fixture f;
+    f.store.pendingList(store_listing { { value("op/a", "1", 3) }, 5, false });
+    const auto dead = std::exchange(f.store.pendingWait, nullptr);
+    const auto now = std::chrono::steady_clock::now();
+    f.mirror.confirm(now);
+    REQUIRE(f.store.pendingWait);
+    CHECK(f.store.waitedFor <= milliseconds { 10 });
+    std::exchange(f.store.pendingWait, nullptr)(store_changes { { { true, value("op/a", "", 7) } }, 8 });
+    CHECK(f.content() == "");
+    CHECK(f.mirror.confirmed() >= now);
+    f.loop.runFor(milliseconds { 200 });
+    REQUIRE(f.store.pendingWait);
+    CHECK(f.store.waitedFrom == 8);
+    CHECK(f.store.waitedFor >= milliseconds { 10000 });
+    // What the dead one says in the end is of no interest any more.
+    dead(mayHaveRun(failure_kind::timeout, "connection timed out"));
+    CHECK(f.mirror.connected());
+}
+
+TEST_CASE("a waiting call that lives goes on after a confirmation without news")
+{
+    fixture f;
+    f.store.pendingList(store_listing { { value("op/a", "1", 3) }, 5, false });
+    const auto waiting = std::exchange(f.store.pendingWait, nullptr);
+    f.mirror.confirm(std::chrono::steady_clock::now());
+    std::exchange(f.store.pendingWait, nullptr)(store_changes { {}, 9 });
+    f.loop.runFor(milliseconds { 200 });
+    CHECK(!f.store.pendingWait);
+    waiting(store_changes { { { false, value("op/a", "2", 10) } }, 10 });
+    CHECK(f.content() == "op/a=2;");
+}
+
+TEST_CASE("confirmations that do not come are asked for more and more seldom")
+{
+    fixture f;
+    f.store.pendingList(store_listing { { value("op/a", "1", 3) }, 5, false });
+    const auto start = std::chrono::steady_clock::now();
+    const auto before = f.mirror.confirmed();
+    int asked = 0;
+    for (milliseconds at { 0 }; at < milliseconds { 6000 }; at += milliseconds { 100 }) {
+        f.store.pendingWait = nullptr;
+        f.mirror.confirm(start + at);
+        asked += f.store.pendingWait ? 1 : 0;
+    }
+    CHECK(asked >= 5); // One that comes back into touch is not left waiting for seconds.
+    CHECK(asked <= 8);
+    CHECK(f.mirror.confirmed() == before);
+}
+
+TEST_CASE("a copy is as old as the last proof that it is right")
+{
+    fixture f;
+    CHECK(f.mirror.confirmed() == steady_time {});
+    const auto start = std::chrono::steady_clock::now();
+    f.store.pendingList(store_listing { { value("op/a", "1", 3) }, 5, false });
+    const auto read = f.mirror.confirmed();
+    CHECK(read <= start); // When the reading was sent; its answer may have been long under way.
+    // A waiting call that tells of a change proves nothing of later moments than its sending.
+    f.loop.runFor(milliseconds { 20 });
+    const auto sent = std::chrono::steady_clock::now();
+    f.store.pendingWait(store_changes { { { false, value("op/a", "2", 7) } }, 7 });
+    CHECK(f.mirror.confirmed() <= sent);
+    // A peer whose copy is newer says nothing of this one until its update has been taken over.
+    const auto later = sent + milliseconds { 1000 };
+    f.mirror.noteConfirmed(9, later);
+    CHECK(f.mirror.confirmed() < later);
+    CHECK(f.mirror.offer({ "op/", 9, { { "op/a", "3", 9 } } }));
+    f.mirror.noteConfirmed(9, later);
+    CHECK(f.mirror.confirmed() == later);
+    f.mirror.noteConfirmed(9, sent); // Older news change nothing.
+    CHECK(f.mirror.confirmed() == later);
+    CHECK(f.mirror.standing(later + milliseconds { 70 }).age == milliseconds { 70 });
+}
+
+// Story: an entry is missing from the copies of two processes. One has just come back to the store and cannot
+// know whether it has lapsed; the other can, but their copies are of the same revision, so that there was no
+// news to tell it by.
+TEST_CASE("that a missing entry has gone is learnt from a peer without news")
+{
+    fixture f;
+    f.store.pendingList(store_listing { { value("op/a", "1", 3) }, 5, false });
+    CHECK(!f.mirror.settled(5));
+    f.mirror.noteStanding({ "op/", 5, 4 });
+    CHECK(f.mirror.settled(4));
+    CHECK(!f.mirror.settled(5));
+    f.mirror.noteStanding({ "op/", 5, 5 });
+    CHECK(f.mirror.settled(5));
+    // In a later copy of a peer the entry may be back.
+    f.mirror.noteStanding({ "op/", 12, 12 });
+    CHECK(!f.mirror.settled(5));
+}
--- a/libs/store/tests/test_store.cpp
+++ b/libs/store/tests/test_store.cpp
@@ -67,3 +67,52 @@
     CHECK(store.renewLease(lease).error().kind == failure_kind::not_found);
     CHECK(store.commit(createIfAbsent("/w/2", "v", lease)).error().ran == verdict::not_run);
 }
+
+namespace {
+
+/// A store that keeps renewals and waiting calls until the test answers them.
+class held_store final : public async_store {
+public:
+    void get(std::string_view, callback<std::optional<stored_value>>) override { }
+    void list(std::string_view, callback<store_listing>) override { }
+    void commit(const store_transaction&, callback<commit_outcome>) override { }
+    void waitForChange(std::string_view, std::int64_t, milliseconds, callback<store_changes> done) override
+    {
+        wait = std::move(done);
+    }
+    void grantLease(milliseconds, callback<std::int64_t>) override { }
+    void renewLease(std::int64_t, callback<bool> done) override { renewal = std::move(done); }
+    void endLease(std::int64_t, callback<bool>) override { }
+
+    callback<store_changes> wait;
+    callback<bool> renewal;
+};
+
+} // namespace
+
+// Story: the connection of a waiting call dies without a sign, and the call fails five seconds later, when
+// the store has answered others all the while. It was taken for an outage, and targets that left in the two
+// seconds after it were kept, as their entries might only have lapsed.
+TEST_CASE("a call that fails after later ones were answered tells of no outage")
+{
+    held_store held;
+    metrics figures;
+    observed_store store(held, figures);
+    store.waitForChange("targets/", 1, milliseconds { 30000 }, [](const auto&) {});
+    store.renewLease(1, [](const auto&) {});
+    held.renewal(true);
+    const auto before = store.reachableSince();
+    held.wait(mayHaveRun(failure_kind::timeout, "connection timed out"));
+    CHECK(store.reachable());
+    store.renewLease(1, [](const auto&) {});
+    held.renewal(true);
+    CHECK(store.reachableSince() == before);
+    // One that was sent after the last answer does.
+    store.renewLease(1, [](const auto&) {});
+    held.renewal(mayHaveRun(failure_kind::timeout, "no answer in time"));
+    CHECK(!store.reachable());
+    store.renewLease(1, [](const auto&) {});
+    held.renewal(true);
+    CHECK(store.reachable());
+    CHECK(store.reachableSince() > before);
+}
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -259,6 +259,7 @@
         added->set_prefix(standing.prefix);
         added->set_revision(standing.revision);
         added->set_settled_revision(standing.settledRevision);
+        added->set_age_ms(static_cast<std::uint64_t>(standing.age.count()));
     }
 }
 
@@ -269,7 +270,8 @@
         answer.newer.push_back(fromWire(section));
     answer.contact.watches = in.watches_store();
     for (const auto& standing : in.standings())
-        answer.standings.push_back({ standing.prefix(), standing.revision(), standing.settled_revision() });
+        answer.standings.push_back({ standing.prefix(), standing.revision(), standing.settled_revision(),
+            milliseconds { static_cast<std::int64_t>(standing.age_ms()) } });
     return answer;
 }
 
