--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -135,6 +135,8 @@
 /// random, so that the first ones are listed before the last ones decide.
 milliseconds longestOfferDelay(offer_need need, double cores);
 
+class store_watchers;
+
 /// Follows the store, and peers while the store turns this process away. On the loop's thread.
 ///
 /// Each change is told to each process that follows the store by a priced call. So only some entries of an
@@ -152,6 +154,9 @@
 
     fleet_watch(event_loop& loop, observed_store& store, peer_sync& peers, const fleet_codec& codec,
         node_record self, fleet_options options, listeners notify);
+    ~fleet_watch();
+    fleet_watch(const fleet_watch&) = delete;
+    fleet_watch& operator=(const fleet_watch&) = delete;
 
     void start();
     /// This process has decided to register itself: from now on it counts among the fleet's processes.
@@ -204,7 +209,7 @@
     void publishStandings();
     published_section published(const std::string& prefix) const;
     /// Whether the store has been in reach of this process for so long that lapsed entries are back.
-    bool listsAreComplete() const;
+    bool listsAreComplete(steady_time now) const;
     void dropMissingTargets();
     void logTargetChanges(const std::map<std::string, listed_target, std::less<>>& before) const;
     void logMissingTargets();
@@ -215,17 +220,15 @@
     /// Of what callers' requests are decided by.
     milliseconds age(steady_time now) const { return std::max(configurationAge(now), targetsAge(now)); }
     bool inDoubt(steady_time now) const;
-    /// How much later than the first of those that follow the store this one has its copies confirmed.
-    std::size_t confirmStepsOfSelf() const;
+    /// The age at which this process has its copies confirmed.
+    milliseconds confirmDelay() const;
     void confirmCopies(steady_time now);
     milliseconds syncInterval(steady_time now) const;
     void askPeers(steady_time now);
     void notifyNodes();
-    void chooseWatchers();
     bool isWatcher() const;
     void ask(const std::string& address);
     std::vector<std::string> peersToAsk(steady_time now);
-    std::vector<std::string> someOfEachZone();
     void peerAnswered(const std::string& address, const sync_answer& answer, steady_time asked);
     std::array<store_mirror*, 3> mirrors() { return { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror }; }
     /// The store answers this process, as far as it knows.
@@ -260,8 +263,7 @@
         std::optional<steady_time> missingSince;
     };
     std::map<std::string, known_node, std::less<>> m_nodes; ///< By key.
-    std::vector<node_record> m_watchers; ///< Entries of the own zone that follow the store.
-    std::vector<node_record> m_allWatchers; ///< And of all zones, in the same order at all processes.
+    std::unique_ptr<store_watchers> m_watchers; ///< Entries that follow the store.
     loop_ticker m_ticker;
     steady_time m_lastSync;
     std::minstd_rand m_random;
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -1,9 +1,11 @@
 #include "fleet/fleet.h"
 
+#include "watchers.h"
+
 #include "logging/logging.h"
-#include "membership/membership.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace yuccachute {
@@ -30,7 +32,7 @@
 constexpr milliseconds watcherSilentForOthers { 6000 };
 /// The first of those that follow the store has its copies confirmed when they are so old; the others ask it
 /// for that. With the figures below, a tick and a hop, every process in touch knows of a target that leaves
-/// 1.5 s later, of the two seconds for which that goes on serving.
+/// 1.8 s later, of the two seconds for which that goes on serving.
 constexpr milliseconds confirmAfter { 600 };
 /// The second one does so after another step, the others after two: each call of the store is priced, and in
 /// a fleet of 300 there are 25 that follow it. Batch processes, which choose no targets, wait for three.
@@ -38,20 +40,17 @@
 constexpr std::size_t confirmSteps = 2;
 constexpr std::size_t confirmStepsOfBatch = 3;
 /// A process whose copies are older asks one entry of each zone: whom it asked until now may be as blind as
-/// itself and not know it, such as a watcher whose connection to the store has died. Those that follow
-/// others have copies of up to 1 s in a quiet fleet.
-constexpr milliseconds doubtAfter { 1100 };
+/// itself and not know it, such as a watcher whose connection to the store has died. In a quiet fleet nobody
+/// gets there: those that follow the store have copies of up to 1 s, the others of 1.3 s.
+constexpr milliseconds doubtAfter { 1400 };
 /// One that others rely on follows the store itself when asking has not helped.
-constexpr milliseconds directAfter { 1500 };
+constexpr milliseconds directAfter { 1600 };
+/// One that nobody relies on is one of many: in doubt it asks its own zone and so many others.
+constexpr std::size_t zonesAskedByOthers = 1;
 /// While the store does not answer, those that follow it ask again every second. The others ask seldom:
 /// refused calls are priced too, and of the store's return they hear from the first ones.
 constexpr milliseconds longestPauseOfWatcher { 1000 };
 constexpr milliseconds longestPauseOfOthers { 4000 };
-/// One entry in so many follows the store, at least one in each zone, and two at most: a second one is heard
-/// of at once when the first dies. With 50 entries in a zone each is asked 100 times a second; at a reckoned
-/// 0.3 ms an answer that is 3% of a core.
-constexpr std::size_t entriesPerWatcher = 6;
-constexpr std::size_t mostWatchers = 2;
 /// Targets and processes come and go in groups, and each change is told to each process by a call: in a row
 /// they shall share one. A target that leaves is known well within the two seconds for which it goes on
 /// serving.
@@ -80,15 +79,19 @@
           [this](const auto& mirror) { ordersChanged(mirror); })
     , m_targetsMirror(
           loop, store, codec.targetsPrefix(), pauseAfterTargets,
-          [this](const auto& mirror) { targetsChanged(mirror); }, [this] { return listsAreComplete(); })
+          [this](const auto& mirror) { targetsChanged(mirror); },
+          [this] { return listsAreComplete(std::chrono::steady_clock::now()); })
     , m_nodesMirror(loop, store, std::string(nodesPrefix), pauseAfterNodes,
           [this](const auto& mirror) { nodesChanged(mirror); })
+    , m_watchers(std::make_unique<store_watchers>())
     , m_ticker(loop, tickInterval, [this] { tick(); })
     , m_random(std::random_device {}())
 {
-    chooseWatchers();
+    m_watchers->choose(nodes(node_role::entry));
 }
 
+fleet_watch::~fleet_watch() = default;
+
 void fleet_watch::start()
 {
     const bool waits = m_options.patienceAtStart.count() > 0 && m_self.role == node_role::entry;
@@ -96,7 +99,7 @@
         m_patientUntil = std::chrono::steady_clock::now() + m_options.patienceAtStart;
         m_watcherHeard = m_patientUntil - watcherSilentForOthers;
         m_direct = false;
-        for (auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror })
+        for (auto* mirror : mirrors())
             mirror->setFollowing(false);
     }
     const auto how = waits ? store_mirror::first_read::stale : store_mirror::first_read::exact;
@@ -230,9 +233,8 @@
     m_notify.targets();
 }
 
-bool fleet_watch::listsAreComplete() const
+bool fleet_watch::listsAreComplete(steady_time now) const
 {
-    const auto now = std::chrono::steady_clock::now();
     return m_store.reachable() && now >= m_store.reachableSince() + entriesBackAfter;
 }
 
@@ -310,7 +312,7 @@
 
 void fleet_watch::notifyNodes()
 {
-    chooseWatchers();
+    m_watchers->choose(nodes(node_role::entry));
     m_notify.nodes();
 }
 
@@ -350,22 +352,20 @@
     return age(now) > doubtAfter || m_targets.keepsMissing();
 }
 
-std::size_t fleet_watch::confirmStepsOfSelf() const
+milliseconds fleet_watch::confirmDelay() const
 {
-    if (m_self.role != node_role::entry)
-        return confirmStepsOfBatch;
-    const auto found = std::find_if(
-        m_allWatchers.begin(), m_allWatchers.end(), [&](const auto& node) { return node.vm == m_self.vm; });
-    return std::min(confirmSteps, static_cast<std::size_t>(std::distance(m_allWatchers.begin(), found)));
+    const auto steps = m_self.role == node_role::entry ? std::min(confirmSteps, m_watchers->rank(m_self.vm))
+                                                       : confirmStepsOfBatch;
+    return confirmAfter + confirmStep * steps;
 }
 
 void fleet_watch::confirmCopies(steady_time now)
 {
     if (!m_direct || !connected())
         return;
-    const auto after = confirmAfter + confirmStep * confirmStepsOfSelf();
+    const auto after = confirmDelay();
     // What is missing since an outage has gone if the store still lacks it when lapsed entries are back.
-    const bool missing = m_targets.keepsMissing() && listsAreComplete();
+    const bool missing = m_targets.keepsMissing() && listsAreComplete(now);
     if (missing || targetsAge(now) > after)
         m_targetsMirror.confirm(now);
     if (configurationAge(now) > after)
@@ -380,64 +380,19 @@
     return revisions;
 }
 
-void fleet_watch::chooseWatchers()
-{
-    std::map<std::string, std::vector<node_record>> byZone;
-    for (auto& node : nodes(node_role::entry))
-        byZone[node.zone].push_back(std::move(node));
-    m_watchers.clear();
-    m_allWatchers.clear();
-    for (const auto& [name, entries] : byZone) {
-        const std::span<const node_record> zone = entries;
-        auto ranked = rankByHash(zone, 0, [&](const auto& node) { return largeAmong(node, zone); });
-        const auto most = std::min(mostWatchers, 1 + ranked.size() / entriesPerWatcher);
-        ranked.resize(std::min(ranked.size(), most));
-        for (const auto* node : ranked) {
-            m_allWatchers.push_back(*node);
-            if (name == m_self.zone)
-                m_watchers.push_back(*node);
-        }
-    }
-    std::sort(m_allWatchers.begin(), m_allWatchers.end(),
-        [](const auto& left, const auto& right) { return hashText(left.vm) > hashText(right.vm); });
-}
-
 bool fleet_watch::isWatcher() const
 {
     // Batch processes decide about jobs by what they read: they are few, and do not take it from others.
     if (m_self.role != node_role::entry || !m_options.followPeers)
         return true;
-    return std::any_of(
-        m_watchers.begin(), m_watchers.end(), [&](const auto& node) { return node.vm == m_self.vm; });
-}
-
-std::vector<std::string> fleet_watch::someOfEachZone()
-{
-    std::map<std::string, std::vector<std::string>> byZone;
-    for (const auto& node : nodes(node_role::entry)) {
-        if (node.address != m_self.address)
-            byZone[node.zone].push_back(node.address);
-    }
-    std::vector<std::string> some;
-    for (const auto& [zone, addresses] : byZone)
-        some.push_back(addresses[m_random() % addresses.size()]);
-    // One that nobody relies on is one of many: it asks its own zone and one of the others.
-    constexpr std::size_t mostZones = 2;
-    const auto own = std::find_if(
-        byZone.begin(), byZone.end(), [&](const auto& zone) { return zone.first == m_self.zone; });
-    if (reliedOn() || some.size() <= mostZones)
-        return some;
-    if (own != byZone.end())
-        std::swap(some.front(), some[static_cast<std::size_t>(std::distance(byZone.begin(), own))]);
-    std::shuffle(some.begin() + 1, some.end(), m_random);
-    some.resize(mostZones);
-    return some;
+    return m_watchers->contains(m_self.vm);
 }
 
 std::vector<std::string> fleet_watch::peersToAsk(steady_time now)
 {
     if (!connected() || inDoubt(now) || m_peerSilent) {
-        if (auto some = someOfEachZone(); !some.empty())
+        const auto most = reliedOn() ? std::numeric_limits<std::size_t>::max() : zonesAskedByOthers;
+        if (auto some = someOfEachZone(nodes(node_role::entry), m_self, most, m_random); !some.empty())
             return some;
     }
     std::vector<std::string> addresses;
@@ -445,13 +400,15 @@
         if (address != m_self.address)
             addresses.push_back(address);
     };
+    const auto all = m_watchers->all();
     if (!isWatcher()) {
-        for (const auto& node : m_watchers)
+        for (const auto& node : m_watchers->ofZone(m_self.zone))
             add(node.address);
-    } else if (!m_allWatchers.empty())
-        add(m_allWatchers.front().address);
-    if (addresses.empty() && m_allWatchers.size() > 1)
-        add(m_allWatchers[1 + m_random() % (m_allWatchers.size() - 1)].address);
+    } else if (!all.empty())
+        add(all.front().address);
+    // The first one of all has nobody before it: it hears from any of the others.
+    if (addresses.empty() && all.size() > 1)
+        add(all[1 + m_random() % (all.size() - 1)].address);
     if (addresses.empty())
         std::for_each(m_options.seeds.begin(), m_options.seeds.end(), add);
     if (addresses.empty())
@@ -486,8 +443,9 @@
 
 void fleet_watch::peerAnswered(const std::string& address, const sync_answer& answer, steady_time asked)
 {
-    const bool ownWatcher = std::any_of(
-        m_watchers.begin(), m_watchers.end(), [&](const auto& node) { return node.address == address; });
+    const auto own = m_watchers->ofZone(m_self.zone);
+    const bool ownWatcher
+        = std::any_of(own.begin(), own.end(), [&](const auto& node) { return node.address == address; });
     // One that others rely on is content with its own zone's: it follows the store itself if these are gone.
     if (answer.contact.watches && (ownWatcher || !reliedOn()))
         m_watcherHeard = std::chrono::steady_clock::now();
@@ -548,7 +506,7 @@
 
 bool fleet_watch::nodesSettled(steady_time now) const
 {
-    return m_nodesMirror.known() && m_nodesMirror.connected() && m_direct && listsAreComplete();
+    return m_nodesMirror.known() && m_nodesMirror.connected() && m_direct && listsAreComplete(now);
 }
 
 } // namespace yuccachute
