The soak checks that no request reaches a target that has left, from an entry in touch

Two seconds after the store has acknowledged it; entries whose store, VM or start was disturbed in the three seconds before do not count.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -23,6 +23,7 @@
     std::string lastEvent;
     bool finished = false;
     std::int64_t beganMs = 0; ///< By the steady clock, which all processes of a machine share.
+    std::int64_t reachedMs = 0; ///< When the request arrived, by the same clock.
 };
 
 std::int64_t steadyMs()
@@ -116,7 +117,8 @@
         if (m_running.size() >= m_slots + queueLength)
             return caller->send(
                 { 503, { { "Yuccachute-Not-Run", "1" }, { "Yuccachute-Request-Id", id } }, "" });
-        const run_record run { id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false, 0 };
+        const run_record run { id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false, 0,
+            steadyMs() };
         const http_headers head { { "Yuccachute-Request-Id", id },
             { "Yuccachute-Server-Seal", "seal-" + m_id } };
         if (caller->request().method == "GET") {
@@ -310,7 +312,7 @@
         auto runs = json::array();
         for (const auto& run : m_runs)
             runs.push_back({ { "id", run.id }, { "server", run.server }, { "last", run.lastEvent },
-                { "finished", run.finished }, { "began_ms", run.beganMs } });
+                { "finished", run.finished }, { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs } });
         return { { "runs", runs }, { "calls", m_store.calls() },
             { "open", m_store.count("yuccachute/open/") }, { "nodes", m_store.count("yuccachute/node/") } };
     }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -126,8 +126,9 @@
     faults.forgetJobs();
     rereadJobs(state);
     checkCalm(state, seed);
-    book.checkRuns(
-        system.control("/runs")["runs"], book.disturbed, state.batchNames, moodOf(seed) != mood::all);
+    const auto runs = system.control("/runs")["runs"];
+    book.checkRuns(runs, book.disturbed, state.batchNames, moodOf(seed) != mood::all);
+    book.checkLeaving(runs, book.disturbed);
     faults.stopAll();
     report(seed, state, faults);
     const bool kept = book.violations().empty();
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -226,6 +226,7 @@
     }
     process.up = true;
     process.startedAt = steadyMs();
+    disturb("start of " + name, 1);
     process.stopping = process.killed = process.frozen = false;
     m_state.book.disturbed.end(name, steadyMs());
 }
@@ -305,9 +306,11 @@
         return;
     m_serverBusy[number] = true;
     const auto call = [this, number](const std::string& what) {
-        m_state.system.control("/server?do=" + what + "&number=" + std::to_string(number));
+        return m_state.system.control("/server?do=" + what + "&number=" + std::to_string(number));
     };
-    call(first);
+    const auto answer = call(first);
+    if (first == "drain" || first == "unlist")
+        m_state.book.addLeaving(answer["id"], steadyMs());
     // A server that leaves finishes what it has; it goes some time after.
     later(goneAfter + (goneAfter > 0 ? between(1500, 3000) : 0), [this, call, number] {
         call("crash");
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -12,6 +12,10 @@
 
 /// An ended job's items stop within this.
 constexpr std::int64_t endTakesMs = 3000;
+/// A target that leaves goes on serving for so long after the store has acknowledged it.
+constexpr std::int64_t goesOnServingMs = 2000;
+/// An entry that was out of touch with the store knows what has left after so long.
+constexpr std::int64_t backInTouchMs = 3000;
 constexpr std::size_t mostViolations = 30;
 
 bool promisesNotRun(unsigned status)
@@ -134,6 +138,32 @@
     }
 }
 
+void ledger::addLeaving(const std::string& target, std::int64_t acknowledgedMs)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_leaving[target] = acknowledgedMs;
+}
+
+void ledger::checkLeaving(const json& runs, const disturbance_log& log)
+{
+    std::map<std::string, std::string> entries;
+    for (const auto& request : requests())
+        entries[request.id] = request.entry;
+    for (const auto& run : runs) {
+        const auto left = m_leaving.find(run["server"]);
+        const auto entry = entries.find(run["id"]);
+        if (left == m_leaving.end() || entry == entries.end())
+            continue;
+        const auto reached = run["reached_ms"].get<std::int64_t>();
+        const auto calm
+            = [&](const std::string& part) { return log.calm(part, left->second - backInTouchMs, reached); };
+        const bool inTouch = calm("store") && calm(entry->second) && calm("start of " + entry->second);
+        if (inTouch && reached - left->second > goesOnServingMs)
+            violation("request " + run["id"].get<std::string>() + " reached a target "
+                + std::to_string(reached - left->second) + " ms after it had left, from " + entry->second);
+    }
+}
+
 void ledger::checkRuns(
     const json& runs, const disturbance_log& log, const std::vector<std::string>& batches, bool strict)
 {
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -76,6 +76,11 @@
     void checkRuns(const nlohmann::json& runs, const disturbance_log& disturbed,
         const std::vector<std::string>& batches, bool strict);
 
+    /// A target has said that it leaves, or its entry was removed; the store has acknowledged that.
+    void addLeaving(const std::string& target, std::int64_t acknowledgedMs);
+    /// Checks that no entry in touch with the store has sent a request to a target that had left.
+    void checkLeaving(const nlohmann::json& runs, const disturbance_log& disturbed);
+
     disturbance_log disturbed;
 
 private:
@@ -83,6 +88,7 @@
     std::vector<std::string> m_violations;
     std::vector<seen_request> m_requests;
     std::vector<seen_job> m_jobs;
+    std::map<std::string, std::int64_t> m_leaving; ///< Targets, and when that was acknowledged.
 };
 
 } // namespace yuccachute::soak
