--- a/libs/fleet/tests/test_fleet_freshness.cpp
+++ b/libs/fleet/tests/test_fleet_freshness.cpp
@@ -76,7 +76,7 @@
 // store reachable and the watcher's word bad.
 TEST_CASE("who hears of a removal from the store believes it whatever has become of its zone's watcher")
 {
-    fleets played { { 1, 3 }, { 3, 3 }, { 3, 3 }, { 3, 3 }, { 3, 10 } };
+    fleets played { { 1, 3 }, { 3, 3 }, { 3, 3 }, { 3, 3 }, { 3, 10 }, { 5, 60 } };
     std::set<const model_process*> blind;
     for (const auto& fleet : played.all) {
         for (const auto* name : { "zone-0", "zone-1", "zone-2" }) {
@@ -108,7 +108,7 @@
 // revision, and the target got requests for ten seconds more.
 TEST_CASE("a removal that was heard of from a peer in doubt is confirmed by others")
 {
-    fleets played { { 3, 3 }, { 3, 10 } };
+    fleets played { { 3, 3 }, { 3, 10 }, { 5, 60 } };
     for (const auto& fleet : played.all) {
         for (auto* process : fleet->of("zone-0"))
             process->link.cut();
@@ -141,11 +141,29 @@
     CHECK(played.senders(anybody) == nobody);
 }
 
+// Story: the same with settings: an operator's change is accepted, and for 5 s entries answer callers of a
+// new route that there is none.
+TEST_CASE("a configuration is in force in time although the waiting calls have died")
+{
+    fleets played { { 1, 3 }, { 3, 3 }, { 5, 60 } };
+    for (const auto& fleet : played.all) {
+        for (const auto& process : fleet->processes)
+            process->link.silenceWaits();
+        fleet->store.write("orders/config", "2");
+    }
+    played.run(promised - sending);
+    for (const auto& fleet : played.all) {
+        const auto behind = std::count_if(fleet->processes.begin(), fleet->processes.end(),
+            [](const auto& process) { return process->watch.configuration()->version != 2; });
+        CHECK(behind == 0);
+    }
+}
+
 // Story: a zone is cut off from the store and the other zones and comes back. Its connections to the store
 // are dead, its own watcher is as blind as all others, and a target leaves while they come back.
 TEST_CASE("a zone that has come back knows of what left meanwhile when it is in touch again")
 {
-    fleets played { { 3, 3 }, { 3, 10 } };
+    fleets played { { 3, 3 }, { 3, 10 }, { 5, 60 } };
     const auto setApart = [&](bool apart) {
         for (const auto& fleet : played.all) {
             for (auto* process : fleet->of("zone-1")) {
@@ -171,7 +189,7 @@
 // be stale and names a target that has left; those that it asks know no better.
 TEST_CASE("a process that starts among blind ones knows of what has left when it is in touch")
 {
-    fleets played { { 3, 3 }, { 3, 10 } };
+    fleets played { { 3, 3 }, { 3, 10 }, { 5, 60 } };
     std::vector<model_process*> started;
     for (const auto& fleet : played.all) {
         for (auto* process : fleet->of("zone-2"))
