What is known of a later revision of the store holds for copies of a section that has not changed since

Cause: a process learns that missing entries have gone at the store's latest revision, which grows with every result of a job; an asker's copy stays at the section's last change and never got there.

--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -472,9 +472,13 @@
             mirror->noteStanding(*standing);
         for (const auto& update : answer.newer)
             mirror->offer(update); // Takes only what is of its own section.
+        if (!told)
+            continue;
+        // Otherwise what the peer knows of its later revision would mean nothing here: a target that is known
+        // to have gone was kept for 10 s, as the copy that lacks it did not get there.
+        mirror->noteUnchanged(standing->revision, standing->unchangedUntil);
         // By the clock of this process, and no later than it was: the peer told its age after it was asked.
-        if (told)
-            mirror->noteConfirmed(standing->revision, asked - standing->age);
+        mirror->noteConfirmed(standing->revision, asked - standing->age);
     }
     publishStandings();
     dropMissingTargets();
--- a/libs/fleet/tests/test_fleet_freshness.cpp
+++ b/libs/fleet/tests/test_fleet_freshness.cpp
@@ -35,8 +35,12 @@
     void run(milliseconds time)
     {
         const auto end = std::chrono::steady_clock::now() + time;
-        while (std::chrono::steady_clock::now() < end)
-            loop.runFor(milliseconds { 10 });
+        while (std::chrono::steady_clock::now() < end) {
+            loop.runFor(milliseconds { 50 });
+            // Jobs and their results: the store's revision moves on without a change of what is followed.
+            for (const auto& fleet : all)
+                fleet->store.write("results/latest", "");
+        }
     }
 
     /// Names of processes that would still send to the target; of many the first ones.
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -98,6 +98,9 @@
     std::int64_t settledRevision = 0;
     /// Since the copy was last known to be what the store held.
     milliseconds age { 0 };
+    /// The section has not changed between the copy's revision and this one, to which the store's has moved
+    /// on. What is known of the later one holds for every copy in between.
+    std::int64_t unchangedUntil = 0;
 };
 
 /// How a process stands with the store.
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -33,6 +33,9 @@
     /// Takes over a peer's update if it is newer and holds for this copy. Returns nothing if it was not
     /// taken, else whether anything changed.
     std::optional<bool> apply(const section_update& update);
+    /// The section has not changed between two revisions of the store. A copy that is as new as the first one
+    /// is a copy of the second.
+    void noteUnchanged(std::int64_t from, std::int64_t until);
     /// What leads from a copy of a revision to this one; the whole section for a copy that is empty.
     section_update since(std::int64_t revision) const;
     /// The revision that a peer is to be asked from: 0 if an update has left keys that the peer does not
@@ -104,6 +107,7 @@
     steady_time confirmed() const { return m_confirmedAt; }
     /// A peer's copy was known to be right at a moment. If this copy is as new, so was this one.
     void noteConfirmed(std::int64_t revision, steady_time when);
+    void noteUnchanged(std::int64_t from, std::int64_t until) { m_history.noteUnchanged(from, until); }
     /// Asks the store beside the waiting call whether the copy is what it holds, at most every 300 ms, and
     /// less often while it does not answer. What the waiting call has missed is taken over, and another takes
     /// its place.
--- a/libs/mirror/src/section_history.cpp
+++ b/libs/mirror/src/section_history.cpp
@@ -125,6 +125,12 @@
     return changed;
 }
 
+void section_history::noteUnchanged(std::int64_t from, std::int64_t until)
+{
+    if (m_section.revision >= from && !m_wantsWhole)
+        m_section.revision = std::max(m_section.revision, until);
+}
+
 section_update section_history::since(std::int64_t revision) const
 {
     section_update update { m_section.prefix, m_section.revision, {}, 0, {} };
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -201,7 +201,7 @@
 section_standing store_mirror::standing(steady_time now) const
 {
     return { section().prefix, section().revision, std::min(m_settledRevision, section().revision),
-        std::chrono::duration_cast<milliseconds>(now - m_confirmedAt) };
+        std::chrono::duration_cast<milliseconds>(now - m_confirmedAt), section().revision };
 }
 
 bool store_mirror::offer(const section_update& update)
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -377,3 +377,33 @@
     f.mirror.noteStanding({ "op/", 12, 12 });
     CHECK(!f.mirror.settled(5));
 }
+
+// Story: the store's revision moves on with every result of a job, the copies of a quiet section do not. A
+// peer knew of the later revision that a missing target has gone; the asker's copy never got there, and it
+// kept the target for 10 s.
+TEST_CASE("a copy of a section that has not changed is a copy of the store's later revision")
+{
+    fixture f;
+    f.store.pendingList(store_listing { { value("op/a", "1", 3) }, 5, false });
+    f.mirror.noteStanding({ "op/", 5, 40 });
+    CHECK(!f.mirror.settled(5));
+    f.mirror.noteUnchanged(6, 40); // What the peer has of revision 6 has not been taken over.
+    CHECK(f.mirror.section().revision == 5);
+    f.mirror.noteUnchanged(5, 40);
+    CHECK(f.mirror.section().revision == 40);
+    CHECK(f.mirror.settled(5));
+    f.mirror.noteUnchanged(5, 20);
+    CHECK(f.mirror.section().revision == 40);
+}
+
+TEST_CASE("a copy that lacks a removal does not become a later one")
+{
+    section_history asker("n/");
+    asker.replace(5, { { "n/a", "1", 3 }, { "n/gone", "1", 4 } });
+    section_history own("n/");
+    own.replace(10, { { "n/a", "1", 3 }, { "n/new", "1", 9 } });
+    CHECK(asker.apply(own.since(asker.askFrom())) == true);
+    asker.noteUnchanged(5, 12);
+    CHECK(asker.askFrom() == 0);
+    CHECK(asker.section().revision == 5);
+}
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -259,6 +259,7 @@
         added->set_prefix(standing.prefix);
         added->set_revision(standing.revision);
         added->set_settled_revision(standing.settledRevision);
+        added->set_unchanged_until(standing.unchangedUntil);
         added->set_age_ms(static_cast<std::uint64_t>(standing.age.count()));
     }
 }
@@ -271,7 +272,7 @@
     answer.contact.watches = in.watches_store();
     for (const auto& standing : in.standings())
         answer.standings.push_back({ standing.prefix(), standing.revision(), standing.settled_revision(),
-            milliseconds { static_cast<std::int64_t>(standing.age_ms()) } });
+            milliseconds { static_cast<std::int64_t>(standing.age_ms()) }, standing.unchanged_until() });
     return answer;
 }
 
