A key that has come back is not told as removed

What callers saw: a target whose entry had lapsed and come back got no requests from some entries. Cause: a removal that is heard of from a peer is noted at the peer's revision, later than the key's return; an asker between the two was told of the removal alone. Now a removal is told only of keys that the copy lacks. Test: a key that came back is not told as removed (failed before).

--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -82,7 +82,7 @@
     std::vector<section_entry> changed; ///< New and changed ones, in order of their keys.
     /// The update holds for copies of this revision and later ones; 0: `changed` is the whole section.
     std::int64_t basedOn = 0;
-    std::vector<std::string> removed; ///< Keys; a key that came back is in `changed` too.
+    std::vector<std::string> removed; ///< Keys that the newer copy lacks.
     /// Of the keys of the newer copy, if the sender does not know all that went since `basedOn`: only a copy
     /// that has just these keys afterwards is right. 0: nothing to check.
     std::uint64_t keysDigest = 0;
--- a/libs/mirror/src/section_history.cpp
+++ b/libs/mirror/src/section_history.cpp
@@ -23,6 +23,12 @@
     return std::lower_bound(entries.begin(), entries.end(), key, byKey);
 }
 
+bool containsKey(const std::vector<section_entry>& entries, const std::string& key)
+{
+    const auto place = std::lower_bound(entries.begin(), entries.end(), key, byKey);
+    return place != entries.end() && place->key == key;
+}
+
 /// Never 0. Whatever the order of the keys.
 std::uint64_t digestOf(std::span<const section_entry> entries)
 {
@@ -148,8 +154,10 @@
         if (entry.revision > revision)
             update.changed.push_back(entry);
     }
+    // A key that has come back is not named: a removal that was heard of from a peer is noted at the peer's
+    // revision, which may be later than the return, and an asker in between would drop the entry for good.
     for (const auto& gone : m_removals) {
-        if (gone.revision > revision)
+        if (gone.revision > revision && !containsKey(m_section.entries, gone.key))
             update.removed.push_back(gone.key);
     }
     return update;
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -407,3 +407,18 @@
     CHECK(asker.askFrom() == 0);
     CHECK(asker.section().revision == 5);
 }
+
+// Story: a target's entry lapses in an outage and comes back. A process that heard of both from a peer noted
+// the removal at the peer's revision, later than the return; those that asked it afterwards were told of the
+// removal only, and a target that lives got no requests from them.
+TEST_CASE("a key that came back is not told as removed")
+{
+    section_history own("n/");
+    own.replace(5, { { "n/a", "1", 3 } });
+    CHECK(own.apply(section_update { "n/", 10, { { "n/a", "2", 7 } }, 5, { "n/a" }, 0 }) == true);
+    CHECK(contentOf(own) == "n/a=2;");
+    section_history asker("n/");
+    asker.replace(8, { { "n/a", "2", 7 } });
+    asker.apply(own.since(8));
+    CHECK(contentOf(asker) == "n/a=2;");
+}
