--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -2,6 +2,7 @@
 
 #include "event_loop/event_loop.h"
 #include "fleet/fleet.h"
+#include "guard/guard.h"
 #include "http/http.h"
 #include "metrics/metrics.h"
 #include "places/places.h"
@@ -68,6 +69,7 @@
     metrics& figures;
     /// How old the list of targets is, for the log.
     std::function<milliseconds()> targetsAge = [] { return milliseconds { 0 }; };
+    end_check* ends = nullptr; ///< Tells of targets that broke off an answer; may be null.
 };
 
 /// Serves one request of a live route to its end. It keeps itself alive until then.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -94,8 +94,9 @@
               m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address }, &m_loads, groupOptions(settings))
         , m_places(m_broker)
         , m_targets(m_client)
+        , m_ends(m_loop, m_loads)
         , m_live { m_loop, m_places, m_targets, adapter.callers, m_figures,
-            [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); } }
+            [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); }, &m_ends }
         , m_jobs(
               m_loop, m_client, settings.zone, [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
         , m_offerTimer(m_loop)
@@ -186,6 +187,7 @@
     {
         const auto now = std::chrono::steady_clock::now();
         m_broker.setTargets(m_fleet.targets().targets(), now);
+        m_ends.setTargets(m_fleet.targets().targets(), now);
     }
 
     void nodesChanged()
@@ -358,6 +360,7 @@
     place_broker m_broker;
     broker_places m_places;
     http_targets m_targets;
+    end_check m_ends;
     live_services m_live;
     job_forwarder m_jobs;
     loop_timer m_offerTimer;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -327,6 +327,7 @@
     /// The request may have run, or ran in part.
     void broken(const failure& error)
     {
+        examineTarget();
         m_begun = true;
         m_lastFailure = error;
         m_reason = error.message;
@@ -339,6 +340,15 @@
         giveUp(error);
     }
 
+    /// Whether the target has ended, and under which request, is told in the log.
+    void examineTarget()
+    {
+        if (!m_services.ends)
+            return;
+        m_identity = identityOf(m_caller->request());
+        m_services.ends->examine(m_lastTarget, [](bool) {});
+    }
+
     // --- Ends
 
     /// What was begun cannot be brought to its end.
@@ -413,12 +423,14 @@
                 { "target", m_lastTarget }, { "targets_age_ms", m_targetsAge.count() },
                 { "sends", std::int64_t { m_sends } }, { "objective_ms", m_route.objective.count() },
                 { "waited_ms", m_waited.count() }, { "first_event_ms", m_firstEvent.count() },
-                { "took_ms", toMs(took).count() }, { "reason", m_reason } });
+                { "took_ms", toMs(took).count() },
+                { "identity", m_identity ? toString(*m_identity) : std::string() }, { "reason", m_reason } });
     }
 
     live_services& m_services;
     std::shared_ptr<http_exchange> m_caller;
     request_facts m_facts;
+    std::optional<request_identity> m_identity; ///< Known once an answer to it was cut.
     std::shared_ptr<const routing_table> m_table; ///< Keeps the route alive.
     const route& m_route;
     loop_timer m_limit;
--- /dev/null
+++ b/libs/guard/src/end_check.cpp
@@ -0,0 +1,108 @@
+#include "guard/guard.h"
+
+#include "logging/logging.h"
+
+#include <algorithm>
+
+namespace yuccachute {
+
+namespace {
+
+/// A target that has crashed is back, under another id, within several seconds; its old entry lapses in
+/// four.
+constexpr milliseconds listPatience { 10000 };
+
+} // namespace
+
+end_check::end_check(event_loop& loop, load_source& loads)
+    : m_loop(loop)
+    , m_loads(loads)
+{
+}
+
+void end_check::setTargets(const target_list& targets, steady_time now)
+{
+    m_targets = targets;
+    for (auto one = m_examinations.begin(); one != m_examinations.end();) {
+        const auto next = std::next(one);
+        if (restarted(*one))
+            finish(one, true);
+        one = next;
+    }
+    expire(now);
+}
+
+bool end_check::restarted(const examination& one) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& listed) {
+        return listed.second.address == one.address && listed.first != one.target;
+    });
+}
+
+void end_check::examine(const std::string& target, callback done)
+{
+    const auto now = std::chrono::steady_clock::now();
+    expire(now);
+    const auto listed = m_targets.find(target);
+    // One that leaves, or has left the list, may stop in the middle of its work.
+    if (listed == m_targets.end() || listed->second.draining)
+        return m_loop.post([done = std::move(done)] { done(false); });
+    auto one = std::find_if(m_examinations.begin(), m_examinations.end(),
+        [&](const auto& other) { return other.target == target; });
+    if (one == m_examinations.end()) {
+        m_examinations.push_back({ target, listed->second.address, {}, {}, false });
+        one = std::prev(m_examinations.end());
+    }
+    one->until = now + listPatience;
+    one->waiting.push_back(std::move(done));
+    if (!one->asked)
+        ask(one);
+}
+
+void end_check::ask(examination_list::iterator one)
+{
+    one->asked = true;
+    m_loads.ask(one->address,
+        [this, target = one->target, alive = std::weak_ptr(m_alive)](const result<load_report>& report) {
+            if (!alive.expired())
+                answered(target, report);
+        });
+}
+
+void end_check::answered(const std::string& target, const result<load_report>& report)
+{
+    const auto one = std::find_if(m_examinations.begin(), m_examinations.end(),
+        [&](const auto& other) { return other.target == target; });
+    if (one == m_examinations.end())
+        return;
+    one->asked = false;
+    if (report)
+        return finish(one, false);
+    const auto& error = report.error();
+    // A refused connection; a target that is dark or cut off gives none, and the list has to tell.
+    if (error.ran == verdict::not_run && error.kind == failure_kind::unavailable)
+        finish(one, true);
+}
+
+void end_check::finish(examination_list::iterator one, bool ended)
+{
+    const auto waiting = std::move(one->waiting);
+    logEvent(log_level::info, "target examined after a cut",
+        { { "target", one->target }, { "address", one->address }, { "ended", std::int64_t { ended } },
+            { "cuts", static_cast<std::int64_t>(waiting.size()) } });
+    m_examinations.erase(one);
+    for (const auto& done : waiting)
+        done(ended);
+}
+
+void end_check::expire(steady_time now)
+{
+    for (auto one = m_examinations.begin(); one != m_examinations.end();) {
+        const auto next = std::next(one);
+        if (!one->asked && now >= one->until)
+            finish(one, false);
+        one = next;
+    }
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/guard/tests/test_end_check.cpp
@@ -0,0 +1,88 @@
+#include "guard/guard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace yuccachute;
+
+namespace {
+
+class scripted_loads final : public load_source {
+public:
+    void ask(const std::string& address, callback done) override
+    {
+        asked += address + ' ';
+        answer = std::move(done);
+    }
+    std::string asked;
+    callback answer;
+};
+
+listed_target listedAt(const std::string& id, const std::string& address, bool draining = false)
+{
+    listed_target target;
+    target.id = id;
+    target.address = address;
+    target.draining = draining;
+    return target;
+}
+
+struct fixture {
+    fixture() { list({ listedAt("t1", "a1"), listedAt("t2", "a2"), listedAt("t3", "a3", true) }); }
+    void list(const std::vector<listed_target>& targets, milliseconds later = milliseconds { 0 })
+    {
+        end_check::target_list listed;
+        for (const auto& target : targets)
+            listed.emplace(target.id, target);
+        check.setTargets(listed, std::chrono::steady_clock::now() + later);
+    }
+    void examine(const std::string& target)
+    {
+        check.examine(target, [this](bool ended) { found += ended ? "ended " : "alive "; });
+    }
+
+    event_loop loop;
+    scripted_loads loads;
+    end_check check { loop, loads };
+    std::string found;
+};
+
+} // namespace
+
+TEST_CASE("a target that refuses connections after a cut has ended, one that answers has not")
+{
+    fixture f;
+    f.examine("t1");
+    f.examine("t1");
+    CHECK(f.loads.asked == "a1 "); // All cuts of a moment are settled by one question.
+    f.loads.answer(notRun(failure_kind::unavailable, "connection refused"));
+    CHECK(f.found == "ended ended ");
+    f.examine("t2");
+    f.loads.answer(load_report {});
+    CHECK(f.found == "ended ended alive ");
+}
+
+TEST_CASE("a target that leaves may stop in the middle, and nothing is concluded from it")
+{
+    fixture f;
+    f.examine("t3");
+    f.examine("unlisted");
+    f.loop.runFor(milliseconds { 5 });
+    CHECK(f.found == "alive alive ");
+    CHECK(f.loads.asked.empty());
+}
+
+// Story: a target's VM goes dark with it, or the way there is cut at that moment; no connection is refused.
+// Another start of it at its address is the proof, seconds later.
+TEST_CASE("of a target that does not answer the list of targets tells")
+{
+    fixture f;
+    f.examine("t1");
+    f.loads.answer(notRun(failure_kind::timeout, "no connection in time"));
+    CHECK(f.found.empty());
+    f.list({ listedAt("t2", "a2"), listedAt("t4", "a1") });
+    CHECK(f.found == "ended ");
+    f.examine("t2");
+    f.loads.answer(mayHaveRun(failure_kind::timeout, "silent"));
+    f.list({ listedAt("t2", "a2") }, milliseconds { 11000 });
+    CHECK(f.found == "ended alive "); // A cut link: nobody else ever came to its address.
+}
--- a/libs/serving/include/serving/serving.h
+++ b/libs/serving/include/serving/serving.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/http.h"
+#include "quarantine/quarantine.h"
 #include "routing/routing.h"
 #include "verdict/verdict.h"
 
@@ -51,6 +52,9 @@
     virtual answer_meaning classify(const http_reply& head, std::string_view requestId) const = 0;
 };
 
+/// What a request asks for, whatever its id: what is asked, of whom, by whom, with which body.
+request_identity identityOf(const http_request& request);
+
 /// The headers that concern more than one connection: what a proxy passes on.
 http_headers endToEndHeaders(const http_headers& headers);
 
--- a/libs/serving/src/headers.cpp
+++ b/libs/serving/src/headers.cpp
@@ -40,6 +40,15 @@
 
 } // namespace
 
+request_identity identityOf(const http_request& request)
+{
+    const bool raw = !request.target.empty();
+    const std::array<std::string_view, 6> parts { request.method, findHeader(request.headers, "Host"),
+        findHeader(request.headers, "Authorization"), raw ? request.target : request.path,
+        raw ? std::string_view() : request.query, request.body };
+    return identify(parts);
+}
+
 http_headers endToEndHeaders(const http_headers& headers)
 {
     const auto connection = findHeader(headers, "Connection");
