--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -24,6 +24,7 @@
     bool finished = false;
     std::int64_t beganMs = 0; ///< By the steady clock, which all processes of a machine share.
     std::int64_t reachedMs = 0; ///< When the request arrived, by the same clock.
+    bool endedServer = false; ///< Its server crashed under it.
 };
 
 std::int64_t steadyMs()
@@ -32,18 +33,32 @@
         .count();
 }
 
+/// Requests that crash each server which begins to run them.
+struct deadly_requests {
+    std::string mark; ///< Their bodies contain it; empty for none.
+    milliseconds after { 50 }; ///< From their beginning to the crash.
+    milliseconds back { 2000 }; ///< From the crash to the server's next start.
+};
+
+/// After a crash a server's entry stays in the list for three missed heartbeats.
+constexpr milliseconds entryLapsesAfter { 3600 };
+
 class model_server {
 public:
-    model_server(event_loop& loop, platform_store& store, std::vector<run_record>& runs, std::string zone,
-        std::string address, std::string listedAddress, unsigned slots, milliseconds eventInterval)
+    model_server(event_loop& loop, platform_store& store, std::vector<run_record>& runs,
+        const deadly_requests& deadly, std::string zone, std::string address, std::string listedAddress,
+        unsigned slots, milliseconds eventInterval)
         : m_loop(loop)
         , m_store(store)
         , m_runs(runs)
+        , m_deadly(deadly)
         , m_zone(std::move(zone))
         , m_address(std::move(address))
         , m_listedAddress(std::move(listedAddress))
         , m_slots(slots)
         , m_interval(eventInterval)
+        , m_lapse(loop)
+        , m_restart(loop)
         , m_ticker(loop, m_interval, [this] { tick(); })
     {
         start();
@@ -68,11 +83,23 @@
         m_listener.reset();
     }
 
+    /// Crashes, and comes back later under another id.
+    void crashFor(milliseconds time)
+    {
+        if (!m_listener)
+            return;
+        crash();
+        m_lapse.arm(entryLapsesAfter, [this, id = m_id] { m_store.remove("servers/" + id); });
+        m_restart.arm(time, [this] { start(); });
+    }
+
     void drain() { list("draining"); }
     void unlist() { m_store.remove("servers/" + m_id); }
     void setDark(bool dark) { m_dark = dark; }
     /// Breaks off each answer to requests whose id begins so.
     void cutAnswersTo(std::string id) { m_cutId = std::move(id); }
+    /// Breaks off each answer of so many in its middle; 0 for none.
+    void cutEach(unsigned answers) { m_cutEach = answers; }
     const std::string& id() const { return m_id; }
     std::size_t running() const { return m_running.size(); }
 
@@ -85,7 +112,10 @@
         std::string id;
         int next = 1;
         int last = 0;
+        int cutAt = 0; ///< Event before which the answer is broken off; 0 for never.
         steady_time from;
+        steady_time endsServerAt = steady_time::max();
+        bool deadly = false;
         bool finished = false;
     };
 
@@ -135,8 +165,12 @@
         one.id = id;
         const std::string tokens(findHeader(headers, "Yuccachute-Token-Count"));
         one.last = std::stoi(tokens.substr(tokens.find(',') + 1));
+        one.deadly
+            = !m_deadly.mark.empty() && caller->request().body.find(m_deadly.mark) != std::string::npos;
         if (!run.lastEvent.empty())
             one.next = std::stoi(run.lastEvent) + 1;
+        if (m_cutEach != 0 && ++m_answers % m_cutEach == 0)
+            one.cutAt = (one.next + one.last) / 2;
         auto streamHead = head;
         streamHead.emplace_back("Content-Type", "text/event-stream");
         caller->startStream(200, streamHead, std::nullopt);
@@ -161,9 +195,21 @@
             if (!*m_running[i].gone && !m_dark)
                 advance(m_running[i], now);
         }
+        endUnderDeadly(now);
         std::erase_if(m_running, [](const auto& one) { return *one.gone || one.finished; });
     }
 
+    /// The server crashes if a request that does so has run for long enough.
+    void endUnderDeadly(steady_time now)
+    {
+        const auto found = std::find_if(m_running.begin(), m_running.end(),
+            [&](const auto& one) { return now >= one.endsServerAt && !*one.gone; });
+        if (found == m_running.end())
+            return;
+        m_runs[*found->begun].endedServer = true;
+        m_loop.post([this] { crashFor(m_deadly.back); });
+    }
+
     /// One step of a request that has a slot.
     void advance(stream& one, steady_time now)
     {
@@ -172,9 +218,15 @@
             m_runs.push_back(one.run);
             m_runs.back().beganMs = steadyMs();
             one.from = now + firstEventAfter;
+            if (one.deadly)
+                one.endsServerAt = now + m_deadly.after;
         }
-        if (now < one.from)
+        if (now < one.from || one.deadly)
             return;
+        if (one.cutAt != 0 && one.next == one.cutAt) {
+            one.finished = true;
+            return one.caller->abort();
+        }
         if (one.next <= one.last) {
             const auto number = std::to_string(one.next++);
             one.caller->write("id: " + number + "\ndata: " + one.id + "-" + number + "\n\n");
@@ -189,6 +241,7 @@
     event_loop& m_loop;
     platform_store& m_store;
     std::vector<run_record>& m_runs;
+    const deadly_requests& m_deadly;
     std::string m_zone;
     std::string m_address;
     std::string m_listedAddress; ///< Where callers reach it; a proxy may stand there.
@@ -198,9 +251,13 @@
     int m_starts = 0;
     bool m_dark = false;
     std::string m_cutId;
+    unsigned m_cutEach = 0;
+    unsigned m_answers = 0;
     std::vector<stream> m_running;
     std::vector<std::shared_ptr<http_exchange>> m_silent;
     std::unique_ptr<http_listener> m_listener;
+    loop_timer m_lapse;
+    loop_timer m_restart;
     loop_ticker m_ticker;
 };
 
@@ -254,7 +311,7 @@
         unsigned slots, milliseconds interval)
     {
         m_servers.push_back(std::make_unique<model_server>(
-            m_loop, m_store, m_runs, std::move(zone), address, listedAddress, slots, interval));
+            m_loop, m_store, m_runs, m_deadly, std::move(zone), address, listedAddress, slots, interval));
     }
 
 private:
@@ -290,6 +347,8 @@
             for (auto& server : m_servers)
                 server->cutAnswersTo(value("id"));
         }
+        if (request.path == "/deadly")
+            m_deadly = { value("mark"), milliseconds { number("after") }, milliseconds { number("back") } };
         if (request.path == "/remove")
             m_store.remove(value("key"));
         if (request.path == "/key")
@@ -299,6 +358,10 @@
             const auto what = value("do");
             if (what == "crash")
                 server.crash();
+            if (what == "crash_for")
+                server.crashFor(milliseconds { number("ms") });
+            if (what == "cut_each")
+                server.cutEach(static_cast<unsigned>(number("answers")));
             if (what == "start")
                 server.start();
             if (what == "drain")
@@ -312,7 +375,8 @@
         auto runs = json::array();
         for (const auto& run : m_runs)
             runs.push_back({ { "id", run.id }, { "server", run.server }, { "last", run.lastEvent },
-                { "finished", run.finished }, { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs } });
+                { "finished", run.finished }, { "ended_server", run.endedServer },
+                { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs } });
         return { { "runs", runs }, { "calls", m_store.calls() },
             { "open", m_store.count("yuccachute/open/") }, { "nodes", m_store.count("yuccachute/node/") } };
     }
@@ -321,6 +385,7 @@
     platform_store m_store;
     std::int64_t m_version = 3;
     std::vector<run_record> m_runs;
+    deadly_requests m_deadly;
     std::vector<std::unique_ptr<model_server>> m_servers;
     std::unique_ptr<http_listener> m_control;
 };
--- a/tests/support/platform_system.cpp
+++ b/tests/support/platform_system.cpp
@@ -108,7 +108,7 @@
         for (unsigned i = 0; i < zone.servers; ++i) {
             const auto port = freePort();
             auto argument = zone.zone + "=" + local(port);
-            if (layout.proxied)
+            if (layout.proxied && layout.serversProxied)
                 argument += "@" + local(addRoute("server-" + std::to_string(m_servers), port));
             arguments.push_back(argument);
             ++m_servers;
--- a/tests/support/platform_system.h
+++ b/tests/support/platform_system.h
@@ -23,6 +23,7 @@
     /// Whether each process reaches the store, and everybody each server, through a route of the fault proxy:
     /// "store-VM" and "server-NUMBER".
     bool proxied = false;
+    bool serversProxied = true; ///< With `proxied`; else the servers are reached as they are.
 };
 
 /// A system on the stand-in of the platform. All its processes are killed when it is destroyed, and its
