Items that end their targets are held back after three of them, whoever holds their job

What callers saw: an item of a job took one target after the other, with the live answers on them; its holder counted in memory and by item, and a new holder began anew. Cause: the same as for live requests. Change: batch processes share what entries know, and tell what they see; an item with three strikes waits 20 s before each further run. It is neither refused, having been accepted, nor given up before it expires. Why it holds: the record belongs to what the item asks for, and is known to each holder.

--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -204,6 +204,7 @@
     const fleet_codec& documents;
     const caller_protocol& callers;
     const bulk_protocol& jobs;
+    const load_protocol& loads;
 };
 
 /// Runs the batch process until it is told to stop. Returns the exit code.
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -98,9 +98,13 @@
         events.whole = [this] { takeWhole(); };
         events.failed = [this](const failure& error) {
             m_call.reset();
+            if (error.ran != verdict::not_run)
+                m_services.guard.cut(identityOf(m_order.request), m_recordWhenSent, m_target, nullptr);
             release(outcomeOfCut());
             end(run_end::cut, error.message);
         };
+        if (m_services.guard.watching())
+            m_recordWhenSent = m_services.guard.record(identityOf(m_order.request));
         m_call = m_services.targets.start(m_place->address,
             m_services.callers.forTarget(m_order.request, envelope), options, std::move(events));
         m_events.placed();
@@ -136,7 +140,10 @@
             release(grant_outcome::failed);
             return end(run_end::broken, "another target has the address");
         }
-        if (m_status == 200 && !m_splitter.midEvent()) {
+        const bool half = m_status == 200 && m_splitter.midEvent();
+        if (!half && m_services.guard.watching())
+            m_services.guard.answered(identityOf(m_order.request));
+        if (m_status == 200 && !half) {
             release(grant_outcome::ok);
             return end(run_end::whole, "");
         }
@@ -200,6 +207,7 @@
     std::shared_ptr<client_call> m_call;
     std::optional<place> m_place;
     std::string m_target;
+    record_of_strikes m_recordWhenSent; ///< What was known against the item when it was sent.
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
     bool m_stopped = false;
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -10,6 +10,7 @@
     place_broker& places;
     http_client& targets;
     const caller_protocol& callers;
+    request_guard& guard;
 };
 
 /// What a run reports. `ended` comes exactly once, last, unless the run is dropped.
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t mostWaiting = 24;
 /// When items are given up whose route names no expiry.
 constexpr std::chrono::hours defaultExpiry { 24 };
+/// An item that ends its targets waits so long before each further run. It cannot be refused as a live
+/// request is, since it was accepted, nor be given up before it expires; a few ends until then are the price
+/// of a wrong suspicion costing an item no more than this.
+constexpr milliseconds heldBackFor { 20000 };
 
 } // namespace
 
@@ -177,6 +181,8 @@
     item_order order;
     order.itemId = item.id;
     order.request = m_adapter.jobs.itemRequest(record, item);
+    if (heldBack(held, next->index, order.request))
+        return true;
     order.service = matched->pickService(std::hash<std::string> {}(item.id));
     order.customer = matched->name;
     order.cost = static_cast<double>(item.tokens);
@@ -209,6 +215,25 @@
     return true;
 }
 
+bool bulk_process::heldBack(held_job& held, std::uint32_t index, const http_request& request)
+{
+    if (!m_guard.watching())
+        return false;
+    const auto identity = identityOf(request);
+    if (m_guard.known().of(identity, now()) != quarantine::standing::refused)
+        return false;
+    if (held.waitedOut.erase(index) > 0)
+        return false;
+    held.waitedOut.insert(index);
+    const auto& record = held.job->record();
+    logEvent(log_level::warning, "item held back",
+        { { "job", record.id }, { "item", record.items[index].id }, { "identity", toString(identity) },
+            { "strikes", std::int64_t { m_guard.record(identity).strikes } },
+            { "for_ms", heldBackFor.count() } });
+    putBack(record.id, index, run_end::broken, heldBackFor);
+    return true;
+}
+
 void bulk_process::putBack(const std::string& id, std::uint32_t index, run_end how, milliseconds pause)
 {
     const auto found = m_jobs.find(id);
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -35,7 +35,8 @@
     token_claim claim;
     std::map<std::uint32_t, std::unique_ptr<item_run>> runs;
     std::map<std::uint32_t, unsigned> cuts; ///< In a row without a new event, by item.
-    std::map<std::uint32_t, loop_timer> pauses; ///< Of items that were cut.
+    std::map<std::uint32_t, loop_timer> pauses; ///< Of items that were cut, or end their targets.
+    std::set<std::uint32_t> waitedOut; ///< Items that end their targets, and have had their pause.
     std::vector<waiting_reader> readers;
     steady_time nextCommit;
     std::size_t eventsSaved = 0; ///< At the last saving of progress.
@@ -64,7 +65,9 @@
     static node_record ownRecord(const process_settings& settings);
     fleet_watch::listeners listeners();
     static steady_time now() { return std::chrono::steady_clock::now(); }
+    void targetsChanged();
     void nodesChanged();
+    std::vector<std::string> entryAddresses() const;
 
     // --- Calls of callers
     void serve(std::shared_ptr<http_exchange> caller);
@@ -112,6 +115,8 @@
     /// Follows how long an undisturbed run takes, in all and by event.
     void noteRun(const run_figures& run);
     bool startItem(held_job& held, const routing_table& table);
+    /// Whether an item is known to end its targets and has to wait.
+    bool heldBack(held_job& held, std::uint32_t index, const http_request& request);
     void itemEnded(const std::string& id, std::uint32_t index, run_end how, std::string_view reason);
     /// Lets the item wait for its next run, at once or after a pause.
     void putBack(const std::string& id, std::uint32_t index, run_end how, milliseconds pause);
@@ -159,6 +164,10 @@
     observed_store m_store;
     rpc_client m_rpc;
     node_record m_self;
+    target_loads m_loads;
+    request_guard m_guard;
+    suspect_spread m_spread;
+    suspect_archive m_archive;
     fleet_watch m_fleet;
     registration m_registration;
     place_broker m_broker;
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -99,6 +99,17 @@
     virtual result<load_report> readLoad(const http_reply& reply) const = 0;
 };
 
+/// Asks targets for their load over HTTP. On the loop's thread.
+class target_loads final : public load_source {
+public:
+    target_loads(http_client& client, const load_protocol& protocol);
+    void ask(const std::string& address, callback done) override;
+
+private:
+    http_client& m_client;
+    const load_protocol& m_protocol;
+};
+
 /// Everything that an entry needs from the platform's adapter.
 struct platform_adapter {
     const fleet_codec& documents;
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -2,7 +2,6 @@
 
 #include "job_forwarder.h"
 #include "logging/logging.h"
-#include "target_loads.h"
 
 #include <algorithm>
 #include <csignal>
--- a/libs/front/src/target_loads.cpp
+++ b/libs/front/src/target_loads.cpp
@@ -1,4 +1,4 @@
-#include "target_loads.h"
+#include "front/front.h"
 
 #include "logging/logging.h"
 
--- a/libs/guard/src/request_guard.cpp
+++ b/libs/guard/src/request_guard.cpp
@@ -47,7 +47,8 @@
         break;
     }
     if (m_trials->contains(identity))
-        return { notRun(failure_kind::unavailable, "this request is being tried already", trialRetry), nullptr };
+        return { notRun(failure_kind::unavailable, "this request is being tried already", trialRetry),
+            nullptr };
     return { std::nullopt, std::make_shared<running_trial>(m_trials, identity) };
 }
 
--- a/libs/guard/src/suspect_archive.cpp
+++ b/libs/guard/src/suspect_archive.cpp
@@ -36,13 +36,13 @@
 
 std::string encodeSuspect(const suspect_note& note, std::int64_t wallClockMs)
 {
-    return json { { "acquittals", note.record.acquittals }, { "strikes", note.record.strikes },
-        { "changed_ms", wallClockMs - note.age.count() } }
-        .dump();
+    return json {
+        { "acquittals", note.record.acquittals }, { "strikes", note.record.strikes },
+        { "changed_ms", wallClockMs - note.age.count() }
+    }.dump();
 }
 
-result<suspect_note> decodeSuspect(
-    std::string_view key, std::string_view document, std::int64_t wallClockMs)
+result<suspect_note> decodeSuspect(std::string_view key, std::string_view document, std::int64_t wallClockMs)
 {
     const auto wrong = [&](const std::string& what) {
         return notRun(failure_kind::bad_request, std::string(key) + ": " + what);
@@ -174,8 +174,7 @@
     return condition;
 }
 
-void suspect_archive::written(
-    const std::vector<suspect_note>& notes, const result<commit_outcome>& outcome)
+void suspect_archive::written(const std::vector<suspect_note>& notes, const result<commit_outcome>& outcome)
 {
     if (!outcome) {
         if (outcome.error().kind == failure_kind::not_found)
--- a/libs/guard/src/suspect_spread.cpp
+++ b/libs/guard/src/suspect_spread.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// News of a moment travel together: when a rack of targets ends, an entry learns of dozens of requests within
-/// milliseconds.
+/// News of a moment travel together: when a rack of targets ends, an entry learns of dozens of requests
+/// within milliseconds.
 constexpr milliseconds flushPause { 10 };
 constexpr milliseconds tellTimeout { 500 };
 /// A peer whose digest differs is told everything at most so often.
--- a/libs/guard/tests/test_request_guard.cpp
+++ b/libs/guard/tests/test_request_guard.cpp
@@ -265,8 +265,8 @@
     CHECK_FALSE(third.guard.admit(guilty).refusal);
 }
 
-// Story: two entries write what they know of one request at the same time, and an answer of the store is lost.
-// The worse record has to stay.
+// Story: two entries write what they know of one request at the same time, and an answer of the store is
+// lost. The worse record has to stay.
 TEST_CASE("what several processes keep of a request ends as the worst that one of them knows")
 {
     event_loop loop;
@@ -296,7 +296,8 @@
     CHECK(read.value().record == note.record);
     CHECK(read.value().age == milliseconds { 8000 });
     CHECK(decodeSuspect(key, document, 0).value().age == milliseconds { 0 }); // The clock jumped back.
-    CHECK(decodeSuspect("yuccachute/suspect/x", document, 0).error().message.find("identity") != std::string::npos);
+    CHECK(decodeSuspect("yuccachute/suspect/x", document, 0).error().message.find("identity")
+        != std::string::npos);
     CHECK(decodeSuspect(key, "{}", 0).error().message.find("acquittals") != std::string::npos);
     CHECK(decodeSuspect(key, "[", 0).error().message.find("JSON") != std::string::npos);
 }
--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -37,8 +37,8 @@
     const auto found = m_suspects.find(identity);
     if (found == m_suspects.end() || found->second.record.strikes < strikesOfSuspect)
         return standing::clear;
-    const bool refused = found->second.record.strikes >= strikesOfRefused
-        && since(found->second.changed, now) < refusalTime;
+    const bool refused
+        = found->second.record.strikes >= strikesOfRefused && since(found->second.changed, now) < refusalTime;
     return refused ? standing::refused : standing::suspect;
 }
 
--- a/tests/failures_query_of_death.cpp
+++ b/tests/failures_query_of_death.cpp
@@ -267,6 +267,20 @@
     checkStopped(system);
 }
 
+// Story: an item of a job ends each target that begins to run it. Its holder counts by item and in memory,
+// and sends it on to the next target after a pause; live callers on these targets lose their answers.
+TEST_CASE("an item that ends its targets is held back after three of them, and the others are done")
+{
+    platform_system system(twoZones());
+    system.control("/deadly?mark=abc100&after=50&back=2500");
+    REQUIRE(system.submit("entry-a-1", "again", 6, 5) == 202);
+    std::this_thread::sleep_for(milliseconds { 16000 });
+    checkStopped(system);
+    const auto page = system.results("entry-b-1", "again");
+    REQUIRE(page);
+    CHECK((*page)["results"].size() == 5);
+}
+
 // Story: racks end, again and again, under a request that many callers send with the same body: it ran on
 // each target that ended, and looks as guilty as one can. Refusing it would be an outage of our own.
 TEST_CASE("a popular request is not taken for the cause when racks of targets end")
