--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -71,8 +71,9 @@
     /// missing that have only lapsed.
     using completeness = std::function<bool()>;
 
-    /// After a change the next waiting call is sent only after the pause, so that changes that come in a row
-    /// are told by one call: each is priced.
+    /// After the second of changes that come in a row the next waiting call is sent only after the pause, so
+    /// that the others are told by one call: each is priced. The second one is told at once like the first:
+    /// two targets that leave together were otherwise known to leave 400 ms apart.
     store_mirror(event_loop& loop, async_store& store, std::string prefix, milliseconds pauseAfterChange,
         listener changed, completeness listsAreComplete = nullptr);
 
@@ -128,6 +129,8 @@
     void follow();
     void failed(const failure& error, std::function<void()> again);
     void answered();
+    /// A change has been told. Whether the one before was a moment ago.
+    bool inRow();
     void noteSettled();
     void takeConfirmation(const result<store_changes>& changes, steady_time sent);
 
@@ -142,6 +145,7 @@
     unsigned m_unconfirmed = 0; ///< Confirmations in a row that were asked for and have not come.
     bool m_waits = false; ///< A call that waits for changes is under way.
     milliseconds m_pauseAfterChange;
+    steady_time m_lastChange;
     milliseconds m_longestPause { 1000 };
     loop_timer m_pause;
     std::minstd_rand m_random;
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -14,6 +14,8 @@
 /// The first wait after an outage, or of a process that begins to follow the store. A store that accepts
 /// calls and is silent would hold a long one for half a minute, while the process took itself for connected.
 constexpr milliseconds firstWait { 500 };
+/// Changes further apart than this are not in a row.
+constexpr milliseconds rowGap { 1000 };
 constexpr milliseconds firstPause { 60 };
 constexpr unsigned mostDoublings = 8;
 /// Long enough to be a wait at all: the store answers a call that finds nothing new as soon as it is over.
@@ -140,12 +142,21 @@
             noteSettled();
             if (changed)
                 m_changed(*this);
-            if (changes.value().events.empty() || m_pauseAfterChange.count() == 0)
+            if (changes.value().events.empty() || !inRow())
                 return follow();
             m_pause.arm(m_pauseAfterChange, [this] { follow(); });
         });
 }
 
+bool store_mirror::inRow()
+{
+    if (m_pauseAfterChange.count() == 0)
+        return false;
+    const auto now = std::chrono::steady_clock::now();
+    const auto before = std::exchange(m_lastChange, now);
+    return now - before < rowGap;
+}
+
 void store_mirror::noteSettled()
 {
     if (m_listsAreComplete && m_listsAreComplete())
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace yuccachute;
 
 namespace {
@@ -422,3 +424,31 @@
     asker.apply(own.since(8));
     CHECK(contentOf(asker) == "n/a=2;");
 }
+
+// Story: a target leaves just after another one. The first change is told at once, and the second one 400 ms
+// later, as changes are told in groups; until then the second target gets requests.
+TEST_CASE("the second of two changes is told at once too, and only what follows in a row is grouped")
+{
+    event_loop loop;
+    scripted_store store;
+    store_mirror mirror { loop, store, "op/", milliseconds { 400 }, [](const store_mirror&) {} };
+    mirror.start();
+    store.pendingList(store_listing { {}, 5, false });
+    const auto tell = [&](std::int64_t revision) {
+        const auto wait = store.pendingWait;
+        wait(store_changes { { { false, value("op/a", std::to_string(revision), revision) } }, revision });
+    };
+    tell(6);
+    CHECK(store.waitedFrom == 6);
+    tell(7);
+    CHECK(store.waitedFrom == 6);
+    loop.runFor(milliseconds { 450 });
+    CHECK(store.waitedFrom == 7);
+    tell(8); // Still in a row.
+    CHECK(store.waitedFrom == 7);
+    loop.runFor(milliseconds { 450 });
+    CHECK(store.waitedFrom == 8);
+    std::this_thread::sleep_for(milliseconds { 1100 });
+    tell(9); // After a quiet time.
+    CHECK(store.waitedFrom == 9);
+}
