A target that falls silent is not asked whether it has ended; only the list of targets tells

Under load targets are silent by the hundred, and a question to each is a priced call that proves nothing: a silent target does not refuse connections. A list that names another start at its address does.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -99,7 +99,7 @@
         events.failed = [this](const failure& error) {
             m_call.reset();
             if (error.ran != verdict::not_run)
-                m_services.guard.cut(identityOf(m_order.request), m_recordWhenSent, m_target, nullptr);
+                tellGuard(error);
             release(outcomeOfCut());
             end(run_end::cut, error.message);
         };
@@ -168,6 +168,16 @@
         end(run_end::broken, "revoked");
     }
 
+    /// The target may have ended under this item.
+    void tellGuard(const failure& error)
+    {
+        const auto identity = identityOf(m_order.request);
+        if (error.kind == failure_kind::timeout)
+            m_services.guard.fellSilent(identity, m_recordWhenSent, m_target);
+        else
+            m_services.guard.cut(identity, m_recordWhenSent, m_target, nullptr);
+    }
+
     grant_outcome outcomeOfCut() const
     {
         return m_order.blameTarget ? grant_outcome::failed : grant_outcome::abandoned;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -103,6 +103,12 @@
             m_services.guard->cut(identity(), m_recordWhenSent, m_lastTarget, std::move(settled));
     }
 
+    void targetSilent()
+    {
+        if (m_services.guard)
+            m_services.guard->fellSilent(identity(), m_recordWhenSent, m_lastTarget);
+    }
+
     /// Goes on elsewhere once it is known whether the request may: each of its runs may end one more target,
     /// with all that this answers.
     void seekWhenSettled()
@@ -172,7 +178,7 @@
         }
         // The former run is closed before the next begins: nobody works on a request twice.
         if (m_call) {
-            examineTarget();
+            targetSilent();
             dropCall(grant_outcome::failed);
         }
         send(std::move(found.value()));
@@ -428,7 +434,7 @@
     {
         m_reason = "the time is over";
         if (m_call)
-            examineTarget();
+            targetSilent();
         if (m_sends > 0)
             return giveUp(mayHaveRun(failure_kind::timeout, "no whole answer in time"));
         unplaced(notRun(failure_kind::overloaded, "no place in time", defaultRetryAfter));
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -36,9 +36,12 @@
     end_check(event_loop& loop, load_source& loads);
 
     void setTargets(const target_list& targets, steady_time now);
-    /// Exactly one answer comes, later: within a fraction of a second, or, from a target that does not
-    /// answer at all, when the list of targets tells, or does not within seconds.
+    /// Of a target that broke off an answer. Exactly one answer comes, later: within a fraction of a second,
+    /// or, if the target does not answer at all, when the list of targets tells, or does not within seconds.
     void examine(const std::string& target, callback done);
+    /// Of a target that fell silent, which is no sign of its end: only the list is waited for. Targets are
+    /// silent under load by the hundred, and each question to them is a call more.
+    void awaitRestart(const std::string& target, callback done);
 
 private:
     struct examination {
@@ -46,11 +49,13 @@
         std::string address;
         steady_time until; ///< When the list has had its time to tell.
         std::vector<callback> waiting;
-        bool asked = false; ///< A question to the target is under way.
+        bool asking = false; ///< A question to the target is under way.
     };
     using examination_list = std::list<examination>;
 
-    void ask(examination_list::iterator one);
+    /// The examination of a target, with one more that waits for it; null if nothing can be concluded.
+    examination* begin(const std::string& target, callback done);
+    void ask(examination& one);
     void answered(const std::string& target, const result<load_report>& report);
     void finish(examination_list::iterator one, bool ended);
     bool restarted(const examination& one) const;
@@ -100,10 +105,13 @@
     record_of_strikes record(const request_identity& identity) const { return m_known.record(identity); }
     const quarantine& known() const { return m_known; }
 
-    /// A target broke off the answer to a request, or fell silent. `settled` is called, later, once it is
-    /// known whether it has ended; it may be null.
+    /// A target broke off the answer to a request. `settled` is called, later, once it is known whether it
+    /// has ended; it may be null.
     void cut(const request_identity& identity, const record_of_strikes& whenSent, const std::string& target,
         std::function<void()> settled);
+    /// A target fell silent in the middle of a request.
+    void fellSilent(
+        const request_identity& identity, const record_of_strikes& whenSent, const std::string& target);
     /// A target has answered the request in full.
     void answered(const request_identity& identity);
     /// What other processes know. Returns whether any of it was news.
@@ -113,9 +121,10 @@
 private:
     class running_trial;
 
+    void targetEnded(
+        const request_identity& identity, const record_of_strikes& whenSent, const std::string& target);
     void tell(const request_identity& identity);
 
-    event_loop& m_loop;
     metrics& m_figures;
     end_check m_ends;
     quarantine m_known;
--- a/libs/guard/src/end_check.cpp
+++ b/libs/guard/src/end_check.cpp
@@ -40,13 +40,27 @@
 }
 
 void end_check::examine(const std::string& target, callback done)
+{
+    auto* one = begin(target, std::move(done));
+    if (one && !one->asking)
+        ask(*one);
+}
+
+void end_check::awaitRestart(const std::string& target, callback done)
+{
+    begin(target, std::move(done));
+}
+
+end_check::examination* end_check::begin(const std::string& target, callback done)
 {
     const auto now = std::chrono::steady_clock::now();
     expire(now);
     const auto listed = m_targets.find(target);
     // One that leaves, or has left the list, may stop in the middle of its work.
-    if (listed == m_targets.end() || listed->second.draining)
-        return m_loop.post([done = std::move(done)] { done(false); });
+    if (listed == m_targets.end() || listed->second.draining) {
+        m_loop.post([done = std::move(done)] { done(false); });
+        return nullptr;
+    }
     auto one = std::find_if(m_examinations.begin(), m_examinations.end(),
         [&](const auto& other) { return other.target == target; });
     if (one == m_examinations.end()) {
@@ -55,15 +69,14 @@
     }
     one->until = now + listPatience;
     one->waiting.push_back(std::move(done));
-    if (!one->asked)
-        ask(one);
+    return &*one;
 }
 
-void end_check::ask(examination_list::iterator one)
+void end_check::ask(examination& one)
 {
-    one->asked = true;
-    m_loads.ask(one->address,
-        [this, target = one->target, alive = std::weak_ptr(m_alive)](const result<load_report>& report) {
+    one.asking = true;
+    m_loads.ask(one.address,
+        [this, target = one.target, alive = std::weak_ptr(m_alive)](const result<load_report>& report) {
             if (!alive.expired())
                 answered(target, report);
         });
@@ -75,7 +88,7 @@
         [&](const auto& other) { return other.target == target; });
     if (one == m_examinations.end())
         return;
-    one->asked = false;
+    one->asking = false;
     if (report)
         return finish(one, false);
     const auto& error = report.error();
@@ -87,9 +100,10 @@
 void end_check::finish(examination_list::iterator one, bool ended)
 {
     const auto waiting = std::move(one->waiting);
-    logEvent(log_level::info, "target examined after a cut",
-        { { "target", one->target }, { "address", one->address }, { "ended", std::int64_t { ended } },
-            { "cuts", static_cast<std::int64_t>(waiting.size()) } });
+    if (ended)
+        logEvent(log_level::info, "target has ended",
+            { { "target", one->target }, { "address", one->address },
+                { "cuts", static_cast<std::int64_t>(waiting.size()) } });
     m_examinations.erase(one);
     for (const auto& done : waiting)
         done(ended);
@@ -99,7 +113,7 @@
 {
     for (auto one = m_examinations.begin(); one != m_examinations.end();) {
         const auto next = std::next(one);
-        if (!one->asked && now >= one->until)
+        if (!one->asking && now >= one->until)
             finish(one, false);
         one = next;
     }
--- a/libs/guard/src/request_guard.cpp
+++ b/libs/guard/src/request_guard.cpp
@@ -27,8 +27,7 @@
 };
 
 request_guard::request_guard(event_loop& loop, load_source& loads, metrics& figures)
-    : m_loop(loop)
-    , m_figures(figures)
+    : m_figures(figures)
     , m_ends(loop, loads)
 {
 }
@@ -61,20 +60,36 @@
     const std::string& target, std::function<void()> settled)
 {
     m_ends.examine(target, [this, identity, whenSent, target, settled = std::move(settled)](bool ended) {
-        if (ended && m_known.targetEnded(identity, whenSent, std::chrono::steady_clock::now())) {
-            logEvent(log_level::warning, "target ended under a request",
-                { { "identity", toString(identity) }, { "target", target },
-                    { "strikes", std::int64_t { m_known.record(identity).strikes } },
-                    { "acquittals", std::int64_t { m_known.record(identity).acquittals } } });
-            m_figures.count("yuccachute_request_strikes_total", "strikes",
-                std::to_string(m_known.record(identity).strikes));
-            tell(identity);
-        }
+        if (ended)
+            targetEnded(identity, whenSent, target);
         if (settled)
             settled();
     });
 }
 
+void request_guard::fellSilent(
+    const request_identity& identity, const record_of_strikes& whenSent, const std::string& target)
+{
+    m_ends.awaitRestart(target, [this, identity, whenSent, target](bool ended) {
+        if (ended)
+            targetEnded(identity, whenSent, target);
+    });
+}
+
+void request_guard::targetEnded(
+    const request_identity& identity, const record_of_strikes& whenSent, const std::string& target)
+{
+    if (!m_known.targetEnded(identity, whenSent, std::chrono::steady_clock::now()))
+        return;
+    const auto record = m_known.record(identity);
+    logEvent(log_level::warning, "target ended under a request",
+        { { "identity", toString(identity) }, { "target", target },
+            { "strikes", std::int64_t { record.strikes } },
+            { "acquittals", std::int64_t { record.acquittals } } });
+    m_figures.count("yuccachute_request_strikes_total", "strikes", std::to_string(record.strikes));
+    tell(identity);
+}
+
 void request_guard::answered(const request_identity& identity)
 {
     if (!m_known.answered(identity, std::chrono::steady_clock::now()))
--- a/libs/guard/src/suspect_spread.cpp
+++ b/libs/guard/src/suspect_spread.cpp
@@ -31,7 +31,9 @@
 {
     if (!m_guard.watching())
         return;
-    m_guard.expire(std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    m_guard.expire(now);
+    std::erase_if(m_toldAll, [&](const auto& told) { return now - told.second >= tellAllPause; });
     publish();
 }
 
@@ -99,10 +101,11 @@
     if (own.digest == digest || own.notes.empty())
         return;
     // The peer has not heard of something, such as one that was cut off when it was told.
-    auto& last = m_toldAll[address];
-    if (own.made - last < tellAllPause && last != steady_time {})
+    const auto now = std::chrono::steady_clock::now();
+    const auto [last, first] = m_toldAll.try_emplace(address, now);
+    if (!first && now - last->second < tellAllPause)
         return;
-    last = own.made;
+    last->second = now;
     send(address, own.notes);
 }
 
@@ -127,8 +130,16 @@
 {
     sync_question question;
     question.suspects = std::move(notes);
-    // One that does not get it hears of it when it asks next.
-    m_peers.sync(address, question, tellTimeout, [](const result<sync_answer>&) {});
+    question.suspectsDigest = published().digest;
+    m_peers.sync(address, question, tellTimeout,
+        [this, alive = std::weak_ptr(m_alive), &loop = m_loop](const result<sync_answer>& answer) {
+            if (!answer)
+                return; // It hears of the news when it asks next.
+            loop.post([this, alive, theirs = answer.value().suspects] {
+                if (!alive.expired())
+                    take(theirs);
+            });
+        });
 }
 
 } // namespace yuccachute
--- a/libs/guard/tests/test_end_check.cpp
+++ b/libs/guard/tests/test_end_check.cpp
@@ -81,8 +81,11 @@
     CHECK(f.found.empty());
     f.list({ listedAt("t2", "a2"), listedAt("t4", "a1") });
     CHECK(f.found == "ended ");
+    f.loads.asked.clear();
+    f.check.awaitRestart("t2", [&](bool ended) { f.found += ended ? "ended " : "alive "; });
+    CHECK(f.loads.asked.empty()); // Silence is no reason to ask.
     f.examine("t2");
     f.loads.answer(mayHaveRun(failure_kind::timeout, "silent"));
     f.list({ listedAt("t2", "a2") }, milliseconds { 11000 });
-    CHECK(f.found == "ended alive "); // A cut link: nobody else ever came to its address.
+    CHECK(f.found == "ended alive alive "); // A cut link: nobody else ever came to its address.
 }
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -88,3 +88,23 @@
     CHECK(copy.notes[1].leaving);
     CHECK(copy.wanted == std::vector<std::uint32_t> { 7 });
 }
+
+TEST_CASE("what is known of suspected requests survives its encoding")
+{
+    const suspect_note note { { 1, 2 }, { 3, 4 }, milliseconds { 500 } };
+    peer::SyncRequest wireQuestion;
+    toWire(sync_question { { { "targets/", 7 } }, { note }, 9 }, wireQuestion);
+    const auto question = fromWire(wireQuestion);
+    CHECK(question.known.at(0).revision == 7);
+    CHECK(question.suspects.at(0).identity == note.identity);
+    CHECK(question.suspectsDigest == 9);
+    sync_answer answer;
+    answer.suspects = { note };
+    answer.suspectsDigest = 8;
+    peer::SyncReply wireAnswer;
+    toWire(answer, wireAnswer);
+    const auto copy = fromWire(wireAnswer);
+    CHECK(copy.suspects.at(0).record == note.record);
+    CHECK(copy.suspects.at(0).age == note.age);
+    CHECK(copy.suspectsDigest == 8);
+}
