--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -275,6 +275,25 @@
     }
 }
 
+// Story: a server's entry vanishes a few milliseconds after another one's. Changes were told in groups from
+// the first one on, so the second server got requests for 400 ms more.
+TEST_CASE("a server that leaves just after another one gets nothing new either")
+{
+    platform_system system;
+    const std::string drained = system.control("/server?number=0&do=drain")["id"];
+    std::this_thread::sleep_for(milliseconds { 5 });
+    const std::string unlisted = system.control("/server?number=3&do=unlist")["id"];
+    std::this_thread::sleep_for(milliseconds { 300 });
+    const auto before = system.control("/runs")["runs"].size();
+    for (int i = 0; i < 20; ++i)
+        REQUIRE(system.stream("entry-b-1", "resumable", "v-" + std::to_string(i), 3));
+    const auto runs = system.control("/runs")["runs"];
+    for (std::size_t i = before; i < runs.size(); ++i) {
+        CHECK(runs[i]["server"] != drained);
+        CHECK(runs[i]["server"] != unlisted);
+    }
+}
+
 // Story: an operator orders a machine to be emptied; the order is never answered when its process is dead.
 TEST_CASE("an order to empty a machine is answered, also for a dead one")
 {
