A suspect's run that is under way is kept; an answer without length acquits nobody; the guard is wired in one place

Found by reading the change. A run that had only fallen silent was given up, with its target at work, when another place was found for a request with two strikes. An answer without length ends like a connection that is cut: a target that ends under one looked as if it had answered. Guard, spread and archive were wired twice, and entries' addresses gathered twice. test_front: one new case, red before.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -26,13 +26,11 @@
     , m_rpc({})
     , m_self(ownRecord(settings))
     , m_loads(m_client, adapter.loads)
-    , m_guard(m_loop, m_loads, m_figures)
-    , m_spread(m_loop, m_rpc, m_guard, [this] { return entryAddresses(); })
-    , m_archive(m_loop, m_store, m_guard)
-    , m_fleet(m_loop, m_store, m_spread, adapter.documents, m_self, { settings.seeds }, listeners())
+    , m_suspects(m_loop, m_loads, m_figures, m_rpc, m_store, [this] { return m_fleet.otherEntries(); })
+    , m_fleet(m_loop, m_store, m_suspects.spread, adapter.documents, m_self, { settings.seeds }, listeners())
     , m_registration(m_loop, m_store, m_self, registrationTimes)
     , m_broker(m_loop, m_rpc, { m_self.vm, m_self.zone, "" })
-    , m_items { m_loop, m_broker, m_client, adapter.callers, m_guard }
+    , m_items { m_loop, m_broker, m_client, adapter.callers, m_suspects.guard }
     , m_keeper(m_loop, m_store, { m_self.vm, m_self.incarnation }, settings.storeValueBytes)
     , m_lookup(m_loop, m_keeper)
     , m_admission(m_store, m_keeper)
@@ -52,14 +50,10 @@
     if (m_settings.metricsPort != 0)
         m_metrics = serveMetrics(m_loop, m_settings.address + ':' + std::to_string(m_settings.metricsPort),
             m_figures, [this] { refreshFigures(); });
-    m_guard.onNews([this](const suspect_note& news) {
-        m_spread.tell(news);
-        m_archive.save(news);
-    });
     m_fleet.start();
     m_fleet.offerSelf();
     m_registration.start();
-    m_archive.load([this] { m_spread.publish(); });
+    m_suspects.archive.load([this] { m_suspects.spread.publish(); });
     m_ticker = std::make_unique<loop_ticker>(m_loop, tickInterval, [this] { tick(); });
     m_loop.onSignals({ SIGTERM, SIGINT, SIGHUP }, [this](int signal) { signalled(signal); });
     logEvent(log_level::info, "started",
@@ -92,15 +86,7 @@
 {
     const auto time = now();
     m_broker.setTargets(m_fleet.targets().targets(), time);
-    m_guard.setTargets(m_fleet.targets().targets(), time);
-}
-
-std::vector<std::string> bulk_process::entryAddresses() const
-{
-    std::vector<std::string> addresses;
-    for (const auto& node : m_fleet.nodes(node_role::entry))
-        addresses.push_back(node.address);
-    return addresses;
+    m_suspects.guard.setTargets(m_fleet.targets().targets(), time);
 }
 
 void bulk_process::nodesChanged()
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -91,6 +91,8 @@
         client_call_events events;
         events.head = [this](const http_reply& head) {
             m_status = head.status;
+            m_framed = !findHeader(head.headers, "Content-Length").empty()
+                || !findHeader(head.headers, "Transfer-Encoding").empty();
             m_meaning = m_services.callers.classify(head, m_order.itemId);
             return m_meaning != answer_meaning::foreign;
         };
@@ -141,7 +143,7 @@
             return end(run_end::broken, "another target has the address");
         }
         const bool half = m_status == 200 && m_splitter.midEvent();
-        if (!half && m_services.guard.watching())
+        if (!half && m_framed && m_services.guard.watching())
             m_services.guard.answered(identityOf(m_order.request));
         if (m_status == 200 && !half) {
             release(grant_outcome::ok);
@@ -220,6 +222,7 @@
     record_of_strikes m_recordWhenSent; ///< What was known against the item when it was sent.
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
+    bool m_framed = false; ///< The answer's end can be told from a cut connection.
     bool m_stopped = false;
 };
 
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -217,10 +217,11 @@
 
 bool bulk_process::heldBack(held_job& held, std::uint32_t index, const http_request& request)
 {
-    if (!m_guard.watching())
+    auto& guard = m_suspects.guard;
+    if (!guard.watching())
         return false;
     const auto identity = identityOf(request);
-    if (m_guard.known().of(identity, now()) != quarantine::standing::refused)
+    if (guard.known().of(identity, now()) != quarantine::standing::refused)
         return false;
     if (held.waitedOut.erase(index) > 0)
         return false;
@@ -228,7 +229,7 @@
     const auto& record = held.job->record();
     logEvent(log_level::warning, "item held back",
         { { "job", record.id }, { "item", record.items[index].id }, { "identity", toString(identity) },
-            { "strikes", std::int64_t { m_guard.record(identity).strikes } },
+            { "strikes", std::int64_t { guard.record(identity).strikes } },
             { "for_ms", heldBackFor.count() } });
     putBack(record.id, index, run_end::broken, heldBackFor);
     return true;
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -67,7 +67,6 @@
     static steady_time now() { return std::chrono::steady_clock::now(); }
     void targetsChanged();
     void nodesChanged();
-    std::vector<std::string> entryAddresses() const;
 
     // --- Calls of callers
     void serve(std::shared_ptr<http_exchange> caller);
@@ -165,9 +164,7 @@
     rpc_client m_rpc;
     node_record m_self;
     target_loads m_loads;
-    request_guard m_guard;
-    suspect_spread m_spread;
-    suspect_archive m_archive;
+    shared_guard m_suspects;
     fleet_watch m_fleet;
     registration m_registration;
     place_broker m_broker;
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -169,6 +169,8 @@
     /// Processes that are registered, and for a moment those whose registration has just lapsed. This process
     /// is among them if it has offered itself, or knows no other entry of its zone.
     std::vector<node_record> nodes(node_role role) const;
+    /// Addresses of the entries among them, without this process.
+    std::vector<std::string> otherEntries() const;
     /// Processes that the store lists now.
     std::vector<node_record> registered(node_role role) const;
     /// Whether the list names this process, in this or a former start.
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -498,6 +498,16 @@
     return found;
 }
 
+std::vector<std::string> fleet_watch::otherEntries() const
+{
+    std::vector<std::string> addresses;
+    for (const auto& node : nodes(node_role::entry)) {
+        if (node.address != m_self.address)
+            addresses.push_back(node.address);
+    }
+    return addresses;
+}
+
 std::vector<node_record> fleet_watch::registered(node_role role) const
 {
     std::vector<node_record> found;
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -84,10 +84,8 @@
         , m_rpc({})
         , m_self(ownRecord(settings))
         , m_loads(m_client, adapter.loads)
-        , m_guard(m_loop, m_loads, m_figures)
-        , m_spread(m_loop, m_rpc, m_guard, [this] { return otherEntries(); })
-        , m_archive(m_loop, m_store, m_guard)
-        , m_fleet(m_loop, m_store, m_spread, adapter.documents, m_self,
+        , m_suspects(m_loop, m_loads, m_figures, m_rpc, m_store, [this] { return m_fleet.otherEntries(); })
+        , m_fleet(m_loop, m_store, m_suspects.spread, adapter.documents, m_self,
               { settings.seeds, settings.followPeers,
                   settings.followPeers ? patienceAtStart : milliseconds { 0 } },
               listeners())
@@ -97,7 +95,7 @@
         , m_places(m_broker)
         , m_targets(m_client)
         , m_live { m_loop, m_places, m_targets, adapter.callers, m_figures,
-            [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); }, &m_guard }
+            [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); }, &m_suspects.guard }
         , m_jobs(
               m_loop, m_client, settings.zone, [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
         , m_offerTimer(m_loop)
@@ -109,10 +107,6 @@
     int run()
     {
         nodesChanged();
-        m_guard.onNews([this](const suspect_note& news) {
-            m_spread.tell(news);
-            m_archive.save(news);
-        });
         m_readiness = serveReadiness(m_loop, m_settings.readiness, [this] { return ready() && !m_stopping; });
         if (m_settings.metricsPort != 0)
             m_metrics
@@ -147,7 +141,7 @@
     sync_answer sync(const sync_question& question) override
     {
         auto answer = m_fleet.answer(question.known);
-        m_spread.answer(question, answer);
+        m_suspects.spread.answer(question, answer);
         return answer;
     }
 
@@ -197,7 +191,7 @@
     {
         const auto now = std::chrono::steady_clock::now();
         m_broker.setTargets(m_fleet.targets().targets(), now);
-        m_guard.setTargets(m_fleet.targets().targets(), now);
+        m_suspects.guard.setTargets(m_fleet.targets().targets(), now);
     }
 
     void nodesChanged()
@@ -249,17 +243,7 @@
         m_fleet.offerSelf();
         m_registration.start();
         // Those that follow the others hear of it from these.
-        m_archive.load([this] { m_spread.publish(); });
-    }
-
-    std::vector<std::string> otherEntries() const
-    {
-        std::vector<std::string> addresses;
-        for (const auto& node : m_fleet.nodes(node_role::entry)) {
-            if (node.address != m_self.address)
-                addresses.push_back(node.address);
-        }
-        return addresses;
+        m_suspects.archive.load([this] { m_suspects.spread.publish(); });
     }
 
     /// So that the processes of a zone do not decide all at the same moment.
@@ -321,7 +305,7 @@
         m_figures.set(
             "yuccachute_configuration_age_ms", static_cast<double>(m_fleet.configurationAge(now).count()));
         m_figures.set("yuccachute_targets_age_ms", static_cast<double>(m_fleet.targetsAge(now).count()));
-        m_figures.set("yuccachute_suspected_requests", static_cast<double>(m_guard.known().size()));
+        m_figures.set("yuccachute_suspected_requests", static_cast<double>(m_suspects.guard.known().size()));
         for (const auto& [name, group] : m_broker.summaries(now)) {
             m_figures.set("yuccachute_group_live", group.live);
             m_figures.set("yuccachute_group_bulk", group.bulk);
@@ -378,9 +362,7 @@
     rpc_client m_rpc;
     node_record m_self;
     target_loads m_loads;
-    request_guard m_guard;
-    suspect_spread m_spread;
-    suspect_archive m_archive;
+    shared_guard m_suspects;
     fleet_watch m_fleet;
     registration m_registration;
     place_broker m_broker;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -167,12 +167,15 @@
         }
         if (!found)
             return unplaced(found.error());
-        if (m_attempts > 0 && m_lastFailure && endsTargets()) {
+        const bool endedSome = (m_call || m_attempts > 0) && endsTargets();
+        if (endedSome && !m_call) {
             m_services.places.release(found.value(), grant_outcome::abandoned, milliseconds { 0 });
-            return giveUp(*m_lastFailure);
+            return giveUp(m_lastFailure.value_or(
+                mayHaveRun(failure_kind::incomplete, "its targets have ended or fallen silent")));
         }
-        if (m_call && !m_wantsMove) {
-            // The target has answered meanwhile.
+        if (m_call && (!m_wantsMove || endedSome)) {
+            // The target has answered meanwhile, or none other shall get the request.
+            m_wantsMove = false;
             m_services.places.release(found.value(), grant_outcome::abandoned, milliseconds { 0 });
             return;
         }
@@ -254,6 +257,7 @@
             if (!m_headPassed)
                 m_head.headers = endToEndHeaders(head.headers);
             m_length = contentLength(head);
+            m_framed = m_length || !findHeader(head.headers, "Transfer-Encoding").empty();
         }
         return true;
     }
@@ -359,8 +363,9 @@
                 mayHaveRun(failure_kind::incomplete, "the target failed on the rest of the stream"));
         if (eventStream() && m_splitter.midEvent())
             return broken(mayHaveRun(failure_kind::incomplete, "the stream ended within an event"));
-        if (guarded())
-            m_services.guard->answered(identity()); // Whatever it says, the target has lived.
+        // Whatever it says, the target has lived; without a length that is not sure.
+        if (m_framed && guarded())
+            m_services.guard->answered(identity());
         const bool failedThere = m_head.status >= serverErrors && m_route.repeatable() && !m_headPassed;
         if (failedThere && m_attempts < m_route.maxAttempts && now() < m_deadline) {
             m_begun = true;
@@ -521,6 +526,7 @@
     answer_meaning m_meaning = answer_meaning::own;
     http_reply m_head;
     std::optional<std::uint64_t> m_length;
+    bool m_framed = false; ///< The answer's end can be told from a cut connection.
     std::string m_body;
     std::string m_lastTarget;
     std::string m_reason;
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -501,10 +501,25 @@
     first.targets.fail(cut());
     CHECK(all.guard.watching());
     first.places.grant("t2");
-    first.targets.head(200);
+    first.targets.head(200, { { "Transfer-Encoding", "chunked" } });
     first.targets.body(event(1));
     first.targets.whole();
     CHECK(first.caller->finished);
     const auto identity = identityOf(first.caller->request());
     CHECK(all.guard.record(identity) == record_of_strikes { 1, 0 });
 }
+
+// Story: a target ends under a request in the middle of an answer that has no length. The connection's end
+// looks like the answer's, and the request like one that was served.
+TEST_CASE("an answer whose end cannot be told from a cut clears nothing")
+{
+    guarded all;
+    fixture first(request_kind::streaming, true, 1000, &all.guard);
+    first.places.grant("t1");
+    first.targets.fail(cut());
+    first.places.grant("t2");
+    first.targets.head(200);
+    first.targets.body(event(1));
+    first.targets.whole();
+    CHECK(all.guard.record(identityOf(first.caller->request())).strikes == 1);
+}
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -150,7 +150,7 @@
     void answer(const sync_question& question, sync_answer& answer);
     /// What this process has seen.
     void tell(const suspect_note& news);
-    /// The guard has learnt from somebody else.
+    /// The guard has learnt from elsewhere: peers that ask are told.
     void publish();
 
 private:
@@ -188,7 +188,7 @@
     suspect_archive(event_loop& loop, async_store& store, request_guard& guard);
 
     /// Reads what is kept, and tries again until the store answers.
-    void load(std::function<void()> loaded);
+    void load(std::function<void()> loaded = [] {});
     void save(const suspect_note& news);
 
 private:
@@ -216,6 +216,16 @@
     steady_time m_leaseSince;
 };
 
+/// A guard that shares what it knows with the fleet. Its parts are to be used directly.
+struct shared_guard {
+    shared_guard(event_loop& loop, load_source& loads, metrics& figures, peer_sync& peers, async_store& store,
+        suspect_spread::address_source addresses);
+
+    request_guard guard;
+    suspect_spread spread;
+    suspect_archive archive;
+};
+
 /// What the store holds of one suspect.
 std::string encodeSuspect(const suspect_note& note, std::int64_t wallClockMs);
 /// The failure names the field that is wrong. An age that clocks make impossible is cut to what is possible.
--- a/libs/guard/src/request_guard.cpp
+++ b/libs/guard/src/request_guard.cpp
@@ -124,4 +124,16 @@
     return news;
 }
 
+shared_guard::shared_guard(event_loop& loop, load_source& loads, metrics& figures, peer_sync& peers,
+    async_store& store, suspect_spread::address_source addresses)
+    : guard(loop, loads, figures)
+    , spread(loop, peers, guard, std::move(addresses))
+    , archive(loop, store, guard)
+{
+    guard.onNews([this](const suspect_note& news) {
+        spread.tell(news);
+        archive.save(news);
+    });
+}
+
 } // namespace yuccachute
