Callers are known by their keys, and customers by what is theirs

Cause: the adapter did not read customers.

The customer's name takes the place of key and of what the caller wrote. A job belongs to its customer: it is known by the customer's name and the caller's id, so another's job is not found, and its record carries the name for its items, through each takeover. Waiting tokens count by customer and route. What a request is recognised by when it ends its targets contains the customer.

--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -31,8 +31,13 @@
     std::string host; ///< Host of the submission; its items go to routes of that host.
     std::int64_t acceptedMs = 0; ///< Milliseconds since 1970.
     std::vector<bulk_item> items;
+    std::string customer; ///< Empty in a deployment without customers. The job outlives the customer's keys.
 };
 
+/// By which a job is known: the id that its customer gave it, within the customer's own ids. So a job of
+/// another customer is not found under the same id. `id` holds letters, digits, '-', '_' and '.' only.
+std::string jobIdOf(std::string_view customer, std::string_view id);
+
 /// Tokens of all items of a job.
 std::uint64_t tokensOf(const bulk_record& record);
 
@@ -63,9 +68,10 @@
     bool operator==(const bulk_holder&) const = default;
 };
 
-/// Tokens of a job that count against the limit of its route.
+/// Tokens of a job that count against the limit of its customer on its route.
 struct token_claim {
-    std::string route; ///< Empty if the job's route was not known when it was accepted.
+    std::string route; ///< Names the customer, too, if the job has one. Empty if the job's route was not
+                       ///< known when it was accepted.
     std::uint64_t tokens = 0;
 
     bool operator==(const token_claim&) const = default;
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -1,9 +1,13 @@
 #include "bulk/bulk.h"
 
 #include "jobs/jobs.h"
+#include "membership/membership.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cctype>
+#include <cstdio>
 #include <numeric>
 
 namespace yuccachute {
@@ -49,6 +53,7 @@
 {
     bulk_record record;
     record.id = document.at("id").get<std::string>();
+    record.customer = document.value("customer", "");
     record.host = document.at("host").get<std::string>();
     record.acceptedMs = document.at("accepted_ms").get<std::int64_t>();
     for (const auto& item : document.at("items"))
@@ -81,8 +86,29 @@
     return items;
 }
 
+/// Customers' names may be long and hold any letter; keys of the store may not.
+bool fitsIntoKeys(std::string_view name)
+{
+    constexpr std::size_t mostBytes = 32;
+    return name.size() <= mostBytes && std::all_of(name.begin(), name.end(), [](unsigned char letter) {
+        return std::isalnum(letter) || letter == '-' || letter == '_';
+    });
+}
+
 } // namespace
 
+std::string jobIdOf(std::string_view customer, std::string_view id)
+{
+    if (customer.empty())
+        return std::string(id);
+    if (fitsIntoKeys(customer))
+        return std::string(customer) + ':' + std::string(id);
+    char digits[20];
+    // With a second colon, which no name that stands for itself contains.
+    std::snprintf(digits, sizeof digits, "%016llx:", static_cast<unsigned long long>(hashText(customer)));
+    return digits + (':' + std::string(id));
+}
+
 std::uint64_t tokensOf(const bulk_record& record)
 {
     return std::accumulate(record.items.begin(), record.items.end(), std::uint64_t { 0 },
@@ -95,8 +121,8 @@
     for (const auto& item : record.items)
         items.push_back({ { "id", item.id }, { "path", item.path }, { "headers", item.headers },
             { "body", bytesOf(item.body) }, { "tokens", item.tokens } });
-    return pack({ { "id", record.id }, { "host", record.host }, { "accepted_ms", record.acceptedMs },
-        { "items", std::move(items) } });
+    return pack({ { "id", record.id }, { "customer", record.customer }, { "host", record.host },
+        { "accepted_ms", record.acceptedMs }, { "items", std::move(items) } });
 }
 
 result<bulk_record> decodeBulkRecord(std::string_view bytes)
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace yuccachute;
 
 namespace {
@@ -182,3 +184,30 @@
     CHECK(account.covers({ 150, {} }));
     CHECK(account.waiting({ 150, {} }) == 50);
 }
+
+// Story: two customers submit jobs under the same id. The second is told that its job is accepted, though it
+// is the first one's that is kept, and reads results that are not its own.
+TEST_CASE("the same id of two customers names two jobs")
+{
+    const std::string odd = "firm: of / many words";
+    const std::vector<std::string> customers { "", "firm", "firm-2", odd, odd + "2", std::string(300, 'x') };
+    std::set<std::string> ids;
+    for (const auto& customer : customers)
+        ids.insert(jobIdOf(customer, "7c41"));
+    CHECK(ids.size() == customers.size());
+    CHECK(jobIdOf("", "7c41") == "7c41");
+    for (const auto& id : ids) {
+        CHECK(id.find('/') == std::string::npos);
+        CHECK(id.size() < 60);
+    }
+}
+
+// Story: a job's holder dies, and its successor reads a record without the customer: its items reach targets
+// in nobody's name. Records that were written before jobs had customers are still to be read.
+TEST_CASE("a job keeps its customer in the store")
+{
+    bulk_record record { "firm:7c41", "h", 1, { { "e1", "/p", {}, "", 1 } }, "firm" };
+    CHECK(decodeBulkRecord(encodeRecord(record)).value().customer == "firm");
+    record.customer.clear();
+    CHECK(decodeBulkRecord(encodeRecord(record)).value().customer.empty());
+}
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -106,7 +106,7 @@
             end(run_end::cut, error.message);
         };
         if (m_services.guard.watching())
-            m_recordWhenSent = m_services.guard.record(identityOf(m_order.request));
+            m_recordWhenSent = m_services.guard.record(identityOf(m_order.request, m_order.customer));
         m_call = m_services.targets.start(m_place->address,
             m_services.callers.forTarget(m_order.request, envelope), options, std::move(events));
         m_events.placed();
@@ -144,7 +144,7 @@
         }
         const bool half = m_status == 200 && m_splitter.midEvent();
         if (!half && m_framed && m_services.guard.watching())
-            m_services.guard.answered(identityOf(m_order.request));
+            m_services.guard.answered(identityOf(m_order.request, m_order.customer));
         if (m_status == 200 && !half) {
             release(grant_outcome::ok);
             return end(run_end::whole, "");
@@ -173,7 +173,7 @@
     /// The target may have ended under this item.
     void tellGuard(const failure& error)
     {
-        const auto identity = identityOf(m_order.request);
+        const auto identity = identityOf(m_order.request, m_order.customer);
         if (error.kind == failure_kind::timeout)
             m_services.guard.fellSilent(identity, m_recordWhenSent, m_target);
         else
--- a/libs/bulk_process/src/job_admission.cpp
+++ b/libs/bulk_process/src/job_admission.cpp
@@ -37,7 +37,7 @@
 
 token_claim claimOf(const bulk_record& record, const token_limit& limit)
 {
-    return { limit.route, tokensOf(record) };
+    return { limit.account, tokensOf(record) };
 }
 
 struct job_admission::request {
@@ -76,7 +76,7 @@
 /// One after the other: two creations of this process at once would only break each other's condition.
 void job_admission::enqueue(request_ptr wanted)
 {
-    const auto route = wanted->limit.route;
+    const auto route = wanted->limit.account;
     auto& waiting = m_waiting[route];
     if (waiting.size() >= mostWaiting)
         return wanted->done(notRun(
@@ -95,7 +95,7 @@
 
 void job_admission::finish(const request_ptr& wanted, result<job_keeper::creation> outcome)
 {
-    const auto route = wanted->limit.route;
+    const auto route = wanted->limit.account;
     m_waiting[route].pop_front();
     wanted->done(std::move(outcome));
     runNext(route);
@@ -103,8 +103,8 @@
 
 void job_admission::decide(const request_ptr& wanted)
 {
-    const auto& account = m_accounts[wanted->limit.route];
-    auto& listed = m_listed[wanted->limit.route];
+    const auto& account = m_accounts[wanted->limit.account];
+    auto& listed = m_listed[wanted->limit.account];
     listed.revision = m_listedRevision;
     // Without any listing, jobs from before the route had a limit would not be counted.
     if (m_listedRevision == 0 || !account.covers(listed))
@@ -120,7 +120,7 @@
     if (!fresh)
         return listAnew(wanted);
     logEvent(log_level::info, "job does not fit",
-        { { "job", wanted->job }, { "route", wanted->limit.route },
+        { { "job", wanted->job }, { "route", wanted->limit.account },
             { "tokens", static_cast<std::int64_t>(wanted->tokens) },
             { "waiting", static_cast<std::int64_t>(waiting) },
             { "limit", static_cast<std::int64_t>(wanted->limit.most) },
@@ -130,7 +130,7 @@
 
 bool job_admission::limitSettled(const token_limit& limit, steady_time now)
 {
-    auto& known = m_limits[limit.route];
+    auto& known = m_limits[limit.account];
     if (known.most != limit.most)
         known = { limit.most, now };
     return now - known.since > limitSettlesIn;
@@ -171,8 +171,8 @@
 
 void job_admission::commit(const request_ptr& wanted)
 {
-    const auto& account = m_accounts[wanted->limit.route];
-    const auto key = accountKey(wanted->limit.route);
+    const auto& account = m_accounts[wanted->limit.account];
+    const auto key = accountKey(wanted->limit.account);
     const auto next = account.with(wanted->job, wanted->tokens).encode();
     auto creating = wanted->creation;
     const auto kind
@@ -186,7 +186,7 @@
         if (!outcome.value().applied)
             return conditionFailed(wanted, outcome.value());
         if (auto written = token_account::decode(next, outcome.value().revision))
-            m_accounts[wanted->limit.route] = std::move(written.value());
+            m_accounts[wanted->limit.account] = std::move(written.value());
         finish(wanted, job_keeper::creation { outcome.value().revision });
     });
 }
@@ -195,7 +195,7 @@
 void job_admission::conditionFailed(const request_ptr& wanted, const commit_outcome& outcome)
 {
     const auto& recordKey = wanted->creation.conditions.front().key;
-    const auto key = accountKey(wanted->limit.route);
+    const auto key = accountKey(wanted->limit.account);
     const auto keyIs = [](const std::string& wantedKey) {
         return [&wantedKey](const stored_value& value) { return value.key == wantedKey; };
     };
@@ -207,7 +207,7 @@
     auto account = token_account::decode(found->value, found->modRevision);
     if (!account)
         return finish(wanted, account.error());
-    m_accounts[wanted->limit.route] = std::move(account.value());
+    m_accounts[wanted->limit.account] = std::move(account.value());
     if (++wanted->tries >= mostTries)
         return finish(wanted,
             notRun(failure_kind::unavailable, "too many jobs are being accepted at once", leastRetryAfter));
@@ -223,7 +223,7 @@
         if (record.value())
             return finish(wanted, job_keeper::creation {});
         m_store.get(
-            accountKey(wanted->limit.route), [this, wanted](result<std::optional<stored_value>> found) {
+            accountKey(wanted->limit.account), [this, wanted](result<std::optional<stored_value>> found) {
                 if (!found)
                     return callFailed(wanted, found.error());
                 commit_outcome outcome;
@@ -231,7 +231,7 @@
                     outcome.found.push_back(std::move(*found.value()));
                 if (!outcome.found.empty())
                     return conditionFailed(wanted, outcome);
-                m_accounts[wanted->limit.route] = {};
+                m_accounts[wanted->limit.account] = {};
                 if (++wanted->tries >= mostTries)
                     return finish(
                         wanted, notRun(failure_kind::unavailable, "the account changes", leastRetryAfter));
@@ -267,8 +267,8 @@
             if (wanted->unknown > 0)
                 return finish(wanted,
                     mayHaveRun(failure_kind::unavailable, "it is not known whether the job was created"));
-            const auto& listed = m_listed[wanted->limit.route];
-            const auto waiting = m_accounts[wanted->limit.route].waiting(listed) + wanted->tokens;
+            const auto& listed = m_listed[wanted->limit.account];
+            const auto waiting = m_accounts[wanted->limit.account].waiting(listed) + wanted->tokens;
             finish(wanted,
                 notRun(failure_kind::limited, "the route's limit of waiting tokens is reached",
                     roomAfter(waiting - std::min(waiting, wanted->limit.most))));
--- a/libs/bulk_process/src/job_admission.h
+++ b/libs/bulk_process/src/job_admission.h
@@ -6,9 +6,9 @@
 
 namespace yuccachute {
 
-/// The limit of a route's waiting tokens.
+/// The limit of a customer's waiting tokens on a route.
 struct token_limit {
-    std::string route;
+    std::string account; ///< Names customer and route; empty if the route is not known.
     std::uint64_t most = 0; ///< 0: no limit.
 };
 
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -17,9 +17,11 @@
 
 void bulk_process::serve(std::shared_ptr<http_exchange> caller)
 {
-    const auto call = m_adapter.jobs.parseCall(caller->request());
+    auto call = m_adapter.jobs.parseCall(caller->request());
     if (!call)
         return submit(std::move(caller));
+    const auto customer = findHeader(caller->request().headers, customerHeader);
+    std::visit([&](auto& typed) { typed.jobId = jobIdOf(customer, typed.jobId); }, *call);
     const bool onlyIfHeld = !findHeader(caller->request().headers, onlyIfHeldHeader).empty();
     const auto& id = std::visit([](const auto& typed) -> const std::string& { return typed.jobId; }, *call);
     if (onlyIfHeld && !m_jobs.contains(id))
@@ -55,6 +57,8 @@
             notRun(failure_kind::unavailable, m_leaving ? "leaving" : "no configuration is known yet",
                 retryAfter));
     record.value().acceptedMs = wallClockMs();
+    record.value().customer = findHeader(caller->request().headers, customerHeader);
+    record.value().id = jobIdOf(record.value().customer, record.value().id);
     const auto id = record.value().id;
     const auto known = m_jobs.find(id);
     if (known != m_jobs.end())
@@ -89,7 +93,12 @@
 {
     const auto table = m_fleet.configuration();
     const auto* matched = table->match(record.host, record.items.front().path);
-    return matched ? token_limit { matched->name, matched->mostWaitingTokens } : token_limit {};
+    if (!matched)
+        return {};
+    const auto* customer = table->customers.byName(record.customer);
+    const bool ownLimit = customer && customer->mostWaitingTokens > 0;
+    return { jobIdOf(record.customer, matched->name),
+        ownLimit ? customer->mostWaitingTokens : matched->mostWaitingTokens };
 }
 
 bool bulk_process::current(const held_job& held) const
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -181,10 +181,10 @@
     item_order order;
     order.itemId = item.id;
     order.request = m_adapter.jobs.itemRequest(record, item);
-    if (heldBack(held, next->index, order.request))
+    order.customer = record.customer.empty() ? matched->name : record.customer;
+    if (heldBack(held, next->index, order))
         return true;
     order.service = matched->pickService(std::hash<std::string> {}(item.id));
-    order.customer = matched->name;
     order.cost = static_cast<double>(item.tokens);
     // To dispatchers a hopeless item is overdue already.
     order.due = late ? now() : job.due();
@@ -215,12 +215,12 @@
     return true;
 }
 
-bool bulk_process::heldBack(held_job& held, std::uint32_t index, const http_request& request)
+bool bulk_process::heldBack(held_job& held, std::uint32_t index, const item_order& order)
 {
     auto& guard = m_suspects.guard;
     if (!guard.watching())
         return false;
-    const auto identity = identityOf(request);
+    const auto identity = identityOf(order.request, order.customer);
     if (guard.known().of(identity, now()) != quarantine::standing::refused)
         return false;
     if (held.waitedOut.erase(index) > 0)
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -115,7 +115,7 @@
     void noteRun(const run_figures& run);
     bool startItem(held_job& held, const routing_table& table);
     /// Whether an item is known to end its targets and has to wait.
-    bool heldBack(held_job& held, std::uint32_t index, const http_request& request);
+    bool heldBack(held_job& held, std::uint32_t index, const item_order& order);
     void itemEnded(const std::string& id, std::uint32_t index, run_end how, std::string_view reason);
     /// Lets the item wait for its next run, at once or after a pause.
     void putBack(const std::string& id, std::uint32_t index, run_end how, milliseconds pause);
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "authentication/authentication.h"
 #include "event_loop/event_loop.h"
 #include "fleet/fleet.h"
 #include "guard/guard.h"
@@ -34,6 +35,9 @@
 /// does not know which process has a job asks those that may, before one of them asks the store.
 constexpr std::string_view onlyIfHeldHeader = "X-Only-If-Held";
 
+/// In a call of an entry to a batch process: the customer whose key the caller holds, in place of the key.
+constexpr std::string_view customerHeader = "X-Customer";
+
 /// Recognises the callers' calls on batch jobs. Stateless.
 class job_call_protocol {
 public:
@@ -72,9 +76,16 @@
     request_guard* guard = nullptr; ///< May be null.
 };
 
+/// A request of a live route that has been let in.
+struct live_request {
+    request_facts facts;
+    std::shared_ptr<const routing_table> table; ///< Keeps the route and the customer alive.
+    const route& matched;
+    caller_identity identity;
+};
+
 /// Serves one request of a live route to its end. It keeps itself alive until then.
-void serveLive(live_services& services, std::shared_ptr<http_exchange> caller, request_facts facts,
-    std::shared_ptr<const routing_table> table, const route& matched);
+void serveLive(live_services& services, std::shared_ptr<http_exchange> caller, live_request request);
 
 /// The entries that may be dispatcher, as the broker wants them.
 std::vector<dispatcher_info> dispatchersAmong(std::span<const node_record> entries);
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -22,6 +22,7 @@
 /// Descriptors kept for targets, peers, the store and files.
 constexpr unsigned reservedDescriptors = 800;
 constexpr std::size_t keptPerTarget = 24;
+constexpr milliseconds storeCheckInterval { 500 };
 /// When a fleet starts, the larger VMs register themselves within a second or so, and all hear of it within
 /// another one.
 constexpr milliseconds patienceAtStart { 3000 };
@@ -97,7 +98,8 @@
         , m_live { m_loop, m_places, m_targets, adapter.callers, m_figures,
             [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); }, &m_suspects.guard }
         , m_jobs(
-              m_loop, m_client, settings.zone, [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
+              m_loop, m_client, adapter.callers, settings.zone,
+              [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
         , m_offerTimer(m_loop)
         , m_stopTimer(m_loop)
         , m_random(std::random_device {}())
@@ -201,6 +203,7 @@
         if (!m_fleet.offered() && m_fleet.listed())
             return offer();
         if (m_started)
+        const auto table = m_fleet.configuration();
             considerOffer();
     }
 
@@ -260,9 +263,6 @@
                 notRun(
                     failure_kind::unavailable, "no configuration is known yet", unknownConfigurationRetry));
         const auto& request = caller->request();
-        if (const auto call = m_adapter.jobs.recognise(request))
-            return m_jobs.forward(caller, call->jobId, job_forwarder::call_kind::existing_job,
-                callerOfJobPatience + call->wait, call->wait);
         auto facts = m_adapter.callers.describe(request);
         if (!facts)
             return refuseCall(*caller, facts.error());
@@ -271,10 +271,19 @@
             return refuseCall(*caller, notRun(failure_kind::not_found, "no route for " + request.path));
         if (matched->kind == request_kind::batch) {
             const auto patience = facts.value().patience.value_or(callerOfJobPatience);
-            return m_jobs.forward(
-                caller, facts.value().id, job_forwarder::call_kind::submission, patience, milliseconds { 0 });
+            return m_jobs.forward(caller,
+                { facts.value().id, customerOf(*table, identity.value()),
+                    job_forwarder::call_kind::submission, patience, milliseconds { 0 } });
         }
-        serveLive(m_live, std::move(caller), std::move(facts.value()), table, *matched);
+        serveLive(m_live, std::move(caller), { std::move(facts.value()), table, *matched, identity.value() });
+    }
+
+    /// Unset in a deployment without customers, where callers' headers are passed on as they are.
+    static std::optional<std::string> customerOf(const routing_table& table, const caller_identity& identity)
+    {
+        if (table.customers.empty())
+            return std::nullopt;
+        return std::string(identity.name());
     }
 
     void refuseCall(http_exchange& caller, const failure& reason)
@@ -300,9 +309,21 @@
             "yuccachute_target_connections_opened", static_cast<double>(m_client.connectionsOpened()));
         m_figures.set("yuccachute_configuration_version",
             m_fleet.configuration() ? static_cast<double>(m_fleet.configuration()->version) : 0);
+        const auto key = std::exchange(facts.value().key, {});
+        if (const auto call = m_adapter.jobs.recognise(request)) {
+            const auto identity = authenticateJobCall(*table, facts.value().host, key);
+            if (!identity)
+                return refuseCall(*caller, identity.error());
+            return m_jobs.forward(caller,
+                { call->jobId, customerOf(*table, identity.value()), job_forwarder::call_kind::existing_job,
+                    callerOfJobPatience + call->wait, call->wait });
+        }
         m_figures.set("yuccachute_log_lines_dropped", static_cast<double>(droppedLogLines()));
         m_figures.set("yuccachute_store_connected", m_fleet.storeConnected() ? 1 : 0);
         m_figures.set(
+        const auto identity = authenticate(*table, *matched, key);
+        if (!identity)
+            return refuseCall(*caller, identity.error());
             "yuccachute_configuration_age_ms", static_cast<double>(m_fleet.configurationAge(now).count()));
         m_figures.set("yuccachute_targets_age_ms", static_cast<double>(m_fleet.targetsAge(now).count()));
         m_figures.set("yuccachute_suspected_requests", static_cast<double>(m_suspects.guard.known().size()));
@@ -406,3 +427,4 @@
 }
 
 } // namespace yuccachute
+    loop_ticker m_storeTicker;
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -28,14 +28,15 @@
 /// One call on its way from batch process to batch process, until one answers for good.
 class job_forwarder::forwarded_call : public std::enable_shared_from_this<forwarded_call> {
 public:
-    forwarded_call(job_forwarder& owner, std::shared_ptr<http_exchange> caller, std::string jobId,
-        std::vector<job_candidate> candidates, steady_time deadline, milliseconds held)
+    forwarded_call(job_forwarder& owner, std::shared_ptr<http_exchange> caller, admitted_call call,
+        std::vector<job_candidate> candidates)
         : m_owner(owner)
         , m_caller(std::move(caller))
-        , m_jobId(std::move(jobId))
+        , m_jobId(std::move(call.jobId))
+        , m_customer(std::move(call.customer))
         , m_candidates(candidates.begin(), candidates.end())
-        , m_deadline(deadline)
-        , m_held(held)
+        , m_deadline(m_caller->received() + call.patience)
+        , m_held(call.held)
     {
     }
 
@@ -63,7 +64,7 @@
         m_onlyIfHeld = m_candidates.front().onlyIfHeld;
         m_candidates.pop_front();
         auto request = m_caller->request();
-        request.headers = endToEndHeaders(request.headers);
+        request.headers = m_owner.headersFor(request.headers, m_customer);
         if (m_onlyIfHeld)
             request.headers.emplace_back(onlyIfHeldHeader, "1");
         client_call_options options;
@@ -153,6 +154,7 @@
     job_forwarder& m_owner;
     std::shared_ptr<http_exchange> m_caller;
     std::string m_jobId;
+    std::optional<std::string> m_customer;
     std::deque<job_candidate> m_candidates;
     std::vector<std::string> m_redirected;
     std::set<std::string> m_exhausted;
@@ -205,10 +207,11 @@
     return candidates;
 }
 
-job_forwarder::job_forwarder(
-    event_loop& loop, http_client& client, std::string zone, node_list batchNodes, metrics& figures)
+job_forwarder::job_forwarder(event_loop& loop, http_client& client, const caller_protocol& protocol,
+    std::string zone, node_list batchNodes, metrics& figures)
     : m_loop(loop)
     , m_client(client)
+    , m_protocol(protocol)
     , m_zone(std::move(zone))
     , m_nodes(std::move(batchNodes))
     , m_figures(figures)
@@ -247,12 +250,23 @@
     m_holders.erase(jobId); // Its place among the remembered is taken again with the next hint.
 }
 
-void job_forwarder::forward(std::shared_ptr<http_exchange> caller, const std::string& jobId, call_kind kind,
-    milliseconds patience, milliseconds held)
+/// A batch process believes what its header says of the customer: what a caller writes there goes.
+http_headers job_forwarder::headersFor(
+    const http_headers& given, const std::optional<std::string>& customer) const
 {
-    const auto deadline = caller->received() + patience;
-    std::make_shared<forwarded_call>(*this, std::move(caller), jobId, candidates(jobId, kind), deadline, held)
-        ->start();
+    auto headers = endToEndHeaders(given);
+    std::erase_if(headers, [](const auto& field) { return !findHeader({ field }, customerHeader).empty(); });
+    if (!customer)
+        return headers;
+    m_protocol.removeKey(headers);
+    headers.emplace_back(customerHeader, *customer);
+    return headers;
+}
+
+void job_forwarder::forward(std::shared_ptr<http_exchange> caller, admitted_call call)
+{
+    auto asked = candidates(call.jobId, call.kind);
+    std::make_shared<forwarded_call>(*this, std::move(caller), std::move(call), std::move(asked))->start();
 }
 
 } // namespace yuccachute
--- a/libs/front/src/job_forwarder.h
+++ b/libs/front/src/job_forwarder.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -34,25 +35,34 @@
 public:
     using node_list = std::function<std::vector<node_record>()>;
 
-    job_forwarder(
-        event_loop& loop, http_client& client, std::string zone, node_list batchNodes, metrics& figures);
+    job_forwarder(event_loop& loop, http_client& client, const caller_protocol& protocol, std::string zone,
+        node_list batchNodes, metrics& figures);
 
     enum class call_kind : std::uint8_t { submission, existing_job };
 
-    /// Forwards one call. `patience` is how long its caller waits, `held` how long the answer may be held
-    /// back.
-    void forward(std::shared_ptr<http_exchange> caller, const std::string& jobId, call_kind kind,
-        milliseconds patience, milliseconds held);
+    /// A call that has been let in.
+    struct admitted_call {
+        std::string jobId; ///< As the customer knows it.
+        /// Takes the place of the caller's key; empty for nobody. Unset in a deployment without customers.
+        std::optional<std::string> customer;
+        call_kind kind = call_kind::existing_job;
+        milliseconds patience { 0 }; ///< How long the caller waits.
+        milliseconds held { 0 }; ///< How long the answer may be held back.
+    };
+
+    void forward(std::shared_ptr<http_exchange> caller, admitted_call call);
 
 private:
     class forwarded_call;
 
+    http_headers headersFor(const http_headers& given, const std::optional<std::string>& customer) const;
     std::vector<job_candidate> candidates(const std::string& jobId, call_kind kind) const;
     void remember(const std::string& jobId, const std::string& holder);
     void forget(const std::string& jobId);
 
     event_loop& m_loop;
     http_client& m_client;
+    const caller_protocol& m_protocol;
     std::string m_zone;
     node_list m_nodes;
     metrics& m_figures;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -39,13 +39,13 @@
 /// One request on its way. All on the loop's thread.
 class live_run : public std::enable_shared_from_this<live_run> {
 public:
-    live_run(live_services& services, std::shared_ptr<http_exchange> caller, request_facts facts,
-        std::shared_ptr<const routing_table> table, const route& matched)
+    live_run(live_services& services, std::shared_ptr<http_exchange> caller, live_request request)
         : m_services(services)
         , m_caller(std::move(caller))
-        , m_facts(std::move(facts))
-        , m_table(std::move(table))
-        , m_route(matched)
+        , m_facts(std::move(request.facts))
+        , m_table(std::move(request.table))
+        , m_route(request.matched)
+        , m_callerIdentity(request.identity)
         , m_limit(services.loop)
         , m_silence(services.loop)
         , m_settle(services.loop)
@@ -80,7 +80,7 @@
     const request_identity& identity()
     {
         if (!m_identity)
-            m_identity = identityOf(m_caller->request());
+            m_identity = identityOf(m_caller->request(), m_callerIdentity.name());
         return *m_identity;
     }
 
@@ -218,6 +218,8 @@
         client_call_options options;
         options.deadline = m_deadline + milliseconds { 1000 }; // The run's own limit comes first.
         options.connectTimeout = connectTimeout;
+        if (!m_table->customers.empty())
+            envelope.customer = std::string(m_callerIdentity.name());
         options.freshConnection = !m_route.repeatable();
         options.acceptUnframed = true;
         client_call_events events;
@@ -493,7 +495,8 @@
         if (m_headPassed)
             m_services.figures.observe("yuccachute_first_event_seconds", labels, m_firstEvent);
         logEvent(outcome == "served" ? log_level::info : log_level::warning, "request",
-            { { "request_id", m_facts.id }, { "route", m_route.name }, { "config", m_table->version },
+            { { "request_id", m_facts.id }, { "route", m_route.name },
+                { "customer", m_callerIdentity.name() }, { "config", m_table->version },
                 { "outcome", outcome }, { "status", std::int64_t { m_head.status } },
                 { "target", m_lastTarget }, { "targets_age_ms", m_targetsAge.count() },
                 { "sends", std::int64_t { m_sends } }, { "objective_ms", m_route.objective.count() },
@@ -513,6 +516,7 @@
     loop_timer m_limit;
     loop_timer m_silence;
     loop_timer m_settle;
+    const caller_identity m_callerIdentity;
     std::shared_ptr<live_run> m_self;
     steady_time m_deadline;
     steady_time m_onTimeUntil;
@@ -547,11 +551,9 @@
 
 } // namespace
 
-void serveLive(live_services& services, std::shared_ptr<http_exchange> caller, request_facts facts,
-    std::shared_ptr<const routing_table> table, const route& matched)
+void serveLive(live_services& services, std::shared_ptr<http_exchange> caller, live_request request)
 {
-    std::make_shared<live_run>(services, std::move(caller), std::move(facts), std::move(table), matched)
-        ->start();
+    std::make_shared<live_run>(services, std::move(caller), std::move(request))->start();
 }
 
 void refuse(http_exchange& caller, const failure& reason)
--- a/libs/front/tests/test_job_forwarder.cpp
+++ b/libs/front/tests/test_job_forwarder.cpp
@@ -14,6 +14,24 @@
     return { vm, node_role::batch, zone, address, 1, false, 0.3 };
 }
 
+/// Keys stand in the header "Key" of the test's own platform.
+class key_protocol final : public caller_protocol {
+public:
+    result<request_facts> describe(const http_request&) const override { return request_facts {}; }
+    http_request forTarget(const http_request& request, const target_envelope&) const override
+    {
+        return request;
+    }
+    void removeKey(http_headers& headers) const override
+    {
+        std::erase_if(headers, [](const auto& field) { return field.first == "Key"; });
+    }
+    answer_meaning classify(const http_reply&, std::string_view) const override
+    {
+        return answer_meaning::own;
+    }
+};
+
 /// A batch process that may hold the job, and counts what it is asked.
 struct fake_batch {
     fake_batch(event_loop& loop, bool holdsJob)
@@ -22,6 +40,7 @@
         , listener(loop, { "127.0.0.1", port, {}, "", "" }, [this](std::shared_ptr<http_exchange> call) {
             const bool onlyIfHeld = !findHeader(call->request().headers, onlyIfHeldHeader).empty();
             ++(onlyIfHeld ? askedIfHeld : askedFully);
+            lastHeaders = call->request().headers;
             call->send({ holds ? 200u : onlyIfHeld ? 503u : 404u, {}, "" });
         })
     {
@@ -32,6 +51,7 @@
     std::uint16_t port;
     unsigned askedIfHeld = 0;
     unsigned askedFully = 0;
+    http_headers lastHeaders;
     http_listener listener;
 };
 
@@ -45,6 +65,7 @@
         http_request request;
         request.method = kind == job_forwarder::call_kind::submission ? "POST" : "GET";
         request.path = "/lots/job";
+        request.headers = callerHeaders;
         client_call_options options;
         options.deadline = std::chrono::steady_clock::now() + milliseconds { 3000 };
         std::optional<unsigned> status;
@@ -65,16 +86,20 @@
     metrics figures;
     fake_batch near { loop, false };
     fake_batch far;
-    job_forwarder forwarder { loop, client, "a",
+    key_protocol protocol;
+    job_forwarder forwarder { loop, client, protocol, "a",
         [this] {
             return std::vector { batchNode("n", "a", near.address()), batchNode("f", "b", far.address()) };
         },
         figures };
     job_forwarder::call_kind forwarding = job_forwarder::call_kind::submission;
+    std::optional<std::string> customer;
+    http_headers callerHeaders;
     std::uint16_t port = freePort();
     http_listener entry { loop, { "127.0.0.1", port, {}, "", "" },
         [this](std::shared_ptr<http_exchange> call) {
-            forwarder.forward(call, "job", forwarding, milliseconds { 2000 }, milliseconds { 0 });
+            forwarder.forward(
+                call, { "job", customer, forwarding, milliseconds { 2000 }, milliseconds { 0 } });
         } };
 };
 
@@ -150,3 +175,22 @@
     const double few = cost(60);
     CHECK(cost(600) < 30 * few); // Ten times as many; each with each would be a hundred times.
 }
+
+// Story: a caller writes another customer's name into the header by which entries tell batch processes whose
+// job it is, and reads, or ends, that customer's job. A key that goes on to a batch process shows in whatever
+// that one keeps of the call.
+TEST_CASE("a batch process is told the customer by the entry alone, and no key")
+{
+    fixture f(true);
+    f.callerHeaders = { { "Key", "secret" }, { std::string(customerHeader), "victim" } };
+    f.customer = "firm";
+    CHECK(f.call(job_forwarder::call_kind::submission) == 404);
+    CHECK(findHeader(f.near.lastHeaders, customerHeader) == "firm");
+    CHECK(findHeader(f.near.lastHeaders, "Key").empty());
+
+    // Without customers headers travel as they are, but for the entry's own.
+    f.customer.reset();
+    CHECK(f.call(job_forwarder::call_kind::submission) == 404);
+    CHECK(findHeader(f.near.lastHeaders, customerHeader).empty());
+    CHECK(findHeader(f.near.lastHeaders, "Key") == "secret");
+}
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -94,6 +94,7 @@
         const client_call_options& options, client_call_events events) override
     {
         sent += std::string(address) + "@" + std::string(findHeader(request.headers, "Last")) + " ";
+        customer = findHeader(request.headers, "Customer");
         fresh = options.freshConnection;
         if (running && !running->cancelled)
             overlapped = true;
@@ -125,6 +126,7 @@
     }
 
     std::string sent;
+    std::string customer; ///< As the last target was told.
     bool fresh = false;
     bool overlapped = false;
     bool accepted = true;
@@ -140,8 +142,10 @@
     {
         auto sent = request;
         sent.headers.emplace_back("Last", envelope.lastEvent ? std::to_string(*envelope.lastEvent) : "");
+        sent.headers.emplace_back("Customer", envelope.customer.value_or("as sent"));
         return sent;
     }
+    void removeKey(http_headers&) const override { }
     answer_meaning classify(const http_reply& head, std::string_view) const override
     {
         if (!findHeader(head.headers, "Refused").empty())
@@ -165,7 +169,7 @@
 
 struct fixture {
     explicit fixture(request_kind kind = request_kind::streaming, bool resumable = true, int timeoutMs = 1000,
-        request_guard* guard = nullptr)
+        request_guard* guard = nullptr, const std::string& key = "")
     {
         services.guard = guard;
         auto made = std::make_shared<routing_table>();
@@ -178,10 +182,12 @@
         one.maxAttempts = 2;
         one.shares = { { "service", 1 } };
         made->routes = { one };
+        if (!key.empty())
+            made->customers.add({ "firm", 0, 0, 0, 0 }, std::vector { key });
         table = made;
         request_facts facts;
         facts.id = "id";
-        serveLive(services, caller, facts, table, table->routes[0]);
+        serveLive(services, caller, { facts, table, table->routes[0], { table->customers.byKey(key) } });
     }
     void run(int ms = 5) { loop.runFor(milliseconds { ms }); }
 
@@ -505,7 +511,7 @@
     first.targets.body(event(1));
     first.targets.whole();
     CHECK(first.caller->finished);
-    const auto identity = identityOf(first.caller->request());
+    const auto identity = identityOf(first.caller->request(), "");
     CHECK(all.guard.record(identity) == record_of_strikes { 1, 0 });
 }
 
@@ -521,5 +527,20 @@
     first.targets.head(200);
     first.targets.body(event(1));
     first.targets.whole();
-    CHECK(all.guard.record(identityOf(first.caller->request())).strikes == 1);
+    CHECK(all.guard.record(identityOf(first.caller->request(), "")).strikes == 1);
+}
+
+// Story: a caller names another customer to the target, in the header that the system itself sets; the target
+// would count and answer for the wrong one. The place is asked for on behalf of the key's customer, too.
+TEST_CASE("the target and the dispatcher are told the customer who holds the key")
+{
+    fixture f(request_kind::streaming, true, 1000, nullptr, "key");
+    CHECK(f.places.last.customer == "firm");
+    f.places.grant("t1");
+    CHECK(f.targets.customer == "firm");
+
+    fixture without;
+    CHECK(without.places.last.customer == "r");
+    without.places.grant("t1");
+    CHECK(without.targets.customer == "as sent");
 }
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 /// Which requests go to which service, and which targets a service has. Layer: state. No I/O.
@@ -42,6 +43,7 @@
     unsigned priority = 0; ///< 0 is the highest.
     unsigned maxAttempts = 1; ///< Targets that one request may run on.
     bool resumable = false;
+    bool openToAll = false; ///< Callers need no key.
     std::vector<service_share> shares;
     milliseconds resultsDue { 0 }; ///< Batch: from the first submission to the last result.
     milliseconds expiry { 0 }; ///< Batch: after which an item may be given up.
@@ -110,6 +112,7 @@
     /// Drops missing targets if lists can be trusted now. Returns whether there were any.
     bool expire(steady_time trustedFrom, steady_time now);
 
+    customer_directory customers; ///< Empty if callers need no keys.
     /// Whether some targets are kept although they are missing from the list.
     bool keepsMissing() const { return !m_missingSince.empty(); }
     /// Ids of these, and since when they are missing.
--- a/libs/serving/include/serving/serving.h
+++ b/libs/serving/include/serving/serving.h
@@ -19,6 +19,7 @@
 struct request_facts {
     std::string id; ///< Of this attempt of the caller.
     std::string host;
+    std::string key; ///< Names the caller's customer; a secret. Empty if there is none.
     std::optional<milliseconds> patience; ///< How long the caller waits.
     std::optional<std::uint64_t> lastEvent; ///< The stream goes on behind this event.
     std::uint64_t promptTokens = 0;
@@ -31,6 +32,9 @@
     std::string targetId; ///< Only this start of the target may run it.
     milliseconds timeLeft { 0 };
     std::optional<std::uint64_t> lastEvent;
+    /// Whom the target may take for the sender, whatever the caller has said; empty for nobody. Unset in a
+    /// deployment without customers, where the caller's headers are passed on as they are.
+    std::optional<std::string> customer;
 };
 
 /// What the head of a target's answer means.
@@ -49,11 +53,13 @@
     virtual result<request_facts> describe(const http_request& request) const = 0;
     /// The request that a target gets: the caller's, with what the system adds.
     virtual http_request forTarget(const http_request& request, const target_envelope& envelope) const = 0;
+    /// Removes the caller's key, and what it says of its customer.
+    virtual void removeKey(http_headers& headers) const = 0;
     virtual answer_meaning classify(const http_reply& head, std::string_view requestId) const = 0;
 };
 
 /// What a request asks for, whatever its id: what is asked, of whom, by whom, with which body.
-request_identity identityOf(const http_request& request);
+request_identity identityOf(const http_request& request, std::string_view customer);
 
 /// The headers that concern more than one connection: what a proxy passes on.
 http_headers endToEndHeaders(const http_headers& headers);
--- a/libs/serving/src/headers.cpp
+++ b/libs/serving/src/headers.cpp
@@ -40,11 +40,11 @@
 
 } // namespace
 
-request_identity identityOf(const http_request& request)
+request_identity identityOf(const http_request& request, std::string_view customer)
 {
     const bool raw = !request.target.empty();
-    const std::array<std::string_view, 6> parts { request.method, findHeader(request.headers, "Host"),
-        findHeader(request.headers, "Authorization"), raw ? request.target : request.path,
+    const std::array<std::string_view, 7> parts { request.method, findHeader(request.headers, "Host"),
+        findHeader(request.headers, "Authorization"), customer, raw ? request.target : request.path,
         raw ? std::string_view() : request.query, request.body };
     return identify(parts);
 }
