Dispatchers grant live requests within their customers' limits

A live ask takes a token of its customer before it waits, and gives it back if it gets no place or uses none; what is over is refused at once with 429 and the time at which a token is there, and asked for in no other zone. A request that has begun elsewhere goes on on credit. Shares in queues follow what customers may send.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -45,6 +45,7 @@
     /// Longest time for which a grant may be held, should its release be lost; 0 for until the deadline.
     milliseconds hold { 0 };
     steady_time due; ///< Bulk only: when the job is due.
+    bool begun = false; ///< The request has run in part at another target.
 };
 
 /// A place at a target. The holder talks to the target itself and releases the grant afterwards.
@@ -75,7 +76,8 @@
     ok,
     refused, ///< The target refused before running: it is full or leaving.
     failed, ///< The target could not be reached, broke off or answered wrongly.
-    abandoned ///< The caller or the dispatcher gave up; says nothing about the target.
+    abandoned, ///< The caller or the dispatcher gave up; says nothing about the target.
+    unused ///< Nothing was sent to the target.
 };
 
 struct grant_release {
@@ -445,6 +447,8 @@
     void ask(grant_ask ask, steady_time now);
     void withdraw(std::uint64_t holder, std::uint64_t askId, steady_time now);
     void release(const grant_release& release, steady_time now);
+    /// What was asked for with a grant that is held; null if there is no such grant any more.
+    const grant_ask* askOf(std::uint64_t grantId) const;
     void report(std::string_view target, const load_report& report, steady_time now);
     /// The target did not answer when asked for its load.
     void reportUnreachable(std::string_view target, steady_time now);
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -444,6 +444,12 @@
     pump(now);
 }
 
+const grant_ask* target_group::askOf(std::uint64_t grantId) const
+{
+    const auto found = m_grants.find(grantId);
+    return found == m_grants.end() ? nullptr : &found->second.ask;
+}
+
 void target_group::report(std::string_view target, const load_report& report, steady_time now)
 {
     const auto found = m_targets.find(target);
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -37,6 +37,18 @@
     return options;
 }
 
+limit_bounds limitBounds(const limit_settings& settings)
+{
+    return { std::chrono::duration<double> { settings.windowSeconds }, settings.overshoot, settings.slack };
+}
+
+limit_policy limitPolicy(const limit_settings& settings)
+{
+    if (settings.policy == "even")
+        return even_shares {};
+    return counted_spending {};
+}
+
 class broker_places final : public place_source {
 public:
     explicit broker_places(place_broker& broker)
@@ -91,8 +103,10 @@
                   settings.followPeers ? patienceAtStart : milliseconds { 0 } },
               listeners())
         , m_registration(m_loop, m_store, m_self, {})
-        , m_broker(
-              m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address }, &m_loads, groupOptions(settings))
+        , m_limits(m_self.vm, m_self.incarnation, limitPolicy(settings.customerLimits),
+              limitBounds(settings.customerLimits))
+        , m_broker(m_loop, m_rpc, { m_self.vm, m_self.zone, m_self.address }, &m_loads,
+              groupOptions(settings), &m_limits)
         , m_places(m_broker)
         , m_targets(m_client)
         , m_live { m_loop, m_places, m_targets, adapter.callers, m_figures,
@@ -101,6 +115,10 @@
               m_loop, m_client, adapter.callers, settings.zone,
               [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
         , m_offerTimer(m_loop)
+        , m_storeTicker(m_loop, storeCheckInterval,
+              [this] {
+                  m_limits.setStoreReached(m_fleet.storeConnected(), std::chrono::steady_clock::now());
+              })
         , m_stopTimer(m_loop)
         , m_random(std::random_device {}())
     {
@@ -185,8 +203,11 @@
 
     void configurationChanged()
     {
+        const auto table = m_fleet.configuration();
         if (m_callers)
-            m_callers->setLimits(limits(m_fleet.configuration()->limits));
+            m_callers->setLimits(limits(table->limits));
+        m_limits.setCustomers(table->customers, std::chrono::steady_clock::now());
+        m_broker.limitsChanged();
     }
 
     void targetsChanged()
@@ -198,15 +219,27 @@
 
     void nodesChanged()
     {
-        m_broker.setDispatchers(dispatchersAmong(m_fleet.nodes(node_role::entry)));
+        const auto entries = m_fleet.nodes(node_role::entry);
+        m_broker.setDispatchers(dispatchersAmong(entries));
+        setLimitMembers(entries);
         // A start of this process before has left its entry: whoever relied on that goes on doing so.
         if (!m_fleet.offered() && m_fleet.listed())
             return offer();
         if (m_started)
-        const auto table = m_fleet.configuration();
             considerOffer();
     }
 
+    /// An entry that has not registered itself is told of nobody's grants, and so is no member.
+    void setLimitMembers(std::span<const node_record> entries)
+    {
+        std::vector<limit_member> members;
+        for (const auto& node : entries) {
+            if (node.vm != m_self.vm || m_fleet.offered())
+                members.push_back({ node.vm, node.zone, node.leaving });
+        }
+        m_limits.setMembers(members, std::chrono::steady_clock::now());
+    }
+
     /// Others find an entry among the seeds or in the list of processes. The seeds register themselves at
     /// once, the others if they are needed.
     void offerAtStart()
@@ -244,6 +277,7 @@
             return;
         m_offerTimer.cancel();
         m_fleet.offerSelf();
+        setLimitMembers(m_fleet.nodes(node_role::entry));
         m_registration.start();
         // Those that follow the others hear of it from these.
         m_suspects.archive.load([this] { m_suspects.spread.publish(); });
@@ -266,9 +300,21 @@
         auto facts = m_adapter.callers.describe(request);
         if (!facts)
             return refuseCall(*caller, facts.error());
+        const auto key = std::exchange(facts.value().key, {});
+        if (const auto call = m_adapter.jobs.recognise(request)) {
+            const auto identity = authenticateJobCall(*table, facts.value().host, key);
+            if (!identity)
+                return refuseCall(*caller, identity.error());
+            return m_jobs.forward(caller,
+                { call->jobId, customerOf(*table, identity.value()), job_forwarder::call_kind::existing_job,
+                    callerOfJobPatience + call->wait, call->wait });
+        }
         const auto* matched = table->match(facts.value().host, request.path);
         if (!matched)
             return refuseCall(*caller, notRun(failure_kind::not_found, "no route for " + request.path));
+        const auto identity = authenticate(*table, *matched, key);
+        if (!identity)
+            return refuseCall(*caller, identity.error());
         if (matched->kind == request_kind::batch) {
             const auto patience = facts.value().patience.value_or(callerOfJobPatience);
             return m_jobs.forward(caller,
@@ -309,21 +355,9 @@
             "yuccachute_target_connections_opened", static_cast<double>(m_client.connectionsOpened()));
         m_figures.set("yuccachute_configuration_version",
             m_fleet.configuration() ? static_cast<double>(m_fleet.configuration()->version) : 0);
-        const auto key = std::exchange(facts.value().key, {});
-        if (const auto call = m_adapter.jobs.recognise(request)) {
-            const auto identity = authenticateJobCall(*table, facts.value().host, key);
-            if (!identity)
-                return refuseCall(*caller, identity.error());
-            return m_jobs.forward(caller,
-                { call->jobId, customerOf(*table, identity.value()), job_forwarder::call_kind::existing_job,
-                    callerOfJobPatience + call->wait, call->wait });
-        }
         m_figures.set("yuccachute_log_lines_dropped", static_cast<double>(droppedLogLines()));
         m_figures.set("yuccachute_store_connected", m_fleet.storeConnected() ? 1 : 0);
         m_figures.set(
-        const auto identity = authenticate(*table, *matched, key);
-        if (!identity)
-            return refuseCall(*caller, identity.error());
             "yuccachute_configuration_age_ms", static_cast<double>(m_fleet.configurationAge(now).count()));
         m_figures.set("yuccachute_targets_age_ms", static_cast<double>(m_fleet.targetsAge(now).count()));
         m_figures.set("yuccachute_suspected_requests", static_cast<double>(m_suspects.guard.known().size()));
@@ -386,12 +420,14 @@
     shared_guard m_suspects;
     fleet_watch m_fleet;
     registration m_registration;
+    fleet_limits m_limits;
     place_broker m_broker;
     broker_places m_places;
     http_targets m_targets;
     live_services m_live;
     job_forwarder m_jobs;
     loop_timer m_offerTimer;
+    loop_ticker m_storeTicker;
     loop_timer m_stopTimer;
     std::minstd_rand m_random;
     std::unique_ptr<http_listener> m_callers;
@@ -427,4 +463,3 @@
 }
 
 } // namespace yuccachute
-    loop_ticker m_storeTicker;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -142,7 +142,10 @@
         place_request wanted;
         wanted.requestId = m_facts.id;
         wanted.service = m_route.pickService(std::hash<std::string> {}(m_facts.id));
-        wanted.customer = m_route.name;
+        wanted.customer = m_callerIdentity.customer ? m_callerIdentity.customer->name : m_route.name;
+        if (m_callerIdentity.customer)
+            wanted.weight = m_table->customers.weightOf(*m_callerIdentity.customer);
+        wanted.begun = m_begun;
         wanted.cost = static_cast<double>(1 + m_facts.promptTokens + m_facts.mostOutputTokens);
         wanted.prefixes = m_facts.prefixes;
         wanted.avoid = m_lastTarget;
@@ -169,14 +172,14 @@
             return unplaced(found.error());
         const bool endedSome = (m_call || m_attempts > 0) && endsTargets();
         if (endedSome && !m_call) {
-            m_services.places.release(found.value(), grant_outcome::abandoned, milliseconds { 0 });
+            m_services.places.release(found.value(), grant_outcome::unused, milliseconds { 0 });
             return giveUp(m_lastFailure.value_or(
                 mayHaveRun(failure_kind::incomplete, "its targets have ended or fallen silent")));
         }
         if (m_call && (!m_wantsMove || endedSome)) {
             // The target has answered meanwhile, or none other shall get the request.
             m_wantsMove = false;
-            m_services.places.release(found.value(), grant_outcome::abandoned, milliseconds { 0 });
+            m_services.places.release(found.value(), grant_outcome::unused, milliseconds { 0 });
             return;
         }
         // The former run is closed before the next begins: nobody works on a request twice.
@@ -215,11 +218,11 @@
         envelope.targetId = m_place->target;
         envelope.timeLeft = toMs(m_deadline - m_sentAt);
         envelope.lastEvent = m_lastEvent;
+        if (!m_table->customers.empty())
+            envelope.customer = std::string(m_callerIdentity.name());
         client_call_options options;
         options.deadline = m_deadline + milliseconds { 1000 }; // The run's own limit comes first.
         options.connectTimeout = connectTimeout;
-        if (!m_table->customers.empty())
-            envelope.customer = std::string(m_callerIdentity.name());
         options.freshConnection = !m_route.repeatable();
         options.acceptUnframed = true;
         client_call_events events;
@@ -513,10 +516,10 @@
     std::shared_ptr<request_guard::trial> m_trial;
     std::shared_ptr<const routing_table> m_table; ///< Keeps the route alive.
     const route& m_route;
+    const caller_identity m_callerIdentity;
     loop_timer m_limit;
     loop_timer m_silence;
     loop_timer m_settle;
-    const caller_identity m_callerIdentity;
     std::shared_ptr<live_run> m_self;
     steady_time m_deadline;
     steady_time m_onTimeUntil;
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatch.h"
+#include "limits/limits.h"
 #include "membership/membership.h"
 #include "quarantine/quarantine.h"
 #include "settings/settings.h"
@@ -54,6 +55,7 @@
     std::vector<revoke_message> revokes;
     std::vector<release_message> releases;
     std::vector<withdraw_message> withdrawals;
+    std::vector<spending_report> spendings;
 
     bool empty() const;
     /// Appends the other's messages.
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatch.h"
 #include "event_loop/event_loop.h"
+#include "limits/limits.h"
 #include "messages/messages.h"
 #include "routing/routing.h"
 #include "rpc/rpc.h"
@@ -31,6 +32,8 @@
     std::string requestId; ///< For logs.
     std::string service;
     std::string customer;
+    double weight = 1; ///< The customer's share when places are short, against those of others.
+    bool begun = false; ///< The request has run in part at another target.
     work_class workClass = work_class::live;
     double cost = 1; ///< Tokens expected.
     std::vector<std::uint64_t> prefixes; ///< Hashes of the prompt's leading parts.
@@ -70,6 +73,8 @@
 /// How targets are given to requests on a platform: bulk work fills the spare slots, by due time.
 group_options defaultGroupOptions();
 
+class limit_gate;
+
 /// The groups of targets that this process is dispatcher of. On the loop's thread.
 class group_host {
 public:
@@ -86,8 +91,11 @@
     /// one placed across a cut, or whose holder has died holds slots that it takes for free; live requests
     /// then wait in the target's own queue. With a source of load reports it learns of such work; the source
     /// may be null.
-    group_host(
-        event_loop& loop, sender send, ownership first, load_source* loads, const group_options& options);
+    ///
+    /// Live work is granted within its customers' limits; null for none.
+    group_host(event_loop& loop, sender send, ownership first, load_source* loads,
+        const group_options& options, fleet_limits* limits = nullptr);
+    ~group_host();
 
     /// All targets of the fleet; a group has those of one service in one zone.
     void setTargets(const std::map<std::string, listed_target, std::less<>>& targets, steady_time now);
@@ -114,7 +122,11 @@
     void askForReports(const std::string& name, hosted_group& hosted, steady_time now);
     void takeReport(const std::string& name, const std::string& target, const result<load_report>& report);
 
+    void receivedAsk(std::uint64_t session, ask_message one, envelope& acknowledgement, steady_time now);
+    void received(const release_message& message, steady_time now);
+
     load_source* m_loads;
+    std::unique_ptr<limit_gate> m_gate;
     group_options m_options;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Answers may come after the end.
     sender m_send;
@@ -141,16 +153,18 @@
     using granted = std::function<void(result<place>)>;
     using revoked = std::function<void()>;
 
-    /// The process's own address is empty if it is no entry: then it hosts no group, and needs no load
-    /// reports.
+    /// The process's own address is empty if it is no entry: then it hosts no group, and needs neither load
+    /// reports nor limits.
     place_broker(event_loop& loop, rpc_client& client, dispatcher_info self, load_source* loads = nullptr,
-        const group_options& options = defaultGroupOptions());
+        const group_options& options = defaultGroupOptions(), fleet_limits* limits = nullptr);
     ~place_broker();
     place_broker(const place_broker&) = delete;
     place_broker& operator=(const place_broker&) = delete;
 
     void setDispatchers(std::vector<dispatcher_info> dispatchers);
     void setTargets(const std::map<std::string, listed_target, std::less<>>& targets, steady_time now);
+    /// The customers' limits have been set anew.
+    void limitsChanged();
 
     /// Asks for a place; exactly one answer comes, later. A refusal's retryAfter says when to come back.
     std::shared_ptr<place_ask> acquire(place_request request, granted done);
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -1,5 +1,7 @@
 #include "places/places.h"
 
+#include "limit_gate.h"
+
 namespace yuccachute {
 
 namespace {
@@ -22,9 +24,10 @@
     return options;
 }
 
-group_host::group_host(
-    event_loop& loop, sender send, ownership first, load_source* loads, const group_options& options)
+group_host::group_host(event_loop& loop, sender send, ownership first, load_source* loads,
+    const group_options& options, fleet_limits* limits)
     : m_loads(loads)
+    , m_gate(std::make_unique<limit_gate>(limits))
     , m_options(options)
     , m_send(std::move(send))
     , m_first(std::move(first))
@@ -32,6 +35,8 @@
 {
 }
 
+group_host::~group_host() = default;
+
 void group_host::setTargets(const std::map<std::string, listed_target, std::less<>>& targets, steady_time now)
 {
     m_targets.clear();
@@ -66,26 +71,18 @@
 {
     std::set<std::string> touched;
     for (const auto& release : message.releases) {
-        find(release.group, now).group.release(release.release, now);
+        received(release, now);
         touched.insert(release.group);
     }
     for (const auto& withdrawal : message.withdrawals) {
         find(withdrawal.group, now).group.withdraw(session, withdrawal.askId, now);
+        m_gate->dropped(session, withdrawal.askId, now);
         touched.insert(withdrawal.group);
     }
     envelope acknowledgement;
     for (auto& one : message.asks) {
-        one.ask.holder = session;
-        if (one.ask.workClass == work_class::bulk && !m_first(one.group)) {
-            envelope refusal;
-            refusal.refusals.push_back({ session, one.ask.id,
-                notRun(failure_kind::unavailable, "another entry is dispatcher", notDispatcherRetry) });
-            m_send(session, std::move(refusal));
-            continue;
-        }
-        acknowledgement.moved.push_back({ one.ask.id, "" });
-        find(one.group, now).group.ask(std::move(one.ask), now);
         touched.insert(one.group);
+        receivedAsk(session, std::move(one), acknowledgement, now);
     }
     for (const auto& name : touched)
         deliver(name, find(name, now));
@@ -94,8 +91,32 @@
     keepTicking();
 }
 
+void group_host::receivedAsk(
+    std::uint64_t session, ask_message one, envelope& acknowledgement, steady_time now)
+{
+    one.ask.holder = session;
+    auto refused = m_gate->admit(one.ask, now);
+    if (one.ask.workClass == work_class::bulk && !m_first(one.group))
+        refused = notRun(failure_kind::unavailable, "another entry is dispatcher", notDispatcherRetry);
+    if (refused) {
+        envelope refusal;
+        refusal.refusals.push_back({ session, one.ask.id, std::move(*refused) });
+        return m_send(session, std::move(refusal));
+    }
+    acknowledgement.moved.push_back({ one.ask.id, "" });
+    find(one.group, now).group.ask(std::move(one.ask), now);
+}
+
+void group_host::received(const release_message& message, steady_time now)
+{
+    auto& group = find(message.group, now).group;
+    m_gate->released(group.askOf(message.release.grantId), message.release.outcome, now);
+    group.release(message.release, now);
+}
+
 void group_host::sessionClosed(std::uint64_t session, steady_time now)
 {
+    m_gate->sessionClosed(session, now);
     for (auto& [name, hosted] : m_groups) {
         hosted.group.dropHolder(session, now);
         deliver(name, hosted);
@@ -106,11 +127,14 @@
 {
     std::map<std::uint64_t, envelope> bySession;
     for (auto& one : hosted.group.takeDecisions()) {
-        if (auto* given = std::get_if<grant_given>(&one))
+        if (auto* given = std::get_if<grant_given>(&one)) {
+            m_gate->granted(given->holder, given->askId);
             bySession[given->holder].grants.push_back(std::move(*given));
-        else if (auto* refused = std::get_if<grant_refused>(&one))
+        } else if (auto* refused = std::get_if<grant_refused>(&one)) {
+            m_gate->dropped(refused->holder, refused->askId, std::chrono::steady_clock::now());
             bySession[refused->holder].refusals.push_back(std::move(*refused));
-        else if (const auto* revoked = std::get_if<grant_revoked>(&one))
+        }
+        if (const auto* revoked = std::get_if<grant_revoked>(&one))
             bySession[revoked->holder].revokes.push_back({ name, revoked->grantId });
     }
     for (auto& [session, message] : bySession)
--- /dev/null
+++ b/libs/places/src/limit_gate.cpp
@@ -0,0 +1,60 @@
+#include "limit_gate.h"
+
+namespace yuccachute {
+
+namespace {
+
+constexpr milliseconds notRegisteredRetry { 250 };
+
+bool isLimited(const grant_ask& ask)
+{
+    return ask.workClass == work_class::live;
+}
+
+} // namespace
+
+std::optional<failure> limit_gate::admit(const grant_ask& ask, steady_time now)
+{
+    if (!m_limits || !isLimited(ask) || !m_limits->limits(ask.customer))
+        return std::nullopt;
+    if (m_limits->part(now) <= 0)
+        return notRun(
+            failure_kind::unavailable, "this entry is not registered as a dispatcher", notRegisteredRetry);
+    const auto wait = m_limits->take(ask.customer, ask.begun, now);
+    if (wait.count() > 0)
+        return notRun(failure_kind::limited, "the customer's limit is reached", wait);
+    m_waiting.insert_or_assign({ ask.holder, ask.id }, ask.customer);
+    return std::nullopt;
+}
+
+void limit_gate::granted(std::uint64_t session, std::uint64_t askId)
+{
+    m_waiting.erase({ session, askId });
+}
+
+void limit_gate::dropped(std::uint64_t session, std::uint64_t askId, steady_time now)
+{
+    const auto found = m_waiting.find({ session, askId });
+    if (found == m_waiting.end())
+        return;
+    m_limits->giveBack(found->second, now);
+    m_waiting.erase(found);
+}
+
+void limit_gate::sessionClosed(std::uint64_t session, steady_time now)
+{
+    const auto first = m_waiting.lower_bound({ session, 0 });
+    const auto last = m_waiting.lower_bound({ session + 1, 0 });
+    for (auto ask = first; ask != last; ++ask)
+        m_limits->giveBack(ask->second, now);
+    m_waiting.erase(first, last);
+}
+
+void limit_gate::released(const grant_ask* ask, grant_outcome outcome, steady_time now)
+{
+    const bool ran = outcome != grant_outcome::refused && outcome != grant_outcome::unused;
+    if (m_limits && ask && isLimited(*ask) && !ran)
+        m_limits->giveBack(ask->customer, now);
+}
+
+} // namespace yuccachute
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -2,6 +2,7 @@
 
 #include "logging/logging.h"
 #include "membership/membership.h"
+#include "spending_exchange.h"
 
 #include <algorithm>
 #include <deque>
@@ -65,15 +66,19 @@
     using ask_ptr = std::shared_ptr<ask_run>;
 
     impl(event_loop& eventLoop, rpc_client& rpc, dispatcher_info own, load_source* loads,
-        const group_options& options)
+        const group_options& options, fleet_limits* customerLimits)
         : loop(eventLoop)
         , client(rpc)
         , self(std::move(own))
         , host(
               loop, [this](std::uint64_t session, envelope message) { answer(session, std::move(message)); },
               [this](const std::string& group) { return isFirst(group, std::chrono::steady_clock::now()); },
-              loads, options)
+              loads, options, customerLimits)
+        , limits(customerLimits)
     {
+        if (limits)
+            spendings = std::make_unique<spending_exchange>(loop, *limits, self.address,
+                [this](const std::string& address, envelope message) { send(address, std::move(message)); });
     }
 
     /// Addresses of the group's dispatchers in their order. Kept until the list of dispatchers changes: with
@@ -143,6 +148,7 @@
     void send(const std::string& address, envelope message);
     void received(const std::string& address, envelope message);
     void linkClosed(const std::string& address, std::uint64_t generation);
+    void hear(const std::vector<spending_report>& reports);
     void returnStray(const std::string& dispatcher, const grant_given& given);
     void released(const std::string& dispatcher, release_message message);
 
@@ -150,6 +156,8 @@
     rpc_client& client;
     dispatcher_info self;
     group_host host;
+    fleet_limits* limits; ///< May be null.
+    std::unique_ptr<spending_exchange> spendings; ///< Null without limits.
     std::vector<dispatcher_info> dispatchers;
     std::map<std::string, std::vector<std::string>> rankedByGroup;
     full_zones withoutRoom; ///< For bulk work.
@@ -240,6 +248,9 @@
         if (m_bulk && refused.reason.kind == failure_kind::overloaded)
             m_owner->withoutRoom.noteFull(m_zone, std::chrono::steady_clock::now());
         m_refusal = refused.reason;
+        // The limit holds in all zones alike.
+        if (refused.reason.kind == failure_kind::limited)
+            return finish(refused.reason);
         const auto wait = refused.reason.retryAfter;
         if (m_queueZone.empty() || wait < m_shortestWait) {
             m_queueZone = m_zone;
@@ -318,6 +329,8 @@
         wanted.id = m_askId;
         wanted.requestId = m_request.requestId;
         wanted.customer = m_request.customer;
+        wanted.weight = m_request.weight;
+        wanted.begun = m_request.begun;
         wanted.workClass = m_request.workClass;
         wanted.cost = m_request.cost;
         wanted.prefixes = m_request.prefixes;
@@ -383,7 +396,7 @@
             else if (outcome)
                 self->m_owner->released(outcome.value().dispatcher,
                     { outcome.value().group,
-                        { outcome.value().grantId, grant_outcome::abandoned, milliseconds { 0 }, 0 } });
+                        { outcome.value().grantId, grant_outcome::unused, milliseconds { 0 }, 0 } });
         });
     }
 
@@ -482,6 +495,7 @@
 {
     if (!address.empty())
         silentUntil.erase(address);
+    hear(message.spendings);
     const auto find = [this](std::uint64_t id) -> ask_ptr {
         const auto found = asks.find(id);
         return found == asks.end() ? nullptr : found->second.lock();
@@ -509,13 +523,20 @@
     }
 }
 
+void place_broker::impl::hear(const std::vector<spending_report>& reports)
+{
+    if (!limits)
+        return;
+    for (const auto& report : reports)
+        limits->heard(report, std::chrono::steady_clock::now());
+}
+
 void place_broker::impl::returnStray(const std::string& dispatcher, const grant_given& given)
 {
     const auto found = givenUp.find(given.askId);
     if (found == givenUp.end())
         return; // So old that the dispatcher will drop the grant by itself.
-    released(
-        dispatcher, { found->second, { given.grantId, grant_outcome::abandoned, milliseconds { 0 }, 0 } });
+    released(dispatcher, { found->second, { given.grantId, grant_outcome::unused, milliseconds { 0 }, 0 } });
 }
 
 void place_broker::impl::released(const std::string& dispatcher, release_message message)
@@ -548,8 +569,8 @@
 } // namespace
 
 place_broker::place_broker(event_loop& loop, rpc_client& client, dispatcher_info self, load_source* loads,
-    const group_options& options)
-    : m_impl(std::make_shared<impl>(loop, client, std::move(self), loads, options))
+    const group_options& options, fleet_limits* limits)
+    : m_impl(std::make_shared<impl>(loop, client, std::move(self), loads, options, limits))
 {
 }
 
@@ -563,6 +584,14 @@
 {
     m_impl->dispatchers = std::move(dispatchers);
     m_impl->rankedByGroup.clear();
+    if (m_impl->spendings)
+        m_impl->spendings->setMembers(m_impl->dispatchers);
+}
+
+void place_broker::limitsChanged()
+{
+    if (m_impl->spendings)
+        m_impl->spendings->customersChanged();
 }
 
 void place_broker::setTargets(
@@ -611,8 +640,11 @@
 void place_broker::sessionReceived(std::uint64_t session, envelope message)
 {
     m_impl->loop.post([weak = m_impl->weak_from_this(), session, message = std::move(message)]() mutable {
-        if (const auto owner = weak.lock())
-            owner->host.received(session, std::move(message), std::chrono::steady_clock::now());
+        const auto owner = weak.lock();
+        if (!owner)
+            return;
+        owner->hear(message.spendings);
+        owner->host.received(session, std::move(message), std::chrono::steady_clock::now());
     });
 }
 
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -28,6 +28,15 @@
     unsigned affinityPercent = 60;
 };
 
+/// How customers' limits are held. What is allowed of a customer in any span of `window` is
+/// (rate x window + burst) x (1 + overshoot) + slack requests.
+struct limit_settings {
+    double windowSeconds = 5;
+    double overshoot = 0.1; ///< As a share.
+    double slack = 20; ///< Requests.
+    std::string policy = "counted"; ///< "counted", or "even": each availability zone has the same part.
+};
+
 /// What a process learns at its start. All addresses are host:port.
 struct process_settings {
     std::string vm; ///< Unique name of the VM.
@@ -48,6 +57,7 @@
     double cores = 1; ///< Processor time that the VM offers, in cores; may be a fraction.
 
     dispatch_settings dispatch;
+    limit_settings customerLimits;
     /// Entries beyond the first of a zone ask these instead of following the store.
     bool followPeers = true;
 
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -77,6 +77,25 @@
     };
 }
 
+setter limitDecimal(double least, double most, double limit_settings::*field)
+{
+    return [=](process_settings& settings, const std::string& value) {
+        process_settings parsed;
+        const auto problem = decimal(least, most, &process_settings::cores)(parsed, value);
+        settings.customerLimits.*field = parsed.cores;
+        return problem;
+    };
+}
+
+setter limitPolicy()
+{
+    return [](process_settings& settings, const std::string& value) {
+        settings.customerLimits.policy = value;
+        const bool known = value == "counted" || value == "even";
+        return known ? std::string() : '"' + value + "\" is none of counted, even";
+    };
+}
+
 setter addressList(std::vector<std::string> process_settings::*field)
 {
     return [field](process_settings& settings, const std::string& value) {
@@ -149,6 +168,10 @@
             { number(0, 1000,
                   [](auto& s, auto value) { s.dispatch.affinityPercent = static_cast<unsigned>(value); }),
                 false } },
+        { "customer_limits.window_s", { limitDecimal(0.1, 3600, &limit_settings::windowSeconds), false } },
+        { "customer_limits.overshoot", { limitDecimal(0, 1, &limit_settings::overshoot), false } },
+        { "customer_limits.slack", { limitDecimal(0, 1e6, &limit_settings::slack), false } },
+        { "customer_limits.policy", { limitPolicy(), false } },
         { "limits.cores", { decimal(0.001, 1024, &process_settings::cores), false } },
         { "limits.descriptors",
             { number(
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -71,12 +71,48 @@
     milliseconds idleTimeout { 15000 };
 };
 
+/// A customer and the limits of what it may send, over all processes together.
+struct customer_description {
+    std::string name;
+    unsigned priority = 0; ///< 0 is the highest.
+    double requestsPerSecond = 0; ///< 0 for no limit.
+    double burst = 0; ///< Requests on top of the rate.
+    std::uint64_t mostWaitingTokens = 0; ///< Of batch items on each route; 0 for the route's own limit.
+};
+
+/// The customers and their keys. A key is a secret: it is looked up here and goes nowhere else.
+class customer_directory {
+public:
+    /// A key that is given to two customers belongs to the first.
+    void add(customer_description customer, std::span<const std::string> keys);
+    bool empty() const { return m_customers.empty(); }
+    /// Null if nobody holds the key.
+    const customer_description* byKey(std::string_view key) const;
+    const customer_description* byName(std::string_view name) const;
+    std::span<const customer_description> all() const { return m_customers; }
+    /// A customer's share of what is short: what it may send. One without a limit weighs as the largest.
+    double weightOf(const customer_description& customer) const;
+
+private:
+    struct text_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const { return std::hash<std::string_view> {}(text); }
+    };
+    using index_map = std::unordered_map<std::string, std::size_t, text_hash, std::equal_to<>>;
+
+    std::vector<customer_description> m_customers;
+    double m_largestRate = 1;
+    index_map m_byKey;
+    index_map m_byName;
+};
+
 /// The routes and services in force; immutable once built.
 struct routing_table {
     std::int64_t version = 0; ///< Only grows.
     std::vector<route> routes;
     std::map<std::string, service_description, std::less<>> services;
     caller_limits limits;
+    customer_directory customers; ///< Empty if callers need no keys.
 
     /// The route of that host with the longest prefix that begins the path; null if there is none.
     const route* match(std::string_view host, std::string_view path) const;
@@ -112,7 +148,6 @@
     /// Drops missing targets if lists can be trusted now. Returns whether there were any.
     bool expire(steady_time trustedFrom, steady_time now);
 
-    customer_directory customers; ///< Empty if callers need no keys.
     /// Whether some targets are kept although they are missing from the list.
     bool keepsMissing() const { return !m_missingSince.empty(); }
     /// Ids of these, and since when they are missing.
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -30,6 +30,7 @@
     out.set_hold_ms(static_cast<std::uint32_t>(ask.hold.count()));
     out.set_at_once(ask.atOnce);
     out.set_request_id(ask.requestId);
+    out.set_begun(ask.begun);
 }
 
 ask_message fromWire(const peer::Ask& in, steady_time now)
@@ -49,10 +50,33 @@
     ask.hold = milliseconds { in.hold_ms() };
     ask.atOnce = in.at_once();
     ask.requestId = in.request_id();
+    ask.begun = in.begun();
     ask.due = now + milliseconds { static_cast<std::int64_t>(in.due_in_ms()) };
     return message;
 }
 
+void toWire(const spending_report& report, peer::SpendingReport& out)
+{
+    out.set_vm(report.vm);
+    out.set_incarnation(report.incarnation);
+    for (const auto& spending : report.customers) {
+        auto& wire = *out.add_customers();
+        wire.set_customer(spending.customer);
+        wire.set_granted(spending.granted);
+        wire.set_added(spending.added);
+        wire.set_fill_percent(spending.fillPercent);
+    }
+}
+
+spending_report fromWire(const peer::SpendingReport& in)
+{
+    spending_report report { in.vm(), in.incarnation(), {} };
+    for (const auto& spending : in.customers())
+        report.customers.push_back(
+            { spending.customer(), spending.granted(), spending.added(), spending.fill_percent() });
+    return report;
+}
+
 } // namespace
 
 void toWire(const envelope& message, steady_time now, peer::Envelope& out)
@@ -97,6 +121,8 @@
         wire.set_group(withdrawal.group);
         wire.set_ask_id(withdrawal.askId);
     }
+    for (const auto& report : message.spendings)
+        toWire(report, *out.add_spendings());
 }
 
 envelope fromWire(const peer::Envelope& in, steady_time now)
@@ -120,7 +146,7 @@
         message.revokes.push_back({ revoke.group(), revoke.grant_id() });
     for (const auto& release : in.releases()) {
         // An outcome that a newer peer may know says nothing here.
-        const auto outcome = release.outcome() <= static_cast<std::uint32_t>(grant_outcome::abandoned)
+        const auto outcome = release.outcome() <= static_cast<std::uint32_t>(grant_outcome::unused)
             ? static_cast<grant_outcome>(release.outcome())
             : grant_outcome::abandoned;
         message.releases.push_back({ release.group(),
@@ -128,6 +154,8 @@
     }
     for (const auto& withdrawal : in.withdrawals())
         message.withdrawals.push_back({ withdrawal.group(), withdrawal.ask_id() });
+    for (const auto& report : in.spendings())
+        message.spendings.push_back(fromWire(report));
     return message;
 }
 
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -30,6 +30,8 @@
     message.revokes.push_back({ "g", 11 });
     message.releases.push_back({ "g", { 12, grant_outcome::failed, 13ms, 14 } });
     message.withdrawals.push_back({ "g", 15 });
+    message.spendings.push_back({ "vm", 7, { { 99, 12, -3, -40 } } });
+    message.asks.front().ask.begun = true;
     const auto later = start + 1h;
     peer::Envelope wire;
     toWire(message, start, wire);
@@ -46,6 +48,8 @@
     CHECK(copy.revokes[0].grantId == 11);
     CHECK(copy.releases[0].release.outcome == grant_outcome::failed);
     CHECK(copy.withdrawals[0].askId == 15);
+    CHECK(copy.spendings == message.spendings);
+    CHECK(copy.asks.front().ask.begun);
 }
 
 TEST_CASE("members and settings survive their encoding")
