Whole copies of the target list: compressed, from one peer at a time

Cause, by reading: an entry without a copy asks several peers at once, also of other zones, for 900 KB, four times a second; each ask times out after 500 ms while its answer still takes the link. Change: large sections travel compressed (fifth of the size or less, to askers that say that they take it), one peer at a time is asked for a whole copy, the target list only once the peers of the own zone are known, with a timeout of its own. Tests: test_fleet (fails before: three asks for whole copies in half a second), test_wire.

--- a/libs/authentication/include/authentication/authentication.h
+++ b/libs/authentication/include/authentication/authentication.h
@@ -10,7 +10,8 @@
 
 /// The customer on whose behalf a request is served.
 struct caller_identity {
-    /// Null on a route that is open to all, and in a deployment without customers. Lives as long as the table.
+    /// Null on a route that is open to all, and in a deployment without customers. Lives as long as the
+    /// table.
     const customer_description* customer = nullptr;
 
     std::string_view name() const { return customer ? std::string_view(customer->name) : std::string_view(); }
--- a/libs/authentication/src/authentication.cpp
+++ b/libs/authentication/src/authentication.cpp
@@ -27,10 +27,10 @@
 result<caller_identity> authenticateJobCall(
     const routing_table& table, std::string_view host, std::string_view key)
 {
-    const bool openToAll = key.empty()
-        && std::any_of(table.routes.begin(), table.routes.end(), [&](const route& candidate) {
-               return candidate.kind == request_kind::batch && candidate.openToAll && candidate.host == host;
-           });
+    const bool openToAll
+        = key.empty() && std::any_of(table.routes.begin(), table.routes.end(), [&](const route& candidate) {
+              return candidate.kind == request_kind::batch && candidate.openToAll && candidate.host == host;
+          });
     return identify(table, openToAll, key);
 }
 
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -229,7 +229,8 @@
     void askPeers(steady_time now);
     void notifyNodes();
     bool isWatcher() const;
-    void ask(const std::string& address);
+    /// `whole`: also for sections that this process has no copy of.
+    void ask(const std::string& address, bool whole);
     std::vector<std::string> peersToAsk(steady_time now);
     void peerAnswered(const std::string& address, const sync_answer& answer, steady_time asked);
     std::array<store_mirror*, 3> mirrors() { return { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror }; }
@@ -239,7 +240,8 @@
     bool reliedOn() const;
     void takeAnswer(const sync_answer& answer, steady_time asked);
     void tick();
-    std::vector<section_revision> known() const;
+    bool lacksCopies() const;
+    std::vector<section_revision> known(bool whole) const;
 
     event_loop& m_loop;
     const observed_store& m_store;
@@ -268,6 +270,8 @@
     std::unique_ptr<store_watchers> m_watchers; ///< Entries that follow the store.
     loop_ticker m_ticker;
     steady_time m_lastSync;
+    steady_time m_nextWhole; ///< When the next peer may be asked for a whole copy.
+    std::size_t m_wholeTries = 0;
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::atomic<bool> m_watches { false }; ///< For peers, as of the last tick.
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -20,6 +20,9 @@
 /// may have missed.
 constexpr milliseconds syncOrdinarily { 500 };
 constexpr milliseconds syncTimeout { 500 };
+/// A whole copy takes longer, and another peer is asked for one after a while without an answer.
+constexpr milliseconds wholeTimeout { 1500 };
+constexpr milliseconds wholePause { 700 };
 /// A process that does not follow the store asks one that does at this interval: with the 400 ms by which
 /// targets are told in groups, one that leaves is known within 0.7 s of the two seconds for which it goes on
 /// serving.
@@ -372,11 +375,26 @@
         m_ordersMirror.confirm(now);
 }
 
-std::vector<section_revision> fleet_watch::known() const
+bool fleet_watch::lacksCopies() const
+{
+    const auto lacks = [](const store_mirror* mirror) { return mirror->history().askFrom() == 0; };
+    const auto all = { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror };
+    return std::any_of(all.begin(), all.end(), lacks);
+}
+
+std::vector<section_revision> fleet_watch::known(bool whole) const
 {
     std::vector<section_revision> revisions;
-    for (const auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror })
-        revisions.push_back({ mirror->section().prefix, mirror->history().askFrom() });
+    const bool peersKnown = m_nodesMirror.history().askFrom() != 0;
+    for (const auto* mirror : { &m_ordersMirror, &m_targetsMirror, &m_nodesMirror }) {
+        const auto from = mirror->history().askFrom();
+        // The list of targets is the largest by far. It is better asked for from a peer of the own zone, when
+        // the first answer has told which these are.
+        const bool unknownZones = m_wholeTries <= 1 && !peersKnown;
+        const bool later = !whole || (mirror == &m_targetsMirror && unknownZones);
+        if (from != 0 || !later)
+            revisions.push_back({ mirror->section().prefix, from });
+    }
     return revisions;
 }
 
@@ -419,20 +437,32 @@
 void fleet_watch::askPeers(steady_time now)
 {
     m_lastSync = now;
-    for (const auto& address : peersToAsk(now))
-        ask(address);
+    const auto addresses = peersToAsk(now);
+    // Whole copies are large. Asked for from several peers at once, and again before the first has come, they
+    // keep the links of those that are asked busy until every ask has timed out.
+    const bool whole = lacksCopies() && now >= m_nextWhole && !addresses.empty();
+    const auto wholeFrom = whole ? m_wholeTries++ % addresses.size() : addresses.size();
+    if (whole)
+        m_nextWhole = now + wholePause;
+    for (std::size_t i = 0; i < addresses.size(); ++i)
+        ask(addresses[i], i == wholeFrom);
 }
 
-void fleet_watch::ask(const std::string& address)
+void fleet_watch::ask(const std::string& address, bool whole)
 {
     const auto asked = std::chrono::steady_clock::now();
-    m_peers.sync(address, { known(), {}, 0 }, syncTimeout,
-        [this, address, asked, alive = std::weak_ptr(m_alive)](result<sync_answer> answer) {
+    auto sections = known(whole);
+    if (sections.empty())
+        return;
+    m_peers.sync(address, { std::move(sections), {}, 0 }, whole ? wholeTimeout : syncTimeout,
+        [this, address, asked, whole, alive = std::weak_ptr(m_alive)](result<sync_answer> answer) {
             if (alive.expired())
                 return;
-            m_loop.post([this, alive, address, asked, answer = std::move(answer)] {
+            m_loop.post([this, alive, address, asked, whole, answer = std::move(answer)] {
                 if (alive.expired())
                     return;
+                if (whole)
+                    m_nextWhole = {};
                 // Of a zone's watchers all may be gone; whoever follows others must not wait for them.
                 m_peerSilent = !answer;
                 if (answer)
--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -448,3 +448,54 @@
     CHECK(watch.configuration()->version == 8);
     CHECK(!watch.storeContact().watches); // It must not claim to follow a store that has not answered it.
 }
+
+namespace {
+
+/// Peers on slow links: what they are asked is counted, and answered only when the test says so.
+class slow_peers final : public peer_sync {
+public:
+    void sync(std::string_view address, const sync_question& question, milliseconds,
+        std::function<void(result<sync_answer>)> done) override
+    {
+        for (const auto& section : question.known)
+            wholeTargets += section.prefix == "targets/" && section.revision == 0 ? 1 : 0;
+        waiting.push_back(std::move(done));
+    }
+    void answerAll(const sync_answer& answer)
+    {
+        for (const auto& done : std::exchange(waiting, {}))
+            done(answer);
+    }
+    unsigned wholeTargets = 0;
+    std::vector<std::function<void(result<sync_answer>)>> waiting;
+};
+
+} // namespace
+
+// Story: a whole fleet starts again. Each process asks several peers at once for the list of targets, and
+// asks again four times a second while the first answers are still on their way. The links of those that are
+// asked never get free, and callers wait for half a minute until anybody knows a target.
+TEST_CASE("a whole copy is asked for from one peer at a time")
+{
+    event_loop loop;
+    closed_store closed(loop);
+    metrics figures;
+    observed_store store(closed, figures);
+    slow_peers peers;
+    const plain_codec codec;
+    const auto ignore = [] {};
+    fleet_watch watch(loop, store, peers, codec, { "vm", node_role::entry, "z", "127.0.0.1:1", 1, false },
+        { { "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4" } }, { ignore, ignore, ignore, ignore });
+    watch.start();
+    runUntil(loop, [&] { return peers.waiting.size() >= 1; });
+    CHECK(peers.wholeTargets == 0); // Which peers are of its zone is asked first.
+    sync_answer answer;
+    answer.newer = { { "yuccachute/node/", 4, {} }, { "orders/", 5, { { "orders/config", "7", 4 } } } };
+    peers.answerAll(answer);
+    runUntil(loop, [&] { return peers.wholeTargets >= 1; });
+    loop.runFor(milliseconds { 500 });
+    CHECK(peers.wholeTargets == 1);
+    answer.newer = { { "targets/", 5, { { "targets/a", "", 2 } } } };
+    peers.answerAll(answer);
+    CHECK(runUntil(loop, [&] { return watch.targets().targets().size() == 1; }));
+}
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -216,8 +216,8 @@
     const double idle = secondsBetween(other->second.changed, peer->second.heard);
     const double rate = other->second.perSecond * std::exp(-idle / rateSpan.count());
     // What it grants after that is held back.
-    const double unheard
-        = std::min(secondsBetween(peer->second.heard, now), std::chrono::duration<double>(freshTimeout()).count());
+    const double unheard = std::min(
+        secondsBetween(peer->second.heard, now), std::chrono::duration<double>(freshTimeout()).count());
     return rate * unheard;
 }
 
@@ -272,8 +272,9 @@
 {
     const double perSecond = std::max(bucket.limit().perSecond * part(now), 1e-3);
     const auto after = [&](steady_time from, double tokens) {
-        return from + std::chrono::duration_cast<steady_time::duration>(std::chrono::duration<double>(
-                   std::min(tokens / perSecond, std::chrono::duration<double>(longestReturn).count())));
+        return from
+            + std::chrono::duration_cast<steady_time::duration>(std::chrono::duration<double>(
+                std::min(tokens / perSecond, std::chrono::duration<double>(longestReturn).count())));
     };
     bucket.promisedUntil = std::max(after(now, missing), after(bucket.promisedUntil, 1));
     bucket.promisedUntil = std::min(bucket.promisedUntil, now + longestReturn);
@@ -307,7 +308,8 @@
     for (auto& [customer, bucket] : m_buckets) {
         if (bucket.*mark == bucket.granted)
             continue;
-        const auto added = static_cast<std::int64_t>(bucket.granted - std::exchange(bucket.*mark, bucket.granted));
+        const auto added
+            = static_cast<std::int64_t>(bucket.granted - std::exchange(bucket.*mark, bucket.granted));
         advance(bucket, now);
         const double fill = bucket.level() / std::max(1.0, bucket.capacity() * m_part);
         constexpr double mostPercent = 1000;
@@ -391,8 +393,8 @@
         bucket.add(std::min(0.0, theirs - bucket.level()));
         return;
     }
-    const auto spent
-        = static_cast<double>(static_cast<std::int64_t>(told.granted - std::exchange(other.granted, told.granted)));
+    const auto spent = static_cast<double>(
+        static_cast<std::int64_t>(told.granted - std::exchange(other.granted, told.granted)));
     bucket.add(-spent);
     const double span = std::max(secondsBetween(other.changed, now), 1e-3);
     const double keep = std::exp(-span / rateSpan.count());
--- a/libs/limits/tests/model_limits.cpp
+++ b/libs/limits/tests/model_limits.cpp
@@ -199,8 +199,8 @@
 double model_limits::allowed() const
 {
     const auto& limit = m_options.limit;
-    return limit.perSecond * m_options.bounds.window.count() + limit.burst + m_options.bounds.overshootOf(limit)
-        + m_options.bounds.slack;
+    return limit.perSecond * m_options.bounds.window.count() + limit.burst
+        + m_options.bounds.overshootOf(limit) + m_options.bounds.slack;
 }
 
 } // namespace yuccachute
--- a/libs/limits/tests/test_limits_model.cpp
+++ b/libs/limits/tests/test_limits_model.cpp
@@ -37,7 +37,8 @@
 TEST_CASE("a customer that sends what it usually does is never refused")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        for (const request_limit limit : { request_limit { 82, 82 }, request_limit { 8, 8 }, request_limit { 1, 1 } }) {
+        for (const request_limit limit :
+            { request_limit { 82, 82 }, request_limit { 8, 8 }, request_limit { 1, 1 } }) {
             model_limits::options options;
             options.seed = seed;
             options.limit = limit;
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -122,6 +122,7 @@
     std::vector<section_revision> known; ///< Sections that it wants newer copies of.
     std::vector<suspect_note> suspects; ///< News for the asked process.
     std::uint64_t suspectsDigest = 0; ///< Of all suspects that the asker knows.
+    bool takesPacked = true; ///< The asker understands compressed sections.
 };
 
 /// What the asked process answers.
--- a/libs/rpc/src/server.cpp
+++ b/libs/rpc/src/server.cpp
@@ -140,7 +140,7 @@
     grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* context, const peer::SyncRequest* request,
         peer::SyncReply* reply) override
     {
-        toWire(m_handler.sync(fromWire(*request)), *reply);
+        toWire(m_handler.sync(fromWire(*request)), request->takes_packed(), *reply);
         return finish(context);
     }
 
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -19,11 +19,15 @@
 void toWire(const settings_update& update, peer::Settings& out);
 settings_update fromWire(const peer::Settings& in);
 
-void toWire(const section_update& update, peer::Section& out);
-section_update fromWire(const peer::Section& in);
+/// `pack`: large updates are compressed. A list of 3,000 targets has 900 KB, and when a whole fleet starts
+/// each process asks for it at once.
+void toWire(const section_update& update, bool pack, peer::Section& out);
+/// Fails on packed entries that cannot be read.
+result<section_update> fromWire(const peer::Section& in);
 void toWire(const sync_question& question, peer::SyncRequest& out);
 sync_question fromWire(const peer::SyncRequest& in);
-void toWire(const sync_answer& answer, peer::SyncReply& out);
+/// `pack` as the asker said. A section that cannot be read is left out of the answer: it is asked for again.
+void toWire(const sync_answer& answer, bool pack, peer::SyncReply& out);
 sync_answer fromWire(const peer::SyncReply& in);
 
 } // namespace yuccachute
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -1,5 +1,7 @@
 #include "wire/wire.h"
 
+#include "jobs/jobs.h"
+
 #include <algorithm>
 
 namespace yuccachute {
@@ -252,27 +254,63 @@
     return update;
 }
 
-void toWire(const section_update& update, peer::Section& out)
+namespace {
+
+/// Below this a message costs more for itself than for its bytes.
+constexpr std::size_t leastPackedBytes = 4096;
+
+void packEntries(peer::Section& section)
+{
+    peer::Section plain;
+    plain.mutable_entries()->Swap(section.mutable_entries());
+    section.set_packed_entries(compress(plain.SerializeAsString()));
+}
+
+result<peer::Section> unpackEntries(const std::string& packed)
+{
+    BOOST_OUTCOME_TRY(auto bytes, decompress(packed));
+    peer::Section plain;
+    if (!plain.ParseFromString(bytes))
+        return mayHaveRun(failure_kind::incomplete, "the packed entries of a section cannot be read");
+    return plain;
+}
+
+void addEntries(const peer::Section& in, section_update& update)
+{
+    for (const auto& entry : in.entries())
+        update.changed.push_back({ entry.key(), entry.value(), entry.revision() });
+}
+
+} // namespace
+
+void toWire(const section_update& update, bool pack, peer::Section& out)
 {
     out.set_prefix(update.prefix);
     out.set_revision(update.revision);
     out.set_based_on(update.basedOn);
     out.set_keys_digest(update.keysDigest);
+    std::size_t bytes = 0;
     for (const auto& entry : update.changed) {
         auto* added = out.add_entries();
         added->set_key(entry.key);
         added->set_value(entry.value);
         added->set_revision(entry.revision);
+        bytes += entry.key.size() + entry.value.size();
     }
     for (const auto& key : update.removed)
         out.add_removed(key);
+    if (pack && bytes >= leastPackedBytes)
+        packEntries(out);
 }
 
-section_update fromWire(const peer::Section& in)
+result<section_update> fromWire(const peer::Section& in)
 {
     section_update update { in.prefix(), in.revision(), {}, in.based_on(), {}, in.keys_digest() };
-    for (const auto& entry : in.entries())
-        update.changed.push_back({ entry.key(), entry.value(), entry.revision() });
+    addEntries(in, update);
+    if (!in.packed_entries().empty()) {
+        BOOST_OUTCOME_TRY(auto unpacked, unpackEntries(in.packed_entries()));
+        addEntries(unpacked, update);
+    }
     update.removed.assign(in.removed().begin(), in.removed().end());
     return update;
 }
@@ -306,6 +344,7 @@
     for (const auto& note : question.suspects)
         toWire(note, *out.add_suspects());
     out.set_suspects_digest(question.suspectsDigest);
+    out.set_takes_packed(question.takesPacked);
 }
 
 sync_question fromWire(const peer::SyncRequest& in)
@@ -316,16 +355,17 @@
     for (const auto& note : in.suspects())
         question.suspects.push_back(fromWire(note));
     question.suspectsDigest = in.suspects_digest();
+    question.takesPacked = in.takes_packed();
     return question;
 }
 
-void toWire(const sync_answer& answer, peer::SyncReply& out)
+void toWire(const sync_answer& answer, bool pack, peer::SyncReply& out)
 {
     for (const auto& note : answer.suspects)
         toWire(note, *out.add_suspects());
     out.set_suspects_digest(answer.suspectsDigest);
     for (const auto& update : answer.newer)
-        toWire(update, *out.add_newer());
+        toWire(update, pack, *out.add_newer());
     out.set_watches_store(answer.contact.watches);
     for (const auto& standing : answer.standings) {
         auto* added = out.add_standings();
@@ -340,8 +380,10 @@
 sync_answer fromWire(const peer::SyncReply& in)
 {
     sync_answer answer;
-    for (const auto& section : in.newer())
-        answer.newer.push_back(fromWire(section));
+    for (const auto& section : in.newer()) {
+        if (auto update = fromWire(section))
+            answer.newer.push_back(std::move(update.value()));
+    }
     answer.contact.watches = in.watches_store();
     for (const auto& standing : in.standings())
         answer.standings.push_back({ standing.prefix(), standing.revision(), standing.settled_revision(),
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -106,9 +106,45 @@
     answer.suspects = { note };
     answer.suspectsDigest = 8;
     peer::SyncReply wireAnswer;
-    toWire(answer, wireAnswer);
+    toWire(answer, false, wireAnswer);
     const auto copy = fromWire(wireAnswer);
     CHECK(copy.suspects.at(0).record == note.record);
     CHECK(copy.suspects.at(0).age == note.age);
     CHECK(copy.suspectsDigest == 8);
 }
+
+// Story: a fleet of 300 processes starts again, each asks for the list of 3,000 targets, 900 KB for each: the
+// links of those that are asked are busy for half a minute, every ask ends by its timeout and is sent again,
+// and all callers wait.
+TEST_CASE("large sections travel compressed to those that take it")
+{
+    section_update update { "targets/", 12, {}, 0, { "targets/gone" }, 5 };
+    for (int i = 0; i < 3000; ++i)
+        update.changed.push_back({ "targets/i-" + std::to_string(i * 7919),
+            R"({"service":"llm","address":"10.3.64.)" + std::to_string(i % 250)
+                + R"(:8000","zone":"vannes-c","version":"v1","slots":8,"state":"ready","cold_left_ms":0})",
+            i + 1 });
+    peer::Section plain;
+    toWire(update, false, plain);
+    peer::Section packed;
+    toWire(update, true, packed);
+    CHECK(packed.ByteSizeLong() * 5 < plain.ByteSizeLong());
+    for (const auto* wire : { &plain, &packed }) {
+        const auto read = fromWire(*wire);
+        REQUIRE(read);
+        CHECK(read.value().changed == update.changed);
+        CHECK(read.value().removed == update.removed);
+        CHECK(read.value().keysDigest == 5);
+    }
+    packed.set_packed_entries("damaged");
+    CHECK(!fromWire(packed));
+}
+
+TEST_CASE("small sections travel as they are")
+{
+    const section_update update { "orders/", 12, { { "orders/config", "{}", 3 } }, 9, {}, 0 };
+    peer::Section wire;
+    toWire(update, true, wire);
+    CHECK(wire.entries_size() == 1);
+    CHECK(fromWire(wire).value().changed == update.changed);
+}
