--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -4,6 +4,7 @@
 #include "platform_store.h"
 
 #include <iostream>
+#include <sstream>
 
 using namespace yuccachute;
 using namespace yuccachute::standin;
@@ -25,6 +26,8 @@
     std::int64_t beganMs = 0; ///< By the steady clock, which all processes of a machine share.
     std::int64_t reachedMs = 0; ///< When the request arrived, by the same clock.
     bool endedServer = false; ///< Its server crashed under it.
+    std::string customer; ///< As it was named to the server.
+    bool keyPassed = false; ///< The caller's key came along.
 };
 
 std::int64_t steadyMs()
@@ -148,7 +151,8 @@
             return caller->send(
                 { 503, { { "Yuccachute-Not-Run", "1" }, { "Yuccachute-Request-Id", id } }, "" });
         const run_record run { id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false, 0,
-            steadyMs() };
+            steadyMs(), false, std::string(findHeader(headers, "Yuccachute-Tenant")),
+            !findHeader(headers, "Api-Key").empty() };
         const http_headers head { { "Yuccachute-Request-Id", id },
             { "Yuccachute-Server-Seal", "seal-" + m_id } };
         if (caller->request().method == "GET") {
@@ -261,6 +265,28 @@
     loop_ticker m_ticker;
 };
 
+/// Customers as "NAME:RATE:BURST:KEY;KEY", separated by commas.
+json customersOf(const std::string& text)
+{
+    auto customers = json::array();
+    std::stringstream list(text);
+    for (std::string one; std::getline(list, one, ',');) {
+        std::stringstream fields(one);
+        std::string name;
+        std::string rate;
+        std::string burst;
+        std::getline(fields, name, ':');
+        std::getline(fields, rate, ':');
+        std::getline(fields, burst, ':');
+        auto keys = json::array();
+        for (std::string key; std::getline(fields, key, ';');)
+            keys.push_back(key);
+        customers.push_back({ { "name", name }, { "rate_per_s", std::stod(rate) },
+            { "burst", std::stod(burst) }, { "api_keys", keys } });
+    }
+    return customers;
+}
+
 /// With a route "/stepN/" for each step up to the given one, by which callers tell how far a process is.
 json configuration(std::int64_t version, int timeoutMs, bool extraRoute, int steps)
 {
@@ -337,8 +363,10 @@
                 m_store.compact();
         }
         if (request.path == "/config") {
-            m_store.put("op/config",
-                configuration(++m_version, number("timeout"), number("extra") != 0, number("steps")));
+            auto next = configuration(++m_version, number("timeout"), number("extra") != 0, number("steps"));
+            if (const auto customers = value("customers"); !customers.empty())
+                next["tenants"] = customersOf(customers);
+            m_store.put("op/config", next);
             return { { "version", m_version } };
         }
         if (request.path == "/order")
@@ -376,7 +404,8 @@
         for (const auto& run : m_runs)
             runs.push_back({ { "id", run.id }, { "server", run.server }, { "last", run.lastEvent },
                 { "finished", run.finished }, { "ended_server", run.endedServer },
-                { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs } });
+                { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs }, { "customer", run.customer },
+                { "key_passed", run.keyPassed } });
         return { { "runs", runs }, { "calls", m_store.calls() },
             { "open", m_store.count("yuccachute/open/") }, { "nodes", m_store.count("yuccachute/node/") } };
     }
