--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -361,6 +361,10 @@
             "yuccachute_configuration_age_ms", static_cast<double>(m_fleet.configurationAge(now).count()));
         m_figures.set("yuccachute_targets_age_ms", static_cast<double>(m_fleet.targetsAge(now).count()));
         m_figures.set("yuccachute_suspected_requests", static_cast<double>(m_suspects.guard.known().size()));
+        if (m_limits.limitsAny()) {
+            m_figures.set("yuccachute_limit_part", m_limits.part(now));
+            m_figures.set("yuccachute_limit_refusals", static_cast<double>(m_limits.refused()));
+        }
         for (const auto& [name, group] : m_broker.summaries(now)) {
             m_figures.set("yuccachute_group_live", group.live);
             m_figures.set("yuccachute_group_bulk", group.bulk);
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -163,6 +163,9 @@
     /// What of each limit this process and those that it hears may grant, from 0 to 1.
     double part(steady_time now);
 
+    /// Requests that were refused since the start.
+    std::uint64_t refused() const { return m_refused; }
+
     /// A customer's use, for metrics.
     struct usage {
         double level = 0;
@@ -213,6 +216,7 @@
     std::set<std::string, std::less<>> m_leaving; ///< Members that are going to stop.
     std::map<std::string, peer_state, std::less<>> m_peers; ///< By VM.
     bool m_storeReached = true;
+    std::uint64_t m_refused = 0;
     double m_part = 0;
     double m_freshShare = 0; ///< Of the members in reach, those that were heard a moment ago.
     steady_time m_partComputed;
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -270,6 +270,7 @@
 /// Those that are refused come back one after the other, as tokens flow in.
 milliseconds fleet_limits::promise(request_bucket& bucket, double missing, steady_time now)
 {
+    ++m_refused;
     const double perSecond = std::max(bucket.limit().perSecond * part(now), 1e-3);
     const auto after = [&](steady_time from, double tokens) {
         return from
--- a/libs/limits/tests/model_limits.cpp
+++ b/libs/limits/tests/model_limits.cpp
@@ -203,4 +203,48 @@
         + m_options.bounds.overshootOf(limit) + m_options.bounds.slack;
 }
 
+random_faults playRandomFaults(std::uint64_t seed)
+{
+    constexpr double overload = 5.6;
+    std::mt19937_64 random(seed);
+    model_limits::options options;
+    options.seed = seed;
+    options.delay = milliseconds { 2 + static_cast<int>(random() % 40) };
+    options.processes = 6 + random() % 20;
+    const double limit = std::vector { 1.0, 10.0, 82.0, 400.0 }[random() % 4];
+    options.limit = { limit, limit };
+    model_limits fleet(options);
+    const auto evenly = [&](double times) { return std::vector<double>(3, times * limit / 3); };
+    for (int event = 0; event < 12; ++event) {
+        const auto one = random() % options.processes;
+        switch (random() % 5) {
+        case 0:
+            fleet.kill(one);
+            fleet.run(milliseconds { 400 }, evenly(4));
+            fleet.start(one);
+            break;
+        case 1:
+            fleet.moveTo(one, static_cast<int>(random() % 3));
+            break;
+        case 2:
+            for (std::size_t i = 0; i < options.processes; ++i)
+                fleet.moveTo(i, 0);
+            break;
+        case 3:
+            for (std::size_t i = 0; i < options.processes; ++i)
+                fleet.moveTo(i, fleet.zoneOf(i) == one % 3 ? 1 : 0);
+            break;
+        default:
+            break;
+        }
+        auto rates = evenly(overload);
+        if (random() % 2 != 0) {
+            rates.assign(3, 0.0);
+            rates[random() % 3] = overload * limit;
+        }
+        fleet.run(milliseconds { 200 + random() % 3000 }, rates);
+    }
+    return { static_cast<double>(fleet.busiestWindow()), fleet.allowed() };
+}
+
 } // namespace yuccachute
--- a/libs/limits/tests/model_limits.h
+++ b/libs/limits/tests/model_limits.h
@@ -84,4 +84,11 @@
     unsigned m_steps = 0;
 };
 
+/// Twelve restarts, cuts, returns and moves of callers, at 5.6 times the limit all the while.
+struct random_faults {
+    double busiestWindow = 0;
+    double allowed = 0;
+};
+random_faults playRandomFaults(std::uint64_t seed);
+
 } // namespace yuccachute
--- a/libs/limits/tests/test_limits_model.cpp
+++ b/libs/limits/tests/test_limits_model.cpp
@@ -241,41 +241,9 @@
 TEST_CASE("random faults do not multiply a limit")
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-        std::mt19937_64 random(seed);
-        model_limits::options options;
-        options.seed = seed;
-        options.delay = milliseconds { 2 + static_cast<int>(random() % 40) };
-        options.processes = 6 + random() % 20;
-        const double scale = std::vector { 1.0, 10.0, 82.0, 400.0 }[random() % 4];
-        options.limit = { scale, scale };
-        model_limits fleet(options);
-        for (int event = 0; event < 12; ++event) {
-            const auto one = random() % options.processes;
-            switch (random() % 5) {
-            case 0:
-                fleet.kill(one);
-                fleet.run(milliseconds { 400 }, evenly(4 * scale));
-                fleet.start(one);
-                break;
-            case 1:
-                fleet.moveTo(one, static_cast<int>(random() % 3));
-                break;
-            case 2:
-                for (std::size_t i = 0; i < options.processes; ++i)
-                    fleet.moveTo(i, 0);
-                break;
-            case 3:
-                for (std::size_t i = 0; i < options.processes; ++i)
-                    fleet.moveTo(i, fleet.zoneOf(i) == one % 3 ? 1 : 0);
-                break;
-            default:
-                break;
-            }
-            const auto rates = random() % 2 == 0 ? evenly(5.6 * scale) : at(random() % 3, 5.6 * scale);
-            fleet.run(milliseconds { 200 + random() % 3000 }, rates);
-        }
-        INFO("seed " << seed << ", processes " << options.processes << ", limit " << scale);
-        CHECK(fleet.busiestWindow() <= fleet.allowed());
+        const auto played = playRandomFaults(seed);
+        INFO("seed " << seed);
+        CHECK(played.busiestWindow <= played.allowed);
     }
 }
 
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -241,7 +241,7 @@
         if (!m_bulk)
             logEvent(log_level::info, "no place",
                 { { "request_id", m_request.requestId }, { "group", m_group }, { "dispatcher", m_dispatcher },
-                    { "reason", refused.reason.message },
+                    { "customer", m_request.customer }, { "reason", refused.reason.message },
                     { "retry_after_ms", refused.reason.retryAfter.count() },
                     { "queued", std::int64_t { m_queued } } });
         // A zone without a target that can be used is not worth waiting in: its word is asked for each time.
--- a/tests/failures_customers.cpp
+++ b/tests/failures_customers.cpp
@@ -42,8 +42,7 @@
     return "firm:" + std::to_string(ratePerSecond) + ":" + std::to_string(burst) + ":" + keys;
 }
 
-unsigned send(
-    platform_system& system, std::uint16_t port, const std::string& id, const std::string& key,
+unsigned send(platform_system& system, std::uint16_t port, const std::string& id, const std::string& key,
     std::string* retryAfter = nullptr)
 {
     auto headers = platform_system::requestHeaders(id, events);
