Only entries that are asked for tokens talk about limits, the others answer; a restart begins with half of the tolerance

Change: entries that were not asked lately say nothing and answer those that were; a process that is asked anew holds the others' part back until they have answered; it begins with half of the tolerance (a quarter before); whether the smaller side of a cut gives its part up goes by the age of what it knows of the store.

--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -23,6 +23,8 @@
 constexpr unsigned reservedDescriptors = 800;
 constexpr std::size_t keptPerTarget = 24;
 constexpr milliseconds storeCheckInterval { 500 };
+/// Copies that are older were not confirmed by the store, nor by a peer that hears of it.
+constexpr milliseconds storeLostAfter { 2000 };
 /// When a fleet starts, the larger VMs register themselves within a second or so, and all hear of it within
 /// another one.
 constexpr milliseconds patienceAtStart { 3000 };
@@ -115,10 +117,7 @@
               m_loop, m_client, adapter.callers, settings.zone,
               [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
         , m_offerTimer(m_loop)
-        , m_storeTicker(m_loop, storeCheckInterval,
-              [this] {
-                  m_limits.setStoreReached(m_fleet.storeConnected(), std::chrono::steady_clock::now());
-              })
+        , m_storeTicker(m_loop, storeCheckInterval, [this] { checkStore(); })
         , m_stopTimer(m_loop)
         , m_random(std::random_device {}())
     {
@@ -254,6 +253,12 @@
         });
     }
 
+    void checkStore()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        m_limits.setStoreReached(m_fleet.targetsAge(now) <= storeLostAfter, now);
+    }
+
     offer_need need() const { return offerNeed(m_self, m_fleet.registered(node_role::entry)); }
 
     void considerOffer()
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -67,6 +67,7 @@
 struct spending_report {
     std::string vm;
     std::uint64_t incarnation = 0; ///< Different at each start of the process.
+    bool wantsAnswer = false; ///< The receiver is to say at once that it is there.
     std::vector<customer_spending> customers; ///< Those that have changed.
 
     bool operator==(const spending_report&) const = default;
@@ -86,6 +87,8 @@
     double usable() const { return m_level; }
     double heldBack() const { return m_heldBack; }
     void add(double tokens) { m_level += tokens; }
+    /// Takes out what others have granted, of what is held back only if nothing else is left.
+    void deduct(double tokens);
     double capacity() const { return m_limit.burst + tolerance(); }
     /// Requests above the limit that are granted all the same.
     double tolerance() const;
@@ -139,7 +142,7 @@
     void setCustomers(const customer_directory& customers, steady_time now);
     /// All processes that may grant places; this one is among them once it has registered itself.
     void setMembers(std::span<const limit_member> members, steady_time now);
-    /// Whether this process reaches the platform's store.
+    /// Whether this process knows what the platform's store holds, by itself or through others.
     void setStoreReached(bool reached, steady_time now);
 
     /// Whether any customer has a limit.
@@ -155,10 +158,11 @@
     bool grants(std::string_view vm, steady_time now) const;
     /// What other granting processes are to hear now, because much has been granted since they last heard.
     std::optional<spending_report> takeUrgentReport(steady_time now);
-    /// What all members are to hear at an interval, also that there is nothing to tell: members that are not
-    /// heard are out of reach.
+    /// What a process that is asked for tokens tells all members at an interval, also that there is nothing
+    /// to tell. Members that do not answer are out of reach.
     std::optional<spending_report> takeRegularReport(steady_time now);
-    void heard(const spending_report& report, steady_time now);
+    /// Takes a report; returns the answer that its sender wants, unless it hears from this process anyway.
+    std::optional<spending_report> heard(const spending_report& report, steady_time now);
 
     /// What of each limit this process and those that it hears may grant, from 0 to 1.
     double part(steady_time now);
@@ -186,6 +190,8 @@
         bool reached = false;
     };
 
+    /// Whether it has been asked for tokens lately.
+    bool active(steady_time now) const;
     milliseconds regularInterval() const;
     milliseconds reachTimeout() const;
     milliseconds freshTimeout() const;
@@ -215,12 +221,13 @@
     std::map<std::string, member_state, std::less<>> m_members; ///< By VM.
     std::set<std::string, std::less<>> m_leaving; ///< Members that are going to stop.
     std::map<std::string, peer_state, std::less<>> m_peers; ///< By VM.
-    bool m_storeReached = true;
     std::uint64_t m_refused = 0;
     double m_part = 0;
     double m_freshShare = 0; ///< Of the members in reach, those that were heard a moment ago.
     steady_time m_partComputed;
-    std::optional<steady_time> m_cutOffSince; ///< In the smaller part of the fleet, without the store.
+    std::optional<steady_time> m_storeLostSince;
+    steady_time m_lastTake;
+    steady_time m_activeSince; ///< It was asked for tokens ever since.
     steady_time m_lastUrgent;
     steady_time m_lastRegular;
 };
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Members tell of themselves at this interval. Each tells each: beyond so many members the interval grows
-/// with them, and what a process sends does not.
+/// Processes that are asked for tokens tell all members of themselves at this interval. Beyond so many
+/// members it grows with them, and what a process sends does not.
 constexpr milliseconds shortestInterval { 100 };
 constexpr std::size_t membersAtShortestInterval = 16;
 /// In intervals: when a member that is not heard may be cut off, and when it is taken for that.
@@ -111,9 +111,15 @@
 
 void fleet_limits::setStoreReached(bool reached, steady_time now)
 {
-    m_storeReached = reached;
-    m_partComputed = {};
-    part(now);
+    if (reached)
+        m_storeLostSince.reset();
+    else if (!m_storeLostSince)
+        m_storeLostSince = now;
+}
+
+bool fleet_limits::active(steady_time now) const
+{
+    return m_lastTake != steady_time {} && now - m_lastTake <= grantingFor;
 }
 
 milliseconds fleet_limits::regularInterval() const
@@ -134,7 +140,9 @@
 
 bool fleet_limits::isReached(std::string_view vm, steady_time now) const
 {
-    if (vm == m_vm)
+    // Members are silent towards a process that asks them nothing. Until they have had the time to answer,
+    // their part is held back, not lost.
+    if (vm == m_vm || !active(now) || now - m_activeSince <= reachTimeout())
         return true;
     const auto peer = m_peers.find(vm);
     return peer != m_peers.end() && now - peer->second.heard <= reachTimeout();
@@ -179,17 +187,13 @@
 
 double fleet_limits::countedPart(steady_time now)
 {
-    const auto reached = static_cast<double>(heardSince(now - reachTimeout()));
+    const auto reached = static_cast<double>(std::count_if(m_members.begin(), m_members.end(),
+        [&](const auto& member) { return isReached(member.first, now); }));
     m_freshShare = static_cast<double>(heardSince(now - freshTimeout())) / reached;
     const double share = reached / static_cast<double>(m_members.size());
     constexpr double half = 0.5;
-    if (share >= half || m_storeReached) {
-        m_cutOffSince.reset();
-        return share;
-    }
-    if (!m_cutOffSince)
-        m_cutOffSince = now;
-    return now - *m_cutOffSince > cutOffFor ? share * partLeftWhenCutOff : share;
+    const bool cutOff = share < half && m_storeLostSince && now - *m_storeLostSince > cutOffFor;
+    return cutOff ? share * partLeftWhenCutOff : share;
 }
 
 void fleet_limits::advance(request_bucket& bucket, steady_time now)
@@ -238,7 +242,7 @@
         peer.reached = false;
         for (auto& [customer, bucket] : m_buckets) {
             advance(bucket, now);
-            bucket.add(-expectedSpending(bucket, vm, now));
+            bucket.deduct(expectedSpending(bucket, vm, now));
         }
         forgetSpending(vm);
     }
@@ -256,6 +260,9 @@
     if (found == m_buckets.end())
         return milliseconds { 0 };
     auto& bucket = found->second;
+    if (!active(now))
+        m_activeSince = now;
+    m_lastTake = now;
     if (part(now) <= 0)
         return unregisteredRetry;
     const double left = available(bucket, now);
@@ -332,25 +339,26 @@
     if (!urgent)
         return std::nullopt;
     m_lastUrgent = now;
-    return spending_report { m_vm, m_incarnation, changedSince(&request_bucket::told, now) };
+    return spending_report { m_vm, m_incarnation, false, changedSince(&request_bucket::told, now) };
 }
 
 std::optional<spending_report> fleet_limits::takeRegularReport(steady_time now)
 {
-    const bool silent = std::holds_alternative<even_shares>(m_policy) || !m_members.contains(m_vm);
+    const bool silent
+        = std::holds_alternative<even_shares>(m_policy) || !m_members.contains(m_vm) || !active(now);
     if (silent || now - m_lastRegular < regularInterval())
         return std::nullopt;
     m_lastRegular = now;
-    spending_report report { m_vm, m_incarnation, changedSince(&request_bucket::toldAll, now) };
+    spending_report report { m_vm, m_incarnation, true, changedSince(&request_bucket::toldAll, now) };
     for (auto& [customer, bucket] : m_buckets)
         bucket.told = bucket.granted;
     return report;
 }
 
-void fleet_limits::heard(const spending_report& report, steady_time now)
+std::optional<spending_report> fleet_limits::heard(const spending_report& report, steady_time now)
 {
     if (report.vm == m_vm)
-        return;
+        return std::nullopt;
     auto& peer = m_peers[report.vm];
     // What it granted while it was out of reach, or in a former life, is covered by its own part.
     if (peer.incarnation != report.incarnation || !isReached(report.vm, now)) {
@@ -368,6 +376,9 @@
         peer.granted = now;
     }
     peer.heard = now;
+    if (!report.wantsAnswer || active(now))
+        return std::nullopt;
+    return spending_report { m_vm, m_incarnation, false, {} };
 }
 
 /// A process that is heard may grant, also if the list does not name it: it was cut off when its registration
@@ -388,15 +399,15 @@
     if (!std::exchange(other.counted, true)) {
         other.granted = told.granted;
         other.changed = now;
-        bucket.add(-static_cast<double>(told.added));
+        bucket.deduct(static_cast<double>(told.added));
         // Across a cut, or before this process started, more was granted than it knows of.
         const double theirs = told.fillPercent / 100.0 * bucket.capacity() * m_part;
-        bucket.add(std::min(0.0, theirs - bucket.level()));
+        bucket.deduct(std::max(0.0, bucket.level() - theirs));
         return;
     }
     const auto spent = static_cast<double>(
         static_cast<std::int64_t>(told.granted - std::exchange(other.granted, told.granted)));
-    bucket.add(-spent);
+    bucket.deduct(spent);
     const double span = std::max(secondsBetween(other.changed, now), 1e-3);
     const double keep = std::exp(-span / rateSpan.count());
     other.perSecond = keep * other.perSecond + (1 - keep) * std::max(0.0, spent) / span;
--- a/libs/limits/src/request_bucket.cpp
+++ b/libs/limits/src/request_bucket.cpp
@@ -12,7 +12,7 @@
 constexpr double toleratedShareOfSlack = 0.5;
 constexpr double toleratedShareOfOvershoot = 0.25;
 /// Of that, what a process may grant at its start, when it does not know what was granted before.
-constexpr double shareAtStart = 0.25;
+constexpr double shareAtStart = 0.5;
 
 } // namespace
 
@@ -48,6 +48,14 @@
     holdBack(part * (1 - freshShare));
 }
 
+void request_bucket::deduct(double tokens)
+{
+    m_level -= tokens;
+    const double fromHeld = std::clamp(-m_level, 0.0, m_heldBack);
+    m_heldBack -= fromHeld;
+    m_level += fromHeld;
+}
+
 /// Who is cut off takes along its part of what is left; a debt stays where it is known. It was not heard for
 /// a while before: what it takes has been held back.
 void request_bucket::changePart(double part)
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -148,7 +148,8 @@
     void send(const std::string& address, envelope message);
     void received(const std::string& address, envelope message);
     void linkClosed(const std::string& address, std::uint64_t generation);
-    void hear(const std::vector<spending_report>& reports);
+    /// `answer` sends to whom the reports came from.
+    void hear(const std::vector<spending_report>& reports, const std::function<void(envelope)>& answer);
     void returnStray(const std::string& dispatcher, const grant_given& given);
     void released(const std::string& dispatcher, release_message message);
 
@@ -495,7 +496,7 @@
 {
     if (!address.empty())
         silentUntil.erase(address);
-    hear(message.spendings);
+    hear(message.spendings, [&](envelope out) { send(address, std::move(out)); });
     const auto find = [this](std::uint64_t id) -> ask_ptr {
         const auto found = asks.find(id);
         return found == asks.end() ? nullptr : found->second.lock();
@@ -523,12 +524,19 @@
     }
 }
 
-void place_broker::impl::hear(const std::vector<spending_report>& reports)
+void place_broker::impl::hear(
+    const std::vector<spending_report>& reports, const std::function<void(envelope)>& answer)
 {
     if (!limits)
         return;
-    for (const auto& report : reports)
-        limits->heard(report, std::chrono::steady_clock::now());
+    for (const auto& report : reports) {
+        auto wanted = limits->heard(report, std::chrono::steady_clock::now());
+        if (!wanted)
+            continue;
+        envelope message;
+        message.spendings.push_back(std::move(*wanted));
+        answer(std::move(message));
+    }
 }
 
 void place_broker::impl::returnStray(const std::string& dispatcher, const grant_given& given)
@@ -643,7 +651,7 @@
         const auto owner = weak.lock();
         if (!owner)
             return;
-        owner->hear(message.spendings);
+        owner->hear(message.spendings, [&](envelope out) { owner->answer(session, std::move(out)); });
         owner->host.received(session, std::move(message), std::chrono::steady_clock::now());
     });
 }
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -61,6 +61,7 @@
 {
     out.set_vm(report.vm);
     out.set_incarnation(report.incarnation);
+    out.set_wants_answer(report.wantsAnswer);
     for (const auto& spending : report.customers) {
         auto& wire = *out.add_customers();
         wire.set_customer(spending.customer);
@@ -72,7 +73,7 @@
 
 spending_report fromWire(const peer::SpendingReport& in)
 {
-    spending_report report { in.vm(), in.incarnation(), {} };
+    spending_report report { in.vm(), in.incarnation(), in.wants_answer(), {} };
     for (const auto& spending : in.customers())
         report.customers.push_back(
             { spending.customer(), spending.granted(), spending.added(), spending.fill_percent() });
