What was granted behind a cut is no debt of entries that were asked nothing meanwhile

Found by reading: an entry that is asked nothing hears of nobody and took everybody for in reach, so a zone that returns from a cut reported all that it had granted there as new: a dispatcher's successor would have refused for seconds. Now each long silence begins a new count. test_limits fails before.

--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -361,7 +361,7 @@
         return std::nullopt;
     auto& peer = m_peers[report.vm];
     // What it granted while it was out of reach, or in a former life, is covered by its own part.
-    if (peer.incarnation != report.incarnation || !isReached(report.vm, now)) {
+    if (peer.incarnation != report.incarnation || now - peer.heard > reachTimeout()) {
         forgetSpending(report.vm);
         m_partComputed = {};
     }
--- a/libs/limits/tests/test_limits.cpp
+++ b/libs/limits/tests/test_limits.cpp
@@ -1,4 +1,5 @@
 #include "limits/limits.h"
+#include "membership/membership.h"
 
 #include <catch2/catch.hpp>
 
@@ -149,6 +150,18 @@
     CHECK(limits.usageOf("firm", at(1000))->level == Approx(before - 5));
 }
 
+// Story: a zone returns from a cut. A process of the others that was asked nothing meanwhile takes all that
+// the zone granted behind the cut for a debt, and refuses everybody when it becomes dispatcher a moment
+// later.
+TEST_CASE("what was granted behind a cut is no debt of those that were asked nothing")
+{
+    auto limits = limitsOf("a");
+    limits.setMembers(two, start);
+    limits.heard({ "b", 1, false, { { hashText("firm"), 5, 5, 90 } } }, start);
+    limits.heard({ "b", 1, true, { { hashText("firm"), 500, 2, 80 } } }, at(6000));
+    CHECK(limits.usageOf("firm", at(6000))->level > 10);
+}
+
 TEST_CASE("even shares split the limit over the zones and say nothing")
 {
     auto limits = limitsOf("a", even_shares {});
