An entry is ready once it knows targets, and asks for them at once when it has learnt its peers

Cause, by reading: since whole copies come from one peer at a time the list of targets comes with the second answer, a quarter of a second after the configuration, and readiness asked for the configuration alone: callers that came in between were refused. Now the second ask follows the first answer, and readiness waits for a list.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -166,6 +166,8 @@
     /// Null until one is known.
     std::shared_ptr<const routing_table> configuration() const { return m_configuration; }
     const target_directory& targets() const { return m_targets; }
+    /// Whether a list of targets has been read; without one every request would be refused.
+    bool targetsKnown() const { return m_targetsMirror.known(); }
     /// Processes that are registered, and for a moment those whose registration has just lapsed. This process
     /// is among them if it has offered itself, or knows no other entry of its zone.
     std::vector<node_record> nodes(node_role role) const;
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -467,6 +467,10 @@
                 m_peerSilent = !answer;
                 if (answer)
                     peerAnswered(address, answer.value(), asked);
+                // What the first answer has left for the second one is not waited for. Later ones are: peers
+                // that lack copies themselves answer as fast as they are asked.
+                if (whole && answer && m_wholeTries <= 1 && lacksCopies())
+                    askPeers(std::chrono::steady_clock::now());
             });
         });
 }
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -198,7 +198,7 @@
         return limits;
     }
 
-    bool ready() const { return m_fleet.configuration() != nullptr; }
+    bool ready() const { return m_fleet.configuration() != nullptr && m_fleet.targetsKnown(); }
 
     void configurationChanged()
     {
--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -146,11 +146,14 @@
     platform_system system(10);
     REQUIRE(system.submit("entry-a-1", "frozen", 8, 60) == 202);
     child_process* holder = nullptr;
-    for (const auto& [name, process] : system.batches) {
-        if (system.logOf(name).find("\"event\":\"job accepted\",\"job\":\"frozen\"") != std::string::npos)
-            holder = process.running.get();
-    }
-    REQUIRE(holder);
+    // Logs are written behind the answers.
+    waitUntil("a log names the holder", [&] {
+        for (const auto& [name, process] : system.batches) {
+            if (system.logOf(name).find("\"event\":\"job accepted\",\"job\":\"frozen\"") != std::string::npos)
+                holder = process.running.get();
+        }
+        return holder != nullptr;
+    });
     holder->signal(SIGSTOP);
     const auto listed = system.allResults("entry-b-1", "frozen", 8);
     holder->signal(SIGCONT);
