A dispatcher works with as many targets as its load needs, and lets the others rest

Cause: a dispatcher asks each target of its zone for its load twice a second, looks at each for every place that it gives, and holds a connection to each.

The others are known by description alone. Which ones are used follows from their names, so that a successor goes on with the same. Those that were taken into use last rest first, once the load has gone. Groups of up to 32 targets, as all deployments but the fleet have them, work as before.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -362,6 +362,53 @@
     double m_level = 5;
 };
 
+// --- The targets that a group works with
+// ------------------------------------------------------------------------------------------
+
+/// The order in which a target is taken into use among others: the same in every process, so that the next
+/// dispatcher of a group goes on with the targets of the former one, and knows of their work.
+std::uint64_t restOrder(std::string_view target);
+
+/// The targets of a group that are not in use. They are known by description alone, and cost nothing else.
+class resting_targets {
+public:
+    void put(target_description target);
+    bool remove(std::string_view name);
+    std::optional<target_description> takeFirst();
+    /// Of the one that takeFirst() would take; there must be one.
+    std::uint64_t firstOrder() const { return m_targets.begin()->first.first; }
+    std::vector<std::string> names() const;
+    bool empty() const { return m_targets.empty(); }
+    std::size_t size() const { return m_targets.size(); }
+
+private:
+    std::map<std::pair<std::uint64_t, std::string>, target_description> m_targets; ///< By restOrder().
+};
+
+/// How many slots a group has needed lately.
+class demand_history {
+public:
+    /// So many are taken or waited for.
+    void note(std::size_t slots, steady_time now);
+    /// That the targets in use should have together.
+    std::size_t wantedSlots() const;
+
+private:
+    std::deque<std::pair<std::chrono::seconds, std::size_t>> m_peaks; ///< By the second.
+};
+
+struct working_set_state {
+    std::size_t targets = 0; ///< In use.
+    std::size_t allSlots = 0; ///< Theirs.
+    std::size_t usableSlots = 0; ///< Of those that can be sent requests.
+    std::size_t wantedSlots = 0;
+};
+
+/// Whether another target is to be taken into use.
+bool takesMoreTargets(const working_set_state& state, std::size_t leastTargets);
+/// Whether a target of so many slots is not needed any more.
+bool canRest(const working_set_state& state, std::size_t slots, std::size_t leastTargets);
+
 // --- A target group
 // ------------------------------------------------------------------------------------------
 
@@ -416,6 +463,9 @@
     double affinity = 0.6;
     /// Whether targets are asked for load reports when reportsDue() says so.
     bool asksForReports = false;
+    /// So many targets are in use at least, if there are; more as they are needed. Wide enough that the loss
+    /// of a tenth of them, or the first requests of a peak, find others that have reported.
+    std::size_t leastTargets = 32;
 };
 
 /// A target that is to be asked for its load.
@@ -427,7 +477,7 @@
 /// Figures of a group for reports.
 struct group_summary {
     unsigned targets = 0;
-    unsigned usableTargets = 0;
+    unsigned usableTargets = 0; ///< In use and fit for requests.
     unsigned slots = 0;
     unsigned live = 0;
     unsigned bulk = 0;
@@ -438,12 +488,19 @@
 
 /// The one queue with priorities before the targets of one service in one availability zone, because the
 /// targets know no priorities and admit in arrival order.
+///
+/// It works with as many targets as its load needs and lets the others rest: each target in use is asked for
+/// its load twice a second, holds a connection, and is looked at for each request. The few that are used also
+/// keep more of the prompts that come again.
 class target_group {
 public:
     explicit target_group(group_options options);
 
     void setOptions(group_options options);
     void setTargets(std::span<const target_description> targets, steady_time now);
+    /// Single targets have come or changed, and others have gone.
+    void changeTargets(
+        std::span<const target_description> changed, std::span<const std::string> removed, steady_time now);
     void ask(grant_ask ask, steady_time now);
     void withdraw(std::uint64_t holder, std::uint64_t askId, steady_time now);
     void release(const grant_release& release, steady_time now);
@@ -511,13 +568,23 @@
     void revokeForLive(steady_time now);
     void revoke(std::uint64_t grantId);
     void forgetGrant(std::uint64_t grantId, steady_time now);
+    void changeTarget(const target_description& description, steady_time now);
+    void removeTarget(std::string_view name);
+    working_set_state workingSet(steady_time now) const;
+    void use(target_description description, steady_time now);
+    void useMoreTargets(steady_time now);
+    void useFirstTargets(steady_time now);
+    void restTargets(steady_time now);
     void keepForLive(target_state& target, steady_time now) const;
     void adapt(steady_time now);
     void refuse(const grant_ask& ask, failure reason);
     void refuseExpired(steady_time now);
 
     group_options m_options;
-    std::map<std::string, target_state, std::less<>> m_targets;
+    std::map<std::string, target_state, std::less<>> m_targets; ///< In use.
+    resting_targets m_resting;
+    demand_history m_demand;
+    steady_time m_nextRest;
     fair_queue m_live;
     fair_queue m_bulk;
     std::map<std::uint64_t, grant_record> m_grants;
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -12,6 +12,8 @@
 /// A group that nobody asks for places does not ask its targets either.
 constexpr milliseconds activeFor { 2000 };
 constexpr milliseconds adaptationInterval { 100 };
+/// How often the targets in use are looked through for some that are not needed any more.
+constexpr milliseconds restInterval { 1000 };
 constexpr milliseconds leastRetryAfter { 1000 };
 constexpr milliseconds unavailableRetryAfter { 2000 };
 constexpr double avoidPenalty = 10;
@@ -62,27 +64,133 @@
 
 void target_group::setTargets(std::span<const target_description> targets, steady_time now)
 {
-    std::map<std::string, target_state, std::less<>> updated;
-    for (const auto& description : targets) {
-        const auto known = m_targets.find(description.name);
-        // The same name at another address is another machine: its health and counts start anew.
-        const bool same
-            = known != m_targets.end() && known->second.description.address == description.address;
-        auto& target = updated[description.name];
-        if (same)
-            target = std::move(known->second);
-        else
-            target.load = target_load(m_options.asksForReports, now);
-        target.description = description;
-    }
+    std::set<std::string_view> listed;
+    for (const auto& description : targets)
+        listed.insert(description.name);
+    std::vector<std::string> removed;
     for (const auto& [name, target] : m_targets) {
-        if (!updated.contains(name))
-            m_prefixes.forgetTarget(name);
+        if (!listed.contains(name))
+            removed.push_back(name);
+    }
+    for (auto& name : m_resting.names()) {
+        if (!listed.contains(name))
+            removed.push_back(std::move(name));
     }
-    m_targets = std::move(updated);
+    changeTargets(targets, removed, now);
+}
+
+void target_group::changeTargets(
+    std::span<const target_description> changed, std::span<const std::string> removed, steady_time now)
+{
+    for (const auto& name : removed)
+        removeTarget(name);
+    for (const auto& description : changed)
+        changeTarget(description, now);
+    useMoreTargets(now);
+    useFirstTargets(now);
     pump(now);
 }
 
+void target_group::removeTarget(std::string_view name)
+{
+    if (m_resting.remove(name))
+        return;
+    if (const auto known = m_targets.find(name); known != m_targets.end()) {
+        m_prefixes.forgetTarget(name);
+        m_targets.erase(known);
+    }
+}
+
+void target_group::changeTarget(const target_description& description, steady_time now)
+{
+    const auto known = m_targets.find(description.name);
+    if (known == m_targets.end()) {
+        m_resting.remove(description.name);
+        if (!description.drain || m_targets.size() < m_options.leastTargets)
+            m_resting.put(description);
+        return;
+    }
+    // The same name at another address is another machine: its health and counts start anew.
+    if (known->second.description.address != description.address)
+        return use(description, now);
+    known->second.description = description;
+}
+
+/// Those that come before others in use take their places, so that a process that learns of the targets one
+/// after the other uses the same ones as one that learns of them at once.
+void target_group::useFirstTargets(steady_time now)
+{
+    std::uint64_t last = 0;
+    for (const auto& [name, target] : m_targets)
+        last = std::max(last, restOrder(name));
+    while (!m_resting.empty() && m_resting.firstOrder() < last)
+        use(*m_resting.takeFirst(), now);
+}
+
+void target_group::use(target_description description, steady_time now)
+{
+    auto& target = m_targets[description.name];
+    target = {};
+    target.load = target_load(m_options.asksForReports, now);
+    target.description = std::move(description);
+}
+
+working_set_state target_group::workingSet(steady_time now) const
+{
+    working_set_state state;
+    state.targets = m_targets.size();
+    state.wantedSlots = m_demand.wantedSlots();
+    for (const auto& [name, target] : m_targets) {
+        state.allSlots += target.description.slots;
+        state.usableSlots += usable(target, now) ? slotsOf(target, now) : 0;
+    }
+    return state;
+}
+
+void target_group::useMoreTargets(steady_time now)
+{
+    m_demand.note(m_grants.size() + m_live.size() + m_bulk.size(), now);
+    if (m_resting.empty())
+        return;
+    auto state = workingSet(now);
+    while (takesMoreTargets(state, m_options.leastTargets)) {
+        auto next = m_resting.takeFirst();
+        if (!next)
+            return;
+        ++state.targets;
+        state.allSlots += next->slots;
+        state.usableSlots += next->slots;
+        use(std::move(*next), now);
+    }
+}
+
+/// Those that were taken into use last go first.
+void target_group::restTargets(steady_time now)
+{
+    if (now < m_nextRest || m_targets.size() <= m_options.leastTargets)
+        return;
+    m_nextRest = now + restInterval;
+    auto state = workingSet(now);
+    std::vector<std::pair<std::uint64_t, std::string>> idle;
+    for (const auto& [name, target] : m_targets) {
+        const bool works = target.live + target.bulk + foreignWork(target, now) > 0;
+        if (!works && !target.description.drain)
+            idle.emplace_back(restOrder(name), name);
+    }
+    std::sort(idle.rbegin(), idle.rend());
+    for (const auto& [order, name] : idle) {
+        const auto& target = m_targets.find(name)->second;
+        const std::size_t slots = usable(target, now) ? slotsOf(target, now) : 0;
+        if (!canRest(state, slots, m_options.leastTargets))
+            return;
+        --state.targets;
+        state.usableSlots -= slots;
+        auto description = target.description;
+        removeTarget(name);
+        m_resting.put(std::move(description));
+    }
+}
+
 bool target_group::usable(const target_state& target, steady_time now) const
 {
     if (target.description.drain || target.health.at(now) == target_health::state::ejected)
@@ -248,6 +356,7 @@
 void target_group::ask(grant_ask ask, steady_time now)
 {
     m_lastAsk = now;
+    useMoreTargets(now);
     if (refuseHopeless(ask, now))
         return;
     if (std::holds_alternative<unlimited_bulk>(m_options.policy)) {
@@ -374,6 +483,7 @@
 
 void target_group::pump(steady_time now)
 {
+    useMoreTargets(now);
     while (pumpLive(now)) { }
     revokeForLive(now);
     while (pumpLive(now)) { }
@@ -515,6 +625,7 @@
     for (auto id : lapsed)
         forgetGrant(id, now);
     adapt(now);
+    restTargets(now);
     pump(now);
 }
 
@@ -540,7 +651,7 @@
 group_summary target_group::summary(steady_time now) const
 {
     group_summary summary;
-    summary.targets = static_cast<unsigned>(m_targets.size());
+    summary.targets = static_cast<unsigned>(m_targets.size() + m_resting.size());
     for (const auto& [name, target] : m_targets) {
         summary.live += target.live;
         summary.bulk += target.bulk;
