--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -127,6 +127,11 @@
     {
         list(prefix, std::move(done));
     }
+    /// The first keys of such a stale copy, as many as one call gives; `more` tells whether there are others.
+    virtual void listFirst(std::string_view prefix, callback<store_listing> done)
+    {
+        listStale(prefix, std::move(done));
+    }
     /// If a condition does not hold, nothing is done and `found` has the values of the conditions' keys.
     virtual void commit(const store_transaction& transaction, callback<commit_outcome> done) = 0;
     /// Waits until a key with the prefix changes after a revision, or the time is over. Fails with gone if
@@ -164,6 +169,7 @@
     void get(std::string_view key, callback<std::optional<stored_value>> done) override;
     void list(std::string_view prefix, callback<store_listing> done) override;
     void listStale(std::string_view prefix, callback<store_listing> done) override;
+    void listFirst(std::string_view prefix, callback<store_listing> done) override;
     void commit(const store_transaction& transaction, callback<commit_outcome> done) override;
     void waitForChange(std::string_view prefix, std::int64_t after, milliseconds time,
         callback<store_changes> done) override;
--- a/libs/store/src/observed_store.cpp
+++ b/libs/store/src/observed_store.cpp
@@ -57,6 +57,11 @@
     m_store.list(prefix, observed("list", std::move(done)));
 }
 
+void observed_store::listFirst(std::string_view prefix, callback<store_listing> done)
+{
+    m_store.listFirst(prefix, observed("list first", std::move(done)));
+}
+
 void observed_store::listStale(std::string_view prefix, callback<store_listing> done)
 {
     m_store.listStale(prefix, observed("list stale", std::move(done)));
