Entries that nobody relies on hold a slice of the list of targets

Cause: each of 986 processes read the whole list at its start, 50 pages and some 4 MB of text from a store with a link of 1 Gbit/s (reckoned: 4 GB, half a minute; traffic starts after 24 s, and after a kill of all callers are to be served within 18 s), held all 10,000 targets, and was told of each that changed. An entry of this fleet has 0.6 requests a second, and the place that it is granted names the target's address.

Change: such an entry reads the first page, with which it is ready, and asks the entries that follow the store for a slice: the keys of a section with the same hash in so many parts that a slice has 128 to 1,023 entries, 256 to 511 when it is cut. Lists of up to 1,023 targets are held whole, as before. An entry that registers reads the whole list; a sliced copy is never told to others. What has left a slice is not taken for gone; where a process does not know all targets, dispatchers say which zones have some of a service; whether a target has ended is asked at the address that the place named.

Tests: slices are as large before 40,000 targets as before 10,000 and hold each once; followers read three pages and hold as much before 6,000 targets as before 3,000 (test_fleet_slices); removals are known as soon as before; a registering entry holds all.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -74,6 +74,7 @@
     {
         m_place = std::move(taken);
         m_target = m_place->target;
+        m_address = m_place->address;
         m_services.places.onRevoked(*m_place, [weak = weak_from_this()] {
             if (const auto self = weak.lock())
                 self->revoked();
@@ -175,9 +176,9 @@
     {
         const auto identity = identityOf(m_order.request, m_order.customer);
         if (error.kind == failure_kind::timeout)
-            m_services.guard.fellSilent(identity, m_recordWhenSent, m_target);
+            m_services.guard.fellSilent(identity, m_recordWhenSent, { m_target, m_address });
         else
-            m_services.guard.cut(identity, m_recordWhenSent, m_target, nullptr);
+            m_services.guard.cut(identity, m_recordWhenSent, { m_target, m_address }, nullptr);
     }
 
     grant_outcome outcomeOfCut() const
@@ -219,6 +220,7 @@
     std::shared_ptr<client_call> m_call;
     std::optional<place> m_place;
     std::string m_target;
+    std::string m_address;
     record_of_strikes m_recordWhenSent; ///< What was known against the item when it was sent.
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -159,7 +159,10 @@
     fleet_watch& operator=(const fleet_watch&) = delete;
 
     void start();
-    /// This process has decided to register itself: from now on it counts among the fleet's processes.
+    /// This process has decided to register itself: from now on it counts among the fleet's processes, and
+    /// others rely on its copies. Until then an entry has no use for all targets: it asks dispatchers for
+    /// places, and needs some targets for the case that it is cut off from all of them. It holds a slice of
+    /// the list, which does not grow with the fleet.
     void offerSelf();
     bool offered() const { return m_offered; }
 
@@ -209,6 +212,7 @@
     };
 
     void publish(const store_mirror& mirror);
+    void withdraw(const store_mirror& mirror);
     void publishStandings();
     published_section published(const std::string& prefix) const;
     /// Whether the store has been in reach of this process for so long that lapsed entries are back.
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -3,6 +3,7 @@
 #include "watchers.h"
 
 #include "logging/logging.h"
+#include "membership/membership.h"
 
 #include <algorithm>
 #include <limits>
@@ -70,6 +71,12 @@
 /// of them.
 constexpr std::size_t mostLoggedChanges = 50;
 
+/// Never 0.
+std::uint32_t sliceSeed(std::string_view vm)
+{
+    return static_cast<std::uint32_t>(hashText(vm)) | (1U << 31);
+}
+
 } // namespace
 
 fleet_watch::fleet_watch(event_loop& loop, observed_store& store, peer_sync& peers, const fleet_codec& codec,
@@ -108,21 +115,35 @@
         for (auto* mirror : mirrors())
             mirror->setFollowing(false);
     }
-    const auto how = waits ? store_mirror::first_read::stale : store_mirror::first_read::exact;
     // Never a stale one of the configuration: it would be in force until somebody tells of a newer one.
     m_ordersMirror.start();
-    m_targetsMirror.start(how);
-    m_nodesMirror.start(how);
+    if (!waits) {
+        m_targetsMirror.start();
+        m_nodesMirror.start();
+        return;
+    }
+    m_targetsMirror.takeSlice(sliceSeed(m_self.vm));
+    m_targetsMirror.start(store_mirror::first_read::begin);
+    m_nodesMirror.start(store_mirror::first_read::stale);
 }
 
 void fleet_watch::offerSelf()
 {
     m_offered = true;
+    m_targetsMirror.takeWhole();
     notifyNodes();
 }
 
+void fleet_watch::withdraw(const store_mirror& mirror)
+{
+    const std::scoped_lock lock(m_publishedMutex);
+    m_published.erase(mirror.section().prefix);
+}
+
 void fleet_watch::publish(const store_mirror& mirror)
 {
+    if (!mirror.history().whole())
+        return withdraw(mirror);
     auto copy = std::make_shared<const section_history>(mirror.history());
     const auto standing = mirror.standing(std::chrono::steady_clock::now());
     const std::scoped_lock lock(m_publishedMutex);
@@ -156,8 +177,12 @@
             continue;
         answer.standings.push_back(copy.standing);
         answer.standings.back().age = std::chrono::duration_cast<milliseconds>(now - copy.confirmed);
-        if (copy.history->section().revision > asked.revision)
-            answer.newer.push_back(copy.history->since(asked.revision));
+        const auto& section = copy.history->section();
+        const auto slice
+            = asked.seed == 0 ? section_slice {} : sliceFor(section.entries.size(), asked.slice, asked.seed);
+        const bool other = slice != asked.slice;
+        if (other || section.revision > asked.revision)
+            answer.newer.push_back(copy.history->since(other ? 0 : asked.revision, slice));
     }
     return answer;
 }
@@ -210,10 +235,11 @@
 {
     std::vector<target_change> read;
     read.reserve(changes.size());
-    for (const auto& [entry, removed] : changes) {
+    for (const auto& [entry, what] : changes) {
         const auto known = m_readTargets.find(entry.key());
         target_change change { known == m_readTargets.end() ? nullptr : known->second,
-            removed ? nullptr : readTarget(entry) };
+            what == section_change::kind::written ? readTarget(entry) : nullptr,
+            what == section_change::kind::released };
         if (change.after)
             m_readTargets.insert_or_assign(std::string(entry.key()), change.after);
         else if (change.before)
@@ -227,6 +253,7 @@
 void fleet_watch::targetsChanged(const store_mirror& mirror, section_changes changes)
 {
     publish(mirror);
+    m_targets.setPartial(!mirror.history().whole());
     const auto listed = readChanges(changes);
     const auto now = std::chrono::steady_clock::now();
     const auto revision = mirror.section().revision;
@@ -270,7 +297,9 @@
 void fleet_watch::logTargetChanges(std::span<const target_change> changes) const
 {
     const auto revision = m_targetsMirror.section().revision;
-    for (const auto& [before, after] : changes.first(std::min(changes.size(), mostLoggedChanges))) {
+    for (const auto& [before, after, released] : changes.first(std::min(changes.size(), mostLoggedChanges))) {
+        if (released)
+            continue;
         if (!after)
             logEvent(log_level::info, "target gone",
                 { { "target", before->id }, { "address", before->address }, { "revision", revision } });
@@ -413,7 +442,8 @@
         const bool unknownZones = m_wholeTries <= 1 && !peersKnown;
         const bool later = !whole || (mirror == &m_targetsMirror && unknownZones);
         if (from != 0 || !later)
-            revisions.push_back({ mirror->section().prefix, from });
+            revisions.push_back(
+                { mirror->section().prefix, from, mirror->history().slice(), mirror->sliceSeed() });
     }
     return revisions;
 }
--- a/libs/fleet/tests/model_fleet.cpp
+++ b/libs/fleet/tests/model_fleet.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds deadConnection { 5000 };
 /// VMs of a zone start within about a second of each other.
 constexpr milliseconds betweenStarts { 300 };
+constexpr std::size_t valuesOfPage = 200;
 
 } // namespace
 
@@ -172,16 +173,37 @@
 void model_link::list(std::string_view prefix, callback<store_listing> done)
 {
     answer<store_listing>(
-        std::move(done), [this, prefix = std::string(prefix)] { return m_store.list(prefix); });
+        std::move(done), [this, prefix = std::string(prefix)] { return counted(m_store.list(prefix)); });
 }
 
 void model_link::listStale(std::string_view prefix, callback<store_listing> done)
+{
+    answer<store_listing>(
+        std::move(done), [this, prefix = std::string(prefix)] { return counted(readStale(prefix)); });
+}
+
+void model_link::listFirst(std::string_view prefix, callback<store_listing> done)
 {
     answer<store_listing>(std::move(done), [this, prefix = std::string(prefix)] {
-        return staleRevision == 0 ? m_store.list(prefix) : m_store.listAsOf(prefix, staleRevision);
+        auto listing = readStale(prefix);
+        listing.more = listing.values.size() > valuesOfPage;
+        if (listing.more)
+            listing.values.resize(valuesOfPage);
+        return counted(std::move(listing));
     });
 }
 
+store_listing model_link::counted(store_listing listing)
+{
+    pages += 1 + listing.values.size() / (valuesOfPage + 1);
+    return listing;
+}
+
+store_listing model_link::readStale(const std::string& prefix)
+{
+    return staleRevision == 0 ? m_store.list(prefix) : m_store.listAsOf(prefix, staleRevision);
+}
+
 void model_link::commit(const store_transaction& transaction, callback<commit_outcome> done)
 {
     answer<commit_outcome>(std::move(done), [this, transaction] {
--- a/libs/fleet/tests/model_fleet.h
+++ b/libs/fleet/tests/model_fleet.h
@@ -60,10 +60,13 @@
     std::int64_t staleRevision = 0;
     /// Calls for changes that were sent so far, answered or not.
     unsigned waits = 0;
+    /// Pages of lists that were read so far.
+    std::size_t pages = 0;
 
     void get(std::string_view key, callback<std::optional<stored_value>> done) override;
     void list(std::string_view prefix, callback<store_listing> done) override;
     void listStale(std::string_view prefix, callback<store_listing> done) override;
+    void listFirst(std::string_view prefix, callback<store_listing> done) override;
     void commit(const store_transaction& transaction, callback<commit_outcome> done) override;
     void waitForChange(std::string_view prefix, std::int64_t after, milliseconds time,
         callback<store_changes> done) override;
@@ -83,6 +86,8 @@
 
     template <typename T> void answer(callback<T> done, std::function<T()> value);
     template <typename T> void neverAnswer(callback<T> done, milliseconds timeout);
+    store_listing readStale(const std::string& prefix);
+    store_listing counted(store_listing listing);
     void answerWaits();
     void keepLease(milliseconds timeToLive);
     void endWait(wait& ended, result<store_changes> outcome);
--- /dev/null
+++ b/libs/fleet/tests/test_slices.cpp
@@ -0,0 +1,90 @@
+#include "model_fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace yuccachute;
+
+namespace {
+
+constexpr milliseconds settling { 6000 };
+/// A target that leaves goes on serving for so long, less what a request takes to reach it.
+constexpr milliseconds promised { 1900 };
+
+void run(event_loop& loop, milliseconds time)
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end)
+        loop.runFor(milliseconds { 50 });
+}
+
+/// Of one zone, with four registered entries and eight others.
+struct listed_fleet {
+    listed_fleet(event_loop& loop, int targets)
+        : fleet(loop, 1, 12)
+    {
+        add(0, targets);
+    }
+    void add(int from, int until)
+    {
+        for (int i = from; i < until; ++i)
+            fleet.store.write("targets/" + std::to_string(i), "ready");
+    }
+    std::vector<const model_process*> followers() const
+    {
+        std::vector<const model_process*> found;
+        for (const auto& process : fleet.processes) {
+            if (!process->watch.offered())
+                found.push_back(process.get());
+        }
+        return found;
+    }
+
+    model_fleet fleet;
+};
+
+} // namespace
+
+// Guards against processes whose memory, and whose reading at a start, grow with the number of targets: at a
+// restart of 986 processes before 10,000 targets the store would send 4 GB.
+TEST_CASE("what an entry holds and reads of the targets does not grow with their number")
+{
+    event_loop loop;
+    listed_fleet small(loop, 3000);
+    listed_fleet large(loop, 6000);
+    run(loop, settling);
+    for (const auto* one : { &small, &large }) {
+        REQUIRE(one->followers().size() == 8);
+        for (const auto* process : one->followers()) {
+            CHECK(process->watch.targets().partial());
+            CHECK(process->watch.targets().targets().size() > 128);
+            CHECK(process->watch.targets().targets().size() < 512);
+            CHECK(process->link.pages <= 3); // Orders, targets, processes.
+        }
+    }
+    CHECK(large.fleet.processes[0]->watch.targets().targets().size() == 6000);
+
+    // What leaves is known as soon as before, and a list that grows is cut anew.
+    const auto& process = *small.followers()[0];
+    const auto held = process.watch.targets().targets().begin()->first;
+    small.fleet.store.remove(held);
+    small.add(3000, 12000);
+    run(loop, promised);
+    CHECK(!process.uses(held));
+    CHECK(process.watch.targets().targets().size() < 1024);
+    for (const auto& [id, target] : process.watch.targets().targets())
+        CHECK(!process.watch.targets().missing().contains(id));
+}
+
+// Guards against a fleet that starts together and finds nobody who has read the list.
+TEST_CASE("an entry that registers holds all targets")
+{
+    event_loop loop;
+    listed_fleet played(loop, 3000);
+    run(loop, settling);
+    auto& follower = *played.fleet.processes.back();
+    REQUIRE(!follower.watch.offered());
+    follower.watch.offerSelf();
+    run(loop, milliseconds { 1000 });
+    CHECK(!follower.watch.targets().partial());
+    CHECK(follower.watch.targets().targets().size() == 3000);
+}
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -100,13 +100,14 @@
     void examineTarget(std::function<void()> settled = nullptr)
     {
         if (m_services.guard)
-            m_services.guard->cut(identity(), m_recordWhenSent, m_lastTarget, std::move(settled));
+            m_services.guard->cut(
+                identity(), m_recordWhenSent, { m_lastTarget, m_lastAddress }, std::move(settled));
     }
 
     void targetSilent()
     {
         if (m_services.guard)
-            m_services.guard->fellSilent(identity(), m_recordWhenSent, m_lastTarget);
+            m_services.guard->fellSilent(identity(), m_recordWhenSent, { m_lastTarget, m_lastAddress });
     }
 
     /// Goes on elsewhere once it is known whether the request may: each of its runs may end one more target,
@@ -207,6 +208,7 @@
     {
         m_place = std::move(taken);
         m_lastTarget = m_place->target;
+        m_lastAddress = m_place->address;
         m_recordWhenSent = guarded() ? m_services.guard->record(identity()) : record_of_strikes {};
         m_targetsAge = m_services.targetsAge();
         m_waited += m_place->waited;
@@ -536,6 +538,7 @@
     bool m_framed = false; ///< The answer's end can be told from a cut connection.
     std::string m_body;
     std::string m_lastTarget;
+    std::string m_lastAddress;
     std::string m_reason;
     std::optional<failure> m_lastFailure;
     milliseconds m_waited { 0 };
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -23,6 +23,12 @@
 /// Keeps requests that end their targets away from these. Layer: processes.
 namespace yuccachute {
 
+/// A target that ran a request.
+struct run_target {
+    std::string id;
+    std::string address; ///< host:port.
+};
+
 /// Finds out whether a target that broke off an answer has ended. On the loop's thread.
 ///
 /// A broken connection proves nothing: some targets break off answers and live on, links fail, and a target
@@ -38,10 +44,10 @@
     void setTargets(const target_directory& targets, std::span<const target_change> changes, steady_time now);
     /// Of a target that broke off an answer. Exactly one answer comes, later: within a fraction of a second,
     /// or, if the target does not answer at all, when the list of targets tells, or does not within seconds.
-    void examine(const std::string& target, callback done);
+    void examine(const run_target& target, callback done);
     /// Of a target that fell silent, which is no sign of its end: only the list is waited for. Targets are
     /// silent under load by the hundred, and each question to them is a call more.
-    void awaitRestart(const std::string& target, callback done);
+    void awaitRestart(const run_target& target, callback done);
 
 private:
     struct examination {
@@ -55,7 +61,7 @@
     using examination_list = std::list<examination>;
 
     /// The examination of a target, with one more that waits for it; null if nothing can be concluded.
-    examination* begin(const std::string& target, callback done);
+    examination* begin(const run_target& target, callback done);
     void ask(examination& one);
     void answered(const std::string& target, const result<load_report>& report);
     void finish(examination_list::iterator one, bool ended);
@@ -108,11 +114,11 @@
 
     /// A target broke off the answer to a request. `settled` is called, later, once it is known whether it
     /// has ended; it may be null.
-    void cut(const request_identity& identity, const record_of_strikes& whenSent, const std::string& target,
+    void cut(const request_identity& identity, const record_of_strikes& whenSent, const run_target& target,
         std::function<void()> settled);
     /// A target fell silent in the middle of a request.
     void fellSilent(
-        const request_identity& identity, const record_of_strikes& whenSent, const std::string& target);
+        const request_identity& identity, const record_of_strikes& whenSent, const run_target& target);
     /// A target has answered the request in full.
     void answered(const request_identity& identity);
     /// What other processes know. Returns whether any of it was news.
--- a/libs/guard/src/end_check.cpp
+++ b/libs/guard/src/end_check.cpp
@@ -46,32 +46,34 @@
     return std::any_of(all.begin(), all.end(), [&](const auto& listed) { return successor(listed.second); });
 }
 
-void end_check::examine(const std::string& target, callback done)
+void end_check::examine(const run_target& target, callback done)
 {
     auto* one = begin(target, std::move(done));
     if (one && !one->asking)
         ask(*one);
 }
 
-void end_check::awaitRestart(const std::string& target, callback done)
+void end_check::awaitRestart(const run_target& target, callback done)
 {
     begin(target, std::move(done));
 }
 
-end_check::examination* end_check::begin(const std::string& target, callback done)
+end_check::examination* end_check::begin(const run_target& target, callback done)
 {
     const auto now = std::chrono::steady_clock::now();
     expire(now);
-    const auto* listed = m_targets ? m_targets->find(target) : nullptr;
+    const auto* listed = m_targets ? m_targets->find(target.id) : nullptr;
+    const bool unlisted = !listed && !(m_targets && m_targets->partial());
     // One that leaves, or has left the list, may stop in the middle of its work.
-    if (!listed || listed->draining) {
+    if (unlisted || (listed && listed->draining)) {
         m_loop.post([done = std::move(done)] { done(false); });
         return nullptr;
     }
     auto one = std::find_if(m_examinations.begin(), m_examinations.end(),
-        [&](const auto& other) { return other.target == target; });
+        [&](const auto& other) { return other.target == target.id; });
     if (one == m_examinations.end()) {
-        m_examinations.push_back({ target, listed->address, {}, {}, false, false });
+        m_examinations.push_back(
+            { target.id, listed ? listed->address : target.address, {}, {}, false, false });
         one = std::prev(m_examinations.end());
     }
     one->until = now + listPatience;
--- a/libs/guard/src/request_guard.cpp
+++ b/libs/guard/src/request_guard.cpp
@@ -57,22 +57,23 @@
 }
 
 void request_guard::cut(const request_identity& identity, const record_of_strikes& whenSent,
-    const std::string& target, std::function<void()> settled)
+    const run_target& target, std::function<void()> settled)
 {
-    m_ends.examine(target, [this, identity, whenSent, target, settled = std::move(settled)](bool ended) {
-        if (ended)
-            targetEnded(identity, whenSent, target);
-        if (settled)
-            settled();
-    });
+    m_ends.examine(
+        target, [this, identity, whenSent, id = target.id, settled = std::move(settled)](bool ended) {
+            if (ended)
+                targetEnded(identity, whenSent, id);
+            if (settled)
+                settled();
+        });
 }
 
 void request_guard::fellSilent(
-    const request_identity& identity, const record_of_strikes& whenSent, const std::string& target)
+    const request_identity& identity, const record_of_strikes& whenSent, const run_target& target)
 {
-    m_ends.awaitRestart(target, [this, identity, whenSent, target](bool ended) {
+    m_ends.awaitRestart(target, [this, identity, whenSent, id = target.id](bool ended) {
         if (ended)
-            targetEnded(identity, whenSent, target);
+            targetEnded(identity, whenSent, id);
     });
 }
 
--- a/libs/guard/tests/test_end_check.cpp
+++ b/libs/guard/tests/test_end_check.cpp
@@ -37,7 +37,7 @@
     }
     void examine(const std::string& target)
     {
-        check.examine(target, [this](bool ended) { found += ended ? "ended " : "alive "; });
+        check.examine({ target, "" }, [this](bool ended) { found += ended ? "ended " : "alive "; });
     }
 
     event_loop loop;
@@ -83,10 +83,28 @@
     f.list({ listedAt("t2", "a2"), listedAt("t4", "a1") });
     CHECK(f.found == "ended ");
     f.loads.asked.clear();
-    f.check.awaitRestart("t2", [&](bool ended) { f.found += ended ? "ended " : "alive "; });
+    f.check.awaitRestart({ "t2", "a2" }, [&](bool ended) { f.found += ended ? "ended " : "alive "; });
     CHECK(f.loads.asked.empty()); // Silence is no reason to ask.
     f.examine("t2");
     f.loads.answer(mayHaveRun(failure_kind::timeout, "silent"));
     f.list({ listedAt("t2", "a2") }, milliseconds { 11000 });
     CHECK(f.found == "ended alive alive "); // A cut link: nobody else ever came to its address.
 }
+
+// Guards against a request that ends one target after the other because the entry's slice of the list does
+// not name them.
+TEST_CASE("the end of a target that this process does not list is found out by its address")
+{
+    event_loop loop;
+    scripted_loads loads;
+    whole_list listed;
+    end_check check { loop, loads };
+    auto slice = listed.directory();
+    slice.setPartial(true);
+    check.setTargets(slice, {}, std::chrono::steady_clock::now());
+    std::string found;
+    check.examine({ "elsewhere", "a9" }, [&](bool ended) { found += ended ? "ended " : "alive "; });
+    CHECK(loads.asked == "a9 ");
+    loads.answer(notRun(failure_kind::unavailable, "connection refused"));
+    CHECK(found == "ended ");
+}
--- a/libs/guard/tests/test_request_guard.cpp
+++ b/libs/guard/tests/test_request_guard.cpp
@@ -42,7 +42,7 @@
     }
     void end(const request_identity& identity, const std::string& target = "t1")
     {
-        guard.cut(identity, guard.record(identity), target, nullptr);
+        guard.cut(identity, guard.record(identity), { target, target }, nullptr);
     }
 
     scripted_loads loads;
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -81,12 +81,33 @@
     std::int64_t m_revision = 0;
 };
 
-/// An entry that has been written or removed; of a removed one, what it was.
+/// What has become of an entry.
 struct section_change {
-    section_entry entry;
-    bool removed = false;
+    enum class kind : std::uint8_t {
+        written,
+        removed,
+        released ///< It lies outside of the slice that is held from now on, and may exist or not.
+    };
+    section_entry entry; ///< If it was not written: what it was.
+    kind what = kind::written;
 };
 
+/// One of several parts of a section, of about the same size, to which keys belong by their hashes. By
+/// default all of it.
+struct section_slice {
+    std::uint32_t parts = 1; ///< A power of two.
+    std::uint32_t part = 0;
+
+    bool whole() const { return parts <= 1; }
+    bool contains(std::string_view key) const;
+    bool operator==(const section_slice&) const = default;
+};
+
+/// The slice for a process that needs some entries of a section and not all: a few hundred, however many
+/// there are. Processes draw different ones by their seeds. One that is held already is kept unless it has
+/// become too large or too small.
+section_slice sliceFor(std::size_t entries, const section_slice& held, std::uint32_t seed);
+
 /// All keys with a prefix, as of a revision of the store.
 struct store_section {
     std::string prefix;
@@ -105,6 +126,7 @@
     /// Of the keys of the newer copy, if the sender does not know all that went since `basedOn`: only a copy
     /// that has just these keys afterwards is right. 0: nothing to check.
     std::uint64_t keysDigest = 0;
+    section_slice slice; ///< That the update is of.
 };
 
 /// What a process knows of its copy of a section beside the content. It is told with each answer, also
@@ -131,6 +153,8 @@
 struct section_revision {
     std::string prefix;
     std::int64_t revision = 0;
+    section_slice slice; ///< That the copy has.
+    std::uint32_t seed = 0; ///< Other than 0: a slice is enough, drawn by this number.
 };
 
 /// What a process asks another one for.
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -26,8 +26,21 @@
     explicit section_history(std::string prefix) { m_section.prefix = std::move(prefix); }
 
     const store_section& section() const { return m_section; }
-    /// Takes over a whole copy. Returns whether any entry is another than before.
+    /// Takes over a whole copy, of which it keeps its slice. Returns whether any entry is another than
+    /// before.
     bool replace(std::int64_t revision, std::vector<section_entry> entries);
+    /// Takes over some entries of a section of which nothing is known yet. They are something to go on with
+    /// until a copy of the section, or of a slice of it, comes.
+    void begin(std::vector<section_entry> some);
+    /// The next whole copy is taken over in this slice.
+    void setSlice(const section_slice& slice) { m_nextSlice = slice; }
+    const section_slice& slice() const { return m_slice; }
+    /// The next peer that is asked is to send all it has.
+    void wantWhole() { m_wantsWhole = true; }
+    /// Whether it holds all entries of its slice.
+    bool complete() const { return m_section.revision > 0 && !m_begun; }
+    /// Whether it holds all entries of the section.
+    bool whole() const { return complete() && m_slice.whole(); }
     /// Takes over changes of single entries, up to a revision. Older ones than those known are passed over.
     /// Returns whether anything changed.
     bool apply(std::span<const store_event> events, std::int64_t revision);
@@ -37,13 +50,14 @@
     /// The section has not changed between two revisions of the store. A copy that is as new as the first one
     /// is a copy of the second.
     void noteUnchanged(std::int64_t from, std::int64_t until);
-    /// What leads from a copy of a revision to this one; the whole section for a copy that is empty.
-    section_update since(std::int64_t revision) const;
+    /// What leads from a copy of a revision to this one; all entries for a copy that is empty. The slice has
+    /// to be a part of what is held here.
+    section_update since(std::int64_t revision, const section_slice& slice = {}) const;
     /// What has changed since this was called last, in the order in which it did.
     std::vector<section_change> takeChanges() { return std::exchange(m_changes, {}); }
     /// The revision that a peer is to be asked from: 0 if an update has left keys that the peer does not
     /// have.
-    std::int64_t askFrom() const { return m_wantsWhole ? 0 : m_section.revision; }
+    std::int64_t askFrom() const { return m_wantsWhole || m_begun ? 0 : m_section.revision; }
 
 private:
     struct removal {
@@ -62,6 +76,9 @@
     std::deque<removal> m_removals; ///< In order of their revisions.
     std::int64_t m_completeFrom = 0; ///< All removals after this revision are known.
     bool m_wantsWhole = false;
+    bool m_begun = false; ///< Some entries are held, and nobody knows which are missing.
+    section_slice m_slice;
+    std::optional<section_slice> m_nextSlice;
 };
 
 /// A copy of all keys with a prefix.
@@ -85,7 +102,8 @@
 
     enum class first_read : std::uint8_t {
         exact,
-        stale ///< May be seconds old: for one that hears of newer changes from peers within a moment.
+        stale, ///< May be seconds old: for one that hears of newer changes from peers within a moment.
+        begin ///< The same, and of a long section only the first entries.
     };
 
     /// Begins to read and follow.
@@ -93,6 +111,12 @@
     /// Whether to go on with waiting calls. Without them only a peer's copies bring news; a call that waits
     /// already is left to end.
     void setFollowing(bool following);
+    /// A slice of the section is enough, drawn by this number. To be called before start().
+    void takeSlice(std::uint32_t seed) { m_sliceSeed = seed; }
+    /// From now on all of the section is needed.
+    void takeWhole();
+    /// 0 if all of the section is needed.
+    std::uint32_t sliceSeed() const { return m_sliceSeed; }
     /// How long to wait at most before the next call while the store does not answer.
     void setLongestPause(milliseconds pause) { m_longestPause = pause; }
     /// Takes over what a peer tells if it is newer. Returns whether it was.
@@ -132,6 +156,7 @@
 private:
     void read(first_read how = first_read::exact);
     void take(const result<store_listing>& listing, first_read how);
+    void takeFirst(std::vector<section_entry> some);
     void follow();
     void failed(const failure& error, std::function<void()> again);
     void answered();
@@ -146,6 +171,7 @@
     listener m_changed;
     completeness m_listsAreComplete;
     section_history m_history;
+    std::uint32_t m_sliceSeed = 0;
     std::int64_t m_settledRevision = 0;
     steady_time m_confirmedAt;
     steady_time m_nextConfirmation;
--- a/libs/mirror/src/section_history.cpp
+++ b/libs/mirror/src/section_history.cpp
@@ -12,6 +12,8 @@
 /// A process asks several times a second, so even when all of a large fleet go at once few of these are ever
 /// asked for.
 constexpr std::size_t mostRemovals = 1000;
+/// Of a copy that anything newer replaces.
+constexpr std::int64_t leastRevision = 1;
 
 bool byKey(const section_entry& entry, std::string_view key)
 {
@@ -30,11 +32,11 @@
 }
 
 /// Never 0. Whatever the order of the keys.
-std::uint64_t digestOf(std::span<const section_entry> entries)
+std::uint64_t digestOf(std::span<const section_entry> entries, const section_slice& slice)
 {
-    std::uint64_t digest = entries.size();
+    std::uint64_t digest = 0;
     for (const auto& entry : entries)
-        digest += hashText(entry.key());
+        digest += slice.contains(entry.key()) ? 1 + hashText(entry.key()) : 0;
     return digest == 0 ? 1 : digest;
 }
 
@@ -42,6 +44,8 @@
 
 bool section_history::set(const section_entry& entry)
 {
+    if (!m_slice.contains(entry.key()))
+        return false;
     auto& entries = m_section.entries;
     const auto place = findEntry(entries, entry.key());
     const bool exists = place != entries.end() && place->key() == entry.key();
@@ -51,7 +55,7 @@
         *place = entry;
     else
         entries.insert(place, entry);
-    m_changes.push_back({ entry, false });
+    m_changes.push_back({ entry, section_change::kind::written });
     return true;
 }
 
@@ -61,7 +65,7 @@
     const auto place = findEntry(entries, key);
     if (place == entries.end() || place->key() != key || place->revision() >= revision)
         return false;
-    m_changes.push_back({ std::move(*place), true });
+    m_changes.push_back({ std::move(*place), section_change::kind::removed });
     entries.erase(place);
     noteRemoval(key, revision);
     return true;
@@ -78,11 +82,16 @@
 
 bool section_history::replace(std::int64_t revision, std::vector<section_entry> entries)
 {
+    const auto slice = std::exchange(m_nextSlice, std::nullopt).value_or(m_slice);
+    // Of keys that were not held nobody has told that they went.
+    const bool first = m_section.revision == 0 || m_begun || slice != m_slice;
+    m_slice = slice;
+    std::erase_if(entries, [this](const auto& entry) { return !m_slice.contains(entry.key()); });
     std::sort(entries.begin(), entries.end(),
         [](const auto& left, const auto& right) { return left.key() < right.key(); });
     entries.shrink_to_fit();
     m_wantsWhole = false;
-    const bool first = m_section.revision == 0;
+    m_begun = false;
     const auto former = std::exchange(m_section.entries, std::move(entries));
     m_section.revision = revision;
     if (first)
@@ -101,17 +110,27 @@
             noteRemoved(*old);
         const bool known = old != former.end() && old->key() == entry.key();
         if (!known || !(*old == entry))
-            m_changes.push_back({ entry, false });
+            m_changes.push_back({ entry, section_change::kind::written });
         if (known)
             ++old;
     }
     std::for_each(old, former.end(), [this](const auto& entry) { noteRemoved(entry); });
 }
 
+void section_history::begin(std::vector<section_entry> some)
+{
+    replace(leastRevision, std::move(some));
+    m_begun = true;
+}
+
 /// When it went is not known, only that it had by the present revision.
 void section_history::noteRemoved(const section_entry& entry)
 {
-    m_changes.push_back({ entry, true });
+    if (!m_slice.contains(entry.key())) {
+        m_changes.push_back({ entry, section_change::kind::released });
+        return;
+    }
+    m_changes.push_back({ entry, section_change::kind::removed });
     noteRemoval(std::string(entry.key()), m_section.revision);
 }
 
@@ -135,18 +154,22 @@
 
 std::optional<bool> section_history::apply(const section_update& update)
 {
-    if (update.prefix != m_section.prefix || update.revision <= m_section.revision)
+    if (update.prefix != m_section.prefix)
         return std::nullopt;
-    if (update.basedOn == 0)
+    const bool otherSlice = update.slice != m_slice;
+    const bool newer = update.revision > m_section.revision;
+    if (update.basedOn == 0 && (newer || (otherSlice && update.revision == m_section.revision))) {
+        setSlice(update.slice);
         return replace(update.revision, update.changed);
-    if (m_section.revision < update.basedOn)
+    }
+    if (otherSlice || !newer || update.basedOn == 0 || m_begun || m_section.revision < update.basedOn)
         return std::nullopt;
     bool changed = false;
     for (const auto& key : update.removed)
         changed = remove(key, update.revision) || changed;
     for (const auto& entry : update.changed)
         changed = set(entry) || changed;
-    m_wantsWhole = update.keysDigest != 0 && update.keysDigest != digestOf(m_section.entries);
+    m_wantsWhole = update.keysDigest != 0 && update.keysDigest != digestOf(m_section.entries, m_slice);
     if (!m_wantsWhole)
         m_section.revision = update.revision;
     return changed;
@@ -154,31 +177,30 @@
 
 void section_history::noteUnchanged(std::int64_t from, std::int64_t until)
 {
-    if (m_section.revision >= from && !m_wantsWhole)
+    if (m_section.revision >= from && !m_wantsWhole && !m_begun)
         m_section.revision = std::max(m_section.revision, until);
 }
 
-section_update section_history::since(std::int64_t revision) const
+section_update section_history::since(std::int64_t revision, const section_slice& slice) const
 {
-    section_update update { m_section.prefix, m_section.revision, {}, 0, {} };
-    if (revision == 0) {
-        update.changed = m_section.entries;
-        return update;
+    section_update update { m_section.prefix, m_section.revision, {}, 0, {}, 0, slice };
+    for (const auto& entry : m_section.entries) {
+        if ((revision == 0 || entry.revision() > revision) && slice.contains(entry.key()))
+            update.changed.push_back(entry);
     }
+    if (revision == 0)
+        return update;
     update.basedOn = revision;
     // An asker that has read its copy a moment before this process has rarely missed a removal. When 300
     // processes start at once all are such, and 900 KB of 3,000 targets for each kept the links of those that
     // they asked busy for half a minute.
     if (revision < m_completeFrom)
-        update.keysDigest = digestOf(m_section.entries);
-    for (const auto& entry : m_section.entries) {
-        if (entry.revision() > revision)
-            update.changed.push_back(entry);
-    }
+        update.keysDigest = digestOf(m_section.entries, slice);
     // A key that has come back is not named: a removal that was heard of from a peer is noted at the peer's
     // revision, which may be later than the return, and an asker in between would drop the entry for good.
     for (const auto& gone : m_removals) {
-        if (gone.revision > revision && !containsKey(m_section.entries, gone.key))
+        const bool told = gone.revision > revision && slice.contains(gone.key);
+        if (told && !containsKey(m_section.entries, gone.key))
             update.removed.push_back(gone.key);
     }
     return update;
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -83,10 +83,14 @@
         if (listing && how == first_read::exact)
             noteConfirmed(listing.value().revision, sent);
     };
-    if (how == first_read::stale)
-        m_store.listStale(section().prefix, std::move(done));
-    else
-        m_store.list(section().prefix, std::move(done));
+    switch (how) {
+    case first_read::begin:
+        return m_store.listFirst(section().prefix, std::move(done));
+    case first_read::stale:
+        return m_store.listStale(section().prefix, std::move(done));
+    case first_read::exact:
+        return m_store.list(section().prefix, std::move(done));
+    }
 }
 
 void store_mirror::take(const result<store_listing>& listing, first_read how)
@@ -94,10 +98,14 @@
     if (!listing)
         return failed(listing.error(), [this, how] { read(how); });
     answered();
+    std::vector<section_entry> entries;
+    for (const auto& value : listing.value().values)
+        entries.emplace_back(value.key, value.value, value.modRevision);
+    if (listing.value().more)
+        return takeFirst(std::move(entries));
     if (listing.value().revision >= section().revision) {
-        std::vector<section_entry> entries;
-        for (const auto& value : listing.value().values)
-            entries.emplace_back(value.key, value.value, value.modRevision);
+        if (m_sliceSeed != 0)
+            m_history.setSlice(sliceFor(entries.size(), m_history.slice(), m_sliceSeed));
         m_history.replace(listing.value().revision, std::move(entries));
         if (how == first_read::exact)
             noteSettled();
@@ -106,6 +114,28 @@
     follow();
 }
 
+/// The first entries of a long section: peers are asked for the rest of what is needed, or the store if this
+/// process is to follow it.
+void store_mirror::takeFirst(std::vector<section_entry> some)
+{
+    if (!known()) {
+        m_history.begin(std::move(some));
+        tellChanged();
+    }
+    if (m_following)
+        return follow();
+    m_idle = true;
+}
+
+void store_mirror::takeWhole()
+{
+    if (std::exchange(m_sliceSeed, 0) == 0 || m_history.whole())
+        return;
+    m_history.wantWhole();
+    m_history.setSlice({});
+    read(first_read::stale);
+}
+
 void store_mirror::setFollowing(bool following)
 {
     m_following = following;
@@ -120,6 +150,9 @@
     m_idle = !m_following;
     if (m_idle)
         return;
+    // Changes lead on from a copy, not from the first entries of one.
+    if (!m_history.complete())
+        return read();
     m_waits = true;
     const auto sent = std::chrono::steady_clock::now();
     const auto time = m_confirmed ? longestWait : firstWait;
@@ -176,7 +209,7 @@
 
 void store_mirror::confirm(steady_time now)
 {
-    if (now < m_nextConfirmation || !known())
+    if (now < m_nextConfirmation || !m_history.complete())
         return;
     m_nextConfirmation = now + confirmationPause * (1 << m_unconfirmed);
     m_unconfirmed = std::min(m_unconfirmed + 1, confirmationDoublings);
--- a/libs/mirror/tests/test_mirror.cpp
+++ b/libs/mirror/tests/test_mirror.cpp
@@ -17,6 +17,11 @@
         ++lists;
         pendingList = std::move(done);
     }
+    void listFirst(std::string_view, callback<store_listing> done) override
+    {
+        ++firsts;
+        pendingList = std::move(done);
+    }
     void commit(const store_transaction&, callback<commit_outcome>) override { }
     void waitForChange(
         std::string_view, std::int64_t after, milliseconds time, callback<store_changes> done) override
@@ -34,6 +39,7 @@
     std::int64_t waitedFrom = 0;
     milliseconds waitedFor { 0 };
     int lists = 0;
+    int firsts = 0;
 };
 
 stored_value value(std::string key, std::string text, std::int64_t revision)
@@ -452,3 +458,140 @@
     tell(9); // After a quiet time.
     CHECK(store.waitedFrom == 9);
 }
+
+namespace {
+
+std::vector<section_entry> numbered(int count)
+{
+    std::vector<section_entry> entries;
+    for (int i = 0; i < count; ++i)
+        entries.push_back({ "n/" + std::to_string(i), "1", 4 });
+    return entries;
+}
+
+section_history historyOf(int count)
+{
+    section_history history("n/");
+    history.replace(5, numbered(count));
+    history.takeChanges();
+    return history;
+}
+
+} // namespace
+
+// Guards against copies that grow with the fleet in each of its processes.
+TEST_CASE("a slice is as large before 40,000 targets as before 10,000, and several hold all of them")
+{
+    for (const int count : { 10000, 20000, 40000 }) {
+        const auto whole = historyOf(count);
+        const auto parts = sliceFor(static_cast<std::size_t>(count), {}, 0).parts;
+        std::size_t all = 0;
+        for (std::uint32_t seed = 0; seed < parts; ++seed) {
+            const auto slice = sliceFor(static_cast<std::size_t>(count), {}, seed);
+            const auto update = whole.since(0, slice);
+            CHECK(update.changed.size() > 128);
+            CHECK(update.changed.size() < 512);
+            all += update.changed.size();
+        }
+        CHECK(all == static_cast<std::size_t>(count));
+    }
+    CHECK(sliceFor(500, {}, 7).whole());
+}
+
+TEST_CASE("a slice that is held is kept while the section's size wavers")
+{
+    const auto held = sliceFor(10000, {}, 7);
+    CHECK(sliceFor(5000, held, 7) == held);
+    CHECK(sliceFor(20000, held, 7) == held);
+    CHECK(sliceFor(40000, held, 7) != held);
+    CHECK(sliceFor(100, held, 7).whole());
+}
+
+// Guards against a process that is told, or keeps, what lies outside of its slice.
+TEST_CASE("a slice is told of changes of its own keys alone")
+{
+    auto whole = historyOf(10000);
+    const auto slice = sliceFor(10000, {}, 3);
+    section_history copy("n/");
+    REQUIRE(copy.apply(whole.since(0, slice)) == true);
+    CHECK(copy.slice() == slice);
+    CHECK(!copy.whole());
+    copy.takeChanges();
+    const auto& entries = copy.section().entries;
+    const std::string inside(entries[0].key());
+    const std::string leaving(entries[1].key());
+    std::string outside = "n/0";
+    for (int i = 1; slice.contains(outside); ++i)
+        outside = "n/" + std::to_string(i);
+    whole.apply(std::vector<store_event> { { false, value(inside, "2", 6) },
+                    { false, value(outside, "2", 7) }, { true, value(leaving, "", 8) } },
+        8);
+    const auto update = whole.since(copy.askFrom(), slice);
+    CHECK(update.changed.size() == 1);
+    CHECK(update.removed.size() == 1);
+    CHECK(copy.apply(update) == true);
+    const auto changes = copy.takeChanges();
+    REQUIRE(changes.size() == 2);
+    CHECK(copy.askFrom() == 8);
+    // From the store it hears of all keys.
+    copy.apply(std::vector<store_event> { { false, value(outside, "3", 9) } }, 9);
+    CHECK(copy.takeChanges().empty());
+}
+
+// Guards against targets that are taken for gone because a process keeps another slice than before.
+TEST_CASE("a key that a new slice does not hold is released and not removed")
+{
+    const auto whole = historyOf(10000);
+    section_history copy("n/");
+    copy.begin(numbered(200));
+    CHECK(copy.takeChanges().size() == 200);
+    CHECK(copy.askFrom() == 0);
+    CHECK(!copy.complete());
+    REQUIRE(copy.apply(whole.since(0, sliceFor(10000, {}, 3))));
+    CHECK(copy.complete());
+    for (const auto& change : copy.takeChanges())
+        CHECK(change.what != section_change::kind::removed);
+}
+
+// Guards against a process that serves others, and gives them its slice for all there is.
+TEST_CASE("a process that others come to rely on reads the whole section")
+{
+    event_loop loop;
+    scripted_store store;
+    store_mirror mirror(loop, store, "n/", milliseconds { 0 }, [](const store_mirror&, auto) {});
+    mirror.setFollowing(false);
+    mirror.takeSlice(3);
+    mirror.start(store_mirror::first_read::begin);
+    CHECK(store.firsts == 1);
+    store.pendingList(store_listing { { value("n/0", "1", 4) }, 5, true });
+    CHECK(store.lists == 0);
+    CHECK(mirror.known());
+    CHECK(!mirror.history().whole());
+    const auto whole = historyOf(10000);
+    CHECK(mirror.offer(whole.since(0, sliceFor(10000, {}, 3))));
+    CHECK(!mirror.history().whole());
+    mirror.takeWhole();
+    CHECK(store.lists == 1);
+    CHECK(mirror.history().askFrom() == 0);
+    CHECK(mirror.offer(whole.since(0)));
+    CHECK(mirror.history().whole());
+    CHECK(mirror.section().entries.size() == 10000);
+}
+
+// Guards against a process that takes the first entries of a list for all of them when it has to follow the
+// store itself.
+TEST_CASE("a process that begins to follow the store reads what it has only begun to know")
+{
+    event_loop loop;
+    scripted_store store;
+    store_mirror mirror(loop, store, "n/", milliseconds { 0 }, [](const store_mirror&, auto) {});
+    mirror.setFollowing(false);
+    mirror.takeSlice(3);
+    mirror.start(store_mirror::first_read::begin);
+    store.pendingList(store_listing { { value("n/0", "1", 4) }, 5, true });
+    mirror.setFollowing(true);
+    CHECK(store.lists == 1);
+    store.pendingList(store_listing { { value("n/0", "1", 4), value("n/1", "1", 4) }, 5, false });
+    CHECK(mirror.section().entries.size() == 2);
+    CHECK(mirror.history().whole());
+}
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -66,7 +66,7 @@
 {
     std::vector<target_description> set;
     std::vector<std::string> removed;
-    for (const auto& [before, after] : changes) {
+    for (const auto& [before, after, released] : changes) {
         if (after && groupOf(*after) == name)
             set.push_back(describe(*after));
         else if (before && groupOf(*before) == name)
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -167,15 +167,19 @@
         return known ? known->draining : gone.contains(target);
     }
 
-    /// In the order of their names.
+    /// In the order of their names. Where not all targets are known here, dispatchers know which they have.
     std::vector<std::string> zonesOf(const std::string& service) const
     {
-        std::vector<std::string> zones;
+        std::set<std::string> zones;
         if (const auto found = targetsByZone.find(service); found != targetsByZone.end()) {
             for (const auto& [zone, count] : found->second)
-                zones.push_back(zone);
+                zones.insert(zone);
         }
-        return zones;
+        if (targets && targets->partial()) {
+            for (const auto& dispatcher : dispatchers)
+                zones.insert(dispatcher.zone);
+        }
+        return { zones.begin(), zones.end() };
     }
 
     void countTarget(const listed_target& target);
@@ -654,14 +658,14 @@
     const target_directory& targets, std::span<const target_change> changes, steady_time now)
 {
     m_impl->targets = &targets;
-    for (const auto& [before, after] : changes) {
+    for (const auto& [before, after, released] : changes) {
         if (before)
             m_impl->uncountTarget(*before);
         if (after)
             m_impl->countTarget(*after);
         if (after)
             m_impl->gone.remove(after->id);
-        else
+        else if (!released)
             m_impl->gone.add(before->id);
     }
     m_impl->host.setTargets(targets, changes, now);
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -141,6 +141,8 @@
 struct target_change {
     target_ptr before;
     target_ptr after;
+    /// It is not there any more, but may still be listed: this process only keeps it no longer.
+    bool released = false;
 };
 
 /// The targets that may be used, from lists that can be wrong for a while.
@@ -167,6 +169,10 @@
     /// Ids of these, and since when they are missing.
     const std::map<std::string, steady_time, std::less<>>& missing() const { return m_missingSince; }
 
+    /// Whether there are targets that the directory does not name.
+    bool partial() const { return m_partial; }
+    void setPartial(bool partial) { m_partial = partial; }
+
     const target_map& targets() const { return m_targets; }
     /// Null if there is none.
     const listed_target* find(std::string_view id) const;
@@ -177,7 +183,7 @@
     void unlist(const target_ptr& target);
     void settleInstance(std::string_view instance, change_list& changes);
     void use(const target_ptr& target, change_list& changes);
-    void drop(std::string_view id, change_list& changes);
+    void drop(std::string_view id, change_list& changes, bool released = false);
     void miss(const target_ptr& target, steady_time trustedFrom, steady_time now, change_list& changes);
     /// Whether a later start of the target's instance is listed.
     bool superseded(const listed_target& target) const;
@@ -187,6 +193,7 @@
     /// What the list names, by instance; the texts belong to the targets.
     std::multimap<std::string_view, target_ptr> m_listed;
     std::map<std::string, steady_time, std::less<>> m_missingSince;
+    bool m_partial = false;
 };
 
 } // namespace yuccachute
--- a/libs/routing/src/target_directory.cpp
+++ b/libs/routing/src/target_directory.cpp
@@ -50,7 +50,9 @@
     for (auto instance : instances)
         settleInstance(instance, changes);
     for (const auto& change : listed) {
-        if (change.before)
+        if (change.released)
+            drop(change.before->id, changes, true);
+        else if (change.before)
             miss(change.before, trustedFrom, now, changes);
     }
     if (now >= trustedFrom) {
@@ -113,14 +115,14 @@
         changes.push_back({ before, target });
 }
 
-void target_directory::drop(std::string_view id, change_list& changes)
+void target_directory::drop(std::string_view id, change_list& changes, bool released)
 {
     if (const auto missing = m_missingSince.find(id); missing != m_missingSince.end())
         m_missingSince.erase(missing);
     const auto known = m_targets.find(id);
     if (known == m_targets.end())
         return;
-    changes.push_back({ std::move(known->second), nullptr });
+    changes.push_back({ std::move(known->second), nullptr, released });
     m_targets.erase(known);
 }
 
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -276,6 +276,12 @@
     return plain;
 }
 
+/// Processes of before slices send no parts.
+section_slice sliceFromWire(std::uint32_t parts, std::uint32_t part)
+{
+    return parts <= 1 ? section_slice {} : section_slice { parts, part };
+}
+
 void addEntries(const peer::Section& in, section_update& update)
 {
     for (const auto& entry : in.entries())
@@ -290,6 +296,8 @@
     out.set_revision(update.revision);
     out.set_based_on(update.basedOn);
     out.set_keys_digest(update.keysDigest);
+    out.set_parts(update.slice.parts);
+    out.set_part(update.slice.part);
     std::size_t bytes = 0;
     for (const auto& entry : update.changed) {
         auto* added = out.add_entries();
@@ -306,7 +314,8 @@
 
 result<section_update> fromWire(const peer::Section& in)
 {
-    section_update update { in.prefix(), in.revision(), {}, in.based_on(), {}, in.keys_digest() };
+    section_update update { in.prefix(), in.revision(), {}, in.based_on(), {}, in.keys_digest(),
+        sliceFromWire(in.parts(), in.part()) };
     addEntries(in, update);
     if (!in.packed_entries().empty()) {
         BOOST_OUTCOME_TRY(auto unpacked, unpackEntries(in.packed_entries()));
@@ -341,6 +350,9 @@
         auto* added = out.add_known();
         added->set_prefix(section.prefix);
         added->set_revision(section.revision);
+        added->set_parts(section.slice.parts);
+        added->set_part(section.slice.part);
+        added->set_seed(section.seed);
     }
     for (const auto& note : question.suspects)
         toWire(note, *out.add_suspects());
@@ -352,7 +364,8 @@
 {
     sync_question question;
     for (const auto& section : in.known())
-        question.known.push_back({ section.prefix(), section.revision() });
+        question.known.push_back({ section.prefix(), section.revision(),
+            sliceFromWire(section.parts(), section.part()), section.seed() });
     for (const auto& note : in.suspects())
         question.suspects.push_back(fromWire(note));
     question.suspectsDigest = in.suspects_digest();
