Batch processes hear of targets from entries, and hold a slice of them

Cause: each batch process read the whole list of targets at its start (50 pages, each a call at full price) and followed it: each change of a target was told to each of 50 processes by a priced call. Grows with batch processes times changes.

Orders and processes, by which it decides about jobs, it follows as before.

Tests: no call for ten changes of targets; one that leaves is known as soon as before; without entries it follows the store itself.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -27,7 +27,8 @@
     , m_self(ownRecord(settings))
     , m_loads(m_client, adapter.loads)
     , m_suspects(m_loop, m_loads, m_figures, m_rpc, m_store, [this] { return m_fleet.otherEntries(); })
-    , m_fleet(m_loop, m_store, m_suspects.spread, adapter.documents, m_self, { settings.seeds }, listeners())
+    , m_fleet(
+          m_loop, m_store, m_suspects.spread, adapter.documents, m_self, fleetOptions(settings), listeners())
     , m_registration(m_loop, m_store, m_self, registrationTimes)
     , m_broker(m_loop, m_rpc, { m_self.vm, m_self.zone, "" })
     , m_items { m_loop, m_broker, m_client, adapter.callers, m_suspects.guard }
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -2,6 +2,7 @@
 
 #include "event_loop/event_loop.h"
 #include "mirror/mirror.h"
+#include "process_settings/process_settings.h"
 #include "routing/routing.h"
 #include "rpc/rpc.h"
 #include "store/store.h"
@@ -107,11 +108,15 @@
 struct fleet_options {
     std::vector<std::string> seeds; ///< host:port of entries to ask while none is known.
     bool followPeers = true; ///< Whether entries beyond the first of a zone leave the store to those.
-    /// For so long after its start an entry that has not offered itself waits to hear from others before it
-    /// follows the store. When a whole fleet starts nobody knows yet who follows it.
+    /// For so long after its start a process waits to hear from entries that follow the store before it does
+    /// so itself: a batch process for the list of targets, an entry that has not offered itself for all. When
+    /// a whole fleet starts nobody knows yet who follows it.
     milliseconds patienceAtStart { 0 };
 };
 
+/// As the process's settings ask for.
+fleet_options fleetOptions(const process_settings& settings);
+
 /// Whether others of its zone need an entry, for places at targets and for copies of the store.
 enum class offer_need : std::uint8_t {
     none,
@@ -235,6 +240,8 @@
     void askPeers(steady_time now);
     void notifyNodes();
     bool isWatcher() const;
+    bool followsTargets(steady_time now) const;
+    bool patient() const { return m_options.patienceAtStart.count() > 0; }
     /// `whole`: also for sections that this process has no copy of.
     void ask(const std::string& address, bool whole);
     std::vector<std::string> peersToAsk(steady_time now);
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -71,6 +71,10 @@
 /// of them.
 constexpr std::size_t mostLoggedChanges = 50;
 
+/// When a fleet starts, the larger VMs register themselves within a second or so, and all hear of it within
+/// another one.
+constexpr milliseconds patienceAtStart { 3000 };
+
 /// Never 0.
 std::uint32_t sliceSeed(std::string_view vm)
 {
@@ -79,6 +83,12 @@
 
 } // namespace
 
+fleet_options fleetOptions(const process_settings& settings)
+{
+    return { settings.seeds, settings.followPeers,
+        settings.followPeers ? patienceAtStart : milliseconds { 0 } };
+}
+
 fleet_watch::fleet_watch(event_loop& loop, observed_store& store, peer_sync& peers, const fleet_codec& codec,
     node_record self, fleet_options options, listeners notify)
     : m_loop(loop)
@@ -107,30 +117,31 @@
 
 void fleet_watch::start()
 {
-    const bool waits = m_options.patienceAtStart.count() > 0 && m_self.role == node_role::entry;
-    if (waits) {
-        m_patientUntil = std::chrono::steady_clock::now() + m_options.patienceAtStart;
-        m_watcherHeard = m_patientUntil - watcherSilentForOthers;
-        m_direct = false;
-        for (auto* mirror : mirrors())
-            mirror->setFollowing(false);
-    }
     // Never a stale one of the configuration: it would be in force until somebody tells of a newer one.
     m_ordersMirror.start();
-    if (!waits) {
+    if (!patient()) {
         m_targetsMirror.start();
         m_nodesMirror.start();
         return;
     }
+    m_patientUntil = std::chrono::steady_clock::now() + m_options.patienceAtStart;
+    m_watcherHeard = m_patientUntil - watcherSilentForOthers;
+    m_targetsMirror.setFollowing(false);
     m_targetsMirror.takeSlice(sliceSeed(m_self.vm));
     m_targetsMirror.start(store_mirror::first_read::begin);
+    if (m_self.role == node_role::batch)
+        return m_nodesMirror.start();
+    m_direct = false;
+    m_ordersMirror.setFollowing(false);
+    m_nodesMirror.setFollowing(false);
     m_nodesMirror.start(store_mirror::first_read::stale);
 }
 
 void fleet_watch::offerSelf()
 {
     m_offered = true;
-    m_targetsMirror.takeWhole();
+    if (m_self.role == node_role::entry)
+        m_targetsMirror.takeWhole();
     notifyNodes();
 }
 
@@ -376,7 +387,7 @@
     m_direct = watcher || now - m_watcherHeard > patience || (reliedOn() && age(now) > directAfter);
     for (auto* mirror : mirrors()) {
         mirror->setLongestPause(watcher ? longestPauseOfWatcher : longestPauseOfOthers);
-        mirror->setFollowing(m_direct);
+        mirror->setFollowing(mirror == &m_targetsMirror ? followsTargets(now) : m_direct);
     }
     m_watches = m_direct && connected() && age(now) <= doubtAfter;
     confirmCopies(now);
@@ -392,6 +403,16 @@
         askPeers(now);
 }
 
+/// Each change is told to each process that follows it by a priced call, and targets change by the hundred
+/// when they are released. A batch process, which decides nothing by them, hears of them from its zone's
+/// entries.
+bool fleet_watch::followsTargets(steady_time now) const
+{
+    if (m_self.role == node_role::entry || !patient())
+        return m_direct;
+    return now - m_watcherHeard > watcherSilentForOthers;
+}
+
 milliseconds fleet_watch::syncInterval(steady_time now) const
 {
     if (!connected() || inDoubt(now))
@@ -469,7 +490,7 @@
             addresses.push_back(address);
     };
     const auto all = m_watchers->all();
-    if (!isWatcher()) {
+    if (!isWatcher() || m_targetsMirror.sliceSeed() != 0) {
         for (const auto& node : m_watchers->ofZone(m_self.zone))
             add(node.address);
     } else if (!all.empty())
@@ -531,7 +552,8 @@
     const bool ownWatcher
         = std::any_of(own.begin(), own.end(), [&](const auto& node) { return node.address == address; });
     // One that others rely on is content with its own zone's: it follows the store itself if these are gone.
-    if (answer.contact.watches && (ownWatcher || !reliedOn()))
+    const bool contentWithOthers = !reliedOn() || m_self.role == node_role::batch;
+    if (answer.contact.watches && (ownWatcher || contentWithOthers))
         m_watcherHeard = std::chrono::steady_clock::now();
     takeAnswer(answer, asked);
 }
--- a/libs/fleet/tests/model_fleet.cpp
+++ b/libs/fleet/tests/model_fleet.cpp
@@ -309,12 +309,22 @@
 
 model_process& model_fleet::add(const std::string& zone, bool registers)
 {
-    const auto index = processes.size();
-    const auto vm = zone + "-" + std::to_string(index);
-    const node_record record { vm, node_role::entry, zone, vm + ":1", 1, false };
+    const auto vm = zone + "-" + std::to_string(processes.size());
+    return start({ vm, node_role::entry, zone, vm + ":1", 1, false }, registers);
+}
+
+model_process& model_fleet::addBatch(const std::string& zone)
+{
+    const auto vm = zone + "-batch-" + std::to_string(processes.size());
+    return start({ vm, node_role::batch, zone, vm + ":1", 1, false }, true);
+}
+
+model_process& model_fleet::start(node_record record, bool registers)
+{
     fleet_options options;
     options.patienceAtStart = milliseconds { 1000 };
-    processes.push_back(std::make_unique<model_process>(*this, index, record, options));
+    const auto index = processes.size();
+    processes.push_back(std::make_unique<model_process>(*this, index, std::move(record), options));
     auto& added = *processes.back();
     added.watch.start();
     if (registers) {
--- a/libs/fleet/tests/model_fleet.h
+++ b/libs/fleet/tests/model_fleet.h
@@ -148,6 +148,8 @@
 
     /// Adds an entry that starts now.
     model_process& add(const std::string& zone, bool registers);
+    /// Adds a batch process that starts now and registers itself.
+    model_process& addBatch(const std::string& zone);
     std::vector<model_process*> of(const std::string& zone);
     model_process* at(std::string_view address);
 
@@ -156,6 +158,8 @@
     std::vector<std::unique_ptr<model_process>> processes;
 
 private:
+    model_process& start(node_record record, bool registers);
+
     std::vector<std::unique_ptr<loop_timer>> m_starts;
 };
 
--- a/libs/fleet/tests/test_slices.cpp
+++ b/libs/fleet/tests/test_slices.cpp
@@ -88,3 +88,38 @@
     CHECK(!follower.watch.targets().partial());
     CHECK(follower.watch.targets().targets().size() == 3000);
 }
+
+// Guards against calls of the store that grow with batch processes times changes of targets.
+TEST_CASE("a batch process hears of targets from entries and makes no call of the store for their changes")
+{
+    event_loop loop;
+    listed_fleet played(loop, 3000);
+    run(loop, settling);
+    auto& batch = played.fleet.addBatch("zone-0");
+    run(loop, milliseconds { 1500 });
+    CHECK(batch.watch.targets().targets().size() < 512);
+    const auto held = batch.watch.targets().targets().begin()->first;
+    const auto before = batch.link.waits;
+    for (int i = 0; i < 10; ++i) {
+        played.fleet.store.remove(i == 9 ? held : "targets/" + std::to_string(i));
+        run(loop, milliseconds { 300 });
+    }
+    CHECK(batch.link.waits - before <= 2); // Of orders and processes, should one end in that time.
+    run(loop, promised);
+    CHECK(!batch.uses(held));
+}
+
+// Guards against a batch process that has no targets left when no entry of its zone follows the store.
+TEST_CASE("a batch process without entries that follow the store follows it itself")
+{
+    event_loop loop;
+    model_fleet alone(loop, 0, 0);
+    for (int i = 0; i < 300; ++i)
+        alone.store.write("targets/" + std::to_string(i), "ready");
+    auto& batch = alone.addBatch("zone-0");
+    run(loop, milliseconds { 1500 });
+    CHECK(batch.watch.targets().targets().size() == 300);
+    alone.store.remove("targets/7");
+    run(loop, promised);
+    CHECK(!batch.uses("targets/7"));
+}
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -25,9 +25,6 @@
 constexpr milliseconds storeCheckInterval { 500 };
 /// Copies that are older were not confirmed by the store, nor by a peer that hears of it.
 constexpr milliseconds storeLostAfter { 2000 };
-/// When a fleet starts, the larger VMs register themselves within a second or so, and all hear of it within
-/// another one.
-constexpr milliseconds patienceAtStart { 3000 };
 
 group_options groupOptions(const process_settings& settings)
 {
@@ -100,9 +97,7 @@
         , m_self(ownRecord(settings))
         , m_loads(m_client, adapter.loads)
         , m_suspects(m_loop, m_loads, m_figures, m_rpc, m_store, [this] { return m_fleet.otherEntries(); })
-        , m_fleet(m_loop, m_store, m_suspects.spread, adapter.documents, m_self,
-              { settings.seeds, settings.followPeers,
-                  settings.followPeers ? patienceAtStart : milliseconds { 0 } },
+        , m_fleet(m_loop, m_store, m_suspects.spread, adapter.documents, m_self, fleetOptions(settings),
               listeners())
         , m_registration(m_loop, m_store, m_self, {})
         , m_limits(m_self.vm, m_self.incarnation, limitPolicy(settings.customerLimits),
