Of a fleet that starts together, few read the list of targets, and tell the others

Cause: each entry read the first page of the list at its start, 500 entries, some 200 kB. 836 that start at the same moment keep the store's link of 1 Gbit/s busy for longer than a call may take (1.5 s); each call that times out is made again, and its bytes were sent for nothing.

Change: entries that are not registered, and batch processes, ask peers first. Who has heard of none after half a second reads the first page, spread over 3.5 s.

Test (test_fleet_slices): followers read two pages in all, none of them of targets; it was three.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -241,6 +241,8 @@
     void notifyNodes();
     bool isWatcher() const;
     bool followsTargets(steady_time now) const;
+    void readTargetsUnlessTold(steady_time now);
+    milliseconds spread(milliseconds most);
     bool patient() const { return m_options.patienceAtStart.count() > 0; }
     /// `whole`: also for sections that this process has no copy of.
     void ask(const std::string& address, bool whole);
@@ -289,6 +291,7 @@
     bool m_direct = true; ///< This process follows the store itself.
     bool m_offered = false; ///< It has decided to register itself.
     steady_time m_patientUntil;
+    std::optional<steady_time> m_readTargetsAt; ///< Unless a peer has told of targets.
     steady_time m_watcherHeard; ///< When one that the store answers was last heard of.
     bool m_peerSilent = false; ///< The peer that was asked last did not answer.
     mutable std::mutex m_publishedMutex; ///< Peers ask from the transport's threads.
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -75,6 +75,11 @@
 /// another one.
 constexpr milliseconds patienceAtStart { 3000 };
 
+/// The entries that register first have read the list by then, in all but the largest fleets.
+constexpr milliseconds peersFirst { 500 };
+/// Those that have heard of no peer by then read their first page spread over this time.
+constexpr milliseconds readingSpread { 3500 };
+
 /// Never 0.
 std::uint32_t sliceSeed(std::string_view vm)
 {
@@ -126,9 +131,9 @@
     }
     m_patientUntil = std::chrono::steady_clock::now() + m_options.patienceAtStart;
     m_watcherHeard = m_patientUntil - watcherSilentForOthers;
-    m_targetsMirror.setFollowing(false);
     m_targetsMirror.takeSlice(sliceSeed(m_self.vm));
-    m_targetsMirror.start(store_mirror::first_read::begin);
+    m_targetsMirror.startFromPeers();
+    m_readTargetsAt = std::chrono::steady_clock::now() + peersFirst + spread(readingSpread);
     if (m_self.role == node_role::batch)
         return m_nodesMirror.start();
     m_direct = false;
@@ -140,8 +145,10 @@
 void fleet_watch::offerSelf()
 {
     m_offered = true;
-    if (m_self.role == node_role::entry)
+    if (m_self.role == node_role::entry) {
+        m_readTargetsAt.reset();
         m_targetsMirror.takeWhole();
+    }
     notifyNodes();
 }
 
@@ -389,6 +396,7 @@
         mirror->setLongestPause(watcher ? longestPauseOfWatcher : longestPauseOfOthers);
         mirror->setFollowing(mirror == &m_targetsMirror ? followsTargets(now) : m_direct);
     }
+    readTargetsUnlessTold(now);
     m_watches = m_direct && connected() && age(now) <= doubtAfter;
     confirmCopies(now);
     publishStandings();
@@ -403,6 +411,22 @@
         askPeers(now);
 }
 
+/// Entries that read the list tell the others. Were it read by all of a large fleet that starts together, the
+/// store's link would be busy for seconds with what most do not need, and calls that time out are made again.
+void fleet_watch::readTargetsUnlessTold(steady_time now)
+{
+    if (!m_readTargetsAt || now < *m_readTargetsAt)
+        return;
+    m_readTargetsAt.reset();
+    if (!m_targetsMirror.known())
+        m_targetsMirror.start(store_mirror::first_read::begin);
+}
+
+milliseconds fleet_watch::spread(milliseconds most)
+{
+    return milliseconds { m_random() % static_cast<unsigned>(most.count() + 1) };
+}
+
 /// Each change is told to each process that follows it by a priced call, and targets change by the hundred
 /// when they are released. A batch process, which decides nothing by them, hears of them from its zone's
 /// entries.
--- a/libs/fleet/tests/test_slices.cpp
+++ b/libs/fleet/tests/test_slices.cpp
@@ -58,7 +58,7 @@
             CHECK(process->watch.targets().partial());
             CHECK(process->watch.targets().targets().size() > 128);
             CHECK(process->watch.targets().targets().size() < 512);
-            CHECK(process->link.pages <= 3); // Orders, targets, processes.
+            CHECK(process->link.pages == 2); // Orders and processes; targets are told by others.
         }
     }
     CHECK(large.fleet.processes[0]->watch.targets().targets().size() == 6000);
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -108,6 +108,8 @@
 
     /// Begins to read and follow.
     void start(first_read how = first_read::exact);
+    /// Begins without a reading: peers tell, until the process starts to read or to follow the store.
+    void startFromPeers();
     /// Whether to go on with waiting calls. Without them only a peer's copies bring news; a call that waits
     /// already is left to end.
     void setFollowing(bool following);
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -48,6 +48,13 @@
     read(how);
 }
 
+void store_mirror::startFromPeers()
+{
+    m_following = false;
+    m_idle = true;
+    m_connected = true; // Nothing is known against the store.
+}
+
 void store_mirror::answered()
 {
     if (m_failures > 0)
