No entry that nobody relies on reads the whole list, also when it hears of nobody who follows the store

Cause: with the list read by few, dispatchers of a fleet that was killed whole were still without targets 3 s after the restart: followers read their first pages, 836 of them 500 entries each, beside the dispatchers' 20 pages (kill of everything, logs of 190 machines). And entries that hear for three seconds of nobody who follows the store follow it themselves: while the store is away after a restart those are all, and each would read the whole list at its return.

Change: who has been answered by any peer reads no page at a start. Who follows the store without a whole copy goes on from the first page and the changes after it, until a peer tells its slice; the whole list is read by registered entries alone. Entries turn to the store themselves spread over three seconds, not at once.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -108,9 +108,9 @@
 struct fleet_options {
     std::vector<std::string> seeds; ///< host:port of entries to ask while none is known.
     bool followPeers = true; ///< Whether entries beyond the first of a zone leave the store to those.
-    /// For so long after its start a process waits to hear from entries that follow the store before it does
-    /// so itself: a batch process for the list of targets, an entry that has not offered itself for all. When
-    /// a whole fleet starts nobody knows yet who follows it.
+    /// For so long after its start, and at most twice as long, a process waits to hear from entries that
+    /// follow the store before it does so itself: a batch process for the list of targets, an entry that has
+    /// not offered itself for all. When a whole fleet starts nobody knows yet who follows it.
     milliseconds patienceAtStart { 0 };
 };
 
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -77,7 +77,7 @@
 
 /// The entries that register first have read the list by then, in all but the largest fleets.
 constexpr milliseconds peersFirst { 500 };
-/// Those that have heard of no peer by then read their first page spread over this time.
+/// Those that no peer has answered by then read their first page spread over this time.
 constexpr milliseconds readingSpread { 3500 };
 
 /// Never 0.
@@ -129,7 +129,8 @@
         m_nodesMirror.start();
         return;
     }
-    m_patientUntil = std::chrono::steady_clock::now() + m_options.patienceAtStart;
+    m_patientUntil
+        = std::chrono::steady_clock::now() + m_options.patienceAtStart + spread(m_options.patienceAtStart);
     m_watcherHeard = m_patientUntil - watcherSilentForOthers;
     m_targetsMirror.takeSlice(sliceSeed(m_self.vm));
     m_targetsMirror.startFromPeers();
@@ -419,7 +420,7 @@
         return;
     m_readTargetsAt.reset();
     if (!m_targetsMirror.known())
-        m_targetsMirror.start(store_mirror::first_read::begin);
+        m_targetsMirror.start(store_mirror::first_read::stale);
 }
 
 milliseconds fleet_watch::spread(milliseconds most)
@@ -576,6 +577,7 @@
     const bool ownWatcher
         = std::any_of(own.begin(), own.end(), [&](const auto& node) { return node.address == address; });
     // One that others rely on is content with its own zone's: it follows the store itself if these are gone.
+    m_readTargetsAt.reset(); // Peers live, and will have read the list sooner.
     const bool contentWithOthers = !reliedOn() || m_self.role == node_role::batch;
     if (answer.contact.watches && (ownWatcher || contentWithOthers))
         m_watcherHeard = std::chrono::steady_clock::now();
--- a/libs/mirror/include/mirror/mirror.h
+++ b/libs/mirror/include/mirror/mirror.h
@@ -29,14 +29,16 @@
     /// Takes over a whole copy, of which it keeps its slice. Returns whether any entry is another than
     /// before.
     bool replace(std::int64_t revision, std::vector<section_entry> entries);
-    /// Takes over some entries of a section of which nothing is known yet. They are something to go on with
-    /// until a copy of the section, or of a slice of it, comes.
-    void begin(std::vector<section_entry> some);
+    /// Takes over some entries as they were at a revision, in place of what was held. They are something to
+    /// go on with, and to follow changes of, until a peer tells all of the section or of a slice.
+    void begin(std::int64_t revision, std::vector<section_entry> some);
     /// The next whole copy is taken over in this slice.
     void setSlice(const section_slice& slice) { m_nextSlice = slice; }
     const section_slice& slice() const { return m_slice; }
     /// The next peer that is asked is to send all it has.
     void wantWhole() { m_wantsWhole = true; }
+    /// Nobody knows any more which entries of the slice are missing, or have gone.
+    void doubt() { m_begun = true; }
     /// Whether it holds all entries of its slice.
     bool complete() const { return m_section.revision > 0 && !m_begun; }
     /// Whether it holds all entries of the section.
@@ -102,8 +104,7 @@
 
     enum class first_read : std::uint8_t {
         exact,
-        stale, ///< May be seconds old: for one that hears of newer changes from peers within a moment.
-        begin ///< The same, and of a long section only the first entries.
+        stale ///< May be seconds old: for one that hears of newer changes from peers within a moment.
     };
 
     /// Begins to read and follow.
@@ -113,7 +114,8 @@
     /// Whether to go on with waiting calls. Without them only a peer's copies bring news; a call that waits
     /// already is left to end.
     void setFollowing(bool following);
-    /// A slice of the section is enough, drawn by this number. To be called before start().
+    /// A slice of the section is enough, drawn by this number, and peers tell it: of a long section the store
+    /// is asked for the first entries alone. To be called before start().
     void takeSlice(std::uint32_t seed) { m_sliceSeed = seed; }
     /// From now on all of the section is needed.
     void takeWhole();
@@ -157,8 +159,9 @@
 
 private:
     void read(first_read how = first_read::exact);
+    void readAnew();
     void take(const result<store_listing>& listing, first_read how);
-    void takeFirst(std::vector<section_entry> some);
+    void takeFirst(std::int64_t revision, std::vector<section_entry> some);
     void follow();
     void failed(const failure& error, std::function<void()> again);
     void answered();
--- a/libs/mirror/src/store_mirror.cpp
+++ b/libs/mirror/src/store_mirror.cpp
@@ -90,14 +90,11 @@
         if (listing && how == first_read::exact)
             noteConfirmed(listing.value().revision, sent);
     };
-    switch (how) {
-    case first_read::begin:
-        return m_store.listFirst(section().prefix, std::move(done));
-    case first_read::stale:
+    if (m_sliceSeed != 0)
+        return m_store.listFirst(section().prefix, how == first_read::stale, std::move(done));
+    if (how == first_read::stale)
         return m_store.listStale(section().prefix, std::move(done));
-    case first_read::exact:
-        return m_store.list(section().prefix, std::move(done));
-    }
+    m_store.list(section().prefix, std::move(done));
 }
 
 void store_mirror::take(const result<store_listing>& listing, first_read how)
@@ -109,7 +106,7 @@
     for (const auto& value : listing.value().values)
         entries.emplace_back(value.key, value.value, value.modRevision);
     if (listing.value().more)
-        return takeFirst(std::move(entries));
+        return takeFirst(listing.value().revision, std::move(entries));
     if (listing.value().revision >= section().revision) {
         if (m_sliceSeed != 0)
             m_history.setSlice(sliceFor(entries.size(), m_history.slice(), m_sliceSeed));
@@ -121,17 +118,15 @@
     follow();
 }
 
-/// The first entries of a long section: peers are asked for the rest of what is needed, or the store if this
-/// process is to follow it.
-void store_mirror::takeFirst(std::vector<section_entry> some)
+/// The first entries of a long section. Peers are asked for the slice; one that they have told meanwhile is
+/// better.
+void store_mirror::takeFirst(std::int64_t revision, std::vector<section_entry> some)
 {
-    if (!known()) {
-        m_history.begin(std::move(some));
+    if (!m_history.complete()) {
+        m_history.begin(revision, std::move(some));
         tellChanged();
     }
-    if (m_following)
-        return follow();
-    m_idle = true;
+    follow();
 }
 
 void store_mirror::takeWhole()
@@ -143,6 +138,14 @@
     read(first_read::stale);
 }
 
+/// The store does not remember the changes since this copy.
+void store_mirror::readAnew()
+{
+    if (m_sliceSeed != 0)
+        m_history.doubt();
+    read();
+}
+
 void store_mirror::setFollowing(bool following)
 {
     m_following = following;
@@ -157,8 +160,7 @@
     m_idle = !m_following;
     if (m_idle)
         return;
-    // Changes lead on from a copy, not from the first entries of one.
-    if (!m_history.complete())
+    if (!known())
         return read();
     m_waits = true;
     const auto sent = std::chrono::steady_clock::now();
@@ -169,7 +171,7 @@
                 return;
             m_waits = false;
             if (!changes && changes.error().kind == failure_kind::gone)
-                return read();
+                return readAnew();
             if (!changes)
                 return failed(changes.error(), [this] { follow(); });
             answered();
@@ -216,7 +218,7 @@
 
 void store_mirror::confirm(steady_time now)
 {
-    if (now < m_nextConfirmation || !m_history.complete())
+    if (now < m_nextConfirmation || !known())
         return;
     m_nextConfirmation = now + confirmationPause * (1 << m_unconfirmed);
     m_unconfirmed = std::min(m_unconfirmed + 1, confirmationDoublings);
@@ -227,7 +229,7 @@
 void store_mirror::takeConfirmation(const result<store_changes>& changes, steady_time sent)
 {
     if (!changes && changes.error().kind == failure_kind::gone && m_following)
-        return read();
+        return readAnew();
     if (!changes)
         return; // The copy grows older; the waiting call finds out why.
     m_unconfirmed = 0;
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -127,10 +127,12 @@
     {
         list(prefix, std::move(done));
     }
-    /// The first keys of such a stale copy, as many as one call gives; `more` tells whether there are others.
-    virtual void listFirst(std::string_view prefix, callback<store_listing> done)
+    /// The first keys, as many as one call gives; `more` tells whether there are others.
+    virtual void listFirst(std::string_view prefix, bool stale, callback<store_listing> done)
     {
-        listStale(prefix, std::move(done));
+        if (stale)
+            return listStale(prefix, std::move(done));
+        list(prefix, std::move(done));
     }
     /// If a condition does not hold, nothing is done and `found` has the values of the conditions' keys.
     virtual void commit(const store_transaction& transaction, callback<commit_outcome> done) = 0;
@@ -169,7 +171,7 @@
     void get(std::string_view key, callback<std::optional<stored_value>> done) override;
     void list(std::string_view prefix, callback<store_listing> done) override;
     void listStale(std::string_view prefix, callback<store_listing> done) override;
-    void listFirst(std::string_view prefix, callback<store_listing> done) override;
+    void listFirst(std::string_view prefix, bool stale, callback<store_listing> done) override;
     void commit(const store_transaction& transaction, callback<commit_outcome> done) override;
     void waitForChange(std::string_view prefix, std::int64_t after, milliseconds time,
         callback<store_changes> done) override;
--- a/libs/store/src/observed_store.cpp
+++ b/libs/store/src/observed_store.cpp
@@ -57,9 +57,9 @@
     m_store.list(prefix, observed("list", std::move(done)));
 }
 
-void observed_store::listFirst(std::string_view prefix, callback<store_listing> done)
+void observed_store::listFirst(std::string_view prefix, bool stale, callback<store_listing> done)
 {
-    m_store.listFirst(prefix, observed("list first", std::move(done)));
+    m_store.listFirst(prefix, stale, observed("list first", std::move(done)));
 }
 
 void observed_store::listStale(std::string_view prefix, callback<store_listing> done)
