The first entries of a section are compared by the search that exists

Change: begin() sorts first and asks containsKey(); the sort is one function. The changes told, and their order, are the same.

Not measured: begin() runs once at a start, or when the store has forgotten the changes since a slice.

--- a/libs/mirror/src/section_history.cpp
+++ b/libs/mirror/src/section_history.cpp
@@ -18,6 +18,12 @@
     return entry.key() < key;
 }
 
+void sortByKey(std::vector<section_entry>& entries)
+{
+    std::sort(entries.begin(), entries.end(),
+        [](const auto& left, const auto& right) { return left.key() < right.key(); });
+}
+
 auto findEntry(std::vector<section_entry>& entries, std::string_view key)
 {
     return std::lower_bound(entries.begin(), entries.end(), key, byKey);
@@ -85,8 +91,7 @@
     const bool first = m_section.revision == 0 || m_begun || slice != m_slice;
     m_slice = slice;
     std::erase_if(entries, [this](const auto& entry) { return !m_slice.contains(entry.key()); });
-    std::sort(entries.begin(), entries.end(),
-        [](const auto& left, const auto& right) { return left.key() < right.key(); });
+    sortByKey(entries);
     entries.shrink_to_fit();
     m_wantsWhole = false;
     m_begun = false;
@@ -117,14 +122,11 @@
 
 void section_history::begin(std::int64_t revision, std::vector<section_entry> some)
 {
+    sortByKey(some);
     for (auto& entry : std::exchange(m_section.entries, {})) {
-        const bool held = std::any_of(
-            some.begin(), some.end(), [&](const auto& other) { return other.key() == entry.key(); });
-        if (!held)
+        if (!containsKey(some, entry.key()))
             m_changes.push_back({ std::move(entry), section_change::kind::released });
     }
-    std::sort(some.begin(), some.end(),
-        [](const auto& left, const auto& right) { return left.key() < right.key(); });
     for (const auto& entry : some)
         m_changes.push_back({ entry, section_change::kind::written });
     m_section.entries = std::move(some);
