--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -61,8 +61,19 @@
 constexpr std::string_view nodesPrefix = "yuccachute/node/";
 std::string nodeKey(const node_record& node);
 
+/// An entry that may own a part of customers' limits, as it is on record in the store.
+struct share_record {
+    std::string vm;
+    std::string zone;
+};
+
+/// Key of the record that an entry owns a part of customers' limits. It has no lease: behind a cut the entry
+/// goes on granting when its registration has lapsed.
+std::string shareKey(std::string_view vm);
+
 /// Keeps a process registered under a lease. The key vanishes when the process dies; it may also vanish
-/// unnoticed, so the registration is renewed and checked at an interval.
+/// unnoticed, so the registration is renewed and checked at an interval. The share record of an entry is
+/// written along, and removed when the entry leaves.
 class registration {
 public:
     struct times {
@@ -185,6 +196,8 @@
     std::vector<node_record> registered(node_role role) const;
     /// Whether the list names this process, in this or a former start.
     bool listed() const { return m_nodes.contains(nodeKey(m_self)); }
+    /// Entries that may own parts of customers' limits, registered or not.
+    std::span<const share_record> shareRecords() const { return m_shareRecords; }
     const store_section& orders() const { return m_ordersMirror.section(); }
     bool storeConnected() const { return m_ordersMirror.connected(); }
     /// Since when the configuration, or the list of targets, may be another than the one in force here.
@@ -239,6 +252,7 @@
     milliseconds syncInterval(steady_time now) const;
     void askPeers(steady_time now);
     void notifyNodes();
+    void readShareRecords(const store_section& section);
     bool isWatcher() const;
     bool followsTargets(steady_time now) const;
     void readTargetsUnlessTold(steady_time now);
@@ -280,6 +294,7 @@
         std::optional<steady_time> missingSince;
     };
     std::map<std::string, known_node, std::less<>> m_nodes; ///< By key.
+    std::vector<share_record> m_shareRecords;
     std::unique_ptr<store_watchers> m_watchers; ///< Entries that follow the store.
     loop_ticker m_ticker;
     steady_time m_lastSync;
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include "share_records.h"
+
 #include "watchers.h"
 
 #include "logging/logging.h"
@@ -359,7 +361,10 @@
     publish(mirror);
     const auto now = std::chrono::steady_clock::now();
     std::map<std::string, known_node, std::less<>> next;
+    readShareRecords(mirror.section());
     for (const auto& entry : mirror.section().entries) {
+        if (entry.key().starts_with(sharesPrefix))
+            continue;
         const auto known = m_nodes.find(entry.key());
         const std::string key(entry.key());
         if (known != m_nodes.end() && known->second.revision == entry.revision())
@@ -381,6 +386,16 @@
     notifyNodes();
 }
 
+void fleet_watch::readShareRecords(const store_section& section)
+{
+    m_shareRecords.clear();
+    for (const auto& entry : section.entries) {
+        if (entry.key().starts_with(sharesPrefix))
+            m_shareRecords.push_back(
+                { std::string(entry.key().substr(sharesPrefix.size())), std::string(entry.value()) });
+    }
+}
+
 void fleet_watch::notifyNodes()
 {
     m_watchers->choose(nodes(node_role::entry));
--- a/libs/fleet/src/node_record.cpp
+++ b/libs/fleet/src/node_record.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include "share_records.h"
+
 #include <nlohmann/json.hpp>
 
 #include "membership/membership.h"
@@ -102,6 +104,11 @@
         : spareOfferSpread;
 }
 
+std::string shareKey(std::string_view vm)
+{
+    return std::string(sharesPrefix) + std::string(vm);
+}
+
 std::string nodeKey(const node_record& node)
 {
     return std::string(nodesPrefix) + std::string(node.role == node_role::entry ? entryRole : batchRole) + '/'
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds storeCheckInterval { 500 };
 /// Copies that are older were not confirmed by the store, nor by a peer that hears of it.
 constexpr milliseconds storeLostAfter { 2000 };
+constexpr milliseconds shareRemovalInterval { 5000 };
 
 group_options groupOptions(const process_settings& settings)
 {
@@ -45,7 +46,7 @@
 {
     if (settings.policy == "even")
         return even_shares {};
-    return counted_spending {};
+    return lent_shares {};
 }
 
 class broker_places final : public place_source {
@@ -215,7 +216,7 @@
     {
         const auto entries = m_fleet.nodes(node_role::entry);
         m_broker.setDispatchers(dispatchersAmong(entries));
-        setLimitMembers(entries);
+        setLimitMembers();
         // A start of this process before has left its entry: whoever relied on that goes on doing so.
         if (!m_fleet.offered() && m_fleet.listed())
             return offer();
@@ -223,15 +224,23 @@
             considerOffer();
     }
 
-    /// An entry that has not registered itself is told of nobody's grants, and so is no member.
-    void setLimitMembers(std::span<const node_record> entries)
+    /// An entry that has not offered itself owns no part of the limits, whatever a former life has left.
+    void setLimitMembers()
     {
-        std::vector<limit_member> members;
-        for (const auto& node : entries) {
-            if (node.vm != m_self.vm || m_fleet.offered())
-                members.push_back({ node.vm, node.zone, node.leaving });
-        }
-        m_limits.setMembers(members, std::chrono::steady_clock::now());
+        std::map<std::string, limit_member> members;
+        for (const auto& owner : m_fleet.shareRecords())
+            members[owner.vm] = { owner.vm, owner.zone, false, false };
+        for (const auto& node : m_fleet.registered(node_role::entry))
+            members[node.vm] = { node.vm, node.zone, node.leaving, true };
+        for (const auto& node : m_fleet.nodes(node_role::entry))
+            members[node.vm] = { node.vm, node.zone, false, node.vm != m_self.vm || m_fleet.listed() };
+        if (!m_fleet.offered())
+            members.erase(m_self.vm);
+        std::vector<limit_member> all;
+        all.reserve(members.size());
+        for (auto& [vm, member] : members)
+            all.push_back(std::move(member));
+        m_limits.setMembers(all, std::chrono::steady_clock::now());
     }
 
     /// Others find an entry among the seeds or in the list of processes. The seeds register themselves at
@@ -252,6 +261,33 @@
     {
         const auto now = std::chrono::steady_clock::now();
         m_limits.setStoreReached(m_fleet.targetsAge(now) <= storeLostAfter, now);
+        const auto lost = m_limits.takeLostMembers();
+        if (m_fleet.storeContact().watches) {
+            for (const auto& vm : lost)
+                removeShareRecord(vm);
+        }
+        const auto owners = m_fleet.shareRecords();
+        const bool leftOver = std::any_of(
+            owners.begin(), owners.end(), [&](const auto& owner) { return owner.vm == m_self.vm; });
+        if (leftOver && m_started && !m_fleet.offered() && now >= m_nextShareRemoval) {
+            m_nextShareRemoval = now + shareRemovalInterval;
+            removeShareRecord(m_self.vm);
+        }
+    }
+
+    /// Unless the entry is registered: the call may take effect late.
+    void removeShareRecord(const std::string& vm)
+    {
+        store_transaction transaction;
+        node_record entry;
+        entry.vm = vm;
+        transaction.conditions.push_back({ store_condition::kind::absent, nodeKey(entry), 0 });
+        transaction.removals.push_back({ shareKey(vm), false });
+        m_store.commit(transaction, [vm](result<commit_outcome> outcome) {
+            if (!outcome)
+                logEvent(log_level::info, "share record not removed",
+                    { { "vm", vm }, { "reason", outcome.error().message } });
+        });
     }
 
     offer_need need() const { return offerNeed(m_self, m_fleet.registered(node_role::entry)); }
@@ -277,7 +313,7 @@
             return;
         m_offerTimer.cancel();
         m_fleet.offerSelf();
-        setLimitMembers(m_fleet.nodes(node_role::entry));
+        setLimitMembers();
         m_registration.start();
         // Those that follow the others hear of it from these.
         m_suspects.archive.load([this] { m_suspects.spread.publish(); });
@@ -385,6 +421,7 @@
             return;
         m_stopping = true;
         m_stopAt = std::chrono::steady_clock::now();
+        m_limits.leave(m_stopAt);
         logEvent(log_level::info, "stopping",
             { { "running", static_cast<std::int64_t>(m_callers->exchanges()) } });
         m_registration.leave();
@@ -439,6 +476,7 @@
     std::unique_ptr<http_listener> m_metrics;
     std::unique_ptr<rpc_server> m_peers;
     steady_time m_stopAt;
+    steady_time m_nextShareRemoval;
     bool m_started = false; ///< The time to wait for larger VMs is over.
     offer_need m_awaited = offer_need::none; ///< What the timer was armed for.
     bool m_stopping = false;
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -4,9 +4,10 @@
 #include "verdict/verdict.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -40,110 +41,133 @@
 /// if it were alone there. Nothing is said between processes.
 struct even_shares { };
 
-/// Processes tell each other what they have granted; each deducts what it hears, and what it expects to hear,
-/// from a bucket that stands for the whole fleet.
-struct counted_spending { };
+/// Each process owns the same part of each limit and lends it to those that are asked for tokens.
+struct lent_shares { };
 
-using limit_policy = std::variant<even_shares, counted_spending>;
+using limit_policy = std::variant<even_shares, lent_shares>;
 
 /// A process that may grant places, as the fleet lists it.
 struct limit_member {
     std::string vm;
     std::string zone;
     bool leaving = false;
+    /// Otherwise its registration has lapsed, and only the record is left that it may own a part.
+    bool registered = true;
 };
 
-/// What a process has granted to a customer.
-struct customer_spending {
+/// Asks a member for a loan of its part of the limits. Processes that grant send it to all members at an
+/// interval; processes that have just started do so to hear who knows of them.
+struct share_ask {
+    std::uint64_t stamp = 0; ///< Time of the sender's clock, echoed in the answer.
+    bool borrows = false; ///< Whether the sender grants. Otherwise it wants to be known, and no loan.
+
+    bool operator==(const share_ask&) const = default;
+};
+
+/// How full a lender's bucket of a customer is.
+struct bucket_fill {
     std::uint64_t customer = 0; ///< Hash of the name.
-    std::uint64_t granted = 0; ///< Since the process started. It also shrinks, by places that were not used.
-    std::int64_t added = 0; ///< Of that, since the last report; for those that have not heard it.
-    int fillPercent = 0; ///< Of the customer's bucket, as the process sees it; negative if it is overdrawn.
+    std::uint32_t percent = 0;
 
-    bool operator==(const customer_spending&) const = default;
+    bool operator==(const bucket_fill&) const = default;
 };
 
-/// Tells that a process is there, and what it has granted lately.
-struct spending_report {
-    std::string vm;
-    std::uint64_t incarnation = 0; ///< Different at each start of the process.
-    bool wantsAnswer = false; ///< The receiver is to say at once that it is there.
-    std::vector<customer_spending> customers; ///< Those that have changed.
+/// Answers `share_ask`: the borrower may use `part` of each limit until `validFor` after it asked. The lender
+/// counts it as lent for as long after it answered, which is later.
+struct share_loan {
+    std::uint64_t borrowerIncarnation = 0; ///< The loan is void for any other.
+    std::uint64_t askStamp = 0;
+    milliseconds validFor { 0 };
+    double part = 0; ///< In place of what the lender lent before.
+    double added = 0; ///< Of `part`, what is new and brings its share of the tokens along.
+    std::uint32_t fillPercent = 0; ///< Of the lender's buckets, except `emptier`.
+    std::vector<bucket_fill> emptier;
+    /// What the lender owns and has lent takes the borrower into account as a member.
+    bool settled = false;
+
+    bool operator==(const share_loan&) const = default;
+};
+
+/// Tokens of one customer that a process holds, and may hold by its part of the limit.
+struct customer_level {
+    std::uint64_t customer = 0; ///< Hash of the name.
+    double tokens = 0;
+    double capacity = 0;
 
-    bool operator==(const spending_report&) const = default;
+    bool operator==(const customer_level&) const = default;
 };
 
-/// The tokens that a process may grant to one customer.
-class request_bucket {
-public:
-    request_bucket(const request_limit& limit, const limit_bounds& bounds, steady_time now);
-
-    void setLimit(const request_limit& limit);
-    const request_limit& limit() const { return m_limit; }
-    /// Brings the bucket up to a time, for processes that hold this part of the limit. Of what is in it, the
-    /// share of members that have not just been heard is held back until they are.
-    void advance(double part, double freshShare, steady_time now);
-    double level() const { return m_level + m_heldBack; }
-    double usable() const { return m_level; }
-    double heldBack() const { return m_heldBack; }
-    void add(double tokens) { m_level += tokens; }
-    /// Takes out what others have granted, of what is held back only if nothing else is left.
-    void deduct(double tokens);
-    double capacity() const { return m_limit.burst + tolerance(); }
-    /// Requests above the limit that are granted all the same.
-    double tolerance() const;
-
-    std::uint64_t granted = 0; ///< By this process.
-    std::uint64_t told = 0; ///< Of that, in a report to those that grant, too.
-    std::uint64_t toldAll = 0; ///< In a report to all members.
-    steady_time promisedUntil; ///< When the last one that was refused was told to come back.
-
-    /// What another process has granted.
-    struct other {
-        std::uint64_t granted = 0;
-        double perSecond = 0; ///< Lately.
-        steady_time changed;
-        bool counted = false; ///< `granted` is known as of a time since which the process has been in reach.
-    };
-    std::map<std::string, other, std::less<>> others; ///< By VM.
+/// Tells other granting processes of buckets that are running low.
+struct token_request {
+    std::uint64_t stamp = 0; ///< Time of the sender's clock, echoed in the answer.
+    std::vector<customer_level> levels;
 
-private:
-    void changePart(double part);
-    void holdBack(double heldPart);
+    bool operator==(const token_request&) const = default;
+};
 
-    request_limit m_limit;
-    limit_bounds m_bounds;
-    double m_level = 0;
-    double m_heldBack = 0;
-    double m_part = 1;
-    double m_heldPart = 0; ///< Of the part, what belongs to members that have not just been heard.
-    steady_time m_updated;
+struct customer_tokens {
+    std::uint64_t customer = 0; ///< Hash of the name.
+    double tokens = 0;
+    double room = 0; ///< Capacity that goes along, for as long as a loan.
+
+    bool operator==(const customer_tokens&) const = default;
+};
+
+/// Answers `token_request` with tokens that the sender has taken out of its own buckets.
+struct token_transfer {
+    std::uint64_t requestStamp = 0;
+    milliseconds roomValidFor { 0 }; ///< Since the request.
+    std::vector<customer_tokens> tokens;
+
+    bool operator==(const token_transfer&) const = default;
 };
 
+using limit_message_body = std::variant<share_ask, share_loan, token_request, token_transfer>;
+
+struct limit_message {
+    std::string vm; ///< Of the sender.
+    std::uint64_t incarnation = 0; ///< Different at each start of the process.
+    limit_message_body body;
+
+    bool operator==(const limit_message&) const = default;
+};
+
+class limit_roster;
+class share_lender;
+class share_borrower;
+class request_bucket;
+
 /// Decides whether a customer's next request is within its limit.
 ///
-/// Each granting process keeps a bucket for each customer and takes its own grants and those that others
-/// report out of it. Between reports it expects others to go on as they did, so processes that all see a
-/// spent bucket do not each grant what flows in. What is granted too much all the same is debt: nothing is
-/// granted until it has been worked off.
-///
-/// Before a cut is noticed, both sides would grant all that is left in their buckets. So only the part of the
-/// members that were heard a moment ago is granted from.
-///
-/// Processes that do not hear each other would each grant the whole limit. So a process uses only the part
-/// that corresponds to the members that it hears, itself included, among all that are listed. Members that
-/// have vanished from the list may live behind a cut and are counted for a while longer; those behind the
-/// cut, being the fewer and without the store, use less after a while that is shorter.
+/// Each member owns a part of every limit. The parts of all processes add up to one at most, whatever list of
+/// members each of them knows. A process that grants borrows the members' parts for a moment at a time; who
+/// does not answer lends nothing, and has its part back once the loan has run out. Tokens flow into a
+/// process's buckets by the part that it holds, and are passed on to a process that needs them: the sender
+/// takes them out first. So what is lost on the way is never granted, and nothing is granted twice, whoever
+/// hears whom.
 class fleet_limits {
 public:
     fleet_limits(std::string vm, std::uint64_t incarnation, limit_policy policy, limit_bounds bounds);
+    ~fleet_limits();
+    fleet_limits(fleet_limits&&) noexcept;
+    fleet_limits& operator=(fleet_limits&&) noexcept;
 
     /// Takes the limits over. A customer whose limit changes keeps what it has used.
     void setCustomers(const customer_directory& customers, steady_time now);
-    /// All processes that may grant places; this one is among them once it has registered itself.
+    /// All processes that may grant places; this one is among them once it has decided to register itself.
+    /// Who is not named any more owns nothing.
     void setMembers(std::span<const limit_member> members, steady_time now);
     /// Whether this process knows what the platform's store holds, by itself or through others.
     void setStoreReached(bool reached, steady_time now);
+    /// Whether this process is the one that is asked for tokens. It borrows before the first request comes.
+    void setDispatches(bool dispatches, steady_time now);
+    /// This process is going to stop, and gives up the part that it owns. To be called before others are
+    /// told.
+    void leave(steady_time now);
+
+    /// Members that were away for so long that they are taken for ended since the last call. The record that
+    /// they may own a part is not needed any more.
+    std::vector<std::string> takeLostMembers();
 
     /// Whether any customer has a limit.
     bool limitsAny() const { return !m_buckets.empty(); }
@@ -154,17 +178,18 @@
     /// A token that was taken was not used.
     void giveBack(std::string_view customer, steady_time now);
 
-    /// Whether another process has granted something lately.
+    /// Whether another process has asked for loans lately.
     bool grants(std::string_view vm, steady_time now) const;
-    /// What other granting processes are to hear now, because much has been granted since they last heard.
-    std::optional<spending_report> takeUrgentReport(steady_time now);
-    /// What a process that is asked for tokens tells all members at an interval, also that there is nothing
-    /// to tell. Members that do not answer are out of reach.
-    std::optional<spending_report> takeRegularReport(steady_time now);
-    /// Takes a report; returns the answer that its sender wants, unless it hears from this process anyway.
-    std::optional<spending_report> heard(const spending_report& report, steady_time now);
-
-    /// What of each limit this process and those that it hears may grant, from 0 to 1.
+    /// Whether this process may not grant yet, or only since so short a time that loans are on their way.
+    bool awaitsLoans(steady_time now);
+    /// What all members are to be asked now.
+    std::optional<limit_message> takeShareAsk(steady_time now);
+    /// What other granting processes are to be asked now.
+    std::optional<limit_message> takeTokenRequest(steady_time now);
+    /// Takes a message from another process; returns the answer to it.
+    std::optional<limit_message> heard(const limit_message& message, steady_time now);
+
+    /// What of each limit this process may grant, from 0 to 1.
     double part(steady_time now);
 
     /// Requests that were refused since the start.
@@ -178,58 +203,50 @@
     std::optional<usage> usageOf(std::string_view customer, steady_time now);
 
 private:
-    struct member_state {
-        std::string zone;
-        steady_time lastListed; ///< Or heard.
-        bool listed = true;
-    };
-    struct peer_state {
-        std::uint64_t incarnation = 0;
-        steady_time heard;
-        steady_time granted; ///< When it last reported a change.
-        bool reached = false;
-    };
-
     /// Whether it has been asked for tokens lately.
     bool active(steady_time now) const;
-    milliseconds regularInterval() const;
-    milliseconds reachTimeout() const;
-    milliseconds freshTimeout() const;
-    bool isReached(std::string_view vm, steady_time now) const;
+    milliseconds askInterval() const;
+    milliseconds nextAskAfter(steady_time now);
+    milliseconds loanTime() const;
+    void updatePart(steady_time now);
     double computePart(steady_time now);
-    void noteLostPeers(steady_time now);
-    void forgetSpending(const std::string& vm);
-    double countedPart(steady_time now);
-    std::size_t heardSince(steady_time since) const;
-    void advance(request_bucket& bucket, steady_time now);
-    double available(request_bucket& bucket, steady_time now);
-    double evenPart();
-    void forgetMembers(steady_time now);
-    void keepMember(const std::string& vm, steady_time now);
-    double expectedSpending(const request_bucket& bucket, std::string_view vm, steady_time now) const;
-    double expectedSpending(const request_bucket& bucket, steady_time now) const;
-    void takeSpending(
-        request_bucket& bucket, const std::string& vm, const customer_spending& told, steady_time now);
+    void fillFirstTime(double owned);
+    void notice(const limit_message& message, steady_time now);
+    std::optional<limit_message> take(const limit_message& from, const share_ask& ask, steady_time now);
+    std::optional<limit_message> take(const limit_message& from, const share_loan& loan, steady_time now);
+    std::optional<limit_message> take(
+        const limit_message& from, const token_request& request, steady_time now);
+    std::optional<limit_message> take(
+        const limit_message& from, const token_transfer& transfer, steady_time now);
+    void moveTokens(share_loan& loan, steady_time now);
     milliseconds promise(request_bucket& bucket, double missing, steady_time now);
-    std::vector<customer_spending> changedSince(std::uint64_t request_bucket::*mark, steady_time now);
+    limit_message messageWith(limit_message_body body) const;
+
+    struct peer_state {
+        std::uint64_t incarnation = 0;
+        std::uint64_t former = 0; ///< Incarnation before that: messages of it may still arrive.
+        std::uint64_t lastTransfer = 0; ///< Stamp of the request that it answered last with tokens.
+    };
 
     std::string m_vm;
     std::uint64_t m_incarnation;
     limit_policy m_policy;
     limit_bounds m_bounds;
     std::map<std::uint64_t, request_bucket> m_buckets; ///< By hash of the customer's name.
-    std::map<std::string, member_state, std::less<>> m_members; ///< By VM.
-    std::set<std::string, std::less<>> m_leaving; ///< Members that are going to stop.
+    std::unique_ptr<limit_roster> m_roster;
+    std::unique_ptr<share_lender> m_lender;
+    std::unique_ptr<share_borrower> m_borrower;
     std::map<std::string, peer_state, std::less<>> m_peers; ///< By VM.
     std::uint64_t m_refused = 0;
     double m_part = 0;
-    double m_freshShare = 0; ///< Of the members in reach, those that were heard a moment ago.
+    double m_owned = 0; ///< Of that, what belongs to this process.
+    bool m_dispatches = false;
+    bool m_filled = false; ///< The buckets have got what a process starts with.
     steady_time m_partComputed;
-    std::optional<steady_time> m_storeLostSince;
     steady_time m_lastTake;
     steady_time m_activeSince; ///< It was asked for tokens ever since.
-    steady_time m_lastUrgent;
-    steady_time m_lastRegular;
+    steady_time m_lastAsk;
+    steady_time m_lastRequest;
 };
 
 } // namespace yuccachute
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -1,6 +1,9 @@
 #include "limits/limits.h"
 
+#include "limit_roster.h"
 #include "membership/membership.h"
+#include "request_bucket.h"
+#include "share_loans.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,43 +13,49 @@
 
 namespace {
 
-/// Processes that are asked for tokens tell all members of themselves at this interval. Beyond so many
-/// members it grows with them, and what a process sends does not.
-constexpr milliseconds shortestInterval { 100 };
+/// Processes that grant ask all members for loans at this interval. Beyond so many members it grows with
+/// them, and what a process sends does not.
+constexpr milliseconds shortestAskInterval { 100 };
+/// While the first loans are awaited: of the interval.
+constexpr double firstAsksInterval = 0.25;
+constexpr milliseconds longestAskInterval { 750 };
 constexpr std::size_t membersAtShortestInterval = 16;
-/// In intervals: when a member that is not heard may be cut off, and when it is taken for that.
-constexpr double freshIntervals = 1.5;
-constexpr double reachIntervals = 12;
-constexpr milliseconds urgentInterval { 40 };
-/// So much of what is held back may be granted all the same: small customers' buckets hold little more.
-constexpr double leastUnconfirmed = 2;
-constexpr milliseconds grantingFor { 2000 };
+/// In intervals: two answers may be lost or late.
+constexpr int loanIntervals = 4;
+constexpr milliseconds shortestLoan { 600 };
+/// A process grants until it has not been asked for so long. Customers that send little come again within it,
+/// and find the tokens at the process that they come to.
+constexpr milliseconds grantingFor { 30000 };
 constexpr milliseconds partInterval { 20 };
-/// What is told at once: a part of a burst. Fewer requests than `leastUrgent` are within any allowance.
-constexpr double urgentShareOfBurst = 1.0 / 16;
-constexpr double leastUrgent = 4;
-/// A member that is not listed any more may live behind a cut. Those behind the cut, if they are the fewer,
-/// have given most of their part up before the others take it.
-constexpr milliseconds memberForgottenAfter { 9000 };
-constexpr milliseconds cutOffFor { 7000 };
-constexpr double partLeftWhenCutOff = 0.25;
-/// Over which another process's rate is taken.
-constexpr std::chrono::duration<double> rateSpan { 0.3 };
-/// Of the tolerance, what requests that have begun elsewhere may overdraw.
-constexpr double creditShare = 0.25;
+constexpr milliseconds requestInterval { 40 };
+/// Of its capacity, below which others are asked to fill a bucket up.
+constexpr double lowLevel = 0.5;
+/// A process that was not asked for a customer's tokens so long can do without them.
+constexpr milliseconds unusedAfter { 100 };
 constexpr milliseconds leastReturn { 50 };
 constexpr milliseconds longestReturn { 5000 };
 /// When to ask a process again that may not grant yet.
-constexpr milliseconds unregisteredRetry { 250 };
+constexpr milliseconds noPartRetry { 250 };
+/// Differences of parts that are rounding errors.
+constexpr double noPart = 1e-9;
 
-double secondsBetween(steady_time from, steady_time to)
+/// The tokens of a part of the limit.
+double tokensOf(const request_bucket& bucket, double part, std::uint32_t fillPercent)
 {
-    return std::max(0.0, std::chrono::duration<double>(to - from).count());
+    return bucket.fullCapacity() * part * fillPercent / 100.0;
 }
 
-double urgentAmount(const request_limit& limit)
+/// How many tokens to pass on, so that `users` processes that each answer alike hold equally many.
+double tokensToPass(const request_bucket& bucket, const customer_level& theirs, double users, steady_time now)
 {
-    return std::max(leastUrgent, limit.burst * urgentShareOfBurst);
+    const double own = std::max(0.0, bucket.level());
+    const double even = (own - theirs.tokens) / users;
+    const double missing = 1 - theirs.tokens;
+    const bool unused = now - bucket.lastTake > unusedAfter;
+    // Fractions of a token are not worth a message, but for a process that has not even one.
+    if (even < 1 && missing <= 0)
+        return 0;
+    return std::min(unused ? std::max(even, missing) : even, own);
 }
 
 } // namespace
@@ -57,11 +66,19 @@
     , m_incarnation(incarnation)
     , m_policy(policy)
     , m_bounds(bounds)
+    , m_roster(std::make_unique<limit_roster>(m_vm))
+    , m_lender(std::make_unique<share_lender>())
+    , m_borrower(std::make_unique<share_borrower>())
 {
 }
 
+fleet_limits::~fleet_limits() = default;
+fleet_limits::fleet_limits(fleet_limits&&) noexcept = default;
+fleet_limits& fleet_limits::operator=(fleet_limits&&) noexcept = default;
+
 void fleet_limits::setCustomers(const customer_directory& customers, steady_time now)
 {
+    updatePart(now);
     std::set<std::uint64_t> limited;
     for (const auto& customer : customers.all()) {
         if (customer.requestsPerSecond <= 0)
@@ -69,7 +86,7 @@
         const auto hash = hashText(customer.name);
         const request_limit limit { customer.requestsPerSecond, customer.burst };
         limited.insert(hash);
-        const auto [bucket, added] = m_buckets.try_emplace(hash, limit, m_bounds, now);
+        const auto [bucket, added] = m_buckets.try_emplace(hash, limit, m_bounds, m_part, now);
         if (!added)
             bucket->second.setLimit(limit);
     }
@@ -83,175 +100,97 @@
 
 void fleet_limits::setMembers(std::span<const limit_member> members, steady_time now)
 {
-    for (auto& [vm, known] : m_members) {
-        if (known.listed)
-            known.lastListed = now;
-        known.listed = false;
-    }
-    for (const auto& member : members) {
-        // One that leaves of its own accord grants nothing any more; nobody has to keep a part for it.
-        if (member.leaving && member.vm != m_vm) {
-            m_members.erase(member.vm);
-            m_leaving.insert(member.vm);
-            continue;
-        }
-        m_leaving.erase(member.vm);
-        m_members[member.vm] = { member.zone, now, true };
-    }
-    forgetMembers(now);
-    m_partComputed = {};
-}
-
-void fleet_limits::forgetMembers(steady_time now)
-{
-    std::erase_if(m_members, [&](const auto& member) {
-        return !member.second.listed && now - member.second.lastListed > memberForgottenAfter;
-    });
+    m_roster->setMembers(members, now);
+    updatePart(now);
 }
 
 void fleet_limits::setStoreReached(bool reached, steady_time now)
 {
-    if (reached)
-        m_storeLostSince.reset();
-    else if (!m_storeLostSince)
-        m_storeLostSince = now;
-}
-
-bool fleet_limits::active(steady_time now) const
-{
-    return m_lastTake != steady_time {} && now - m_lastTake <= grantingFor;
-}
-
-milliseconds fleet_limits::regularInterval() const
-{
-    const auto most = std::max(m_members.size(), membersAtShortestInterval);
-    return shortestInterval * static_cast<std::int64_t>(most) / membersAtShortestInterval;
-}
-
-milliseconds fleet_limits::reachTimeout() const
-{
-    return std::chrono::duration_cast<milliseconds>(regularInterval() * reachIntervals);
+    m_roster->setStoreReached(reached, now);
+    updatePart(now);
 }
 
-milliseconds fleet_limits::freshTimeout() const
+void fleet_limits::setDispatches(bool dispatches, steady_time now)
 {
-    return std::chrono::duration_cast<milliseconds>(regularInterval() * freshIntervals);
+    if (dispatches && !active(now))
+        m_activeSince = now;
+    m_dispatches = dispatches;
 }
 
-bool fleet_limits::isReached(std::string_view vm, steady_time now) const
+std::vector<std::string> fleet_limits::takeLostMembers()
 {
-    // Members are silent towards a process that asks them nothing. Until they have had the time to answer,
-    // their part is held back, not lost.
-    if (vm == m_vm || !active(now) || now - m_activeSince <= reachTimeout())
-        return true;
-    const auto peer = m_peers.find(vm);
-    return peer != m_peers.end() && now - peer->second.heard <= reachTimeout();
+    return m_roster->takeLost();
 }
 
-double fleet_limits::part(steady_time now)
+void fleet_limits::leave(steady_time now)
 {
-    if (m_partComputed != steady_time {} && now - m_partComputed < partInterval)
-        return m_part;
-    m_partComputed = now;
-    noteLostPeers(now);
-    m_part = computePart(now);
-    return m_part;
-}
-
-double fleet_limits::computePart(steady_time now)
-{
-    // Until it has registered itself, others do not know of what it grants, and do not tell it of theirs.
-    if (!m_members.contains(m_vm))
-        return 0;
-    forgetMembers(now);
-    return std::holds_alternative<even_shares>(m_policy) ? evenPart() : countedPart(now);
+    m_roster->leave();
+    updatePart(now);
 }
 
-double fleet_limits::evenPart()
+bool fleet_limits::active(steady_time now) const
 {
-    m_freshShare = 1;
-    std::set<std::string_view> zones;
-    for (const auto& [vm, member] : m_members)
-        zones.insert(member.zone);
-    return 1.0 / static_cast<double>(zones.size());
+    return m_dispatches || (m_lastTake != steady_time {} && now - m_lastTake <= grantingFor);
 }
 
-std::size_t fleet_limits::heardSince(steady_time since) const
+milliseconds fleet_limits::askInterval() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_members.begin(), m_members.end(), [&](const auto& member) {
-            const auto peer = m_peers.find(member.first);
-            return member.first == m_vm || (peer != m_peers.end() && peer->second.heard >= since);
-        }));
+    const auto members = static_cast<std::int64_t>(std::max(m_roster->size(), membersAtShortestInterval));
+    return std::min<milliseconds>(
+        shortestAskInterval * members / membersAtShortestInterval, longestAskInterval);
 }
 
-double fleet_limits::countedPart(steady_time now)
+milliseconds fleet_limits::nextAskAfter(steady_time now)
 {
-    const auto reached = static_cast<double>(std::count_if(m_members.begin(), m_members.end(),
-        [&](const auto& member) { return isReached(member.first, now); }));
-    m_freshShare = static_cast<double>(heardSince(now - freshTimeout())) / reached;
-    const double share = reached / static_cast<double>(m_members.size());
-    constexpr double half = 0.5;
-    const bool cutOff = share < half && m_storeLostSince && now - *m_storeLostSince > cutOffFor;
-    return cutOff ? share * partLeftWhenCutOff : share;
+    const bool hurries = m_roster->starting(now) || (active(now) && awaitsLoans(now));
+    return hurries ? std::chrono::duration_cast<milliseconds>(askInterval() * firstAsksInterval)
+                   : askInterval();
 }
 
-void fleet_limits::advance(request_bucket& bucket, steady_time now)
+milliseconds fleet_limits::loanTime() const
 {
-    const double held = part(now);
-    bucket.advance(held, m_freshShare, now);
+    return std::max(askInterval() * loanIntervals, shortestLoan);
 }
 
-/// What of a bucket may be granted now.
-double fleet_limits::available(request_bucket& bucket, steady_time now)
+bool fleet_limits::awaitsLoans(steady_time now)
 {
-    advance(bucket, now);
-    return bucket.usable() + std::min(bucket.heldBack(), leastUnconfirmed) - expectedSpending(bucket, now);
+    return part(now) <= 0 || now - m_activeSince <= loanTime();
 }
 
-/// What another process has probably granted since it last told.
-double fleet_limits::expectedSpending(
-    const request_bucket& bucket, std::string_view vm, steady_time now) const
+double fleet_limits::part(steady_time now)
 {
-    const auto other = bucket.others.find(vm);
-    const auto peer = m_peers.find(vm);
-    if (other == bucket.others.end() || peer == m_peers.end() || !other->second.counted)
-        return 0;
-    const double idle = secondsBetween(other->second.changed, peer->second.heard);
-    const double rate = other->second.perSecond * std::exp(-idle / rateSpan.count());
-    // What it grants after that is held back.
-    const double unheard = std::min(
-        secondsBetween(peer->second.heard, now), std::chrono::duration<double>(freshTimeout()).count());
-    return rate * unheard;
+    if (m_partComputed == steady_time {} || now - m_partComputed >= partInterval)
+        updatePart(now);
+    return m_part;
 }
 
-double fleet_limits::expectedSpending(const request_bucket& bucket, steady_time now) const
+void fleet_limits::updatePart(steady_time now)
 {
-    double expected = 0;
-    for (const auto& [vm, other] : bucket.others)
-        expected += expectedSpending(bucket, vm, now);
-    return expected;
+    m_partComputed = now;
+    const double part = computePart(now);
+    if (std::abs(part - m_part) > noPart) {
+        m_part = part;
+        for (auto& [customer, bucket] : m_buckets)
+            bucket.setPart(part, now);
+    }
+    if (!m_filled && m_owned > 0)
+        fillFirstTime(std::holds_alternative<even_shares>(m_policy) ? m_part : m_owned);
 }
 
-/// What a lost peer has granted since it was last heard is never told: what is expected is taken for granted.
-void fleet_limits::noteLostPeers(steady_time now)
+double fleet_limits::computePart(steady_time now)
 {
-    for (auto& [vm, peer] : m_peers) {
-        if (!peer.reached || isReached(vm, now))
-            continue;
-        peer.reached = false;
-        for (auto& [customer, bucket] : m_buckets) {
-            advance(bucket, now);
-            bucket.deduct(expectedSpending(bucket, vm, now));
-        }
-        forgetSpending(vm);
-    }
+    // Until it has registered itself, others do not know that it grants.
+    m_owned = m_roster->ownPart(loanTime(), now);
+    if (std::holds_alternative<even_shares>(m_policy))
+        return m_roster->knowsSelf() ? 1.0 / static_cast<double>(m_roster->zones()) : 0;
+    return std::max(0.0, m_owned - m_lender->lent(now)) + m_borrower->borrowed(now);
 }
 
-void fleet_limits::forgetSpending(const std::string& vm)
+void fleet_limits::fillFirstTime(double owned)
 {
+    m_filled = true;
     for (auto& [customer, bucket] : m_buckets)
-        bucket.others.erase(vm);
+        bucket.add(bucket.startLevel() * owned);
 }
 
 milliseconds fleet_limits::take(std::string_view customer, bool begun, steady_time now)
@@ -263,14 +202,16 @@
     if (!active(now))
         m_activeSince = now;
     m_lastTake = now;
-    if (part(now) <= 0)
-        return unregisteredRetry;
-    const double left = available(bucket, now);
-    const double wanted = begun ? 1 - creditShare * bucket.tolerance() * m_part : 1;
-    if (left < wanted)
-        return promise(bucket, wanted - left, now);
-    bucket.add(-1);
-    ++bucket.granted;
+    if (!m_roster->knowsSelf())
+        return noPartRetry;
+    part(now);
+    bucket.asked = true;
+    bucket.lastTake = now;
+    bucket.advance(now);
+    const double wanted = begun ? 1 - bucket.credit() : 1;
+    if (bucket.level() < wanted)
+        return promise(bucket, wanted - bucket.level(), now);
+    bucket.remove(1);
     return milliseconds { 0 };
 }
 
@@ -278,7 +219,7 @@
 milliseconds fleet_limits::promise(request_bucket& bucket, double missing, steady_time now)
 {
     ++m_refused;
-    const double perSecond = std::max(bucket.limit().perSecond * part(now), 1e-3);
+    const double perSecond = std::max(bucket.limit().perSecond * m_part, 1e-3);
     const auto after = [&](steady_time from, double tokens) {
         return from
             + std::chrono::duration_cast<steady_time::duration>(std::chrono::duration<double>(
@@ -294,124 +235,183 @@
     const auto found = m_buckets.find(hashText(customer));
     if (found == m_buckets.end())
         return;
-    auto& bucket = found->second;
-    if (bucket.granted == 0) // It was taken before the customer's limit was dropped and set anew.
-        return;
-    advance(bucket, now);
-    bucket.add(1);
-    --bucket.granted;
+    found->second.advance(now);
+    found->second.add(1);
 }
 
 bool fleet_limits::grants(std::string_view vm, steady_time now) const
 {
-    const auto peer = m_peers.find(vm);
-    return peer != m_peers.end() && peer->second.granted != steady_time {}
-    && now - peer->second.granted <= grantingFor;
+    return m_lender->lendsTo(vm, now);
+}
+
+limit_message fleet_limits::messageWith(limit_message_body body) const
+{
+    return { m_vm, m_incarnation, std::move(body) };
+}
+
+std::optional<limit_message> fleet_limits::takeShareAsk(steady_time now)
+{
+    const bool silent = std::holds_alternative<even_shares>(m_policy) || !m_roster->knowsSelf();
+    if (silent || (!active(now) && !m_roster->starting(now)) || now - m_lastAsk < nextAskAfter(now))
+        return std::nullopt;
+    m_lastAsk = now;
+    return messageWith(share_ask { toStamp(now), active(now) });
 }
 
-std::vector<customer_spending> fleet_limits::changedSince(
-    std::uint64_t request_bucket::*mark, steady_time now)
+std::optional<limit_message> fleet_limits::takeTokenRequest(steady_time now)
 {
-    std::vector<customer_spending> changed;
+    const bool silent = std::holds_alternative<even_shares>(m_policy) || !m_roster->knowsSelf();
+    if (silent || !active(now) || now - m_lastRequest < requestInterval)
+        return std::nullopt;
+    updatePart(now);
+    token_request request { toStamp(now), {} };
     for (auto& [customer, bucket] : m_buckets) {
-        if (bucket.*mark == bucket.granted)
+        if (!bucket.asked)
+            continue;
+        bucket.advance(now);
+        if (bucket.level() >= std::max(1.0, lowLevel * bucket.capacity()))
             continue;
-        const auto added
-            = static_cast<std::int64_t>(bucket.granted - std::exchange(bucket.*mark, bucket.granted));
-        advance(bucket, now);
-        const double fill = bucket.level() / std::max(1.0, bucket.capacity() * m_part);
-        constexpr double mostPercent = 1000;
-        const auto percent = std::clamp(100 * fill, -mostPercent, mostPercent);
-        changed.push_back({ customer, bucket.granted, added, static_cast<int>(std::lround(percent)) });
+        bucket.asked = false;
+        request.levels.push_back({ customer, bucket.level(), bucket.capacity() });
     }
-    return changed;
+    if (request.levels.empty())
+        return std::nullopt;
+    m_lastRequest = now;
+    return messageWith(std::move(request));
 }
 
-std::optional<spending_report> fleet_limits::takeUrgentReport(steady_time now)
+std::optional<limit_message> fleet_limits::heard(const limit_message& message, steady_time now)
 {
-    if (std::holds_alternative<even_shares>(m_policy) || now - m_lastUrgent < urgentInterval)
+    const auto known = m_peers.find(message.vm);
+    const bool ended = known != m_peers.end() && known->second.former == message.incarnation;
+    if (message.vm == m_vm || ended || std::holds_alternative<even_shares>(m_policy))
         return std::nullopt;
-    const bool urgent = std::any_of(m_buckets.begin(), m_buckets.end(), [](const auto& entry) {
-        const auto& bucket = entry.second;
-        const auto untold = static_cast<double>(static_cast<std::int64_t>(bucket.granted - bucket.told));
-        return untold >= urgentAmount(bucket.limit());
-    });
-    if (!urgent)
-        return std::nullopt;
-    m_lastUrgent = now;
-    return spending_report { m_vm, m_incarnation, false, changedSince(&request_bucket::told, now) };
+    notice(message, now);
+    return std::visit([&](const auto& body) { return take(message, body, now); }, message.body);
 }
 
-std::optional<spending_report> fleet_limits::takeRegularReport(steady_time now)
+void fleet_limits::notice(const limit_message& message, steady_time now)
 {
-    const bool silent
-        = std::holds_alternative<even_shares>(m_policy) || !m_members.contains(m_vm) || !active(now);
-    if (silent || now - m_lastRegular < regularInterval())
-        return std::nullopt;
-    m_lastRegular = now;
-    spending_report report { m_vm, m_incarnation, true, changedSince(&request_bucket::toldAll, now) };
-    for (auto& [customer, bucket] : m_buckets)
-        bucket.told = bucket.granted;
-    return report;
+    auto& peer = m_peers[message.vm];
+    if (peer.incarnation != message.incarnation) {
+        peer.former = std::exchange(peer.incarnation, message.incarnation);
+        m_lender->forget(message.vm);
+        m_borrower->forget(message.vm);
+    }
+    m_roster->heard(message.vm, now);
+    updatePart(now);
+}
+
+std::optional<limit_message> fleet_limits::take(
+    const limit_message& from, const share_ask& ask, steady_time now)
+{
+    share_loan answer;
+    answer.borrowerIncarnation = from.incarnation;
+    answer.askStamp = ask.stamp;
+    answer.validFor = loanTime();
+    if (ask.borrows) {
+        const auto loan = m_lender->lend(from.vm, { m_owned, active(now), answer.validFor }, now);
+        answer.part = loan.part;
+        answer.added = loan.added;
+        moveTokens(answer, now);
+    }
+    answer.settled = m_lender->lent(now) <= m_owned + noPart;
+    return messageWith(std::move(answer));
+}
+
+/// Tokens go along with the part that is lent: of each bucket the same share.
+void fleet_limits::moveTokens(share_loan& loan, steady_time now)
+{
+    if (loan.added <= noPart)
+        return;
+    std::vector<bucket_fill> fills;
+    for (auto& [customer, bucket] : m_buckets) {
+        bucket.advance(now);
+        const double fill = m_part > 0 ? 100 * bucket.level() / (bucket.fullCapacity() * m_part) : 0;
+        fills.push_back({ customer, static_cast<std::uint32_t>(std::clamp(fill, 0.0, 100.0)) });
+    }
+    if (fills.empty())
+        return;
+    // Most buckets are equally full: only those are named that are less so.
+    auto sorted = fills;
+    const auto median = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), median, sorted.end(),
+        [](const auto& left, const auto& right) { return left.percent < right.percent; });
+    loan.fillPercent = median->percent;
+    for (const auto& fill : fills) {
+        if (fill.percent < loan.fillPercent)
+            loan.emptier.push_back(fill);
+        auto& bucket = m_buckets.at(fill.customer);
+        bucket.remove(tokensOf(bucket, loan.added, std::min(fill.percent, loan.fillPercent)));
+    }
+    updatePart(now);
 }
 
-std::optional<spending_report> fleet_limits::heard(const spending_report& report, steady_time now)
+std::optional<limit_message> fleet_limits::take(
+    const limit_message& from, const share_loan& loan, steady_time now)
 {
-    if (report.vm == m_vm)
+    if (loan.borrowerIncarnation != m_incarnation)
         return std::nullopt;
-    auto& peer = m_peers[report.vm];
-    // What it granted while it was out of reach, or in a former life, is covered by its own part.
-    if (peer.incarnation != report.incarnation || now - peer.heard > reachTimeout()) {
-        forgetSpending(report.vm);
-        m_partComputed = {};
+    if (loan.settled)
+        m_roster->confirmed(from.vm);
+    const bool valid = loan.part > 0 && m_borrower->take(from.vm, loan, now);
+    updatePart(now);
+    if (!valid || loan.added <= noPart)
+        return std::nullopt;
+    std::map<std::uint64_t, std::uint32_t> emptier;
+    for (const auto& fill : loan.emptier)
+        emptier[fill.customer] = fill.percent;
+    for (auto& [customer, bucket] : m_buckets) {
+        const auto named = emptier.find(customer);
+        bucket.advance(now);
+        bucket.add(tokensOf(bucket, loan.added, named == emptier.end() ? loan.fillPercent : named->second));
     }
-    peer.incarnation = report.incarnation;
-    peer.reached = true;
-    keepMember(report.vm, now);
-    for (const auto& told : report.customers) {
-        const auto found = m_buckets.find(told.customer);
+    return std::nullopt;
+}
+
+std::optional<limit_message> fleet_limits::take(
+    const limit_message& from, const token_request& request, steady_time now)
+{
+    const double users = std::max(2.0, m_lender->borrowers(now) + (active(now) ? 1 : 0));
+    token_transfer transfer { request.stamp, loanTime(), {} };
+    for (const auto& theirs : request.levels) {
+        const auto found = m_buckets.find(theirs.customer);
         if (found == m_buckets.end())
             continue;
-        takeSpending(found->second, report.vm, told, now);
-        peer.granted = now;
+        auto& bucket = found->second;
+        bucket.advance(now);
+        const double tokens = tokensToPass(bucket, theirs, users, now);
+        if (tokens <= 0)
+            continue;
+        const double room = std::max(0.0, theirs.tokens + tokens - theirs.capacity);
+        bucket.remove(tokens);
+        if (room > 0)
+            bucket.addRoom(-room, now + transfer.roomValidFor);
+        transfer.tokens.push_back({ theirs.customer, tokens, room });
     }
-    peer.heard = now;
-    if (!report.wantsAnswer || active(now))
+    if (transfer.tokens.empty())
         return std::nullopt;
-    return spending_report { m_vm, m_incarnation, false, {} };
+    return messageWith(std::move(transfer));
 }
 
-/// A process that is heard may grant, also if the list does not name it: it was cut off when its registration
-/// lapsed, and is back sooner than that.
-void fleet_limits::keepMember(const std::string& vm, steady_time now)
+std::optional<limit_message> fleet_limits::take(
+    const limit_message& from, const token_transfer& transfer, steady_time now)
 {
-    if (m_leaving.contains(vm))
-        return;
-    auto& member = m_members.try_emplace(vm, member_state { "", now, false }).first->second;
-    member.lastListed = now;
-}
-
-void fleet_limits::takeSpending(
-    request_bucket& bucket, const std::string& vm, const customer_spending& told, steady_time now)
-{
-    auto& other = bucket.others[vm];
-    advance(bucket, now);
-    if (!std::exchange(other.counted, true)) {
-        other.granted = told.granted;
-        other.changed = now;
-        bucket.deduct(static_cast<double>(told.added));
-        // Across a cut, or before this process started, more was granted than it knows of.
-        const double theirs = told.fillPercent / 100.0 * bucket.capacity() * m_part;
-        bucket.deduct(std::max(0.0, bucket.level() - theirs));
-        return;
+    auto& last = m_peers[from.vm].lastTransfer;
+    if (transfer.requestStamp <= last)
+        return std::nullopt;
+    last = transfer.requestStamp;
+    const auto roomUntil = loanEnd(transfer.requestStamp, transfer.roomValidFor);
+    for (const auto& one : transfer.tokens) {
+        const auto found = m_buckets.find(one.customer);
+        if (found == m_buckets.end())
+            continue;
+        found->second.advance(now);
+        if (one.room > 0 && now < roomUntil)
+            found->second.addRoom(one.room, roomUntil);
+        found->second.add(one.tokens);
     }
-    const auto spent = static_cast<double>(
-        static_cast<std::int64_t>(told.granted - std::exchange(other.granted, told.granted)));
-    bucket.deduct(spent);
-    const double span = std::max(secondsBetween(other.changed, now), 1e-3);
-    const double keep = std::exp(-span / rateSpan.count());
-    other.perSecond = keep * other.perSecond + (1 - keep) * std::max(0.0, spent) / span;
-    other.changed = now;
+    return std::nullopt;
 }
 
 std::optional<fleet_limits::usage> fleet_limits::usageOf(std::string_view customer, steady_time now)
@@ -419,8 +419,9 @@
     const auto found = m_buckets.find(hashText(customer));
     if (found == m_buckets.end())
         return std::nullopt;
-    advance(found->second, now);
-    return usage { found->second.level(), found->second.capacity() * m_part };
+    updatePart(now);
+    found->second.advance(now);
+    return usage { found->second.level(), found->second.capacity() };
 }
 
 } // namespace yuccachute
--- a/libs/limits/src/request_bucket.cpp
+++ b/libs/limits/src/request_bucket.cpp
@@ -1,4 +1,4 @@
-#include "limits/limits.h"
+#include "request_bucket.h"
 
 #include <algorithm>
 
@@ -6,87 +6,83 @@
 
 namespace {
 
-/// Of what may be granted beyond the limit, the part that customers get: a small customer's requests come in
-/// clusters that a bucket of one second's worth would refuse. The rest covers what processes have not heard
-/// of each other yet, which grows with what a customer sends.
-constexpr double toleratedShareOfSlack = 0.5;
-constexpr double toleratedShareOfOvershoot = 0.25;
-/// Of that, what a process may grant at its start, when it does not know what was granted before.
-constexpr double shareAtStart = 0.5;
+// Shares of what may be granted beyond the limit. With the credit of a full bucket they add up to less than
+// one: a full bucket, a restart of all processes and an overdraft may come in one window.
+constexpr double toleratedShare = 0.6; ///< Small customers' requests come in clusters.
+constexpr double shareAtStart = 0.2;
+constexpr double creditShare = 0.15; ///< For requests that have begun.
 
 } // namespace
 
-request_bucket::request_bucket(const request_limit& limit, const limit_bounds& bounds, steady_time now)
+request_bucket::request_bucket(
+    const request_limit& limit, const limit_bounds& bounds, double part, steady_time now)
     : m_limit(limit)
     , m_bounds(bounds)
+    , m_part(part)
     , m_updated(now)
 {
-    m_level = shareAtStart * tolerance();
+    add(startLevel() * part);
+}
+
+double request_bucket::slack() const
+{
+    return m_bounds.slack + m_bounds.overshootOf(m_limit);
 }
 
 double request_bucket::tolerance() const
 {
-    return toleratedShareOfSlack * m_bounds.slack + toleratedShareOfOvershoot * m_bounds.overshootOf(m_limit);
+    return toleratedShare * slack();
+}
+
+double request_bucket::startLevel() const
+{
+    return shareAtStart * slack();
+}
+
+double request_bucket::credit() const
+{
+    return creditShare * slack() * m_part;
 }
 
 void request_bucket::setLimit(const request_limit& limit)
 {
     m_limit = limit;
-    m_level = std::min(m_level, capacity() * m_part - m_heldBack);
+    m_level = std::min(m_level, capacity());
 }
 
-void request_bucket::advance(double part, double freshShare, steady_time now)
+void request_bucket::setPart(double part, steady_time now)
+{
+    advance(now);
+    m_part = part;
+    m_level = std::min(m_level, capacity());
+}
+
+void request_bucket::advance(steady_time now)
 {
     const double seconds = std::max(0.0, std::chrono::duration<double>(now - m_updated).count());
     m_updated = std::max(now, m_updated);
-    const double most = capacity() * m_part;
-    const double flow = std::max(0.0, std::min(most - level(), m_limit.perSecond * m_part * seconds));
-    const double heldShare = m_part > 0 ? m_heldPart / m_part : 0;
-    m_level += flow * (1 - heldShare);
-    m_heldBack += flow * heldShare;
-    changePart(part);
-    holdBack(part * (1 - freshShare));
+    add(m_limit.perSecond * m_part * seconds);
+    if (std::erase_if(m_rooms, [&](const room& one) { return one.until <= now; }) > 0)
+        sumRooms();
 }
 
-void request_bucket::deduct(double tokens)
+void request_bucket::addRoom(double tokens, steady_time until)
 {
-    m_level -= tokens;
-    const double fromHeld = std::clamp(-m_level, 0.0, m_heldBack);
-    m_heldBack -= fromHeld;
-    m_level += fromHeld;
+    m_rooms.push_back({ tokens, until });
+    sumRooms();
 }
 
-/// Who is cut off takes along its part of what is left; a debt stays where it is known. It was not heard for
-/// a while before: what it takes has been held back.
-void request_bucket::changePart(double part)
+void request_bucket::sumRooms()
 {
-    const double change = part - m_part;
-    if (change > 0 && m_part > 0)
-        m_heldBack += std::max(0.0, level()) * change / m_part;
-    const double fromHeld = std::min(std::max(0.0, -change), m_heldPart);
-    if (fromHeld > 0)
-        m_heldBack *= 1 - fromHeld / m_heldPart;
-    const double fromUsable = std::max(0.0, -change) - fromHeld;
-    if (fromUsable > 0 && m_level > 0)
-        m_level *= 1 - fromUsable / (m_part - m_heldPart);
-    m_heldPart += change > 0 ? change : -fromHeld;
-    m_part = part;
+    m_roomSum = 0;
+    for (const auto& one : m_rooms)
+        m_roomSum += one.tokens;
+    m_level = std::min(m_level, capacity());
 }
 
-void request_bucket::holdBack(double heldPart)
+void request_bucket::add(double tokens)
 {
-    const double more = heldPart - m_heldPart;
-    if (more > 0 && m_level > 0) {
-        const double moved = m_level * more / (m_part - m_heldPart);
-        m_level -= moved;
-        m_heldBack += moved;
-    }
-    if (more < 0) {
-        const double back = m_heldBack * -more / m_heldPart;
-        m_level += back;
-        m_heldBack -= back;
-    }
-    m_heldPart = heldPart;
+    m_level = std::max(m_level, std::min(capacity(), m_level + tokens));
 }
 
 } // namespace yuccachute
--- a/libs/limits/tests/model_limits.cpp
+++ b/libs/limits/tests/model_limits.cpp
@@ -73,11 +73,11 @@
         && m_processes[to].limits;
 }
 
-void model_limits::send(std::size_t from, std::size_t to, const spending_report& report)
+void model_limits::send(std::size_t from, std::size_t to, const limit_message& content)
 {
     ++m_messages;
     std::uniform_int_distribution<std::int64_t> delay(1, m_options.delay.count());
-    m_onTheWay.push_back({ m_now + milliseconds { delay(m_random) }, from, to, report });
+    m_onTheWay.push_back({ m_now + milliseconds { delay(m_random) }, from, to, content });
 }
 
 void model_limits::deliver()
@@ -91,7 +91,7 @@
         }
         if (!reaches(next.from, next.to))
             continue;
-        if (const auto answer = m_processes[next.to].limits->heard(next.report, m_now))
+        if (const auto answer = m_processes[next.to].limits->heard(next.content, m_now))
             send(next.to, next.from, *answer);
     }
 }
@@ -99,15 +99,15 @@
 void model_limits::tick(std::size_t process)
 {
     auto& limits = *m_processes[process].limits;
-    const auto urgent = limits.takeUrgentReport(m_now);
-    const auto regular = limits.takeRegularReport(m_now);
+    const auto ask = limits.takeShareAsk(m_now);
+    const auto request = limits.takeTokenRequest(m_now);
     for (std::size_t other = 0; other < m_processes.size(); ++other) {
         if (other == process)
             continue;
-        if (regular)
-            send(process, other, *regular);
-        else if (urgent && limits.grants(vmOf(other), m_now))
-            send(process, other, *urgent);
+        if (ask)
+            send(process, other, *ask);
+        if (request && limits.grants(vmOf(other), m_now))
+            send(process, other, *request);
     }
 }
 
@@ -119,12 +119,14 @@
         auto& one = m_processes[i];
         if (one.limits && one.island == 0)
             one.lastInStore = m_now;
-        if (m_now - one.lastInStore < registrationTime)
-            members.push_back({ vmOf(i), "zone-" + std::to_string(zoneOf(i)) });
+        const bool registered = m_now - one.lastInStore < registrationTime;
+        members.push_back({ vmOf(i), "zone-" + std::to_string(zoneOf(i)), false, registered });
     }
-    for (auto& one : m_processes) {
+    for (std::size_t i = 0; i < m_processes.size(); ++i) {
+        auto& one = m_processes[i];
         if (!one.limits)
             continue;
+        one.limits->setDispatches(dispatcherFor(zoneOf(i), one.island) == i, m_now);
         one.limits->setStoreReached(one.island == 0, m_now);
         if (one.island == 0)
             one.limits->setMembers(members, m_now);
@@ -161,6 +163,14 @@
         ++m_refused;
 }
 
+void model_limits::sumParts()
+{
+    double sum = 0;
+    for (auto& one : m_processes)
+        sum += one.limits ? one.limits->part(m_now) : 0;
+    m_mostParts = std::max(m_mostParts, sum);
+}
+
 void model_limits::step(const std::vector<double>& perSecond)
 {
     m_now += stepTime;
@@ -177,6 +187,7 @@
     }
     if (++m_steps % stepsPerListing == 0)
         list();
+    sumParts();
 }
 
 void model_limits::run(milliseconds time, const std::vector<double>& perSecond)
--- a/libs/limits/tests/model_limits.h
+++ b/libs/limits/tests/model_limits.h
@@ -18,7 +18,7 @@
     struct options {
         std::size_t processes = 12;
         std::size_t zones = 3;
-        limit_policy policy = counted_spending {};
+        limit_policy policy = lent_shares {};
         request_limit limit { 82, 82 };
         limit_bounds bounds {};
         std::uint64_t seed = 1;
@@ -45,6 +45,8 @@
     /// Most grants in any span of the window, since the beginning or the last call.
     std::size_t busiestWindow();
     double allowed() const;
+    /// The largest sum of the parts that living processes could grant from at the same time.
+    double mostParts() const { return m_mostParts; }
     std::size_t messages() const { return m_messages; }
 
 private:
@@ -59,16 +61,17 @@
         steady_time due;
         std::size_t from;
         std::size_t to;
-        spending_report report;
+        limit_message content;
     };
 
     void step(const std::vector<double>& perSecond);
     void deliver();
     void tick(std::size_t process);
     void list();
+    void sumParts();
     void callAt(std::size_t zone);
     std::size_t dispatcherFor(std::size_t zone, int island) const;
-    void send(std::size_t from, std::size_t to, const spending_report& report);
+    void send(std::size_t from, std::size_t to, const limit_message& content);
     bool reaches(std::size_t from, std::size_t to) const;
     customer_directory customers() const;
     static std::string vmOf(std::size_t process) { return "vm-" + std::to_string(process); }
@@ -81,6 +84,7 @@
     std::vector<steady_time> m_grants;
     std::size_t m_refused = 0;
     std::size_t m_messages = 0;
+    double m_mostParts = 0;
     unsigned m_steps = 0;
 };
 
--- a/libs/limits/tests/test_limits.cpp
+++ b/libs/limits/tests/test_limits.cpp
@@ -14,9 +14,10 @@
     return start + milliseconds { ms };
 }
 
-fleet_limits limitsOf(const std::string& vm, limit_policy policy = counted_spending {})
+fleet_limits limitsOf(
+    const std::string& vm, limit_policy policy = lent_shares {}, std::uint64_t incarnation = 1)
 {
-    fleet_limits limits(vm, 1, policy, {});
+    fleet_limits limits(vm, incarnation, policy, {});
     customer_directory customers;
     customers.add({ "firm", 0, 10, 10, 0 }, {});
     customers.add({ "free", 0, 0, 0, 0 }, {});
@@ -34,6 +35,34 @@
     return granted;
 }
 
+/// The process asks the other for a loan; both may have changed their minds about their parts afterwards.
+std::optional<limit_message> loanFrom(fleet_limits& lender, fleet_limits& borrower, steady_time now)
+{
+    const auto ask = borrower.takeShareAsk(now);
+    return ask ? lender.heard(*ask, now) : std::nullopt;
+}
+
+void borrow(fleet_limits& lender, fleet_limits& borrower, steady_time now)
+{
+    const auto loan = loanFrom(lender, borrower, now);
+    REQUIRE(loan);
+    borrower.heard(*loan, now);
+}
+
+/// Two processes that know of each other and are past their start.
+struct pair_of_limits {
+    fleet_limits a = limitsOf("a");
+    fleet_limits b = limitsOf("b");
+
+    pair_of_limits()
+    {
+        a.setMembers(two, start);
+        b.setMembers(two, start);
+        borrow(a, b, at(10));
+        borrow(b, a, at(10));
+    }
+};
+
 } // namespace
 
 TEST_CASE("customers without a limit are always granted, also by a process that is not listed")
@@ -84,82 +113,191 @@
     CHECK(onCredit <= 5);
 }
 
-TEST_CASE("a process that is asked uses the part of the members that it hears")
+// Guards against two processes that each use the whole limit: one whose loans have run out, and its lender.
+TEST_CASE("a process grants from its own part, and from others' while they lend it")
 {
-    auto limits = limitsOf("a");
-    limits.setMembers(two, start);
-    const auto partAt = [&](int ms) {
-        limits.take("firm", false, at(ms));
-        return limits.part(at(ms));
-    };
-    for (int ms = 0; ms <= 1000; ms += 100)
-        CHECK(partAt(ms) == Approx(1.0)); // The other may still answer.
-    CHECK(partAt(1300) == Approx(0.5));
-    limits.heard({ "b", 1, false, {} }, at(1400));
-    CHECK(partAt(1450) == Approx(1.0));
-    for (int ms = 1500; ms <= 4000; ms += 500)
-        partAt(ms);
-    // It has gone from the list: behind a cut it may still grant for a while.
-    limits.setMembers(std::vector<limit_member> { { "a", "zone-a" } }, at(4000));
-    for (int ms = 4500; ms <= 8500; ms += 500)
-        CHECK(partAt(ms) == Approx(0.5));
-    for (int ms = 9000; ms <= 15000; ms += 500)
-        partAt(ms);
-    CHECK(partAt(15500) == Approx(1.0));
+    pair_of_limits fleet;
+    auto& [a, b] = fleet;
+    CHECK(a.part(at(100)) == Approx(0.5));
+    grantsAt(a, at(1000), 1);
+    borrow(b, a, at(1000));
+    CHECK(a.part(at(1000)) == Approx(1.0));
+    CHECK(b.part(at(1000)) == Approx(0.0));
+    CHECK(a.part(at(1500)) == Approx(1.0));
+    CHECK(b.part(at(1590)) == Approx(0.0));
+    CHECK(a.part(at(1590)) == Approx(0.5));
+    CHECK(b.part(at(1610)) == Approx(0.5));
+}
+
+// Guards against a process that takes over the part of one that is cut off and goes on granting.
+TEST_CASE("a member that has vanished keeps its part for a minute, and a share of it for longer")
+{
+    pair_of_limits fleet;
+    auto& [a, b] = fleet;
+    a.setMembers(std::vector<limit_member> { { "a", "zone-a" }, { "b", "zone-b", false, false } }, at(4000));
+    CHECK(a.part(at(15000)) == Approx(0.5));
+    CHECK(a.part(at(59000)) == Approx(0.5));
+    a.setStoreReached(true, at(70000));
+    CHECK(a.part(at(70000)) == Approx(0.75));
+    // The other knows that it does not reach the store.
+    b.setStoreReached(false, at(4000));
+    CHECK(b.part(at(40000)) == Approx(0.5));
+    CHECK(b.part(at(55000)) == Approx(0.25));
 }
 
 // Story: a dispatcher dies, and the next one has been asked nothing for a while. It takes the others, which
 // have no reason to talk to it, for out of reach, and refuses nearly everybody.
-TEST_CASE("a process that is asked anew grants from what is left, and more when others have answered")
+TEST_CASE("a process that is asked anew grants from what it owns, and more when others have answered")
 {
     auto limits = limitsOf("a");
     limits.setMembers(two, start);
+    limits.setStoreReached(true, at(8000));
     CHECK(grantsAt(limits, at(10000), 100) >= 10);
-    const auto report = limits.takeRegularReport(at(10000));
-    REQUIRE(report);
-    CHECK(report->wantsAnswer);
-    limits.heard({ "b", 1, false, {} }, at(10030));
+    auto other = limitsOf("b");
+    other.setMembers(two, start);
+    other.setStoreReached(true, at(8000));
+    const auto loan = loanFrom(other, limits, at(10010));
+    REQUIRE(loan);
+    limits.heard(*loan, at(10030));
     CHECK(grantsAt(limits, at(10060), 100) >= 8);
 }
 
-TEST_CASE("one that leaves of its own accord takes no part along")
+// Guards against a dispatcher's successor that refuses customers while its own part is lent to others.
+TEST_CASE("a process that holds nothing is passed tokens by those that hold them")
 {
-    auto limits = limitsOf("a");
-    limits.setMembers(two, start);
-    limits.setMembers(std::vector<limit_member> { { "a", "zone-a" }, { "b", "zone-b", true } }, at(100));
-    CHECK(limits.part(at(100)) == Approx(1.0));
+    pair_of_limits fleet;
+    auto& [a, b] = fleet;
+    grantsAt(a, at(9000), 1);
+    borrow(b, a, at(9000));
+    CHECK(grantsAt(b, at(9100), 1) == 0);
+    CHECK(b.awaitsLoans(at(9100)));
+    const auto request = b.takeTokenRequest(at(9100));
+    REQUIRE(request);
+    const auto before = a.usageOf("firm", at(9100))->level;
+    const auto tokens = a.heard(*request, at(9110));
+    REQUIRE(tokens);
+    b.heard(*tokens, at(9120));
+    const auto passed = b.usageOf("firm", at(9120))->level;
+    CHECK(passed >= 5);
+    CHECK(a.usageOf("firm", at(9120))->level <= before + 0.5 - passed);
+    CHECK(grantsAt(b, at(9120), 100) >= 5);
 }
 
-TEST_CASE("what others report is taken out of the bucket, once")
+TEST_CASE("one that leaves of its own accord takes no part along once its loans have run out")
 {
-    auto limits = limitsOf("a");
-    auto other = limitsOf("b");
-    limits.setMembers(two, start);
-    other.setMembers(two, start);
-    limits.heard({ "b", 1, false, {} }, start);
-    other.heard({ "a", 1, false, {} }, start);
-    other.take("firm", false, at(100));
-    limits.heard(*other.takeRegularReport(at(500)), at(500));
-    const auto before = limits.usageOf("firm", at(1000))->level;
-    for (int i = 0; i < 5; ++i)
-        other.take("firm", false, at(1000));
-    const auto report = other.takeRegularReport(at(1000));
-    REQUIRE(report);
-    limits.heard(*report, at(1000));
-    limits.heard(*report, at(1000));
-    CHECK(limits.usageOf("firm", at(1000))->level == Approx(before - 5));
+    pair_of_limits fleet;
+    auto& a = fleet.a;
+    const std::vector<limit_member> bLeaves { { "a", "zone-a" }, { "b", "zone-b", true } };
+    a.setMembers(bLeaves, at(100));
+    CHECK(a.part(at(500)) == Approx(0.5));
+    CHECK(a.part(at(800)) == Approx(1.0));
+    fleet.b.leave(at(90));
+    CHECK(fleet.b.part(at(90)) == Approx(0.0));
+}
+
+TEST_CASE("tokens that are lent leave the lender, and arrive once")
+{
+    pair_of_limits fleet;
+    auto& [a, b] = fleet;
+    const auto lenders = b.usageOf("firm", at(5000))->level;
+    CHECK(lenders > 5);
+    grantsAt(a, at(5000), 1);
+    const auto borrowers = a.usageOf("firm", at(5000))->level;
+    const auto loan = loanFrom(b, a, at(5000));
+    REQUIRE(loan);
+    a.heard(*loan, at(5000));
+    a.heard(*loan, at(5000));
+    CHECK(b.usageOf("firm", at(5000))->level == Approx(0.0));
+    CHECK(a.usageOf("firm", at(5000))->level <= borrowers + lenders + 0.01);
+    CHECK(a.usageOf("firm", at(5000))->level >= borrowers + 0.9 * lenders);
 }
 
 // Story: a zone returns from a cut. A process of the others that was asked nothing meanwhile takes all that
 // the zone granted behind the cut for a debt, and refuses everybody when it becomes dispatcher a moment
 // later.
 TEST_CASE("what was granted behind a cut is no debt of those that were asked nothing")
+{
+    pair_of_limits fleet;
+    auto& [a, b] = fleet;
+    for (int ms = 1000; ms < 6000; ms += 100)
+        grantsAt(b, at(ms), 10);
+    borrow(a, b, at(6000));
+    grantsAt(a, at(6010), 1);
+    borrow(b, a, at(6010));
+    CHECK(a.usageOf("firm", at(6010))->level + b.usageOf("firm", at(6010))->level > 10);
+}
+
+// Guards against a process that uses, right after its restart, what its former life has lent.
+TEST_CASE("a process that has started anew owns nothing before all members have heard of it")
+{
+    pair_of_limits fleet;
+    auto& a = fleet.a;
+    grantsAt(a, at(1000), 1);
+    borrow(fleet.b, a, at(1000));
+    CHECK(a.part(at(1000)) == Approx(1.0));
+    auto restarted = limitsOf("b", lent_shares {}, 2);
+    restarted.setMembers(two, at(1100));
+    CHECK(restarted.part(at(1100)) == Approx(0.0));
+    const auto ask = restarted.takeShareAsk(at(1100));
+    REQUIRE(ask);
+    const auto answer = a.heard(*ask, at(1110));
+    CHECK(a.part(at(1110)) == Approx(0.5));
+    REQUIRE(answer);
+    restarted.heard(*answer, at(1120));
+    CHECK(restarted.part(at(1120)) == Approx(0.5));
+}
+
+TEST_CASE("a process that nobody answers owns a part once its list must have reached the others")
 {
     auto limits = limitsOf("a");
-    limits.setMembers(two, start);
-    limits.heard({ "b", 1, false, { { hashText("firm"), 5, 5, 90 } } }, start);
-    limits.heard({ "b", 1, true, { { hashText("firm"), 500, 2, 80 } } }, at(6000));
-    CHECK(limits.usageOf("firm", at(6000))->level > 10);
+    const std::vector<limit_member> three { { "a", "z" }, { "b", "z" }, { "c", "z" } };
+    limits.setMembers(three, start);
+    CHECK(limits.part(at(100)) == Approx(0.0));
+    // Those that do not count it may own a half each.
+    CHECK(limits.part(at(1000)) == Approx(0.0));
+    CHECK(limits.part(at(9000)) == Approx(1.0 / 3));
+}
+
+TEST_CASE("messages of a former life are void")
+{
+    pair_of_limits fleet;
+    auto& [a, b] = fleet;
+    grantsAt(a, at(1000), 1);
+    const auto loan = loanFrom(b, a, at(1000));
+    REQUIRE(loan);
+    auto restarted = limitsOf("b", lent_shares {}, 2);
+    restarted.setMembers(two, at(1000));
+    const auto ask = restarted.takeShareAsk(at(1000));
+    REQUIRE(ask);
+    a.heard(*ask, at(1010));
+    a.heard(*loan, at(1020));
+    CHECK(a.part(at(1040)) == Approx(0.5));
+
+    auto other = limitsOf("a", lent_shares {}, 2);
+    other.setMembers(two, at(1000));
+    other.heard(*loan, at(1020));
+    CHECK(other.part(at(1040)) == Approx(0.0));
+}
+
+// Guards against a newcomer that takes itself for one of a few, though most members are cut off.
+TEST_CASE("a process that starts leaves their part to members whose registration has lapsed")
+{
+    std::vector<limit_member> six;
+    for (const char* vm : { "a", "b", "c", "d", "e", "f" })
+        six.push_back({ vm, "z", false, std::string_view(vm) < "c" });
+    auto b = limitsOf("b", lent_shares {}, 2);
+    b.setMembers(six, start);
+    // Those that it does not hear may not count it.
+    CHECK(b.part(at(9000)) == Approx(0.2 / 6));
+}
+
+TEST_CASE("a member whose record was removed owns nothing")
+{
+    pair_of_limits fleet;
+    auto& a = fleet.a;
+    a.setMembers(std::vector<limit_member> { { "a", "zone-a" } }, at(4000));
+    CHECK(a.part(at(4500)) == Approx(0.5));
+    CHECK(a.part(at(4700)) == Approx(1.0));
 }
 
 TEST_CASE("even shares split the limit over the zones and say nothing")
@@ -168,6 +306,6 @@
     limits.setMembers(two, start);
     CHECK(limits.part(start) == Approx(0.5));
     grantsAt(limits, start, 100);
-    CHECK(!limits.takeUrgentReport(at(1000)));
-    CHECK(!limits.takeRegularReport(at(1000)));
+    CHECK(!limits.takeShareAsk(at(1000)));
+    CHECK(!limits.takeTokenRequest(at(1000)));
 }
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -57,7 +57,7 @@
     std::vector<revoke_message> revokes;
     std::vector<release_message> releases;
     std::vector<withdraw_message> withdrawals;
-    std::vector<spending_report> spendings;
+    std::vector<limit_message> limits;
 
     bool empty() const;
     /// Appends the other's messages.
--- a/libs/messages/src/envelope.cpp
+++ b/libs/messages/src/envelope.cpp
@@ -16,7 +16,7 @@
 bool envelope::empty() const
 {
     return asks.empty() && grants.empty() && refusals.empty() && moved.empty() && revokes.empty()
-        && releases.empty() && withdrawals.empty() && spendings.empty();
+        && releases.empty() && withdrawals.empty() && limits.empty();
 }
 
 void envelope::add(envelope other)
@@ -28,7 +28,7 @@
     append(revokes, std::move(other.revokes));
     append(releases, std::move(other.releases));
     append(withdrawals, std::move(other.withdrawals));
-    append(spendings, std::move(other.spendings));
+    append(limits, std::move(other.limits));
 }
 
 } // namespace yuccachute
--- a/libs/places/src/limit_gate.cpp
+++ b/libs/places/src/limit_gate.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr milliseconds notRegisteredRetry { 250 };
+constexpr milliseconds noLoansRetry { 250 };
 
 bool isLimited(const grant_ask& ask)
 {
@@ -17,10 +17,11 @@
 {
     if (!m_limits || !isLimited(ask) || !m_limits->limits(ask.customer))
         return std::nullopt;
-    if (m_limits->part(now) <= 0)
-        return notRun(
-            failure_kind::unavailable, "this entry is not registered as a dispatcher", notRegisteredRetry);
     const auto wait = m_limits->take(ask.customer, ask.begun, now);
+    // Other dispatchers may have what this one has not borrowed yet.
+    if (wait.count() > 0 && m_limits->awaitsLoans(now))
+        return notRun(
+            failure_kind::unavailable, "this entry does not hold its part of the limits yet", noLoansRetry);
     if (wait.count() > 0)
         return notRun(failure_kind::limited, "the customer's limit is reached", wait);
     m_waiting.insert_or_assign({ ask.holder, ask.id }, ask.customer);
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -1,8 +1,8 @@
 #include "places/places.h"
 
+#include "limit_exchange.h"
 #include "logging/logging.h"
 #include "membership/membership.h"
-#include "spending_exchange.h"
 
 #include <algorithm>
 #include <deque>
@@ -106,8 +106,10 @@
         , limits(customerLimits)
     {
         if (limits)
-            spendings = std::make_unique<spending_exchange>(loop, *limits, self.address,
-                [this](const std::string& address, envelope message) { send(address, std::move(message)); });
+            exchange = std::make_unique<limit_exchange>(
+                loop, *limits, self.address,
+                [this](const std::string& address, envelope message) { send(address, std::move(message)); },
+                [this](steady_time now) { return dispatches(now); });
     }
 
     /// Addresses of the group's dispatchers in their order. Kept until the list of dispatchers changes: with
@@ -136,6 +138,18 @@
         return true;
     }
 
+    /// Whether this process is the first dispatcher of any group.
+    bool dispatches(steady_time now)
+    {
+        for (const auto& [service, zones] : targetsByZone) {
+            for (const auto& [zone, count] : zones) {
+                if (isFirst(groupName(service, zone, 0), now))
+                    return true;
+            }
+        }
+        return false;
+    }
+
     /// The dispatchers of a group to be asked one after the other: after two that do not answer the zone is
     /// as good as gone. Those that were silent a moment ago come last.
     std::deque<std::string> candidates(const std::string& group, steady_time now)
@@ -189,8 +203,8 @@
     void send(const std::string& address, envelope message);
     void received(const std::string& address, envelope message);
     void linkClosed(const std::string& address, std::uint64_t generation);
-    /// `answer` sends to whom the reports came from.
-    void hear(const std::vector<spending_report>& reports, const std::function<void(envelope)>& answer);
+    /// `answer` sends to whom the messages came from.
+    void hear(const std::vector<limit_message>& messages, const std::function<void(envelope)>& answer);
     void returnStray(const std::string& dispatcher, const grant_given& given);
     void released(const std::string& dispatcher, release_message message);
 
@@ -199,7 +213,7 @@
     dispatcher_info self;
     group_host host;
     fleet_limits* limits; ///< May be null.
-    std::unique_ptr<spending_exchange> spendings; ///< Null without limits.
+    std::unique_ptr<limit_exchange> exchange; ///< Null without limits.
     std::vector<dispatcher_info> dispatchers;
     std::map<std::string, std::vector<std::string>> rankedByGroup;
     full_zones withoutRoom; ///< For bulk work.
@@ -536,7 +550,7 @@
 {
     if (!address.empty())
         silentUntil.erase(address);
-    hear(message.spendings, [&](envelope out) { send(address, std::move(out)); });
+    hear(message.limits, [&](envelope out) { send(address, std::move(out)); });
     const auto find = [this](std::uint64_t id) -> ask_ptr {
         const auto found = asks.find(id);
         return found == asks.end() ? nullptr : found->second.lock();
@@ -565,16 +579,16 @@
 }
 
 void place_broker::impl::hear(
-    const std::vector<spending_report>& reports, const std::function<void(envelope)>& answer)
+    const std::vector<limit_message>& messages, const std::function<void(envelope)>& answer)
 {
     if (!limits)
         return;
-    for (const auto& report : reports) {
-        auto wanted = limits->heard(report, std::chrono::steady_clock::now());
+    for (const auto& one : messages) {
+        auto wanted = limits->heard(one, std::chrono::steady_clock::now());
         if (!wanted)
             continue;
         envelope message;
-        message.spendings.push_back(std::move(*wanted));
+        message.limits.push_back(std::move(*wanted));
         answer(std::move(message));
     }
 }
@@ -632,14 +646,14 @@
 {
     m_impl->dispatchers = std::move(dispatchers);
     m_impl->rankedByGroup.clear();
-    if (m_impl->spendings)
-        m_impl->spendings->setMembers(m_impl->dispatchers);
+    if (m_impl->exchange)
+        m_impl->exchange->setMembers(m_impl->dispatchers);
 }
 
 void place_broker::limitsChanged()
 {
-    if (m_impl->spendings)
-        m_impl->spendings->customersChanged();
+    if (m_impl->exchange)
+        m_impl->exchange->customersChanged();
 }
 
 void place_broker::impl::countTarget(const listed_target& target)
@@ -702,7 +716,7 @@
         const auto owner = weak.lock();
         if (!owner)
             return;
-        owner->hear(message.spendings, [&](envelope out) { owner->answer(session, std::move(out)); });
+        owner->hear(message.limits, [&](envelope out) { owner->answer(session, std::move(out)); });
         owner->host.received(session, std::move(message), std::chrono::steady_clock::now());
     });
 }
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -34,7 +34,7 @@
     double windowSeconds = 5;
     double overshoot = 0.1; ///< As a share.
     double slack = 20; ///< Requests.
-    std::string policy = "counted"; ///< "counted", or "even": each availability zone has the same part.
+    std::string policy = "lent"; ///< "lent", or "even": each availability zone has the same part.
 };
 
 /// What a process learns at its start. All addresses are host:port.
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -91,8 +91,8 @@
 {
     return [](process_settings& settings, const std::string& value) {
         settings.customerLimits.policy = value;
-        const bool known = value == "counted" || value == "even";
-        return known ? std::string() : '"' + value + "\" is none of counted, even";
+        const bool known = value == "lent" || value == "even";
+        return known ? std::string() : '"' + value + "\" is none of lent, even";
     };
 }
 
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -57,27 +57,117 @@
     return message;
 }
 
-void toWire(const spending_report& report, peer::SpendingReport& out)
-{
-    out.set_vm(report.vm);
-    out.set_incarnation(report.incarnation);
-    out.set_wants_answer(report.wantsAnswer);
-    for (const auto& spending : report.customers) {
-        auto& wire = *out.add_customers();
-        wire.set_customer(spending.customer);
-        wire.set_granted(spending.granted);
-        wire.set_added(spending.added);
-        wire.set_fill_percent(spending.fillPercent);
+void toWire(const share_ask& ask, peer::LimitMessage& out)
+{
+    auto& wire = *out.mutable_share_ask();
+    wire.set_stamp(ask.stamp);
+    wire.set_borrows(ask.borrows);
+}
+
+void toWire(const share_loan& loan, peer::LimitMessage& out)
+{
+    auto& wire = *out.mutable_share_loan();
+    wire.set_borrower_incarnation(loan.borrowerIncarnation);
+    wire.set_ask_stamp(loan.askStamp);
+    wire.set_valid_ms(static_cast<std::uint32_t>(loan.validFor.count()));
+    wire.set_part(loan.part);
+    wire.set_added(loan.added);
+    wire.set_fill_percent(loan.fillPercent);
+    for (const auto& fill : loan.emptier) {
+        auto& one = *wire.add_emptier();
+        one.set_customer(fill.customer);
+        one.set_percent(fill.percent);
+    }
+    wire.set_settled(loan.settled);
+}
+
+void toWire(const token_request& request, peer::LimitMessage& out)
+{
+    auto& wire = *out.mutable_token_request();
+    wire.set_stamp(request.stamp);
+    for (const auto& level : request.levels) {
+        auto& one = *wire.add_levels();
+        one.set_customer(level.customer);
+        one.set_tokens(static_cast<float>(level.tokens));
+        one.set_capacity(static_cast<float>(level.capacity));
     }
 }
 
-spending_report fromWire(const peer::SpendingReport& in)
+void toWire(const token_transfer& transfer, peer::LimitMessage& out)
+{
+    auto& wire = *out.mutable_token_transfer();
+    wire.set_request_stamp(transfer.requestStamp);
+    wire.set_room_valid_ms(static_cast<std::uint32_t>(transfer.roomValidFor.count()));
+    for (const auto& tokens : transfer.tokens) {
+        auto& one = *wire.add_tokens();
+        one.set_customer(tokens.customer);
+        one.set_tokens(tokens.tokens);
+        one.set_room(tokens.room);
+    }
+}
+
+share_ask fromWire(const peer::ShareAsk& in)
+{
+    return { in.stamp(), in.borrows() };
+}
+
+share_loan fromWire(const peer::ShareLoan& in)
 {
-    spending_report report { in.vm(), in.incarnation(), in.wants_answer(), {} };
-    for (const auto& spending : in.customers())
-        report.customers.push_back(
-            { spending.customer(), spending.granted(), spending.added(), spending.fill_percent() });
-    return report;
+    share_loan loan;
+    loan.borrowerIncarnation = in.borrower_incarnation();
+    loan.askStamp = in.ask_stamp();
+    loan.validFor = milliseconds { in.valid_ms() };
+    loan.part = in.part();
+    loan.added = in.added();
+    loan.fillPercent = in.fill_percent();
+    for (const auto& fill : in.emptier())
+        loan.emptier.push_back({ fill.customer(), fill.percent() });
+    loan.settled = in.settled();
+    return loan;
+}
+
+token_request fromWire(const peer::TokenRequest& in)
+{
+    token_request request { in.stamp(), {} };
+    for (const auto& level : in.levels())
+        request.levels.push_back({ level.customer(), level.tokens(), level.capacity() });
+    return request;
+}
+
+token_transfer fromWire(const peer::TokenTransfer& in)
+{
+    token_transfer transfer { in.request_stamp(), milliseconds { in.room_valid_ms() }, {} };
+    for (const auto& tokens : in.tokens())
+        transfer.tokens.push_back({ tokens.customer(), tokens.tokens(), tokens.room() });
+    return transfer;
+}
+
+void toWire(const limit_message& message, peer::LimitMessage& out)
+{
+    out.set_vm(message.vm);
+    out.set_incarnation(message.incarnation);
+    std::visit([&](const auto& body) { toWire(body, out); }, message.body);
+}
+
+/// Nothing if the sender speaks of what this version does not know.
+std::optional<limit_message> fromWire(const peer::LimitMessage& in)
+{
+    const auto with = [&](limit_message_body body) {
+        return limit_message { in.vm(), in.incarnation(), std::move(body) };
+    };
+    switch (in.body_case()) {
+    case peer::LimitMessage::kShareAsk:
+        return with(fromWire(in.share_ask()));
+    case peer::LimitMessage::kShareLoan:
+        return with(fromWire(in.share_loan()));
+    case peer::LimitMessage::kTokenRequest:
+        return with(fromWire(in.token_request()));
+    case peer::LimitMessage::kTokenTransfer:
+        return with(fromWire(in.token_transfer()));
+    case peer::LimitMessage::BODY_NOT_SET:
+        break;
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -124,8 +214,8 @@
         wire.set_group(withdrawal.group);
         wire.set_ask_id(withdrawal.askId);
     }
-    for (const auto& report : message.spendings)
-        toWire(report, *out.add_spendings());
+    for (const auto& one : message.limits)
+        toWire(one, *out.add_limits());
 }
 
 envelope fromWire(const peer::Envelope& in, steady_time now)
@@ -157,8 +247,10 @@
     }
     for (const auto& withdrawal : in.withdrawals())
         message.withdrawals.push_back({ withdrawal.group(), withdrawal.ask_id() });
-    for (const auto& report : in.spendings())
-        message.spendings.push_back(fromWire(report));
+    for (const auto& one : in.limits()) {
+        if (auto known = fromWire(one))
+            message.limits.push_back(std::move(*known));
+    }
     return message;
 }
 
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -30,7 +30,11 @@
     message.revokes.push_back({ "g", 11 });
     message.releases.push_back({ "g", { 12, grant_outcome::failed, 13ms, 14 } });
     message.withdrawals.push_back({ "g", 15 });
-    message.spendings.push_back({ "vm", 7, true, { { 99, 12, -3, -40 } } });
+    message.limits.push_back({ "vm", 7, share_ask { 123456789, true } });
+    message.limits.push_back(
+        { "vm", 7, share_loan { 8, 123456789, 600ms, 0.25, 0.1, 90, { { 99, 12 } }, true } });
+    message.limits.push_back({ "vm", 7, token_request { 5, { { 99, 0.5, 12 } } } });
+    message.limits.push_back({ "vm", 7, token_transfer { 5, 600ms, { { 99, 1.3, 0.7 } } } });
     message.asks.front().ask.begun = true;
     const auto later = start + 1h;
     peer::Envelope wire;
@@ -48,7 +52,7 @@
     CHECK(copy.revokes[0].grantId == 11);
     CHECK(copy.releases[0].release.outcome == grant_outcome::failed);
     CHECK(copy.withdrawals[0].askId == 15);
-    CHECK(copy.spendings == message.spendings);
+    CHECK(copy.limits == message.limits);
     CHECK(copy.asks.front().ask.begun);
 }
 
