Only a side that hears most members takes parts over, and an outage of the store halves nobody's limit

What callers would see: after an outage of the store of 45 s each entry gave half of its part up, although nobody could have taken it; when the store was back, with all registrations lapsed, each entry took all others for long gone.

Cause: how long a member is away was counted from when the list last named it, also while nobody could read a list.

Change: a member is away from when it is first seen to have lapsed. Processes that grant hear all others and tell them now and then whom they do not hear; only a process on a side that hears more than half of all members takes the others' parts, and a process on such a side keeps its own. Two sides cannot both hear most.

--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -55,11 +55,20 @@
     bool registered = true;
 };
 
+/// Which members a process hears.
+struct member_survey {
+    bool hearsMost = false; ///< More than half of all, itself among them; otherwise nothing is said of them.
+    std::vector<std::string> silent; ///< VMs of those that it does not hear.
+
+    bool operator==(const member_survey&) const = default;
+};
+
 /// Asks a member for a loan of its part of the limits. Processes that grant send it to all members at an
 /// interval; processes that have just started do so to hear who knows of them.
 struct share_ask {
     std::uint64_t stamp = 0; ///< Time of the sender's clock, echoed in the answer.
     bool borrows = false; ///< Whether the sender grants. Otherwise it wants to be known, and no loan.
+    member_survey survey; ///< Told now and then.
 
     bool operator==(const share_ask&) const = default;
 };
@@ -212,11 +221,11 @@
     double computePart(steady_time now);
     void fillFirstTime(double owned);
     void notice(const limit_message& message, steady_time now);
-    std::optional<limit_message> take(const limit_message& from, const share_ask& ask, steady_time now);
-    std::optional<limit_message> take(const limit_message& from, const share_loan& loan, steady_time now);
-    std::optional<limit_message> take(
+    std::optional<limit_message> answer(const limit_message& from, const share_ask& ask, steady_time now);
+    std::optional<limit_message> answer(const limit_message& from, const share_loan& loan, steady_time now);
+    std::optional<limit_message> answer(
         const limit_message& from, const token_request& request, steady_time now);
-    std::optional<limit_message> take(
+    std::optional<limit_message> answer(
         const limit_message& from, const token_transfer& transfer, steady_time now);
     void moveTokens(share_loan& loan, steady_time now);
     milliseconds promise(request_bucket& bucket, double missing, steady_time now);
@@ -246,6 +255,7 @@
     steady_time m_lastTake;
     steady_time m_activeSince; ///< It was asked for tokens ever since.
     steady_time m_lastAsk;
+    steady_time m_lastSurvey;
     steady_time m_lastRequest;
 };
 
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds grantingFor { 30000 };
 constexpr milliseconds partInterval { 20 };
 constexpr milliseconds requestInterval { 40 };
+constexpr milliseconds surveyInterval { 1000 };
 /// Of its capacity, below which others are asked to fill a bucket up.
 constexpr double lowLevel = 0.5;
 /// A process that was not asked for a customer's tokens so long can do without them.
@@ -255,7 +256,12 @@
     if (silent || (!active(now) && !m_roster->starting(now)) || now - m_lastAsk < nextAskAfter(now))
         return std::nullopt;
     m_lastAsk = now;
-    return messageWith(share_ask { toStamp(now), active(now) });
+    share_ask ask { toStamp(now), active(now), {} };
+    if (ask.borrows && now - m_lastSurvey >= surveyInterval) {
+        m_lastSurvey = now;
+        ask.survey = m_roster->survey(now);
+    }
+    return messageWith(std::move(ask));
 }
 
 std::optional<limit_message> fleet_limits::takeTokenRequest(steady_time now)
@@ -287,7 +293,7 @@
     if (message.vm == m_vm || ended || std::holds_alternative<even_shares>(m_policy))
         return std::nullopt;
     notice(message, now);
-    return std::visit([&](const auto& body) { return take(message, body, now); }, message.body);
+    return std::visit([&](const auto& body) { return answer(message, body, now); }, message.body);
 }
 
 void fleet_limits::notice(const limit_message& message, steady_time now)
@@ -302,21 +308,22 @@
     updatePart(now);
 }
 
-std::optional<limit_message> fleet_limits::take(
+std::optional<limit_message> fleet_limits::answer(
     const limit_message& from, const share_ask& ask, steady_time now)
 {
-    share_loan answer;
-    answer.borrowerIncarnation = from.incarnation;
-    answer.askStamp = ask.stamp;
-    answer.validFor = loanTime();
+    m_roster->noteSurvey(ask.survey, now);
+    share_loan loan;
+    loan.borrowerIncarnation = from.incarnation;
+    loan.askStamp = ask.stamp;
+    loan.validFor = loanTime();
     if (ask.borrows) {
-        const auto loan = m_lender->lend(from.vm, { m_owned, active(now), answer.validFor }, now);
-        answer.part = loan.part;
-        answer.added = loan.added;
-        moveTokens(answer, now);
+        const auto given = m_lender->lend(from.vm, { m_owned, active(now), loan.validFor }, now);
+        loan.part = given.part;
+        loan.added = given.added;
+        moveTokens(loan, now);
     }
-    answer.settled = m_lender->lent(now) <= m_owned + noPart;
-    return messageWith(std::move(answer));
+    loan.settled = m_lender->lent(now) <= m_owned + noPart;
+    return messageWith(std::move(loan));
 }
 
 /// Tokens go along with the part that is lent: of each bucket the same share.
@@ -347,7 +354,7 @@
     updatePart(now);
 }
 
-std::optional<limit_message> fleet_limits::take(
+std::optional<limit_message> fleet_limits::answer(
     const limit_message& from, const share_loan& loan, steady_time now)
 {
     if (loan.borrowerIncarnation != m_incarnation)
@@ -369,7 +376,7 @@
     return std::nullopt;
 }
 
-std::optional<limit_message> fleet_limits::take(
+std::optional<limit_message> fleet_limits::answer(
     const limit_message& from, const token_request& request, steady_time now)
 {
     const double users = std::max(2.0, m_lender->borrowers(now) + (active(now) ? 1 : 0));
@@ -394,7 +401,7 @@
     return messageWith(std::move(transfer));
 }
 
-std::optional<limit_message> fleet_limits::take(
+std::optional<limit_message> fleet_limits::answer(
     const limit_message& from, const token_transfer& transfer, steady_time now)
 {
     auto& last = m_peers[from.vm].lastTransfer;
--- a/libs/limits/src/limit_roster.cpp
+++ b/libs/limits/src/limit_roster.cpp
@@ -10,6 +10,7 @@
 constexpr milliseconds fullPartFor { 60000 };
 /// A process that is cut off gives a share of its part up some time before the others take it.
 constexpr milliseconds cutOffFor { 45000 };
+constexpr milliseconds heardFor { 5000 };
 constexpr double partLeftWhenCutOff = 0.5;
 /// Longer than regions lose each other. Whoever is away for longer is taken for ended.
 constexpr std::chrono::hours absentFor { 2 };
@@ -66,12 +67,14 @@
     m_left.erase(listed.vm);
     const auto [known, added] = m_members.try_emplace(listed.vm);
     auto& member = known->second;
+    // It is away from now on, however old the list was that named it last.
+    const bool lapsed = member.registered && !listed.registered;
+    if (added || listed.registered || lapsed)
+        member.lastKnown = now;
     member.zone = listed.zone;
     member.registered = listed.registered;
     member.recorded = true;
     member.goneSince.reset();
-    if (added || listed.registered)
-        member.lastKnown = now;
 }
 
 void limit_roster::setStoreReached(bool reached, steady_time now)
@@ -105,10 +108,38 @@
     if (m_left.contains(vm))
         return;
     auto& member = m_members[vm];
+    member.lastHeard = now;
     member.lastKnown = now;
     member.goneSince.reset();
 }
 
+member_survey limit_roster::survey(steady_time now)
+{
+    member_survey survey;
+    for (const auto& [vm, member] : m_members) {
+        if (vm != m_vm && now - member.lastHeard > heardFor)
+            survey.silent.push_back(vm);
+    }
+    survey.hearsMost = 2 * survey.silent.size() < m_members.size();
+    if (survey.hearsMost)
+        m_hearsMostAt = now;
+    else
+        survey.silent.clear();
+    return survey;
+}
+
+void limit_roster::noteSurvey(const member_survey& survey, steady_time now)
+{
+    if (!survey.hearsMost)
+        return;
+    m_hearsMostAt = now;
+    const std::set<std::string_view> silent(survey.silent.begin(), survey.silent.end());
+    for (auto& [vm, member] : m_members) {
+        if (!silent.contains(vm))
+            member.lastKnown = now;
+    }
+}
+
 void limit_roster::confirmed(std::string_view vm)
 {
     const auto member = m_members.find(vm);
@@ -142,9 +173,16 @@
     });
 }
 
-bool limit_roster::countsInFull(const member_state& member, steady_time now) const
+/// Two sides of a cut cannot both hear most members: only one may take a part of what the other owns.
+bool limit_roster::countsInFull(std::string_view vm, const member_state& member, steady_time now) const
+{
+    const bool hearsMost = now - m_hearsMostAt <= heardFor;
+    return vm == m_vm || member.registered || !hearsMost || now - member.lastKnown <= fullPartFor;
+}
+
+bool limit_roster::mayCountAsAbsent(steady_time now) const
 {
-    return member.registered || now - member.lastKnown <= fullPartFor;
+    return now - m_lastSeen > cutOffFor && now - m_hearsMostAt > cutOffFor;
 }
 
 double limit_roster::ownPart(milliseconds loanTime, steady_time now)
@@ -157,7 +195,7 @@
     double keptForAbsent = 0;
     double unaware = 0;
     for (const auto& [vm, member] : m_members) {
-        if (countsInFull(member, now))
+        if (countsInFull(vm, member, now))
             ++owners;
         else
             keptForAbsent += partLeftWhenCutOff * member.part;
@@ -166,7 +204,7 @@
     }
     const double part = std::max(0.0, 1 - keptForAbsent) / owners;
     for (auto& [vm, member] : m_members) {
-        if (countsInFull(member, now))
+        if (countsInFull(vm, member, now))
             member.part = part;
     }
     // Who does not count this process owns a larger part.
@@ -174,8 +212,7 @@
         return 0;
     const double others = static_cast<double>(m_members.size()) - 1;
     const double ownShare = others > 0 ? 1 - unaware / others : 1;
-    const bool cutOff = now - m_lastSeen > cutOffFor;
-    return part * ownShare * (cutOff ? partLeftWhenCutOff : 1);
+    return part * ownShare * (mayCountAsAbsent(now) ? partLeftWhenCutOff : 1);
 }
 
 bool limit_roster::starting(steady_time now) const
--- a/libs/limits/src/limit_roster.h
+++ b/libs/limits/src/limit_roster.h
@@ -19,6 +19,10 @@
     /// A process that is heard may own a part, also if the list does not name it: its registration may have
     /// lapsed while it was cut off.
     void heard(const std::string& vm, steady_time now);
+    /// Whom this process has heard lately, to be told to the others; only members that grant hear all others.
+    member_survey survey(steady_time now);
+    /// What another process says of whom it hears.
+    void noteSurvey(const member_survey& survey, steady_time now);
     /// A member has said that it counts this process.
     void confirmed(std::string_view vm);
 
@@ -37,7 +41,9 @@
 private:
     struct member_state {
         std::string zone;
-        steady_time lastKnown; ///< When it was last registered or heard.
+        steady_time lastHeard; ///< By this process.
+        steady_time
+            lastKnown; ///< When it was last registered, or heard by this process or one that it hears.
         bool registered = false;
         bool recorded = false; ///< It is in the list.
         std::optional<steady_time> goneSince; ///< It has left, or its record was removed.
@@ -49,7 +55,9 @@
     void forget(milliseconds loanTime, steady_time now);
     void noteSeen(steady_time now);
     bool isRegistered() const;
-    bool countsInFull(const member_state& member, steady_time now) const;
+    bool countsInFull(std::string_view vm, const member_state& member, steady_time now) const;
+    /// Whether others may count this process as absent.
+    bool mayCountAsAbsent(steady_time now) const;
 
     std::string m_vm;
     std::map<std::string, member_state, std::less<>> m_members; ///< By VM.
@@ -59,6 +67,8 @@
     bool m_storeReached = true;
     std::optional<steady_time> m_started; ///< When this process first heard of members.
     std::optional<steady_time> m_registeredSince;
+    steady_time
+        m_hearsMostAt; ///< When it was last known that most members hear each other, this one among them.
     steady_time m_lastSeen; ///< When the others last saw this process in the list, as far as it knows.
 };
 
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -62,6 +62,9 @@
     auto& wire = *out.mutable_share_ask();
     wire.set_stamp(ask.stamp);
     wire.set_borrows(ask.borrows);
+    wire.set_hears_most(ask.survey.hearsMost);
+    for (const auto& vm : ask.survey.silent)
+        wire.add_silent(vm);
 }
 
 void toWire(const share_loan& loan, peer::LimitMessage& out)
@@ -108,7 +111,7 @@
 
 share_ask fromWire(const peer::ShareAsk& in)
 {
-    return { in.stamp(), in.borrows() };
+    return { in.stamp(), in.borrows(), { in.hears_most(), { in.silent().begin(), in.silent().end() } } };
 }
 
 share_loan fromWire(const peer::ShareLoan& in)
