Entries whose registration has lapsed go on lending, and a start of all grants sooner

(2) Processes that start at once lose each other's first questions (a refused connection is tried again a second later); each waited for its whole loan time, and then started with the tokens of the part that it owned at that moment, a fraction. (3) Small customers were told to come back after 5 s, by the third of the limit that one dispatcher holds, though the others pass on what they do not need.

Change: the share record names the address, and all owners are asked; the answer to a question asks back if the lender does not know yet whether it is counted; buckets are filled along with the part while a process starts; the time to come back follows from what flows in everywhere unless others run low as well. Tokens at the start are 0.25 of what is allowed beyond the limit, the overdraft 0.1.

Tests: test_limits, test_limits_storms, test_limits_cuts, test_wire pass; test_share_records holds the address.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -65,8 +65,12 @@
 struct share_record {
     std::string vm;
     std::string zone;
+    std::string address; ///< host:port for the system's other processes.
 };
 
+std::string encodeShare(const share_record& share);
+result<share_record> decodeShare(std::string_view vm, std::string_view document);
+
 /// Key of the record that an entry owns a part of customers' limits. It has no lease: behind a cut the entry
 /// goes on granting when its registration has lapsed.
 std::string shareKey(std::string_view vm);
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -390,9 +390,13 @@
 {
     m_shareRecords.clear();
     for (const auto& entry : section.entries) {
-        if (entry.key().starts_with(sharesPrefix))
-            m_shareRecords.push_back(
-                { std::string(entry.key().substr(sharesPrefix.size())), std::string(entry.value()) });
+        if (!entry.key().starts_with(sharesPrefix))
+            continue;
+        if (auto share = decodeShare(entry.key().substr(sharesPrefix.size()), entry.value()))
+            m_shareRecords.push_back(std::move(share.value()));
+        else
+            logEvent(
+                log_level::error, "share record not understood", { { "message", share.error().message } });
     }
 }
 
--- a/libs/fleet/src/node_record.cpp
+++ b/libs/fleet/src/node_record.cpp
@@ -104,6 +104,21 @@
         : spareOfferSpread;
 }
 
+std::string encodeShare(const share_record& share)
+{
+    return nlohmann::json { { "zone", share.zone }, { "address", share.address } }.dump();
+}
+
+result<share_record> decodeShare(std::string_view vm, std::string_view document)
+{
+    const auto json = nlohmann::json::parse(document, nullptr, false);
+    if (!json.is_object() || !json.value("zone", nlohmann::json()).is_string()
+        || !json.value("address", nlohmann::json()).is_string())
+        return notRun(
+            failure_kind::internal, "the share record of " + std::string(vm) + " names no zone or address");
+    return share_record { std::string(vm), json["zone"], json["address"] };
+}
+
 std::string shareKey(std::string_view vm)
 {
     return std::string(sharesPrefix) + std::string(vm);
--- a/libs/fleet/src/registration.cpp
+++ b/libs/fleet/src/registration.cpp
@@ -55,7 +55,8 @@
     if (m_self.role == node_role::entry && m_self.leaving)
         transaction.removals.push_back({ shareKey(m_self.vm), false });
     else if (m_self.role == node_role::entry)
-        transaction.writes.push_back({ shareKey(m_self.vm), m_self.zone, 0 });
+        transaction.writes.push_back(
+            { shareKey(m_self.vm), encodeShare({ m_self.vm, m_self.zone, m_self.address }), 0 });
     const auto sent = bootTime();
     m_store.commit(transaction, [this, sent](result<commit_outcome> outcome) {
         // Whatever failed, a new lease is a sound start; the old one lapses.
--- a/libs/fleet/tests/test_share_records.cpp
+++ b/libs/fleet/tests/test_share_records.cpp
@@ -111,8 +111,9 @@
     event_loop loop;
     recording_store store(loop);
     store.values[nodeKey(entry)] = encodeNode(entry);
-    store.values[shareKey("edge-1")] = "zone-a";
-    store.values[shareKey("edge-9")] = "zone-c";
+    store.values[shareKey("edge-1")] = encodeShare({ "edge-1", "zone-a", "127.0.0.1:1" });
+    store.values[shareKey("edge-9")] = encodeShare({ "edge-9", "zone-c", "127.0.0.1:9" });
+    store.values[shareKey("edge-7")] = "nonsense";
     metrics figures;
     observed_store observed(store, figures);
     rpc_client client { {} };
@@ -125,6 +126,7 @@
     REQUIRE(watch.shareRecords().size() == 2);
     CHECK(watch.shareRecords()[1].vm == "edge-9");
     CHECK(watch.shareRecords()[1].zone == "zone-c");
+    CHECK(watch.shareRecords()[1].address == "127.0.0.1:9");
     CHECK(watch.registered(node_role::entry).size() == 1);
     CHECK(watch.nodes(node_role::batch).empty());
 }
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -228,12 +228,19 @@
     void setLimitMembers()
     {
         std::map<std::string, limit_member> members;
-        for (const auto& owner : m_fleet.shareRecords())
+        std::map<std::string, limit_peer> peers;
+        for (const auto& owner : m_fleet.shareRecords()) {
             members[owner.vm] = { owner.vm, owner.zone, false, false };
-        for (const auto& node : m_fleet.registered(node_role::entry))
+            peers[owner.vm] = { owner.vm, owner.address, false };
+        }
+        for (const auto& node : m_fleet.registered(node_role::entry)) {
             members[node.vm] = { node.vm, node.zone, node.leaving, true };
-        for (const auto& node : m_fleet.nodes(node_role::entry))
+            peers[node.vm] = { node.vm, node.address, true };
+        }
+        for (const auto& node : m_fleet.nodes(node_role::entry)) {
             members[node.vm] = { node.vm, node.zone, false, node.vm != m_self.vm || m_fleet.listed() };
+            peers[node.vm] = { node.vm, node.address, true };
+        }
         if (!m_fleet.offered())
             members.erase(m_self.vm);
         std::vector<limit_member> all;
@@ -241,6 +248,11 @@
         for (auto& [vm, member] : members)
             all.push_back(std::move(member));
         m_limits.setMembers(all, std::chrono::steady_clock::now());
+        std::vector<limit_peer> known;
+        known.reserve(peers.size());
+        for (auto& [vm, peer] : peers)
+            known.push_back(std::move(peer));
+        m_broker.setLimitPeers(known);
     }
 
     /// Others find an entry among the seeds or in the list of processes. The seeds register themselves at
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -93,6 +93,8 @@
     std::vector<bucket_fill> emptier;
     /// What the lender owns and has lent takes the borrower into account as a member.
     bool settled = false;
+    /// The lender does not know yet whether the borrower counts it as a member: it wants the same answer.
+    bool wantsAnswer = false;
 
     bool operator==(const share_loan&) const = default;
 };
@@ -219,7 +221,8 @@
     milliseconds loanTime() const;
     void updatePart(steady_time now);
     double computePart(steady_time now);
-    void fillFirstTime(double owned);
+    void fillAtStart();
+    bool settled(steady_time now);
     void notice(const limit_message& message, steady_time now);
     std::optional<limit_message> answer(const limit_message& from, const share_ask& ask, steady_time now);
     std::optional<limit_message> answer(const limit_message& from, const share_loan& loan, steady_time now);
@@ -228,7 +231,10 @@
     std::optional<limit_message> answer(
         const limit_message& from, const token_transfer& transfer, steady_time now);
     void moveTokens(share_loan& loan, steady_time now);
+    void receiveTokens(const share_loan& loan, steady_time now);
     milliseconds promise(request_bucket& bucket, double missing, steady_time now);
+    /// That borrow from this one, itself included.
+    double grantingProcesses(steady_time now) const;
     limit_message messageWith(limit_message_body body) const;
 
     struct peer_state {
@@ -250,7 +256,7 @@
     double m_part = 0;
     double m_owned = 0; ///< Of that, what belongs to this process.
     bool m_dispatches = false;
-    bool m_filled = false; ///< The buckets have got what a process starts with.
+    double m_filledPart = 0; ///< For which the buckets have got what a process starts with.
     steady_time m_partComputed;
     steady_time m_lastTake;
     steady_time m_activeSince; ///< It was asked for tokens ever since.
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -33,6 +33,8 @@
 constexpr double lowLevel = 0.5;
 /// A process that was not asked for a customer's tokens so long can do without them.
 constexpr milliseconds unusedAfter { 100 };
+/// A process whose bucket runs low says so several times within this time.
+constexpr milliseconds lowFor { 500 };
 constexpr milliseconds leastReturn { 50 };
 constexpr milliseconds longestReturn { 5000 };
 /// When to ask a process again that may not grant yet.
@@ -174,8 +176,7 @@
         for (auto& [customer, bucket] : m_buckets)
             bucket.setPart(part, now);
     }
-    if (!m_filled && m_owned > 0)
-        fillFirstTime(std::holds_alternative<even_shares>(m_policy) ? m_part : m_owned);
+    fillAtStart();
 }
 
 double fleet_limits::computePart(steady_time now)
@@ -187,11 +188,20 @@
     return std::max(0.0, m_owned - m_lender->lent(now)) + m_borrower->borrowed(now);
 }
 
-void fleet_limits::fillFirstTime(double owned)
+/// The part that a process owns grows while it starts, as one member after the other is heard.
+void fleet_limits::fillAtStart()
 {
-    m_filled = true;
+    const double owned = std::holds_alternative<even_shares>(m_policy) ? m_part : m_owned;
+    if (owned <= m_filledPart || (m_filledPart > 0 && !m_roster->isNew(m_partComputed)))
+        return;
     for (auto& [customer, bucket] : m_buckets)
-        bucket.add(bucket.startLevel() * owned);
+        bucket.add(bucket.startLevel() * (owned - m_filledPart));
+    m_filledPart = owned;
+}
+
+bool fleet_limits::settled(steady_time now)
+{
+    return m_lender->lent(now) <= m_owned + noPart;
 }
 
 milliseconds fleet_limits::take(std::string_view customer, bool begun, steady_time now)
@@ -220,7 +230,10 @@
 milliseconds fleet_limits::promise(request_bucket& bucket, double missing, steady_time now)
 {
     ++m_refused;
-    const double perSecond = std::max(bucket.limit().perSecond * m_part, 1e-3);
+    // Others pass on what flows in at them, unless they need it themselves.
+    const bool othersLow = now - bucket.othersLowAt <= lowFor;
+    const double inflow = othersLow ? m_part : std::min(1.0, m_part * grantingProcesses(now));
+    const double perSecond = std::max(bucket.limit().perSecond * inflow, 1e-3);
     const auto after = [&](steady_time from, double tokens) {
         return from
             + std::chrono::duration_cast<steady_time::duration>(std::chrono::duration<double>(
@@ -245,6 +258,11 @@
     return m_lender->lendsTo(vm, now);
 }
 
+double fleet_limits::grantingProcesses(steady_time now) const
+{
+    return m_lender->borrowers(now) + (active(now) ? 1 : 0);
+}
+
 limit_message fleet_limits::messageWith(limit_message_body body) const
 {
     return { m_vm, m_incarnation, std::move(body) };
@@ -322,7 +340,8 @@
         loan.added = given.added;
         moveTokens(loan, now);
     }
-    loan.settled = m_lender->lent(now) <= m_owned + noPart;
+    loan.settled = settled(now);
+    loan.wantsAnswer = m_roster->lacksConfirmation(from.vm);
     return messageWith(std::move(loan));
 }
 
@@ -363,8 +382,18 @@
         m_roster->confirmed(from.vm);
     const bool valid = loan.part > 0 && m_borrower->take(from.vm, loan, now);
     updatePart(now);
-    if (!valid || loan.added <= noPart)
+    if (valid && loan.added > noPart)
+        receiveTokens(loan, now);
+    if (!loan.wantsAnswer)
         return std::nullopt;
+    share_loan confirmation;
+    confirmation.borrowerIncarnation = from.incarnation;
+    confirmation.settled = settled(now);
+    return messageWith(std::move(confirmation));
+}
+
+void fleet_limits::receiveTokens(const share_loan& loan, steady_time now)
+{
     std::map<std::uint64_t, std::uint32_t> emptier;
     for (const auto& fill : loan.emptier)
         emptier[fill.customer] = fill.percent;
@@ -373,19 +402,19 @@
         bucket.advance(now);
         bucket.add(tokensOf(bucket, loan.added, named == emptier.end() ? loan.fillPercent : named->second));
     }
-    return std::nullopt;
 }
 
 std::optional<limit_message> fleet_limits::answer(
     const limit_message& from, const token_request& request, steady_time now)
 {
-    const double users = std::max(2.0, m_lender->borrowers(now) + (active(now) ? 1 : 0));
+    const double users = std::max(2.0, grantingProcesses(now));
     token_transfer transfer { request.stamp, loanTime(), {} };
     for (const auto& theirs : request.levels) {
         const auto found = m_buckets.find(theirs.customer);
         if (found == m_buckets.end())
             continue;
         auto& bucket = found->second;
+        bucket.othersLowAt = now;
         bucket.advance(now);
         const double tokens = tokensToPass(bucket, theirs, users, now);
         if (tokens <= 0)
--- a/libs/limits/src/limit_roster.cpp
+++ b/libs/limits/src/limit_roster.cpp
@@ -147,6 +147,12 @@
         member->second.countsThis = true;
 }
 
+bool limit_roster::lacksConfirmation(std::string_view vm) const
+{
+    const auto member = m_members.find(vm);
+    return knowsSelf() && member != m_members.end() && !member->second.countsThis;
+}
+
 std::vector<std::string> limit_roster::takeLost()
 {
     return std::exchange(m_lost, {});
@@ -215,9 +221,14 @@
     return part * ownShare * (mayCountAsAbsent(now) ? partLeftWhenCutOff : 1);
 }
 
+bool limit_roster::isNew(steady_time now) const
+{
+    return m_started && now - *m_started <= startingFor;
+}
+
 bool limit_roster::starting(steady_time now) const
 {
-    if (!m_started || now - *m_started > startingFor)
+    if (!isNew(now))
         return false;
     return std::any_of(m_members.begin(), m_members.end(),
         [&](const auto& entry) { return entry.first != m_vm && !entry.second.countsThis; });
--- a/libs/limits/src/limit_roster.h
+++ b/libs/limits/src/limit_roster.h
@@ -25,6 +25,7 @@
     void noteSurvey(const member_survey& survey, steady_time now);
     /// A member has said that it counts this process.
     void confirmed(std::string_view vm);
+    bool lacksConfirmation(std::string_view vm) const;
 
     bool knowsSelf() const { return m_members.contains(m_vm); }
     std::size_t size() const { return m_members.size(); }
@@ -35,6 +36,8 @@
     double ownPart(milliseconds loanTime, steady_time now);
     /// Members that are taken for ended since the last call, though their record is still there.
     std::vector<std::string> takeLost();
+    /// Whether this process has started a moment ago.
+    bool isNew(steady_time now) const;
     /// Whether members are still to be asked if they count this process.
     bool starting(steady_time now) const;
 
--- a/libs/limits/src/request_bucket.cpp
+++ b/libs/limits/src/request_bucket.cpp
@@ -9,8 +9,8 @@
 // Shares of what may be granted beyond the limit. With the credit of a full bucket they add up to less than
 // one: a full bucket, a restart of all processes and an overdraft may come in one window.
 constexpr double toleratedShare = 0.6; ///< Small customers' requests come in clusters.
-constexpr double shareAtStart = 0.2;
-constexpr double creditShare = 0.15; ///< For requests that have begun.
+constexpr double shareAtStart = 0.25;
+constexpr double creditShare = 0.1; ///< For requests that have begun.
 
 } // namespace
 
--- a/libs/limits/src/request_bucket.h
+++ b/libs/limits/src/request_bucket.h
@@ -32,6 +32,7 @@
     steady_time promisedUntil; ///< When the last one that was refused was told to come back.
     bool asked = false; ///< For tokens, since the others were last told.
     steady_time lastTake;
+    steady_time othersLowAt; ///< When another process last said that it runs low.
 
 private:
     /// Requests above the limit that are granted all the same.
--- a/libs/places/src/limit_exchange.cpp
+++ b/libs/places/src/limit_exchange.cpp
@@ -9,12 +9,11 @@
 
 } // namespace
 
-limit_exchange::limit_exchange(event_loop& loop, fleet_limits& limits, std::string ownAddress, sender send,
-    std::function<bool(steady_time)> dispatches)
+limit_exchange::limit_exchange(
+    event_loop& loop, fleet_limits& limits, std::string ownAddress, environment around)
     : m_limits(limits)
     , m_ownAddress(std::move(ownAddress))
-    , m_send(std::move(send))
-    , m_dispatches(std::move(dispatches))
+    , m_around(std::move(around))
     , m_timer(loop)
 {
 }
@@ -27,7 +26,7 @@
         m_timer.arm(tickInterval, [this] { tick(); });
 }
 
-void limit_exchange::setMembers(std::span<const dispatcher_info> members)
+void limit_exchange::setMembers(std::span<const limit_peer> members)
 {
     m_members.assign(members.begin(), members.end());
 }
@@ -35,11 +34,11 @@
 void limit_exchange::tick()
 {
     const auto now = std::chrono::steady_clock::now();
-    m_limits.setDispatches(m_dispatches(now), now);
+    m_limits.setDispatches(m_around.dispatches(now), now);
     const auto ask = m_limits.takeShareAsk(now);
     const auto request = m_limits.takeTokenRequest(now);
     for (const auto& member : m_members) {
-        if (member.address == m_ownAddress)
+        if (member.address == m_ownAddress || (!member.registered && m_around.silent(member.address, now)))
             continue;
         if (ask)
             sendTo(member, *ask);
@@ -49,11 +48,11 @@
     m_timer.arm(tickInterval, [this] { tick(); });
 }
 
-void limit_exchange::sendTo(const dispatcher_info& member, const limit_message& content)
+void limit_exchange::sendTo(const limit_peer& member, const limit_message& content)
 {
     envelope message;
     message.limits.push_back(content);
-    m_send(member.address, std::move(message));
+    m_around.send(member.address, std::move(message));
 }
 
 } // namespace yuccachute
--- a/libs/places/src/limit_exchange.h
+++ b/libs/places/src/limit_exchange.h
@@ -15,23 +15,28 @@
 public:
     using sender = std::function<void(const std::string& address, envelope message)>;
 
-    /// `dispatches` tells whether this process is the first dispatcher of a group at a time.
-    limit_exchange(event_loop& loop, fleet_limits& limits, std::string ownAddress, sender send,
-        std::function<bool(steady_time)> dispatches);
+    struct environment {
+        sender send;
+        /// Whether this process is the first dispatcher of a group.
+        std::function<bool(steady_time)> dispatches;
+        /// Whether an address did not answer a moment ago.
+        std::function<bool(const std::string& address, steady_time)> silent;
+    };
+
+    limit_exchange(event_loop& loop, fleet_limits& limits, std::string ownAddress, environment around);
 
     /// Starts asking if any customer has a limit, and stops if none has.
     void customersChanged();
-    void setMembers(std::span<const dispatcher_info> members);
+    void setMembers(std::span<const limit_peer> members);
 
 private:
     void tick();
-    void sendTo(const dispatcher_info& member, const limit_message& content);
+    void sendTo(const limit_peer& member, const limit_message& content);
 
     fleet_limits& m_limits;
     std::string m_ownAddress;
-    sender m_send;
-    std::function<bool(steady_time)> m_dispatches;
-    std::vector<dispatcher_info> m_members;
+    environment m_around;
+    std::vector<limit_peer> m_members;
     loop_timer m_timer;
 };
 
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -106,10 +106,12 @@
         , limits(customerLimits)
     {
         if (limits)
-            exchange = std::make_unique<limit_exchange>(
-                loop, *limits, self.address,
-                [this](const std::string& address, envelope message) { send(address, std::move(message)); },
-                [this](steady_time now) { return dispatches(now); });
+            exchange = std::make_unique<limit_exchange>(loop, *limits, self.address,
+                limit_exchange::environment { [this](const std::string& address, envelope message) {
+                                                 send(address, std::move(message));
+                                             },
+                    [this](steady_time now) { return dispatches(now); },
+                    [this](const std::string& address, steady_time now) { return silent(address, now); } });
     }
 
     /// Addresses of the group's dispatchers in their order. Kept until the list of dispatchers changes: with
@@ -646,8 +648,12 @@
 {
     m_impl->dispatchers = std::move(dispatchers);
     m_impl->rankedByGroup.clear();
+}
+
+void place_broker::setLimitPeers(std::span<const limit_peer> peers)
+{
     if (m_impl->exchange)
-        m_impl->exchange->setMembers(m_impl->dispatchers);
+        m_impl->exchange->setMembers(peers);
 }
 
 void place_broker::limitsChanged()
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -82,6 +82,7 @@
         one.set_percent(fill.percent);
     }
     wire.set_settled(loan.settled);
+    wire.set_wants_answer(loan.wantsAnswer);
 }
 
 void toWire(const token_request& request, peer::LimitMessage& out)
@@ -126,6 +127,7 @@
     for (const auto& fill : in.emptier())
         loan.emptier.push_back({ fill.customer(), fill.percent() });
     loan.settled = in.settled();
+    loan.wantsAnswer = in.wants_answer();
     return loan;
 }
 
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -32,7 +32,7 @@
     message.withdrawals.push_back({ "g", 15 });
     message.limits.push_back({ "vm", 7, share_ask { 123456789, true, { true, { "away" } } } });
     message.limits.push_back(
-        { "vm", 7, share_loan { 8, 123456789, 600ms, 0.25, 0.1, 90, { { 99, 12 } }, true } });
+        { "vm", 7, share_loan { 8, 123456789, 600ms, 0.25, 0.1, 90, { { 99, 12 } }, true, true } });
     message.limits.push_back({ "vm", 7, token_request { 5, { { 99, 0.5, 12 } } } });
     message.limits.push_back({ "vm", 7, token_transfer { 5, 600ms, { { 99, 1.3, 0.7 } } } });
     message.asks.front().ask.begun = true;
