The stand-in of the platform counts registrations, and no share records beside them

Change: the count is of yuccachute/node/entry/ and yuccachute/node/batch/, as strict as before: one registration for each process.

Checked: failures_platform and soak pass.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -407,7 +407,8 @@
                 { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs }, { "customer", run.customer },
                 { "key_passed", run.keyPassed } });
         return { { "runs", runs }, { "calls", m_store.calls() },
-            { "open", m_store.count("yuccachute/open/") }, { "nodes", m_store.count("yuccachute/node/") } };
+            { "open", m_store.count("yuccachute/open/") },
+            { "nodes", m_store.count("yuccachute/node/entry/") + m_store.count("yuccachute/node/batch/") } };
     }
 
     event_loop& m_loop;
