--- a/libs/fleet/tests/test_fleet.cpp
+++ b/libs/fleet/tests/test_fleet.cpp
@@ -1,4 +1,4 @@
-#include "fleet/fleet.h"
+#include "fleet_fixtures.h"
 #include "membership/membership.h"
 
 #include <catch2/catch.hpp>
@@ -40,24 +40,6 @@
 
 namespace {
 
-bool runUntil(event_loop& loop, const std::function<bool()>& condition)
-{
-    for (int i = 0; i < 300 && !condition(); ++i)
-        loop.runFor(milliseconds { 10 });
-    return condition();
-}
-
-store_listing listingOf(const std::map<std::string, std::string>& values, std::string_view prefix)
-{
-    store_listing listing;
-    listing.revision = 5;
-    for (const auto& [key, value] : values) {
-        if (key.starts_with(prefix))
-            listing.values.push_back({ key, value, 1, 1, 0 });
-    }
-    return listing;
-}
-
 /// A store that turns every call away and counts them. It may answer first readings.
 class closed_store final : public async_store {
 public:
@@ -97,23 +79,6 @@
     event_loop& m_loop;
 };
 
-class plain_codec final : public fleet_codec {
-public:
-    std::string ordersPrefix() const override { return "orders/"; }
-    std::string configurationKey() const override { return "orders/config"; }
-    std::string targetsPrefix() const override { return "targets/"; }
-    result<routing_table> decodeConfiguration(std::string_view document) const override
-    {
-        routing_table table;
-        table.version = std::stoll(std::string(document));
-        return table;
-    }
-    result<listed_target> decodeTarget(std::string_view key, std::string_view) const override
-    {
-        return listed_target { std::string(key), "s", "a", "z", 1, false };
-    }
-};
-
 /// A neighbour that the store serves.
 class neighbour final : public peer_handler {
 public:
--- a/libs/fleet/tests/test_share_records.cpp
+++ b/libs/fleet/tests/test_share_records.cpp
@@ -1,9 +1,7 @@
-#include "fleet/fleet.h"
+#include "fleet_fixtures.h"
 
 #include <catch2/catch.hpp>
 
-#include <map>
-
 using namespace yuccachute;
 
 namespace {
@@ -21,13 +19,7 @@
     }
     void list(std::string_view prefix, callback<store_listing> done) override
     {
-        store_listing listing;
-        listing.revision = 5;
-        for (const auto& [key, value] : values) {
-            if (key.starts_with(prefix))
-                listing.values.push_back({ key, value, 1, 1, 0 });
-        }
-        m_loop.post([done, listing] { done(listing); });
+        m_loop.post([done, listing = listingOf(values, prefix)] { done(listing); });
     }
     void commit(const store_transaction& transaction, callback<commit_outcome> done) override
     {
@@ -59,18 +51,6 @@
     event_loop& m_loop;
 };
 
-class plain_codec final : public fleet_codec {
-public:
-    std::string ordersPrefix() const override { return "orders/"; }
-    std::string configurationKey() const override { return "orders/config"; }
-    std::string targetsPrefix() const override { return "targets/"; }
-    result<routing_table> decodeConfiguration(std::string_view) const override { return routing_table {}; }
-    result<listed_target> decodeTarget(std::string_view key, std::string_view) const override
-    {
-        return listed_target { std::string(key), "s", "a", "z", 1, false };
-    }
-};
-
 const node_record entry { "edge-1", node_role::entry, "zone-a", "127.0.0.1:1", 1, false };
 
 } // namespace
@@ -121,8 +101,7 @@
     const auto ignore = [] {};
     fleet_watch watch(loop, observed, client, codec, entry, { {} }, { ignore, [](auto) {}, ignore, ignore });
     watch.start();
-    for (int i = 0; i < 300 && watch.shareRecords().empty(); ++i)
-        loop.runFor(milliseconds { 10 });
+    runUntil(loop, [&] { return !watch.shareRecords().empty(); });
     REQUIRE(watch.shareRecords().size() == 2);
     CHECK(watch.shareRecords()[1].vm == "edge-9");
     CHECK(watch.shareRecords()[1].zone == "zone-c");
--- a/libs/limits/tests/limit_storms.cpp
+++ b/libs/limits/tests/limit_storms.cpp
@@ -67,7 +67,7 @@
 
     std::vector<double> evenly(double perSecond) const
     {
-        return std::vector<double>(m_options.zones, perSecond / static_cast<double>(m_options.zones));
+        return yuccachute::evenly(perSecond, m_options.zones);
     }
 
     void fault(storm_kind kind)
@@ -80,13 +80,13 @@
         case storm_kind::restarts_of_all:
             return restartAll();
         case storm_kind::single_cuts:
-            return returns ? returnAll() : below(3) == 0 ? restart(one) : cutOff(one);
+            return returns ? m_fleet.returnAll() : below(3) == 0 ? restart(one) : cutOff(one);
         case storm_kind::zone_cuts:
-            return returns ? returnAll() : cutOffZone(below(m_options.zones));
+            return returns ? m_fleet.returnAll() : cutOffZone(below(m_options.zones));
         case storm_kind::halves:
-            return returns ? returnAll() : part();
+            return returns ? m_fleet.returnAll() : part();
         case storm_kind::zones_alone:
-            return returns ? returnAll() : separateZones();
+            return returns ? m_fleet.returnAll() : separateZones();
         case storm_kind::deaf:
             return m_fleet.deafen(one, below(2) == 0);
         case storm_kind::mixed:
@@ -110,12 +110,6 @@
             m_fleet.start(i);
     }
 
-    void returnAll()
-    {
-        for (std::size_t i = 0; i < m_options.processes; ++i)
-            m_fleet.moveTo(i, 0);
-    }
-
     void cutOff(std::size_t process) { m_fleet.moveTo(process, ++m_lastIsland); }
 
     void cutOffZone(std::size_t zone)
--- a/libs/limits/tests/model_limits.cpp
+++ b/libs/limits/tests/model_limits.cpp
@@ -53,6 +53,12 @@
     m_processes[process].island = island;
 }
 
+void model_limits::returnAll()
+{
+    for (std::size_t i = 0; i < m_processes.size(); ++i)
+        moveTo(i, 0);
+}
+
 void model_limits::deafen(std::size_t process, bool deaf)
 {
     m_processes[process].deaf = deaf;
@@ -215,6 +221,11 @@
         + m_options.bounds.overshootOf(limit) + m_options.bounds.slack;
 }
 
+std::vector<double> evenly(double perSecond, std::size_t zones)
+{
+    return std::vector<double>(zones, perSecond / static_cast<double>(zones));
+}
+
 random_faults playRandomFaults(std::uint64_t seed)
 {
     constexpr double overload = 5.6;
--- a/libs/limits/tests/model_limits.h
+++ b/libs/limits/tests/model_limits.h
@@ -35,6 +35,8 @@
     void start(std::size_t process);
     /// Processes of different islands do not reach each other; only island 0 reaches the store.
     void moveTo(std::size_t process, int island);
+    /// All processes reach each other and the store.
+    void returnAll();
     void setLimit(const request_limit& limit);
     /// Nothing reaches the process, while what it sends arrives.
     void deafen(std::size_t process, bool deaf);
@@ -88,6 +90,9 @@
     unsigned m_steps = 0;
 };
 
+/// Callers at all zones alike.
+std::vector<double> evenly(double perSecond, std::size_t zones = 3);
+
 /// Twelve restarts, cuts, returns and moves of callers, at 5.6 times the limit all the while.
 struct random_faults {
     double busiestWindow = 0;
--- a/libs/limits/tests/test_limits_cuts.cpp
+++ b/libs/limits/tests/test_limits_cuts.cpp
@@ -8,23 +8,12 @@
 
 constexpr double rounding = 1e-6;
 
-std::vector<double> evenly(double perSecond, std::size_t zones)
-{
-    return std::vector<double>(zones, perSecond / static_cast<double>(zones));
-}
-
 void separateZones(model_limits& fleet, std::size_t processes)
 {
     for (std::size_t i = 0; i < processes; ++i)
         fleet.moveTo(i, static_cast<int>(fleet.zoneOf(i)));
 }
 
-void returnAll(model_limits& fleet, std::size_t processes)
-{
-    for (std::size_t i = 0; i < processes; ++i)
-        fleet.moveTo(i, 0);
-}
-
 } // namespace
 
 // Guards against parts of a limit that add up to more than one, in the kinds of faults that come in series.
@@ -83,7 +72,7 @@
             for (const int apartMs : { 1000, 8000, 25000 }) {
                 separateZones(fleet, options.processes);
                 fleet.run(milliseconds { apartMs }, usual);
-                returnAll(fleet, options.processes);
+                fleet.returnAll();
                 fleet.run(milliseconds { 2000 }, usual);
             }
             INFO("seed " << seed << ", limit " << limit);
@@ -160,7 +149,7 @@
                 m_fleet.moveTo(i, 1);
             break;
         case small_fault::change::return_all:
-            returnAll(m_fleet, smallFleet);
+            m_fleet.returnAll();
             break;
         case small_fault::change::restart:
             m_fleet.kill(fault.process);
--- a/libs/limits/tests/test_limits_model.cpp
+++ b/libs/limits/tests/test_limits_model.cpp
@@ -10,11 +10,6 @@
 /// What customers usually send, in shares of their limits.
 constexpr double usual = 1 / 1.6;
 
-std::vector<double> evenly(double perSecond, std::size_t zones = 3)
-{
-    return std::vector<double>(zones, perSecond / static_cast<double>(zones));
-}
-
 /// Everything at one zone.
 std::vector<double> at(std::size_t zone, double perSecond)
 {
