A member of the limits is described once, and lists are read once

Cause, by reading the change again: the entry built two maps and two lists of the same members, one for the decisions and one for the messages (limit_peer beside limit_member); the list of processes was gone through twice at each change; the prefix of share records had a header of its own beside that of registrations; "says nothing to others" and "drop what is beyond the capacity" stood two and three times; take() called part() for its side effect.

Change: limit_member has the address and limit_peer is gone; one pass reads registrations and share records; the prefixes stand together; isSilent(), dropExcess() and refreshPart() name what was repeated or hidden; the gate asks first whether the token was taken. Behaviour is the same.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -71,6 +71,8 @@
 std::string encodeShare(const share_record& share);
 result<share_record> decodeShare(std::string_view vm, std::string_view document);
 
+/// Beside the registrations, so that one reading and one watch tell of both.
+constexpr std::string_view sharesPrefix = "yuccachute/node/limit-share/";
 /// Key of the record that an entry owns a part of customers' limits. It has no lease: behind a cut the entry
 /// goes on granting when its registration has lapsed.
 std::string shareKey(std::string_view vm);
@@ -256,7 +258,7 @@
     milliseconds syncInterval(steady_time now) const;
     void askPeers(steady_time now);
     void notifyNodes();
-    void readShareRecords(const store_section& section);
+    void readShareRecord(const section_entry& entry);
     bool isWatcher() const;
     bool followsTargets(steady_time now) const;
     void readTargetsUnlessTold(steady_time now);
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -1,7 +1,5 @@
 #include "fleet/fleet.h"
 
-#include "share_records.h"
-
 #include "watchers.h"
 
 #include "logging/logging.h"
@@ -361,10 +359,12 @@
     publish(mirror);
     const auto now = std::chrono::steady_clock::now();
     std::map<std::string, known_node, std::less<>> next;
-    readShareRecords(mirror.section());
+    m_shareRecords.clear();
     for (const auto& entry : mirror.section().entries) {
-        if (entry.key().starts_with(sharesPrefix))
+        if (entry.key().starts_with(sharesPrefix)) {
+            readShareRecord(entry);
             continue;
+        }
         const auto known = m_nodes.find(entry.key());
         const std::string key(entry.key());
         if (known != m_nodes.end() && known->second.revision == entry.revision())
@@ -386,18 +386,12 @@
     notifyNodes();
 }
 
-void fleet_watch::readShareRecords(const store_section& section)
+void fleet_watch::readShareRecord(const section_entry& entry)
 {
-    m_shareRecords.clear();
-    for (const auto& entry : section.entries) {
-        if (!entry.key().starts_with(sharesPrefix))
-            continue;
-        if (auto share = decodeShare(entry.key().substr(sharesPrefix.size()), entry.value()))
-            m_shareRecords.push_back(std::move(share.value()));
-        else
-            logEvent(
-                log_level::error, "share record not understood", { { "message", share.error().message } });
-    }
+    if (auto share = decodeShare(entry.key().substr(sharesPrefix.size()), entry.value()))
+        m_shareRecords.push_back(std::move(share.value()));
+    else
+        logEvent(log_level::error, "share record not understood", { { "message", share.error().message } });
 }
 
 void fleet_watch::notifyNodes()
--- a/libs/fleet/src/node_record.cpp
+++ b/libs/fleet/src/node_record.cpp
@@ -1,7 +1,5 @@
 #include "fleet/fleet.h"
 
-#include "share_records.h"
-
 #include <nlohmann/json.hpp>
 
 #include "membership/membership.h"
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -228,18 +228,13 @@
     void setLimitMembers()
     {
         std::map<std::string, limit_member> members;
-        std::map<std::string, limit_peer> peers;
-        for (const auto& owner : m_fleet.shareRecords()) {
-            members[owner.vm] = { owner.vm, owner.zone, false, false };
-            peers[owner.vm] = { owner.vm, owner.address, false };
-        }
-        for (const auto& node : m_fleet.registered(node_role::entry)) {
-            members[node.vm] = { node.vm, node.zone, node.leaving, true };
-            peers[node.vm] = { node.vm, node.address, true };
-        }
+        for (const auto& owner : m_fleet.shareRecords())
+            members[owner.vm] = { owner.vm, owner.zone, false, false, owner.address };
+        for (const auto& node : m_fleet.registered(node_role::entry))
+            members[node.vm] = { node.vm, node.zone, node.leaving, true, node.address };
         for (const auto& node : m_fleet.nodes(node_role::entry)) {
-            members[node.vm] = { node.vm, node.zone, false, node.vm != m_self.vm || m_fleet.listed() };
-            peers[node.vm] = { node.vm, node.address, true };
+            const bool registered = node.vm != m_self.vm || m_fleet.listed();
+            members[node.vm] = { node.vm, node.zone, false, registered, node.address };
         }
         if (!m_fleet.offered())
             members.erase(m_self.vm);
@@ -248,11 +243,7 @@
         for (auto& [vm, member] : members)
             all.push_back(std::move(member));
         m_limits.setMembers(all, std::chrono::steady_clock::now());
-        std::vector<limit_peer> known;
-        known.reserve(peers.size());
-        for (auto& [vm, peer] : peers)
-            known.push_back(std::move(peer));
-        m_broker.setLimitPeers(known);
+        m_broker.setLimitMembers(all);
     }
 
     /// Others find an entry among the seeds or in the list of processes. The seeds register themselves at
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -4,7 +4,6 @@
 #include "verdict/verdict.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -53,6 +52,7 @@
     bool leaving = false;
     /// Otherwise its registration has lapsed, and only the record is left that it may own a part.
     bool registered = true;
+    std::string address = {}; ///< host:port, for messages to it.
 };
 
 /// Which members a process hears.
@@ -219,6 +219,10 @@
     milliseconds askInterval() const;
     milliseconds nextAskAfter(steady_time now);
     milliseconds loanTime() const;
+    /// Whether it says nothing to others: it shares no part with them, or may not grant.
+    bool isSilent() const;
+    /// Brings the part up to date, unless that was done a moment ago.
+    void refreshPart(steady_time now);
     void updatePart(steady_time now);
     double computePart(steady_time now);
     void fillAtStart();
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -161,10 +161,15 @@
 }
 
 double fleet_limits::part(steady_time now)
+{
+    refreshPart(now);
+    return m_part;
+}
+
+void fleet_limits::refreshPart(steady_time now)
 {
     if (m_partComputed == steady_time {} || now - m_partComputed >= partInterval)
         updatePart(now);
-    return m_part;
 }
 
 void fleet_limits::updatePart(steady_time now)
@@ -215,7 +220,7 @@
     m_lastTake = now;
     if (!m_roster->knowsSelf())
         return noPartRetry;
-    part(now);
+    refreshPart(now);
     bucket.asked = true;
     bucket.lastTake = now;
     bucket.advance(now);
@@ -268,10 +273,14 @@
     return { m_vm, m_incarnation, std::move(body) };
 }
 
+bool fleet_limits::isSilent() const
+{
+    return std::holds_alternative<even_shares>(m_policy) || !m_roster->knowsSelf();
+}
+
 std::optional<limit_message> fleet_limits::takeShareAsk(steady_time now)
 {
-    const bool silent = std::holds_alternative<even_shares>(m_policy) || !m_roster->knowsSelf();
-    if (silent || (!active(now) && !m_roster->starting(now)) || now - m_lastAsk < nextAskAfter(now))
+    if (isSilent() || (!active(now) && !m_roster->starting(now)) || now - m_lastAsk < nextAskAfter(now))
         return std::nullopt;
     m_lastAsk = now;
     share_ask ask { toStamp(now), active(now), {} };
@@ -284,8 +293,7 @@
 
 std::optional<limit_message> fleet_limits::takeTokenRequest(steady_time now)
 {
-    const bool silent = std::holds_alternative<even_shares>(m_policy) || !m_roster->knowsSelf();
-    if (silent || !active(now) || now - m_lastRequest < requestInterval)
+    if (isSilent() || !active(now) || now - m_lastRequest < requestInterval)
         return std::nullopt;
     updatePart(now);
     token_request request { toStamp(now), {} };
--- a/libs/limits/src/limit_roster.h
+++ b/libs/limits/src/limit_roster.h
@@ -45,8 +45,8 @@
     struct member_state {
         std::string zone;
         steady_time lastHeard; ///< By this process.
-        steady_time
-            lastKnown; ///< When it was last registered, or heard by this process or one that it hears.
+        /// When it was last registered, or heard by this process or one that it hears.
+        steady_time lastKnown;
         bool registered = false;
         bool recorded = false; ///< It is in the list.
         std::optional<steady_time> goneSince; ///< It has left, or its record was removed.
@@ -70,8 +70,8 @@
     bool m_storeReached = true;
     std::optional<steady_time> m_started; ///< When this process first heard of members.
     std::optional<steady_time> m_registeredSince;
-    steady_time
-        m_hearsMostAt; ///< When it was last known that most members hear each other, this one among them.
+    /// When it was last known that most members hear each other, this one among them.
+    steady_time m_hearsMostAt;
     steady_time m_lastSeen; ///< When the others last saw this process in the list, as far as it knows.
 };
 
--- a/libs/limits/src/request_bucket.cpp
+++ b/libs/limits/src/request_bucket.cpp
@@ -47,14 +47,14 @@
 void request_bucket::setLimit(const request_limit& limit)
 {
     m_limit = limit;
-    m_level = std::min(m_level, capacity());
+    dropExcess();
 }
 
 void request_bucket::setPart(double part, steady_time now)
 {
     advance(now);
     m_part = part;
-    m_level = std::min(m_level, capacity());
+    dropExcess();
 }
 
 void request_bucket::advance(steady_time now)
@@ -77,6 +77,11 @@
     m_roomSum = 0;
     for (const auto& one : m_rooms)
         m_roomSum += one.tokens;
+    dropExcess();
+}
+
+void request_bucket::dropExcess()
+{
     m_level = std::min(m_level, capacity());
 }
 
--- a/libs/limits/src/request_bucket.h
+++ b/libs/limits/src/request_bucket.h
@@ -35,18 +35,20 @@
     steady_time othersLowAt; ///< When another process last said that it runs low.
 
 private:
+    struct room {
+        double tokens;
+        steady_time until;
+    };
+
     /// Requests above the limit that are granted all the same.
     double tolerance() const;
     double slack() const;
     void sumRooms();
+    void dropExcess();
 
     request_limit m_limit;
     limit_bounds m_bounds;
     double m_part;
-    struct room {
-        double tokens;
-        steady_time until;
-    };
     std::vector<room> m_rooms;
     double m_roomSum = 0;
     double m_level = 0;
--- a/libs/limits/src/share_loans.h
+++ b/libs/limits/src/share_loans.h
@@ -2,6 +2,8 @@
 
 #include "limits/limits.h"
 
+#include <deque>
+
 namespace yuccachute {
 
 /// What this process has lent of the part that it owns.
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -19,13 +19,6 @@
 /// groups that this process is dispatcher of. Layer: processes.
 namespace yuccachute {
 
-/// An entry that may own a part of customers' limits.
-struct limit_peer {
-    std::string vm;
-    std::string address;
-    bool registered = true; ///< Otherwise it may be cut off, or have ended.
-};
-
 /// An entry that can be dispatcher.
 struct dispatcher_info {
     std::string vm;
@@ -174,7 +167,7 @@
 
     void setDispatchers(std::vector<dispatcher_info> dispatchers);
     /// With whom customers' limits are shared.
-    void setLimitPeers(std::span<const limit_peer> peers);
+    void setLimitMembers(std::span<const limit_member> members);
     /// The directory has to outlive this object.
     void setTargets(const target_directory& targets, std::span<const target_change> changes, steady_time now);
     /// The customers' limits have been set anew.
--- a/libs/places/src/limit_exchange.cpp
+++ b/libs/places/src/limit_exchange.cpp
@@ -26,7 +26,7 @@
         m_timer.arm(tickInterval, [this] { tick(); });
 }
 
-void limit_exchange::setMembers(std::span<const limit_peer> members)
+void limit_exchange::setMembers(std::span<const limit_member> members)
 {
     m_members.assign(members.begin(), members.end());
 }
@@ -48,7 +48,7 @@
     m_timer.arm(tickInterval, [this] { tick(); });
 }
 
-void limit_exchange::sendTo(const limit_peer& member, const limit_message& content)
+void limit_exchange::sendTo(const limit_member& member, const limit_message& content)
 {
     envelope message;
     message.limits.push_back(content);
--- a/libs/places/src/limit_exchange.h
+++ b/libs/places/src/limit_exchange.h
@@ -13,10 +13,8 @@
 /// thread.
 class limit_exchange {
 public:
-    using sender = std::function<void(const std::string& address, envelope message)>;
-
     struct environment {
-        sender send;
+        std::function<void(const std::string& address, envelope message)> send;
         /// Whether this process is the first dispatcher of a group.
         std::function<bool(steady_time)> dispatches;
         /// Whether an address did not answer a moment ago.
@@ -27,16 +25,16 @@
 
     /// Starts asking if any customer has a limit, and stops if none has.
     void customersChanged();
-    void setMembers(std::span<const limit_peer> members);
+    void setMembers(std::span<const limit_member> members);
 
 private:
     void tick();
-    void sendTo(const limit_peer& member, const limit_message& content);
+    void sendTo(const limit_member& member, const limit_message& content);
 
     fleet_limits& m_limits;
     std::string m_ownAddress;
     environment m_around;
-    std::vector<limit_peer> m_members;
+    std::vector<limit_member> m_members;
     loop_timer m_timer;
 };
 
--- a/libs/places/src/limit_gate.cpp
+++ b/libs/places/src/limit_gate.cpp
@@ -18,14 +18,15 @@
     if (!m_limits || !isLimited(ask) || !m_limits->limits(ask.customer))
         return std::nullopt;
     const auto wait = m_limits->take(ask.customer, ask.begun, now);
+    if (wait.count() == 0) {
+        m_waiting.insert_or_assign({ ask.holder, ask.id }, ask.customer);
+        return std::nullopt;
+    }
     // Other dispatchers may have what this one has not borrowed yet.
-    if (wait.count() > 0 && m_limits->awaitsLoans(now))
+    if (m_limits->awaitsLoans(now))
         return notRun(
             failure_kind::unavailable, "this entry does not hold its part of the limits yet", noLoansRetry);
-    if (wait.count() > 0)
-        return notRun(failure_kind::limited, "the customer's limit is reached", wait);
-    m_waiting.insert_or_assign({ ask.holder, ask.id }, ask.customer);
-    return std::nullopt;
+    return notRun(failure_kind::limited, "the customer's limit is reached", wait);
 }
 
 void limit_gate::granted(std::uint64_t session, std::uint64_t askId)
--- a/libs/places/src/place_broker.cpp
+++ b/libs/places/src/place_broker.cpp
@@ -650,10 +650,10 @@
     m_impl->rankedByGroup.clear();
 }
 
-void place_broker::setLimitPeers(std::span<const limit_peer> peers)
+void place_broker::setLimitMembers(std::span<const limit_member> members)
 {
     if (m_impl->exchange)
-        m_impl->exchange->setMembers(peers);
+        m_impl->exchange->setMembers(members);
 }
 
 void place_broker::limitsChanged()
