dispatch: split target_group into table, selector, admission and bulk scheduler

It is now a coordinator of four parts with private headers: target_table (targets in use, grants), target_selector (choice of a target), live_admission (queue and refusals of live requests) and bulk_scheduler (start and revocation of bulk work). Internal classes left the public header.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -7,12 +7,9 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -108,67 +105,6 @@
     std::optional<std::vector<std::string>> runs;
 };
 
-/// Load at one target beyond the grants of this dispatcher, estimated from the target's load reports, which
-/// lag, and from missing reports. Slots may be occupied by requests granted by a previous dispatcher or by
-/// another one during a network partition, and by requests of a crashed holder. Without the reports this
-/// dispatcher would count those slots as free.
-class target_load {
-public:
-    target_load() = default;
-    /// `polled`: whether the target is polled for load reports whenever startPollIfDue() returns true.
-    target_load(bool polled, steady_time now);
-
-    /// Slots occupied by requests that this dispatcher did not grant. A new target counts as full, with all
-    /// its `slots`, for a short time until its first report.
-    unsigned slotsUsedByOthers(unsigned slots, steady_time now) const;
-    /// Whether the target has announced that it accepts no new requests.
-    bool leaving(steady_time now) const;
-    /// Slot count from the last report; unset if the report is outdated or has none.
-    std::optional<unsigned> slots(steady_time now) const;
-    double memoryUsed() const { return m_last.memoryUsed; }
-    /// Whether a report, or a refusal in place of one, has been received.
-    bool hasReported() const { return m_reportTime != steady_time {}; }
-    /// Whether the target has not answered several polls in a row.
-    bool unresponsive() const;
-
-    /// Records the number of own grants before it changes, and with each report.
-    void recordOwnGrants(unsigned own, steady_time now);
-    /// Records the end of an own request, because a lagging report may still list it.
-    void recordFinished(std::string requestId, steady_time now);
-    /// `granted`: ids of the requests that hold a grant at the target now; `own`: number of these grants.
-    void report(
-        const load_report& report, const std::set<std::string_view>& granted, unsigned own, steady_time now);
-    /// The target did not answer a poll.
-    void recordMiss(steady_time now);
-    /// The target refused a request because it accepts none. This counts as a report that it is shutting down
-    /// and holds until the next report.
-    void markUnavailable(steady_time now);
-    /// Whether a poll is due. If so it is marked as pending until its answer, or the lack of one, is
-    /// recorded.
-    bool startPollIfDue(steady_time now);
-    /// Makes a poll due at once after an event that puts the known load in doubt.
-    void pollNow(steady_time now) { m_nextReport = now; }
-    /// Makes a poll due after the short report interval at the latest.
-    void pollSoon(steady_time now);
-
-private:
-    bool fresh(steady_time now) const;
-    void removeOldFinished(steady_time now);
-    unsigned countRunsOfOthers(const std::set<std::string_view>& granted, steady_time now);
-
-    bool m_polled = false;
-    steady_time m_addedAt;
-    load_report m_last;
-    steady_time m_reportTime;
-    steady_time m_nextReport;
-    bool m_pollPending = false;
-    unsigned m_missed = 0; ///< Consecutive polls without an answer.
-    unsigned m_runsOfOthers = 0; ///< From the last report, if it lists its runs.
-    unsigned m_grantsAtReport = 0; ///< Peak of own grants in the time that the report may describe.
-    std::deque<std::pair<steady_time, unsigned>> m_ownPeaks; ///< Recent peaks of own grants.
-    std::deque<std::pair<steady_time, std::string>> m_finished;
-};
-
 // --- Policies for bulk work
 
 /// No bulk work.
@@ -219,28 +155,6 @@
 /// first token late.
 double adaptWindow(double window, bool liveDelayed, bool windowWasFull);
 
-// --- Target health
-
-/// Ejects a failing target and probes it before it is used again. After several consecutive failures the
-/// target gets no requests for a time that doubles with each failed probe, then one at a time until enough of
-/// them succeed.
-class target_health {
-public:
-    enum class state : std::uint8_t { healthy, ejected, probing };
-
-    void succeeded(steady_time now);
-    void failed(steady_time now);
-    state at(steady_time now) const;
-    unsigned consecutiveFailures() const { return m_failures; }
-
-private:
-    unsigned m_failures = 0;
-    unsigned m_probesPassed = 0;
-    unsigned m_ejections = 0;
-    bool m_ejected = false;
-    steady_time m_until;
-};
-
 // --- Queues
 
 /// Start-time fair queueing over customers. It is work-conserving: a customer may use all idle capacity, but
@@ -308,34 +222,6 @@
 
 // --- Prefix affinity
 
-/// Targets to which prompt prefixes were sent recently. These are hints: a target may have evicted the prefix
-/// from its cache since.
-class prefix_index {
-public:
-    explicit prefix_index(
-        std::size_t capacity = 16384, std::chrono::seconds maxAge = std::chrono::seconds { 600 })
-        : m_capacity(capacity)
-        , m_maxAge(maxAge)
-    {
-    }
-
-    void record(std::span<const std::uint64_t> prefixes, std::string_view target, steady_time now);
-    /// Number of leading blocks that the target probably has in its cache.
-    std::size_t matchedBlocks(
-        std::span<const std::uint64_t> prefixes, std::string_view target, steady_time now) const;
-    void eraseTarget(std::string_view target);
-
-private:
-    struct hint {
-        std::vector<std::string> targets;
-        steady_time seen;
-    };
-    std::size_t m_capacity;
-    std::chrono::seconds m_maxAge;
-    std::unordered_map<std::uint64_t, hint> m_hints;
-    std::deque<std::uint64_t> m_insertionOrder;
-};
-
 /// Chained hashes of the leading blocks of a prompt: equal hashes mean equal text up to the end of that
 /// block.
 std::vector<std::uint64_t> prefixHashes(std::string_view prompt);
@@ -367,84 +253,8 @@
     double m_level = 5;
 };
 
-// --- Targets in use
-
-/// Key by which targets are activated in ascending order. It is the same in every process, so that the next
-/// dispatcher of a group uses the same targets as the previous one and polls them for the work it left there.
-std::uint64_t activationOrder(std::string_view target);
-
-/// Targets of a group that are not in use. Only their descriptions are kept; they are not polled.
-class standby_targets {
-public:
-    void add(target_description target);
-    bool remove(std::string_view name);
-    std::optional<target_description> popFirst();
-    /// Activation order of the target that popFirst() would return. There must be one.
-    std::uint64_t firstActivationOrder() const { return m_targets.begin()->first.first; }
-    std::vector<std::string> names() const;
-    bool empty() const { return m_targets.empty(); }
-    std::size_t size() const { return m_targets.size(); }
-
-private:
-    std::map<std::pair<std::uint64_t, std::string>, target_description> m_targets; ///< By activationOrder().
-};
-
-/// Peak number of slots that a group needed recently.
-class demand_history {
-public:
-    /// Records the number of slots that are granted or waited for.
-    void record(std::size_t slots, steady_time now);
-    /// Number of slots that the targets in use should have in total.
-    std::size_t desiredSlots() const;
-
-private:
-    std::deque<std::pair<std::chrono::seconds, std::size_t>> m_peaks; ///< Peak of each second.
-};
-
-/// Size of the working set: the targets in use and their slots.
-struct working_set_state {
-    std::size_t targets = 0;
-    std::size_t totalSlots = 0; ///< Of all targets in use.
-    std::size_t usableSlots = 0; ///< Of the targets in use that accept requests.
-    std::size_t desiredSlots = 0;
-};
-
-/// Whether another target has to be activated.
-bool needsMoreTargets(const working_set_state& state, std::size_t minTargets);
-/// Whether a target with this number of slots is no longer needed.
-bool canDeactivate(const working_set_state& state, std::size_t slots, std::size_t minTargets);
-
 // --- Target group
 
-/// Counts live arrivals in short intervals to find out how many arrive at once in a busy one.
-class arrival_history {
-public:
-    void record(steady_time now);
-    /// 95th percentile of the arrivals per interval over the last seconds.
-    unsigned p95Arrivals(steady_time now) const;
-
-private:
-    /// Number of each interval and its arrivals; intervals without arrivals are left out.
-    std::deque<std::pair<std::int64_t, unsigned>> m_intervals;
-};
-
-/// Tracks how long periods of overload last, to tell refused callers when to retry.
-class overload_periods {
-public:
-    /// A live request was refused because no slot was available in time.
-    void recordRefusal(steady_time now);
-    /// Delay after which a request that is refused now should be retried: the length of a whole period, not
-    /// the remainder of the current one. A caller that returns at the end of the period meets the queue that
-    /// it has left behind, and one that returns earlier spends its retry on another refusal.
-    milliseconds retryDelay(steady_time now) const;
-
-private:
-    steady_time m_periodStart;
-    steady_time m_last;
-    double m_refusals = 0;
-    double m_meanLengthMs = 1700; ///< Initial estimate until a period has been observed.
-};
-
 struct group_options {
     bulk_policy policy = adaptive_bulk {};
     fair_queue::order order = fair_queue::order::fair;
@@ -501,8 +311,11 @@
 class target_group {
 public:
     explicit target_group(group_options options);
+    ~target_group();
+    target_group(target_group&&) noexcept;
+    target_group& operator=(target_group&&) noexcept;
 
-    void setOptions(group_options options);
+    void setOptions(const group_options& options);
     void setTargets(std::span<const target_description> targets, steady_time now);
     /// Applies added or changed targets and removes others.
     void changeTargets(
@@ -536,77 +349,8 @@
     group_summary summary(steady_time now) const;
 
 private:
-    struct target_state {
-        target_description description;
-        target_health health;
-        target_load load;
-        unsigned live = 0;
-        unsigned bulk = 0;
-        unsigned revoked = 0; ///< Revoked bulk grants that have not been released yet.
-        steady_time refusedUntil; ///< End of the pause after the target refused a request.
-        std::deque<steady_time> liveReleaseTimes; ///< Release times of slots that are kept for live requests.
-    };
-    struct grant_record {
-        slot_request request;
-        std::string target;
-        steady_time since;
-        steady_time expiresAt;
-        bool revoked = false;
-    };
-
-    bool usable(const target_state& target, steady_time now) const;
-    unsigned slotsOf(const target_state& target, steady_time now) const;
-    unsigned slotsUsedByOthers(const target_state& target, steady_time now) const;
-    bool allTargetsUnresponsive() const;
-    unsigned freeSlots(const target_state& target, steady_time now) const;
-    /// Free slots that bulk work may use.
-    unsigned spareSlots(const target_state& target, steady_time now) const;
-    double costOf(const slot_request& request, const target_state& target, steady_time now) const;
-    target_state* chooseTarget(const slot_request& request, bool needFreeSlot, steady_time now);
-    bool refuseIfUnservable(const slot_request& request, steady_time now);
-    milliseconds expectedWait(const slot_request& request, steady_time now) const;
-    /// Refuses a live request because of overload.
-    void refuseForLoad(const slot_request& request, std::string message, steady_time now);
-    bulk_policy_input policyInput(steady_time now) const;
-    void grantSlot(slot_request request, target_state& target, steady_time since, steady_time now);
-    void assignSlots(steady_time now);
-    bool assignLiveSlot(steady_time now);
-    bool assignBulkSlot(steady_time now);
-    void revokeForLive(steady_time now);
-    void revoke(std::uint64_t grantId);
-    void removeGrant(std::uint64_t grantId, steady_time now);
-    void updateTarget(const target_description& description, steady_time now);
-    void removeTarget(std::string_view name);
-    working_set_state workingSet(steady_time now) const;
-    void activateTarget(target_description description, steady_time now);
-    void activateNeededTargets(steady_time now);
-    void activatePrecedingTargets(steady_time now);
-    void deactivateIdleTargets(steady_time now);
-    void keepSlotForLive(target_state& target, steady_time now) const;
-    void adaptBulkWindow(steady_time now);
-    void refuse(const slot_request& request, failure reason);
-    void refuseExpired(steady_time now);
-
-    group_options m_options;
-    std::map<std::string, target_state, std::less<>> m_targets; ///< In use.
-    standby_targets m_standby;
-    demand_history m_demand;
-    steady_time m_nextDeactivation;
-    fair_queue m_live;
-    fair_queue m_bulk;
-    std::map<std::uint64_t, grant_record> m_grants;
-    prefix_index m_prefixes;
-    std::minstd_rand m_random; ///< Used with `randomChoice` only; same seed in every process.
-    std::vector<decision> m_decisions;
-    std::uint64_t m_nextGrant = 1;
-    double m_serviceTimeMs = 0; ///< Moving average of the time for which live grants are held.
-    double m_window = 0.25;
-    bool m_liveDelayed = false;
-    bool m_bulkWindowFull = false;
-    steady_time m_nextAdaptation;
-    arrival_history m_arrivals;
-    overload_periods m_overloadPeriods;
-    steady_time m_lastRequestTime;
+    struct impl;
+    std::unique_ptr<impl> m_impl;
 };
 
 /// Name of a group: service, zone and number. Groups have at most `targetsPerGroup` targets.
--- /dev/null
+++ b/libs/dispatch/src/live_admission.cpp
@@ -0,0 +1,87 @@
+#include "live_admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccachute {
+
+namespace {
+
+constexpr milliseconds minRetryAfter { 1000 };
+constexpr milliseconds unavailableRetryAfter { 2000 };
+constexpr double previousAverageWeight = 0.9;
+
+double movingAverage(double average, double value)
+{
+    return average == 0 ? value : previousAverageWeight * average + (1 - previousAverageWeight) * value;
+}
+
+} // namespace
+
+fair_queue reordered(fair_queue queue, fair_queue::order order)
+{
+    fair_queue moved(order);
+    while (!queue.empty()) {
+        auto [request, since] = queue.pop();
+        moved.push(std::move(request), since);
+    }
+    return moved;
+}
+
+void live_admission::setOrder(fair_queue::order order)
+{
+    m_queue = reordered(std::move(m_queue), order);
+}
+
+milliseconds live_admission::expectedWait(const slot_request& request, steady_time now) const
+{
+    unsigned slots = 0;
+    for (const auto& [name, target] : m_table.targets()) {
+        if (!m_table.usable(target, now))
+            continue;
+        // A target that has not reported yet is not counted as full here: it will report within milliseconds,
+        // and the request can wait for that.
+        const auto usedByOthers = target.load.hasReported() ? m_table.slotsUsedByOthers(target, now) : 0;
+        const auto total = m_table.slotsOf(target, now);
+        slots += total - std::min(total, usedByOthers);
+    }
+    if (slots == 0)
+        return unavailableRetryAfter;
+    const bool fair = m_options.order == fair_queue::order::fair;
+    const double ahead = static_cast<double>(fair ? m_queue.sizeOf(request.customer) : m_queue.size());
+    const double share = fair ? m_queue.shareOf(request.customer, request.weight) : 1;
+    return milliseconds { std::llround(ahead * m_serviceTimeMs / slots / share) };
+}
+
+failure live_admission::overloadRefusal(const slot_request& request, std::string message, steady_time now)
+{
+    const auto wait = expectedWait(request, now);
+    if (request.immediate) // The sender can request the slot again and wait in the queue.
+        return notRun(failure_kind::overloaded, std::move(message), wait);
+    m_overloadPeriods.recordRefusal(now);
+    return notRun(
+        failure_kind::overloaded, std::move(message), std::max(wait, m_overloadPeriods.retryDelay(now)));
+}
+
+std::optional<failure> live_admission::refusalOf(const slot_request& request, steady_time now)
+{
+    if (!m_table.anyUsable(now))
+        return notRun(
+            failure_kind::unavailable, "no target of this service can be used now", unavailableRetryAfter);
+    if (request.workClass == work_class::bulk)
+        return std::nullopt;
+    const auto wait = expectedWait(request, now);
+    if (m_queue.sizeOf(request.customer) >= request.queueLimit)
+        return notRun(failure_kind::overloaded, "too many requests of this customer are waiting",
+            std::max(wait, minRetryAfter));
+    if (!request.immediate && now + wait * m_options.waitMargin > request.deadline)
+        return overloadRefusal(request, "the expected wait in the queue exceeds the request's timeout", now);
+    return std::nullopt;
+}
+
+void live_admission::recordServiceTime(steady_time::duration held)
+{
+    m_serviceTimeMs = movingAverage(m_serviceTimeMs, std::chrono::duration<double, std::milli>(held).count());
+}
+
+} // namespace yuccachute
--- a/libs/dispatch/src/overload_spells.cpp
+++ b/libs/dispatch/src/live_load.cpp
@@ -1,11 +1,17 @@
-#include "dispatch/dispatch.h"
+#include "live_load.h"
 
 #include <algorithm>
+#include <functional>
+#include <vector>
 
 namespace yuccachute {
 
 namespace {
 
+/// Approximate time from a revocation until the item has left its target.
+constexpr milliseconds intervalLength { 20 };
+constexpr std::int64_t intervalsKept = 250;
+
 /// Refusals further apart belong to different periods: an overloaded group refuses tens of requests per
 /// second.
 constexpr milliseconds maxRefusalGap { 500 };
@@ -23,8 +29,38 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+std::int64_t intervalNumber(steady_time time)
+{
+    return time.time_since_epoch() / intervalLength;
+}
+
 } // namespace
 
+void arrival_history::record(steady_time now)
+{
+    const auto span = intervalNumber(now);
+    if (m_intervals.empty() || m_intervals.back().first != span)
+        m_intervals.emplace_back(span, 0);
+    ++m_intervals.back().second;
+    while (m_intervals.front().first <= span - intervalsKept)
+        m_intervals.pop_front();
+}
+
+unsigned arrival_history::p95Arrivals(steady_time now) const
+{
+    constexpr std::size_t exceeding = intervalsKept / 20;
+    std::vector<unsigned> counts;
+    for (const auto& [span, count] : m_intervals) {
+        if (span > intervalNumber(now) - intervalsKept)
+            counts.push_back(count);
+    }
+    // Intervals without arrivals are not kept: if all kept ones are within the top 5%, the percentile is 0.
+    if (counts.size() <= exceeding)
+        return 0;
+    std::nth_element(counts.begin(), counts.begin() + exceeding, counts.end(), std::greater<>());
+    return counts[exceeding];
+}
+
 void overload_periods::recordRefusal(steady_time now)
 {
     if (now - m_last > maxRefusalGap) {
--- a/libs/dispatch/src/prefix_index.cpp
+++ b/libs/dispatch/src/prefix_index.cpp
@@ -1,3 +1,5 @@
+#include "prefix_index.h"
+
 #include "dispatch/dispatch.h"
 
 #include "membership/membership.h"
--- a/libs/dispatch/src/target_health.cpp
+++ b/libs/dispatch/src/target_health.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/dispatch.h"
+#include "target_health.h"
 
 #include <algorithm>
 
--- a/libs/dispatch/src/target_load.cpp
+++ b/libs/dispatch/src/target_load.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/dispatch.h"
+#include "target_load.h"
 
 #include <algorithm>
 
--- a/libs/dispatch/src/working_set.cpp
+++ b/libs/dispatch/src/working_set.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/dispatch.h"
+#include "working_set.h"
 
 #include "membership/membership.h"
 
--- a/libs/dispatch/tests/test_dispatch.cpp
+++ b/libs/dispatch/tests/test_dispatch.cpp
@@ -1,3 +1,5 @@
+#include "../src/live_load.h"
+#include "../src/target_health.h"
 #include "dispatch/dispatch.h"
 
 #include <catch2/catch.hpp>
