dispatch, wire: fields for the pace of targets and the remaining work of items

A release carries the number of events of the run and the mean time between them; a request for a bulk slot carries the expected number of remaining events and of those already produced. Nothing reads them yet. Old processes ignore the fields and send zero, which means unknown. test_wire, test_places and test_front pass.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -192,7 +192,7 @@
     {
         if (!m_slot)
             return;
-        m_services.slots.release(*m_slot, outcome, milliseconds { 0 });
+        m_services.slots.release(*m_slot, { outcome });
         m_slot.reset();
     }
 
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -44,6 +44,10 @@
     milliseconds hold { 0 };
     steady_time due; ///< Bulk only: due time of the job.
     bool begun = false; ///< Part of the request has already run at another target.
+    /// Bulk only: number of events that the run is expected to produce; 0 if unknown.
+    double remainingEvents = 0;
+    /// Bulk only: number of events produced by earlier runs, which the next target has to prefill.
+    std::uint32_t producedEvents = 0;
 };
 
 /// A granted slot at a target. The holder sends its request to the target directly and releases the grant
@@ -84,6 +88,8 @@
     grant_outcome outcome = grant_outcome::ok;
     milliseconds firstToken { 0 }; ///< Time from sending to the first token; zero if unknown.
     double tokens = 0;
+    std::uint32_t events = 0; ///< Events received in this run.
+    std::chrono::microseconds eventInterval { 0 }; ///< Mean time between events; zero if unknown.
 };
 
 /// A target as configured in the settings.
--- a/libs/dispatch/src/target_table.h
+++ b/libs/dispatch/src/target_table.h
@@ -3,6 +3,7 @@
 #include "dispatch/dispatch.h"
 #include "target_health.h"
 #include "target_load.h"
+#include "target_pace.h"
 #include "working_set.h"
 
 #include <deque>
@@ -19,6 +20,7 @@
     target_description description;
     target_health health;
     target_load load;
+    target_pace pace;
     unsigned live = 0;
     unsigned bulk = 0;
     unsigned revoked = 0; ///< Revoked bulk grants that have not been released yet.
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -55,7 +55,7 @@
     virtual std::shared_ptr<slot_acquisition> acquire(
         slot_requirements request, std::function<void(result<held_slot>)> done)
         = 0;
-    virtual void release(const held_slot& taken, grant_outcome outcome, milliseconds firstToken) = 0;
+    virtual void release(const held_slot& taken, const slot_usage& usage) = 0;
 };
 
 /// Sends requests to targets. Implemented by the HTTP client and by test doubles.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -61,10 +61,7 @@
     {
         return m_broker.acquire(std::move(request), std::move(done));
     }
-    void release(const held_slot& taken, grant_outcome outcome, milliseconds firstToken) override
-    {
-        m_broker.release(taken, outcome, firstToken);
-    }
+    void release(const held_slot& taken, const slot_usage& usage) override { m_broker.release(taken, usage); }
 
 private:
     slot_broker& m_broker;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -178,14 +178,14 @@
             return refuseOrFail(found.error());
         const bool suspectedSinceSent = (m_call || m_attempts > 0) && requestIsSuspected();
         if (suspectedSinceSent && !m_call) {
-            m_services.slots.release(found.value(), grant_outcome::unused, milliseconds { 0 });
+            m_services.slots.release(found.value(), { grant_outcome::unused });
             return failRequest(m_lastFailure.value_or(mayHaveRun(failure_kind::incomplete,
                 "the targets that ran the request terminated or stopped responding; it is not retried")));
         }
         if (m_call && (!m_failoverWanted || suspectedSinceSent)) {
             // The current target responded in the meantime, or the request must not run on another one.
             m_failoverWanted = false;
-            m_services.slots.release(found.value(), grant_outcome::unused, milliseconds { 0 });
+            m_services.slots.release(found.value(), { grant_outcome::unused });
             return;
         }
         // The earlier run is cancelled before the next one begins, so that only one target works on a
@@ -482,7 +482,7 @@
     {
         if (!m_slot)
             return;
-        m_services.slots.release(*m_slot, outcome, m_firstEventAtTarget);
+        m_services.slots.release(*m_slot, { outcome, m_firstEventAtTarget });
         m_slot.reset();
     }
 
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -62,9 +62,9 @@
         withdrawn = false;
         return std::make_shared<acquisition>(*this);
     }
-    void release(const held_slot& taken, grant_outcome outcome, milliseconds) override
+    void release(const held_slot& taken, const slot_usage& usage) override
     {
-        released += taken.target + ":" + std::to_string(static_cast<int>(outcome)) + " ";
+        released += taken.target + ":" + std::to_string(static_cast<int>(usage.outcome)) + " ";
     }
     void grant(const std::string& target)
     {
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -41,6 +41,8 @@
     steady_time grantDeadline; ///< A grant after this time is of no use.
     milliseconds hold { 0 }; ///< Longest time for which the slot may be held.
     steady_time due; ///< When the batch job is due; bulk work only.
+    double remainingEvents = 0; ///< Expected number of events of the run; bulk work only, 0 if unknown.
+    std::uint32_t producedEvents = 0; ///< Events produced by earlier runs; bulk work only.
 };
 
 /// A granted slot at a target. It must be released exactly once.
@@ -54,6 +56,14 @@
     milliseconds waited { 0 };
 };
 
+/// How a granted slot was used. The figures are of the stream from the target, and zero if unknown.
+struct slot_usage {
+    grant_outcome outcome = grant_outcome::ok;
+    milliseconds firstToken { 0 }; ///< Time from sending the request to the first event.
+    std::uint32_t events = 0; ///< Number of events received.
+    std::chrono::microseconds eventInterval { 0 }; ///< Mean time between events.
+};
+
 /// A pending request for a slot. Destroying this object withdraws the request.
 class slot_acquisition {
 public:
@@ -188,7 +198,7 @@
     std::shared_ptr<slot_acquisition> acquire(slot_requirements request, granted done);
     /// Calls `notify` when the dispatcher revokes the grant. The slot stays in use until it is released.
     void onRevoked(const held_slot& taken, revoked notify);
-    void release(const held_slot& taken, grant_outcome outcome, milliseconds firstToken);
+    void release(const held_slot& taken, const slot_usage& usage);
 
     // Grant streams that peers have opened to this process. These functions are thread-safe.
     void sessionOpened(std::uint64_t session, std::function<void(envelope)> send);
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -405,6 +405,8 @@
         slotRequest.deadline = m_queueDeadline.value_or(steady_time {});
         slotRequest.hold = m_request.hold;
         slotRequest.due = m_request.due;
+        slotRequest.remainingEvents = m_request.remainingEvents;
+        slotRequest.producedEvents = m_request.producedEvents;
         envelope message;
         message.asks.push_back({ m_group, std::move(slotRequest) });
         if (m_dispatcher.empty())
@@ -714,9 +716,11 @@
     m_impl->revocationCallbacks[{ taken.dispatcher, taken.group, taken.grantId }] = std::move(notify);
 }
 
-void slot_broker::release(const held_slot& taken, grant_outcome outcome, milliseconds firstToken)
+void slot_broker::release(const held_slot& taken, const slot_usage& usage)
 {
-    m_impl->released(taken.dispatcher, { taken.group, { taken.grantId, outcome, firstToken, 0 } });
+    m_impl->released(taken.dispatcher,
+        { taken.group,
+            { taken.grantId, usage.outcome, usage.firstToken, 0, usage.events, usage.eventInterval } });
 }
 
 void slot_broker::sessionOpened(std::uint64_t session, std::function<void(envelope)> send)
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -107,8 +107,8 @@
     acquisitions.push_back(f.acquire(f.a, work_class::live, 1000));
     f.run();
     CHECK(!f.outcomes[4]);
-    f.a.broker.release(f.outcomes[0]->value(), grant_outcome::ok, milliseconds { 1 });
-    f.a.broker.release(f.outcomes[2]->value(), grant_outcome::ok, milliseconds { 1 });
+    f.a.broker.release(f.outcomes[0]->value(), { grant_outcome::ok, milliseconds { 1 } });
+    f.a.broker.release(f.outcomes[2]->value(), { grant_outcome::ok, milliseconds { 1 } });
     f.run();
     CHECK(!f.target(4).empty());
 }
@@ -127,7 +127,7 @@
     f.run(20);
     for (int i = 0; i < 4; ++i)
         f.a.broker.release(
-            f.outcomes[static_cast<std::size_t>(i)]->value(), grant_outcome::ok, milliseconds { 1 });
+            f.outcomes[static_cast<std::size_t>(i)]->value(), { grant_outcome::ok, milliseconds { 1 } });
     f.run();
     CHECK(!f.outcomes[4]);
     auto again = f.acquire(f.a);
@@ -327,7 +327,7 @@
         while (!outcome)
             loop.runFor(milliseconds { 1 });
         REQUIRE(*outcome);
-        broker.release(outcome->value(), grant_outcome::ok, milliseconds { 1 });
+        broker.release(outcome->value(), { grant_outcome::ok, milliseconds { 1 } });
     }
     return threadCpuMs() - begin;
 }
@@ -364,12 +364,12 @@
     CHECK(f.a.broker.figures().asks == before + 10); // Each waits in the queue of its own zone.
     // The first slot that becomes free there is granted to one of them, and items try other zones again
     // later.
-    f.a.broker.release(f.outcomes[0]->value(), grant_outcome::ok, milliseconds { 1 });
+    f.a.broker.release(f.outcomes[0]->value(), { grant_outcome::ok, milliseconds { 1 } });
     f.run(20);
     const auto granted = std::count_if(
         f.outcomes.begin() + 4, f.outcomes.end(), [](const auto& outcome) { return outcome && *outcome; });
     CHECK(granted == 1);
-    f.a.broker.release(f.outcomes[2]->value(), grant_outcome::ok, milliseconds { 1 });
+    f.a.broker.release(f.outcomes[2]->value(), { grant_outcome::ok, milliseconds { 1 } });
     f.run(200);
     acquisitions.push_back(f.acquire(f.a, work_class::bulk));
     f.run(20);
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -33,6 +33,8 @@
     out.set_at_once(request.immediate);
     out.set_request_id(request.requestId);
     out.set_begun(request.begun);
+    out.set_remaining_events(static_cast<float>(request.remainingEvents));
+    out.set_produced_events(request.producedEvents);
 }
 
 ask_message fromWire(const peer::Ask& in, steady_time now)
@@ -53,6 +55,8 @@
     request.immediate = in.at_once();
     request.requestId = in.request_id();
     request.begun = in.begun();
+    request.remainingEvents = in.remaining_events();
+    request.producedEvents = in.produced_events();
     request.due = now + milliseconds { static_cast<std::int64_t>(in.due_in_ms()) };
     return message;
 }
@@ -213,6 +217,8 @@
         wire.set_outcome(static_cast<std::uint32_t>(release.release.outcome));
         wire.set_first_token_ms(static_cast<std::uint32_t>(release.release.firstToken.count()));
         wire.set_tokens(static_cast<float>(release.release.tokens));
+        wire.set_events(release.release.events);
+        wire.set_event_interval_us(static_cast<std::uint32_t>(release.release.eventInterval.count()));
     }
     for (const auto& withdrawal : message.withdrawals) {
         auto& wire = *out.add_withdrawals();
@@ -248,7 +254,8 @@
             ? static_cast<grant_outcome>(release.outcome())
             : grant_outcome::abandoned;
         message.releases.push_back({ release.group(),
-            { release.grant_id(), outcome, milliseconds { release.first_token_ms() }, release.tokens() } });
+            { release.grant_id(), outcome, milliseconds { release.first_token_ms() }, release.tokens(),
+                release.events(), std::chrono::microseconds { release.event_interval_us() } } });
     }
     for (const auto& withdrawal : in.withdrawals())
         message.withdrawals.push_back({ withdrawal.group(), withdrawal.ask_id() });
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -23,12 +23,14 @@
     request.deadline = start + 5s;
     request.due = start + 1h;
     request.hold = 7s;
+    request.remainingEvents = 120.5;
+    request.producedEvents = 17;
     message.asks.push_back({ "screening/rennes-a/0", request });
     message.grants.push_back({ 0, 7, 8, "s1", "127.0.0.1:7001", 12ms });
     message.refusals.push_back({ 0, 9, notRun(failure_kind::overloaded, "full", 1500ms) });
     message.moved.push_back({ 10, "127.0.0.1:9" });
     message.revokes.push_back({ "g", 11 });
-    message.releases.push_back({ "g", { 12, grant_outcome::failed, 13ms, 14 } });
+    message.releases.push_back({ "g", { 12, grant_outcome::failed, 13ms, 14, 18, 3480us } });
     message.withdrawals.push_back({ "g", 15 });
     message.limits.push_back({ "vm", 7, share_request { 123456789, true, { true, { "away" } } } });
     message.limits.push_back(
@@ -46,11 +48,15 @@
     CHECK(copy.asks[0].ask.prefixes == request.prefixes);
     CHECK(copy.asks[0].ask.hold == 7s);
     CHECK(copy.asks[0].ask.workClass == work_class::bulk);
+    CHECK(copy.asks[0].ask.remainingEvents == 120.5);
+    CHECK(copy.asks[0].ask.producedEvents == 17);
     CHECK(copy.grants[0].address == "127.0.0.1:7001");
     CHECK(copy.refusals[0].reason.retryAfter == 1500ms);
     CHECK(copy.moved[0].ownerAddress == "127.0.0.1:9");
     CHECK(copy.revokes[0].grantId == 11);
     CHECK(copy.releases[0].release.outcome == grant_outcome::failed);
+    CHECK(copy.releases[0].release.events == 18);
+    CHECK(copy.releases[0].release.eventInterval == 3480us);
     CHECK(copy.withdrawals[0].slotRequestId == 15);
     CHECK(copy.limits == message.limits);
     CHECK(copy.asks.front().ask.begun);
