--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -48,6 +48,10 @@
     double remainingEvents = 0;
     /// Bulk only: number of events produced by earlier runs, which the next target has to prefill.
     std::uint32_t producedEvents = 0;
+    /// Live only: time since the caller's first attempt; 0 if unknown or if this is the first attempt.
+    milliseconds age { 0 };
+    /// Live only: objective for the time between two events; 0 for none.
+    milliseconds maxEventInterval { 0 };
 };
 
 /// A granted slot at a target. The holder sends its request to the target directly and releases the grant
--- a/libs/dispatch/src/target_table.cpp
+++ b/libs/dispatch/src/target_table.cpp
@@ -182,6 +182,17 @@
     return slots - std::min(slots, static_cast<unsigned>(kept));
 }
 
+std::chrono::microseconds target_table::nominalEventInterval(steady_time) const
+{
+    return std::chrono::microseconds { 0 };
+}
+
+std::chrono::microseconds target_table::eventInterval(const target_state& target, steady_time now) const
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+        nominalEventInterval(now) / target.pace.relative(now));
+}
+
 std::vector<report_due> target_table::reportsDue(steady_time now)
 {
     std::vector<report_due> due;
--- a/libs/dispatch/src/target_table.h
+++ b/libs/dispatch/src/target_table.h
@@ -80,6 +80,11 @@
     /// Free slots that bulk work may use.
     unsigned spareSlots(const target_state& target, steady_time now) const;
 
+    /// Time between two events at a target of nominal speed; zero if unknown.
+    std::chrono::microseconds nominalEventInterval(steady_time now) const;
+    /// Expected time between two events at the target; zero if unknown.
+    std::chrono::microseconds eventInterval(const target_state& target, steady_time now) const;
+
     std::vector<report_due> reportsDue(steady_time now);
     void report(target_state& target, const load_report& report, steady_time now);
 
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -154,6 +154,7 @@
         wanted.cost = static_cast<double>(1 + m_facts.promptTokens + m_facts.maxOutputTokens);
         wanted.prefixes = m_facts.prefixes;
         wanted.avoid = m_lastTarget;
+        wanted.maxEventInterval = m_route.interEventObjective;
         wanted.hold = toMilliseconds(m_deadline - now());
         const auto latestOnTimeGrant = m_objectiveDeadline - expectedFirstEventDelay;
         // A request that has begun continues until its deadline. A new one that can no longer meet its
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -407,6 +407,8 @@
         slotRequest.due = m_request.due;
         slotRequest.remainingEvents = m_request.remainingEvents;
         slotRequest.producedEvents = m_request.producedEvents;
+        slotRequest.age = m_request.age;
+        slotRequest.maxEventInterval = m_request.maxEventInterval;
         envelope message;
         message.asks.push_back({ m_group, std::move(slotRequest) });
         if (m_dispatcher.empty())
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -35,6 +35,8 @@
     out.set_begun(request.begun);
     out.set_remaining_events(static_cast<float>(request.remainingEvents));
     out.set_produced_events(request.producedEvents);
+    out.set_age_ms(static_cast<std::uint32_t>(request.age.count()));
+    out.set_max_event_interval_ms(static_cast<std::uint32_t>(request.maxEventInterval.count()));
 }
 
 ask_message fromWire(const peer::Ask& in, steady_time now)
@@ -57,6 +59,8 @@
     request.begun = in.begun();
     request.remainingEvents = in.remaining_events();
     request.producedEvents = in.produced_events();
+    request.age = milliseconds { in.age_ms() };
+    request.maxEventInterval = milliseconds { in.max_event_interval_ms() };
     request.due = now + milliseconds { static_cast<std::int64_t>(in.due_in_ms()) };
     return message;
 }
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -25,6 +25,8 @@
     request.hold = 7s;
     request.remainingEvents = 120.5;
     request.producedEvents = 17;
+    request.maxEventInterval = 400ms;
+    request.age = 1200ms;
     message.asks.push_back({ "screening/rennes-a/0", request });
     message.grants.push_back({ 0, 7, 8, "s1", "127.0.0.1:7001", 12ms });
     message.refusals.push_back({ 0, 9, notRun(failure_kind::overloaded, "full", 1500ms) });
@@ -50,6 +52,8 @@
     CHECK(copy.asks[0].ask.workClass == work_class::bulk);
     CHECK(copy.asks[0].ask.remainingEvents == 120.5);
     CHECK(copy.asks[0].ask.producedEvents == 17);
+    CHECK(copy.asks[0].ask.maxEventInterval == 400ms);
+    CHECK(copy.asks[0].ask.age == 1200ms);
     CHECK(copy.grants[0].address == "127.0.0.1:7001");
     CHECK(copy.refusals[0].reason.retryAfter == 1500ms);
     CHECK(copy.moved[0].ownerAddress == "127.0.0.1:9");
