HTTP server: drain() writes out responses before an entry or admin process stops

Handlers only queue their output for the event loop. The graceful shutdown waited for the handlers and destroyed the server, which stops the loop after the handlers' posts but before the writes that these had left pending. On a busy machine a stream lost its final event. failures_live, "an entry stopped under load finishes what it has", saw a response truncated after its last token.

drain() waits until the responses are written, within stop_limit_ms. Responses that are not written at the limit count as cut off by an entry.

--- a/libs/admin/src/admin_process.cpp
+++ b/libs/admin/src/admin_process.cpp
@@ -55,7 +55,9 @@
 {
     logEvent(log_level::info, "graceful shutdown begins");
     m_impl->stopping = true;
+    const auto deadline = std::chrono::steady_clock::now() + m_impl->options.stopLimit;
     m_impl->work.waitIdle(m_impl->options.stopLimit);
+    m_impl->server->drain(deadline);
     m_impl->server.reset();
     logEvent(log_level::info, "graceful shutdown ends");
 }
--- a/libs/entry/src/entry_process.cpp
+++ b/libs/entry/src/entry_process.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace yuccachute {
 
 namespace {
@@ -188,10 +190,15 @@
         peers.leave();
         stopping = true;
         std::this_thread::sleep_for(leaveAnnouncementTime);
-        if (!work.waitIdle(options.stopLimit)) {
+        const auto deadline = std::chrono::steady_clock::now() + options.stopLimit;
+        work.waitIdle(options.stopLimit);
+        // The last output of a handler is queued when the handler returns. Without the drain a response loses
+        // its end if the HTTP server's loop is behind.
+        const auto unwritten = callers->drain(deadline);
+        if (const auto cutOff = std::max<std::size_t>(work.running(), unwritten); cutOff > 0) {
             // Exits without destroying the HTTP server, which would wait for its requests indefinitely.
             logEvent(
-                log_level::error, "stop limit reached", { { "cut_off", std::int64_t { work.running() } } });
+                log_level::error, "stop limit reached", { { "cut_off", static_cast<std::int64_t>(cutOff) } });
             stopLogging();
             std::_Exit(exitRequestsCutOff);
         }
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -225,11 +225,16 @@
     /// Starts listening. Throws std::runtime_error with the address if that fails.
     http_server(http_server_options options, http_handler handler);
     /// Waits for the running handlers and stops the loop. Output that is not written to the socket yet is
-    /// lost, so the owner waits for its running requests first.
+    /// lost, so the owner calls drain() first.
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
+    /// Stops accepting, closes idle connections, and waits until the responses to all received requests are
+    /// written to the socket. That is later than the return of their handlers, which only queue output.
+    /// Returns the number of responses that are not written at the deadline; the server can be drained again.
+    std::size_t drain(steady_time deadline);
+
 private:
     struct impl;
     std::unique_ptr<impl> m_impl;
--- a/libs/http/src/blocking_server.cpp
+++ b/libs/http/src/blocking_server.cpp
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -104,6 +105,27 @@
         thread.join();
     }
 
+    std::size_t drain(steady_time deadline)
+    {
+        loop.post([this] {
+            listener->stopAccepting();
+            listener->closeAfterAnswers();
+        });
+        for (;;) {
+            const auto unwritten = countExchanges();
+            if (unwritten == 0 || std::chrono::steady_clock::now() >= deadline)
+                return unwritten;
+            std::this_thread::sleep_for(drainPollInterval);
+        }
+    }
+
+    std::size_t countExchanges()
+    {
+        const auto count = std::make_shared<std::promise<std::size_t>>();
+        loop.post([this, count] { count->set_value(listener->exchanges()); });
+        return count->get_future().get();
+    }
+
     void enqueue(std::shared_ptr<http_exchange> exchange)
     {
         auto shared = std::make_shared<shared_exchange>();
@@ -161,4 +183,9 @@
 
 http_server::~http_server() = default;
 
+std::size_t http_server::drain(steady_time deadline)
+{
+    return m_impl->drain(deadline);
+}
+
 } // namespace yuccachute
--- a/libs/http/tests/test_http.cpp
+++ b/libs/http/tests/test_http.cpp
@@ -237,3 +237,43 @@
     server = std::make_unique<http_server>(options, handler);
     CHECK(client.get("/load", milliseconds { 2000 }).value().body == "/load4");
 }
+
+// A server was destroyed as soon as its handlers had returned; the end of a response that the loop had not
+// written to the socket yet was lost, and the caller received a truncated response.
+TEST_CASE("a drained server has written the whole responses of its handlers")
+{
+    // More than the socket buffers of both sides hold, so that output is left when the handler returns.
+    constexpr std::size_t bodyBytes = 32u << 20;
+    http_server_options options;
+    options.port = freePort();
+    std::atomic<bool> queued { false };
+    auto server = std::make_unique<http_server>(options, [&](const http_request&, reply_sink& sink) {
+        sink.send({ 200, {}, std::string(bodyBytes, 'x') });
+        queued = true;
+    });
+    std::atomic<bool> mayRead { false };
+    std::size_t received = 0;
+    bool whole = false;
+    std::thread caller([&] {
+        auto call = withDeadline(milliseconds { 30000 });
+        call.onHead = [&](const http_reply&) {
+            while (!mayRead)
+                std::this_thread::sleep_for(milliseconds { 1 });
+            return true;
+        };
+        call.onBody = [&](std::string_view piece) {
+            received += piece.size();
+            return true;
+        };
+        whole = httpCall(localAddress(options.port), post("/", "x"), call).has_value();
+    });
+    while (!queued)
+        std::this_thread::sleep_for(milliseconds { 1 });
+    CHECK(server->drain(std::chrono::steady_clock::now() + milliseconds { 50 }) == 1);
+    mayRead = true;
+    CHECK(server->drain(std::chrono::steady_clock::now() + milliseconds { 30000 }) == 0);
+    server.reset();
+    caller.join();
+    CHECK(whole);
+    CHECK(received == bodyBytes);
+}
