dispatch: learn the pace of targets and use it in placement and expected waits

Cause: targets of one group run at different speeds, and some become several times slower while their health checks and load reports stay good. The choice of a target looked at occupied slots and cached prefixes only.

Live requests avoid targets that would miss their objectives and leave faster targets to items while there are any; items go where they end soonest. The expected wait counts slots by pace. event_timing measures the figures of a run. Immediate slot requests carry their deadline, so that it can be compared with the expected first event. With targets of equal pace all terms are zero.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -38,7 +38,7 @@
     std::string avoid; ///< Target that has just failed this request; chosen only if no other is usable.
     steady_time deadline; ///< Time after which a grant is of no use.
     /// Granted or refused at once, without queueing, so that the sender can try another group. The deadline
-    /// is ignored.
+    /// affects only which target is preferred.
     bool immediate = false;
     /// Maximum time for which the grant is held if its release is lost; 0 means until the deadline.
     milliseconds hold { 0 };
@@ -96,6 +96,33 @@
     std::chrono::microseconds eventInterval { 0 }; ///< Mean time between events; zero if unknown.
 };
 
+/// Measures the figures of a run for its grant_release: the number of events, and the mean interval between
+/// the last of them. The time to the first event is not part of an interval, because it includes the wait at
+/// the target and the processing of the prompt.
+class event_timing {
+public:
+    /// `count` further events have arrived.
+    void record(std::uint64_t count, steady_time now);
+    /// The run's stream is no longer read because its caller reads slowly. Intervals are measured up to the
+    /// first such pause only: events that were produced during a pause arrive together after it.
+    void pause() { m_paused = true; }
+
+    std::uint32_t events() const { return static_cast<std::uint32_t>(m_events); }
+    /// Zero if unknown. A silence since the last event that is much longer than the intervals before is
+    /// returned in their place, because the target takes at least this long for an event now.
+    std::chrono::microseconds interval(steady_time now) const;
+
+private:
+    struct arrival {
+        steady_time time;
+        std::uint64_t events = 0; ///< Up to and including this arrival.
+    };
+
+    std::uint64_t m_events = 0;
+    std::deque<arrival> m_arrivals;
+    bool m_paused = false;
+};
+
 /// A target as configured in the settings.
 struct target_description {
     std::string name;
@@ -195,7 +222,7 @@
     /// Removes the next request and returns it with the time at which it was queued.
     std::pair<slot_request, steady_time> pop();
 
-    /// Removes and returns the requests whose deadline has passed.
+    /// Removes and returns the requests whose deadline has passed, and immediate ones.
     std::vector<slot_request> takeExpired(steady_time now);
     bool remove(std::uint64_t holder, std::uint64_t id);
     void removeHolder(std::uint64_t holder);
@@ -292,6 +319,17 @@
     /// enough that requests find other targets that have already reported, both after the loss of a tenth of
     /// the targets and at the start of a load peak.
     std::size_t minTargets = 32;
+    /// Whether the speeds of the targets are learned from the figures of releases and used in decisions. With
+    /// targets of equal speed, all decisions are the same as without.
+    bool targetPace = true;
+};
+
+/// A target has fallen below half of the nominal speed of its group, or has recovered.
+struct pace_change {
+    std::string target;
+    bool slow = false;
+    double pace = 1; ///< Relative to the nominal speed; 1 also if it is no longer known.
+    std::chrono::microseconds eventInterval { 0 }; ///< Between events at the target; zero if no longer known.
 };
 
 /// A target that is due to be polled for its load.
@@ -310,6 +348,10 @@
     std::size_t liveWaiting = 0;
     std::size_t bulkWaiting = 0;
     double bulkWindow = 0;
+    double slowestPace = 1; ///< Of the targets in use, relative to the nominal speed; 1 if unknown.
+    double medianPace = 1;
+    double fastestPace = 1;
+    unsigned slowTargets = 0; ///< Targets in use below half of the nominal speed.
 };
 
 /// Queue with priorities in front of the targets of one service in one availability zone. It is needed
@@ -357,6 +399,8 @@
     /// Decisions since the last call, in order.
     std::vector<decision> takeDecisions();
     group_summary summary(steady_time now) const;
+    /// Changes of targets' speeds since the last call, for log lines.
+    std::vector<pace_change> takePaceChanges();
 
 private:
     struct impl;
--- /dev/null
+++ b/libs/dispatch/src/event_timing.cpp
@@ -0,0 +1,38 @@
+#include "dispatch/dispatch.h"
+
+namespace yuccachute {
+
+namespace {
+
+/// About the length of a live answer. A longer run, such as a batch item's, tells the present speed of its
+/// target instead of an average over many seconds.
+constexpr std::uint64_t measuredIntervals = 16;
+/// Intervals vary, but not by this much unless the target has stalled or become slower.
+constexpr int silentIntervals = 4;
+
+} // namespace
+
+void event_timing::record(std::uint64_t count, steady_time now)
+{
+    m_events += count;
+    if (m_paused || count == 0)
+        return;
+    m_arrivals.push_back({ now, m_events });
+    while (m_arrivals.size() > 2 && m_events - m_arrivals[1].events >= measuredIntervals)
+        m_arrivals.pop_front();
+}
+
+std::chrono::microseconds event_timing::interval(steady_time now) const
+{
+    using std::chrono::microseconds;
+    if (m_arrivals.size() < 2)
+        return microseconds { 0 };
+    const auto& first = m_arrivals.front();
+    const auto& last = m_arrivals.back();
+    const auto mean = std::chrono::duration_cast<microseconds>(
+        (last.time - first.time) / static_cast<std::int64_t>(last.events - first.events));
+    const auto silence = std::chrono::duration_cast<microseconds>(now - last.time);
+    return !m_paused && silence > silentIntervals * mean ? silence : mean;
+}
+
+} // namespace yuccachute
--- a/libs/dispatch/src/fair_queue.cpp
+++ b/libs/dispatch/src/fair_queue.cpp
@@ -112,7 +112,8 @@
 
 std::vector<slot_request> fair_queue::takeExpired(steady_time now)
 {
-    return takeIf([now](const slot_request& request) { return request.deadline <= now; });
+    return takeIf(
+        [now](const slot_request& request) { return request.immediate || request.deadline <= now; });
 }
 
 bool fair_queue::remove(std::uint64_t holder, std::uint64_t id)
--- a/libs/dispatch/src/live_admission.cpp
+++ b/libs/dispatch/src/live_admission.cpp
@@ -35,7 +35,7 @@
 
 milliseconds live_admission::expectedWait(const slot_request& request, steady_time now) const
 {
-    unsigned slots = 0;
+    double slots = 0; // In slots of nominal pace: a slot at half the pace serves half as many requests.
     for (const auto& [name, target] : m_table.targets()) {
         if (!m_table.usable(target, now))
             continue;
@@ -43,7 +43,7 @@
         // and the request can wait for that.
         const auto usedByOthers = target.load.hasReported() ? m_table.slotsUsedByOthers(target, now) : 0;
         const auto total = m_table.slotsOf(target, now);
-        slots += total - std::min(total, usedByOthers);
+        slots += (total - std::min(total, usedByOthers)) * m_table.paceOf(target, now);
     }
     if (slots == 0)
         return unavailableRetryAfter;
@@ -79,9 +79,10 @@
     return std::nullopt;
 }
 
-void live_admission::recordServiceTime(steady_time::duration held)
+void live_admission::recordServiceTime(steady_time::duration held, double pace)
 {
-    m_serviceTimeMs = movingAverage(m_serviceTimeMs, std::chrono::duration<double, std::milli>(held).count());
+    const auto heldMs = std::chrono::duration<double, std::milli>(held).count();
+    m_serviceTimeMs = movingAverage(m_serviceTimeMs, heldMs * pace);
 }
 
 } // namespace yuccachute
--- a/libs/dispatch/src/live_admission.h
+++ b/libs/dispatch/src/live_admission.h
@@ -29,8 +29,8 @@
     std::optional<failure> refusalOf(const slot_request& request, steady_time now);
     /// The reason for refusing a request because of overload.
     failure overloadRefusal(const slot_request& request, std::string message, steady_time now);
-    /// Records how long a live grant was held.
-    void recordServiceTime(steady_time::duration held);
+    /// Records how long a live grant was held at a target of a pace.
+    void recordServiceTime(steady_time::duration held, double pace);
 
 private:
     milliseconds expectedWait(const slot_request& request, steady_time now) const;
@@ -38,7 +38,8 @@
     const target_table& m_table;
     const group_options& m_options;
     fair_queue m_queue;
-    double m_serviceTimeMs = 0; ///< Moving average of the time for which live grants are held.
+    double m_serviceTimeMs
+        = 0; ///< Moving average of the time for which live grants are held, at nominal pace.
     overload_periods m_overloadPeriods;
 };
 
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -4,6 +4,7 @@
 #include "target_selector.h"
 #include "target_table.h"
 
+#include <algorithm>
 #include <set>
 
 namespace yuccachute {
@@ -39,6 +40,7 @@
     void revoke(std::span<const std::uint64_t> grants);
     void refuse(const slot_request& request, failure reason);
     void refuseExpired(steady_time now);
+    void summarizePaces(group_summary& summary, steady_time now) const;
 
     group_options options;
     target_table table { options };
@@ -98,9 +100,7 @@
     const bool isLive = request.workClass == work_class::live;
     if (isLive)
         bulk.recordLiveArrival(now);
-    const bool immediate = request.immediate;
-    if (immediate)
-        request.deadline = now; // Expires in refuseExpired() below unless it is granted here.
+    const bool immediate = request.immediate; // Expires in refuseExpired() below unless it is granted here.
     (isLive ? live.queue() : bulk.queue()).push(std::move(request), now);
     assignSlots(now);
     if (immediate)
@@ -126,7 +126,7 @@
     const auto* next = live.queue().front();
     if (!next)
         return false;
-    auto* target = selector.choose(*next, true, now);
+    auto* target = selector.choose(*next, true, now, table.bulkGrants() > 0 || !bulk.queue().empty());
     if (!target)
         return false;
     auto [request, since] = live.queue().pop();
@@ -169,10 +169,13 @@
     const auto* grant = table.findGrant(release.grantId);
     if (!grant)
         return; // It has expired, or was given by a previous dispatcher of this group.
-    if (auto* target = table.find(grant->target))
+    auto* target = table.find(grant->target);
+    if (target) {
         recordOutcome(*target, release.outcome, now);
+        table.recordRun(*target, grant->request, release, now);
+    }
     if (grant->live() && release.outcome == grant_outcome::ok)
-        live.recordServiceTime(now - grant->since);
+        live.recordServiceTime(now - grant->since, target ? table.paceOf(*target, now) : 1);
     if (grant->live())
         bulk.recordFirstToken(release.firstToken);
     table.removeGrant(release.grantId, now);
@@ -214,11 +217,27 @@
     refuseExpired(now);
     table.removeExpiredGrants(now);
     bulk.tick(now);
+    table.updatePaces(now);
     for (const auto& name : table.deactivateIdle(now))
         selector.forget(name);
     assignSlots(now);
 }
 
+void target_group::impl::summarizePaces(group_summary& summary, steady_time now) const
+{
+    std::vector<double> paces;
+    for (const auto& [name, target] : table.targets())
+        paces.push_back(table.paceOf(target, now));
+    if (paces.empty())
+        return;
+    std::sort(paces.begin(), paces.end());
+    summary.slowestPace = paces.front();
+    summary.medianPace = paces[(paces.size() - 1) / 2];
+    summary.fastestPace = paces.back();
+    summary.slowTargets = static_cast<unsigned>(
+        std::count_if(paces.begin(), paces.end(), [](double pace) { return pace < slowPace; }));
+}
+
 target_group::target_group(group_options options)
     : m_impl(std::make_unique<impl>(std::move(options)))
 {
@@ -348,7 +367,13 @@
     summary.liveWaiting = m_impl->live.queue().size();
     summary.bulkWaiting = m_impl->bulk.queue().size();
     summary.bulkWindow = m_impl->bulk.window();
+    m_impl->summarizePaces(summary, now);
     return summary;
 }
 
+std::vector<pace_change> target_group::takePaceChanges()
+{
+    return m_impl->table.takePaceChanges();
+}
+
 } // namespace yuccachute
--- a/libs/dispatch/src/target_selector.cpp
+++ b/libs/dispatch/src/target_selector.cpp
@@ -1,17 +1,31 @@
 #include "target_selector.h"
 
+#include <cmath>
+
 namespace yuccachute {
 
 namespace {
 
 constexpr double avoidPenalty = 10;
 constexpr double memoryFullShare = 0.98;
+/// More than everything else but `avoidPenalty`: the target that has just failed the request is worse.
+constexpr double tooSlowPenalty = 5;
+/// A target of half the speed is preferred for a live request, or avoided, as if half of its slots were in
+/// use. Higher weights would fill targets of one speed before the prompts of their requests, which delay each
+/// other, spread over the others.
+constexpr double liveSpeedWeight = 0.5;
+/// The remaining time of an item matters more than the load of a target: at a target that takes half as long
+/// again, it is as if all slots were in use.
+constexpr double itemSpeedWeight = 2;
+/// Single intervals take up to twice their mean, because prompts of other requests are processed in between.
+constexpr int intervalMargin = 2;
 
 } // namespace
 
 /// Cost of sending a request to a target: the fraction of its slots in use, less the benefit of cached
-/// prefixes.
-double target_selector::costOf(const slot_request& request, const target_state& target, steady_time now) const
+/// prefixes, and the cost of its speed.
+double target_selector::costOf(
+    const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const
 {
     const auto& name = target.description.name;
     const double used = target.live + target.bulk + m_table.slotsUsedByOthers(target, now);
@@ -19,10 +33,43 @@
     const double hit = static_cast<double>(m_prefixes.matchedBlocks(request.prefixes, name, now)) / blocks;
     const double full = target.load.memoryUsed() > memoryFullShare ? 1 : 0;
     const double avoided = name == request.avoid ? avoidPenalty : 0;
-    return used / m_table.slotsOf(target, now) - m_options.affinity * hit + full + avoided;
+    return used / m_table.slotsOf(target, now) - m_options.affinity * hit + full + avoided
+        + paceCost(request, target, itemsPresent, now);
+}
+
+/// Zero for a target of nominal speed. An item goes where it ends soonest. A live request goes to slower
+/// targets while there are items, so that items end at the faster ones before the next peak.
+double target_selector::paceCost(
+    const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const
+{
+    const double pace = m_table.paceOf(target, now);
+    if (pace == 1)
+        return 0;
+    if (request.workClass == work_class::bulk)
+        return itemSpeedWeight * (1 / pace - 1);
+    if (pace < 1 && tooSlow(request, target, pace, now))
+        return tooSlowPenalty + liveSpeedWeight * -std::log2(pace);
+    // A target below half speed is probably faulty and could become slower, and the caller of a request that
+    // has begun is already waiting for the rest of its answer.
+    const bool preferSlower = itemsPresent && !request.begun && pace >= slowPace;
+    return liveSpeedWeight * (preferSlower ? std::log2(pace) : -std::log2(pace));
+}
+
+/// Whether a target of less than nominal speed would probably miss one of the request's objectives.
+bool target_selector::tooSlow(
+    const slot_request& request, const target_state& target, double pace, steady_time now) const
+{
+    if (request.maxEventInterval.count() > 0
+        && intervalMargin * m_table.eventInterval(target, now) > request.maxEventInterval)
+        return true;
+    // The deadline of a request leaves time for a first event at nominal speed. One that is not in the future
+    // says nothing: immediate requests of older processes have none.
+    const auto extraDelay = m_table.firstEventDelay(target, now) * (1 - pace);
+    return request.deadline > now && now + extraDelay > request.deadline;
 }
 
-target_state* target_selector::choose(const slot_request& request, bool needFreeSlot, steady_time now)
+target_state* target_selector::choose(
+    const slot_request& request, bool needFreeSlot, steady_time now, bool itemsPresent)
 {
     const bool live = request.workClass == work_class::live;
     target_state* best = nullptr;
@@ -32,8 +79,8 @@
             continue;
         if (needFreeSlot && (live ? m_table.freeSlots(target, now) : m_table.spareSlots(target, now)) == 0)
             continue;
-        const double cost
-            = m_options.randomChoice ? static_cast<double>(m_random() % 1000) : costOf(request, target, now);
+        const double cost = m_options.randomChoice ? static_cast<double>(m_random() % 1000)
+                                                   : costOf(request, target, itemsPresent, now);
         if (!best || cost < bestCost) {
             best = &target;
             bestCost = cost;
--- a/libs/dispatch/src/target_selector.h
+++ b/libs/dispatch/src/target_selector.h
@@ -19,15 +19,21 @@
     }
 
     /// The usable target with the lowest cost; null if there is none. With `needFreeSlot` only targets with a
-    /// slot that is free for the request's class of work are considered.
-    target_state* choose(const slot_request& request, bool needFreeSlot, steady_time now);
+    /// slot that is free for the request's class of work are considered. `itemsPresent`: bulk items are
+    /// running or waiting.
+    target_state* choose(
+        const slot_request& request, bool needFreeSlot, steady_time now, bool itemsPresent = false);
     /// Remembers that the target is about to have the request's prefixes in its cache.
     void recordGrant(const slot_request& request, const target_state& target, steady_time now);
     /// The target is no longer in use.
     void forget(std::string_view target) { m_prefixes.eraseTarget(target); }
 
 private:
-    double costOf(const slot_request& request, const target_state& target, steady_time now) const;
+    double costOf(
+        const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const;
+    double paceCost(
+        const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const;
+    bool tooSlow(const slot_request& request, const target_state& target, double pace, steady_time now) const;
 
     target_table& m_table;
     const group_options& m_options;
--- a/libs/dispatch/src/target_table.cpp
+++ b/libs/dispatch/src/target_table.cpp
@@ -1,6 +1,7 @@
 #include "target_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace yuccachute {
@@ -10,6 +11,15 @@
 constexpr milliseconds grantGrace { 2000 };
 /// How often the targets in use are checked for ones that are no longer needed.
 constexpr milliseconds deactivationInterval { 1000 };
+/// Runs that tell the speed of a target take longer than this, and an update looks at all targets.
+constexpr milliseconds paceUpdateInterval { 250 };
+/// The nominal interval is updated while the group is active. After a longer pause it is unknown.
+constexpr milliseconds nominalLifetime { 10000 };
+/// Weight of the previous average in the moving average of the time to the first event.
+constexpr double firstEventMemory = 0.9;
+/// A slow target counts as recovered above this pace. The distance to `slowPace` keeps a target that is near
+/// it from being reported again and again.
+constexpr double recoveredPace = 0.6;
 
 } // namespace
 
@@ -182,15 +192,77 @@
     return slots - std::min(slots, static_cast<unsigned>(kept));
 }
 
-std::chrono::microseconds target_table::nominalEventInterval(steady_time) const
+std::chrono::microseconds target_table::nominalEventInterval(steady_time now) const
 {
-    return std::chrono::microseconds { 0 };
+    return now - m_pacesUpdated < nominalLifetime ? m_nominalInterval : std::chrono::microseconds { 0 };
 }
 
 std::chrono::microseconds target_table::eventInterval(const target_state& target, steady_time now) const
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(
-        nominalEventInterval(now) / target.pace.relative(now));
+        nominalEventInterval(now) / paceOf(target, now));
+}
+
+milliseconds target_table::firstEventDelay(const target_state& target, steady_time now) const
+{
+    return milliseconds { std::llround(m_firstEventMs / paceOf(target, now)) };
+}
+
+double target_table::paceOf(const target_state& target, steady_time now) const
+{
+    return target.pace.relative(target.live + target.bulk, now);
+}
+
+void target_table::recordRun(
+    target_state& target, const slot_request& request, const grant_release& release, steady_time now)
+{
+    if (!m_options.targetPace)
+        return;
+    target.pace.record(release.eventInterval, release.events, now);
+    const bool wholeRun = release.outcome == grant_outcome::ok && !request.begun;
+    if (request.workClass != work_class::live || !wholeRun || release.firstToken.count() <= 0)
+        return;
+    const double atNominal = static_cast<double>(release.firstToken.count()) * paceOf(target, now);
+    m_firstEventMs = m_firstEventMs == 0
+        ? atNominal
+        : firstEventMemory * m_firstEventMs + (1 - firstEventMemory) * atNominal;
+}
+
+std::chrono::microseconds target_table::medianInterval(steady_time now) const
+{
+    std::vector<std::chrono::microseconds> intervals;
+    for (const auto& [name, target] : m_targets) {
+        if (const auto interval = target.pace.interval(now); interval.count() > 0)
+            intervals.push_back(interval);
+    }
+    if (intervals.empty())
+        return std::chrono::microseconds { 0 };
+    // Of two targets the faster one is nominal.
+    const auto middle = intervals.begin() + static_cast<std::ptrdiff_t>((intervals.size() - 1) / 2);
+    std::nth_element(intervals.begin(), middle, intervals.end());
+    return *middle;
+}
+
+void target_table::updatePaces(steady_time now)
+{
+    if (!m_options.targetPace || now - m_pacesUpdated < paceUpdateInterval)
+        return;
+    m_pacesUpdated = now;
+    m_nominalInterval = medianInterval(now);
+    for (auto& [name, target] : m_targets) {
+        target.pace.update(m_nominalInterval, now);
+        notePaceChange(target, now);
+    }
+}
+
+void target_table::notePaceChange(target_state& target, steady_time now)
+{
+    const double pace = target.pace.relative(now);
+    const bool slow = target.reportedSlow ? pace < recoveredPace : pace < slowPace;
+    if (slow == target.reportedSlow)
+        return;
+    target.reportedSlow = slow;
+    m_paceChanges.push_back({ target.description.name, slow, pace, target.pace.interval(now) });
 }
 
 std::vector<report_due> target_table::reportsDue(steady_time now)
@@ -223,9 +295,12 @@
 {
     const bool live = request.workClass == work_class::live;
     (live ? target.live : target.bulk) += 1;
+    m_bulkGrants += live ? 0 : 1;
     if (live && !target.liveReleaseTimes.empty())
         target.liveReleaseTimes.pop_front();
-    const auto expiresAt = std::max(request.deadline, now + request.hold) + grantGrace;
+    const auto heldUntil = now + request.hold;
+    const auto expiresAt
+        = (request.immediate ? heldUntil : std::max(request.deadline, heldUntil)) + grantGrace;
     const auto id = m_nextGrant++;
     m_grants.emplace(id, grant_record { std::move(request), target.description.name, now, expiresAt, false });
     return id;
@@ -254,6 +329,7 @@
             --target->revoked;
         target->load.recordFinished(std::move(found->second.request.requestId), now);
     }
+    m_bulkGrants -= found->second.live() ? 0 : 1;
     m_grants.erase(found);
 }
 
--- a/libs/dispatch/src/target_table.h
+++ b/libs/dispatch/src/target_table.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace yuccachute {
@@ -21,6 +22,7 @@
     target_health health;
     target_load load;
     target_pace pace;
+    bool reportedSlow = false; ///< The last pace_change said that the target is slow.
     unsigned live = 0;
     unsigned bulk = 0;
     unsigned revoked = 0; ///< Revoked bulk grants that have not been released yet.
@@ -84,6 +86,17 @@
     std::chrono::microseconds nominalEventInterval(steady_time now) const;
     /// Expected time between two events at the target; zero if unknown.
     std::chrono::microseconds eventInterval(const target_state& target, steady_time now) const;
+    /// Expected time from the start of a run at the target to its first event; zero if unknown.
+    milliseconds firstEventDelay(const target_state& target, steady_time now) const;
+    /// Speed of the target relative to the nominal speed of the group, which is 1.
+    double paceOf(const target_state& target, steady_time now) const;
+    /// Learns the speed of the target from a run that has ended.
+    void recordRun(
+        target_state& target, const slot_request& request, const grant_release& release, steady_time now);
+    /// Updates the paces a few times a second.
+    void updatePaces(steady_time now);
+    /// The targets that have become slow, or are no longer slow, since the last call.
+    std::vector<pace_change> takePaceChanges() { return std::exchange(m_paceChanges, {}); }
 
     std::vector<report_due> reportsDue(steady_time now);
     void report(target_state& target, const load_report& report, steady_time now);
@@ -91,6 +104,8 @@
     // --- Grants
 
     const grant_map& grants() const { return m_grants; }
+    /// Number of grants of bulk work.
+    std::size_t bulkGrants() const { return m_bulkGrants; }
     /// Returns null if the grant is not held any more.
     const grant_record* findGrant(std::uint64_t grantId) const;
     std::uint64_t addGrant(slot_request request, target_state& target, steady_time now);
@@ -108,13 +123,20 @@
     working_set_state workingSet(steady_time now) const;
     void activate(target_description description, steady_time now);
     void keepSlotForLive(target_state& target, steady_time now) const;
+    std::chrono::microseconds medianInterval(steady_time now) const;
+    void notePaceChange(target_state& target, steady_time now);
 
     const group_options& m_options;
     target_map m_targets; ///< In use.
     standby_targets m_standby;
     demand_history m_demand;
     steady_time m_nextDeactivation;
+    std::chrono::microseconds m_nominalInterval { 0 };
+    double m_firstEventMs = 0; ///< Moving average of the time to the first event at nominal speed.
+    steady_time m_pacesUpdated;
+    std::vector<pace_change> m_paceChanges;
     grant_map m_grants;
+    std::size_t m_bulkGrants = 0;
     std::uint64_t m_nextGrant = 1;
 };
 
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -402,7 +402,7 @@
         slotRequest.prefixes = m_request.prefixes;
         slotRequest.avoid = m_request.avoid;
         slotRequest.immediate = !m_queueDeadline;
-        slotRequest.deadline = m_queueDeadline.value_or(steady_time {});
+        slotRequest.deadline = m_queueDeadline.value_or(m_request.grantDeadline);
         slotRequest.hold = m_request.hold;
         slotRequest.due = m_request.due;
         slotRequest.remainingEvents = m_request.remainingEvents;
