front, bulk_process: report the event interval of runs; switch and figures for target paces

Cause: the dispatcher learns the pace of targets from releases, which told neither the number of events nor the time between them.

Change: live_run and item_run measure both with event_timing and send them with the release. [dispatch] target_pace = on|off, default on. Metrics yuccachute_target_pace_slowest, _median, _fastest and yuccachute_slow_targets, and a log line when a target falls below half speed or recovers. The load player has targets of different and of changing speeds.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -119,6 +119,7 @@
     {
         if (m_meaning != answer_meaning::own || m_status != 200)
             return true;
+        const auto now = std::chrono::steady_clock::now();
         // Feeds single lines, so that each event is reported with its own id.
         while (!piece.empty()) {
             const auto end = piece.find('\n');
@@ -126,6 +127,7 @@
             piece.remove_prefix(line.size());
             if (m_splitter.feed(line).empty())
                 continue;
+            m_timing.record(1, now);
             for (auto& data : m_splitter.takeData()) {
                 if (!m_events.event(m_splitter.lastId(), std::move(data)))
                     return false;
@@ -192,7 +194,8 @@
     {
         if (!m_slot)
             return;
-        m_services.slots.release(*m_slot, { outcome });
+        const auto interval = m_timing.interval(std::chrono::steady_clock::now());
+        m_services.slots.release(*m_slot, { outcome, milliseconds { 0 }, m_timing.events(), interval });
         m_slot.reset();
     }
 
@@ -218,6 +221,7 @@
     loop_timer m_retryTimer;
     steady_time m_slotRequestedAt;
     event_splitter m_splitter;
+    event_timing m_timing;
     std::shared_ptr<slot_acquisition> m_slotAcquisition;
     std::shared_ptr<client_call> m_call;
     std::optional<held_slot> m_slot;
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -35,9 +35,26 @@
     options.waitMargin = settings.dispatch.waitMarginPercent / 100.0;
     options.keptForLive = settings.dispatch.keptForLive;
     options.affinity = settings.dispatch.affinityPercent / 100.0;
+    options.targetPace = settings.dispatch.targetPace;
     return options;
 }
 
+/// The paces of the targets of several groups. The median is the lowest one of the groups.
+struct target_paces {
+    void add(const group_summary& group)
+    {
+        slowest = std::min(slowest, group.slowestPace);
+        median = std::min(median, group.medianPace);
+        fastest = std::max(fastest, group.fastestPace);
+        slowTargets += group.slowTargets;
+    }
+
+    double slowest = 1;
+    double median = 1;
+    double fastest = 1;
+    unsigned slowTargets = 0;
+};
+
 limit_bounds limitBounds(const limit_settings& settings)
 {
     return { std::chrono::duration<double> { settings.windowSeconds }, settings.overshoot, settings.slack };
@@ -409,12 +426,19 @@
             m_figures.set("yuccachute_limit_part", m_limits.share(now));
             m_figures.set("yuccachute_limit_refusals", static_cast<double>(m_limits.refused()));
         }
+        target_paces paces;
         for (const auto& [name, group] : m_broker.summaries(now)) {
             m_figures.set("yuccachute_group_live", group.live);
             m_figures.set("yuccachute_group_bulk", group.bulk);
             m_figures.set("yuccachute_group_live_waiting", static_cast<double>(group.liveWaiting));
             m_figures.set("yuccachute_group_usable_targets", group.usableTargets);
+            paces.add(group);
         }
+        // Relative to the nominal speed of a group; over all groups that this process is a dispatcher of.
+        m_figures.set("yuccachute_target_pace_slowest", paces.slowest);
+        m_figures.set("yuccachute_target_pace_median", paces.median);
+        m_figures.set("yuccachute_target_pace_fastest", paces.fastest);
+        m_figures.set("yuccachute_slow_targets", paces.slowTargets);
     }
 
     void onSignal(int signal)
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -221,6 +221,7 @@
         m_targetsAge = m_services.targetsAge();
         m_waited += m_slot->waited;
         m_splitter.restart();
+        m_timing = {};
         m_body.clear();
         m_failoverWanted = false;
         m_sentAt = now();
@@ -298,11 +299,13 @@
             return true;
         if (!eventStream())
             return bufferBody(piece);
+        const auto eventsBefore = m_splitter.events();
         const auto events = m_splitter.feed(piece);
         if (m_splitter.outOfOrder())
             return false;
         if (events.empty())
             return true;
+        m_timing.record(m_splitter.events() - eventsBefore, now());
         cancelFailover();
         armSilenceTimer(nextEventTimeout);
         if (m_splitter.lastId())
@@ -342,6 +345,7 @@
         if (m_caller->unsentBytes() < maxUnsentBytes)
             return;
         m_call->pause();
+        m_timing.pause();
         m_silenceTimer.cancel();
         m_caller->onDrained([weak = weak_from_this()] {
             const auto self = weak.lock();
@@ -483,7 +487,8 @@
     {
         if (!m_slot)
             return;
-        m_services.slots.release(*m_slot, { outcome, m_firstEventAtTarget });
+        m_services.slots.release(
+            *m_slot, { outcome, m_firstEventAtTarget, m_timing.events(), m_timing.interval(now()) });
         m_slot.reset();
     }
 
@@ -552,6 +557,7 @@
     std::optional<held_slot> m_slot;
     std::shared_ptr<client_call> m_call;
     event_splitter m_splitter;
+    event_timing m_timing; ///< Of the current run at a target.
     std::optional<std::uint64_t> m_lastEvent;
     answer_meaning m_meaning = answer_meaning::own;
     http_reply m_replyHead;
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -26,10 +26,11 @@
     void write(std::string_view piece) override { body += piece; }
     void finish() override { finished = true; }
     void abort() override { aborted = true; }
-    std::size_t unsentBytes() const override { return 0; }
+    std::size_t unsentBytes() const override { return unsent; }
     void onDrained(std::function<void()>) override { }
     void onCallerGone(std::function<void()> notify) override { onGone = std::move(notify); }
 
+    std::size_t unsent = 0;
     std::optional<http_reply> reply;
     unsigned status = 0;
     http_headers head;
@@ -65,6 +66,7 @@
     void release(const held_slot& taken, const slot_usage& usage) override
     {
         released += taken.target + ":" + std::to_string(static_cast<int>(usage.outcome)) + " ";
+        lastUsage = usage;
     }
     void grant(const std::string& target)
     {
@@ -80,6 +82,7 @@
     std::function<void(result<held_slot>)> answer;
     bool withdrawn = false;
     std::string released;
+    slot_usage lastUsage;
 };
 
 class scripted_targets final : public target_client {
@@ -231,6 +234,45 @@
     CHECK(f.slots.released == "t1:0 ");
 }
 
+// Guards against a wait at the target, or slow reading by the caller, that counts as a slow target.
+TEST_CASE("a release tells the number of events and the interval between them, without wait and pauses")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.run(100);
+    f.targets.body(event(1));
+    f.run(20);
+    f.targets.body(event(2) + event(3));
+    f.run(20);
+    f.caller->unsent = 1u << 20; // Reading from the target pauses with this event.
+    f.targets.body(event(4));
+    f.caller->unsent = 0;
+    f.run(200);
+    f.targets.body(event(5));
+    f.targets.whole();
+    CHECK(f.slots.lastUsage.events == 5);
+    CHECK(f.slots.lastUsage.eventInterval >= milliseconds { 13 });
+    CHECK(f.slots.lastUsage.eventInterval < milliseconds { 45 });
+}
+
+// Guards against figures of the first target that are released as those of the second one.
+TEST_CASE("the figures of a release are those of its own run")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.targets.body(event(1) + event(2) + event(3));
+    f.targets.fail(connectionReset());
+    CHECK(f.slots.lastUsage.events == 3);
+    f.slots.grant("t2");
+    f.targets.head(200);
+    f.targets.body(event(4));
+    f.targets.whole();
+    CHECK(f.slots.lastUsage.events == 1);
+    CHECK(f.slots.lastUsage.eventInterval == milliseconds { 0 });
+}
+
 // A target terminates in the middle of an event of a resumable stream. The caller must receive the rest from
 // another target without a duplicate, missing or partial event.
 TEST_CASE("an interrupted stream resumes after its last complete event and keeps its first response head")
--- a/libs/load_player/include/load_player/load_player.h
+++ b/libs/load_player/include/load_player/load_player.h
@@ -12,7 +12,8 @@
 /// outcome each time. Layer: coordination.
 ///
 /// The model: a target works on as many requests at once as it has slots, admits what waits in order of
-/// arrival, makes the first event 25 ms after admission, and needs the same time for each request of a kind.
+/// arrival, makes the first event 25 ms after admission, and needs the same time for each request of a kind,
+/// divided by its speed.
 /// While it reads the prompt of one that it admits, and what that one has generated already, the others wait.
 /// It reports what it runs, 50 ms late. A run whose sender has closed its connection ends at once. Not
 /// modelled: the cache of prompts, batches that slow down as they fill, several dispatchers and zones.
@@ -24,11 +25,15 @@
     double perSecond = 0;
 };
 
+/// The events of a run are this far apart at a target of nominal speed.
+constexpr milliseconds playedEventInterval { 50 };
+
 struct played_live {
     std::vector<rate_step> rates; ///< In order of time.
     milliseconds run { 1000 }; ///< From admission to the last event.
     milliseconds objective { 300 }; ///< For the first event, from the first attempt.
     milliseconds patience { 5000 };
+    milliseconds maxEventInterval { 0 }; ///< Objective for the time between two events; 0 for none.
 };
 
 struct played_items {
@@ -56,19 +61,31 @@
     unsigned count = 0;
 };
 
-using played_event = std::variant<runs_orphaned, targets_leave, targets_dark>;
+/// Targets that change their speed to a multiple of the nominal one for what they run and what comes.
+struct targets_change_speed {
+    milliseconds at { 0 };
+    std::size_t first = 0;
+    std::size_t count = 1;
+    double speed = 1;
+    bool reportsIdle = false; ///< Their load reports say falsely that they run nothing.
+};
+
+using played_event = std::variant<runs_orphaned, targets_leave, targets_dark, targets_change_speed>;
 
 /// How the system decides. The defaults are those of the processes on a platform.
 struct played_policy {
     bool reports = true; ///< Targets are asked for their load.
     double waitMargin = 1.7;
     milliseconds keptForLive { 50 };
+    bool targetPace = true; ///< The speeds of targets are learned and used.
     std::optional<milliseconds> retryAfter; ///< Told instead of what the dispatcher says.
 };
 
 struct load_plan {
     unsigned targets = 6;
     unsigned slots = 8;
+    /// Speeds of the targets relative to the nominal one, repeated in order; 1 if empty.
+    std::vector<double> speeds;
     milliseconds length { 30000 };
     played_live live;
     played_items items;
@@ -91,6 +108,10 @@
     unsigned itemsOnTime = 0;
     unsigned itemsLate = 0;
     unsigned revocations = 0;
+    unsigned longPauses = 0; ///< Live answers with a mean interval over the objective.
+    std::vector<unsigned> liveGrants; ///< By target.
+    std::vector<unsigned> itemGrants; ///< By target.
+    std::uint64_t grantsHash = 0; ///< Of all grants in their order: the request and its target.
 };
 
 /// Plays a plan to its end, and 20 s longer for what has begun.
--- a/libs/load_player/src/load_player.cpp
+++ b/libs/load_player/src/load_player.cpp
@@ -27,6 +27,9 @@
 /// Callers follow a Retry-After up to this part of the time that they have left.
 constexpr int followedPart = 3;
 
+/// Multiplier of the FNV hash of 64 bits.
+constexpr std::uint64_t hashPrime = 1099511628211u;
+
 /// 450 tokens of prompt, 55 of them in a millisecond.
 constexpr milliseconds readingTime { 8 };
 /// What was generated is read again so many times as fast: 55 tokens in a millisecond where 0.27 are made.
@@ -50,6 +53,10 @@
     std::uint64_t request = 0;
     std::size_t target = 0;
     std::uint64_t grant = 0;
+    bool live = false;
+    steady_time since;
+    milliseconds firstEvent { 0 };
+    event_timing timing;
 };
 
 class player {
@@ -62,9 +69,13 @@
         std::vector<target_description> listed;
         for (unsigned i = 0; i < plan.targets; ++i) {
             m_targets.emplace_back("t" + std::to_string(i), plan.slots);
+            if (!plan.speeds.empty())
+                m_targets.back().setSpeed(plan.speeds[i % plan.speeds.size()]);
             listed.push_back({ m_targets.back().name(), "a", plan.slots, false });
         }
         m_listed = listed;
+        m_outcome.liveGrants.resize(plan.targets);
+        m_outcome.itemGrants.resize(plan.targets);
         m_group.setTargets(listed, m_now);
     }
 
@@ -95,6 +106,7 @@
         options.waitMargin = m_plan.policy.waitMargin;
         options.keptForLive = m_plan.policy.keptForLive;
         options.pollsLoadReports = m_plan.policy.reports;
+        options.targetPace = m_plan.policy.targetPace;
         return options;
     }
 
@@ -155,6 +167,15 @@
             m_targets[i].goDark();
     }
 
+    void apply(const targets_change_speed& event)
+    {
+        for (auto i = event.first; i < event.first + event.count && i < m_targets.size(); ++i) {
+            m_targets[i].setSpeed(event.speed);
+            if (event.reportsIdle)
+                m_targets[i].reportIdle();
+        }
+    }
+
     double liveRate() const
     {
         double rate = 0;
@@ -210,6 +231,7 @@
         wanted.customer = "live";
         wanted.deadline = who.attempt + m_plan.live.objective - firstEventTime;
         wanted.hold = m_plan.live.patience;
+        wanted.maxEventInterval = m_plan.live.maxEventInterval;
         m_group.ask(std::move(wanted), m_now);
     }
 
@@ -241,6 +263,11 @@
 
     void progress(const target_progress& told)
     {
+        if (const auto run = findGranted(told.request); run != m_granted.end()) {
+            run->timing.record(told.events, m_now);
+            if (told.firstEvent)
+                run->firstEvent = std::chrono::duration_cast<milliseconds>(m_now - run->since);
+        }
         if (const auto live = m_callers.find(told.request); live != m_callers.end()) {
             if (told.firstEvent)
                 firstEvent(live->second);
@@ -276,13 +303,21 @@
 
     void release(std::uint64_t request, grant_outcome outcome)
     {
-        const auto found = std::find_if(
-            m_granted.begin(), m_granted.end(), [&](const granted& one) { return one.request == request; });
+        const auto found = findGranted(request);
         if (found == m_granted.end())
             return; // Orphaned.
-        const auto grant = found->grant;
+        const auto run = std::move(*found);
         m_granted.erase(found);
-        m_group.release({ grant, outcome, milliseconds { 0 }, 0 }, m_now);
+        const auto interval = run.timing.interval(m_now);
+        const auto objective = m_plan.live.maxEventInterval;
+        m_outcome.longPauses += run.live && objective.count() > 0 && interval > objective ? 1 : 0;
+        m_group.release({ run.grant, outcome, run.firstEvent, 0, run.timing.events(), interval }, m_now);
+    }
+
+    std::vector<granted>::iterator findGranted(std::uint64_t request)
+    {
+        return std::find_if(
+            m_granted.begin(), m_granted.end(), [&](const granted& one) { return one.request == request; });
     }
 
     void exchangeReports()
@@ -325,7 +360,10 @@
     {
         auto& target = targetNamed(given.target);
         const auto number = static_cast<std::size_t>(&target - m_targets.data());
-        m_granted.push_back({ given.slotRequestId, number, given.grantId });
+        const bool toLive = m_callers.contains(given.slotRequestId);
+        m_granted.push_back({ given.slotRequestId, number, given.grantId, toLive, m_now, {}, {} });
+        m_outcome.grantsHash = (m_outcome.grantsHash ^ given.slotRequestId) * hashPrime + number;
+        ++(toLive ? m_outcome.liveGrants : m_outcome.itemGrants)[number];
         m_asked.erase(given.slotRequestId);
         if (const auto live = m_callers.find(given.slotRequestId); live != m_callers.end()) {
             live->second.placed = m_now;
--- a/libs/load_player/src/played_target.cpp
+++ b/libs/load_player/src/played_target.cpp
@@ -1,5 +1,7 @@
 #include "played_target.h"
 
+#include "load_player/load_player.h"
+
 #include <algorithm>
 
 namespace yuccachute {
@@ -9,16 +11,24 @@
 /// From admission to the first event on a target that is not slowed.
 constexpr milliseconds firstEventAfter { 25 };
 
+/// Number of events after a run has worked so long.
+unsigned eventsAfter(work_time worked)
+{
+    return worked < firstEventAfter
+        ? 0
+        : 1 + static_cast<unsigned>((worked - firstEventAfter) / work_time { playedEventInterval });
+}
+
 } // namespace
 
 void played_target::take(std::uint64_t request, milliseconds work, milliseconds reading)
 {
-    m_queue.push_back({ request, work, milliseconds { 0 }, reading });
+    m_queue.push_back({ request, work, work_time { 0 }, reading });
 }
 
 milliseconds played_target::drop(std::uint64_t request)
 {
-    milliseconds left { 0 };
+    work_time left { 0 };
     const auto isIt = [&](const run& one) {
         if (one.request != request)
             return false;
@@ -27,7 +37,7 @@
     };
     std::erase_if(m_running, isIt);
     std::erase_if(m_queue, isIt);
-    return left;
+    return std::chrono::ceil<milliseconds>(left);
 }
 
 std::vector<target_progress> played_target::advance(milliseconds time)
@@ -40,17 +50,18 @@
         m_running.push_back(m_queue.front());
         m_queue.pop_front();
     }
-    const auto spent = std::min(m_reading, time);
+    work_time work = time * m_speed;
+    const auto spent = std::min(m_reading, work);
     m_reading -= spent;
-    time -= spent;
+    work -= spent;
     for (auto& one : m_running) {
-        const bool before = one.worked >= firstEventAfter;
-        one.worked += time;
-        one.left -= time;
-        const bool first = !before && one.worked >= firstEventAfter;
+        const auto before = eventsAfter(one.worked);
+        one.worked += work;
+        one.left -= work;
+        const auto events = eventsAfter(one.worked) - before;
         const bool finished = one.left.count() <= 0;
-        if (first || finished)
-            told.push_back({ one.request, first, finished });
+        if (events > 0 || finished)
+            told.push_back({ one.request, before == 0 && events > 0, finished, events });
     }
     std::erase_if(m_running, [](const run& one) { return one.left.count() <= 0; });
     return told;
@@ -59,9 +70,11 @@
 load_report played_target::report() const
 {
     load_report report;
+    report.runs.emplace();
+    if (m_reportsIdle)
+        return report;
     report.running = static_cast<unsigned>(m_running.size());
     report.queued = static_cast<unsigned>(m_queue.size());
-    report.runs.emplace();
     for (const auto& one : m_running)
         report.runs->push_back(std::to_string(one.request));
     return report;
--- a/libs/load_player/src/played_target.h
+++ b/libs/load_player/src/played_target.h
@@ -14,8 +14,12 @@
     std::uint64_t request = 0;
     bool firstEvent = false;
     bool finished = false;
+    unsigned events = 0; ///< Further events, with the first one.
 };
 
+/// Time that work takes at nominal speed.
+using work_time = std::chrono::duration<double, std::milli>;
+
 /// The model of one target.
 class played_target {
 public:
@@ -33,6 +37,9 @@
     milliseconds drop(std::uint64_t request);
     void goDark() { m_dark = true; }
     bool dark() const { return m_dark; }
+    /// `speed` is a multiple of the nominal one.
+    void setSpeed(double speed) { m_speed = speed; }
+    void reportIdle() { m_reportsIdle = true; }
     /// Works for a while.
     std::vector<target_progress> advance(milliseconds time);
     load_report report() const;
@@ -40,15 +47,17 @@
 private:
     struct run {
         std::uint64_t request = 0;
-        milliseconds left { 0 };
-        milliseconds worked { 0 };
+        work_time left { 0 };
+        work_time worked { 0 };
         milliseconds reading { 0 };
     };
 
     std::string m_name;
     unsigned m_slots;
     bool m_dark = false;
-    milliseconds m_reading { 0 }; ///< Of prompts, before the next events are made.
+    bool m_reportsIdle = false;
+    double m_speed = 1;
+    work_time m_reading { 0 }; ///< Of prompts, before the next events are made.
     std::vector<run> m_running;
     std::deque<run> m_queue;
 };
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -1,6 +1,9 @@
 #include "places/places.h"
 
 #include "limit_gate.h"
+#include "logging/logging.h"
+
+#include <cmath>
 
 namespace yuccachute {
 
@@ -44,6 +47,16 @@
     return groupName(target.service, target.zone, 0);
 }
 
+void logPaceChanges(const std::string& group, const std::vector<pace_change>& changes)
+{
+    for (const auto& change : changes)
+        logEvent(change.slow ? log_level::warning : log_level::info,
+            change.slow ? "target below half speed: requests prefer other targets" : "target no longer slow",
+            { { "target", change.target }, { "group", group },
+                { "pace_percent", std::int64_t { std::llround(change.pace * 100) } },
+                { "event_interval_us", std::int64_t { change.eventInterval.count() } } });
+}
+
 target_description describe(const listed_target& target)
 {
     return { target.id, target.address, target.slots, target.draining };
@@ -192,6 +205,7 @@
         if (!m_isPrimary(name))
             hosted.group.revokeBulk();
         hosted.group.tick(now);
+        logPaceChanges(name, hosted.group.takePaceChanges());
         sendDecisions(name, hosted);
         requestReports(name, hosted, now);
         active = active || hosted.group.active(now);
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -28,6 +28,9 @@
     /// Weight of a fully cached prompt in the choice of a target: it offsets this percentage of occupied
     /// slots.
     unsigned affinityPercent = 60;
+    /// Whether the speeds of targets are learned from the runs at them and used in the choice of targets and
+    /// in expected waits. Without effect where targets are equally fast.
+    bool targetPace = true;
 };
 
 /// How customers' request limits are enforced. In any time span of `windowSeconds`, a customer is granted at
