dispatch, load_player: items avoid targets below half speed; tests with targets of several speeds

Change: items get no target below half speed unless all usable ones are. Items are revoked before a live request goes to a target that is too slow for it. Failed runs with a long silence after few events count as samples.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -108,8 +108,9 @@
     void pause() { m_paused = true; }
 
     std::uint32_t events() const { return static_cast<std::uint32_t>(m_events); }
-    /// Zero if unknown. A silence since the last event that is much longer than the intervals before is
-    /// returned in their place, because the target takes at least this long for an event now.
+    /// Zero if unknown. A silence since the last event that is much longer than the intervals before, or that
+    /// follows the first event, is returned in their place, because the target takes at least this long for
+    /// an event now.
     std::chrono::microseconds interval(steady_time now) const;
 
 private:
--- a/libs/dispatch/src/event_timing.cpp
+++ b/libs/dispatch/src/event_timing.cpp
@@ -25,10 +25,12 @@
 std::chrono::microseconds event_timing::interval(steady_time now) const
 {
     using std::chrono::microseconds;
-    if (m_arrivals.size() < 2)
+    if (m_arrivals.empty())
         return microseconds { 0 };
     const auto& first = m_arrivals.front();
     const auto& last = m_arrivals.back();
+    if (first.events == last.events)
+        return m_paused ? microseconds { 0 } : std::chrono::duration_cast<microseconds>(now - last.time);
     const auto mean = std::chrono::duration_cast<microseconds>(
         (last.time - first.time) / static_cast<std::int64_t>(last.events - first.events));
     const auto silence = std::chrono::duration_cast<microseconds>(now - last.time);
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -34,7 +34,7 @@
     void removeTarget(std::string_view name);
     void activateNeededTargets(steady_time now);
     void assignSlots(steady_time now);
-    bool assignLiveSlot(steady_time now);
+    bool assignLiveSlot(bool onlyInTime, steady_time now);
     bool assignBulkSlot(steady_time now);
     void grantSlot(slot_request request, target_state& target, steady_time since, steady_time now);
     void revoke(std::span<const std::uint64_t> grants);
@@ -121,12 +121,13 @@
         holder, slotRequestId, id, target.description.name, target.description.address, waited });
 }
 
-bool target_group::impl::assignLiveSlot(steady_time now)
+bool target_group::impl::assignLiveSlot(bool onlyInTime, steady_time now)
 {
     const auto* next = live.queue().front();
     if (!next)
         return false;
-    auto* target = selector.choose(*next, true, now, table.bulkGrants() > 0 || !bulk.queue().empty());
+    const bool itemsPresent = table.bulkGrants() > 0 || !bulk.queue().empty();
+    auto* target = selector.choose(*next, true, now, { itemsPresent, onlyInTime });
     if (!target)
         return false;
     auto [request, since] = live.queue().pop();
@@ -158,9 +159,11 @@
 void target_group::impl::assignSlots(steady_time now)
 {
     activateNeededTargets(now);
-    while (assignLiveSlot(now)) { }
+    // Items are revoked before a live request goes to a target that is too slow for it.
+    while (assignLiveSlot(true, now)) { }
     revoke(bulk.grantsToRevoke(live.queue().size(), now));
-    while (assignLiveSlot(now)) { }
+    while (assignLiveSlot(true, now)) { }
+    while (assignLiveSlot(false, now)) { }
     while (assignBulkSlot(now)) { }
 }
 
--- a/libs/dispatch/src/target_pace.cpp
+++ b/libs/dispatch/src/target_pace.cpp
@@ -26,9 +26,15 @@
 
 void target_pace::record(std::chrono::microseconds interval, std::uint32_t events, steady_time now)
 {
-    if (events < minEvents || interval < minInterval || interval > maxInterval)
+    if (events >= minEvents)
+        recordSilence(interval, now);
+}
+
+void target_pace::recordSilence(std::chrono::microseconds silence, steady_time now)
+{
+    if (silence < minInterval || silence > maxInterval)
         return;
-    m_samples[m_next] = { interval, now };
+    m_samples[m_next] = { silence, now };
     m_next = (m_next + 1) % maxSamples;
 }
 
--- a/libs/dispatch/src/target_pace.h
+++ b/libs/dispatch/src/target_pace.h
@@ -19,6 +19,9 @@
     /// Records the mean interval between the last events of a run. An interval that cannot be valid, or that
     /// was measured over too few events, is ignored.
     void record(std::chrono::microseconds interval, std::uint32_t events, steady_time now);
+    /// Records a run that was cancelled because no event had arrived for `silence`, after any number of
+    /// events.
+    void recordSilence(std::chrono::microseconds silence, steady_time now);
     /// The median interval of the recent runs; zero if there are too few of them.
     std::chrono::microseconds interval(steady_time now) const;
     /// Updates the result of relative() from the recent runs and the group's nominal interval; zero if that
--- a/libs/dispatch/src/target_selector.cpp
+++ b/libs/dispatch/src/target_selector.cpp
@@ -47,7 +47,7 @@
         return 0;
     if (request.workClass == work_class::bulk)
         return itemSpeedWeight * (1 / pace - 1);
-    if (pace < 1 && tooSlow(request, target, pace, now))
+    if (tooSlow(request, target, now))
         return tooSlowPenalty + liveSpeedWeight * -std::log2(pace);
     // A target below half speed is probably faulty and could become slower, and the caller of a request that
     // has begun is already waiting for the rest of its answer.
@@ -56,9 +56,11 @@
 }
 
 /// Whether a target of less than nominal speed would probably miss one of the request's objectives.
-bool target_selector::tooSlow(
-    const slot_request& request, const target_state& target, double pace, steady_time now) const
+bool target_selector::tooSlow(const slot_request& request, const target_state& target, steady_time now) const
 {
+    const double pace = m_table.paceOf(target, now);
+    if (pace >= 1)
+        return false;
     if (request.maxEventInterval.count() > 0
         && intervalMargin * m_table.eventInterval(target, now) > request.maxEventInterval)
         return true;
@@ -69,24 +71,41 @@
 }
 
 target_state* target_selector::choose(
-    const slot_request& request, bool needFreeSlot, steady_time now, bool itemsPresent)
+    const slot_request& request, bool needFreeSlot, steady_time now, selection_context context)
 {
     const bool live = request.workClass == work_class::live;
     target_state* best = nullptr;
+    target_state* bestSlow = nullptr; ///< For items, of the targets below half speed.
     double bestCost = 0;
+    double bestSlowCost = 0;
+    bool othersUsable = false;
+    bool slowOneFree = false;
     for (auto& [name, target] : m_table.targets()) {
         if (!m_table.usable(target, now))
             continue;
+        const bool slowForItem = !live && m_table.paceOf(target, now) < slowPace;
+        othersUsable = othersUsable || !slowForItem;
         if (needFreeSlot && (live ? m_table.freeSlots(target, now) : m_table.spareSlots(target, now)) == 0)
             continue;
+        if (live && context.onlyInTime && tooSlow(request, target, now)) {
+            slowOneFree = true;
+            continue;
+        }
         const double cost = m_options.randomChoice ? static_cast<double>(m_random() % 1000)
-                                                   : costOf(request, target, itemsPresent, now);
-        if (!best || cost < bestCost) {
-            best = &target;
-            bestCost = cost;
+                                                   : costOf(request, target, context.itemsPresent, now);
+        auto& candidate = slowForItem ? bestSlow : best;
+        auto& candidateCost = slowForItem ? bestSlowCost : bestCost;
+        if (!candidate || cost < candidateCost) {
+            candidate = &target;
+            candidateCost = cost;
         }
     }
-    return best;
+    // A slow target is better than one that has just failed the request.
+    if (best && slowOneFree && best->description.name == request.avoid)
+        return nullptr;
+    // An item ends sooner if it waits for another target. What a resumed item has produced is also processed
+    // again at the target's speed, and live requests there wait in the meantime.
+    return othersUsable ? best : bestSlow;
 }
 
 void target_selector::recordGrant(const slot_request& request, const target_state& target, steady_time now)
--- a/libs/dispatch/src/target_selector.h
+++ b/libs/dispatch/src/target_selector.h
@@ -8,6 +8,12 @@
 
 namespace yuccachute {
 
+struct selection_context {
+    bool itemsPresent = false; ///< Bulk items are running or waiting.
+    /// Targets that would probably miss an objective of a live request are not considered.
+    bool onlyInTime = false;
+};
+
 /// Chooses the target of a request among the targets in use.
 class target_selector {
 public:
@@ -19,10 +25,10 @@
     }
 
     /// The usable target with the lowest cost; null if there is none. With `needFreeSlot` only targets with a
-    /// slot that is free for the request's class of work are considered. `itemsPresent`: bulk items are
-    /// running or waiting.
+    /// slot that is free for the request's class of work are considered. Items get no targets below half
+    /// speed unless all usable ones are.
     target_state* choose(
-        const slot_request& request, bool needFreeSlot, steady_time now, bool itemsPresent = false);
+        const slot_request& request, bool needFreeSlot, steady_time now, selection_context context = {});
     /// Remembers that the target is about to have the request's prefixes in its cache.
     void recordGrant(const slot_request& request, const target_state& target, steady_time now);
     /// The target is no longer in use.
@@ -33,7 +39,7 @@
         const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const;
     double paceCost(
         const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const;
-    bool tooSlow(const slot_request& request, const target_state& target, double pace, steady_time now) const;
+    bool tooSlow(const slot_request& request, const target_state& target, steady_time now) const;
 
     target_table& m_table;
     const group_options& m_options;
--- a/libs/dispatch/src/target_table.cpp
+++ b/libs/dispatch/src/target_table.cpp
@@ -218,7 +218,15 @@
 {
     if (!m_options.targetPace)
         return;
-    target.pace.record(release.eventInterval, release.events, now);
+    // A run of few events measures no speed, but a failed one that was silent for longer than the nominal
+    // interval shows that the target takes at least this long now.
+    const auto nominal = nominalEventInterval(now);
+    const bool silent = release.outcome == grant_outcome::failed && release.events > 0 && nominal.count() > 0
+        && release.eventInterval > nominal;
+    if (silent)
+        target.pace.recordSilence(release.eventInterval, now);
+    else
+        target.pace.record(release.eventInterval, release.events, now);
     const bool wholeRun = release.outcome == grant_outcome::ok && !request.begun;
     if (request.workClass != work_class::live || !wholeRun || release.firstToken.count() <= 0)
         return;
--- a/libs/load_player/include/load_player/load_player.h
+++ b/libs/load_player/include/load_player/load_player.h
@@ -34,6 +34,8 @@
     milliseconds objective { 300 }; ///< For the first event, from the first attempt.
     milliseconds patience { 5000 };
     milliseconds maxEventInterval { 0 }; ///< Objective for the time between two events; 0 for none.
+    /// After this time without an event the rest of an answer moves to another target; 0 for never.
+    milliseconds silenceTimeout { 0 };
 };
 
 struct played_items {
@@ -108,7 +110,8 @@
     unsigned itemsOnTime = 0;
     unsigned itemsLate = 0;
     unsigned revocations = 0;
-    unsigned longPauses = 0; ///< Live answers with a mean interval over the objective.
+    unsigned longPauses = 0; ///< Live runs with a mean interval over the objective.
+    unsigned failovers = 0; ///< Live runs that ended by `silenceTimeout`.
     std::vector<unsigned> liveGrants; ///< By target.
     std::vector<unsigned> itemGrants; ///< By target.
     std::uint64_t grantsHash = 0; ///< Of all grants in their order: the request and its target.
--- a/libs/load_player/src/load_player.cpp
+++ b/libs/load_player/src/load_player.cpp
@@ -4,6 +4,7 @@
 #include "played_target.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <random>
 #include <set>
@@ -42,6 +43,8 @@
     bool returned = false;
     bool refusedEarly = false;
     bool firstEvent = false;
+    std::optional<milliseconds> left; ///< Set if the answer has begun at the target `avoid`.
+    std::string avoid;
 };
 
 struct item {
@@ -55,6 +58,7 @@
     std::uint64_t grant = 0;
     bool live = false;
     steady_time since;
+    steady_time lastEvent;
     milliseconds firstEvent { 0 };
     event_timing timing;
 };
@@ -86,6 +90,7 @@
             applyEvents();
             arrive();
             work();
+            failOver();
             if ((m_now - m_begin) % groupTick == milliseconds { 0 })
                 m_group.tick(m_now);
             exchangeReports();
@@ -202,7 +207,9 @@
             return;
         if (happens(liveRate())) {
             ++m_outcome.asked;
-            ask({ m_now, m_now, {} });
+            caller who;
+            who.arrived = who.attempt = m_now;
+            ask(who);
         }
         if (elapsed() < m_plan.items.until && happens(m_plan.items.perSecond)) {
             ++m_outcome.items;
@@ -230,6 +237,10 @@
         wanted.requestId = std::to_string(id);
         wanted.customer = "live";
         wanted.deadline = who.attempt + m_plan.live.objective - firstEventTime;
+        if (who.left)
+            wanted.deadline = who.arrived + m_plan.live.patience;
+        wanted.begun = who.left.has_value();
+        wanted.avoid = who.avoid;
         wanted.hold = m_plan.live.patience;
         wanted.maxEventInterval = m_plan.live.maxEventInterval;
         m_group.ask(std::move(wanted), m_now);
@@ -265,6 +276,7 @@
     {
         if (const auto run = findGranted(told.request); run != m_granted.end()) {
             run->timing.record(told.events, m_now);
+            run->lastEvent = told.events > 0 ? m_now : run->lastEvent;
             if (told.firstEvent)
                 run->firstEvent = std::chrono::duration_cast<milliseconds>(m_now - run->since);
         }
@@ -281,8 +293,28 @@
             release(told.request, grant_outcome::ok);
     }
 
+    void failOver()
+    {
+        if (m_plan.live.silenceTimeout.count() == 0)
+            return;
+        std::vector<granted> silent;
+        std::copy_if(m_granted.begin(), m_granted.end(), std::back_inserter(silent), [&](const granted& one) {
+            return one.live && m_now - one.lastEvent > m_plan.live.silenceTimeout;
+        });
+        for (const auto& one : silent) {
+            auto& who = m_callers.at(one.request);
+            who.left = m_targets[one.target].drop(one.request);
+            who.avoid = m_targets[one.target].name();
+            ++m_outcome.failovers;
+            release(one.request, grant_outcome::failed);
+            askFor(one.request);
+        }
+    }
+
     void firstEvent(caller& who)
     {
+        if (who.firstEvent)
+            return; // Of the rest of an answer.
         who.firstEvent = true;
         const bool inTime = m_now - who.attempt <= m_plan.live.objective;
         if (inTime && !who.returned)
@@ -361,13 +393,13 @@
         auto& target = targetNamed(given.target);
         const auto number = static_cast<std::size_t>(&target - m_targets.data());
         const bool toLive = m_callers.contains(given.slotRequestId);
-        m_granted.push_back({ given.slotRequestId, number, given.grantId, toLive, m_now, {}, {} });
+        m_granted.push_back({ given.slotRequestId, number, given.grantId, toLive, m_now, m_now, {}, {} });
         m_outcome.grantsHash = (m_outcome.grantsHash ^ given.slotRequestId) * hashPrime + number;
         ++(toLive ? m_outcome.liveGrants : m_outcome.itemGrants)[number];
         m_asked.erase(given.slotRequestId);
         if (const auto live = m_callers.find(given.slotRequestId); live != m_callers.end()) {
             live->second.placed = m_now;
-            return target.take(given.slotRequestId, m_plan.live.run, readingTime);
+            return target.take(given.slotRequestId, live->second.left.value_or(m_plan.live.run), readingTime);
         }
         const auto& one = m_items.at(given.slotRequestId);
         target.take(
--- a/libs/load_player/tests/test_load_player.cpp
+++ b/libs/load_player/tests/test_load_player.cpp
@@ -34,6 +34,15 @@
         all.itemsOnTime += one.itemsOnTime;
         all.itemsLate += one.itemsLate;
         all.revocations += one.revocations;
+        all.longPauses += one.longPauses;
+        all.failovers += one.failovers;
+        all.grantsHash = all.grantsHash * 31 + one.grantsHash;
+        all.liveGrants.resize(base.targets);
+        all.itemGrants.resize(base.targets);
+        for (unsigned i = 0; i < base.targets; ++i) {
+            all.liveGrants[i] += one.liveGrants[i];
+            all.itemGrants[i] += one.itemGrants[i];
+        }
     }
     return all;
 }
@@ -49,7 +58,8 @@
     INFO(what << ": asked " << one.asked << ", on time " << one.onTime << ", on return " << one.onTimeOnReturn
               << ", late " << one.late << ", unserved " << one.unserved << ", told early " << one.toldEarly
               << ", told late " << one.toldLate << ", stood at the target " << one.stoodAtTarget << "; items "
-              << one.items << ", on time " << one.itemsOnTime << ", late " << one.itemsLate);
+              << one.items << ", on time " << one.itemsOnTime << ", late " << one.itemsLate << ", revoked "
+              << one.revocations << "; long pauses " << one.longPauses << ", failovers " << one.failovers);
     CHECK(one.asked > 0);
 }
 
@@ -151,3 +161,128 @@
     CHECK(now.onTime >= former.onTime + 30);
     CHECK(now.itemsOnTime >= former.itemsOnTime);
 }
+
+namespace {
+
+/// Peaks and troughs of live requests on 12 targets, with items that use a fifth of the slots.
+load_plan withPeaks(std::vector<double> speeds)
+{
+    load_plan plan;
+    plan.targets = 12;
+    plan.speeds = std::move(speeds);
+    plan.live.rates = squareWave(16, 3400ms, 78, 2400ms, plan.length);
+    plan.live.run = 700ms;
+    plan.live.maxEventInterval = 400ms;
+    plan.items = { 5, 25000ms };
+    return plan;
+}
+
+/// Two targets become eight times slower in the middle of what they run, and recover.
+load_plan withSlowdown(bool reportsIdle)
+{
+    auto slow = withPeaks({});
+    slow.events
+        = { targets_change_speed { 4s, 0, 2, 0.125, reportsIdle }, targets_change_speed { 18s, 0, 2, 1 } };
+    return slow;
+}
+
+void switchOff(played_policy& policy)
+{
+    policy.targetPace = false;
+}
+
+unsigned sumOf(const std::vector<unsigned>& grants, std::initializer_list<std::size_t> targets)
+{
+    unsigned sum = 0;
+    for (const auto target : targets)
+        sum += grants.at(target);
+    return sum;
+}
+
+} // namespace
+
+// Guards against decisions that change where there is nothing to learn: paces of equal targets that differ by
+// chance.
+TEST_CASE("with targets of equal speed all grants are the same as without paces")
+{
+    auto heavy = plan(30);
+    heavy.items = { 7, 25000ms };
+    auto cut = plan(22);
+    cut.items = { 5, 25000ms };
+    cut.events = { runs_orphaned { 9s }, runs_orphaned { 16s } };
+    auto stalled = withPeaks({});
+    stalled.events = { targets_change_speed { 9s, 0, 1, 0.125 }, targets_change_speed { 9200ms, 0, 1, 1 } };
+    for (const auto& one : { plan(40), heavy, cut, withPeaks({}), stalled })
+        CHECK(played(one).grantsHash == sum(one, switchOff).grantsHash);
+}
+
+// Guards against items that start on slow targets while live requests use the fast ones: an item that starts
+// on a fast target ends before the next peak.
+TEST_CASE("items go to the fast targets, and live requests to the slower ones that are fast enough")
+{
+    const auto mixed = withPeaks({ 0.6, 1, 1.6 });
+    const auto former = sum(mixed, switchOff);
+    const auto now = played(mixed);
+    tell("before", former);
+    tell("now", now);
+    const auto fastItems = [](const load_outcome& one) { return sumOf(one.itemGrants, { 2, 5, 8, 11 }); };
+    const auto slowItems = [](const load_outcome& one) { return sumOf(one.itemGrants, { 0, 3, 6, 9 }); };
+    INFO("before " << slowItems(former) << " and " << fastItems(former) << ", now " << slowItems(now)
+                   << " and " << fastItems(now));
+    CHECK(fastItems(former) < 4 * slowItems(former));
+    CHECK(fastItems(now) > 10 * slowItems(now));
+    CHECK(sumOf(now.liveGrants, { 0, 3, 6, 9 }) > sumOf(now.liveGrants, { 2, 5, 8, 11 }));
+    CHECK(now.onTime == now.asked);
+    CHECK(now.longPauses == 0);
+    CHECK(now.itemsOnTime == now.items);
+}
+
+// Guards against a preference for slow targets that leaves the fast ones idle.
+TEST_CASE("without items live requests go to the fast targets")
+{
+    auto mixed = withPeaks({ 0.6, 1, 1.6 });
+    mixed.items = {};
+    const auto now = played(mixed);
+    CHECK(sumOf(now.liveGrants, { 2, 5, 8, 11 }) > 5 * sumOf(now.liveGrants, { 0, 3, 6, 9 }));
+    CHECK(now.onTime == now.asked);
+}
+
+// Guards against live requests at targets that have become slow in the middle of answers while their load
+// reports stay good, or say falsely that they run nothing.
+TEST_CASE("targets that become eight times slower get few live requests")
+{
+    for (const bool reportsIdle : { false, true }) {
+        const auto slow = withSlowdown(reportsIdle);
+        const auto former = sum(slow, switchOff);
+        const auto now = played(slow);
+        tell("before", former);
+        tell("now", now);
+        CHECK(now.late * 2 <= former.late);
+        CHECK(now.longPauses * 2 <= former.longPauses);
+        CHECK(now.itemsLate <= former.itemsLate);
+    }
+}
+
+// Guards against paces that are learned from runs that were cut short, and that make the failover worse.
+TEST_CASE("answers that move to another target after a silence are no later than without paces")
+{
+    auto slow = withSlowdown(false);
+    slow.live.silenceTimeout = 210ms;
+    const auto former = sum(slow, switchOff);
+    const auto now = played(slow);
+    tell("before", former);
+    tell("now", now);
+    CHECK(now.late + now.unserved <= former.late + former.unserved);
+}
+
+// Guards against a dispatcher that relies on what its predecessor had learned.
+TEST_CASE("a new dispatcher learns the paces again")
+{
+    auto replaced = withPeaks({ 0.6, 1, 1.6 });
+    replaced.events = { runs_orphaned { 12s } };
+    const auto now = played(replaced);
+    tell("now", now);
+    CHECK(sumOf(now.itemGrants, { 2, 5, 8, 11 }) > 4 * sumOf(now.itemGrants, { 0, 3, 6, 9 }));
+    CHECK(now.onTime == now.asked);
+    CHECK(now.itemsOnTime == now.items);
+}
