--- a/libs/dispatch/src/target_selector.cpp
+++ b/libs/dispatch/src/target_selector.cpp
@@ -1,5 +1,6 @@
 #include "target_selector.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace yuccachute {
@@ -22,10 +23,10 @@
 
 } // namespace
 
-/// Cost of sending a request to a target: the fraction of its slots in use, less the benefit of cached
-/// prefixes, and the cost of its speed.
-double target_selector::costOf(
-    const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const
+/// Cost of sending a request to a target of nominal speed: the fraction of its slots in use, less the benefit
+/// of cached prefixes.
+double target_selector::loadCost(
+    const slot_request& request, const target_state& target, steady_time now) const
 {
     const auto& name = target.description.name;
     const double used = target.live + target.bulk + m_table.slotsUsedByOthers(target, now);
@@ -33,49 +34,57 @@
     const double hit = static_cast<double>(m_prefixes.matchedBlocks(request.prefixes, name, now)) / blocks;
     const double full = target.load.memoryUsed() > memoryFullShare ? 1 : 0;
     const double avoided = name == request.avoid ? avoidPenalty : 0;
-    return used / m_table.slotsOf(target, now) - m_options.affinity * hit + full + avoided
-        + paceCost(request, target, itemsPresent, now);
+    return used / m_table.slotsOf(target, now) - m_options.affinity * hit + full + avoided;
 }
 
-/// Zero for a target of nominal speed. An item goes where it ends soonest. A live request goes to slower
-/// targets while there are items, so that items end at the faster ones before the next peak.
+/// Additional cost of a target of a pace; zero at nominal speed. An item goes where it ends soonest. A live
+/// request goes to slower targets while there are items, so that items end at the faster ones before the next
+/// peak.
 double target_selector::paceCost(
-    const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const
+    const slot_request& request, double pace, bool tooSlow, bool itemsPresent) const
 {
-    const double pace = m_table.paceOf(target, now);
     if (pace == 1)
         return 0;
     if (request.workClass == work_class::bulk)
         return itemSpeedWeight * (1 / pace - 1);
-    if (tooSlow(request, target, now))
-        return tooSlowPenalty + liveSpeedWeight * -std::log2(pace);
     // A target below half speed is probably faulty and could become slower, and the caller of a request that
     // has begun is already waiting for the rest of its answer.
-    const bool preferSlower = itemsPresent && !request.begun && pace >= slowPace;
-    return liveSpeedWeight * (preferSlower ? std::log2(pace) : -std::log2(pace));
+    const bool preferSlower = itemsPresent && !tooSlow && !request.begun && pace >= slowPace;
+    const double speed = liveSpeedWeight * std::log2(pace);
+    return (preferSlower ? speed : -speed) + (tooSlow ? tooSlowPenalty : 0);
 }
 
-/// Whether a target of less than nominal speed would probably miss one of the request's objectives.
-bool target_selector::tooSlow(const slot_request& request, const target_state& target, steady_time now) const
+/// The pace that a target must have at least, at most 1, for a live request to meet its objectives, or for an
+/// item to run there while others are usable.
+double target_selector::neededPace(const slot_request& request, steady_time now) const
 {
-    const double pace = m_table.paceOf(target, now);
-    if (pace >= 1)
-        return false;
-    if (request.maxEventInterval.count() > 0
-        && intervalMargin * m_table.eventInterval(target, now) > request.maxEventInterval)
-        return true;
+    if (m_options.randomChoice)
+        return 0;
+    // An item ends sooner if it waits for another target. What a resumed item has produced is also processed
+    // again at the target's speed, and live requests there wait in the meantime.
+    if (request.workClass == work_class::bulk)
+        return slowPace;
+    double pace = 0;
+    if (request.maxEventInterval.count() > 0) {
+        const std::chrono::duration<double> interval = intervalMargin * m_table.nominalEventInterval(now);
+        pace = interval / request.maxEventInterval;
+    }
     // The deadline of a request leaves time for a first event at nominal speed. One that is not in the future
     // says nothing: immediate requests of older processes have none.
-    const auto extraDelay = m_table.firstEventDelay(target, now) * (1 - pace);
-    return request.deadline > now && now + extraDelay > request.deadline;
+    if (const std::chrono::duration<double, std::milli> left = request.deadline - now; left.count() > 0) {
+        const double firstEvent = m_table.nominalFirstEventMs();
+        pace = std::max(pace, firstEvent / (firstEvent + left.count()));
+    }
+    return std::min(1.0, pace);
 }
 
 target_state* target_selector::choose(
     const slot_request& request, bool needFreeSlot, steady_time now, selection_context context)
 {
     const bool live = request.workClass == work_class::live;
+    const double needed = neededPace(request, now);
     target_state* best = nullptr;
-    target_state* bestSlow = nullptr; ///< For items, of the targets below half speed.
+    target_state* bestSlow = nullptr; ///< For items, of the targets that are too slow.
     double bestCost = 0;
     double bestSlowCost = 0;
     bool othersUsable = false;
@@ -83,29 +92,29 @@
     for (auto& [name, target] : m_table.targets()) {
         if (!m_table.usable(target, now))
             continue;
-        const bool slowForItem = !live && m_table.paceOf(target, now) < slowPace;
-        othersUsable = othersUsable || !slowForItem;
+        const double pace = m_table.paceOf(target, now);
+        const bool tooSlow = pace < needed;
+        othersUsable = othersUsable || !tooSlow;
         if (needFreeSlot && (live ? m_table.freeSlots(target, now) : m_table.spareSlots(target, now)) == 0)
             continue;
-        if (live && context.onlyInTime && tooSlow(request, target, now)) {
-            slowOneFree = true;
+        slowOneFree = slowOneFree || tooSlow;
+        if (live && tooSlow && context.onlyInTime)
             continue;
-        }
-        const double cost = m_options.randomChoice ? static_cast<double>(m_random() % 1000)
-                                                   : costOf(request, target, context.itemsPresent, now);
-        auto& candidate = slowForItem ? bestSlow : best;
-        auto& candidateCost = slowForItem ? bestSlowCost : bestCost;
+        const double cost = m_options.randomChoice
+            ? static_cast<double>(m_random() % 1000)
+            : loadCost(request, target, now) + paceCost(request, pace, tooSlow, context.itemsPresent);
+        auto& candidate = tooSlow && !live ? bestSlow : best;
+        auto& candidateCost = tooSlow && !live ? bestSlowCost : bestCost;
         if (!candidate || cost < candidateCost) {
             candidate = &target;
             candidateCost = cost;
         }
     }
+    if (!live)
+        return othersUsable ? best : bestSlow;
     // A slow target is better than one that has just failed the request.
-    if (best && slowOneFree && best->description.name == request.avoid)
-        return nullptr;
-    // An item ends sooner if it waits for another target. What a resumed item has produced is also processed
-    // again at the target's speed, and live requests there wait in the meantime.
-    return othersUsable ? best : bestSlow;
+    const bool avoided = best && best->description.name == request.avoid;
+    return context.onlyInTime && slowOneFree && avoided ? nullptr : best;
 }
 
 void target_selector::recordGrant(const slot_request& request, const target_state& target, steady_time now)
--- a/libs/dispatch/src/target_selector.h
+++ b/libs/dispatch/src/target_selector.h
@@ -35,11 +35,9 @@
     void forget(std::string_view target) { m_prefixes.eraseTarget(target); }
 
 private:
-    double costOf(
-        const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const;
-    double paceCost(
-        const slot_request& request, const target_state& target, bool itemsPresent, steady_time now) const;
-    bool tooSlow(const slot_request& request, const target_state& target, steady_time now) const;
+    double loadCost(const slot_request& request, const target_state& target, steady_time now) const;
+    double paceCost(const slot_request& request, double pace, bool tooSlow, bool itemsPresent) const;
+    double neededPace(const slot_request& request, steady_time now) const;
 
     target_table& m_table;
     const group_options& m_options;
--- a/libs/dispatch/src/target_table.cpp
+++ b/libs/dispatch/src/target_table.cpp
@@ -1,7 +1,6 @@
 #include "target_table.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 namespace yuccachute {
@@ -203,11 +202,6 @@
         nominalEventInterval(now) / paceOf(target, now));
 }
 
-milliseconds target_table::firstEventDelay(const target_state& target, steady_time now) const
-{
-    return milliseconds { std::llround(m_firstEventMs / paceOf(target, now)) };
-}
-
 double target_table::paceOf(const target_state& target, steady_time now) const
 {
     return target.pace.relative(target.live + target.bulk, now);
--- a/libs/dispatch/src/target_table.h
+++ b/libs/dispatch/src/target_table.h
@@ -86,8 +86,8 @@
     std::chrono::microseconds nominalEventInterval(steady_time now) const;
     /// Expected time between two events at the target; zero if unknown.
     std::chrono::microseconds eventInterval(const target_state& target, steady_time now) const;
-    /// Expected time from the start of a run at the target to its first event; zero if unknown.
-    milliseconds firstEventDelay(const target_state& target, steady_time now) const;
+    /// Expected time from the start of a run to its first event at nominal speed, in ms; zero if unknown.
+    double nominalFirstEventMs() const { return m_firstEventMs; }
     /// Speed of the target relative to the nominal speed of the group, which is 1.
     double paceOf(const target_state& target, steady_time now) const;
     /// Learns the speed of the target from a run that has ended.
