--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -39,6 +39,8 @@
         requirements.customer = m_request.customer;
         requirements.workClass = work_class::bulk;
         requirements.cost = m_request.cost;
+        requirements.remainingEvents = m_request.remainingEvents;
+        requirements.producedEvents = m_request.producedEvents;
         requirements.grantDeadline = std::chrono::steady_clock::now() + slotWait;
         requirements.hold
             = std::chrono::duration_cast<milliseconds>(m_request.expiry - std::chrono::steady_clock::now());
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -36,6 +36,8 @@
     std::string service;
     std::string customer;
     double cost = 1;
+    double remainingEvents = 0; ///< Events that the run is expected to produce; 0 if unknown.
+    std::uint32_t producedEvents = 0; ///< Events produced by earlier runs.
     steady_time due;
     steady_time expiry;
     std::optional<std::uint64_t> lastEvent;
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -178,6 +178,7 @@
         return false;
     }
     const bool late = willMissDeadline(job, now());
+    const auto produced = job.nextItemEvents();
     const auto next = job.next();
     const auto& item = record.items[next->index];
     item_run_request request;
@@ -190,6 +191,10 @@
     request.cost = static_cast<double>(item.tokens);
     // Dispatchers treat an item that will miss its due time as overdue.
     request.due = late ? now() : job.due();
+    // An item without a due time cannot be late, and dispatchers decide without its length.
+    if (matchedRoute->completionWindow.count() > 0)
+        request.remainingEvents = m_itemLengths.remaining(matchedRoute->name, produced);
+    request.producedEvents = static_cast<std::uint32_t>(produced);
     request.expiry = now() + defaultRunTime;
     request.lastEvent = next->lastEvent;
     const auto aborts = held.consecutiveAborts.find(next->index);
@@ -208,8 +213,10 @@
             found->second.consecutiveAborts.erase(index);
         return found != m_jobs.end() && found->second.job->addEvent(index, event, std::move(data));
     };
-    events.finished = [this, id, index, statistics, fresh = !next->lastEvent](
-                          run_outcome outcome, std::string_view reason) {
+    events.finished = [this, id, index, statistics, fresh = !next->lastEvent, produced,
+                          routeName = matchedRoute->name](run_outcome outcome, std::string_view reason) {
+        if (outcome == run_outcome::completed)
+            m_itemLengths.record(routeName, produced + statistics->events);
         if (outcome == run_outcome::completed && fresh)
             updateMeanDurations(*statistics);
         runFinished(id, index, outcome, reason);
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -2,6 +2,7 @@
 
 #include "bulk_process/bulk_process.h"
 
+#include "item_lengths.h"
 #include "item_run.h"
 #include "job_admission.h"
 #include "logging/logging.h"
@@ -196,6 +197,7 @@
     steady_time m_stopAt;
     double m_meanRunMs = initialMeanRunMs;
     double m_meanEventMs = initialMeanEventMs;
+    item_lengths m_itemLengths;
     steady_time m_nextProgressSave;
     bool m_saving = false;
     bool m_scanning = false;
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -71,10 +72,22 @@
     failure reason; ///< Its verdict is always not_run.
 };
 
+enum class revocation_reason : std::uint8_t {
+    no_figures, ///< The length of the item or the speed of the targets is unknown.
+    late_anyway, ///< The item can no longer end in time.
+    can_end_in_time, ///< The item can end in time if it resumes later.
+    at_risk ///< The item may be late because of the revocation.
+};
+
+std::string_view toString(revocation_reason reason);
+
 /// Asks the holder of a bulk grant to stop its item at once. The holder still has to release the grant.
 struct grant_revocation {
     std::uint64_t holder = 0;
     std::uint64_t grantId = 0;
+    revocation_reason reason = revocation_reason::no_figures;
+    /// Expected lateness of the item after the revocation; negative if it can end in time. 0 without figures.
+    milliseconds expectedLateness { 0 };
 };
 
 using decision = std::variant<slot_grant, slot_refusal, grant_revocation>;
@@ -195,6 +208,12 @@
     /// Removes the next request and returns it with the time at which it was queued.
     std::pair<slot_request, steady_time> pop();
 
+    /// Calls `visit` for each waiting request with the time at which it was queued, by customer, and for each
+    /// customer in order.
+    void forEach(const std::function<void(const slot_request&, steady_time since)>& visit) const;
+    /// Removes a waiting request out of order; unset if it is not waiting.
+    std::optional<std::pair<slot_request, steady_time>> take(std::uint64_t holder, std::uint64_t id);
+
     /// Removes and returns the requests whose deadline has passed.
     std::vector<slot_request> takeExpired(steady_time now);
     bool remove(std::uint64_t holder, std::uint64_t id);
@@ -220,6 +239,8 @@
     };
 
     const backlog* next() const;
+    std::pair<slot_request, steady_time> takeFrom(
+        backlog& customer, std::deque<waiting_request>::iterator position);
     bool precedes(const waiting_request& left, const waiting_request& right) const;
     template <typename Predicate> std::vector<slot_request> takeIf(Predicate predicate);
 
@@ -286,6 +307,11 @@
     double waitMargin = 1;
     /// Weight of a fully cached prompt in the choice of a target: it offsets this fraction of occupied slots.
     double affinity = 0.6;
+    /// Whether items are started and revoked by their expected time and by peaks of live demand that repeat.
+    /// Effective with `spare_bulk` and bulk requests ordered by due time, for items whose length is known.
+    bool bulkLookahead = true;
+    /// Time between two events that is assumed at each target until it has been learned; zero for none.
+    std::chrono::microseconds assumedEventInterval { 0 };
     /// Whether the targets returned by reportsDue() are polled for load reports.
     bool pollsLoadReports = false;
     /// Minimum number of targets in use, if the group has as many; more are activated as needed. It is large
@@ -310,6 +336,8 @@
     std::size_t liveWaiting = 0;
     std::size_t bulkWaiting = 0;
     double bulkWindow = 0;
+    std::map<revocation_reason, std::uint64_t> revocations; ///< Bulk grants revoked so far.
+    std::uint64_t startsHeldBack = 0; ///< Items not started so far because of a peak of live demand.
 };
 
 /// Queue with priorities in front of the targets of one service in one availability zone. It is needed
--- a/libs/dispatch/src/bulk_scheduler.cpp
+++ b/libs/dispatch/src/bulk_scheduler.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr milliseconds adaptationInterval { 100 };
+/// After all waiting items were held back for a peak, they are considered again after this time: the decision
+/// goes through all of them, and a group handles thousands of messages per second.
+constexpr milliseconds heldBackInterval { 20 };
+/// Events that an item which is longer than expected is assumed to have left.
+constexpr int minRemainingEvents = 5;
 
 } // namespace
 
@@ -48,12 +53,191 @@
     return false;
 }
 
+bool bulk_scheduler::looksAhead() const
+{
+    return m_options.bulkLookahead && std::holds_alternative<spare_bulk>(m_options.policy)
+        && m_options.bulkOrder.value_or(m_options.order) == fair_queue::order::due;
+}
+
+std::chrono::microseconds bulk_scheduler::eventInterval(const target_state& target, steady_time now) const
+{
+    const auto learned = m_table.eventInterval(target, now);
+    return learned.count() > 0 ? learned : m_options.assumedEventInterval;
+}
+
+std::optional<steady_time::duration> bulk_scheduler::remainingTime(
+    const grant_record& grant, steady_time now) const
+{
+    const auto target = m_table.targets().find(grant.target);
+    if (target == m_table.targets().end())
+        return std::nullopt;
+    const auto interval = eventInterval(target->second, now);
+    const auto whole = expectedTime(grant.request, interval);
+    if (!whole)
+        return std::nullopt;
+    return std::max<steady_time::duration>(*whole - (now - grant.since), interval * minRemainingEvents);
+}
+
+steady_time::duration bulk_scheduler::expectedWait(
+    std::chrono::microseconds eventInterval, steady_time now) const
+{
+    const auto peak = m_demand.nextPeak(now);
+    if (!peak)
+        return steady_time::duration { 0 };
+    steady_time::duration work { 0 };
+    m_queue.forEach([&](const slot_request& item, steady_time) {
+        work += expectedTime(item, eventInterval).value_or(steady_time::duration { 0 });
+    });
+    const double slots = std::max(1.0, ownSlots(now) - m_demand.meanSlots());
+    return std::max(peak->end - now, steady_time::duration { 0 })
+        + std::chrono::duration_cast<steady_time::duration>(work / slots);
+}
+
+int bulk_scheduler::ownSlots(steady_time now) const
+{
+    int slots = 0;
+    for (const auto& [name, target] : m_table.targets()) {
+        if (m_table.usable(target, now))
+            slots += static_cast<int>(m_table.slotsOf(target, now))
+                - static_cast<int>(m_table.slotsUsedByOthers(target, now));
+    }
+    return slots;
+}
+
+int bulk_scheduler::slotsLeftBy(const expected_peak& peak, steady_time now) const
+{
+    int slots = ownSlots(now) - static_cast<int>(peak.slots);
+    const auto begins = std::max(peak.start, now);
+    for (const auto& [id, grant] : m_table.grants()) {
+        if (grant.live() || grant.revoked)
+            continue;
+        const auto remaining = remainingTime(grant, now);
+        if (!remaining || now + *remaining > begins)
+            --slots;
+    }
+    return slots;
+}
+
+/// Items at risk of being late come first and those that are late anyway last, each by due time.
+const slot_request* bulk_scheduler::nextItem(const target_state& target, steady_time now)
+{
+    if (!looksAhead())
+        return m_queue.front();
+    const auto interval = eventInterval(target, now);
+    const auto peak = m_demand.nextPeak(now);
+    const auto wait = expectedWait(interval, now);
+    std::optional<int> slotsLeft;
+    const slot_request* best = nullptr;
+    const slot_request* held = nullptr;
+    auto bestUrgency = item_urgency::late;
+    m_queue.forEach([&](const slot_request& item, steady_time since) {
+        const auto remaining = expectedTime(item, interval);
+        auto urgency = remaining ? urgencyOf(item.due, *remaining, wait, now) : item_urgency::on_time;
+        urgency = item.due <= since ? item_urgency::late : urgency;
+        if (best && std::pair(urgency, item.due) >= std::pair(bestUrgency, best->due))
+            return;
+        if (remaining && peak) {
+            if (!slotsLeft)
+                slotsLeft = slotsLeftBy(*peak, now);
+            if (!mayStartBeforePeak(*peak, *slotsLeft, urgency, *remaining, now)) {
+                held = &item;
+                return;
+            }
+        }
+        best = &item;
+        bestUrgency = urgency;
+    });
+    if (!best && held) {
+        m_heldBackUntil = now + heldBackInterval;
+        const std::pair request(held->holder, held->id);
+        m_startsHeldBack += request != m_lastHeldBack ? 1 : 0;
+        m_lastHeldBack = request;
+    }
+    return best;
+}
+
+revocable_item bulk_scheduler::describe(
+    std::uint64_t grantId, steady_time::duration wait, steady_time now) const
+{
+    const auto& grant = *m_table.findGrant(grantId);
+    revocable_item item;
+    item.grantId = grantId;
+    item.due = grant.request.due;
+    const auto remaining = remainingTime(grant, now);
+    if (!remaining)
+        return item;
+    const auto interval = eventInterval(m_table.targets().find(grant.target)->second, now);
+    const auto ran = now - grant.since;
+    item.known = true;
+    item.remaining = *remaining;
+    item.worked = ran + interval * grant.request.producedEvents;
+    const auto resumed
+        = item.remaining + reprocessingTime(static_cast<double>(item.worked / interval), interval);
+    item.urgency
+        = now + item.remaining > item.due ? item_urgency::late : urgencyOf(item.due, resumed, wait, now);
+    item.expectedLateness = now + wait + resumed - item.due;
+    return item;
+}
+
+std::vector<steady_time> bulk_scheduler::expectedReleases(
+    std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+{
+    std::vector<steady_time> releases;
+    for (const auto& [id, grant] : m_table.grants()) {
+        const auto target = m_table.targets().find(grant.target);
+        if (grant.revoked || target == m_table.targets().end() || !m_table.usable(target->second, now))
+            continue;
+        if (grant.live() && serviceTime.count() > 0) {
+            releases.push_back(grant.since + std::chrono::duration_cast<steady_time::duration>(serviceTime));
+        } else if (!grant.live()) {
+            const auto whole = expectedTime(grant.request, eventInterval(target->second, now));
+            if (whole)
+                releases.push_back(grant.since + *whole);
+        }
+    }
+    return releases;
+}
+
+/// No grant is revoked for a live request that is expected to get a slot in time anyway. Without figures for
+/// any of the items, as many are revoked as live requests wait.
+std::vector<grant_revocation> bulk_scheduler::grantsToRevoke(
+    const fair_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+{
+    if (!revokesBulkGrants(m_options.policy) || live.empty())
+        return {};
+    std::vector<revocable_item> items;
+    const auto grants = m_table.revocableGrants();
+    if (looksAhead() && !grants.empty()) {
+        const auto& target = m_table.targets().find(m_table.findGrant(grants.front())->target)->second;
+        const auto wait = expectedWait(eventInterval(target, now), now);
+        for (const auto id : grants)
+            items.push_back(describe(id, wait, now));
+    }
+    std::vector<grant_revocation> revocations;
+    if (std::none_of(items.begin(), items.end(), [](const auto& item) { return item.known; })) {
+        for (const auto id : revokedWithoutFigures(live.size(), now))
+            revocations.push_back({ m_table.findGrant(id)->request.holder, id });
+        return revocations;
+    }
+    std::vector<steady_time> latest;
+    live.forEach([&](const slot_request& request, steady_time since) {
+        latest.push_back(latestGrantTime(request, since));
+    });
+    const auto needed = revocationsNeeded(std::move(latest), expectedReleases(serviceTime, now), now);
+    std::reverse(items.begin(), items.end());
+    orderForRevocation(items, now);
+    items.resize(std::min(items.size(), needed));
+    for (const auto& item : items)
+        revocations.push_back({ m_table.findGrant(item.grantId)->request.holder, item.grantId,
+            reasonOf(item, now), std::chrono::duration_cast<milliseconds>(item.expectedLateness) });
+    return revocations;
+}
+
 /// Selects as many bulk grants as live requests are waiting. If a revoked item loses its progress, the grants
 /// given last are revoked first; if it can be resumed, overdue items are first and then those due last.
-std::vector<std::uint64_t> bulk_scheduler::grantsToRevoke(std::size_t liveWaiting, steady_time now) const
+std::vector<std::uint64_t> bulk_scheduler::revokedWithoutFigures(
+    std::size_t liveWaiting, steady_time now) const
 {
-    if (!revokesBulkGrants(m_options.policy) || liveWaiting == 0)
-        return {};
     auto candidates = m_table.revocableGrants();
     std::reverse(candidates.begin(), candidates.end());
     if (std::holds_alternative<spare_bulk>(m_options.policy)) {
@@ -81,8 +265,14 @@
         m_liveDelayed = m_liveDelayed || firstToken > adaptive->firstTokenObjective;
 }
 
-void bulk_scheduler::tick(steady_time now)
+void bulk_scheduler::tick(std::size_t liveWaiting, steady_time now)
 {
+    if (looksAhead()) {
+        auto demand = static_cast<unsigned>(liveWaiting);
+        for (const auto& [name, target] : m_table.targets())
+            demand += target.live;
+        m_demand.record(demand, now);
+    }
     if (now < m_nextAdaptation)
         return;
     m_nextAdaptation = now + adaptationInterval;
--- a/libs/dispatch/src/bulk_scheduler.h
+++ b/libs/dispatch/src/bulk_scheduler.h
@@ -1,9 +1,14 @@
 #pragma once
 
 #include "dispatch/dispatch.h"
+#include "live_demand.h"
 #include "live_load.h"
+#include "revocation.h"
 #include "target_table.h"
 
+#include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace yuccachute {
@@ -26,18 +31,45 @@
 
     /// Whether another item may start while `liveWaiting` live requests wait.
     bool mayStart(std::size_t liveWaiting, steady_time now);
-    /// The grants to revoke for the live requests that wait.
-    std::vector<std::uint64_t> grantsToRevoke(std::size_t liveWaiting, steady_time now) const;
+    /// The waiting item that starts next, if its target is `target`; null if all are held back for a peak of
+    /// live demand.
+    const slot_request* nextItem(const target_state& target, steady_time now);
+    /// Whether all items were held back so recently that nextItem() need not be called again yet.
+    bool heldBack(steady_time now) const { return now < m_heldBackUntil; }
+    /// An item has arrived, which may start although the others are held back.
+    void recordBulkArrival() { m_heldBackUntil = {}; }
+    /// The grants to revoke for the live requests that wait. `serviceTime` is the mean time for which live
+    /// grants are held; zero if unknown.
+    std::vector<grant_revocation> grantsToRevoke(
+        const fair_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
+    void countRevocation(revocation_reason reason) { ++m_revocations[reason]; }
+    const std::map<revocation_reason, std::uint64_t>& revocations() const { return m_revocations; }
+    std::uint64_t startsHeldBack() const { return m_startsHeldBack; }
 
     void recordLiveArrival(steady_time now) { m_arrivals.record(now); }
     void recordLiveWait(milliseconds waited);
     void recordFirstToken(milliseconds firstToken);
-    /// Adapts the window of the policy to what was recorded since the last call.
-    void tick(steady_time now);
+    /// Adapts the window of the policy to what was recorded since the last call, and records the live demand.
+    void tick(std::size_t liveWaiting, steady_time now);
     double window() const { return m_window; }
 
 private:
     bulk_policy_input policyInput(std::size_t liveWaiting, steady_time now) const;
+    bool looksAhead() const;
+    std::chrono::microseconds eventInterval(const target_state& target, steady_time now) const;
+    /// Time that the item of a grant still needs; unset if unknown.
+    std::optional<steady_time::duration> remainingTime(const grant_record& grant, steady_time now) const;
+    /// Time that an item may have to wait for a slot if it does not run now: until the end of the next peak,
+    /// and for the items that wait already.
+    steady_time::duration expectedWait(std::chrono::microseconds eventInterval, steady_time now) const;
+    /// Slots that a peak leaves to items, less those that running items still hold when it begins.
+    int slotsLeftBy(const expected_peak& peak, steady_time now) const;
+    revocable_item describe(std::uint64_t grantId, steady_time::duration wait, steady_time now) const;
+    /// Usable slots without those used by others.
+    int ownSlots(steady_time now) const;
+    std::vector<steady_time> expectedReleases(
+        std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
+    std::vector<std::uint64_t> revokedWithoutFigures(std::size_t liveWaiting, steady_time now) const;
 
     const target_table& m_table;
     const group_options& m_options;
@@ -47,6 +79,11 @@
     bool m_liveDelayed = false;
     bool m_windowFull = false;
     steady_time m_nextAdaptation;
+    live_demand m_demand;
+    steady_time m_heldBackUntil;
+    std::pair<std::uint64_t, std::uint64_t> m_lastHeldBack; ///< Holder and id of the request counted last.
+    std::uint64_t m_startsHeldBack = 0;
+    std::map<revocation_reason, std::uint64_t> m_revocations;
 };
 
 } // namespace yuccachute
--- a/libs/dispatch/src/fair_queue.cpp
+++ b/libs/dispatch/src/fair_queue.cpp
@@ -9,6 +9,21 @@
     return workClass == work_class::live ? "live" : "bulk";
 }
 
+std::string_view toString(revocation_reason reason)
+{
+    switch (reason) {
+    case revocation_reason::no_figures:
+        return "no figures";
+    case revocation_reason::late_anyway:
+        return "late anyway";
+    case revocation_reason::can_end_in_time:
+        return "can end in time";
+    case revocation_reason::at_risk:
+        return "at risk";
+    }
+    return "";
+}
+
 std::string groupName(std::string_view service, std::string_view zone, std::size_t number)
 {
     return std::string(service) + '/' + std::string(zone) + '/' + std::to_string(number);
@@ -81,8 +96,14 @@
 std::pair<slot_request, steady_time> fair_queue::pop()
 {
     auto& best = const_cast<backlog&>(*next());
-    auto head = std::move(best.requests.front());
-    best.requests.pop_front();
+    return takeFrom(best, best.requests.begin());
+}
+
+std::pair<slot_request, steady_time> fair_queue::takeFrom(
+    backlog& customer, std::deque<waiting_request>::iterator position)
+{
+    auto head = std::move(*position);
+    customer.requests.erase(position);
     --m_size;
     m_virtualTime = std::max(m_virtualTime, head.start);
     // A customer that has no backlog and has not used more than its share up to the virtual time needs no
@@ -93,6 +114,27 @@
     return { std::move(head.request), head.since };
 }
 
+void fair_queue::forEach(const std::function<void(const slot_request&, steady_time)>& visit) const
+{
+    for (const auto& [name, customer] : m_customers) {
+        for (const auto& waiting : customer.requests)
+            visit(waiting.request, waiting.since);
+    }
+}
+
+std::optional<std::pair<slot_request, steady_time>> fair_queue::take(std::uint64_t holder, std::uint64_t id)
+{
+    for (auto& [name, customer] : m_customers) {
+        const auto found = std::find_if(
+            customer.requests.begin(), customer.requests.end(), [=](const waiting_request& waiting) {
+                return waiting.request.holder == holder && waiting.request.id == id;
+            });
+        if (found != customer.requests.end())
+            return takeFrom(customer, found);
+    }
+    return std::nullopt;
+}
+
 template <typename Predicate> std::vector<slot_request> fair_queue::takeIf(Predicate predicate)
 {
     std::vector<slot_request> taken;
--- a/libs/dispatch/src/live_admission.h
+++ b/libs/dispatch/src/live_admission.h
@@ -32,6 +32,12 @@
     /// Records how long a live grant was held.
     void recordServiceTime(steady_time::duration held);
 
+    /// Mean time for which live grants are held; zero if unknown.
+    std::chrono::duration<double, std::milli> meanServiceTime() const
+    {
+        return std::chrono::duration<double, std::milli> { m_serviceTimeMs };
+    }
+
 private:
     milliseconds expectedWait(const slot_request& request, steady_time now) const;
 
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -36,7 +36,7 @@
     bool assignLiveSlot(steady_time now);
     bool assignBulkSlot(steady_time now);
     void grantSlot(slot_request request, target_state& target, steady_time since, steady_time now);
-    void revoke(std::span<const std::uint64_t> grants);
+    void revoke(std::span<const grant_revocation> revocations);
     void refuse(const slot_request& request, failure reason);
     void refuseExpired(steady_time now);
 
@@ -54,6 +54,8 @@
     options.policy = newOptions.policy;
     options.randomChoice = newOptions.randomChoice;
     options.refusalBackoff = newOptions.refusalBackoff;
+    options.bulkLookahead = newOptions.bulkLookahead;
+    options.assumedEventInterval = newOptions.assumedEventInterval;
     if (newOptions.order == options.order)
         return;
     options.order = newOptions.order;
@@ -98,6 +100,8 @@
     const bool isLive = request.workClass == work_class::live;
     if (isLive)
         bulk.recordLiveArrival(now);
+    else
+        bulk.recordBulkArrival();
     const bool immediate = request.immediate;
     if (immediate)
         request.deadline = now; // Expires in refuseExpired() below unless it is granted here.
@@ -136,22 +140,29 @@
 
 bool target_group::impl::assignBulkSlot(steady_time now)
 {
-    if (!bulk.mayStart(live.queue().size(), now))
+    if (bulk.heldBack(now) || !bulk.mayStart(live.queue().size(), now))
         return false;
     const bool needFreeSlot = !std::holds_alternative<unlimited_bulk>(options.policy);
-    auto* target = selector.choose(*bulk.queue().front(), needFreeSlot, now);
+    const auto* first = bulk.queue().front();
+    auto* target = selector.choose(*first, needFreeSlot, now);
     if (!target)
         return false;
-    auto [request, since] = bulk.queue().pop();
+    const auto* next = bulk.nextItem(*target, now);
+    if (!next)
+        return false;
+    if (next != first)
+        target = selector.choose(*next, needFreeSlot, now);
+    auto [request, since] = next == first ? bulk.queue().pop() : *bulk.queue().take(next->holder, next->id);
     grantSlot(std::move(request), *target, since, now);
     return true;
 }
 
-void target_group::impl::revoke(std::span<const std::uint64_t> grants)
+void target_group::impl::revoke(std::span<const grant_revocation> revocations)
 {
-    for (const auto id : grants) {
-        table.markRevoked(id);
-        decisions.emplace_back(grant_revocation { table.findGrant(id)->request.holder, id });
+    for (const auto& revocation : revocations) {
+        table.markRevoked(revocation.grantId);
+        bulk.countRevocation(revocation.reason);
+        decisions.emplace_back(revocation);
     }
 }
 
@@ -159,7 +170,7 @@
 {
     activateNeededTargets(now);
     while (assignLiveSlot(now)) { }
-    revoke(bulk.grantsToRevoke(live.queue().size(), now));
+    revoke(bulk.grantsToRevoke(live.queue(), live.meanServiceTime(), now));
     while (assignLiveSlot(now)) { }
     while (assignBulkSlot(now)) { }
 }
@@ -213,7 +224,7 @@
 {
     refuseExpired(now);
     table.removeExpiredGrants(now);
-    bulk.tick(now);
+    bulk.tick(live.queue().size(), now);
     for (const auto& name : table.deactivateIdle(now))
         selector.forget(name);
     assignSlots(now);
@@ -324,7 +335,10 @@
 
 void target_group::revokeBulk()
 {
-    m_impl->revoke(m_impl->table.revocableGrants());
+    std::vector<grant_revocation> all;
+    for (const auto id : m_impl->table.revocableGrants())
+        all.push_back({ m_impl->table.findGrant(id)->request.holder, id });
+    m_impl->revoke(all);
 }
 
 std::vector<decision> target_group::takeDecisions()
@@ -348,6 +362,8 @@
     summary.liveWaiting = m_impl->live.queue().size();
     summary.bulkWaiting = m_impl->bulk.queue().size();
     summary.bulkWindow = m_impl->bulk.window();
+    summary.revocations = m_impl->bulk.revocations();
+    summary.startsHeldBack = m_impl->bulk.startsHeldBack();
     return summary;
 }
 
--- /dev/null
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -0,0 +1,346 @@
+#include "../src/live_demand.h"
+#include "../src/revocation.h"
+#include "dispatch/dispatch.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <random>
+
+using namespace yuccachute;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start = steady_time {} + 1h;
+
+/// Demand that alternates between a trough of `low` slots for 3.4 s and a peak of `high` for 2.4 s.
+unsigned wave(steady_time::duration elapsed, unsigned low, unsigned high)
+{
+    return elapsed % 5800ms < 3400ms ? low : high;
+}
+
+template <typename Demand>
+void record(live_demand& demand, steady_time::duration from, steady_time::duration to, Demand slotsAt)
+{
+    for (auto elapsed = from; elapsed < to; elapsed += 20ms)
+        demand.record(slotsAt(elapsed), start + elapsed);
+}
+
+} // namespace
+
+TEST_CASE("peaks that repeat are expected after a period has been seen")
+{
+    live_demand demand;
+    const auto square = [](auto elapsed) { return wave(elapsed, 36, 183); };
+    record(demand, 0ms, 11s, square);
+    CHECK(!demand.nextPeak(start + 11s));
+    record(demand, 11s, 12s, square);
+    CHECK(demand.nextPeak(start + 12s));
+    record(demand, 12s, 18s, square);
+    const auto peak = demand.nextPeak(start + 18s);
+    REQUIRE(peak);
+    CHECK(std::chrono::abs(peak->start - (start + 20800ms)) <= 300ms);
+    CHECK(std::chrono::abs(peak->end - (start + 23200ms)) <= 500ms);
+    CHECK(peak->slots == 183);
+}
+
+// Guards against slots that stay idle for a peak that does not come.
+TEST_CASE("a peak that fails to come or does not end ends the expectation")
+{
+    live_demand demand;
+    const auto square = [](auto elapsed) { return wave(elapsed, 36, 183); };
+    record(demand, 0ms, 18s, square);
+    auto silent = demand;
+    record(silent, 18s, 24s, [](auto) { return 36u; });
+    CHECK(silent.nextPeak(start + 21s));
+    CHECK(!silent.nextPeak(start + 24s));
+    record(demand, 18s, 28s, [](auto elapsed) { return elapsed < 20800ms ? 36u : 183u; });
+    CHECK(demand.nextPeak(start + 22s));
+    CHECK(!demand.nextPeak(start + 28s));
+}
+
+// Guards against items held back because random fluctuation was taken for peaks.
+TEST_CASE("steady or irregular demand has no expected peak")
+{
+    for (const double mean : { 4.0, 20.0, 100.0 }) {
+        live_demand demand;
+        std::mt19937_64 random(7);
+        std::poisson_distribution<unsigned> steady(mean);
+        unsigned expected = 0;
+        for (int second = 0; second < 120; ++second) {
+            record(demand, second * 1s, second * 1s + 1s, [&](auto) { return steady(random); });
+            expected += demand.nextPeak(start + second * 1s + 1s) ? 1 : 0;
+        }
+        CHECK(expected == 0);
+    }
+    live_demand irregular;
+    auto from = 0s;
+    for (const auto at : { 3s, 6s, 14s, 18s, 31s, 33s }) {
+        record(irregular, from, at, [](auto) { return 10u; });
+        record(irregular, at, at + 1s, [](auto) { return 100u; });
+        from = at + 1s;
+        record(irregular, from, from + 500ms, [](auto) { return 10u; });
+        // Two peaks of equal length are taken for a period until the third does not come in time.
+        CHECK(irregular.nextPeak(start + from + 500ms).has_value() == (at == 6s));
+    }
+}
+
+TEST_CASE("the expected time of an item counts the work done again, and is unknown without figures")
+{
+    slot_request item;
+    item.due = start + 18s;
+    item.remainingEvents = 100;
+    item.producedEvents = 100;
+    CHECK(expectedTime(item, 40ms) == 4000ms + 80ms);
+    CHECK(!expectedTime(item, 0ms));
+    item.remainingEvents = 0;
+    CHECK(!expectedTime(item, 40ms));
+    item.remainingEvents = 100;
+    item.due = {};
+    CHECK(!expectedTime(item, 40ms));
+}
+
+TEST_CASE("an item is at risk if it would be late after the time that it may have to wait")
+{
+    CHECK(urgencyOf(start + 10s, 4s, 0s, start) == item_urgency::on_time);
+    CHECK(urgencyOf(start + 10s, 4s, 5500ms, start) == item_urgency::at_risk);
+    CHECK(urgencyOf(start + 5s, 4s, 0s, start) == item_urgency::on_time);
+    CHECK(urgencyOf(start + 4900ms, 4s, 0s, start) == item_urgency::at_risk);
+    CHECK(urgencyOf(start + 3s, 4s, 0s, start) == item_urgency::late);
+}
+
+TEST_CASE("before a peak only items start that get half done, are at risk or may run through it")
+{
+    const expected_peak peak { start + 2s, start + 4s, 10 };
+    CHECK(mayStartBeforePeak(peak, 0, item_urgency::on_time, 4s, start));
+    CHECK(!mayStartBeforePeak(peak, 0, item_urgency::on_time, 5s, start));
+    CHECK(!mayStartBeforePeak(peak, 0, item_urgency::late, 5s, start));
+    CHECK(mayStartBeforePeak(peak, 0, item_urgency::at_risk, 5s, start));
+    CHECK(mayStartBeforePeak(peak, 1, item_urgency::on_time, 5s, start));
+    CHECK(!mayStartBeforePeak(peak, -3, item_urgency::on_time, 1s, start + 3s));
+}
+
+TEST_CASE("nothing is revoked for live requests that get a slot in time anyway")
+{
+    CHECK(revocationsNeeded({ start + 50ms, start + 50ms }, { start + 10ms, start + 40ms }, start) == 0);
+    CHECK(revocationsNeeded({ start + 50ms, start + 50ms }, { start + 10ms, start + 60ms }, start) == 1);
+    // A release that should have come by now is not counted on.
+    CHECK(revocationsNeeded({ start + 50ms }, { start - 10ms }, start) == 1);
+    CHECK(revocationsNeeded({ start - 1ms }, { start + 1ms }, start) == 1);
+    slot_request live;
+    live.deadline = start + 250ms;
+    CHECK(latestGrantTime(live, start) == start + 50ms);
+    live.immediate = true;
+    CHECK(latestGrantTime(live, start) == start);
+}
+
+TEST_CASE("items are revoked by the harm: late anyway, least work lost, nearly done, at risk")
+{
+    const auto item
+        = [](std::uint64_t id, item_urgency urgency, milliseconds remaining, milliseconds worked) {
+              return revocable_item { id, start + 10s, true, urgency, remaining, worked, 0ms };
+          };
+    std::vector<revocable_item> items {
+        item(1, item_urgency::at_risk, 4s, 0s),
+        item(2, item_urgency::on_time, 500ms, 4s),
+        item(3, item_urgency::on_time, 3s, 2s),
+        item(4, item_urgency::on_time, 4s, 1s),
+        item(5, item_urgency::late, 4s, 3s),
+    };
+    orderForRevocation(items, start);
+    std::vector<std::uint64_t> order;
+    for (const auto& one : items)
+        order.push_back(one.grantId);
+    CHECK(order == std::vector<std::uint64_t> { 5, 4, 3, 2, 1 });
+    CHECK(reasonOf(items[0], start) == revocation_reason::late_anyway);
+    CHECK(reasonOf(items[1], start) == revocation_reason::can_end_in_time);
+    CHECK(reasonOf(items[4], start) == revocation_reason::at_risk);
+}
+
+namespace {
+
+constexpr auto eventTime = 40ms;
+
+target_group makeLookaheadGroup(unsigned slots)
+{
+    group_options options;
+    options.policy = spare_bulk {};
+    options.bulkOrder = fair_queue::order::due;
+    options.assumedEventInterval = eventTime;
+    target_group group(options);
+    const std::vector<target_description> targets { { "t", "a", slots, false } };
+    group.setTargets(targets, start);
+    return group;
+}
+
+slot_request makeItem(std::uint64_t id, steady_time due, double remainingEvents)
+{
+    slot_request request;
+    request.holder = 1;
+    request.id = id;
+    request.customer = "batch";
+    request.workClass = work_class::bulk;
+    request.deadline = start + 10min;
+    request.due = due;
+    request.remainingEvents = remainingEvents;
+    return request;
+}
+
+slot_request makeLive(std::uint64_t id, steady_time now)
+{
+    slot_request request;
+    request.holder = 1;
+    request.id = id;
+    request.customer = "armor";
+    request.deadline = now + 250ms;
+    return request;
+}
+
+template <typename Kind> std::vector<Kind> only(const std::vector<decision>& decisions)
+{
+    std::vector<Kind> chosen;
+    for (const auto& one : decisions) {
+        if (const auto* match = std::get_if<Kind>(&one))
+            chosen.push_back(*match);
+    }
+    return chosen;
+}
+
+} // namespace
+
+// Guards against an item that is due later, but so long that it is late if it waits, behind short ones.
+TEST_CASE("items at risk start before items that are due earlier")
+{
+    auto group = makeLookaheadGroup(1);
+    group.ask(makeLive(1, start), start);
+    const auto live = only<slot_grant>(group.takeDecisions()).at(0).grantId;
+    group.ask(makeItem(2, start + 10s, 50), start); // 2 s
+    group.ask(makeItem(3, start + 12s, 250), start); // 10 s
+    group.ask(makeItem(4, start + 5s, 250), start); // 10 s: late anyway
+    group.release({ live, grant_outcome::ok }, start + 100ms);
+    const auto given = only<slot_grant>(group.takeDecisions());
+    REQUIRE(given.size() == 1);
+    CHECK(given[0].slotRequestId == 3);
+    group.release({ given[0].grantId, grant_outcome::ok }, start + 200ms);
+    CHECK(only<slot_grant>(group.takeDecisions()).at(0).slotRequestId == 2);
+}
+
+// Guards against runs that are ended although a slot becomes free within milliseconds, and against live
+// requests that wait for a release that does not come.
+TEST_CASE("a live request waits for a slot that is about to become free, but not longer than a fifth")
+{
+    for (const bool released : { true, false }) {
+        auto group = makeLookaheadGroup(2);
+        group.ask(makeItem(1, start + 18s, 50), start); // Ends at 2 s.
+        group.ask(makeItem(2, start + 18s, 100), start);
+        const auto items = only<slot_grant>(group.takeDecisions());
+        const auto now = start + 1970ms;
+        group.ask(makeLive(10, now), now);
+        CHECK(group.takeDecisions().empty());
+        if (released)
+            group.release({ items[0].grantId, grant_outcome::ok }, now + 30ms);
+        else
+            group.tick(now + 31ms);
+        const auto decisions = group.takeDecisions();
+        CHECK(only<slot_grant>(decisions).size() == 1);
+        CHECK(only<grant_revocation>(decisions).size() == (released ? 0 : 1));
+    }
+}
+
+TEST_CASE("an immediate live request gets a slot at once, and the revocation names its reason")
+{
+    auto group = makeLookaheadGroup(2);
+    group.ask(makeItem(1, start + 18s, 50), start);
+    group.ask(makeItem(2, start + 1s, 100), start);
+    const auto items = only<slot_grant>(group.takeDecisions());
+    auto live = makeLive(10, start + 500ms);
+    live.immediate = true;
+    group.ask(live, start + 500ms);
+    const auto decisions = group.takeDecisions();
+    CHECK(only<slot_grant>(decisions).size() == 1);
+    const auto revoked = only<grant_revocation>(decisions);
+    REQUIRE(revoked.size() == 1);
+    CHECK(revoked[0].grantId == items[1].grantId);
+    CHECK(revoked[0].reason == revocation_reason::late_anyway);
+    CHECK(revoked[0].expectedLateness >= 3s);
+    CHECK(group.summary(start + 500ms).revocations.at(revocation_reason::late_anyway) == 1);
+}
+
+// Guards against items that start just before a peak and are revoked in it, and against a slot that stays
+// idle although an item at risk waits.
+TEST_CASE("before an expected peak, long items are held back and counted, and items at risk start")
+{
+    auto group = makeLookaheadGroup(60);
+    std::uint64_t id = 0;
+    std::vector<std::uint64_t> live;
+    auto now = start;
+    for (auto elapsed = 0ms; elapsed < 20s; elapsed += 20ms) {
+        now = start + elapsed;
+        while (live.size() < wave(elapsed, 0, 60)) {
+            group.ask(makeLive(++id, now), now);
+            live.push_back(only<slot_grant>(group.takeDecisions()).at(0).grantId);
+        }
+        if (wave(elapsed, 0, 60) == 0) {
+            for (const auto grant : std::exchange(live, {}))
+                group.release({ grant, grant_outcome::ok }, now);
+        }
+        group.tick(now);
+    }
+    // The next peak begins after 0.8 s.
+    group.ask(makeItem(++id, now + 18s, 100), now);
+    CHECK(group.takeDecisions().empty());
+    CHECK(group.summary(now).startsHeldBack == 1);
+    now += 20ms;
+    group.ask(makeItem(++id, now + 6s, 100), now);
+    CHECK(only<slot_grant>(group.takeDecisions()).size() == 1);
+    group.ask(makeItem(++id, now + 18s, 25), now);
+    CHECK(only<slot_grant>(group.takeDecisions()).size() == 1);
+    CHECK(group.summary(now).bulkWaiting == 1);
+    CHECK(group.summary(now).startsHeldBack == 1);
+}
+
+// Guards against a part that changes decisions for items of older batch processes, which send no lengths.
+TEST_CASE("without lengths every decision is the same as with the lookahead switched off")
+{
+    const auto play = [](bool lookahead) {
+        group_options options;
+        options.policy = spare_bulk {};
+        options.bulkOrder = fair_queue::order::due;
+        options.bulkLookahead = lookahead;
+        options.assumedEventInterval = eventTime;
+        target_group group(options);
+        const std::vector<target_description> targets { { "t", "a", 8, false }, { "u", "b", 8, false } };
+        group.setTargets(targets, start);
+        std::mt19937_64 random(3);
+        std::vector<std::string> log;
+        std::multimap<steady_time, std::uint64_t> ends;
+        std::uint64_t id = 0;
+        for (auto elapsed = 0ms; elapsed < 40s; elapsed += 10ms) {
+            const auto now = start + elapsed;
+            while (!ends.empty() && ends.begin()->first <= now) {
+                group.release({ ends.begin()->second, grant_outcome::ok }, now);
+                ends.erase(ends.begin());
+            }
+            if (random() % 100 < wave(elapsed, 5, 20))
+                group.ask(makeLive(++id, now), now);
+            if (random() % 100 < 2)
+                group.ask(makeItem(++id, now + milliseconds { random() % 20000 }, 0), now);
+            group.tick(now);
+            for (const auto& one : group.takeDecisions()) {
+                if (const auto* given = std::get_if<slot_grant>(&one)) {
+                    log.push_back(std::to_string(given->slotRequestId) + given->target);
+                    const bool live = group.requestOfGrant(given->grantId)->workClass == work_class::live;
+                    ends.emplace(now + (live ? 700ms : 4700ms), given->grantId);
+                } else if (const auto* revoked = std::get_if<grant_revocation>(&one)) {
+                    log.push_back("revoked " + std::to_string(revoked->grantId));
+                    group.release({ revoked->grantId, grant_outcome::abandoned }, now);
+                }
+            }
+        }
+        return log;
+    };
+    const auto with = play(true);
+    CHECK(with.size() > 200);
+    CHECK(with == play(false));
+}
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -35,9 +35,18 @@
     options.waitMargin = settings.dispatch.waitMarginPercent / 100.0;
     options.keptForLive = settings.dispatch.keptForLive;
     options.affinity = settings.dispatch.affinityPercent / 100.0;
+    options.bulkLookahead = settings.dispatch.bulkLookahead;
     return options;
 }
 
+/// Last part of the name of the metric for revocations with this reason.
+std::string metricSuffix(revocation_reason reason)
+{
+    std::string suffix(toString(reason));
+    std::replace(suffix.begin(), suffix.end(), ' ', '_');
+    return suffix;
+}
+
 limit_bounds limitBounds(const limit_settings& settings)
 {
     return { std::chrono::duration<double> { settings.windowSeconds }, settings.overshoot, settings.slack };
@@ -409,12 +418,20 @@
             m_figures.set("yuccachute_limit_part", m_limits.share(now));
             m_figures.set("yuccachute_limit_refusals", static_cast<double>(m_limits.refused()));
         }
+        std::map<revocation_reason, std::uint64_t> revocations;
+        std::uint64_t startsHeldBack = 0;
         for (const auto& [name, group] : m_broker.summaries(now)) {
+            for (const auto& [reason, number] : group.revocations)
+                revocations[reason] += number;
+            startsHeldBack += group.startsHeldBack;
             m_figures.set("yuccachute_group_live", group.live);
             m_figures.set("yuccachute_group_bulk", group.bulk);
             m_figures.set("yuccachute_group_live_waiting", static_cast<double>(group.liveWaiting));
             m_figures.set("yuccachute_group_usable_targets", group.usableTargets);
         }
+        for (const auto& [reason, number] : revocations)
+            m_figures.set("yuccachute_bulk_revocations_" + metricSuffix(reason), static_cast<double>(number));
+        m_figures.set("yuccachute_bulk_starts_held_back", static_cast<double>(startsHeldBack));
     }
 
     void onSignal(int signal)
--- a/libs/load_player/include/load_player/load_player.h
+++ b/libs/load_player/include/load_player/load_player.h
@@ -36,6 +36,8 @@
     milliseconds until { 0 }; ///< None comes later.
     milliseconds run { 5000 };
     milliseconds due { 18000 }; ///< After its arrival.
+    /// Time between the events of an item, from which the dispatcher is told what is left; zero: not told.
+    milliseconds eventInterval { 0 };
 };
 
 /// The targets go on with what they run, but this dispatcher gets none of it back: its former dispatcher has
@@ -63,6 +65,7 @@
     bool reports = true; ///< Targets are asked for their load.
     double waitMargin = 1.7;
     milliseconds keptForLive { 50 };
+    bool bulkLookahead = true;
     std::optional<milliseconds> retryAfter; ///< Told instead of what the dispatcher says.
 };
 
@@ -91,6 +94,7 @@
     unsigned itemsOnTime = 0;
     unsigned itemsLate = 0;
     unsigned revocations = 0;
+    unsigned revocationsAtRisk = 0; ///< Of items that may be late because of it.
 };
 
 /// Plays a plan to its end, and 20 s longer for what has begun.
--- a/libs/load_player/src/load_player.cpp
+++ b/libs/load_player/src/load_player.cpp
@@ -94,6 +94,8 @@
         options.refusalBackoff = milliseconds { 150 };
         options.waitMargin = m_plan.policy.waitMargin;
         options.keptForLive = m_plan.policy.keptForLive;
+        options.bulkLookahead = m_plan.policy.bulkLookahead;
+        options.assumedEventInterval = m_plan.items.eventInterval;
         options.pollsLoadReports = m_plan.policy.reports;
         return options;
     }
@@ -225,6 +227,10 @@
         wanted.hold = m_plan.length;
         wanted.due
             = one.due < m_now + one.left ? m_now : one.due; // What can only be late is overdue already.
+        if (const auto interval = m_plan.items.eventInterval; interval.count() > 0) {
+            wanted.remainingEvents = static_cast<double>(one.left.count()) / interval.count();
+            wanted.producedEvents = static_cast<std::uint32_t>((m_plan.items.run - one.left) / interval);
+        }
         m_asked.insert(id);
         m_group.ask(std::move(wanted), m_now);
     }
@@ -364,6 +370,7 @@
         if (found == m_granted.end())
             return;
         ++m_outcome.revocations;
+        m_outcome.revocationsAtRisk += revoked.reason == revocation_reason::at_risk ? 1 : 0;
         const auto id = found->request;
         m_items.at(id).left = m_targets[found->target].drop(id);
         release(id, grant_outcome::abandoned);
--- a/libs/load_player/tests/test_load_player.cpp
+++ b/libs/load_player/tests/test_load_player.cpp
@@ -16,11 +16,11 @@
     return plan;
 }
 
-template <typename Change> load_outcome sum(load_plan base, Change change)
+template <typename Change> load_outcome sum(load_plan base, Change change, std::uint64_t seeds = 5)
 {
     load_outcome all;
     change(base.policy);
-    for (base.seed = 1; base.seed <= 5; ++base.seed) {
+    for (base.seed = 1; base.seed <= seeds; ++base.seed) {
         const auto one = play(base);
         all.asked += one.asked;
         all.onTime += one.onTime;
@@ -34,6 +34,7 @@
         all.itemsOnTime += one.itemsOnTime;
         all.itemsLate += one.itemsLate;
         all.revocations += one.revocations;
+        all.revocationsAtRisk += one.revocationsAtRisk;
     }
     return all;
 }
@@ -49,7 +50,8 @@
     INFO(what << ": asked " << one.asked << ", on time " << one.onTime << ", on return " << one.onTimeOnReturn
               << ", late " << one.late << ", unserved " << one.unserved << ", told early " << one.toldEarly
               << ", told late " << one.toldLate << ", stood at the target " << one.stoodAtTarget << "; items "
-              << one.items << ", on time " << one.itemsOnTime << ", late " << one.itemsLate);
+              << one.items << ", on time " << one.itemsOnTime << ", late " << one.itemsLate
+              << ", revocations " << one.revocations << ", of items at risk " << one.revocationsAtRisk);
     CHECK(one.asked > 0);
 }
 
@@ -151,3 +153,105 @@
     CHECK(now.onTime >= former.onTime + 30);
     CHECK(now.itemsOnTime >= former.itemsOnTime);
 }
+
+namespace {
+
+/// One availability zone of a deployment of 90 targets, all of the same speed, whose live requests come in
+/// peaks of 2.4 s every 5.8 s: 36 slots are used by them in a trough, 180 at a peak and 80 by items, of 240.
+load_plan peaksPlan()
+{
+    load_plan plan;
+    plan.targets = 30;
+    plan.length = 60000ms;
+    plan.live.run = 700ms;
+    plan.live.rates = squareWave(52, 3400ms, 256, 2400ms, plan.length);
+    plan.items = { 17, 50000ms, 4700ms, 18000ms, 38ms };
+    return plan;
+}
+
+void switchOff(played_policy& policy)
+{
+    policy.bulkLookahead = false;
+}
+
+} // namespace
+
+// Guards against items that start shortly before each peak, are revoked in it, and have their output
+// processed again. Before: 1,857 revocations for 1,692 items. Now: 870; the first two peaks, from which the
+// period is learned, are included. An item takes 4.7 s and a trough 3.4 s, so that some have to be revoked
+// once.
+TEST_CASE("items are started and revoked with regard to peaks of live load that repeat")
+{
+    const auto former = sum(peaksPlan(), switchOff, 2);
+    const auto now = sum(
+        peaksPlan(), [](played_policy&) {}, 2);
+    tell("before", former);
+    tell("now", now);
+    CHECK(now.revocations * 2 <= former.revocations);
+    CHECK(now.onTime >= former.onTime);
+    CHECK(now.late + now.unserved <= former.late + former.unserved);
+    CHECK(now.itemsOnTime == now.items);
+}
+
+// Guards against items that are late because slots were left free for a peak although the work that waits
+// fills all slots. Before: none of 3,129 items late, 4,443 revocations. Now: none, and 2,502.
+TEST_CASE("under overload no item is late because of the lookahead")
+{
+    auto heavy = peaksPlan();
+    heavy.items.perSecond = 32;
+    const auto former = sum(heavy, switchOff, 2);
+    const auto now = sum(
+        heavy, [](played_policy&) {}, 2);
+    tell("before", former);
+    tell("now", now);
+    CHECK(now.itemsLate <= former.itemsLate);
+    CHECK(now.revocations < former.revocations);
+    CHECK(now.late + now.unserved <= former.late + former.unserved);
+}
+
+// Guards against slots that stay idle under a live load without peaks. Before: 2,947 of 3,894 items on time,
+// 2,495 revocations. Now: 3,421 and 488, because a live request waits for a slot that is about to become
+// free.
+TEST_CASE("under a steady live load items use all slots")
+{
+    auto steady = peaksPlan();
+    steady.live.rates = { { 0ms, 137 } };
+    steady.items.perSecond = 40;
+    const auto former = sum(steady, switchOff, 2);
+    const auto now = sum(
+        steady, [](played_policy&) {}, 2);
+    tell("before", former);
+    tell("now", now);
+    CHECK(now.itemsOnTime >= former.itemsOnTime);
+    CHECK(now.revocations <= former.revocations);
+    CHECK(now.late + now.unserved <= former.late + former.unserved);
+}
+
+// Guards against items that wait forever for the end of a peak that does not come.
+TEST_CASE("peaks that stop coming do not delay items")
+{
+    auto stopping = peaksPlan();
+    std::erase_if(stopping.live.rates, [](const auto& rate) { return rate.from > 25s; });
+    stopping.live.rates.push_back({ 25s, 52 });
+    stopping.items.perSecond = 32;
+    const auto former = sum(stopping, switchOff, 2);
+    const auto now = sum(
+        stopping, [](played_policy&) {}, 2);
+    tell("before", former);
+    tell("now", now);
+    CHECK(now.itemsLate <= former.itemsLate);
+    CHECK(now.late + now.unserved <= former.late + former.unserved);
+}
+
+// Guards against decisions that change for items of older batch processes, which send no lengths.
+TEST_CASE("without lengths of items nothing changes")
+{
+    auto unknown = peaksPlan();
+    unknown.items.eventInterval = 0ms;
+    const auto former = sum(unknown, switchOff, 1);
+    const auto now = sum(
+        unknown, [](played_policy&) {}, 1);
+    CHECK(now.onTime == former.onTime);
+    CHECK(now.itemsOnTime == former.itemsOnTime);
+    CHECK(now.revocations == former.revocations);
+}
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -1,6 +1,7 @@
 #include "places/places.h"
 
 #include "limit_gate.h"
+#include "logging/logging.h"
 
 namespace yuccachute {
 
@@ -160,6 +161,19 @@
     }
 }
 
+namespace {
+
+void logRevocation(const std::string& name, const target_group& group, const grant_revocation& revoked)
+{
+    const auto* item = group.requestOfGrant(revoked.grantId);
+    logEvent(log_level::info, "item revoked",
+        { { "group", name }, { "item", item ? std::string_view(item->requestId) : std::string_view() },
+            { "reason", toString(revoked.reason) },
+            { "expected_late_ms", std::int64_t { revoked.expectedLateness.count() } } });
+}
+
+} // namespace
+
 void group_host::sendDecisions(const std::string& name, hosted_group& hosted)
 {
     std::map<std::uint64_t, envelope> bySession;
@@ -171,8 +185,10 @@
             m_limitGate->dropped(refused->holder, refused->slotRequestId, std::chrono::steady_clock::now());
             bySession[refused->holder].refusals.push_back(std::move(*refused));
         }
-        if (const auto* revoked = std::get_if<grant_revocation>(&one))
+        if (const auto* revoked = std::get_if<grant_revocation>(&one)) {
             bySession[revoked->holder].revokes.push_back({ name, revoked->grantId });
+            logRevocation(name, hosted.group, *revoked);
+        }
     }
     for (auto& [session, message] : bySession)
         m_send(session, std::move(message));
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -28,6 +28,8 @@
     /// Weight of a fully cached prompt in the choice of a target: it offsets this percentage of occupied
     /// slots.
     unsigned affinityPercent = 60;
+    /// Whether items are started and revoked by their expected time and by repeating peaks of live demand.
+    bool bulkLookahead = true;
 };
 
 /// How customers' request limits are enforced. In any time span of `windowSeconds`, a customer is granted at
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -87,6 +87,15 @@
     };
 }
 
+value_setter bulkLookahead()
+{
+    return [](process_settings& settings, const std::string& value) {
+        settings.dispatch.bulkLookahead = value == "on";
+        const bool known = value == "on" || value == "off";
+        return known ? std::string() : '"' + value + "\" is not one of on, off";
+    };
+}
+
 value_setter limitPolicy()
 {
     return [](process_settings& settings, const std::string& value) {
@@ -168,6 +177,7 @@
             { number(0, 1000,
                   [](auto& s, auto value) { s.dispatch.affinityPercent = static_cast<unsigned>(value); }),
                 false } },
+        { "dispatch.bulk_lookahead", { bulkLookahead(), false } },
         { "customer_limits.window_s", { limitDecimal(0.1, 3600, &limit_settings::windowSeconds), false } },
         { "customer_limits.overshoot", { limitDecimal(0, 1, &limit_settings::overshoot), false } },
         { "customer_limits.slack", { limitDecimal(0, 1e6, &limit_settings::slack), false } },
--- a/libs/process_settings/tests/test_process_settings.cpp
+++ b/libs/process_settings/tests/test_process_settings.cpp
@@ -59,14 +59,19 @@
     const auto disabled = parseProcessSettings("f",
         requiredOnly
             + "[dispatch]\nload_reports = 0\nwait_margin_percent = 100\nkept_for_live_ms = "
-              "0\naffinity_percent = 0\n"
+              "0\naffinity_percent = 0\nbulk_lookahead = off\n"
               "[peers]\nfollow = 0\n");
     REQUIRE(disabled);
     CHECK(!disabled.value().dispatch.loadReports);
     CHECK(disabled.value().dispatch.waitMarginPercent == 100);
     CHECK(disabled.value().dispatch.keptForLive.count() == 0);
     CHECK(disabled.value().dispatch.affinityPercent == 0);
+    CHECK(!disabled.value().dispatch.bulkLookahead);
     CHECK(!disabled.value().followPeers);
+    CHECK(defaults.value().dispatch.bulkLookahead);
+    const auto unknown = parseProcessSettings("f", requiredOnly + "[dispatch]\nbulk_lookahead = 1\n");
+    REQUIRE(!unknown);
+    CHECK(unknown.error().message.find("[dispatch] bulk_lookahead") != std::string::npos);
     const auto invalid = parseProcessSettings("f", requiredOnly + "[dispatch]\nwait_margin_percent = 50\n");
     REQUIRE(!invalid);
     CHECK(invalid.error().message.find("[dispatch] wait_margin_percent") != std::string::npos);
