dispatch: no revocation at unusable targets, implausible lengths are unknown

Cause: an item at a target that is draining or ejected was revoked for a live request that cannot be granted there. A length that is not a number would have been converted to a duration.

Change: with the lookahead only items at usable targets are revoked; the items are described only when a revocation is needed; lengths that are not positive, or above a million events, count as unknown.

--- a/libs/dispatch/src/bulk_scheduler.cpp
+++ b/libs/dispatch/src/bulk_scheduler.cpp
@@ -205,16 +205,11 @@
 {
     if (!revokesBulkGrants(m_options.policy) || live.empty())
         return {};
-    std::vector<revocable_item> items;
     const auto grants = m_table.revocableGrants();
-    if (looksAhead() && !grants.empty()) {
-        const auto& target = m_table.targets().find(m_table.findGrant(grants.front())->target)->second;
-        const auto wait = expectedWait(eventInterval(target, now), now);
-        for (const auto id : grants)
-            items.push_back(describe(id, wait, now));
-    }
+    const auto known = std::find_if(grants.begin(), grants.end(),
+        [&](auto id) { return remainingTime(*m_table.findGrant(id), now).has_value(); });
     std::vector<grant_revocation> revocations;
-    if (std::none_of(items.begin(), items.end(), [](const auto& item) { return item.known; })) {
+    if (!looksAhead() || known == grants.end()) {
         for (const auto id : revokedWithoutFigures(live.size(), now))
             revocations.push_back({ m_table.findGrant(id)->request.holder, id });
         return revocations;
@@ -224,6 +219,17 @@
         latest.push_back(latestGrantTime(request, since));
     });
     const auto needed = revocationsNeeded(std::move(latest), expectedReleases(serviceTime, now), now);
+    if (needed == 0)
+        return {};
+    const auto targetOf = [&](std::uint64_t id) -> const target_state& {
+        return m_table.targets().find(m_table.findGrant(id)->target)->second;
+    };
+    const auto wait = expectedWait(eventInterval(targetOf(*known), now), now);
+    std::vector<revocable_item> items;
+    for (const auto id : grants) {
+        if (m_table.usable(targetOf(id), now)) // Elsewhere a revocation makes no room for live requests.
+            items.push_back(describe(id, wait, now));
+    }
     std::reverse(items.begin(), items.end());
     orderForRevocation(items, now);
     items.resize(std::min(items.size(), needed));
--- a/libs/dispatch/src/item_outlook.cpp
+++ b/libs/dispatch/src/item_outlook.cpp
@@ -9,6 +9,8 @@
 /// Targets process prompts one to two hundred times as fast as they produce events. A lower figure allows for
 /// the other requests that a target processes at the same time.
 constexpr double reprocessingSpeed = 50;
+/// Lengths come from other processes. More than this, or not a number, counts as unknown.
+constexpr double maxEvents = 1e6;
 /// Items differ in length from the mean of their route.
 constexpr int timesRemainingForMargin = 4;
 /// A waiting item requests a slot again in this interval, and cannot start in between.
@@ -24,7 +26,8 @@
 std::optional<steady_time::duration> expectedTime(
     const slot_request& item, std::chrono::microseconds eventInterval)
 {
-    if (item.remainingEvents <= 0 || item.due == steady_time {} || eventInterval.count() <= 0)
+    const bool plausible = item.remainingEvents > 0 && item.remainingEvents <= maxEvents;
+    if (!plausible || item.due == steady_time {} || eventInterval.count() <= 0)
         return std::nullopt;
     return std::chrono::duration_cast<steady_time::duration>(eventInterval * item.remainingEvents)
         + reprocessingTime(item.producedEvents, eventInterval);
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -152,6 +152,8 @@
         return false;
     if (next != first)
         target = selector.choose(*next, needFreeSlot, now);
+    if (!target)
+        return false;
     auto [request, since] = next == first ? bulk.queue().pop() : *bulk.queue().take(next->holder, next->id);
     grantSlot(std::move(request), *target, since, now);
     return true;
--- a/libs/dispatch/tests/test_bulk_scheduler.cpp
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -94,8 +94,10 @@
     item.producedEvents = 100;
     CHECK(expectedTime(item, 40ms) == 4000ms + 80ms);
     CHECK(!expectedTime(item, 0ms));
-    item.remainingEvents = 0;
-    CHECK(!expectedTime(item, 40ms));
+    for (const double invalid : { 0.0, -1.0, 1e30, std::nan("") }) {
+        item.remainingEvents = invalid;
+        CHECK(!expectedTime(item, 40ms));
+    }
     item.remainingEvents = 100;
     item.due = {};
     CHECK(!expectedTime(item, 40ms));
@@ -300,6 +302,34 @@
     CHECK(group.summary(now).startsHeldBack == 1);
 }
 
+// Guards against runs that are ended at a target that cannot take the live request anyway.
+TEST_CASE("items at a target that accepts nothing are not revoked")
+{
+    group_options options;
+    options.policy = spare_bulk {};
+    options.bulkOrder = fair_queue::order::due;
+    options.assumedEventInterval = eventTime;
+    target_group group(options);
+    const std::vector<target_description> both { { "t", "a", 1, false }, { "u", "b", 1, false } };
+    group.setTargets(both, start);
+    group.ask(makeItem(1, start + 18s, 100), start);
+    group.ask(makeItem(2, start + 18s, 100), start);
+    std::map<std::string, std::uint64_t> grantAt;
+    for (const auto& given : only<slot_grant>(group.takeDecisions()))
+        grantAt[given.target] = given.grantId;
+    REQUIRE(grantAt.size() == 2);
+    const std::vector<target_description> draining { { "t", "a", 1, false }, { "u", "b", 1, true } };
+    group.setTargets(draining, start);
+    for (std::uint64_t id = 10; id < 12; ++id) {
+        auto live = makeLive(id, start);
+        live.immediate = true;
+        group.ask(live, start);
+    }
+    const auto revoked = only<grant_revocation>(group.takeDecisions());
+    REQUIRE(revoked.size() == 1);
+    CHECK(revoked[0].grantId == grantAt.at("t"));
+}
+
 // Guards against a part that changes decisions for items of older batch processes, which send no lengths.
 TEST_CASE("without lengths every decision is the same as with the lookahead switched off")
 {
