dispatch: late items longer than a trough start in its first half

Cause: a late item never becomes at risk. One of which half does not fit between two peaks never started while the peaks needed all slots.

Change: expected_peak has the time between two peaks, and a late item may start in the first half of it.

--- a/libs/dispatch/src/item_outlook.cpp
+++ b/libs/dispatch/src/item_outlook.cpp
@@ -45,7 +45,10 @@
 bool mayStartBeforePeak(const expected_peak& peak, int slotsLeft, item_urgency urgency,
     steady_time::duration remaining, steady_time now)
 {
-    return slotsLeft > 0 || urgency == item_urgency::at_risk || now + remaining / 2 <= peak.start;
+    // An item that is on time becomes at risk if it is held back for long enough. A late one does not, and
+    // would never start if half of it does not fit between two peaks.
+    const auto startedFor = urgency == item_urgency::late ? std::min(remaining, peak.trough) : remaining;
+    return slotsLeft > 0 || urgency == item_urgency::at_risk || now + startedFor / 2 <= peak.start;
 }
 
 } // namespace yuccachute
--- a/libs/dispatch/src/item_outlook.h
+++ b/libs/dispatch/src/item_outlook.h
@@ -26,7 +26,8 @@
 item_urgency urgencyOf(
     steady_time due, steady_time::duration remaining, steady_time::duration wait, steady_time now);
 
-/// Whether an item that needs `remaining` may start before or in a peak that leaves `slotsLeft` to items.
+/// Whether an item that needs `remaining` may start before or in a peak that leaves `slotsLeft` to items. A
+/// late item may always start in the first half of the time between two peaks.
 bool mayStartBeforePeak(const expected_peak& peak, int slotsLeft, item_urgency urgency,
     steady_time::duration remaining, steady_time now);
 
--- a/libs/dispatch/src/live_demand.cpp
+++ b/libs/dispatch/src/live_demand.cpp
@@ -130,7 +130,8 @@
     const auto slots = static_cast<unsigned>(std::ceil(std::max(previous.slots, last.slots)));
     const bool next = last.end || now >= end;
     const auto shift = next ? *time : steady_time::duration { 0 };
-    return expected_peak { last.start + shift, end + shift, slots };
+    const auto trough = std::max(*time - (end - last.start), steady_time::duration { 0 });
+    return expected_peak { last.start + shift, end + shift, slots, trough };
 }
 
 } // namespace yuccachute
--- a/libs/dispatch/src/live_demand.h
+++ b/libs/dispatch/src/live_demand.h
@@ -13,6 +13,7 @@
     steady_time start; ///< In the past if the peak has begun.
     steady_time end; ///< The demand begins to fall.
     unsigned slots = 0; ///< Slots that live requests need in it.
+    steady_time::duration trough { 0 }; ///< Time between two peaks.
 };
 
 /// Tracks the slots that live requests hold and wait for, and whether peaks of them repeat.
--- a/libs/dispatch/tests/test_bulk_scheduler.cpp
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -43,6 +43,7 @@
     CHECK(std::chrono::abs(peak->start - (start + 20800ms)) <= 300ms);
     CHECK(std::chrono::abs(peak->end - (start + 23200ms)) <= 500ms);
     CHECK(peak->slots == 183);
+    CHECK(std::chrono::abs(peak->trough - 3400ms) <= 500ms);
 }
 
 // Guards against slots that stay idle for a peak that does not come.
@@ -114,10 +115,13 @@
 
 TEST_CASE("before a peak only items start that get half done, are at risk or may run through it")
 {
-    const expected_peak peak { start + 2s, start + 4s, 10 };
+    const expected_peak peak { start + 2s, start + 4s, 10, 5s };
     CHECK(mayStartBeforePeak(peak, 0, item_urgency::on_time, 4s, start));
     CHECK(!mayStartBeforePeak(peak, 0, item_urgency::on_time, 5s, start));
     CHECK(!mayStartBeforePeak(peak, 0, item_urgency::late, 5s, start));
+    CHECK(mayStartBeforePeak(peak, 0, item_urgency::late, 9s, start - 500ms));
+    CHECK(!mayStartBeforePeak(peak, 0, item_urgency::late, 9s, start - 400ms));
+    CHECK(!mayStartBeforePeak(peak, 0, item_urgency::on_time, 9s, start - 500ms));
     CHECK(mayStartBeforePeak(peak, 0, item_urgency::at_risk, 5s, start));
     CHECK(mayStartBeforePeak(peak, 1, item_urgency::on_time, 5s, start));
     CHECK(!mayStartBeforePeak(peak, -3, item_urgency::on_time, 1s, start + 3s));
@@ -302,6 +306,37 @@
     CHECK(group.summary(now).startsHeldBack == 1);
 }
 
+// Guards against an item that never runs because it is late and longer than the time between two peaks.
+TEST_CASE("a late item that does not fit between two peaks starts when a peak has ended")
+{
+    auto group = makeLookaheadGroup(60);
+    std::uint64_t id = 100;
+    std::vector<std::uint64_t> live;
+    bool started = false;
+    for (auto elapsed = 0ms; elapsed < 21s; elapsed += 20ms) {
+        const auto now = start + elapsed;
+        const auto demand = wave(elapsed, 0, 60);
+        if (demand == 0) {
+            for (const auto grant : std::exchange(live, {}))
+                group.release({ grant, grant_outcome::ok }, now);
+        }
+        for (auto missing = demand - live.size(); missing > 0; --missing)
+            group.ask(makeLive(++id, now), now);
+        if (elapsed == 17s)
+            group.ask(makeItem(1, start + 18s, 250), now); // 10 s
+        group.tick(now);
+        for (const auto& given : only<slot_grant>(group.takeDecisions())) {
+            if (given.slotRequestId == 1)
+                started = true;
+            else
+                live.push_back(given.grantId);
+        }
+        // The trough begins at 17.4 s.
+        if (elapsed == 17s || elapsed == 18s)
+            CHECK(started == (elapsed == 18s));
+    }
+}
+
 // Guards against runs that are ended at a target that cannot take the live request anyway.
 TEST_CASE("items at a target that accepts nothing are not revoked")
 {
