dispatch: requests that wait for a release cause no refusals

Cause: with the lookahead live requests wait for expected releases, where before grants were revoked for them at once. They counted as ahead of later requests and against the queue limit of their customer, so later requests were refused as overloaded while grants could be revoked for all of them.

Change: live_admission::refusalOf does not count as many waiting requests as there are items with figures to revoke at usable targets. Without such items, or with the lookahead off, it decides as before.

--- a/libs/dispatch/src/bulk_scheduler.cpp
+++ b/libs/dispatch/src/bulk_scheduler.cpp
@@ -198,6 +198,19 @@
     return releases;
 }
 
+std::size_t bulk_scheduler::revocableSlots(steady_time now) const
+{
+    if (!looksAhead())
+        return 0;
+    std::size_t slots = 0;
+    for (const auto id : m_table.revocableGrants()) {
+        const auto& grant = *m_table.findGrant(id);
+        const auto& target = m_table.targets().find(grant.target)->second;
+        slots += m_table.usable(target, now) && remainingTime(grant, now) ? 1 : 0;
+    }
+    return slots;
+}
+
 /// No grant is revoked for a live request that is expected to get a slot in time anyway. Without figures for
 /// any of the items, as many are revoked as live requests wait.
 std::vector<grant_revocation> bulk_scheduler::grantsToRevoke(
--- a/libs/dispatch/src/bulk_scheduler.h
+++ b/libs/dispatch/src/bulk_scheduler.h
@@ -42,6 +42,9 @@
     /// grants are held; zero if unknown.
     std::vector<grant_revocation> grantsToRevoke(
         const fair_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
+    /// Slots that waiting live requests get by revocation if expected releases do not come in time. Items
+    /// without figures are not counted, so that decisions without figures stay the same.
+    std::size_t revocableSlots(steady_time now) const;
     void countRevocation(revocation_reason reason) { ++m_revocations[reason]; }
     const std::map<revocation_reason, std::uint64_t>& revocations() const { return m_revocations; }
     std::uint64_t startsHeldBack() const { return m_startsHeldBack; }
--- a/libs/dispatch/src/live_admission.cpp
+++ b/libs/dispatch/src/live_admission.cpp
@@ -33,7 +33,8 @@
     m_queue = reordered(std::move(m_queue), order);
 }
 
-milliseconds live_admission::expectedWait(const slot_request& request, steady_time now) const
+milliseconds live_admission::expectedWait(
+    const slot_request& request, std::size_t revocableSlots, steady_time now) const
 {
     unsigned slots = 0;
     for (const auto& [name, target] : m_table.targets()) {
@@ -48,14 +49,15 @@
     if (slots == 0)
         return unavailableRetryAfter;
     const bool fair = m_options.order == fair_queue::order::fair;
-    const double ahead = static_cast<double>(fair ? m_queue.sizeOf(request.customer) : m_queue.size());
+    const auto waiting = fair ? m_queue.sizeOf(request.customer) : m_queue.size();
+    const auto ahead = static_cast<double>(waiting - std::min(waiting, revocableSlots));
     const double share = fair ? m_queue.shareOf(request.customer, request.weight) : 1;
     return milliseconds { std::llround(ahead * m_serviceTimeMs / slots / share) };
 }
 
 failure live_admission::overloadRefusal(const slot_request& request, std::string message, steady_time now)
 {
-    const auto wait = expectedWait(request, now);
+    const auto wait = expectedWait(request, 0, now);
     if (request.immediate) // The sender can request the slot again and wait in the queue.
         return notRun(failure_kind::overloaded, std::move(message), wait);
     m_overloadPeriods.recordRefusal(now);
@@ -63,15 +65,17 @@
         failure_kind::overloaded, std::move(message), std::max(wait, m_overloadPeriods.retryDelay(now)));
 }
 
-std::optional<failure> live_admission::refusalOf(const slot_request& request, steady_time now)
+std::optional<failure> live_admission::refusalOf(
+    const slot_request& request, std::size_t revocableSlots, steady_time now)
 {
     if (!m_table.anyUsable(now))
         return notRun(
             failure_kind::unavailable, "no target of this service can be used now", unavailableRetryAfter);
     if (request.workClass == work_class::bulk)
         return std::nullopt;
-    const auto wait = expectedWait(request, now);
-    if (m_queue.sizeOf(request.customer) >= request.queueLimit)
+    const auto wait = expectedWait(request, revocableSlots, now);
+    const auto waiting = m_queue.sizeOf(request.customer);
+    if (waiting - std::min(waiting, revocableSlots) >= request.queueLimit)
         return notRun(failure_kind::overloaded, "too many requests of this customer are waiting",
             std::max(wait, minRetryAfter));
     if (!request.immediate && now + wait * m_options.waitMargin > request.deadline)
--- a/libs/dispatch/src/live_admission.h
+++ b/libs/dispatch/src/live_admission.h
@@ -25,8 +25,10 @@
     /// Moves the waiting requests to a queue of another order.
     void setOrder(fair_queue::order order);
 
-    /// The reason, with a time to retry after, for refusing a request that cannot be served in time.
-    std::optional<failure> refusalOf(const slot_request& request, steady_time now);
+    /// The reason, with a time to retry after, for refusing a request that cannot be served in time. As many
+    /// waiting requests as there are `revocableSlots` delay no other request.
+    std::optional<failure> refusalOf(
+        const slot_request& request, std::size_t revocableSlots, steady_time now);
     /// The reason for refusing a request because of overload.
     failure overloadRefusal(const slot_request& request, std::string message, steady_time now);
     /// Records how long a live grant was held.
@@ -39,7 +41,7 @@
     }
 
 private:
-    milliseconds expectedWait(const slot_request& request, steady_time now) const;
+    milliseconds expectedWait(const slot_request& request, std::size_t revocableSlots, steady_time now) const;
 
     const target_table& m_table;
     const group_options& m_options;
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -90,7 +90,8 @@
 {
     lastRequestTime = now;
     activateNeededTargets(now);
-    if (auto refusal = live.refusalOf(request, now))
+    const auto revocable = live.queue().empty() ? 0 : bulk.revocableSlots(now);
+    if (auto refusal = live.refusalOf(request, revocable, now))
         return refuse(request, std::move(*refusal));
     if (std::holds_alternative<unlimited_bulk>(options.policy)) {
         if (auto* target = selector.choose(request, false, now))
--- a/libs/dispatch/tests/test_bulk_scheduler.cpp
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -337,6 +337,30 @@
     }
 }
 
+// Guards against live requests that are refused only because those before them wait for an expected release
+// instead of having a grant revoked for them.
+TEST_CASE("a live request is not refused because of others that wait for an expected release")
+{
+    for (const std::uint32_t queueLimit : { 1000u, 1u }) {
+        auto group = makeLookaheadGroup(8);
+        group.ask(makeLive(1, start), start);
+        group.release(
+            { only<slot_grant>(group.takeDecisions()).at(0).grantId, grant_outcome::ok }, start + 700ms);
+        for (std::uint64_t id = 10; id < 18; ++id)
+            group.ask(makeItem(id, start + 18s, 50), start + 1s); // Ends at 3 s.
+        REQUIRE(only<slot_grant>(group.takeDecisions()).size() == 8);
+        const auto now = start + 2970ms;
+        for (std::uint64_t id = 20; id < 26; ++id) {
+            auto live = makeLive(id, now);
+            live.queueLimit = queueLimit;
+            group.ask(live, now);
+        }
+        CHECK(group.takeDecisions().empty());
+        group.tick(now + 51ms);
+        CHECK(only<slot_grant>(group.takeDecisions()).size() == 6);
+    }
+}
+
 // Guards against runs that are ended at a target that cannot take the live request anyway.
 TEST_CASE("items at a target that accepts nothing are not revoked")
 {
