dispatch: an implausible number of produced events is unknown

Cause: producedEvents comes from other processes and was not bounded, unlike remainingEvents. In the order of revocation it is multiplied by the event interval, which can exceed the range of a duration.

--- a/libs/dispatch/src/item_outlook.cpp
+++ b/libs/dispatch/src/item_outlook.cpp
@@ -26,7 +26,8 @@
 std::optional<steady_time::duration> expectedTime(
     const slot_request& item, std::chrono::microseconds eventInterval)
 {
-    const bool plausible = item.remainingEvents > 0 && item.remainingEvents <= maxEvents;
+    const bool plausible
+        = item.remainingEvents > 0 && item.remainingEvents <= maxEvents && item.producedEvents <= maxEvents;
     if (!plausible || item.due == steady_time {} || eventInterval.count() <= 0)
         return std::nullopt;
     return std::chrono::duration_cast<steady_time::duration>(eventInterval * item.remainingEvents)
--- a/libs/dispatch/tests/test_bulk_scheduler.cpp
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -100,6 +100,10 @@
         CHECK(!expectedTime(item, 40ms));
     }
     item.remainingEvents = 100;
+    // At an interval of a few seconds, the work of so many events exceeds the range of a duration.
+    item.producedEvents = 4'000'000'000;
+    CHECK(!expectedTime(item, 40ms));
+    item.producedEvents = 100;
     item.due = {};
     CHECK(!expectedTime(item, 40ms));
 }
