--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -37,7 +37,7 @@
     bool assignLiveSlot(bool onlyInTime, steady_time now);
     bool assignBulkSlot(steady_time now);
     void grantSlot(slot_request request, target_state& target, steady_time since, steady_time now);
-    void revoke(std::span<const std::uint64_t> grants);
+    void revoke(std::span<const grant_revocation> revocations);
     void refuse(const slot_request& request, failure reason);
     void refuseExpired(steady_time now);
     void summarizePaces(group_summary& summary, steady_time now) const;
@@ -56,6 +56,8 @@
     options.policy = newOptions.policy;
     options.randomChoice = newOptions.randomChoice;
     options.refusalBackoff = newOptions.refusalBackoff;
+    options.bulkLookahead = newOptions.bulkLookahead;
+    options.assumedEventInterval = newOptions.assumedEventInterval;
     if (newOptions.order == options.order)
         return;
     options.order = newOptions.order;
@@ -90,7 +92,8 @@
 {
     lastRequestTime = now;
     activateNeededTargets(now);
-    if (auto refusal = live.refusalOf(request, now))
+    const auto revocable = live.queue().empty() ? 0 : bulk.revocableSlots(now);
+    if (auto refusal = live.refusalOf(request, revocable, now))
         return refuse(request, std::move(*refusal));
     if (std::holds_alternative<unlimited_bulk>(options.policy)) {
         if (auto* target = selector.choose(request, false, now))
@@ -100,6 +103,8 @@
     const bool isLive = request.workClass == work_class::live;
     if (isLive)
         bulk.recordLiveArrival(now);
+    else
+        bulk.recordBulkArrival();
     const bool immediate = request.immediate; // Expires in refuseExpired() below unless it is granted here.
     (isLive ? live.queue() : bulk.queue()).push(std::move(request), now);
     assignSlots(now);
@@ -137,22 +142,31 @@
 
 bool target_group::impl::assignBulkSlot(steady_time now)
 {
-    if (!bulk.mayStart(live.queue().size(), now))
+    if (bulk.heldBack(now) || !bulk.mayStart(live.queue().size(), now))
         return false;
     const bool needFreeSlot = !std::holds_alternative<unlimited_bulk>(options.policy);
-    auto* target = selector.choose(*bulk.queue().front(), needFreeSlot, now);
+    const auto* first = bulk.queue().front();
+    auto* target = selector.choose(*first, needFreeSlot, now);
     if (!target)
         return false;
-    auto [request, since] = bulk.queue().pop();
+    const auto* next = bulk.nextItem(*target, now);
+    if (!next)
+        return false;
+    if (next != first)
+        target = selector.choose(*next, needFreeSlot, now);
+    if (!target)
+        return false;
+    auto [request, since] = next == first ? bulk.queue().pop() : *bulk.queue().take(next->holder, next->id);
     grantSlot(std::move(request), *target, since, now);
     return true;
 }
 
-void target_group::impl::revoke(std::span<const std::uint64_t> grants)
+void target_group::impl::revoke(std::span<const grant_revocation> revocations)
 {
-    for (const auto id : grants) {
-        table.markRevoked(id);
-        decisions.emplace_back(grant_revocation { table.findGrant(id)->request.holder, id });
+    for (const auto& revocation : revocations) {
+        table.markRevoked(revocation.grantId);
+        bulk.countRevocation(revocation.reason);
+        decisions.emplace_back(revocation);
     }
 }
 
@@ -161,7 +175,7 @@
     activateNeededTargets(now);
     // Items are revoked before a live request goes to a target that is too slow for it.
     while (assignLiveSlot(true, now)) { }
-    revoke(bulk.grantsToRevoke(live.queue().size(), now));
+    revoke(bulk.grantsToRevoke(live.queue(), live.meanServiceTime(), now));
     while (assignLiveSlot(true, now)) { }
     while (assignLiveSlot(false, now)) { }
     while (assignBulkSlot(now)) { }
@@ -219,7 +233,7 @@
 {
     refuseExpired(now);
     table.removeExpiredGrants(now);
-    bulk.tick(now);
+    bulk.tick(live.queue().size(), now);
     table.updatePaces(now);
     for (const auto& name : table.deactivateIdle(now))
         selector.forget(name);
@@ -346,7 +360,10 @@
 
 void target_group::revokeBulk()
 {
-    m_impl->revoke(m_impl->table.revocableGrants());
+    std::vector<grant_revocation> all;
+    for (const auto id : m_impl->table.revocableGrants())
+        all.push_back({ m_impl->table.findGrant(id)->request.holder, id });
+    m_impl->revoke(all);
 }
 
 std::vector<decision> target_group::takeDecisions()
@@ -371,6 +388,8 @@
     summary.bulkWaiting = m_impl->bulk.queue().size();
     summary.bulkWindow = m_impl->bulk.window();
     m_impl->summarizePaces(summary, now);
+    summary.revocations = m_impl->bulk.revocations();
+    summary.startsHeldBack = m_impl->bulk.startsHeldBack();
     return summary;
 }
 
--- a/libs/load_player/include/load_player/load_player.h
+++ b/libs/load_player/include/load_player/load_player.h
@@ -43,6 +43,8 @@
     milliseconds until { 0 }; ///< None comes later.
     milliseconds run { 5000 };
     milliseconds due { 18000 }; ///< After its arrival.
+    /// Time between the events of an item, from which the dispatcher is told what is left; zero: not told.
+    milliseconds eventInterval { 0 };
 };
 
 /// The targets go on with what they run, but this dispatcher gets none of it back: its former dispatcher has
@@ -80,6 +82,7 @@
     double waitMargin = 1.7;
     milliseconds keptForLive { 50 };
     bool targetPace = true; ///< The speeds of targets are learned and used.
+    bool bulkLookahead = true;
     std::optional<milliseconds> retryAfter; ///< Told instead of what the dispatcher says.
 };
 
@@ -116,6 +119,7 @@
     std::vector<unsigned> liveGrants; ///< By target.
     std::vector<unsigned> itemGrants; ///< By target.
     std::uint64_t grantsHash = 0; ///< Of all grants in their order: the request and its target.
+    unsigned revocationsAtRisk = 0; ///< Of items that may be late because of it.
 };
 
 /// Plays a plan to its end, and 20 s longer for what has begun.
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -31,6 +31,8 @@
     /// Whether the speeds of targets are learned from the runs at them and used in the choice of targets and
     /// in expected waits. Without effect where targets are equally fast.
     bool targetPace = true;
+    /// Whether items are started and revoked by their expected time and by repeating peaks of live demand.
+    bool bulkLookahead = true;
 };
 
 /// How customers' request limits are enforced. In any time span of `windowSeconds`, a customer is granted at
