dispatch: a silence is a figure of runs that did not complete only

Cause: test_front failed in six of six runs: a completed run of one event reported the time from its event to its end as an interval. Events that a process reads all at once also gave an interval, of a few microseconds.

Change: event_timing::interval() takes the outcome of the run, and events that arrive together tell no interval.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -194,7 +194,7 @@
     {
         if (!m_slot)
             return;
-        const auto interval = m_timing.interval(std::chrono::steady_clock::now());
+        const auto interval = m_timing.interval(outcome, std::chrono::steady_clock::now());
         m_services.slots.release(*m_slot, { outcome, milliseconds { 0 }, m_timing.events(), interval });
         m_slot.reset();
     }
--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -108,10 +108,10 @@
     void pause() { m_paused = true; }
 
     std::uint32_t events() const { return static_cast<std::uint32_t>(m_events); }
-    /// Zero if unknown. A silence since the last event that is much longer than the intervals before, or that
-    /// follows the first event, is returned in their place, because the target takes at least this long for
-    /// an event now.
-    std::chrono::microseconds interval(steady_time now) const;
+    /// Zero if unknown. In a run that has not completed, a silence since the last event that is much longer
+    /// than the intervals before, or that follows the first event, is returned in their place, because the
+    /// target takes at least this long for an event now.
+    std::chrono::microseconds interval(grant_outcome outcome, steady_time now) const;
 
 private:
     struct arrival {
--- a/libs/dispatch/src/event_timing.cpp
+++ b/libs/dispatch/src/event_timing.cpp
@@ -22,19 +22,23 @@
         m_arrivals.pop_front();
 }
 
-std::chrono::microseconds event_timing::interval(steady_time now) const
+std::chrono::microseconds event_timing::interval(grant_outcome outcome, steady_time now) const
 {
     using std::chrono::microseconds;
     if (m_arrivals.empty())
         return microseconds { 0 };
     const auto& first = m_arrivals.front();
     const auto& last = m_arrivals.back();
+    const bool completed = outcome == grant_outcome::ok;
+    const auto silence = completed || m_paused ? microseconds { 0 }
+                                               : std::chrono::duration_cast<microseconds>(now - last.time);
     if (first.events == last.events)
-        return m_paused ? microseconds { 0 } : std::chrono::duration_cast<microseconds>(now - last.time);
+        return silence;
     const auto mean = std::chrono::duration_cast<microseconds>(
         (last.time - first.time) / static_cast<std::int64_t>(last.events - first.events));
-    const auto silence = std::chrono::duration_cast<microseconds>(now - last.time);
-    return !m_paused && silence > silentIntervals * mean ? silence : mean;
+    if (mean.count() == 0)
+        return mean; // The events arrived together and tell nothing.
+    return silence > silentIntervals * mean ? silence : mean;
 }
 
 } // namespace yuccachute
--- a/libs/dispatch/src/live_admission.h
+++ b/libs/dispatch/src/live_admission.h
@@ -38,8 +38,7 @@
     const target_table& m_table;
     const group_options& m_options;
     fair_queue m_queue;
-    double m_serviceTimeMs
-        = 0; ///< Moving average of the time for which live grants are held, at nominal pace.
+    double m_serviceTimeMs = 0; ///< Moving average of the time for which a slot is held at nominal pace.
     overload_periods m_overloadPeriods;
 };
 
--- a/libs/dispatch/tests/test_target_pace.cpp
+++ b/libs/dispatch/tests/test_target_pace.cpp
@@ -177,20 +177,20 @@
 TEST_CASE("the interval of a run is the mean of its last events, without the first event's delay")
 {
     event_timing timing;
-    CHECK(timing.interval(start) == 0ms);
+    CHECK(timing.interval(grant_outcome::abandoned, start) == 0ms);
     auto now = start + 500ms;
     timing.record(1, now);
-    CHECK(timing.interval(now) == 0ms);
+    CHECK(timing.interval(grant_outcome::abandoned, now) == 0ms);
     for (int i = 0; i < 40; ++i)
         timing.record(1, now += 40ms);
-    CHECK(timing.interval(now) == 40ms);
+    CHECK(timing.interval(grant_outcome::abandoned, now) == 40ms);
     CHECK(timing.events() == 41);
     // Events that arrive together took the time since the last arrival.
     timing.record(4, now += 160ms);
-    CHECK(timing.interval(now) == 40ms);
+    CHECK(timing.interval(grant_outcome::abandoned, now) == 40ms);
     for (int i = 0; i < 16; ++i)
         timing.record(1, now += 320ms);
-    CHECK(timing.interval(now) == 320ms);
+    CHECK(timing.interval(grant_outcome::abandoned, now) == 320ms);
 }
 
 // Guards against a target that becomes slow in the middle of an answer and whose silence ends the run: the
@@ -201,8 +201,20 @@
     for (int i = 0; i < 10; ++i)
         timing.record(1, start + 40ms * i);
     const auto last = start + 360ms;
-    CHECK(timing.interval(last + 150ms) == 40ms);
-    CHECK(timing.interval(last + 170ms) == 170ms);
+    CHECK(timing.interval(grant_outcome::abandoned, last + 150ms) == 40ms);
+    CHECK(timing.interval(grant_outcome::abandoned, last + 170ms) == 170ms);
+    CHECK(timing.interval(grant_outcome::ok, last + 170ms) == 40ms);
+}
+
+// Guards against events that a starved process reads all at once: the target would look extremely fast.
+TEST_CASE("events that arrive together tell no interval")
+{
+    event_timing timing;
+    for (int i = 0; i < 10; ++i)
+        timing.record(1, start);
+    CHECK(timing.interval(grant_outcome::abandoned, start) == 0ms);
+    CHECK(timing.interval(grant_outcome::abandoned, start + 1ms) == 0ms);
+    CHECK(timing.events() == 10);
 }
 
 // Guards against a caller that reads slowly: reading from the target pauses, and its events arrive together
@@ -214,7 +226,7 @@
         timing.record(1, start + 40ms * i);
     timing.pause();
     timing.record(30, start + 5s);
-    CHECK(timing.interval(start + 6s) == 40ms);
+    CHECK(timing.interval(grant_outcome::abandoned, start + 6s) == 40ms);
     CHECK(timing.events() == 40);
 }
 
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -488,7 +488,7 @@
         if (!m_slot)
             return;
         m_services.slots.release(
-            *m_slot, { outcome, m_firstEventAtTarget, m_timing.events(), m_timing.interval(now()) });
+            *m_slot, { outcome, m_firstEventAtTarget, m_timing.events(), m_timing.interval(outcome, now()) });
         m_slot.reset();
     }
 
--- a/libs/load_player/src/load_player.cpp
+++ b/libs/load_player/src/load_player.cpp
@@ -342,7 +342,7 @@
             return; // Orphaned.
         const auto run = std::move(*found);
         m_granted.erase(found);
-        const auto interval = run.timing.interval(m_now);
+        const auto interval = run.timing.interval(outcome, m_now);
         const auto objective = m_plan.live.maxEventInterval;
         m_outcome.longPauses += run.live && objective.count() > 0 && interval > objective ? 1 : 0;
         m_group.release({ run.grant, outcome, run.firstEvent, 0, run.timing.events(), interval }, m_now);
