dispatch: no interval from few arrivals of a run with many events

Cause: the dispatcher checks the number of events of a run, but the interval could come from one or two arrivals: a piece with ten events and an abandoned run a millisecond later, or a pause in reading after the second event. The target looked up to 4 times faster than nominal. Change: event_timing::interval() is unknown with fewer than three intervals, unless the run itself had no more events.

--- a/libs/dispatch/src/event_timing.cpp
+++ b/libs/dispatch/src/event_timing.cpp
@@ -7,6 +7,8 @@
 /// About the length of a live answer. A longer run, such as a batch item's, tells the present speed of its
 /// target instead of an average over many seconds.
 constexpr std::uint64_t measuredIntervals = 16;
+/// Fewer intervals measure how events were batched in the network, or where a pause began.
+constexpr std::uint64_t minIntervals = 3;
 /// Intervals vary, but not by this much unless the target has stalled or become slower.
 constexpr int silentIntervals = 4;
 
@@ -32,10 +34,14 @@
     const bool completed = outcome == grant_outcome::ok;
     const auto silence = completed || m_paused ? microseconds { 0 }
                                                : std::chrono::duration_cast<microseconds>(now - last.time);
-    if (first.events == last.events)
+    const auto intervals = last.events - first.events;
+    // A silence is only a lower bound. After many events it would be taken for their mean interval.
+    if (intervals < minIntervals && m_events > minIntervals)
+        return microseconds { 0 };
+    if (intervals == 0)
         return silence;
     const auto mean = std::chrono::duration_cast<microseconds>(
-        (last.time - first.time) / static_cast<std::int64_t>(last.events - first.events));
+        (last.time - first.time) / static_cast<std::int64_t>(intervals));
     if (mean.count() == 0)
         return mean; // The events arrived together and tell nothing.
     return silence > silentIntervals * mean ? silence : mean;
--- a/libs/dispatch/tests/test_target_pace.cpp
+++ b/libs/dispatch/tests/test_target_pace.cpp
@@ -217,6 +217,24 @@
     CHECK(timing.events() == 10);
 }
 
+// Guards against an interval between only two arrivals, or the time until a run is abandoned, that counts as
+// the mean of many events: the target would look extremely fast.
+TEST_CASE("a run of many events with few intervals between them tells no interval")
+{
+    event_timing together;
+    together.record(10, start);
+    CHECK(together.interval(grant_outcome::abandoned, start + 1ms) == 0ms);
+    together.record(1, start + 1ms);
+    CHECK(together.interval(grant_outcome::ok, start + 1ms) == 0ms);
+    CHECK(together.interval(grant_outcome::failed, start + 10ms) == 0ms);
+    event_timing paused;
+    paused.record(1, start);
+    paused.record(1, start + 1ms);
+    paused.pause();
+    paused.record(30, start + 5s);
+    CHECK(paused.interval(grant_outcome::ok, start + 6s) == 0ms);
+}
+
 // Guards against a caller that reads slowly: reading from the target pauses, and its events arrive together
 // afterwards.
 TEST_CASE("the interval of a run is measured up to the first pause in reading")
