dispatch: items at unusable targets take no slots of a peak

Cause: the slots that an expected peak leaves to items are counted at usable targets, but items at draining or ejected targets were subtracted from them, so others were held back although the peak left them a slot.

Change: only items at usable targets are subtracted. The tests share the function that plays three peaks.

--- a/libs/dispatch/src/bulk_scheduler.cpp
+++ b/libs/dispatch/src/bulk_scheduler.cpp
@@ -109,8 +109,10 @@
     int slots = ownSlots(now) - static_cast<int>(peak.slots);
     const auto begins = std::max(peak.start, now);
     for (const auto& [id, grant] : m_table.grants()) {
-        if (grant.live() || grant.revoked)
-            continue;
+        const auto target = m_table.targets().find(grant.target);
+        if (grant.live() || grant.revoked || target == m_table.targets().end()
+            || !m_table.usable(target->second, now))
+            continue; // ownSlots() has no slots of unusable targets.
         const auto remaining = remainingTime(grant, now);
         if (!remaining || now + *remaining > begins)
             --slots;
--- a/libs/dispatch/tests/test_bulk_scheduler.cpp
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -217,6 +217,26 @@
     return chosen;
 }
 
+/// Live load of 60 slots in each peak of wave(), until 0.8 s before the fourth. Returns the time reached.
+steady_time playPeaks(target_group& group, std::uint64_t& id)
+{
+    std::vector<std::uint64_t> live;
+    auto now = start;
+    for (auto elapsed = 0ms; elapsed < 20s; elapsed += 20ms) {
+        now = start + elapsed;
+        while (live.size() < wave(elapsed, 0, 60)) {
+            group.ask(makeLive(++id, now), now);
+            live.push_back(only<slot_grant>(group.takeDecisions()).at(0).grantId);
+        }
+        if (wave(elapsed, 0, 60) == 0) {
+            for (const auto grant : std::exchange(live, {}))
+                group.release({ grant, grant_outcome::ok }, now);
+        }
+        group.tick(now);
+    }
+    return now;
+}
+
 } // namespace
 
 // Guards against an item that is due later, but so long that it is late if it waits, behind short ones.
@@ -283,20 +303,7 @@
 {
     auto group = makeLookaheadGroup(60);
     std::uint64_t id = 0;
-    std::vector<std::uint64_t> live;
-    auto now = start;
-    for (auto elapsed = 0ms; elapsed < 20s; elapsed += 20ms) {
-        now = start + elapsed;
-        while (live.size() < wave(elapsed, 0, 60)) {
-            group.ask(makeLive(++id, now), now);
-            live.push_back(only<slot_grant>(group.takeDecisions()).at(0).grantId);
-        }
-        if (wave(elapsed, 0, 60) == 0) {
-            for (const auto grant : std::exchange(live, {}))
-                group.release({ grant, grant_outcome::ok }, now);
-        }
-        group.tick(now);
-    }
+    auto now = playPeaks(group, id);
     // The next peak begins after 0.8 s.
     group.ask(makeItem(++id, now + 18s, 100), now);
     CHECK(group.takeDecisions().empty());
@@ -310,6 +317,23 @@
     CHECK(group.summary(now).startsHeldBack == 1);
 }
 
+// Guards against items held back because runs at a target that live requests cannot use count against the
+// slots that the peak leaves.
+TEST_CASE("items at a target that accepts nothing hold none of the slots that a peak leaves")
+{
+    auto group = makeLookaheadGroup(4);
+    std::uint64_t id = 1000;
+    for (int i = 0; i < 4; ++i)
+        group.ask(makeItem(++id, start + 10min, 5000), start);
+    REQUIRE(only<slot_grant>(group.takeDecisions()).size() == 4);
+    const std::vector<target_description> changed { { "t", "a", 4, true }, { "u", "b", 62, false } };
+    group.setTargets(changed, start);
+    const auto now = playPeaks(group, id);
+    for (int i = 0; i < 3; ++i)
+        group.ask(makeItem(++id, now + 18s, 100), now);
+    CHECK(only<slot_grant>(group.takeDecisions()).size() == 2);
+}
+
 // Guards against an item that never runs because it is late and longer than the time between two peaks.
 TEST_CASE("a late item that does not fit between two peaks starts when a peak has ended")
 {
