dispatch: the test of neutrality covers the order of waiting items

Cause: the items of the test hardly ever waited, so it passed with a changed order of items that are overdue on arrival, and of items of several customers with the same due time.

Change: more items than slots, of two customers, with equal due times and some overdue on arrival.

Measured: the test fails with either change of the order in bulk_scheduler::nextItem() and passes without; test_dispatch passes 55 cases.

--- a/libs/dispatch/tests/test_bulk_scheduler.cpp
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -441,8 +441,13 @@
             }
             if (random() % 100 < wave(elapsed, 5, 20))
                 group.ask(makeLive(++id, now), now);
-            if (random() % 100 < 2)
-                group.ask(makeItem(++id, now + milliseconds { random() % 20000 }, 0), now);
+            if (random() % 100 < 5) {
+                // More items than slots, so that their order matters: due times repeat across customers, and
+                // some items are overdue on arrival.
+                auto item = makeItem(++id, start + 1s * (elapsed / 1s + random() % 20) - 2s, 0);
+                item.customer = random() % 2 == 0 ? "batch" : "other";
+                group.ask(item, now);
+            }
             group.tick(now);
             for (const auto& one : group.takeDecisions()) {
                 if (const auto* given = std::get_if<slot_grant>(&one)) {
