dispatch: an immediate request ends the wait of those before it

Cause: for an immediate live request one grant was revoked, but the slot went to a request before it in the queue that waited for an expected release, and the immediate request was refused.

Change: with an immediate request in the queue, as many grants are revoked as live requests wait, as without the lookahead.

--- a/libs/dispatch/src/bulk_scheduler.cpp
+++ b/libs/dispatch/src/bulk_scheduler.cpp
@@ -230,10 +230,16 @@
         return revocations;
     }
     std::vector<steady_time> latest;
+    bool immediate = false;
     live.forEach([&](const slot_request& request, steady_time since) {
         latest.push_back(latestGrantTime(request, since));
+        immediate = immediate || request.immediate;
     });
-    const auto needed = revocationsNeeded(std::move(latest), expectedReleases(serviceTime, now), now);
+    // Slots go to the requests in the order of the queue, so an immediate request gets one only if those that
+    // wait do too.
+    const auto needed = immediate
+        ? live.size()
+        : revocationsNeeded(std::move(latest), expectedReleases(serviceTime, now), now);
     if (needed == 0)
         return {};
     const auto targetOf = [&](std::uint64_t id) -> const target_state& {
--- a/libs/dispatch/tests/test_bulk_scheduler.cpp
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -297,6 +297,25 @@
     CHECK(group.summary(start + 500ms).revocations.at(revocation_reason::late_anyway) == 1);
 }
 
+// Guards against an immediate request that is refused because the slot revoked for it goes to a request
+// before it.
+TEST_CASE("an immediate live request gets a slot although another waits for an expected release")
+{
+    auto group = makeLookaheadGroup(2);
+    group.ask(makeItem(1, start + 18s, 50), start); // Ends at 2 s.
+    group.ask(makeItem(2, start + 18s, 100), start);
+    group.takeDecisions();
+    const auto now = start + 1970ms;
+    group.ask(makeLive(10, now), now);
+    CHECK(group.takeDecisions().empty());
+    auto immediate = makeLive(11, now);
+    immediate.immediate = true;
+    group.ask(immediate, now);
+    const auto decisions = group.takeDecisions();
+    CHECK(only<slot_grant>(decisions).size() == 2);
+    CHECK(only<slot_refusal>(decisions).empty());
+}
+
 // Guards against items that start just before a peak and are revoked in it, and against a slot that stays
 // idle although an item at risk waits.
 TEST_CASE("before an expected peak, long items are held back and counted, and items at risk start")
