--- a/libs/dispatch/tests/test_bulk_scheduler.cpp
+++ b/libs/dispatch/tests/test_bulk_scheduler.cpp
@@ -217,6 +217,26 @@
     return chosen;
 }
 
+/// Live load of 60 slots in each peak of wave(), until 0.8 s before the fourth. Returns the time reached.
+steady_time playPeaks(target_group& group, std::uint64_t& id)
+{
+    std::vector<std::uint64_t> live;
+    auto now = start;
+    for (auto elapsed = 0ms; elapsed < 20s; elapsed += 20ms) {
+        now = start + elapsed;
+        while (live.size() < wave(elapsed, 0, 60)) {
+            group.ask(makeLive(++id, now), now);
+            live.push_back(only<slot_grant>(group.takeDecisions()).at(0).grantId);
+        }
+        if (wave(elapsed, 0, 60) == 0) {
+            for (const auto grant : std::exchange(live, {}))
+                group.release({ grant, grant_outcome::ok }, now);
+        }
+        group.tick(now);
+    }
+    return now;
+}
+
 } // namespace
 
 // Guards against an item that is due later, but so long that it is late if it waits, behind short ones.
@@ -277,26 +297,32 @@
     CHECK(group.summary(start + 500ms).revocations.at(revocation_reason::late_anyway) == 1);
 }
 
+// Guards against an immediate request that is refused because the slot revoked for it goes to a request
+// before it.
+TEST_CASE("an immediate live request gets a slot although another waits for an expected release")
+{
+    auto group = makeLookaheadGroup(2);
+    group.ask(makeItem(1, start + 18s, 50), start); // Ends at 2 s.
+    group.ask(makeItem(2, start + 18s, 100), start);
+    group.takeDecisions();
+    const auto now = start + 1970ms;
+    group.ask(makeLive(10, now), now);
+    CHECK(group.takeDecisions().empty());
+    auto immediate = makeLive(11, now);
+    immediate.immediate = true;
+    group.ask(immediate, now);
+    const auto decisions = group.takeDecisions();
+    CHECK(only<slot_grant>(decisions).size() == 2);
+    CHECK(only<slot_refusal>(decisions).empty());
+}
+
 // Guards against items that start just before a peak and are revoked in it, and against a slot that stays
 // idle although an item at risk waits.
 TEST_CASE("before an expected peak, long items are held back and counted, and items at risk start")
 {
     auto group = makeLookaheadGroup(60);
     std::uint64_t id = 0;
-    std::vector<std::uint64_t> live;
-    auto now = start;
-    for (auto elapsed = 0ms; elapsed < 20s; elapsed += 20ms) {
-        now = start + elapsed;
-        while (live.size() < wave(elapsed, 0, 60)) {
-            group.ask(makeLive(++id, now), now);
-            live.push_back(only<slot_grant>(group.takeDecisions()).at(0).grantId);
-        }
-        if (wave(elapsed, 0, 60) == 0) {
-            for (const auto grant : std::exchange(live, {}))
-                group.release({ grant, grant_outcome::ok }, now);
-        }
-        group.tick(now);
-    }
+    auto now = playPeaks(group, id);
     // The next peak begins after 0.8 s.
     group.ask(makeItem(++id, now + 18s, 100), now);
     CHECK(group.takeDecisions().empty());
@@ -310,6 +336,23 @@
     CHECK(group.summary(now).startsHeldBack == 1);
 }
 
+// Guards against items held back because runs at a target that live requests cannot use count against the
+// slots that the peak leaves.
+TEST_CASE("items at a target that accepts nothing hold none of the slots that a peak leaves")
+{
+    auto group = makeLookaheadGroup(4);
+    std::uint64_t id = 1000;
+    for (int i = 0; i < 4; ++i)
+        group.ask(makeItem(++id, start + 10min, 5000), start);
+    REQUIRE(only<slot_grant>(group.takeDecisions()).size() == 4);
+    const std::vector<target_description> changed { { "t", "a", 4, true }, { "u", "b", 62, false } };
+    group.setTargets(changed, start);
+    const auto now = playPeaks(group, id);
+    for (int i = 0; i < 3; ++i)
+        group.ask(makeItem(++id, now + 18s, 100), now);
+    CHECK(only<slot_grant>(group.takeDecisions()).size() == 2);
+}
+
 // Guards against an item that never runs because it is late and longer than the time between two peaks.
 TEST_CASE("a late item that does not fit between two peaks starts when a peak has ended")
 {
@@ -417,8 +460,13 @@
             }
             if (random() % 100 < wave(elapsed, 5, 20))
                 group.ask(makeLive(++id, now), now);
-            if (random() % 100 < 2)
-                group.ask(makeItem(++id, now + milliseconds { random() % 20000 }, 0), now);
+            if (random() % 100 < 5) {
+                // More items than slots, so that their order matters: due times repeat across customers, and
+                // some items are overdue on arrival.
+                auto item = makeItem(++id, start + 1s * (elapsed / 1s + random() % 20) - 2s, 0);
+                item.customer = random() % 2 == 0 ? "batch" : "other";
+                group.ask(item, now);
+            }
             group.tick(now);
             for (const auto& one : group.takeDecisions()) {
                 if (const auto* given = std::get_if<slot_grant>(&one)) {
