front, dispatch: age of a request, and late requests served last

After a restart of all processes, requests whose callers had waited for a connection took the slots first, oldest first, and requests that arrived meanwhile were late as well. An entry now learns how much time first attempts of a route have left, and derives the time that a caller had already spent when its request arrived. Where callers choose different times, the age stays unknown. Requests that have missed their objective by age wait in a queue that is served last, until their deadline instead of the end of an objective that is over; an aged request that cannot be on time after all joins them. A dispatcher recognizes them by a grant deadline at the end of the hold time, so no field is added to the wire.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -54,6 +54,12 @@
     milliseconds maxEventInterval { 0 };
 };
 
+/// Whether a live request can no longer meet the latency objective of its caller. Its sender knows the
+/// objective: it limits the deadline of other requests of a known age to the objective, and lets one that has
+/// missed it wait until the caller's deadline, which is also the end of its hold time. A request of unknown
+/// age counts as one that can be on time. To be called when the request arrives, before it is queued.
+bool missedObjective(const slot_request& request, steady_time now);
+
 /// A granted slot at a target. The holder sends its request to the target directly and releases the grant
 /// afterwards.
 struct slot_grant {
@@ -308,6 +314,7 @@
     unsigned live = 0;
     unsigned bulk = 0;
     std::size_t liveWaiting = 0;
+    std::size_t liveWaitingPastObjective = 0; ///< Of these, requests that have missed their objective.
     std::size_t bulkWaiting = 0;
     double bulkWindow = 0;
 };
--- a/libs/dispatch/src/live_admission.cpp
+++ b/libs/dispatch/src/live_admission.cpp
@@ -18,21 +18,6 @@
 
 } // namespace
 
-fair_queue reordered(fair_queue queue, fair_queue::order order)
-{
-    fair_queue moved(order);
-    while (!queue.empty()) {
-        auto [request, since] = queue.pop();
-        moved.push(std::move(request), since);
-    }
-    return moved;
-}
-
-void live_admission::setOrder(fair_queue::order order)
-{
-    m_queue = reordered(std::move(m_queue), order);
-}
-
 milliseconds live_admission::expectedWait(const slot_request& request, steady_time now) const
 {
     unsigned slots = 0;
@@ -48,9 +33,12 @@
     if (slots == 0)
         return unavailableRetryAfter;
     const bool fair = m_options.order == fair_queue::order::fair;
-    const double ahead = static_cast<double>(fair ? m_queue.sizeOf(request.customer) : m_queue.size());
-    const double share = fair ? m_queue.shareOf(request.customer, request.weight) : 1;
-    return milliseconds { std::llround(ahead * m_serviceTimeMs / slots / share) };
+    const auto& queue = m_queue.queueOf(request, now);
+    const double ahead = static_cast<double>(fair ? queue.sizeOf(request.customer) : queue.size());
+    const double share = fair ? queue.shareOf(request.customer, request.weight) : 1;
+    const auto before = static_cast<double>(m_queue.sizeBefore(request, now));
+    return milliseconds { std::llround(
+        ahead * m_serviceTimeMs / slots / share + before * m_serviceTimeMs / slots) };
 }
 
 failure live_admission::overloadRefusal(const slot_request& request, std::string message, steady_time now)
@@ -71,7 +59,7 @@
     if (request.workClass == work_class::bulk)
         return std::nullopt;
     const auto wait = expectedWait(request, now);
-    if (m_queue.sizeOf(request.customer) >= request.queueLimit)
+    if (m_queue.queueOf(request, now).sizeOf(request.customer) >= request.queueLimit)
         return notRun(failure_kind::overloaded, "too many requests of this customer are waiting",
             std::max(wait, minRetryAfter));
     if (!request.immediate && now + wait * m_options.waitMargin > request.deadline)
--- a/libs/dispatch/src/live_admission.h
+++ b/libs/dispatch/src/live_admission.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatch.h"
 #include "live_load.h"
+#include "live_queue.h"
 #include "target_table.h"
 
 #include <optional>
@@ -20,10 +21,8 @@
     {
     }
 
-    fair_queue& queue() { return m_queue; }
-    const fair_queue& queue() const { return m_queue; }
-    /// Moves the waiting requests to a queue of another order.
-    void setOrder(fair_queue::order order);
+    live_queue& queue() { return m_queue; }
+    const live_queue& queue() const { return m_queue; }
 
     /// The reason, with a time to retry after, for refusing a request that cannot be served in time.
     std::optional<failure> refusalOf(const slot_request& request, steady_time now);
@@ -37,12 +36,9 @@
 
     const target_table& m_table;
     const group_options& m_options;
-    fair_queue m_queue;
+    live_queue m_queue;
     double m_serviceTimeMs = 0; ///< Moving average of the time for which live grants are held.
     overload_periods m_overloadPeriods;
 };
 
-/// Returns a queue of another order with the same waiting requests.
-fair_queue reordered(fair_queue queue, fair_queue::order order);
-
 } // namespace yuccachute
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -57,7 +57,7 @@
     if (newOptions.order == options.order)
         return;
     options.order = newOptions.order;
-    live.setOrder(newOptions.order);
+    live.queue().setOrder(newOptions.order);
     bulk.setOrder(newOptions.bulkOrder.value_or(newOptions.order));
 }
 
@@ -101,7 +101,10 @@
     const bool immediate = request.immediate;
     if (immediate)
         request.deadline = now; // Expires in refuseExpired() below unless it is granted here.
-    (isLive ? live.queue() : bulk.queue()).push(std::move(request), now);
+    if (isLive)
+        live.queue().push(std::move(request), now);
+    else
+        bulk.queue().push(std::move(request), now);
     assignSlots(now);
     if (immediate)
         refuseExpired(now);
@@ -346,6 +349,7 @@
         summary.slots += table.slotsOf(target, now);
     }
     summary.liveWaiting = m_impl->live.queue().size();
+    summary.liveWaitingPastObjective = m_impl->live.queue().missedObjectives();
     summary.bulkWaiting = m_impl->bulk.queue().size();
     summary.bulkWindow = m_impl->bulk.window();
     return summary;
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -85,6 +85,7 @@
     std::shared_ptr<const routing_table> table; ///< Owns the route and the customer.
     const route& matched;
     caller_identity identity;
+    milliseconds age { 0 }; ///< Time spent by the caller before the request arrived; 0 if unknown.
 };
 
 /// Serves one request of a live route. Returns at once; the request's state is kept alive until it completes.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -2,6 +2,7 @@
 
 #include "job_forwarder.h"
 #include "logging/logging.h"
+#include "request_age.h"
 
 #include <algorithm>
 #include <csignal>
@@ -365,7 +366,20 @@
                 { facts.value().id, customerOf(*table, identity.value()),
                     job_forwarder::call_kind::submission, callerTimeout, milliseconds { 0 } });
         }
-        serveLive(m_live, std::move(caller), { std::move(facts.value()), table, *matched, identity.value() });
+        const auto age = ageOf(facts.value(), *matched);
+        serveLive(
+            m_live, std::move(caller), { std::move(facts.value()), table, *matched, identity.value(), age });
+    }
+
+    /// A request that resumes a stream has no age: its first event may have been on time, and the objective
+    /// for pauses applies to it instead.
+    milliseconds ageOf(const request_facts& facts, const route& matched)
+    {
+        if (!facts.callerTimeout || facts.lastEvent)
+            return milliseconds { 0 };
+        const auto now = std::chrono::steady_clock::now();
+        m_ages.record(matched.name, matched.timeout, *facts.callerTimeout, now);
+        return m_ages.ageOf(matched.name, *facts.callerTimeout, now);
     }
 
     /// Returns nullopt in a deployment without customers, where callers' headers are passed on unchanged.
@@ -413,6 +427,8 @@
             m_figures.set("yuccachute_group_live", group.live);
             m_figures.set("yuccachute_group_bulk", group.bulk);
             m_figures.set("yuccachute_group_live_waiting", static_cast<double>(group.liveWaiting));
+            m_figures.set(
+                "yuccachute_group_live_past_objective", static_cast<double>(group.liveWaitingPastObjective));
             m_figures.set("yuccachute_group_usable_targets", group.usableTargets);
         }
     }
@@ -474,6 +490,7 @@
     broker_slot_source m_slots;
     http_targets m_targets;
     live_services m_live;
+    request_ages m_ages;
     job_forwarder m_jobs;
     loop_timer m_registrationTimer;
     loop_ticker m_storeTicker;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -48,6 +48,7 @@
         , m_table(std::move(request.table))
         , m_route(request.matched)
         , m_callerIdentity(request.identity)
+        , m_ageOnArrival(request.age)
         , m_deadlineTimer(services.loop)
         , m_silenceTimer(services.loop)
         , m_examinationTimer(services.loop)
@@ -62,7 +63,7 @@
         if (m_facts.callerTimeout)
             callerTimeout = std::min(callerTimeout, *m_facts.callerTimeout);
         m_deadline = m_caller->received() + callerTimeout;
-        m_objectiveDeadline = m_caller->received() + m_route.objective;
+        m_objectiveDeadline = m_caller->received() + m_route.objective - m_ageOnArrival;
         m_deadlineTimer.armAt(m_deadline, [this] { onDeadline(); });
         m_caller->onCallerGone([weak = weak_from_this()] {
             if (const auto self = weak.lock())
@@ -156,10 +157,14 @@
         wanted.avoid = m_lastTarget;
         wanted.maxEventInterval = m_route.interEventObjective;
         wanted.hold = toMilliseconds(m_deadline - now());
+        wanted.age = ageToSend();
         const auto latestOnTimeGrant = m_objectiveDeadline - expectedFirstEventDelay;
+        if (wanted.age.count() > 0 && latestOnTimeGrant <= now())
+            m_objectiveMissed = true;
         // A request that has begun continues until its deadline. A new one that can no longer meet its
-        // objective is refused early.
-        wanted.grantDeadline = m_mayHaveRun ? m_deadline : std::min(latestOnTimeGrant, m_deadline);
+        // objective is refused early, unless it had missed it before this entry could have served it.
+        const bool waitsUntilDeadline = m_mayHaveRun || m_objectiveMissed;
+        wanted.grantDeadline = waitsUntilDeadline ? m_deadline : std::min(latestOnTimeGrant, m_deadline);
         m_acquiring = true;
         m_acquisition = m_services.slots.acquire(std::move(wanted), [this](result<held_slot> found) {
             m_acquisition.reset();
@@ -168,8 +173,31 @@
         });
     }
 
+    /// The dispatcher ranks requests by their age. The age is left out if the request has begun, because the
+    /// rest of it is not delayed further, and if its deadline comes before the end of its objective, because
+    /// then it is never late.
+    milliseconds ageToSend() const
+    {
+        const bool deadlineFirst = m_deadline <= m_objectiveDeadline;
+        if (m_ageOnArrival.count() == 0 || m_mayHaveRun || deadlineFirst)
+            return milliseconds { 0 };
+        return m_ageOnArrival + toMilliseconds(now() - m_caller->received());
+    }
+
+    /// Whether a refused request requests a slot again, as one that has missed its objective: with a known
+    /// age, a request that cannot be on time waits until its deadline.
+    bool waitsPastObjective(const failure& refusal) const
+    {
+        return ageToSend().count() > 0 && !m_objectiveMissed && refusal.kind == failure_kind::overloaded
+            && now() < m_deadline;
+    }
+
     void onSlotResult(result<held_slot> found)
     {
+        if (!found && !m_call && waitsPastObjective(found.error())) {
+            m_objectiveMissed = true;
+            return acquireSlot();
+        }
         if (!found && m_call) {
             // No slot for the failover: stays with the current target.
             m_failoverWanted = false;
@@ -526,8 +554,8 @@
                 { "outcome", outcome }, { "status", std::int64_t { m_replyHead.status } },
                 { "target", m_lastTarget }, { "targets_age_ms", m_targetsAge.count() },
                 { "sends", std::int64_t { m_sends } }, { "objective_ms", m_route.objective.count() },
-                { "waited_ms", m_waited.count() }, { "first_event_ms", m_firstEvent.count() },
-                { "took_ms", toMilliseconds(took).count() },
+                { "age_ms", m_ageOnArrival.count() }, { "waited_ms", m_waited.count() },
+                { "first_event_ms", m_firstEvent.count() }, { "took_ms", toMilliseconds(took).count() },
                 { "identity", m_identity ? toString(*m_identity) : std::string() }, { "reason", m_reason } });
     }
 
@@ -540,6 +568,7 @@
     std::shared_ptr<const routing_table> m_table; ///< Owns the route.
     const route& m_route;
     const caller_identity m_callerIdentity;
+    const milliseconds m_ageOnArrival; ///< 0 if unknown.
     loop_timer m_deadlineTimer;
     loop_timer m_silenceTimer;
     loop_timer m_examinationTimer;
@@ -567,6 +596,7 @@
     milliseconds m_firstEventAtTarget { 0 };
     unsigned m_sends = 0;
     unsigned m_attempts = 0; ///< Targets that may have run the request, before the current one.
+    bool m_objectiveMissed = false; ///< It can no longer be on time for its caller, by its age.
     bool m_mayHaveRun = false; ///< Some target may have run it, so it cannot be reported as not run.
     bool m_replyStarted = false;
     bool m_resumptionFailed = false; ///< The target responds with a failure where a stream was to be resumed.
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -170,7 +170,7 @@
 
 struct fixture {
     explicit fixture(request_kind kind = request_kind::streaming, bool resumable = true, int timeoutMs = 1000,
-        request_guard* guard = nullptr, const std::string& key = "")
+        request_guard* guard = nullptr, const std::string& key = "", int ageMs = 0)
     {
         services.guard = guard;
         auto made = std::make_shared<routing_table>();
@@ -188,7 +188,8 @@
         table = made;
         request_facts facts;
         facts.id = "id";
-        serveLive(services, caller, { facts, table, table->routes[0], { table->customers.byKey(key) } });
+        serveLive(services, caller,
+            { facts, table, table->routes[0], { table->customers.byKey(key) }, milliseconds { ageMs } });
     }
     void run(int ms = 5) { loop.runFor(milliseconds { ms }); }
 
@@ -551,3 +552,58 @@
     without.slots.grant("t1");
     CHECK(without.targets.customer == "as sent");
 }
+
+TEST_CASE("a first attempt waits for a slot within its objective and is refused at its end")
+{
+    fixture f(request_kind::streaming, true, 5000);
+    CHECK(f.slots.last.age.count() == 0);
+    CHECK(f.slots.last.grantDeadline == f.caller->received() + milliseconds { 250 });
+    f.slots.answer(notRun(failure_kind::overloaded, "full", milliseconds { 1500 }));
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 503);
+    CHECK(f.slots.acquisitions == 1);
+}
+
+// Guards against refusals at the end of an objective that the request had missed before it arrived: its
+// caller had waited for a connection while all VMs were down.
+TEST_CASE("a request that is late on arrival waits for a slot until its deadline")
+{
+    fixture f(request_kind::streaming, true, 5000, nullptr, "", 900);
+    CHECK(f.slots.last.age >= milliseconds { 900 });
+    CHECK(f.slots.last.grantDeadline == f.caller->received() + milliseconds { 5000 });
+    // Only a wait that exceeds its deadline is a reason to refuse it.
+    f.slots.answer(notRun(failure_kind::overloaded, "full", milliseconds { 6000 }));
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 503);
+    CHECK(f.slots.acquisitions == 1);
+}
+
+TEST_CASE("a repeated attempt that cannot be on time after all waits until its deadline")
+{
+    fixture f(request_kind::streaming, true, 5000, nullptr, "", 100);
+    CHECK(f.slots.last.age >= milliseconds { 100 });
+    CHECK(f.slots.last.grantDeadline == f.caller->received() + milliseconds { 150 });
+    f.slots.answer(notRun(failure_kind::overloaded, "full", milliseconds { 1500 }));
+    CHECK(!f.caller->reply);
+    CHECK(f.slots.acquisitions == 2);
+    CHECK(f.slots.last.grantDeadline == f.caller->received() + milliseconds { 5000 });
+    f.slots.answer(notRun(failure_kind::overloaded, "full", milliseconds { 6000 }));
+    CHECK(f.caller->reply);
+    CHECK(f.slots.acquisitions == 2);
+}
+
+// Guards against a stream that is interrupted and then waits behind requests that have not begun, because its
+// caller had repeated it.
+TEST_CASE("a request that has begun, or whose deadline comes first, has no age")
+{
+    fixture f(request_kind::streaming, true, 5000, nullptr, "", 900);
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.targets.body(event(1));
+    f.targets.fail(connectionReset());
+    REQUIRE(f.slots.acquisitions == 2);
+    CHECK(f.slots.last.begun);
+    CHECK(f.slots.last.age.count() == 0);
+    fixture deadlineFirst(request_kind::streaming, true, 150, nullptr, "", 100);
+    CHECK(deadlineFirst.slots.last.age.count() == 0);
+}
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -257,6 +257,7 @@
 
     void start()
     {
+        m_started = std::chrono::steady_clock::now();
         auto zones = m_owner->zonesOf(m_request.service);
         std::stable_partition(
             zones.begin(), zones.end(), [&](const auto& zone) { return zone == m_owner->self.zone; });
@@ -407,7 +408,8 @@
         slotRequest.due = m_request.due;
         slotRequest.remainingEvents = m_request.remainingEvents;
         slotRequest.producedEvents = m_request.producedEvents;
-        slotRequest.age = m_request.age;
+        if (m_request.age.count() > 0)
+            describeAge(slotRequest);
         slotRequest.maxEventInterval = m_request.maxEventInterval;
         envelope message;
         message.asks.push_back({ m_group, std::move(slotRequest) });
@@ -420,6 +422,17 @@
         m_owner->send(m_dispatcher, std::move(message));
     }
 
+    /// The dispatcher recognizes a request that has missed its objective by a grant deadline at the end of
+    /// its hold time (see missedObjective()), also if the request does not wait, so both count from now.
+    void describeAge(slot_request& slotRequest) const
+    {
+        const auto elapsed
+            = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_started);
+        slotRequest.age = m_request.age + elapsed;
+        slotRequest.hold = std::max(m_request.hold - elapsed, milliseconds { 1 });
+        slotRequest.deadline = m_request.grantDeadline;
+    }
+
     void onAcknowledgementTimeout()
     {
         const auto now = std::chrono::steady_clock::now();
@@ -485,6 +498,7 @@
     slot_requirements m_request;
     granted m_done;
     bool m_bulk;
+    steady_time m_started;
     loop_timer m_timer;
     std::deque<step> m_steps;
     std::deque<std::string> m_candidates;
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -56,13 +56,14 @@
     }
 
     std::shared_ptr<slot_acquisition> acquire(
-        entry& from, work_class workClass = work_class::live, int deadlineMs = 300)
+        entry& from, work_class workClass = work_class::live, int deadlineMs = 300, int ageMs = 0)
     {
         slot_requirements request;
         request.service = "llm";
         request.customer = "c";
         request.workClass = workClass;
         request.hold = milliseconds { 5000 };
+        request.age = milliseconds { ageMs };
         request.grantDeadline = std::chrono::steady_clock::now() + milliseconds { deadlineMs };
         const auto number = outcomes.size();
         outcomes.emplace_back();
@@ -135,6 +136,34 @@
     CHECK(f.target(5) == "ta");
 }
 
+// Guards against an age that is lost, or no longer recognized as that of a late request, on the way to the
+// dispatcher: late requests then take the slots before those that can be on time.
+TEST_CASE("a dispatcher in another process serves requests that are late last")
+{
+    fixture f;
+    for (auto* one : { &f.a, &f.b })
+        one->broker.setDispatchers({ f.b.self });
+    std::vector<std::shared_ptr<slot_acquisition>> acquisitions;
+    for (int i = 0; i < 4; ++i) {
+        acquisitions.push_back(f.acquire(f.a));
+        f.run();
+    }
+    acquisitions.push_back(f.acquire(f.a, work_class::live, 5000, 900));
+    f.run(20);
+    CHECK(f.b.broker.summaries(std::chrono::steady_clock::now()).at("llm/a/0").liveWaitingPastObjective == 1);
+    acquisitions.push_back(f.acquire(f.a, work_class::live, 1000, 100));
+    f.run(20);
+    for (std::size_t i = 0; i < 4; ++i) {
+        f.a.broker.release(f.outcomes[i]->value(), { grant_outcome::ok, milliseconds { 1 } });
+        f.run(20);
+        if (f.outcomes[4])
+            break;
+        CHECK((i == 0 || f.outcomes[5]));
+    }
+    CHECK(!f.target(5).empty());
+    CHECK(!f.target(4).empty());
+}
+
 // Guards against callers that wait for a frozen dispatcher of another zone.
 TEST_CASE("an unresponsive dispatcher is skipped after a timeout")
 {
