front: requests wait for the first configuration and list of targets

They now wait: for the configuration at most 250 ms, because their objective is not known yet, and for the list until the end of the route's objective less the time to serve the request. At most 512 requests with bodies of 8 MiB wait; others, and those whose time has passed, are refused as before. [dispatch] startup = off restores the refusals.

--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -3,6 +3,7 @@
 #include "job_forwarder.h"
 #include "logging/logging.h"
 #include "request_age.h"
+#include "waiting_callers.h"
 
 #include <algorithm>
 #include <csignal>
@@ -28,6 +29,9 @@
 /// A local copy older than this has not been confirmed by the store or by a peer that is connected to it.
 constexpr milliseconds storeLostAfter { 2000 };
 constexpr milliseconds shareRemovalInterval { 5000 };
+/// Resolution of the time that callers wait for the first configuration or list of targets. An empty list is
+/// noticed only by this check.
+constexpr milliseconds startupCheckInterval { 20 };
 
 group_options groupOptions(const process_settings& settings)
 {
@@ -115,6 +119,7 @@
         , m_registrationTimer(m_loop)
         , m_storeTicker(m_loop, storeCheckInterval, [this] { checkStore(); })
         , m_stopTimer(m_loop)
+        , m_startupTimer(m_loop)
         , m_random(std::random_device {}())
     {
     }
@@ -194,7 +199,11 @@
         return limits;
     }
 
-    bool ready() const { return m_fleet.configuration() != nullptr && m_fleet.hasTargetList(); }
+    startup_state startupState() const
+    {
+        return { m_fleet.configuration() != nullptr, m_fleet.hasTargetList() };
+    }
+    bool ready() const { return satisfied(startup_need::target_list, startupState()); }
 
     void configurationChanged()
     {
@@ -203,6 +212,7 @@
             m_callers->setLimits(limits(table->limits));
         m_limits.setCustomers(table->customers, std::chrono::steady_clock::now());
         m_broker.limitsChanged();
+        m_loop.post([this] { resumeWaitingCallers(); });
     }
 
     void targetsChanged(std::span<const target_change> changes)
@@ -210,6 +220,7 @@
         const auto now = std::chrono::steady_clock::now();
         m_broker.setTargets(m_fleet.targets(), changes, now);
         m_suspects.guard.setTargets(m_fleet.targets(), changes, now);
+        m_loop.post([this] { resumeWaitingCallers(); });
     }
 
     void nodesChanged()
@@ -333,53 +344,138 @@
         return milliseconds { m_random() % static_cast<unsigned>(most.count() + 1) };
     }
 
+    /// A live request that can be served.
+    struct admitted_request {
+        std::shared_ptr<http_exchange> caller;
+        live_request live;
+    };
+
     void serve(std::shared_ptr<http_exchange> caller)
+    {
+        if (auto admitted = admit(std::move(caller), m_settings.dispatch.startup))
+            start(std::move(*admitted));
+    }
+
+    void start(admitted_request request)
+    {
+        request.live.age = ageOf(request.live.facts, request.live.matched);
+        serveLive(m_live, std::move(request.caller), std::move(request.live));
+    }
+
+    /// Returns whether the request waits for the first configuration or list of targets.
+    bool waitsForStartup(const std::shared_ptr<http_exchange>& caller, startup_need need, steady_time end)
+    {
+        const bool waits = std::chrono::steady_clock::now() < end && m_waiting.add(caller, need, end);
+        m_figures.count("yuccachute_startup_waits_total", "outcome", waits ? "waiting" : "no room");
+        if (waits && !m_startupTimer.armed())
+            m_startupTimer.arm(startupCheckInterval, [this] { resumeWaitingCallers(); });
+        return waits;
+    }
+
+    void resumeWaitingCallers()
+    {
+        if (m_waiting.empty())
+            return;
+        m_startupTimer.cancel();
+        const auto now = std::chrono::steady_clock::now();
+        std::vector<admitted_request> admitted;
+        steady_time::duration longest { 0 };
+        std::int64_t expired = 0;
+        auto released = m_waiting.take(startupState(), now);
+        for (auto& [caller, tooLate] : released) {
+            longest = std::max(longest, now - caller->received());
+            expired += tooLate ? 1 : 0;
+            m_figures.count("yuccachute_startup_waits_total", "outcome", tooLate ? "expired" : "resumed");
+            if (auto one = admit(std::move(caller), !tooLate))
+                admitted.push_back(std::move(*one));
+        }
+        // All are recorded before the first is served: together they tell which of them are first attempts.
+        for (auto& one : admitted)
+            start(std::move(one));
+        if (!released.empty())
+            logEvent(log_level::info,
+                "requests that arrived before the first configuration or list of targets",
+                { { "resumed", static_cast<std::int64_t>(released.size()) - expired }, { "expired", expired },
+                    { "still_waiting", static_cast<std::int64_t>(m_waiting.size()) },
+                    { "longest_wait_ms", std::chrono::duration_cast<milliseconds>(longest).count() } });
+        if (!m_waiting.empty() && !m_startupTimer.armed())
+            m_startupTimer.arm(startupCheckInterval, [this] { resumeWaitingCallers(); });
+    }
+
+    /// Refuses the request, forwards it, or lets it wait if it `mayWait`, and returns it otherwise.
+    std::optional<admitted_request> admit(std::shared_ptr<http_exchange> caller, bool mayWait)
     {
         const auto table = m_fleet.configuration();
-        if (!table)
-            return refuse(*caller,
-                notRun(failure_kind::unavailable, "this entry has not received a configuration yet",
-                    noConfigurationRetryAfter));
+        if (!table) {
+            if (!mayWait
+                || !waitsForStartup(
+                    caller, startup_need::configuration, configurationWaitEnd(caller->received())))
+                refuse(*caller,
+                    notRun(failure_kind::unavailable, "this entry has not received a configuration yet",
+                        noConfigurationRetryAfter));
+            return std::nullopt;
+        }
         const auto& request = caller->request();
         auto facts = m_adapter.callers.describe(request);
-        if (!facts)
-            return refuseCall(*caller, facts.error());
+        if (!facts) {
+            refuseCall(*caller, facts.error());
+            return std::nullopt;
+        }
         const auto key = std::exchange(facts.value().key, {});
         if (const auto call = m_adapter.jobs.recognise(request)) {
             const auto identity = authenticateJobCall(*table, facts.value().host, key);
             if (!identity)
-                return refuseCall(*caller, identity.error());
-            return m_jobs.forward(caller,
-                { call->jobId, customerOf(*table, identity.value()), job_forwarder::call_kind::existing_job,
-                    jobCallTimeout + call->wait, call->wait });
+                refuseCall(*caller, identity.error());
+            else
+                m_jobs.forward(caller,
+                    { call->jobId, customerOf(*table, identity.value()),
+                        job_forwarder::call_kind::existing_job, jobCallTimeout + call->wait, call->wait });
+            return std::nullopt;
         }
         const auto* matched = table->match(facts.value().host, request.path);
-        if (!matched)
-            return refuseCall(
+        if (!matched) {
+            refuseCall(
                 *caller, notRun(failure_kind::not_found, "no route matches host and path " + request.path));
+            return std::nullopt;
+        }
         const auto identity = authenticate(*table, *matched, key);
-        if (!identity)
-            return refuseCall(*caller, identity.error());
+        if (!identity) {
+            refuseCall(*caller, identity.error());
+            return std::nullopt;
+        }
         if (matched->kind == request_kind::batch) {
             const auto callerTimeout = facts.value().callerTimeout.value_or(jobCallTimeout);
-            return m_jobs.forward(caller,
+            m_jobs.forward(caller,
                 { facts.value().id, customerOf(*table, identity.value()),
                     job_forwarder::call_kind::submission, callerTimeout, milliseconds { 0 } });
+            return std::nullopt;
         }
-        const auto age = ageOf(facts.value(), *matched);
-        serveLive(
-            m_live, std::move(caller), { std::move(facts.value()), table, *matched, identity.value(), age });
+        const bool lacksTargets = mayWait && !m_fleet.hasTargetList();
+        if (lacksTargets
+            && waitsForStartup(
+                caller, startup_need::target_list, targetListWaitEnd(caller->received(), matched->objective)))
+            return std::nullopt;
+        recordCallerTime(facts.value(), *matched);
+        return admitted_request { std::move(caller),
+            { std::move(facts.value()), table, *matched, identity.value() } };
     }
 
     /// A request that resumes a stream has no age: its first event may have been on time, and the objective
     /// for pauses applies to it instead.
-    milliseconds ageOf(const request_facts& facts, const route& matched)
+    static bool hasAge(const request_facts& facts) { return facts.callerTimeout && !facts.lastEvent; }
+
+    void recordCallerTime(const request_facts& facts, const route& matched)
     {
-        if (!facts.callerTimeout || facts.lastEvent)
-            return milliseconds { 0 };
-        const auto now = std::chrono::steady_clock::now();
-        m_ages.record(matched.name, matched.timeout, *facts.callerTimeout, now);
-        return m_ages.ageOf(matched.name, *facts.callerTimeout, now);
+        if (hasAge(facts))
+            m_ages.record(
+                matched.name, matched.timeout, *facts.callerTimeout, std::chrono::steady_clock::now());
+    }
+
+    milliseconds ageOf(const request_facts& facts, const route& matched) const
+    {
+        return hasAge(facts)
+            ? m_ages.ageOf(matched.name, *facts.callerTimeout, std::chrono::steady_clock::now())
+            : milliseconds { 0 };
     }
 
     /// Returns nullopt in a deployment without customers, where callers' headers are passed on unchanged.
@@ -495,6 +591,8 @@
     loop_timer m_registrationTimer;
     loop_ticker m_storeTicker;
     loop_timer m_stopTimer;
+    loop_timer m_startupTimer; ///< Armed while callers wait for the first configuration or list of targets.
+    waiting_callers m_waiting;
     std::minstd_rand m_random;
     std::unique_ptr<http_listener> m_callers;
     std::unique_ptr<http_listener> m_readiness;
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -28,6 +28,9 @@
     /// Weight of a fully cached prompt in the choice of a target: it offsets this percentage of occupied
     /// slots.
     unsigned affinityPercent = 60;
+    /// Whether requests wait for the first configuration or list of targets of an entry that has just
+    /// started, and whether its groups poll their targets before the first request.
+    bool startup = true;
 };
 
 /// How customers' request limits are enforced. In any time span of `windowSeconds`, a customer is granted at
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -96,6 +96,15 @@
     };
 }
 
+value_setter onOff(std::function<void(process_settings&, bool)> store)
+{
+    return [=](process_settings& settings, const std::string& value) {
+        store(settings, value == "on");
+        const bool known = value == "on" || value == "off";
+        return known ? std::string() : '"' + value + "\" is not one of on, off";
+    };
+}
+
 value_setter addressList(std::vector<std::string> process_settings::*field)
 {
     return [field](process_settings& settings, const std::string& value) {
@@ -168,6 +177,7 @@
             { number(0, 1000,
                   [](auto& s, auto value) { s.dispatch.affinityPercent = static_cast<unsigned>(value); }),
                 false } },
+        { "dispatch.startup", { onOff([](auto& s, bool value) { s.dispatch.startup = value; }), false } },
         { "customer_limits.window_s", { limitDecimal(0.1, 3600, &limit_settings::windowSeconds), false } },
         { "customer_limits.overshoot", { limitDecimal(0, 1, &limit_settings::overshoot), false } },
         { "customer_limits.slack", { limitDecimal(0, 1e6, &limit_settings::slack), false } },
--- a/libs/process_settings/tests/test_process_settings.cpp
+++ b/libs/process_settings/tests/test_process_settings.cpp
@@ -55,19 +55,25 @@
     const auto defaults = parseProcessSettings("f", requiredOnly);
     REQUIRE(defaults);
     CHECK(defaults.value().dispatch.loadReports);
+    CHECK(defaults.value().dispatch.startup);
     CHECK(defaults.value().followPeers);
     const auto disabled = parseProcessSettings("f",
         requiredOnly
             + "[dispatch]\nload_reports = 0\nwait_margin_percent = 100\nkept_for_live_ms = "
-              "0\naffinity_percent = 0\n"
+              "0\naffinity_percent = 0\nstartup = off\n"
               "[peers]\nfollow = 0\n");
     REQUIRE(disabled);
     CHECK(!disabled.value().dispatch.loadReports);
     CHECK(disabled.value().dispatch.waitMarginPercent == 100);
     CHECK(disabled.value().dispatch.keptForLive.count() == 0);
     CHECK(disabled.value().dispatch.affinityPercent == 0);
+    CHECK(!disabled.value().dispatch.startup);
     CHECK(!disabled.value().followPeers);
     const auto invalid = parseProcessSettings("f", requiredOnly + "[dispatch]\nwait_margin_percent = 50\n");
     REQUIRE(!invalid);
     CHECK(invalid.error().message.find("[dispatch] wait_margin_percent") != std::string::npos);
+    const auto number = parseProcessSettings("f", requiredOnly + "[dispatch]\nstartup = 1\n");
+    REQUIRE(!number);
+    CHECK(
+        number.error().message.find("[dispatch] startup: \"1\" is not one of on, off") != std::string::npos);
 }
