tests: the first request to an entry that starts again is served

Guards with real processes against refusals before the first configuration and list of targets. The store's connections are delayed by 3 ms, since entries accept connections before they have read anything.

--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -124,6 +124,46 @@
     system.entries.at("entry-a-2").running->signal(SIGCONT);
 }
 
+// All entries are killed and start again while callers try to connect. The first requests that they received
+// were refused, because the list of targets arrived a moment later.
+TEST_CASE("the first request to an entry that starts again is served")
+{
+    platform_layout layout;
+    layout.proxied = true;
+    layout.serversProxied = false;
+    platform_system system(layout);
+    for (auto& [name, process] : system.entries) {
+        process.running.reset();
+        // The entries accept connections before they have read anything from the store.
+        system.route("store-" + name, "delay_ms=3");
+    }
+    for (const auto& [name, process] : system.entries)
+        system.startEntry(name);
+    std::atomic<int> served { 0 };
+    std::vector<std::thread> callers;
+    for (const auto& entry : system.entries) {
+        callers.emplace_back([&, name = entry.first] {
+            const auto id = "again-" + name;
+            const auto end = std::chrono::steady_clock::now() + milliseconds { 5000 };
+            auto reply = system.stream(name, "resumable", id, 5);
+            while (!reply && std::chrono::steady_clock::now() < end) {
+                std::this_thread::sleep_for(milliseconds { 5 });
+                reply = system.stream(name, "resumable", id, 5);
+            }
+            const bool whole = reply && reply.value().body == platform_system::wholeStream(id, 5);
+            served += whole ? 1 : 0;
+            if (!whole)
+                std::fprintf(stderr, "%s: %s\n", id.c_str(),
+                    (reply ? std::to_string(reply.value().status) + reply.value().body
+                           : reply.error().message)
+                        .c_str());
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(served == 3);
+}
+
 // Story: a store machine is lost right after it has acknowledged a job; the job was never run, or was listed
 // twice.
 TEST_CASE("a job outlives the process that accepted it, and each result keeps its place")
