front: callers with a shorter time make the initial time unknown at once

When a smaller value was repeated too often, initialCallerTime() returned nothing, but request_ages kept the former initial time for 10 s after its last confirmation. A quarter of the callers with 2 s beside 5 s counted as 3 s old, and were served last. Such a contradiction now discards the initial time, as more time did already, while first attempts are at least half of the recent requests. The new test failed before (3000 ms instead of 0); test_front passes (39 cases).

--- a/libs/front/src/request_age.cpp
+++ b/libs/front/src/request_age.cpp
@@ -46,6 +46,24 @@
     return false;
 }
 
+/// Whether recent requests show that callers begin with other times than `initial`. A smaller value counts
+/// only while first attempts are the majority, because repeated attempts are the majority under overload, and
+/// some of them are left with equal times.
+bool contradicted(std::span<const milliseconds> recent, milliseconds initial)
+{
+    std::vector<milliseconds> descending(recent.begin(), recent.end());
+    std::sort(descending.begin(), descending.end(), std::greater<>());
+    const auto notLonger = std::find_if(
+        descending.begin(), descending.end(), [&](milliseconds value) { return value <= initial; });
+    const auto smaller = std::find_if(
+        notLonger, descending.end(), [&](milliseconds value) { return !isFirstAttempt(initial, value); });
+    if (static_cast<std::size_t>(notLonger - descending.begin()) > descending.size() / outlierPart)
+        return true;
+    const auto firstAttempts = static_cast<std::size_t>(smaller - notLonger);
+    return firstAttempts * minPartOfWindow >= descending.size()
+        && othersChoose(std::span(smaller, descending.end()), firstAttempts);
+}
+
 } // namespace
 
 std::optional<milliseconds> initialCallerTime(
@@ -93,10 +111,7 @@
         history.confirmed = now;
         return;
     }
-    // Callers that have more time than the initial one contradict it.
-    const auto longer = std::count_if(recent.begin(), recent.end(),
-        [&](milliseconds value) { return history.initial && value > *history.initial; });
-    if (static_cast<std::size_t>(longer) > recent.size() / outlierPart)
+    if (history.initial && contradicted(recent, *history.initial))
         history.initial.reset();
 }
 
--- a/libs/front/tests/test_request_age.cpp
+++ b/libs/front/tests/test_request_age.cpp
@@ -95,3 +95,15 @@
         ages.record("r", routeTimeout, 8000ms, start + 2s);
     CHECK(ages.ageOf("r", 7000ms, start + 2s) == 1000ms);
 }
+
+// Guards against callers that choose a shorter time than the others and are served last for as long as the
+// former initial time is kept.
+TEST_CASE("callers that choose a shorter time make the initial time unknown at once")
+{
+    request_ages ages;
+    for (int i = 0; i < 64; ++i)
+        ages.record("r", routeTimeout, 5000ms, start);
+    for (int i = 0; i < 64; ++i)
+        ages.record("r", routeTimeout, i % 4 == 0 ? 2000ms : 5000ms, start + 1s);
+    CHECK(ages.ageOf("r", 2000ms, start + 1s) == 0ms);
+}
