dispatch: the refusal of a late immediate request counts the late requests ahead of it

An immediate request was queued with the deadline set to its arrival, so that it was no longer recognized as one that has missed its objective, and the wait in its refusal left out the late requests, and those of the first class of other customers. Senders compare these waits to choose the zone to wait in, so late requests could wait in the zone tried first, whatever its backlog. The class is now determined once, before the deadline changes, and is returned with an expired request.

--- a/libs/dispatch/src/live_admission.cpp
+++ b/libs/dispatch/src/live_admission.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-milliseconds live_admission::expectedWait(const slot_request& request, steady_time now) const
+milliseconds live_admission::expectedWait(
+    const slot_request& request, serving_class which, steady_time now) const
 {
     unsigned slots = 0;
     for (const auto& [name, target] : m_table.targets()) {
@@ -33,17 +34,18 @@
     if (slots == 0)
         return unavailableRetryAfter;
     const bool fair = m_options.order == fair_queue::order::fair;
-    const auto& queue = m_queue.queueOf(request, now);
+    const auto& queue = m_queue.queueOf(which);
     const double ahead = static_cast<double>(fair ? queue.sizeOf(request.customer) : queue.size());
     const double share = fair ? queue.shareOf(request.customer, request.weight) : 1;
-    const auto before = static_cast<double>(m_queue.sizeBefore(request, now));
+    const auto before = static_cast<double>(m_queue.sizeBefore(which));
     return milliseconds { std::llround(
         ahead * m_serviceTimeMs / slots / share + before * m_serviceTimeMs / slots) };
 }
 
-failure live_admission::overloadRefusal(const slot_request& request, std::string message, steady_time now)
+failure live_admission::overloadRefusal(
+    const slot_request& request, serving_class which, std::string message, steady_time now)
 {
-    const auto wait = expectedWait(request, now);
+    const auto wait = expectedWait(request, which, now);
     if (request.immediate) // The sender can request the slot again and wait in the queue.
         return notRun(failure_kind::overloaded, std::move(message), wait);
     m_overloadPeriods.recordRefusal(now);
@@ -58,12 +60,14 @@
             failure_kind::unavailable, "no target of this service can be used now", unavailableRetryAfter);
     if (request.workClass == work_class::bulk)
         return std::nullopt;
-    const auto wait = expectedWait(request, now);
-    if (m_queue.queueOf(request, now).sizeOf(request.customer) >= request.queueLimit)
+    const auto which = servingClassOf(request, now);
+    const auto wait = expectedWait(request, which, now);
+    if (m_queue.queueOf(which).sizeOf(request.customer) >= request.queueLimit)
         return notRun(failure_kind::overloaded, "too many requests of this customer are waiting",
             std::max(wait, minRetryAfter));
     if (!request.immediate && now + wait * m_options.waitMargin > request.deadline)
-        return overloadRefusal(request, "the expected wait in the queue exceeds the request's timeout", now);
+        return overloadRefusal(
+            request, which, "the expected wait in the queue exceeds the request's timeout", now);
     return std::nullopt;
 }
 
--- a/libs/dispatch/src/live_admission.h
+++ b/libs/dispatch/src/live_admission.h
@@ -27,12 +27,13 @@
     /// The reason, with a time to retry after, for refusing a request that cannot be served in time.
     std::optional<failure> refusalOf(const slot_request& request, steady_time now);
     /// The reason for refusing a request because of overload.
-    failure overloadRefusal(const slot_request& request, std::string message, steady_time now);
+    failure overloadRefusal(
+        const slot_request& request, serving_class which, std::string message, steady_time now);
     /// Records how long a live grant was held.
     void recordServiceTime(steady_time::duration held);
 
 private:
-    milliseconds expectedWait(const slot_request& request, steady_time now) const;
+    milliseconds expectedWait(const slot_request& request, serving_class which, steady_time now) const;
 
     const target_table& m_table;
     const group_options& m_options;
--- a/libs/dispatch/src/live_queue.cpp
+++ b/libs/dispatch/src/live_queue.cpp
@@ -1,6 +1,6 @@
 #include "live_queue.h"
 
-#include <iterator>
+#include <utility>
 
 namespace yuccachute {
 
@@ -21,6 +21,11 @@
     return request.deadline + encodingDelay >= now + request.hold;
 }
 
+serving_class servingClassOf(const slot_request& request, steady_time now)
+{
+    return missedObjective(request, now) ? serving_class::missed : serving_class::timely;
+}
+
 fair_queue reordered(fair_queue queue, fair_queue::order order)
 {
     fair_queue moved(order);
@@ -39,25 +44,29 @@
 
 void live_queue::push(slot_request request, steady_time now)
 {
-    (missedObjective(request, now) ? m_missed : m_timely).push(std::move(request), now);
+    auto& queue = servingClassOf(request, now) == serving_class::missed ? m_missed : m_timely;
+    if (request.immediate)
+        request.deadline = now;
+    queue.push(std::move(request), now);
 }
 
-const fair_queue& live_queue::queueOf(const slot_request& request, steady_time now) const
+const fair_queue& live_queue::queueOf(serving_class which) const
 {
-    return missedObjective(request, now) ? m_missed : m_timely;
+    return which == serving_class::missed ? m_missed : m_timely;
 }
 
-std::size_t live_queue::sizeBefore(const slot_request& request, steady_time now) const
+std::size_t live_queue::sizeBefore(serving_class which) const
 {
-    return missedObjective(request, now) ? m_timely.size() : 0;
+    return which == serving_class::missed ? m_timely.size() : 0;
 }
 
-std::vector<slot_request> live_queue::takeExpired(steady_time now)
+std::vector<live_queue::expired_request> live_queue::takeExpired(steady_time now)
 {
-    auto expired = m_timely.takeExpired(now);
-    auto missed = m_missed.takeExpired(now);
-    expired.insert(
-        expired.end(), std::make_move_iterator(missed.begin()), std::make_move_iterator(missed.end()));
+    std::vector<expired_request> expired;
+    for (auto& request : m_timely.takeExpired(now))
+        expired.push_back({ std::move(request), serving_class::timely });
+    for (auto& request : m_missed.takeExpired(now))
+        expired.push_back({ std::move(request), serving_class::missed });
     return expired;
 }
 
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -99,15 +99,15 @@
     if (isLive)
         bulk.recordLiveArrival(now);
     const bool immediate = request.immediate;
-    if (immediate)
-        request.deadline = now; // Expires in refuseExpired() below unless it is granted here.
+    if (immediate && !isLive)
+        request.deadline = now;
     if (isLive)
         live.queue().push(std::move(request), now);
     else
         bulk.queue().push(std::move(request), now);
     assignSlots(now);
     if (immediate)
-        refuseExpired(now);
+        refuseExpired(now); // Refuses the request unless it has been granted a slot.
 }
 
 void target_group::impl::grantSlot(
@@ -205,8 +205,9 @@
 
 void target_group::impl::refuseExpired(steady_time now)
 {
-    for (const auto& request : live.queue().takeExpired(now))
-        refuse(request, live.overloadRefusal(request, "no target had room before the timeout", now));
+    for (const auto& [request, servingClass] : live.queue().takeExpired(now))
+        refuse(request,
+            live.overloadRefusal(request, servingClass, "no target had room before the timeout", now));
     for (const auto& request : bulk.queue().takeExpired(now))
         refuse(request,
             notRun(failure_kind::overloaded, "no slot was available for bulk work in time", minRetryAfter));
--- a/libs/dispatch/tests/test_serving_order.cpp
+++ b/libs/dispatch/tests/test_serving_order.cpp
@@ -116,8 +116,8 @@
             request.deadline = start + request.hold;
         queue.push(request, start);
         reference.push(request, start);
-        CHECK(queue.queueOf(request, start).sizeOf("small") == reference.sizeOf("small"));
-        CHECK(queue.sizeBefore(request, start) == 0);
+        CHECK(queue.queueOf(servingClassOf(request, start)).sizeOf("small") == reference.sizeOf("small"));
+        CHECK(queue.sizeBefore(servingClassOf(request, start)) == 0);
     }
     std::vector<std::uint64_t> expected;
     while (!reference.empty())
@@ -189,3 +189,29 @@
     CHECK(idsOf<slot_refusal>(refused) == std::vector<std::uint64_t> { 101 });
     CHECK(std::get<slot_refusal>(refused.front()).reason.retryAfter >= 4300ms);
 }
+
+// Guards against a late request that is queued in the zone with the longest wait: the sender compares the
+// waits in the refusals of its immediate requests.
+TEST_CASE("the refusal of a late request that does not wait counts the late requests ahead of it")
+{
+    busy_group f(10);
+    for (int i = 0; i < 10; ++i)
+        f.release(start + 1s);
+    for (std::uint64_t id = 1; id <= 10; ++id)
+        f.group.ask(makeRequest(2000 + id, 0ms, start + 1s), start + 1s);
+    const auto now = start + 1s;
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        f.group.ask(makeRequest(id, 900ms, now), now);
+    CHECK(idsOf<slot_grant>(f.group.takeDecisions()).size() == 10);
+    auto late = makeRequest(100, 900ms, now);
+    late.immediate = true;
+    f.group.ask(late, now);
+    auto timely = makeRequest(101, 0ms, now);
+    timely.immediate = true;
+    f.group.ask(timely, now);
+    const auto decisions = f.group.takeDecisions();
+    REQUIRE(idsOf<slot_refusal>(decisions) == std::vector<std::uint64_t> { 100, 101 });
+    CHECK(std::get<slot_refusal>(decisions[0]).reason.retryAfter == 2000ms);
+    CHECK(std::get<slot_refusal>(decisions[1]).reason.retryAfter == 0ms);
+    CHECK(f.group.summary(now).liveWaiting == 20);
+}
