front: a request waits for the list of targets no longer than its caller does

The wait ended with the route's objective only, so a caller with a shorter timeout was refused after it had given up. It now ends 50 ms before the earlier of the two. The new check failed before; test_front passes (39 cases).

--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -466,8 +466,8 @@
         }
         const bool lacksTargets = mayWait && !m_fleet.hasTargetList();
         if (lacksTargets
-            && waitsForStartup(
-                caller, startup_need::target_list, targetListWaitEnd(caller->received(), matched->objective)))
+            && waitsForStartup(caller, startup_need::target_list,
+                targetListWaitEnd(caller->received(), matched->objective, facts.value().callerTimeout)))
             return std::nullopt;
         recordCallerTime(facts.value(), *matched);
         return admitted_request { std::move(caller),
--- a/libs/front/src/waiting_callers.cpp
+++ b/libs/front/src/waiting_callers.cpp
@@ -30,9 +30,11 @@
     return received + maxConfigurationWait;
 }
 
-steady_time targetListWaitEnd(steady_time received, milliseconds objective)
+steady_time targetListWaitEnd(
+    steady_time received, milliseconds objective, std::optional<milliseconds> callerTimeout)
 {
-    return received + std::max(objective - servingTime, milliseconds { 0 });
+    const auto usable = std::min(objective, callerTimeout.value_or(objective));
+    return received + std::max(usable - servingTime, milliseconds { 0 });
 }
 
 bool waiting_callers::add(std::shared_ptr<http_exchange> caller, startup_need need, steady_time end)
--- a/libs/front/src/waiting_callers.h
+++ b/libs/front/src/waiting_callers.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace yuccachute {
@@ -27,8 +28,10 @@
 
 /// When a request stops waiting for the first configuration. Its latency objective is not known yet.
 steady_time configurationWaitEnd(steady_time received);
-/// When a request stops waiting for the first list of targets: when it can no longer meet its objective.
-steady_time targetListWaitEnd(steady_time received, milliseconds objective);
+/// When a request stops waiting for the first list of targets: when it can no longer meet its objective, or
+/// be served before its caller's timeout.
+steady_time targetListWaitEnd(
+    steady_time received, milliseconds objective, std::optional<milliseconds> callerTimeout);
 
 /// Requests that have arrived before the entry's first configuration or list of targets, in order of arrival.
 /// Limited in number and memory. To be used on the loop's thread only.
--- a/libs/front/tests/test_waiting_callers.cpp
+++ b/libs/front/tests/test_waiting_callers.cpp
@@ -64,15 +64,20 @@
 TEST_CASE("a request whose time to wait has passed is released to be refused")
 {
     waiting_callers waiting;
-    REQUIRE(waiting.add(makeCaller(), startup_need::target_list, targetListWaitEnd(start, 300ms)));
-    REQUIRE(waiting.add(makeCaller(), startup_need::target_list, targetListWaitEnd(start, 2000ms)));
+    REQUIRE(
+        waiting.add(makeCaller(), startup_need::target_list, targetListWaitEnd(start, 300ms, std::nullopt)));
+    REQUIRE(
+        waiting.add(makeCaller(), startup_need::target_list, targetListWaitEnd(start, 2000ms, std::nullopt)));
     CHECK(waiting.take(configured, start + 249ms).empty());
     const auto released = waiting.take(configured, start + 250ms);
     REQUIRE(released.size() == 1);
     CHECK(released[0].expired);
     CHECK(waiting.size() == 1);
     CHECK(configurationWaitEnd(start) < start + 300ms);
-    CHECK(targetListWaitEnd(start, 0ms) == start);
+    CHECK(targetListWaitEnd(start, 0ms, std::nullopt) == start);
+    // A caller that waits for less than the objective is answered before it gives up.
+    CHECK(targetListWaitEnd(start, 2000ms, 200ms) == start + 150ms);
+    CHECK(targetListWaitEnd(start, 300ms, 5000ms) == start + 250ms);
 }
 
 // Guards against an entry that runs out of memory because the callers of a whole fleet wait at it.
