front: headers count in the memory of requests that wait at the start

Only bodies counted in the limit of 8 MiB; 512 requests with the largest headers (16 KiB) hold another 8 MiB. The new check failed before; test_front passes (39 cases).

--- a/libs/front/src/waiting_callers.cpp
+++ b/libs/front/src/waiting_callers.cpp
@@ -18,6 +18,14 @@
 /// Time that a request still needs once the list is there: a slot and its first event.
 constexpr milliseconds servingTime { 50 };
 
+std::size_t sizeOf(const http_request& request)
+{
+    auto bytes = request.path.size() + request.query.size() + request.target.size() + request.body.size();
+    for (const auto& [name, value] : request.headers)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
 } // namespace
 
 bool satisfied(startup_need need, const startup_state& state)
@@ -39,7 +47,7 @@
 
 bool waiting_callers::add(std::shared_ptr<http_exchange> caller, startup_need need, steady_time end)
 {
-    const auto bytes = caller->request().body.size();
+    const auto bytes = sizeOf(caller->request());
     if (m_waiting.size() >= maxWaitingCallers || m_bytes + bytes > maxWaitingBytes)
         return false;
     const auto id = m_nextId++;
--- a/libs/front/tests/test_waiting_callers.cpp
+++ b/libs/front/tests/test_waiting_callers.cpp
@@ -14,7 +14,12 @@
 
 class silent_caller final : public http_exchange {
 public:
-    explicit silent_caller(std::size_t bodyBytes = 0) { m_request.body.resize(bodyBytes); }
+    explicit silent_caller(std::size_t bodyBytes, std::size_t headerBytes)
+    {
+        m_request.body.resize(bodyBytes);
+        if (headerBytes > 0)
+            m_request.headers.emplace_back("padding", std::string(headerBytes, 'x'));
+    }
     const http_request& request() const override { return m_request; }
     steady_time received() const override { return start; }
     void send(http_reply) override { }
@@ -32,9 +37,9 @@
     http_request m_request;
 };
 
-std::shared_ptr<silent_caller> makeCaller(std::size_t bodyBytes = 0)
+std::shared_ptr<silent_caller> makeCaller(std::size_t bodyBytes = 0, std::size_t headerBytes = 0)
 {
-    return std::make_shared<silent_caller>(bodyBytes);
+    return std::make_shared<silent_caller>(bodyBytes, headerBytes);
 }
 
 } // namespace
@@ -94,6 +99,7 @@
     CHECK(waiting.add(makeCaller(1u << 20), startup_need::target_list, start + 250ms));
     CHECK(waiting.take(complete, start).size() == 2);
     CHECK(waiting.add(makeCaller(5u << 20), startup_need::target_list, start + 250ms));
+    CHECK(!waiting.add(makeCaller(0, 5u << 20), startup_need::target_list, start + 250ms));
 }
 
 // Guards against a slot that is requested for a caller who has disconnected while it waited.
