--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -55,6 +55,12 @@
     milliseconds maxEventInterval { 0 };
 };
 
+/// Whether a live request can no longer meet the latency objective of its caller. Its sender knows the
+/// objective: it limits the deadline of other requests of a known age to the objective, and lets one that has
+/// missed it wait until the caller's deadline, which is also the end of its hold time. A request of unknown
+/// age counts as one that can be on time. To be called when the request arrives, before it is queued.
+bool missedObjective(const slot_request& request, steady_time now);
+
 /// A granted slot at a target. The holder sends its request to the target directly and releases the grant
 /// afterwards.
 struct slot_grant {
@@ -373,6 +379,7 @@
     unsigned live = 0;
     unsigned bulk = 0;
     std::size_t liveWaiting = 0;
+    std::size_t liveWaitingPastObjective = 0; ///< Of these, requests that have missed their objective.
     std::size_t bulkWaiting = 0;
     double bulkWindow = 0;
     double slowestPace = 1; ///< Of the targets in use, relative to the nominal speed; 1 if unknown.
@@ -414,6 +421,9 @@
     std::vector<report_due> reportsDue(steady_time now);
     /// A target that reportsDue() returned has not answered.
     void recordMissedReport(std::string_view target, steady_time now);
+    /// Polls the targets as if a slot had just been requested, so that the first requests to a dispatcher
+    /// that has just started do not wait for the first reports.
+    void expectRequests(steady_time now);
     /// The holder has disconnected. Its waiting requests are removed. Its grants stay until they expire
     /// because the targets may still be processing their requests.
     void dropHolder(std::uint64_t holder, steady_time now);
--- a/libs/dispatch/src/bulk_scheduler.cpp
+++ b/libs/dispatch/src/bulk_scheduler.cpp
@@ -1,7 +1,5 @@
 #include "bulk_scheduler.h"
 
-#include "live_admission.h"
-
 #include <algorithm>
 
 namespace yuccachute {
@@ -216,7 +214,7 @@
 /// No grant is revoked for a live request that is expected to get a slot in time anyway. Without figures for
 /// any of the items, as many are revoked as live requests wait.
 std::vector<grant_revocation> bulk_scheduler::grantsToRevoke(
-    const fair_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+    const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
 {
     if (!revokesBulkGrants(m_options.policy) || live.empty())
         return {};
--- a/libs/dispatch/src/bulk_scheduler.h
+++ b/libs/dispatch/src/bulk_scheduler.h
@@ -3,6 +3,7 @@
 #include "dispatch/dispatch.h"
 #include "live_demand.h"
 #include "live_load.h"
+#include "live_queue.h"
 #include "revocation.h"
 #include "target_table.h"
 
@@ -41,7 +42,7 @@
     /// The grants to revoke for the live requests that wait. `serviceTime` is the mean time for which live
     /// grants are held; zero if unknown.
     std::vector<grant_revocation> grantsToRevoke(
-        const fair_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
+        const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
     /// Slots that waiting live requests get by revocation if expected releases do not come in time. Items
     /// without figures are not counted, so that decisions without figures stay the same.
     std::size_t revocableSlots(steady_time now) const;
--- a/libs/dispatch/src/live_admission.h
+++ b/libs/dispatch/src/live_admission.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatch.h"
 #include "live_load.h"
+#include "live_queue.h"
 #include "target_table.h"
 
 #include <optional>
@@ -20,17 +21,16 @@
     {
     }
 
-    fair_queue& queue() { return m_queue; }
-    const fair_queue& queue() const { return m_queue; }
-    /// Moves the waiting requests to a queue of another order.
-    void setOrder(fair_queue::order order);
+    live_queue& queue() { return m_queue; }
+    const live_queue& queue() const { return m_queue; }
 
     /// The reason, with a time to retry after, for refusing a request that cannot be served in time. As many
     /// waiting requests as there are `revocableSlots` delay no other request.
     std::optional<failure> refusalOf(
         const slot_request& request, std::size_t revocableSlots, steady_time now);
     /// The reason for refusing a request because of overload.
-    failure overloadRefusal(const slot_request& request, std::string message, steady_time now);
+    failure overloadRefusal(
+        const slot_request& request, serving_class which, std::string message, steady_time now);
     /// Records how long a live grant was held at a target of a pace.
     void recordServiceTime(steady_time::duration held, double pace);
 
@@ -41,16 +41,14 @@
     }
 
 private:
-    milliseconds expectedWait(const slot_request& request, std::size_t revocableSlots, steady_time now) const;
+    milliseconds expectedWait(
+        const slot_request& request, serving_class which, std::size_t revocableSlots, steady_time now) const;
 
     const target_table& m_table;
     const group_options& m_options;
-    fair_queue m_queue;
+    live_queue m_queue;
     double m_serviceTimeMs = 0; ///< Moving average of the time for which a slot is held at nominal pace.
     overload_periods m_overloadPeriods;
 };
 
-/// Returns a queue of another order with the same waiting requests.
-fair_queue reordered(fair_queue queue, fair_queue::order order);
-
 } // namespace yuccachute
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -61,7 +61,7 @@
     if (newOptions.order == options.order)
         return;
     options.order = newOptions.order;
-    live.setOrder(newOptions.order);
+    live.queue().setOrder(newOptions.order);
     bulk.setOrder(newOptions.bulkOrder.value_or(newOptions.order));
 }
 
@@ -106,10 +106,13 @@
     else
         bulk.recordBulkArrival();
     const bool immediate = request.immediate; // Expires in refuseExpired() below unless it is granted here.
-    (isLive ? live.queue() : bulk.queue()).push(std::move(request), now);
+    if (isLive)
+        live.queue().push(std::move(request), now);
+    else
+        bulk.queue().push(std::move(request), now);
     assignSlots(now);
     if (immediate)
-        refuseExpired(now);
+        refuseExpired(now); // Refuses the request unless it has been granted a slot.
 }
 
 void target_group::impl::grantSlot(
@@ -222,8 +225,9 @@
 
 void target_group::impl::refuseExpired(steady_time now)
 {
-    for (const auto& request : live.queue().takeExpired(now))
-        refuse(request, live.overloadRefusal(request, "no target had room before the timeout", now));
+    for (const auto& [request, servingClass] : live.queue().takeExpired(now))
+        refuse(request,
+            live.overloadRefusal(request, servingClass, "no target had room before the timeout", now));
     for (const auto& request : bulk.queue().takeExpired(now))
         refuse(request,
             notRun(failure_kind::overloaded, "no slot was available for bulk work in time", minRetryAfter));
@@ -339,6 +343,11 @@
     m_impl->assignSlots(now);
 }
 
+void target_group::expectRequests(steady_time now)
+{
+    m_impl->lastRequestTime = now;
+}
+
 void target_group::dropHolder(std::uint64_t holder, steady_time now)
 {
     m_impl->live.queue().removeHolder(holder);
@@ -385,6 +394,7 @@
         summary.slots += table.slotsOf(target, now);
     }
     summary.liveWaiting = m_impl->live.queue().size();
+    summary.liveWaitingPastObjective = m_impl->live.queue().missedObjectives();
     summary.bulkWaiting = m_impl->bulk.queue().size();
     summary.bulkWindow = m_impl->bulk.window();
     m_impl->summarizePaces(summary, now);
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -115,6 +115,18 @@
     return hosted;
 }
 
+void group_host::prepare(const std::string& name, steady_time now)
+{
+    if (!m_options.pollsLoadReports || !m_loads || m_groups.contains(name))
+        return;
+    auto& hosted = find(name, now);
+    logEvent(log_level::info, "polling targets before the first request",
+        { { "group", name }, { "targets", std::int64_t { hosted.group.summary(now).targets } } });
+    hosted.group.expectRequests(now);
+    requestReports(name, hosted, now);
+    armTick();
+}
+
 void group_host::received(std::uint64_t session, envelope message, steady_time now)
 {
     std::set<std::string> touched;
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -33,6 +33,9 @@
     bool targetPace = true;
     /// Whether items are started and revoked by their expected time and by repeating peaks of live demand.
     bool bulkLookahead = true;
+    /// Whether requests wait for the first configuration or list of targets of an entry that has just
+    /// started, and whether its groups poll their targets before the first request.
+    bool startup = true;
 };
 
 /// How customers' request limits are enforced. In any time span of `windowSeconds`, a customer is granted at
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -179,6 +179,7 @@
                 false } },
         { "dispatch.target_pace", { onOrOff(&dispatch_settings::targetPace), false } },
         { "dispatch.bulk_lookahead", { onOrOff(&dispatch_settings::bulkLookahead), false } },
+        { "dispatch.startup", { onOrOff(&dispatch_settings::startup), false } },
         { "customer_limits.window_s", { limitDecimal(0.1, 3600, &limit_settings::windowSeconds), false } },
         { "customer_limits.overshoot", { limitDecimal(0, 1, &limit_settings::overshoot), false } },
         { "customer_limits.slack", { limitDecimal(0, 1e6, &limit_settings::slack), false } },
--- a/libs/process_settings/tests/test_process_settings.cpp
+++ b/libs/process_settings/tests/test_process_settings.cpp
@@ -56,11 +56,12 @@
     REQUIRE(defaults);
     CHECK(defaults.value().dispatch.loadReports);
     CHECK(defaults.value().dispatch.targetPace);
+    CHECK(defaults.value().dispatch.startup);
     CHECK(defaults.value().followPeers);
     const auto disabled = parseProcessSettings("f",
         requiredOnly
             + "[dispatch]\nload_reports = 0\nwait_margin_percent = 100\nkept_for_live_ms = "
-              "0\naffinity_percent = 0\ntarget_pace = off\nbulk_lookahead = off\n"
+              "0\naffinity_percent = 0\ntarget_pace = off\nbulk_lookahead = off\nstartup = off\n"
               "[peers]\nfollow = 0\n");
     REQUIRE(disabled);
     CHECK(!disabled.value().dispatch.loadReports);
@@ -69,6 +70,7 @@
     CHECK(disabled.value().dispatch.affinityPercent == 0);
     CHECK(!disabled.value().dispatch.targetPace);
     CHECK(!disabled.value().dispatch.bulkLookahead);
+    CHECK(!disabled.value().dispatch.startup);
     CHECK(!disabled.value().followPeers);
     CHECK(defaults.value().dispatch.bulkLookahead);
     const auto unknown = parseProcessSettings("f", requiredOnly + "[dispatch]\nbulk_lookahead = 1\n");
@@ -82,4 +84,8 @@
     CHECK(notASwitch.error().message.find("[dispatch] target_pace: \"1\" is not one of on, off")
         != std::string::npos);
     CHECK(parseProcessSettings("f", requiredOnly + "[dispatch]\ntarget_pace = on\n"));
+    const auto number = parseProcessSettings("f", requiredOnly + "[dispatch]\nstartup = 1\n");
+    REQUIRE(!number);
+    CHECK(
+        number.error().message.find("[dispatch] startup: \"1\" is not one of on, off") != std::string::npos);
 }
