dispatch: ignore a time to the first event that exceeds the time the grant was held

Cause: the moving average of the time to a first event took any positive figure. One absurd figure made all targets below nominal speed too slow for live requests until many runs had outweighed it. Change: recordRun() takes the grant and ignores a first event later than the grant was held. Result: the new test failed before.

--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -175,7 +175,7 @@
     auto* target = table.find(grant->target);
     if (target) {
         recordOutcome(*target, release.outcome, now);
-        table.recordRun(*target, grant->request, release, now);
+        table.recordRun(*target, *grant, release, now);
     }
     if (grant->live() && release.outcome == grant_outcome::ok)
         live.recordServiceTime(now - grant->since, target ? table.paceOf(*target, now) : 1);
--- a/libs/dispatch/src/target_table.cpp
+++ b/libs/dispatch/src/target_table.cpp
@@ -208,7 +208,7 @@
 }
 
 void target_table::recordRun(
-    target_state& target, const slot_request& request, const grant_release& release, steady_time now)
+    target_state& target, const grant_record& grant, const grant_release& release, steady_time now)
 {
     if (!m_options.targetPace)
         return;
@@ -221,8 +221,10 @@
         target.pace.recordSilence(release.eventInterval, now);
     else
         target.pace.record(release.eventInterval, release.events, now);
-    const bool wholeRun = release.outcome == grant_outcome::ok && !request.begun;
-    if (request.workClass != work_class::live || !wholeRun || release.firstToken.count() <= 0)
+    const bool wholeRun = release.outcome == grant_outcome::ok && !grant.request.begun;
+    // A first event cannot have taken longer than the grant was held.
+    const bool valid = release.firstToken.count() > 0 && release.firstToken <= now - grant.since;
+    if (!grant.live() || !wholeRun || !valid)
         return;
     const double atNominal = static_cast<double>(release.firstToken.count()) * paceOf(target, now);
     m_firstEventMs = m_firstEventMs == 0
--- a/libs/dispatch/src/target_table.h
+++ b/libs/dispatch/src/target_table.h
@@ -92,7 +92,7 @@
     double paceOf(const target_state& target, steady_time now) const;
     /// Learns the speed of the target from a run that has ended.
     void recordRun(
-        target_state& target, const slot_request& request, const grant_release& release, steady_time now);
+        target_state& target, const grant_record& grant, const grant_release& release, steady_time now);
     /// Updates the paces a few times a second.
     void updatePaces(steady_time now);
     /// The targets that have become slow, or are no longer slow, since the last call.
--- a/libs/dispatch/tests/test_target_pace.cpp
+++ b/libs/dispatch/tests/test_target_pace.cpp
@@ -308,6 +308,21 @@
     }
 }
 
+// Guards against a wrong figure of one release that makes all targets below nominal speed too slow for as
+// long as it dominates the moving average.
+TEST_CASE("a time to the first event that is longer than the grant was held is ignored")
+{
+    paced_group f({ 57ms, 40ms, 40ms });
+    f.learn();
+    const auto grants = f.ask(f.request(work_class::live));
+    REQUIRE(grants.size() == 1);
+    f.now += 1s;
+    f.group.release(
+        { grants[0].grantId, grant_outcome::ok, milliseconds { 4294967295 }, 0, answerEvents, 40ms }, f.now);
+    f.item();
+    CHECK(f.live() == "t0");
+}
+
 // Guards against items that get no target at all because the targets that set the nominal speed have gone.
 TEST_CASE("items run at slow targets if no others are usable")
 {
