dispatch: revoke no items at a slow target that has free slots

Cause: when the only free slots were at a target that was too slow for a live request, items were revoked in the order of their due times, also at that target. The request then got one of the slots that were free there anyway, and the item was lost for nothing; also at the target that had just failed the request. Change: while a slot is free at a target that is too slow, only items at other targets are revoked. Result: the new test failed before (1 revocation).

--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -37,6 +37,7 @@
     bool assignLiveSlot(bool onlyInTime, steady_time now);
     bool assignBulkSlot(steady_time now);
     void grantSlot(slot_request request, target_state& target, steady_time since, steady_time now);
+    std::vector<std::uint64_t> grantsToRevoke(steady_time now);
     void revoke(std::span<const std::uint64_t> grants);
     void refuse(const slot_request& request, failure reason);
     void refuseExpired(steady_time now);
@@ -156,12 +157,30 @@
     }
 }
 
+std::vector<std::uint64_t> target_group::impl::grantsToRevoke(steady_time now)
+{
+    const auto* next = live.queue().front();
+    if (!next || table.bulkGrants() == 0)
+        return {};
+    const auto waiting = live.queue().size();
+    if (!selector.choose(*next, true, now))
+        return bulk.grantsToRevoke(waiting, now);
+    // A slot is free, but at a target that is too slow for the request. Only items at other targets make a
+    // difference to it.
+    auto grants = bulk.grantsToRevoke(table.bulkGrants(), now);
+    std::erase_if(grants, [&](std::uint64_t id) {
+        return selector.unsuitable(*next, *table.find(table.findGrant(id)->target), now);
+    });
+    grants.resize(std::min(grants.size(), waiting));
+    return grants;
+}
+
 void target_group::impl::assignSlots(steady_time now)
 {
     activateNeededTargets(now);
     // Items are revoked before a live request goes to a target that is too slow for it.
     while (assignLiveSlot(true, now)) { }
-    revoke(bulk.grantsToRevoke(live.queue().size(), now));
+    revoke(grantsToRevoke(now));
     while (assignLiveSlot(true, now)) { }
     while (assignLiveSlot(false, now)) { }
     while (assignBulkSlot(now)) { }
--- a/libs/dispatch/src/target_selector.cpp
+++ b/libs/dispatch/src/target_selector.cpp
@@ -117,6 +117,12 @@
     return context.onlyInTime && slowOneFree && avoided ? nullptr : best;
 }
 
+bool target_selector::unsuitable(
+    const slot_request& request, const target_state& target, steady_time now) const
+{
+    return target.description.name == request.avoid || m_table.paceOf(target, now) < neededPace(request, now);
+}
+
 void target_selector::recordGrant(const slot_request& request, const target_state& target, steady_time now)
 {
     m_prefixes.record(request.prefixes, target.description.name, now);
--- a/libs/dispatch/src/target_selector.h
+++ b/libs/dispatch/src/target_selector.h
@@ -29,6 +29,8 @@
     /// speed unless all usable ones are.
     target_state* choose(
         const slot_request& request, bool needFreeSlot, steady_time now, selection_context context = {});
+    /// Whether the target would probably miss an objective of a live request, or has just failed it.
+    bool unsuitable(const slot_request& request, const target_state& target, steady_time now) const;
     /// Remembers that the target is about to have the request's prefixes in its cache.
     void recordGrant(const slot_request& request, const target_state& target, steady_time now);
     /// The target is no longer in use.
--- a/libs/dispatch/tests/test_target_pace.cpp
+++ b/libs/dispatch/tests/test_target_pace.cpp
@@ -283,6 +283,43 @@
     CHECK(f.live() == "t1");
 }
 
+// Guards against items that are revoked at a target that has become slow, for a live request that then gets
+// one of the slots that were free there anyway.
+TEST_CASE("items at a slow target are not revoked while it has free slots")
+{
+    paced_group f({ 40ms, 320ms, 40ms });
+    const auto release = [&](const slot_grant& one) {
+        const auto interval = one.target == "t1" ? 320ms : 40ms;
+        f.group.release({ one.grantId, grant_outcome::ok, 0ms, 0, answerEvents, interval }, f.now);
+    };
+    std::vector<slot_grant> items;
+    for (int i = 0; i < 6; ++i) {
+        const auto grants = f.ask(f.request(work_class::bulk));
+        REQUIRE(grants.size() == 1);
+        items.push_back(grants[0]);
+    }
+    // One of the two items at t1 stays there. The other one and its successor tell the speed of t1.
+    const auto atSlow
+        = std::find_if(items.begin(), items.end(), [](const auto& one) { return one.target == "t1"; });
+    REQUIRE(atSlow != items.end());
+    release(*atSlow);
+    const auto successor = f.ask(f.request(work_class::bulk));
+    REQUIRE(successor.size() == 1);
+    REQUIRE(successor[0].target == "t1");
+    release(successor[0]);
+    for (const auto& one : items) {
+        if (one.target != "t1")
+            release(one);
+    }
+    f.now += 250ms;
+    f.group.tick(f.now);
+    REQUIRE(f.group.summary(f.now).slowTargets == 1);
+    for (int i = 0; i < 4; ++i)
+        CHECK(f.live() != "t1");
+    CHECK(f.live() == "t1");
+    CHECK(f.revocations == 0);
+}
+
 TEST_CASE("a target that has just failed a request is worse for it than one that is too slow")
 {
     paced_group f({ 40ms, 320ms });
