--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -248,7 +248,10 @@
     /// Removes a waiting request out of order; unset if it is not waiting.
     std::optional<std::pair<slot_request, steady_time>> take(std::uint64_t holder, std::uint64_t id);
 
-    /// Removes and returns the requests whose deadline has passed, and immediate ones.
+    /// Lets a waiting immediate request wait until then. Returns whether it is waiting.
+    bool hold(std::uint64_t holder, std::uint64_t id, steady_time until);
+    /// Removes and returns the requests whose deadline has passed, and immediate ones that may not wait
+    /// longer.
     std::vector<slot_request> takeExpired(steady_time now);
     bool remove(std::uint64_t holder, std::uint64_t id);
     void removeHolder(std::uint64_t holder);
@@ -260,6 +263,7 @@
         std::uint64_t arrival = 0;
         steady_time since;
         bool overdue = false; ///< On arrival.
+        std::optional<steady_time> heldUntil; ///< End of an immediate request's wait, if it may wait.
 
         bool dueBefore(const waiting_request& other) const
         {
--- a/libs/dispatch/src/bulk_scheduler.cpp
+++ b/libs/dispatch/src/bulk_scheduler.cpp
@@ -188,7 +188,8 @@
         if (grant.revoked || target == m_table.targets().end() || !m_table.usable(target->second, now))
             continue;
         if (grant.live() && serviceTime.count() > 0) {
-            releases.push_back(grant.since + std::chrono::duration_cast<steady_time::duration>(serviceTime));
+            const auto expected = serviceTime / m_table.paceOf(target->second, now);
+            releases.push_back(grant.since + std::chrono::duration_cast<steady_time::duration>(expected));
         } else if (!grant.live()) {
             const auto whole = expectedTime(grant.request, eventInterval(target->second, now));
             if (whole)
@@ -211,42 +212,53 @@
     return slots;
 }
 
+bool bulk_scheduler::knowsRemainingTimes(steady_time now) const
+{
+    const auto grants = m_table.revocableGrants();
+    return looksAhead() && std::any_of(grants.begin(), grants.end(), [&](auto id) {
+        return remainingTime(*m_table.findGrant(id), now).has_value();
+    });
+}
+
+std::size_t bulk_scheduler::neededRevocations(
+    const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+{
+    std::vector<steady_time> latest;
+    live.forEach([&](const slot_request& request, steady_time since) {
+        latest.push_back(latestGrantTime(request, since));
+    });
+    return revocationsNeeded(std::move(latest), expectedReleases(serviceTime, now), now);
+}
+
+bool bulk_scheduler::slotsExpected(
+    const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+{
+    return knowsRemainingTimes(now) && neededRevocations(live, serviceTime, now) == 0;
+}
+
 /// No grant is revoked for a live request that is expected to get a slot in time anyway. Without figures for
 /// any of the items, as many are revoked as live requests wait.
-std::vector<grant_revocation> bulk_scheduler::grantsToRevoke(
-    const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+std::vector<grant_revocation> bulk_scheduler::grantsToRevoke(const live_queue& live,
+    std::chrono::duration<double, std::milli> serviceTime, const target_filter& suitable,
+    steady_time now) const
 {
     if (!revokesBulkGrants(m_options.policy) || live.empty())
         return {};
-    const auto grants = m_table.revocableGrants();
-    const auto known = std::find_if(grants.begin(), grants.end(),
-        [&](auto id) { return remainingTime(*m_table.findGrant(id), now).has_value(); });
     std::vector<grant_revocation> revocations;
-    if (!looksAhead() || known == grants.end()) {
-        for (const auto id : revokedWithoutFigures(live.size(), now))
+    if (!knowsRemainingTimes(now)) {
+        for (const auto id : revokedWithoutFigures(live.size(), suitable, now))
             revocations.push_back({ m_table.findGrant(id)->request.holder, id });
         return revocations;
     }
-    std::vector<steady_time> latest;
-    bool immediate = false;
-    live.forEach([&](const slot_request& request, steady_time since) {
-        latest.push_back(latestGrantTime(request, since));
-        immediate = immediate || request.immediate;
-    });
-    // Slots go to the requests in the order of the queue, so an immediate request gets one only if those that
-    // wait do too.
-    const auto needed = immediate
-        ? live.size()
-        : revocationsNeeded(std::move(latest), expectedReleases(serviceTime, now), now);
+    const auto needed = neededRevocations(live, serviceTime, now);
     if (needed == 0)
         return {};
-    const auto targetOf = [&](std::uint64_t id) -> const target_state& {
-        return m_table.targets().find(m_table.findGrant(id)->target)->second;
-    };
-    const auto wait = expectedWait(eventInterval(targetOf(*known), now), now);
+    const auto nominal = m_table.nominalEventInterval(now);
+    const auto wait = expectedWait(nominal.count() > 0 ? nominal : m_options.assumedEventInterval, now);
     std::vector<revocable_item> items;
-    for (const auto id : grants) {
-        if (m_table.usable(targetOf(id), now)) // Elsewhere a revocation makes no room for live requests.
+    for (const auto id : m_table.revocableGrants()) {
+        const auto& target = m_table.targets().find(m_table.findGrant(id)->target)->second;
+        if (m_table.usable(target, now) && suitable(target)) // Elsewhere a revocation makes no room.
             items.push_back(describe(id, wait, now));
     }
     std::reverse(items.begin(), items.end());
@@ -261,9 +273,11 @@
 /// Selects as many bulk grants as live requests are waiting. If a revoked item loses its progress, the grants
 /// given last are revoked first; if it can be resumed, overdue items are first and then those due last.
 std::vector<std::uint64_t> bulk_scheduler::revokedWithoutFigures(
-    std::size_t liveWaiting, steady_time now) const
+    std::size_t liveWaiting, const target_filter& suitable, steady_time now) const
 {
     auto candidates = m_table.revocableGrants();
+    std::erase_if(candidates,
+        [&](auto id) { return !suitable(m_table.targets().find(m_table.findGrant(id)->target)->second); });
     std::reverse(candidates.begin(), candidates.end());
     if (std::holds_alternative<spare_bulk>(m_options.policy)) {
         const auto revokedFirst = [&](std::uint64_t left, std::uint64_t right) {
--- a/libs/dispatch/src/bulk_scheduler.h
+++ b/libs/dispatch/src/bulk_scheduler.h
@@ -7,6 +7,7 @@
 #include "revocation.h"
 #include "target_table.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <utility>
@@ -14,6 +15,8 @@
 
 namespace yuccachute {
 
+using target_filter = std::function<bool(const target_state&)>;
+
 /// The queue of bulk requests, and the decision when bulk work starts and which of it is revoked.
 class bulk_scheduler {
 public:
@@ -39,9 +42,13 @@
     bool heldBack(steady_time now) const { return now < m_heldBackUntil; }
     /// An item has arrived, which may start although the others are held back.
     void recordBulkArrival() { m_heldBackUntil = {}; }
-    /// The grants to revoke for the live requests that wait. `serviceTime` is the mean time for which live
-    /// grants are held; zero if unknown.
-    std::vector<grant_revocation> grantsToRevoke(
+    /// The grants to revoke for the live requests that wait, at the targets that are suitable for these.
+    /// `serviceTime` is the mean time for which live grants are held at nominal pace; zero if unknown.
+    std::vector<grant_revocation> grantsToRevoke(const live_queue& live,
+        std::chrono::duration<double, std::milli> serviceTime, const target_filter& suitable,
+        steady_time now) const;
+    /// Whether all live requests that wait are expected to get slots in time without further revocations.
+    bool slotsExpected(
         const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
     /// Slots that waiting live requests get by revocation if expected releases do not come in time. Items
     /// without figures are not counted, so that decisions without figures stay the same.
@@ -73,7 +80,13 @@
     int ownSlots(steady_time now) const;
     std::vector<steady_time> expectedReleases(
         std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
-    std::vector<std::uint64_t> revokedWithoutFigures(std::size_t liveWaiting, steady_time now) const;
+    /// Whether the time that any of the revocable items still needs is known.
+    bool knowsRemainingTimes(steady_time now) const;
+    /// Number of waiting live requests that get no slot in time without a revocation.
+    std::size_t neededRevocations(
+        const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
+    std::vector<std::uint64_t> revokedWithoutFigures(
+        std::size_t liveWaiting, const target_filter& suitable, steady_time now) const;
 
     const target_table& m_table;
     const group_options& m_options;
--- a/libs/dispatch/src/fair_queue.cpp
+++ b/libs/dispatch/src/fair_queue.cpp
@@ -141,7 +141,7 @@
     for (auto& [name, backlog] : m_customers) {
         auto kept = backlog.requests.begin();
         for (auto& entry : backlog.requests) {
-            if (predicate(entry.request))
+            if (predicate(entry))
                 taken.push_back(std::move(entry.request));
             else if (&*kept++ != &entry)
                 *std::prev(kept) = std::move(entry);
@@ -152,22 +152,37 @@
     return taken;
 }
 
+bool fair_queue::hold(std::uint64_t holder, std::uint64_t id, steady_time until)
+{
+    for (auto& [name, backlog] : m_customers) {
+        for (auto& entry : backlog.requests) {
+            if (entry.request.holder != holder || entry.request.id != id)
+                continue;
+            entry.heldUntil = until;
+            return true;
+        }
+    }
+    return false;
+}
+
 std::vector<slot_request> fair_queue::takeExpired(steady_time now)
 {
-    return takeIf(
-        [now](const slot_request& request) { return request.immediate || request.deadline <= now; });
+    return takeIf([now](const waiting_request& entry) {
+        const bool mayWait = !entry.request.immediate || entry.heldUntil.value_or(now) > now;
+        return !mayWait || entry.request.deadline <= now;
+    });
 }
 
 bool fair_queue::remove(std::uint64_t holder, std::uint64_t id)
 {
-    return !takeIf([=](const slot_request& request) {
-        return request.holder == holder && request.id == id;
+    return !takeIf([=](const waiting_request& entry) {
+        return entry.request.holder == holder && entry.request.id == id;
     }).empty();
 }
 
 void fair_queue::removeHolder(std::uint64_t holder)
 {
-    takeIf([=](const slot_request& request) { return request.holder == holder; });
+    takeIf([=](const waiting_request& entry) { return entry.request.holder == holder; });
 }
 
 } // namespace yuccachute
--- a/libs/dispatch/src/live_queue.cpp
+++ b/libs/dispatch/src/live_queue.cpp
@@ -74,6 +74,12 @@
     return expired;
 }
 
+void live_queue::hold(std::uint64_t holder, std::uint64_t id, steady_time until)
+{
+    if (!m_timely.hold(holder, id, until))
+        m_missed.hold(holder, id, until);
+}
+
 bool live_queue::remove(std::uint64_t holder, std::uint64_t id)
 {
     return m_timely.remove(holder, id) || m_missed.remove(holder, id);
--- a/libs/dispatch/src/live_queue.h
+++ b/libs/dispatch/src/live_queue.h
@@ -52,6 +52,8 @@
     void forEach(const std::function<void(const slot_request&, steady_time since)>& visit) const;
     std::vector<expired_request> takeExpired(steady_time now);
     bool remove(std::uint64_t holder, std::uint64_t id);
+    /// Lets a waiting immediate request wait until then.
+    void hold(std::uint64_t holder, std::uint64_t id, steady_time until);
     void removeHolder(std::uint64_t holder);
 
 private:
--- a/libs/dispatch/src/revocation.cpp
+++ b/libs/dispatch/src/revocation.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// A live request waits at most this fraction of the time until its deadline for a slot that is expected to
-/// become free, so that its target still has most of the objective.
-constexpr int waitDivisor = 5;
+/// become free: with an objective of 300 ms 25 ms, about the time to the first event of an idle target.
+constexpr int waitDivisor = 10;
 /// An item is nearly done if less than this fraction of its work is left.
 constexpr int nearlyDoneDivisor = 5;
 
@@ -27,11 +27,16 @@
 
 steady_time latestGrantTime(const slot_request& live, steady_time since)
 {
-    if (live.immediate || live.deadline <= since)
+    if (live.deadline <= since)
         return since;
     return since + (live.deadline - since) / waitDivisor;
 }
 
+steady_time immediateWaitEnd(const slot_request& live, steady_time since)
+{
+    return since + 2 * (latestGrantTime(live, since) - since);
+}
+
 std::size_t revocationsNeeded(
     std::vector<steady_time> latest, std::vector<steady_time> releases, steady_time now)
 {
--- a/libs/dispatch/src/revocation.h
+++ b/libs/dispatch/src/revocation.h
@@ -22,6 +22,10 @@
 /// Time until which a live request can wait for a slot and still leave its target most of its objective.
 steady_time latestGrantTime(const slot_request& live, steady_time since);
 
+/// End of the wait of an immediate request for a slot that is expected to become free. It leaves time for a
+/// revocation after latestGrantTime().
+steady_time immediateWaitEnd(const slot_request& live, steady_time since);
+
 /// How many of the live requests that can wait until `latest` would not get one of the slots that become
 /// free at `releases` in time.
 std::size_t revocationsNeeded(
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -5,6 +5,7 @@
 #include "target_table.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace yuccachute {
@@ -37,6 +38,8 @@
     bool assignLiveSlot(bool onlyInTime, steady_time now);
     bool assignBulkSlot(steady_time now);
     void grantSlot(slot_request request, target_state& target, steady_time since, steady_time now);
+    std::vector<grant_revocation> grantsToRevoke(steady_time now);
+    void refuseOrHold(const slot_request& asked, steady_time now);
     void revoke(std::span<const grant_revocation> revocations);
     void refuse(const slot_request& request, failure reason);
     void refuseExpired(steady_time now);
@@ -105,14 +108,14 @@
         bulk.recordLiveArrival(now);
     else
         bulk.recordBulkArrival();
-    const bool immediate = request.immediate; // Expires in refuseExpired() below unless it is granted here.
+    const auto asked = request.immediate ? std::optional(request) : std::nullopt;
     if (isLive)
         live.queue().push(std::move(request), now);
     else
         bulk.queue().push(std::move(request), now);
     assignSlots(now);
-    if (immediate)
-        refuseExpired(now); // Refuses the request unless it has been granted a slot.
+    if (asked)
+        refuseOrHold(*asked, now);
 }
 
 void target_group::impl::grantSlot(
@@ -173,12 +176,34 @@
     }
 }
 
+std::vector<grant_revocation> target_group::impl::grantsToRevoke(steady_time now)
+{
+    const auto* next = live.queue().front();
+    if (!next || table.bulkGrants() == 0)
+        return {};
+    // If a slot is free, it is at a target that is too slow for the request. Then only items at other targets
+    // make a difference to it.
+    const bool slotFree = selector.choose(*next, true, now) != nullptr;
+    const auto suitable
+        = [&](const target_state& target) { return !slotFree || !selector.unsuitable(*next, target, now); };
+    return bulk.grantsToRevoke(live.queue(), live.meanServiceTime(), suitable, now);
+}
+
+/// Refuses an immediate request that was not granted a slot, unless one is expected to become free in time.
+void target_group::impl::refuseOrHold(const slot_request& asked, steady_time now)
+{
+    const bool isLive = asked.workClass == work_class::live;
+    if (isLive && bulk.slotsExpected(live.queue(), live.meanServiceTime(), now))
+        live.queue().hold(asked.holder, asked.id, immediateWaitEnd(asked, now));
+    refuseExpired(now);
+}
+
 void target_group::impl::assignSlots(steady_time now)
 {
     activateNeededTargets(now);
     // Items are revoked before a live request goes to a target that is too slow for it.
     while (assignLiveSlot(true, now)) { }
-    revoke(bulk.grantsToRevoke(live.queue(), live.meanServiceTime(), now));
+    revoke(grantsToRevoke(now));
     while (assignLiveSlot(true, now)) { }
     while (assignLiveSlot(false, now)) { }
     while (assignBulkSlot(now)) { }
@@ -192,7 +217,7 @@
     auto* target = table.find(grant->target);
     if (target) {
         recordOutcome(*target, release.outcome, now);
-        table.recordRun(*target, grant->request, release, now);
+        table.recordRun(*target, *grant, release, now);
     }
     if (grant->live() && release.outcome == grant_outcome::ok)
         live.recordServiceTime(now - grant->since, target ? table.paceOf(*target, now) : 1);
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -15,6 +15,9 @@
 /// A reachable dispatcher acknowledges a slot request within a few milliseconds, even on an overloaded VM. A
 /// dead dispatcher delays a request by this time.
 constexpr milliseconds acknowledgementTimeout { 50 };
+/// A dispatcher decides on an immediate request within this fraction of the time until its grant deadline: it
+/// may hold the request until a slot that is about to become free.
+constexpr int immediateWaitDivisor = 5;
 /// A dispatcher that did not respond is tried last for this time.
 constexpr milliseconds unresponsivePeriod { 1000 };
 constexpr std::uint64_t localSession = 0;
@@ -332,7 +335,9 @@
     {
         if (m_dispatcher.empty())
             return;
-        m_timer.armAt(m_queueDeadline.value_or(std::chrono::steady_clock::now()) + acknowledgementTimeout,
+        const auto now = std::chrono::steady_clock::now();
+        const auto immediateWait = (m_request.grantDeadline - now) / immediateWaitDivisor;
+        m_timer.armAt(m_queueDeadline.value_or(now + immediateWait) + acknowledgementTimeout,
             [this, keep = weak_from_this()] {
                 if (keep.lock())
                     onAcknowledgementTimeout();
