--- a/libs/dispatch/src/target_pace.cpp
+++ b/libs/dispatch/src/target_pace.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// A run is reported at its end, so samples have to live longer than a run at a target that is several times
-/// slower than the others. Otherwise its slowness would be forgotten while the next runs at it are still in
-/// progress.
-constexpr milliseconds sampleLifetime { 10000 };
 /// A single run may have stalled.
 constexpr std::size_t minSamples = 2;
 /// Fewer events measure how they were batched in the network rather than the speed of the target.
@@ -38,12 +34,12 @@
     m_next = (m_next + 1) % maxSamples;
 }
 
-std::chrono::microseconds target_pace::interval(steady_time now) const
+std::chrono::microseconds target_pace::interval(steady_time now, milliseconds lifetime) const
 {
     std::array<std::chrono::microseconds, maxSamples> recent;
     std::size_t count = 0;
     for (const auto& one : m_samples) {
-        if (one.interval.count() > 0 && now - one.time < sampleLifetime)
+        if (one.interval.count() > 0 && now - one.time < lifetime)
             recent[count++] = one.interval;
     }
     if (count < minSamples)
--- a/libs/dispatch/src/target_pace.h
+++ b/libs/dispatch/src/target_pace.h
@@ -16,6 +16,11 @@
 /// Speed of a target relative to the other targets of its group, learned from the runs at it.
 class target_pace {
 public:
+    /// A run is reported at its end, so samples have to live longer than a run at a target that is several
+    /// times slower than the others. Otherwise its slowness would be forgotten while the next runs at it are
+    /// still in progress.
+    static constexpr milliseconds sampleLifetime { 10000 };
+
     /// Records the mean interval between the last events of a run. An interval that cannot be valid, or that
     /// was measured over too few events, is ignored.
     void record(std::chrono::microseconds interval, std::uint32_t events, steady_time now);
@@ -23,7 +28,9 @@
     /// events.
     void recordSilence(std::chrono::microseconds silence, steady_time now);
     /// The median interval of the recent runs; zero if there are too few of them.
-    std::chrono::microseconds interval(steady_time now) const;
+    std::chrono::microseconds interval(steady_time now) const { return interval(now, sampleLifetime); }
+    /// As above, of the runs within the last `lifetime`.
+    std::chrono::microseconds interval(steady_time now, milliseconds lifetime) const;
     /// Updates the result of relative() from the recent runs and the group's nominal interval; zero if that
     /// is unknown. Called a few times a second, so that relative() costs nothing.
     void update(std::chrono::microseconds nominal, steady_time now);
--- a/libs/dispatch/src/target_table.cpp
+++ b/libs/dispatch/src/target_table.cpp
@@ -12,6 +12,10 @@
 constexpr milliseconds deactivationInterval { 1000 };
 /// Runs that tell the speed of a target take longer than this, and an update looks at all targets.
 constexpr milliseconds paceUpdateInterval { 250 };
+/// The nominal interval describes the service, which changes with a release, and not the present state of its
+/// targets. At low load the preferred targets have nearly all recent runs, and their median would make the
+/// others look slow.
+constexpr milliseconds nominalSampleLifetime { 60000 };
 /// The nominal interval is updated while the group is active. After a longer pause it is unknown.
 constexpr milliseconds nominalLifetime { 10000 };
 /// Weight of the previous average in the moving average of the time to the first event.
@@ -236,7 +240,7 @@
 {
     std::vector<std::chrono::microseconds> intervals;
     for (const auto& [name, target] : m_targets) {
-        if (const auto interval = target.pace.interval(now); interval.count() > 0)
+        if (const auto interval = target.pace.interval(now, nominalSampleLifetime); interval.count() > 0)
             intervals.push_back(interval);
     }
     if (intervals.empty())
