limits: tokens of a customer over its limit go to requests that can be on time

A customer at several times its limit had its tokens taken by callers that came again after a retry time and were late by then, while requests that arrived for the first time were refused. The dispatcher now compares the age of a request with the objective of its service, known from the configuration. Ages that are 0 change nothing. Switch: [dispatch] customer_shares = on|off. New metric yuccachute_limit_late_refusals.

--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -292,6 +292,8 @@
     /// enough that requests find other targets that have already reported, both after the loss of a tenth of
     /// the targets and at the start of a load peak.
     std::size_t minTargets = 32;
+    /// Whether customers that compete for limits or slots are treated by their shares.
+    bool customerShares = true;
 };
 
 /// A target that is due to be polled for its load.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -35,6 +35,7 @@
     options.waitMargin = settings.dispatch.waitMarginPercent / 100.0;
     options.keptForLive = settings.dispatch.keptForLive;
     options.affinity = settings.dispatch.affinityPercent / 100.0;
+    options.customerShares = settings.dispatch.customerShares;
     return options;
 }
 
@@ -202,6 +203,7 @@
             m_callers->setLimits(limits(table->limits));
         m_limits.setCustomers(table->customers, std::chrono::steady_clock::now());
         m_broker.limitsChanged();
+        m_broker.setObjectives(longestObjectives(*table));
     }
 
     void targetsChanged(std::span<const target_change> changes)
@@ -408,6 +410,7 @@
         if (m_limits.hasLimits()) {
             m_figures.set("yuccachute_limit_part", m_limits.share(now));
             m_figures.set("yuccachute_limit_refusals", static_cast<double>(m_limits.refused()));
+            m_figures.set("yuccachute_limit_late_refusals", static_cast<double>(m_limits.refusedLate()));
         }
         for (const auto& [name, group] : m_broker.summaries(now)) {
             m_figures.set("yuccachute_group_live", group.live);
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -148,6 +148,30 @@
     bool operator==(const limit_message&) const = default;
 };
 
+/// What a request needs a token for.
+struct token_need {
+    /// The request has already run in part elsewhere: it may overdraw the bucket within its credit.
+    bool isContinuation = false;
+    /// Time until the request can no longer meet its latency objective; zero or less if it already cannot.
+    /// Unset if unknown: the request then counts as one that can.
+    std::optional<milliseconds> timeUntilLate;
+
+    /// Whether requests that can meet their objective are preferred to this one.
+    bool isLate() const { return !isContinuation && timeUntilLate && timeUntilLate->count() <= 0; }
+};
+
+enum class token_refusal : std::uint8_t {
+    none, ///< A token was taken.
+    limit_reached,
+    kept_for_timely ///< The tokens left are kept for requests that can meet their latency objective.
+};
+
+struct token_decision {
+    token_refusal refusal = token_refusal::none;
+    milliseconds retryAfter { 0 };
+};
+
+struct bucket_situation;
 class limit_roster;
 class share_lender;
 class share_borrower;
@@ -195,8 +219,12 @@
     /// A continuation is a request that has already run in part elsewhere: it may overdraw the bucket within
     /// its credit.
     milliseconds tryAcquire(std::string_view customer, bool isContinuation, steady_time now);
-    /// Returns a token that was acquired but not used.
-    void refund(std::string_view customer, steady_time now);
+    /// The same for a request whose time left for its latency objective may be known. Of a customer above its
+    /// limit, requests that can no longer meet their objective get only tokens that the others leave over.
+    token_decision acquire(std::string_view customer, const token_need& need, steady_time now);
+    /// Returns a token that was acquired but not used. `wasLate`: the request could no longer meet its
+    /// objective.
+    void refund(std::string_view customer, steady_time now, bool wasLate = false);
 
     /// Whether another process has requested loans lately.
     bool isGranting(std::string_view vm, steady_time now) const;
@@ -215,6 +243,8 @@
 
     /// Number of requests refused since the process started.
     std::uint64_t refused() const { return m_refused; }
+    /// How many of these were refused a token that is kept for requests that can meet their objective.
+    std::uint64_t refusedLate() const { return m_refusedLate; }
 
     /// State of a customer's bucket, for metrics.
     struct usage {
@@ -248,6 +278,11 @@
     void attachTokens(share_loan& loan, steady_time now);
     void addLoanedTokens(const share_loan& loan, steady_time now);
     milliseconds reserveRetryTime(request_bucket& bucket, double missing, steady_time now);
+    /// The retry time of a request that has found no token.
+    milliseconds retryTime(request_bucket& bucket, const bucket_situation& situation, const token_need& need,
+        double missing, steady_time now);
+    /// The refill of the bucket per second, including what other processes transfer.
+    double refillPerSecond(const request_bucket& bucket, steady_time now) const;
     /// Number of processes that borrow from this one, plus one if this process grants itself.
     double grantingProcessCount(steady_time now) const;
     limit_message makeMessage(limit_message_body body) const;
@@ -268,6 +303,7 @@
     std::unique_ptr<share_borrower> m_borrower;
     std::map<std::string, peer_state, std::less<>> m_peers; ///< By VM.
     std::uint64_t m_refused = 0;
+    std::uint64_t m_refusedLate = 0;
     double m_share = 0;
     double m_ownShare = 0; ///< The share that this process owns, including what it has lent.
     bool m_isDispatcher = false;
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -63,6 +63,15 @@
     return std::min(idle ? std::max(even, missing) : even, own);
 }
 
+bucket_situation situationOf(const request_bucket& bucket, double refillPerSecond, steady_time now)
+{
+    bucket_situation situation { bucket.level(), bucket.capacity(), refillPerSecond,
+        bucket.timelyDemand.perSecond(now) };
+    situation.isOverLimit
+        = isOverLimit(situation, bucket.timelyDemand.exceeds(refillPerSecond, now), bucket.wasOverLimit);
+    return situation;
+}
+
 } // namespace
 
 distributed_rate_limiter::distributed_rate_limiter(
@@ -214,25 +223,74 @@
 
 milliseconds distributed_rate_limiter::tryAcquire(
     std::string_view customer, bool isContinuation, steady_time now)
+{
+    return acquire(customer, { isContinuation, std::nullopt }, now).retryAfter;
+}
+
+token_decision distributed_rate_limiter::acquire(
+    std::string_view customer, const token_need& need, steady_time now)
 {
     const auto found = m_buckets.find(hashText(customer));
     if (found == m_buckets.end())
-        return milliseconds { 0 };
+        return {};
     auto& bucket = found->second;
     if (!isActive(now))
         m_activeSince = now;
     m_lastAcquire = now;
     if (!m_roster->includesSelf())
-        return noShareRetryAfter;
+        return { token_refusal::limit_reached, noShareRetryAfter };
     refreshShare(now);
     bucket.usedSinceRequest = true;
     bucket.lastAcquire = now;
     bucket.advance(now);
-    const double needed = isContinuation ? 1 - bucket.credit() : 1;
+    if (need.isLate())
+        bucket.lastLateAt = now;
+    else
+        bucket.timelyDemand.record(now);
+    const auto situation = situationOf(bucket, refillPerSecond(bucket, now), now);
+    bucket.wasOverLimit = situation.isOverLimit;
+    const double needed = need.isContinuation ? 1 - bucket.credit() : 1;
     if (bucket.level() < needed)
-        return reserveRetryTime(bucket, needed - bucket.level(), now);
+        return { token_refusal::limit_reached,
+            retryTime(bucket, situation, need, needed - bucket.level(), now) };
+    const double kept = levelKeptForTimely(situation);
+    if (need.isLate() && bucket.level() <= kept) {
+        ++m_refusedLate;
+        return { token_refusal::kept_for_timely,
+            retryTime(bucket, situation, need, kept - bucket.level(), now) };
+    }
     bucket.remove(1);
-    return milliseconds { 0 };
+    return {};
+}
+
+double distributed_rate_limiter::refillPerSecond(const request_bucket& bucket, steady_time now) const
+{
+    // Peers transfer the tokens that refill their buckets, unless they run low themselves.
+    const bool peersLow = now - bucket.peersLowAt <= lowLevelValidFor;
+    const double inflow = peersLow ? m_share : std::min(1.0, m_share * grantingProcessCount(now));
+    return bucket.limit().perSecond * inflow;
+}
+
+/// A caller that returns after its objective cannot rely on the token that is refilled by then, while its
+/// customer is above the limit: that token goes to a request that can be on time.
+milliseconds distributed_rate_limiter::retryTime(request_bucket& bucket, const bucket_situation& situation,
+    const token_need& need, double missing, steady_time now)
+{
+    const auto whenFilled = timeUntilLateMayRun(situation, maxRetryAfter);
+    if (need.isLate() && situation.isOverLimit) {
+        ++m_refused;
+        return std::max(minRetryAfter, whenFilled);
+    }
+    const auto wait = reserveRetryTime(bucket, missing, now);
+    if (need.isLate())
+        return std::max(wait, whenFilled);
+    // Without requests that are known to be late, the ages of this customer's requests are unknown, and its
+    // callers are served in turn.
+    const bool agesAreKnown = bucket.lastLateAt != steady_time {} && now - bucket.lastLateAt <= maxRetryAfter;
+    const bool returnsLate = need.timeUntilLate && wait >= *need.timeUntilLate;
+    if (!situation.isOverLimit || !agesAreKnown || !returnsLate || need.isContinuation)
+        return wait;
+    return std::max(wait, whenFilled);
 }
 
 /// Assigns successive retry times to refused requests, spaced by the refill interval of a token.
@@ -240,10 +298,7 @@
     request_bucket& bucket, double missing, steady_time now)
 {
     ++m_refused;
-    // Peers transfer the tokens that refill their buckets, unless they run low themselves.
-    const bool peersLow = now - bucket.peersLowAt <= lowLevelValidFor;
-    const double inflow = peersLow ? m_share : std::min(1.0, m_share * grantingProcessCount(now));
-    const double perSecond = std::max(bucket.limit().perSecond * inflow, 1e-3);
+    const double perSecond = std::max(refillPerSecond(bucket, now), 1e-3);
     const auto after = [&](steady_time from, double tokens) {
         return from
             + std::chrono::duration_cast<steady_time::duration>(std::chrono::duration<double>(
@@ -254,13 +309,15 @@
     return std::max(minRetryAfter, std::chrono::duration_cast<milliseconds>(bucket.lastRetryAt - now));
 }
 
-void distributed_rate_limiter::refund(std::string_view customer, steady_time now)
+void distributed_rate_limiter::refund(std::string_view customer, steady_time now, bool wasLate)
 {
     const auto found = m_buckets.find(hashText(customer));
     if (found == m_buckets.end())
         return;
     found->second.advance(now);
     found->second.add(1);
+    if (!wasLate)
+        found->second.timelyDemand.undo(now);
 }
 
 bool distributed_rate_limiter::isGranting(std::string_view vm, steady_time now) const
--- a/libs/limits/src/request_bucket.h
+++ b/libs/limits/src/request_bucket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "late_requests.h"
 #include "limits/limits.h"
 
 namespace yuccachute {
@@ -33,6 +34,11 @@
     steady_time lastRetryAt; ///< Latest retry time that was assigned to a refused request.
     bool usedSinceRequest = false; ///< Whether a token was requested since the last token request to peers.
     steady_time lastAcquire;
+    /// Requests that could meet their latency objective. A period of one second is short enough to notice the
+    /// end of an excess before its refused callers give up, and covers several requests of most customers.
+    recent_demand timelyDemand { std::chrono::seconds { 1 } };
+    bool wasOverLimit = false; ///< At its previous request; see isOverLimit().
+    steady_time lastLateAt; ///< When a request arrived last that could no longer meet its objective.
     steady_time peersLowAt; ///< When another process last reported that its bucket runs low.
 
 private:
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -116,6 +116,9 @@
     /// Updates the targets of the fleet; `changes` holds the differences from the previous call. A group uses
     /// the targets of one service in one zone. `targets` must outlive this object.
     void setTargets(const target_directory& targets, std::span<const target_change> changes, steady_time now);
+    /// Sets the latency objectives of live requests by service. A request of another service is never taken
+    /// for late.
+    void setObjectives(service_objectives objectives) { m_objectives = std::move(objectives); }
     /// Handles a message from a session. Each slot request in it is answered through the sender: at once if a
     /// decision is possible, otherwise with an acknowledgement, which distinguishes a queued request from a
     /// dead dispatcher.
@@ -133,6 +136,8 @@
     };
 
     hosted_group& find(const std::string& name, steady_time now);
+    /// The latency objective of a group's service; 0 if unknown.
+    milliseconds objectiveOf(std::string_view group) const;
     std::vector<target_description> targetsOf(const std::string& name) const;
     /// Applies the changes that concern the group. Returns whether there were any.
     bool applyChanges(const std::string& name, target_group& group, std::span<const target_change> changes,
@@ -155,6 +160,7 @@
     sender m_send;
     primary_check m_isPrimary;
     const target_directory* m_targets = nullptr;
+    service_objectives m_objectives;
     std::map<std::string, hosted_group> m_groups;
     /// Armed only while a group has pending work. Most processes of a large fleet are dispatcher of no group:
     /// with a permanent tick of 10 ms, 300 such processes spent more processor time on ticks than on their
@@ -192,6 +198,8 @@
     void setLimitMembers(std::span<const limit_member> members);
     /// `targets` must outlive this object.
     void setTargets(const target_directory& targets, std::span<const target_change> changes, steady_time now);
+    /// Sets the latency objectives of live requests by service.
+    void setObjectives(service_objectives objectives);
     /// To be called after the customers' limits have changed.
     void limitsChanged();
 
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -27,7 +27,7 @@
 group_host::group_host(event_loop& loop, sender send, primary_check first, load_report_source* loads,
     const group_options& options, distributed_rate_limiter* limits)
     : m_loads(loads)
-    , m_limitGate(std::make_unique<limit_gate>(limits))
+    , m_limitGate(std::make_unique<limit_gate>(limits, options.customerShares))
     , m_options(options)
     , m_send(std::move(send))
     , m_isPrimary(std::move(first))
@@ -126,11 +126,17 @@
     armTick();
 }
 
+milliseconds group_host::objectiveOf(std::string_view group) const
+{
+    const auto found = m_objectives.find(group.substr(0, group.find('/')));
+    return found == m_objectives.end() ? milliseconds { 0 } : found->second;
+}
+
 void group_host::handleSlotRequest(
     std::uint64_t session, ask_message one, envelope& acknowledgement, steady_time now)
 {
     one.ask.holder = session;
-    auto refused = m_limitGate->admit(one.ask, now);
+    auto refused = m_limitGate->admit(one.ask, objectiveOf(one.group), now);
     if (one.ask.workClass == work_class::bulk && !m_isPrimary(one.group))
         refused = notRun(failure_kind::unavailable,
             "bulk work is refused: this entry is not the primary dispatcher of the group",
@@ -147,7 +153,8 @@
 void group_host::received(const release_message& message, steady_time now)
 {
     auto& group = find(message.group, now).group;
-    m_limitGate->released(group.requestOfGrant(message.release.grantId), message.release.outcome, now);
+    m_limitGate->released(group.requestOfGrant(message.release.grantId), message.release.outcome,
+        objectiveOf(message.group), now);
     group.release(message.release, now);
 }
 
--- a/libs/places/src/limit_gate.h
+++ b/libs/places/src/limit_gate.h
@@ -15,14 +15,17 @@
 /// it.
 class limit_gate {
 public:
-    /// `limits` may be null: then all requests are admitted.
-    explicit limit_gate(distributed_rate_limiter* limits)
+    /// `limits` may be null: then all requests are admitted. `prefersTimely`: of a customer above its limit,
+    /// requests that can meet their latency objective are preferred.
+    explicit limit_gate(distributed_rate_limiter* limits, bool prefersTimely = true)
         : m_limits(limits)
+        , m_prefersTimely(prefersTimely)
     {
     }
 
-    /// Takes a token for the slot request, or returns the reason for refusing it.
-    std::optional<failure> admit(const slot_request& request, steady_time now);
+    /// Takes a token for the slot request, or returns the reason for refusing it. `objective` is the latency
+    /// objective of the request's service; 0 if unknown.
+    std::optional<failure> admit(const slot_request& request, milliseconds objective, steady_time now);
     /// The slot request was granted: from now on only released() refunds its token.
     void granted(std::uint64_t session, std::uint64_t slotRequestId);
     /// The slot request was refused or withdrawn: its token is refunded.
@@ -30,13 +33,23 @@
     void sessionClosed(std::uint64_t session, steady_time now);
     /// A grant was released. `request` is the slot request that it was given for; null if that is no longer
     /// known.
-    void released(const slot_request* request, grant_outcome outcome, steady_time now);
+    void released(
+        const slot_request* request, grant_outcome outcome, milliseconds objective, steady_time now);
 
 private:
     using request_key = std::pair<std::uint64_t, std::uint64_t>; ///< Session, and id of the slot request.
 
+    struct token_holder {
+        std::string customer;
+        bool isLate = false; ///< When the token was taken.
+    };
+
+    token_need needOf(const slot_request& request, milliseconds objective) const;
+    void refund(const token_holder& holder, steady_time now);
+
     distributed_rate_limiter* m_limits;
-    std::map<request_key, std::string> m_tokenHolders; ///< Customers of pending requests that hold a token.
+    bool m_prefersTimely;
+    std::map<request_key, token_holder> m_tokenHolders; ///< Pending requests that hold a token.
 };
 
 } // namespace yuccachute
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -671,6 +671,11 @@
         m_impl->exchange->setMembers(members);
 }
 
+void slot_broker::setObjectives(service_objectives objectives)
+{
+    m_impl->host.setObjectives(std::move(objectives));
+}
+
 void slot_broker::limitsChanged()
 {
     if (m_impl->exchange)
--- /dev/null
+++ b/libs/places/tests/test_limit_gate.cpp
@@ -0,0 +1,105 @@
+#include "../src/limit_gate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace yuccachute;
+
+namespace {
+
+const steady_time start { std::chrono::hours { 1 } };
+constexpr milliseconds objective { 300 };
+
+steady_time at(int ms)
+{
+    return start + milliseconds { ms };
+}
+
+/// A process with a limit of 10 requests per second and a burst of 10.
+struct limited_process {
+    limited_process()
+    {
+        customer_directory customers;
+        customers.add({ "firm", 0, 10, 10, 0 }, {});
+        limits.setCustomers(customers, start);
+        limits.setMembers(std::vector<limit_member> { { "a", "zone-a" } }, start);
+        limits.setIsDispatcher(true, start);
+    }
+
+    distributed_rate_limiter limits { "a", 1, lent_shares {}, {} };
+};
+
+slot_request makeRequest(std::uint64_t id, int ageMs)
+{
+    slot_request request;
+    request.holder = 1;
+    request.id = id;
+    request.customer = "firm";
+    request.age = milliseconds { ageMs };
+    return request;
+}
+
+/// Sends many requests that arrive for the first time; some of them are refused. A second later the bucket
+/// has some tokens again. Returns the last refusal.
+failure exhaust(limit_gate& gate)
+{
+    std::optional<failure> refused;
+    for (std::uint64_t id = 0; id < 200; ++id) {
+        auto next = gate.admit(makeRequest(id, 0), objective, at(10000 + static_cast<int>(id)));
+        if (next)
+            refused = std::move(next);
+    }
+    REQUIRE(refused);
+    return *refused;
+}
+
+} // namespace
+
+// Guards against callers that come again after their objective and take the tokens of requests that arrive
+// for the first time.
+TEST_CASE("late requests of a customer over its limit are refused at once while the others are admitted")
+{
+    limited_process process;
+    limit_gate gate(&process.limits);
+    CHECK(exhaust(gate).kind == failure_kind::limited);
+    const auto late = gate.admit(makeRequest(1000, 250), objective, at(10600));
+    REQUIRE(late);
+    CHECK(late->kind == failure_kind::limited);
+    CHECK(late->ran == verdict::not_run);
+    CHECK(late->retryAfter > milliseconds { 1000 });
+    CHECK(late->retryAfter <= milliseconds { 5000 });
+    CHECK(process.limits.refusedLate() == 1);
+    CHECK(!gate.admit(makeRequest(1001, 249), objective, at(10600)));
+    // A request that has already run in part goes on.
+    auto begun = makeRequest(1002, 2000);
+    begun.begun = true;
+    CHECK(!gate.admit(begun, objective, at(10600)));
+}
+
+TEST_CASE("without an objective, or switched off, the age of a request makes no difference")
+{
+    for (const bool prefersTimely : { true, false }) {
+        limited_process process;
+        limit_gate gate(&process.limits, prefersTimely);
+        exhaust(gate);
+        const auto known = prefersTimely ? milliseconds { 0 } : objective;
+        CHECK(!gate.admit(makeRequest(1000, 2000), known, at(10600)));
+        CHECK(process.limits.refusedLate() == 0);
+    }
+}
+
+TEST_CASE("the tokens of requests that get no slot or do not use it are refunded")
+{
+    limited_process process;
+    limit_gate gate(&process.limits);
+    const auto level = [&] { return process.limits.usageOf("firm", at(10000))->level; };
+    const auto before = level();
+    for (const std::uint64_t id : { 1, 2, 3 })
+        CHECK(!gate.admit(makeRequest(id, 1000), objective, at(10000)));
+    CHECK(level() == Approx(before - 3));
+    gate.dropped(1, 1, at(10000));
+    gate.granted(1, 2);
+    const auto unused = makeRequest(2, 1000);
+    gate.released(&unused, grant_outcome::unused, objective, at(10000));
+    gate.sessionClosed(1, at(10000));
+    CHECK(level() == Approx(before));
+}
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -28,6 +28,9 @@
     /// Weight of a fully cached prompt in the choice of a target: it offsets this percentage of occupied
     /// slots.
     unsigned affinityPercent = 60;
+    /// Whether competing customers are treated by their shares: which requests of a customer above its limit
+    /// get its tokens.
+    bool customerShares = true;
 };
 
 /// How customers' request limits are enforced. In any time span of `windowSeconds`, a customer is granted at
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -123,6 +123,16 @@
     };
 }
 
+value_setter onOff(std::function<void(process_settings&, bool)> store)
+{
+    return [=](process_settings& settings, const std::string& value) {
+        if (value != "on" && value != "off")
+            return '"' + value + "\" is neither on nor off";
+        store(settings, value == "on");
+        return std::string();
+    };
+}
+
 /// All keys, as "section.key".
 const rule_map& rules()
 {
@@ -168,6 +178,8 @@
             { number(0, 1000,
                   [](auto& s, auto value) { s.dispatch.affinityPercent = static_cast<unsigned>(value); }),
                 false } },
+        { "dispatch.customer_shares",
+            { onOff([](auto& s, bool on) { s.dispatch.customerShares = on; }), false } },
         { "customer_limits.window_s", { limitDecimal(0.1, 3600, &limit_settings::windowSeconds), false } },
         { "customer_limits.overshoot", { limitDecimal(0, 1, &limit_settings::overshoot), false } },
         { "customer_limits.slack", { limitDecimal(0, 1e6, &limit_settings::slack), false } },
--- a/libs/process_settings/tests/test_process_settings.cpp
+++ b/libs/process_settings/tests/test_process_settings.cpp
@@ -59,15 +59,20 @@
     const auto disabled = parseProcessSettings("f",
         requiredOnly
             + "[dispatch]\nload_reports = 0\nwait_margin_percent = 100\nkept_for_live_ms = "
-              "0\naffinity_percent = 0\n"
+              "0\naffinity_percent = 0\ncustomer_shares = off\n"
               "[peers]\nfollow = 0\n");
     REQUIRE(disabled);
     CHECK(!disabled.value().dispatch.loadReports);
     CHECK(disabled.value().dispatch.waitMarginPercent == 100);
     CHECK(disabled.value().dispatch.keptForLive.count() == 0);
     CHECK(disabled.value().dispatch.affinityPercent == 0);
+    CHECK(defaults.value().dispatch.customerShares);
+    CHECK(!disabled.value().dispatch.customerShares);
     CHECK(!disabled.value().followPeers);
     const auto invalid = parseProcessSettings("f", requiredOnly + "[dispatch]\nwait_margin_percent = 50\n");
     REQUIRE(!invalid);
     CHECK(invalid.error().message.find("[dispatch] wait_margin_percent") != std::string::npos);
+    const auto neither = parseProcessSettings("f", requiredOnly + "[dispatch]\ncustomer_shares = 1\n");
+    REQUIRE(!neither);
+    CHECK(neither.error().message.find("[dispatch] customer_shares") != std::string::npos);
 }
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -119,6 +119,12 @@
     const route* findRoute(std::string_view name) const;
 };
 
+/// Latency objectives by service.
+using service_objectives = std::map<std::string, milliseconds, std::less<>>;
+
+/// The longest latency objective of the live routes of each service: a request that is older can meet none.
+service_objectives longestObjectives(const routing_table& table);
+
 /// A target as listed by the platform.
 struct listed_target {
     /// Identifies one start of the target. A restarted target has a new id, because it has lost its state.
--- a/libs/routing/src/routing_table.cpp
+++ b/libs/routing/src/routing_table.cpp
@@ -1,5 +1,6 @@
 #include "routing/routing.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace yuccachute {
@@ -52,4 +53,18 @@
     return nullptr;
 }
 
+service_objectives longestObjectives(const routing_table& table)
+{
+    service_objectives longest;
+    for (const auto& route : table.routes) {
+        if (route.kind == request_kind::batch)
+            continue;
+        for (const auto& share : route.shares) {
+            auto& objective = longest[share.service];
+            objective = std::max(objective, route.objective);
+        }
+    }
+    return longest;
+}
+
 } // namespace yuccachute
--- a/libs/routing/tests/test_routing.cpp
+++ b/libs/routing/tests/test_routing.cpp
@@ -43,6 +43,25 @@
     CHECK(second == 100);
 }
 
+// Guards against requests that are taken for late although the most patient route of their service accepts
+// them, and against objectives of batch routes, which say nothing about live requests.
+TEST_CASE("the longest objective of a service is that of its live routes")
+{
+    routing_table table;
+    table.routes.resize(3);
+    table.routes[0].objective = milliseconds { 300 };
+    table.routes[0].shares = { { "llm", 1 }, { "small", 1 } };
+    table.routes[1].objective = milliseconds { 700 };
+    table.routes[1].shares = { { "llm", 1 } };
+    table.routes[2].kind = request_kind::batch;
+    table.routes[2].objective = milliseconds { 18000 };
+    table.routes[2].shares = { { "llm", 1 }, { "batch", 1 } };
+    const auto longest = longestObjectives(table);
+    CHECK(longest.size() == 2);
+    CHECK(longest.at("llm") == milliseconds { 700 });
+    CHECK(longest.at("small") == milliseconds { 300 });
+}
+
 TEST_CASE("a target that is missing from a trusted list is removed at once")
 {
     whole_list directory;
