limits: 503 instead of 429 while a part of a limit is out of reach

A partitioned entry holds a small share of each limit; for a small customer that is less than one token (0.19 of a limit of 1/s at one of 72 entries), so that each request was refused with 429 although the customer was within its limit. A refusal is now attributed to the limit only if the process and those that it exchanges tokens with hold at least 0.9 of it, or if the customer's requests here exceed the whole limit in its window. What is granted stays the same, so the bound is not affected. Switched off by [dispatch] customer_shares = off and not used with fixed shares. New metric yuccachute_limit_part_refusals.

--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -411,6 +411,7 @@
             m_figures.set("yuccachute_limit_part", m_limits.share(now));
             m_figures.set("yuccachute_limit_refusals", static_cast<double>(m_limits.refused()));
             m_figures.set("yuccachute_limit_late_refusals", static_cast<double>(m_limits.refusedLate()));
+            m_figures.set("yuccachute_limit_part_refusals", static_cast<double>(m_limits.refusedForPart()));
         }
         for (const auto& [name, group] : m_broker.summaries(now)) {
             m_figures.set("yuccachute_group_live", group.live);
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -155,6 +155,8 @@
     /// Time until the request can no longer meet its latency objective; zero or less if it already cannot.
     /// Unset if unknown: the request then counts as one that can.
     std::optional<milliseconds> timeUntilLate;
+    /// This process has refused the request a moment ago, and it is sent to it again.
+    bool isRepeated = false;
 
     /// Whether requests that can meet their objective are preferred to this one.
     bool isLate() const { return !isContinuation && timeUntilLate && timeUntilLate->count() <= 0; }
@@ -163,7 +165,10 @@
 enum class token_refusal : std::uint8_t {
     none, ///< A token was taken.
     limit_reached,
-    kept_for_timely ///< The tokens left are kept for requests that can meet their latency objective.
+    kept_for_timely, ///< The tokens left are kept for requests that can meet their latency objective.
+    /// No token is left here, but this process and those that it reaches hold only a part of the limit, and
+    /// what the customer has sent here is within the whole limit.
+    part_exhausted
 };
 
 struct token_decision {
@@ -245,6 +250,8 @@
     std::uint64_t refused() const { return m_refused; }
     /// How many of these were refused a token that is kept for requests that can meet their objective.
     std::uint64_t refusedLate() const { return m_refusedLate; }
+    /// How many were refused because a part of the limit is out of reach.
+    std::uint64_t refusedForPart() const { return m_refusedForPart; }
 
     /// State of a customer's bucket, for metrics.
     struct usage {
@@ -278,6 +285,10 @@
     void attachTokens(share_loan& loan, steady_time now);
     void addLoanedTokens(const share_loan& loan, steady_time now);
     milliseconds reserveRetryTime(request_bucket& bucket, double missing, steady_time now);
+    /// Whether this process and those that it exchanges tokens with hold nearly the whole limit.
+    bool holdsWholeLimit(steady_time now) const;
+    /// Counts the refusal of a request that has found no token, and returns its cause.
+    token_refusal countRefusal(const request_bucket& bucket, token_refusal cause, steady_time now);
     /// The retry time of a request that has found no token.
     milliseconds retryTime(request_bucket& bucket, const bucket_situation& situation, const token_need& need,
         double missing, steady_time now);
@@ -304,6 +315,7 @@
     std::map<std::string, peer_state, std::less<>> m_peers; ///< By VM.
     std::uint64_t m_refused = 0;
     std::uint64_t m_refusedLate = 0;
+    std::uint64_t m_refusedForPart = 0;
     double m_share = 0;
     double m_ownShare = 0; ///< The share that this process owns, including what it has lent.
     bool m_isDispatcher = false;
--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -39,6 +39,9 @@
 constexpr milliseconds maxRetryAfter { 5000 };
 /// Retry delay of requests at a process that may not grant yet.
 constexpr milliseconds noShareRetryAfter { 250 };
+/// Processes that hold at least this part of a limit together refuse a customer because of its limit. What is
+/// missing is less than the tolerance of a tenth by which a customer may exceed its limit.
+constexpr double wholeLimitFraction = 0.9;
 /// Smaller differences of shares are rounding errors.
 constexpr double shareEpsilon = 1e-9;
 
@@ -245,24 +248,48 @@
     bucket.advance(now);
     if (need.isLate())
         bucket.lastLateAt = now;
-    else
+    else {
         bucket.timelyDemand.record(now);
+        if (!need.isRepeated)
+            bucket.windowDemand.record(now);
+    }
     const auto situation = situationOf(bucket, refillPerSecond(bucket, now), now);
     bucket.wasOverLimit = situation.isOverLimit;
     const double needed = need.isContinuation ? 1 - bucket.credit() : 1;
     if (bucket.level() < needed)
-        return { token_refusal::limit_reached,
+        return { countRefusal(bucket, token_refusal::limit_reached, now),
             retryTime(bucket, situation, need, needed - bucket.level(), now) };
     const double kept = levelKeptForTimely(situation);
-    if (need.isLate() && bucket.level() <= kept) {
-        ++m_refusedLate;
-        return { token_refusal::kept_for_timely,
+    if (need.isLate() && bucket.level() <= kept)
+        return { countRefusal(bucket, token_refusal::kept_for_timely, now),
             retryTime(bucket, situation, need, kept - bucket.level(), now) };
-    }
     bucket.remove(1);
+    if (need.isRepeated && !need.isLate())
+        bucket.windowDemand.record(now);
     return {};
 }
 
+bool distributed_rate_limiter::holdsWholeLimit(steady_time now) const
+{
+    return std::holds_alternative<even_shares>(m_policy)
+        || m_share * grantingProcessCount(now) >= wholeLimitFraction;
+}
+
+/// Returns `cause`, unless a part of the limit is out of reach that the customer may not have used. A
+/// customer whose requests here alone exceed the whole limit is over it, whatever other processes grant.
+token_refusal distributed_rate_limiter::countRefusal(
+    const request_bucket& bucket, token_refusal cause, steady_time now)
+{
+    const auto& limit = bucket.limit();
+    ++m_refused;
+    if (!holdsWholeLimit(now) && !bucket.windowDemand.exceeds(limit.perSecond, now, limit.burst)) {
+        ++m_refusedForPart;
+        return token_refusal::part_exhausted;
+    }
+    m_refusedLate += cause == token_refusal::kept_for_timely ? 1 : 0;
+    return cause;
+}
+
 double distributed_rate_limiter::refillPerSecond(const request_bucket& bucket, steady_time now) const
 {
     // Peers transfer the tokens that refill their buckets, unless they run low themselves.
@@ -277,10 +304,8 @@
     const token_need& need, double missing, steady_time now)
 {
     const auto whenFilled = timeUntilLateMayRun(situation, maxRetryAfter);
-    if (need.isLate() && situation.isOverLimit) {
-        ++m_refused;
+    if (need.isLate() && situation.isOverLimit)
         return std::max(minRetryAfter, whenFilled);
-    }
     const auto wait = reserveRetryTime(bucket, missing, now);
     if (need.isLate())
         return std::max(wait, whenFilled);
@@ -297,7 +322,6 @@
 milliseconds distributed_rate_limiter::reserveRetryTime(
     request_bucket& bucket, double missing, steady_time now)
 {
-    ++m_refused;
     const double perSecond = std::max(refillPerSecond(bucket, now), 1e-3);
     const auto after = [&](steady_time from, double tokens) {
         return from
@@ -316,8 +340,10 @@
         return;
     found->second.advance(now);
     found->second.add(1);
-    if (!wasLate)
-        found->second.timelyDemand.undo(now);
+    if (wasLate)
+        return;
+    found->second.timelyDemand.undo(now);
+    found->second.windowDemand.undo(now);
 }
 
 bool distributed_rate_limiter::isGranting(std::string_view vm, steady_time now) const
--- a/libs/limits/src/late_requests.cpp
+++ b/libs/limits/src/late_requests.cpp
@@ -34,10 +34,10 @@
     m_updated = std::max(m_updated, now);
 }
 
-bool recent_demand::exceeds(double ratePerSecond, steady_time now) const
+bool recent_demand::exceeds(double ratePerSecond, steady_time now, double burst) const
 {
     const double expected = ratePerSecond * m_period.count();
-    return count(now) > expected + std::sqrt(expected);
+    return count(now) > expected + burst + std::sqrt(expected);
 }
 
 bool isOverLimit(const bucket_situation& bucket, bool demandExceedsRefill, bool wasOver)
--- a/libs/limits/src/late_requests.h
+++ b/libs/limits/src/late_requests.h
@@ -18,9 +18,9 @@
     /// Takes back a recorded request.
     void undo(steady_time now);
     double perSecond(steady_time now) const { return count(now) / m_period.count(); }
-    /// Whether there were more requests in the period than the rate allows. The standard deviation of a
-    /// Poisson process of that rate is added, so that random clusters within the limit do not count.
-    bool exceeds(double ratePerSecond, steady_time now) const;
+    /// Whether there were more requests in the period than the rate and a burst allow. The standard deviation
+    /// of a Poisson process of that rate is added, so that random clusters within the limit do not count.
+    bool exceeds(double ratePerSecond, steady_time now, double burst = 0) const;
 
 private:
     double count(steady_time now) const;
--- a/libs/limits/src/request_bucket.cpp
+++ b/libs/limits/src/request_bucket.cpp
@@ -16,7 +16,8 @@
 
 request_bucket::request_bucket(
     const request_limit& limit, const limit_bounds& bounds, double share, steady_time now)
-    : m_limit(limit)
+    : windowDemand(bounds.window)
+    , m_limit(limit)
     , m_bounds(bounds)
     , m_share(share)
     , m_updated(now)
--- a/libs/limits/src/request_bucket.h
+++ b/libs/limits/src/request_bucket.h
@@ -37,6 +37,8 @@
     /// Requests that could meet their latency objective. A period of one second is short enough to notice the
     /// end of an excess before its refused callers give up, and covers several requests of most customers.
     recent_demand timelyDemand { std::chrono::seconds { 1 } };
+    /// The same over the window in which the limit is enforced.
+    recent_demand windowDemand;
     bool wasOverLimit = false; ///< At its previous request; see isOverLimit().
     steady_time lastLateAt; ///< When a request arrived last that could no longer meet its objective.
     steady_time peersLowAt; ///< When another process last reported that its bucket runs low.
--- a/libs/places/src/limit_gate.cpp
+++ b/libs/places/src/limit_gate.cpp
@@ -1,10 +1,15 @@
 #include "limit_gate.h"
 
+#include <algorithm>
+
 namespace yuccachute {
 
 namespace {
 
 constexpr milliseconds awaitingLoansRetryDelay { 250 };
+/// Other processes transfer tokens within a tenth of this time, if they are in reach. If not, the caller may
+/// reach another entry that holds tokens.
+constexpr milliseconds maxPartExhaustedRetryDelay { 250 };
 /// Time from a slot grant to the first event at the caller with a healthy target on a busy VM. A request that
 /// has less than this left for its objective cannot meet it.
 constexpr milliseconds expectedFirstEventDelay { 50 };
@@ -18,8 +23,9 @@
 
 token_need limit_gate::needOf(const slot_request& request, milliseconds objective) const
 {
-    token_need need { request.begun, std::nullopt };
-    if (m_prefersTimely && objective.count() > 0)
+    // A live request is queued only after it was refused at once.
+    token_need need { request.begun, std::nullopt, !request.immediate };
+    if (m_customerShares && objective.count() > 0)
         need.timeUntilLate = objective - expectedFirstEventDelay - request.age;
     return need;
 }
@@ -39,6 +45,10 @@
     if (m_limits->isAwaitingLoans(now))
         return notRun(failure_kind::unavailable, "this entry does not hold its part of the limits yet",
             awaitingLoansRetryDelay);
+    if (m_customerShares && decision.refusal == token_refusal::part_exhausted)
+        return notRun(failure_kind::unavailable,
+            "the part of the customer's limit that this entry can reach is used up",
+            std::min(decision.retryAfter, maxPartExhaustedRetryDelay));
     if (decision.refusal == token_refusal::kept_for_timely)
         return notRun(failure_kind::limited,
             "the customer's limit is reached; what is left of it is kept for requests that can be on time",
--- a/libs/places/src/limit_gate.h
+++ b/libs/places/src/limit_gate.h
@@ -15,11 +15,12 @@
 /// it.
 class limit_gate {
 public:
-    /// `limits` may be null: then all requests are admitted. `prefersTimely`: of a customer above its limit,
-    /// requests that can meet their latency objective are preferred.
-    explicit limit_gate(distributed_rate_limiter* limits, bool prefersTimely = true)
+    /// `limits` may be null: then all requests are admitted. `customerShares`: of a customer above its limit,
+    /// requests that can meet their latency objective are preferred, and a refusal because a part of the
+    /// limits is out of reach is told from one because of the limit.
+    explicit limit_gate(distributed_rate_limiter* limits, bool customerShares = true)
         : m_limits(limits)
-        , m_prefersTimely(prefersTimely)
+        , m_customerShares(customerShares)
     {
     }
 
@@ -48,7 +49,7 @@
     void refund(const token_holder& holder, steady_time now);
 
     distributed_rate_limiter* m_limits;
-    bool m_prefersTimely;
+    bool m_customerShares;
     std::map<request_key, token_holder> m_tokenHolders; ///< Pending requests that hold a token.
 };
 
--- a/libs/places/tests/test_limit_gate.cpp
+++ b/libs/places/tests/test_limit_gate.cpp
@@ -77,11 +77,11 @@
 
 TEST_CASE("without an objective, or switched off, the age of a request makes no difference")
 {
-    for (const bool prefersTimely : { true, false }) {
+    for (const bool customerShares : { true, false }) {
         limited_process process;
-        limit_gate gate(&process.limits, prefersTimely);
+        limit_gate gate(&process.limits, customerShares);
         exhaust(gate);
-        const auto known = prefersTimely ? milliseconds { 0 } : objective;
+        const auto known = customerShares ? milliseconds { 0 } : objective;
         CHECK(!gate.admit(makeRequest(1000, 2000), known, at(10600)));
         CHECK(process.limits.refusedLate() == 0);
     }
@@ -103,3 +103,37 @@
     gate.sessionClosed(1, at(10000));
     CHECK(level() == Approx(before));
 }
+
+// Guards against callers that are told that their customer's limit is reached, although the limit is hardly
+// used and most of it is owned by entries that this one cannot reach.
+TEST_CASE("an entry that reaches only a part of the limits refuses customers within them as unavailable")
+{
+    for (const bool customerShares : { true, false }) {
+        limited_process process;
+        std::vector<limit_member> members;
+        for (int i = 0; i < 72; ++i)
+            members.push_back({ i == 0 ? "a" : "vm-" + std::to_string(i), "zone-a" });
+        process.limits.setMembers(members, start);
+        process.limits.setMembers(members, at(20000));
+        limit_gate gate(&process.limits, customerShares);
+        std::optional<failure> refused;
+        for (int i = 0; i < 10 && !refused; ++i) {
+            auto request = makeRequest(static_cast<std::uint64_t>(i), 0);
+            request.immediate = true;
+            refused = gate.admit(request, objective, at(30000 + 200 * i));
+        }
+        REQUIRE(refused);
+        CHECK(refused->kind == (customerShares ? failure_kind::unavailable : failure_kind::limited));
+        CHECK(refused->ran == verdict::not_run);
+        if (customerShares)
+            CHECK(refused->retryAfter <= milliseconds { 250 });
+        // At 100 requests per second the customer is over its limit of 10, whatever others hold.
+        for (int i = 0; i < 300; ++i) {
+            auto request = makeRequest(static_cast<std::uint64_t>(100 + i), 0);
+            request.immediate = true;
+            if (auto next = gate.admit(request, objective, at(33000 + 10 * i)))
+                refused = std::move(next);
+        }
+        CHECK(refused->kind == failure_kind::limited);
+    }
+}
