--- a/libs/limits/tests/test_late_requests.cpp
+++ b/libs/limits/tests/test_late_requests.cpp
@@ -1,11 +1,11 @@
 #include "../src/late_requests.h"
 
-#include "limits/limits.h"
-#include "membership/membership.h"
+#include "three_dispatchers.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <queue>
 #include <random>
 
@@ -38,6 +38,8 @@
     double perSecond;
 };
 
+using acquire_function = std::function<token_decision(const token_need&, steady_time)>;
+
 struct load_result {
     int onTime = 0; ///< Granted within the objective.
     int late = 0; ///< Granted after it.
@@ -50,7 +52,7 @@
 /// have left, and give up after `patience`. Without known ages, the limiter decides as it did before ages
 /// were sent.
 load_result runCallers(
-    distributed_rate_limiter& limits, std::span<const load_phase> phases, bool agesKnown, std::uint64_t seed)
+    const acquire_function& acquire, std::span<const load_phase> phases, bool agesKnown, std::uint64_t seed)
 {
     struct attempt {
         steady_time when;
@@ -75,8 +77,8 @@
         const auto next = pending.top();
         pending.pop();
         const auto age = std::chrono::duration_cast<milliseconds>(next.when - next.first);
-        const auto decision = limits.acquire(
-            "firm", { false, agesKnown ? std::optional(objective - age) : std::nullopt }, next.when);
+        const auto decision
+            = acquire({ false, agesKnown ? std::optional(objective - age) : std::nullopt }, next.when);
         if (decision.refusal == token_refusal::none) {
             if (age < objective)
                 onTime.push_back(next.when);
@@ -104,7 +106,9 @@
 load_result runCallers(std::span<const load_phase> phases, bool agesKnown, std::uint64_t seed)
 {
     auto limits = makeLimiter(135, 135);
-    return runCallers(limits, phases, agesKnown, seed);
+    const auto acquire
+        = [&](const token_need& need, steady_time now) { return limits.acquire("firm", need, now); };
+    return runCallers(acquire, phases, agesKnown, seed);
 }
 
 } // namespace
@@ -153,6 +157,41 @@
 
 namespace {
 
+/// The same callers, each of whose attempts reaches one of three dispatchers that exchange tokens.
+load_result runCallersOfThree(std::span<const load_phase> phases, bool agesKnown, std::uint64_t seed)
+{
+    three_dispatchers fleet(3, { 135, 135 });
+    std::mt19937_64 random(seed);
+    int exchangedMs = three_dispatchers::settledMs - 2000;
+    const auto acquire = [&](const token_need& need, steady_time when) {
+        const auto now = when + milliseconds { three_dispatchers::settledMs };
+        for (; three_dispatchers::at(exchangedMs) < now; exchangedMs += 20)
+            fleet.exchange(exchangedMs);
+        return fleet.processes[random() % 3]->acquire("firm", need, now);
+    };
+    return runCallers(acquire, phases, agesKnown, seed);
+}
+
+} // namespace
+
+// Guards against dispatchers that keep tokens for requests which arrive at another one.
+TEST_CASE(
+    "under a sustained excess, three dispatchers that share a limit prefer requests that can be on time")
+{
+    constexpr std::array<load_phase, 3> phases { { { 3000, 84 }, { 5700, 570 }, { 4000, 84 } } };
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const auto before = runCallersOfThree(phases, false, seed);
+        const auto now = runCallersOfThree(phases, true, seed);
+        INFO("seed " << seed << ": on time " << before.onTime << " before, " << now.onTime << " now; late "
+                     << before.late << ", " << now.late << "; in the worst 2 s " << before.onTimeInWorstSpan
+                     << ", " << now.onTimeInWorstSpan);
+        CHECK(now.onTime >= 1.5 * before.onTime);
+        CHECK(now.onTimeInWorstSpan >= 0.9 * 2 * 135);
+    }
+}
+
+namespace {
+
 struct late_refusals {
     int late = 0; ///< Late requests.
     int refusedBefore = 0; ///< Refused by a limiter that does not know their age.
