limits: a request of unknown age is never late, however short its objective is

limit_gate subtracted the 50 ms from a grant to the first event from the objective before the age, so with an objective of 50 ms or less every request counted as late, also one of age 0 (unknown, or a first attempt). The remaining time is now at least 1 ms before the age is subtracted.

--- a/libs/places/src/limit_gate.cpp
+++ b/libs/places/src/limit_gate.cpp
@@ -25,8 +25,9 @@
 {
     // A live request is queued only after it was refused at once.
     token_need need { request.begun, std::nullopt, !request.immediate };
+    // A request of age 0 is never late, even if the objective is shorter than the delay.
     if (m_customerShares && objective.count() > 0)
-        need.timeUntilLate = objective - expectedFirstEventDelay - request.age;
+        need.timeUntilLate = std::max(objective - expectedFirstEventDelay, milliseconds { 1 }) - request.age;
     return need;
 }
 
--- a/libs/places/tests/test_limit_gate.cpp
+++ b/libs/places/tests/test_limit_gate.cpp
@@ -88,6 +88,20 @@
     }
 }
 
+// Guards against first attempts that are taken for late because the objective of their service is shorter
+// than the time from a grant to the first event.
+TEST_CASE("a request of age 0 is not late, however short its objective is")
+{
+    constexpr milliseconds shortObjective { 40 };
+    limited_process process;
+    limit_gate gate(&process.limits);
+    exhaust(gate);
+    CHECK(!gate.admit(makeRequest(1000, 0), shortObjective, at(10600)));
+    CHECK(process.limits.refusedLate() == 0);
+    CHECK(gate.admit(makeRequest(1001, 1), shortObjective, at(10600)));
+    CHECK(process.limits.refusedLate() == 1);
+}
+
 TEST_CASE("the tokens of requests that get no slot or do not use it are refunded")
 {
     limited_process process;
