limits: late requests of a customer that was not over its limit get its last tokens as before

A late request was refused below a tenth of the bucket also where its customer's timely requests did not exceed the refill, although a customer below its limit is to see no difference.

--- a/libs/limits/src/fleet_limits.cpp
+++ b/libs/limits/src/fleet_limits.cpp
@@ -72,6 +72,8 @@
         bucket.timelyDemand.perSecond(now) };
     situation.isOverLimit
         = isOverLimit(situation, bucket.timelyDemand.exceeds(refillPerSecond, now), bucket.wasOverLimit);
+    situation.wasOverLimitLately
+        = bucket.lastOverLimitAt != steady_time {} && now - bucket.lastOverLimitAt <= maxRetryAfter;
     return situation;
 }
 
@@ -252,6 +254,8 @@
         bucket.recordDemand(now);
     const auto situation = situationOf(bucket, refillPerSecond(bucket, now), now);
     bucket.wasOverLimit = situation.isOverLimit;
+    if (situation.isOverLimit)
+        bucket.lastOverLimitAt = now;
     const double needed = need.isContinuation ? 1 - bucket.credit() : 1;
     if (bucket.level() < needed)
         return { countRefusal(bucket, token_refusal::limit_reached, now),
--- a/libs/limits/src/late_requests.cpp
+++ b/libs/limits/src/late_requests.cpp
@@ -11,8 +11,8 @@
 /// covers fluctuations of the arrivals while demand exceeds the refill.
 constexpr double keptFractionOverLimit = 0.5;
 /// Covers about 0.1 s at the limit's rate for the same customers: tokens of other processes arrive within
-/// this time. More would refuse late requests of customers that have tokens to spare.
-constexpr double keptFractionBelowLimit = 0.1;
+/// this time. After an excess, more would refuse late requests of customers that have tokens to spare.
+constexpr double nearlyEmptyFraction = 0.1;
 
 } // namespace
 
@@ -43,14 +43,16 @@
 bool isOverLimit(const bucket_situation& bucket, bool demandExceedsRefill, bool wasOver)
 {
     const bool nearlyEmpty
-        = bucket.level <= std::max(1.0, keptFractionBelowLimit * std::max(0.0, bucket.capacity));
+        = bucket.level <= std::max(1.0, nearlyEmptyFraction * std::max(0.0, bucket.capacity));
     return demandExceedsRefill && (wasOver || nearlyEmpty);
 }
 
 double levelKeptForTimely(const bucket_situation& bucket)
 {
-    return (bucket.isOverLimit ? keptFractionOverLimit : keptFractionBelowLimit)
-        * std::max(0.0, bucket.capacity);
+    const double capacity = std::max(0.0, bucket.capacity);
+    if (bucket.isOverLimit)
+        return keptFractionOverLimit * capacity;
+    return bucket.wasOverLimitLately ? nearlyEmptyFraction * capacity : 0;
 }
 
 milliseconds timeUntilLateMayRun(const bucket_situation& bucket, milliseconds most)
--- a/libs/limits/src/late_requests.h
+++ b/libs/limits/src/late_requests.h
@@ -37,6 +37,8 @@
     double refillPerSecond = 0;
     double timelyPerSecond = 0; ///< Recent requests that could meet their latency objective.
     bool isOverLimit = false; ///< See isOverLimit().
+    /// Callers that were refused while the customer was over its limit may still return.
+    bool wasOverLimitLately = false;
 };
 
 /// Whether a customer is over its limit: its bucket has run nearly empty, and its recent timely requests are
@@ -45,7 +47,7 @@
 bool isOverLimit(const bucket_situation& bucket, bool demandExceedsRefill, bool wasOver);
 
 /// The fill level above which requests may take a token that can no longer meet their latency objective. What
-/// is below is kept for those that can.
+/// is below is kept for those that can. Zero for a customer that has not been over its limit lately.
 double levelKeptForTimely(const bucket_situation& bucket);
 
 /// Time until the bucket is filled above that level, if the customer goes on as it does now. Another request
