--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -359,6 +359,8 @@
     /// Whether the speeds of the targets are learned from the figures of releases and used in decisions. With
     /// targets of equal speed, all decisions are the same as without.
     bool targetPace = true;
+    /// Whether customers that compete for limits or slots are treated by their shares.
+    bool customerShares = true;
 };
 
 /// A target has fallen below half of the nominal speed of its group, or has recovered.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -45,6 +45,7 @@
     options.affinity = settings.dispatch.affinityPercent / 100.0;
     options.targetPace = settings.dispatch.targetPace;
     options.bulkLookahead = settings.dispatch.bulkLookahead;
+    options.customerShares = settings.dispatch.customerShares;
     return options;
 }
 
@@ -241,6 +242,7 @@
             m_callers->setLimits(limits(table->limits));
         m_limits.setCustomers(table->customers, std::chrono::steady_clock::now());
         m_broker.limitsChanged();
+        m_broker.setObjectives(longestObjectives(*table));
         m_loop.post([this] { resumeWaitingCallers(); });
     }
 
@@ -558,6 +560,8 @@
         if (m_limits.hasLimits()) {
             m_figures.set("yuccachute_limit_part", m_limits.share(now));
             m_figures.set("yuccachute_limit_refusals", static_cast<double>(m_limits.refused()));
+            m_figures.set("yuccachute_limit_late_refusals", static_cast<double>(m_limits.refusedLate()));
+            m_figures.set("yuccachute_limit_part_refusals", static_cast<double>(m_limits.refusedForPart()));
         }
         target_paces paces;
         std::map<revocation_reason, std::uint64_t> revocations;
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -36,6 +36,9 @@
     /// Whether requests wait for the first configuration or list of targets of an entry that has just
     /// started, and whether its groups poll their targets before the first request.
     bool startup = true;
+    /// Whether competing customers are treated by their shares: which requests of a customer above its limit
+    /// get its tokens.
+    bool customerShares = true;
 };
 
 /// How customers' request limits are enforced. In any time span of `windowSeconds`, a customer is granted at
--- a/libs/process_settings/tests/test_process_settings.cpp
+++ b/libs/process_settings/tests/test_process_settings.cpp
@@ -61,7 +61,8 @@
     const auto disabled = parseProcessSettings("f",
         requiredOnly
             + "[dispatch]\nload_reports = 0\nwait_margin_percent = 100\nkept_for_live_ms = "
-              "0\naffinity_percent = 0\ntarget_pace = off\nbulk_lookahead = off\nstartup = off\n"
+              "0\naffinity_percent = 0\ntarget_pace = off\nbulk_lookahead = off\nstartup = "
+              "off\ncustomer_shares = off\n"
               "[peers]\nfollow = 0\n");
     REQUIRE(disabled);
     CHECK(!disabled.value().dispatch.loadReports);
@@ -71,6 +72,8 @@
     CHECK(!disabled.value().dispatch.targetPace);
     CHECK(!disabled.value().dispatch.bulkLookahead);
     CHECK(!disabled.value().dispatch.startup);
+    CHECK(defaults.value().dispatch.customerShares);
+    CHECK(!disabled.value().dispatch.customerShares);
     CHECK(!disabled.value().followPeers);
     CHECK(defaults.value().dispatch.bulkLookahead);
     const auto unknown = parseProcessSettings("f", requiredOnly + "[dispatch]\nbulk_lookahead = 1\n");
@@ -88,4 +91,7 @@
     REQUIRE(!number);
     CHECK(
         number.error().message.find("[dispatch] startup: \"1\" is not one of on, off") != std::string::npos);
+    const auto neither = parseProcessSettings("f", requiredOnly + "[dispatch]\ncustomer_shares = 1\n");
+    REQUIRE(!neither);
+    CHECK(neither.error().message.find("[dispatch] customer_shares") != std::string::npos);
 }
