--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,7 +39,7 @@
     std::string avoid; ///< Target that has just failed this request; chosen only if no other is usable.
     steady_time deadline; ///< Time after which a grant is of no use.
     /// Granted or refused at once, without queueing, so that the sender can try another group. The deadline
-    /// is ignored.
+    /// affects only which target is preferred.
     bool immediate = false;
     /// Maximum time for which the grant is held if its release is lost; 0 means until the deadline.
     milliseconds hold { 0 };
@@ -54,6 +55,12 @@
     milliseconds maxEventInterval { 0 };
 };
 
+/// Whether a live request can no longer meet the latency objective of its caller. Its sender knows the
+/// objective: it limits the deadline of other requests of a known age to the objective, and lets one that has
+/// missed it wait until the caller's deadline, which is also the end of its hold time. A request of unknown
+/// age counts as one that can be on time. To be called when the request arrives, before it is queued.
+bool missedObjective(const slot_request& request, steady_time now);
+
 /// A granted slot at a target. The holder sends its request to the target directly and releases the grant
 /// afterwards.
 struct slot_grant {
@@ -71,10 +78,22 @@
     failure reason; ///< Its verdict is always not_run.
 };
 
+enum class revocation_reason : std::uint8_t {
+    no_figures, ///< The length of the item or the speed of the targets is unknown.
+    late_anyway, ///< The item can no longer end in time.
+    can_end_in_time, ///< The item can end in time if it resumes later.
+    at_risk ///< The item may be late because of the revocation.
+};
+
+std::string_view toString(revocation_reason reason);
+
 /// Asks the holder of a bulk grant to stop its item at once. The holder still has to release the grant.
 struct grant_revocation {
     std::uint64_t holder = 0;
     std::uint64_t grantId = 0;
+    revocation_reason reason = revocation_reason::no_figures;
+    /// Expected lateness of the item after the revocation; negative if it can end in time. 0 without figures.
+    milliseconds expectedLateness { 0 };
 };
 
 using decision = std::variant<slot_grant, slot_refusal, grant_revocation>;
@@ -96,6 +115,34 @@
     std::chrono::microseconds eventInterval { 0 }; ///< Mean time between events; zero if unknown.
 };
 
+/// Measures the figures of a run for its grant_release: the number of events, and the mean interval between
+/// the last of them. The time to the first event is not part of an interval, because it includes the wait at
+/// the target and the processing of the prompt.
+class event_timing {
+public:
+    /// `count` further events have arrived.
+    void record(std::uint64_t count, steady_time now);
+    /// The run's stream is no longer read because its caller reads slowly. Intervals are measured up to the
+    /// first such pause only: events that were produced during a pause arrive together after it.
+    void pause() { m_paused = true; }
+
+    std::uint32_t events() const { return static_cast<std::uint32_t>(m_events); }
+    /// Zero if unknown. In a run that has not completed, a silence since the last event that is much longer
+    /// than the intervals before, or that follows the first event, is returned in their place, because the
+    /// target takes at least this long for an event now.
+    std::chrono::microseconds interval(grant_outcome outcome, steady_time now) const;
+
+private:
+    struct arrival {
+        steady_time time;
+        std::uint64_t events = 0; ///< Up to and including this arrival.
+    };
+
+    std::uint64_t m_events = 0;
+    std::deque<arrival> m_arrivals;
+    bool m_paused = false;
+};
+
 /// A target as configured in the settings.
 struct target_description {
     std::string name;
@@ -195,7 +242,16 @@
     /// Removes the next request and returns it with the time at which it was queued.
     std::pair<slot_request, steady_time> pop();
 
-    /// Removes and returns the requests whose deadline has passed.
+    /// Calls `visit` for each waiting request with the time at which it was queued, by customer, and for each
+    /// customer in order.
+    void forEach(const std::function<void(const slot_request&, steady_time since)>& visit) const;
+    /// Removes a waiting request out of order; unset if it is not waiting.
+    std::optional<std::pair<slot_request, steady_time>> take(std::uint64_t holder, std::uint64_t id);
+
+    /// Lets a waiting immediate request wait until then. Returns whether it is waiting.
+    bool hold(std::uint64_t holder, std::uint64_t id, steady_time until);
+    /// Removes and returns the requests whose deadline has passed, and immediate ones that may not wait
+    /// longer.
     std::vector<slot_request> takeExpired(steady_time now);
     bool remove(std::uint64_t holder, std::uint64_t id);
     void removeHolder(std::uint64_t holder);
@@ -207,6 +263,7 @@
         std::uint64_t arrival = 0;
         steady_time since;
         bool overdue = false; ///< On arrival.
+        std::optional<steady_time> heldUntil; ///< End of an immediate request's wait, if it may wait.
 
         bool dueBefore(const waiting_request& other) const
         {
@@ -220,6 +277,8 @@
     };
 
     const backlog* next() const;
+    std::pair<slot_request, steady_time> takeFrom(
+        backlog& customer, std::deque<waiting_request>::iterator position);
     bool precedes(const waiting_request& left, const waiting_request& right) const;
     template <typename Predicate> std::vector<slot_request> takeIf(Predicate predicate);
 
@@ -286,12 +345,30 @@
     double waitMargin = 1;
     /// Weight of a fully cached prompt in the choice of a target: it offsets this fraction of occupied slots.
     double affinity = 0.6;
+    /// Whether items are started and revoked by their expected time and by peaks of live demand that repeat.
+    /// Effective with `spare_bulk` and bulk requests ordered by due time, for items whose length is known.
+    bool bulkLookahead = true;
+    /// Time between two events that is assumed at each target until it has been learned; zero for none.
+    std::chrono::microseconds assumedEventInterval { 0 };
     /// Whether the targets returned by reportsDue() are polled for load reports.
     bool pollsLoadReports = false;
     /// Minimum number of targets in use, if the group has as many; more are activated as needed. It is large
     /// enough that requests find other targets that have already reported, both after the loss of a tenth of
     /// the targets and at the start of a load peak.
     std::size_t minTargets = 32;
+    /// Whether the speeds of the targets are learned from the figures of releases and used in decisions. With
+    /// targets of equal speed, all decisions are the same as without.
+    bool targetPace = true;
+    /// Whether customers that compete for limits or slots are treated by their shares.
+    bool customerShares = true;
+};
+
+/// A target has fallen below half of the nominal speed of its group, or has recovered.
+struct pace_change {
+    std::string target;
+    bool slow = false;
+    double pace = 1; ///< Relative to the nominal speed; 1 also if it is no longer known.
+    std::chrono::microseconds eventInterval { 0 }; ///< Between events at the target; zero if no longer known.
 };
 
 /// A target that is due to be polled for its load.
@@ -308,8 +385,15 @@
     unsigned live = 0;
     unsigned bulk = 0;
     std::size_t liveWaiting = 0;
+    std::size_t liveWaitingPastObjective = 0; ///< Of these, requests that have missed their objective.
     std::size_t bulkWaiting = 0;
     double bulkWindow = 0;
+    double slowestPace = 1; ///< Of the targets in use, relative to the nominal speed; 1 if unknown.
+    double medianPace = 1;
+    double fastestPace = 1;
+    unsigned slowTargets = 0; ///< Targets in use below half of the nominal speed.
+    std::map<revocation_reason, std::uint64_t> revocations; ///< Bulk grants revoked so far.
+    std::uint64_t startsHeldBack = 0; ///< Items not started so far because of a peak of live demand.
 };
 
 /// Queue with priorities in front of the targets of one service in one availability zone. It is needed
@@ -343,6 +427,9 @@
     std::vector<report_due> reportsDue(steady_time now);
     /// A target that reportsDue() returned has not answered.
     void recordMissedReport(std::string_view target, steady_time now);
+    /// Polls the targets as if a slot had just been requested, so that the first requests to a dispatcher
+    /// that has just started do not wait for the first reports.
+    void expectRequests(steady_time now);
     /// The holder has disconnected. Its waiting requests are removed. Its grants stay until they expire
     /// because the targets may still be processing their requests.
     void dropHolder(std::uint64_t holder, steady_time now);
@@ -357,6 +444,8 @@
     /// Decisions since the last call, in order.
     std::vector<decision> takeDecisions();
     group_summary summary(steady_time now) const;
+    /// Changes of targets' speeds since the last call, for log lines.
+    std::vector<pace_change> takePaceChanges();
 
 private:
     struct impl;
--- a/libs/dispatch/src/live_admission.cpp
+++ b/libs/dispatch/src/live_admission.cpp
@@ -18,24 +18,10 @@
 
 } // namespace
 
-fair_queue reordered(fair_queue queue, fair_queue::order order)
+milliseconds live_admission::expectedWait(
+    const slot_request& request, serving_class which, std::size_t revocableSlots, steady_time now) const
 {
-    fair_queue moved(order);
-    while (!queue.empty()) {
-        auto [request, since] = queue.pop();
-        moved.push(std::move(request), since);
-    }
-    return moved;
-}
-
-void live_admission::setOrder(fair_queue::order order)
-{
-    m_queue = reordered(std::move(m_queue), order);
-}
-
-milliseconds live_admission::expectedWait(const slot_request& request, steady_time now) const
-{
-    unsigned slots = 0;
+    double slots = 0; // In slots of nominal pace: a slot at half the pace serves half as many requests.
     for (const auto& [name, target] : m_table.targets()) {
         if (!m_table.usable(target, now))
             continue;
@@ -43,19 +29,24 @@
         // and the request can wait for that.
         const auto usedByOthers = target.load.hasReported() ? m_table.slotsUsedByOthers(target, now) : 0;
         const auto total = m_table.slotsOf(target, now);
-        slots += total - std::min(total, usedByOthers);
+        slots += (total - std::min(total, usedByOthers)) * m_table.paceOf(target, now);
     }
     if (slots == 0)
         return unavailableRetryAfter;
     const bool fair = m_options.order == fair_queue::order::fair;
-    const double ahead = static_cast<double>(fair ? m_queue.sizeOf(request.customer) : m_queue.size());
-    const double share = fair ? m_queue.shareOf(request.customer, request.weight) : 1;
-    return milliseconds { std::llround(ahead * m_serviceTimeMs / slots / share) };
+    const auto& queue = m_queue.queueOf(which);
+    const auto waiting = fair ? queue.sizeOf(request.customer) : queue.size();
+    const auto ahead = static_cast<double>(waiting - std::min(waiting, revocableSlots));
+    const double share = fair ? queue.shareOf(request.customer, request.weight) : 1;
+    const auto before = static_cast<double>(m_queue.sizeBefore(which));
+    return milliseconds { std::llround(
+        ahead * m_serviceTimeMs / slots / share + before * m_serviceTimeMs / slots) };
 }
 
-failure live_admission::overloadRefusal(const slot_request& request, std::string message, steady_time now)
+failure live_admission::overloadRefusal(
+    const slot_request& request, serving_class which, std::string message, steady_time now)
 {
-    const auto wait = expectedWait(request, now);
+    const auto wait = expectedWait(request, which, 0, now);
     if (request.immediate) // The sender can request the slot again and wait in the queue.
         return notRun(failure_kind::overloaded, std::move(message), wait);
     m_overloadPeriods.recordRefusal(now);
@@ -63,25 +54,30 @@
         failure_kind::overloaded, std::move(message), std::max(wait, m_overloadPeriods.retryDelay(now)));
 }
 
-std::optional<failure> live_admission::refusalOf(const slot_request& request, steady_time now)
+std::optional<failure> live_admission::refusalOf(
+    const slot_request& request, std::size_t revocableSlots, steady_time now)
 {
     if (!m_table.anyUsable(now))
         return notRun(
             failure_kind::unavailable, "no target of this service can be used now", unavailableRetryAfter);
     if (request.workClass == work_class::bulk)
         return std::nullopt;
-    const auto wait = expectedWait(request, now);
-    if (m_queue.sizeOf(request.customer) >= request.queueLimit)
+    const auto which = servingClassOf(request, now);
+    const auto wait = expectedWait(request, which, revocableSlots, now);
+    const auto waiting = m_queue.queueOf(which).sizeOf(request.customer);
+    if (waiting - std::min(waiting, revocableSlots) >= request.queueLimit)
         return notRun(failure_kind::overloaded, "too many requests of this customer are waiting",
             std::max(wait, minRetryAfter));
     if (!request.immediate && now + wait * m_options.waitMargin > request.deadline)
-        return overloadRefusal(request, "the expected wait in the queue exceeds the request's timeout", now);
+        return overloadRefusal(
+            request, which, "the expected wait in the queue exceeds the request's timeout", now);
     return std::nullopt;
 }
 
-void live_admission::recordServiceTime(steady_time::duration held)
+void live_admission::recordServiceTime(steady_time::duration held, double pace)
 {
-    m_serviceTimeMs = movingAverage(m_serviceTimeMs, std::chrono::duration<double, std::milli>(held).count());
+    const auto heldMs = std::chrono::duration<double, std::milli>(held).count();
+    m_serviceTimeMs = movingAverage(m_serviceTimeMs, heldMs * pace);
 }
 
 } // namespace yuccachute
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -4,6 +4,8 @@
 #include "target_selector.h"
 #include "target_table.h"
 
+#include <algorithm>
+#include <optional>
 #include <set>
 
 namespace yuccachute {
@@ -33,12 +35,15 @@
     void removeTarget(std::string_view name);
     void activateNeededTargets(steady_time now);
     void assignSlots(steady_time now);
-    bool assignLiveSlot(steady_time now);
+    bool assignLiveSlot(bool onlyInTime, steady_time now);
     bool assignBulkSlot(steady_time now);
     void grantSlot(slot_request request, target_state& target, steady_time since, steady_time now);
-    void revoke(std::span<const std::uint64_t> grants);
+    std::vector<grant_revocation> grantsToRevoke(steady_time now);
+    void refuseOrHold(const slot_request& asked, steady_time now);
+    void revoke(std::span<const grant_revocation> revocations);
     void refuse(const slot_request& request, failure reason);
     void refuseExpired(steady_time now);
+    void summarizePaces(group_summary& summary, steady_time now) const;
 
     group_options options;
     target_table table { options };
@@ -54,10 +59,12 @@
     options.policy = newOptions.policy;
     options.randomChoice = newOptions.randomChoice;
     options.refusalBackoff = newOptions.refusalBackoff;
+    options.bulkLookahead = newOptions.bulkLookahead;
+    options.assumedEventInterval = newOptions.assumedEventInterval;
     if (newOptions.order == options.order)
         return;
     options.order = newOptions.order;
-    live.setOrder(newOptions.order);
+    live.queue().setOrder(newOptions.order);
     bulk.setOrder(newOptions.bulkOrder.value_or(newOptions.order));
 }
 
@@ -88,7 +95,8 @@
 {
     lastRequestTime = now;
     activateNeededTargets(now);
-    if (auto refusal = live.refusalOf(request, now))
+    const auto revocable = live.queue().empty() ? 0 : bulk.revocableSlots(now);
+    if (auto refusal = live.refusalOf(request, revocable, now))
         return refuse(request, std::move(*refusal));
     if (std::holds_alternative<unlimited_bulk>(options.policy)) {
         if (auto* target = selector.choose(request, false, now))
@@ -98,13 +106,16 @@
     const bool isLive = request.workClass == work_class::live;
     if (isLive)
         bulk.recordLiveArrival(now);
-    const bool immediate = request.immediate;
-    if (immediate)
-        request.deadline = now; // Expires in refuseExpired() below unless it is granted here.
-    (isLive ? live.queue() : bulk.queue()).push(std::move(request), now);
+    else
+        bulk.recordBulkArrival();
+    const auto asked = request.immediate ? std::optional(request) : std::nullopt;
+    if (isLive)
+        live.queue().push(std::move(request), now);
+    else
+        bulk.queue().push(std::move(request), now);
     assignSlots(now);
-    if (immediate)
-        refuseExpired(now);
+    if (asked)
+        refuseOrHold(*asked, now);
 }
 
 void target_group::impl::grantSlot(
@@ -121,12 +132,13 @@
         holder, slotRequestId, id, target.description.name, target.description.address, waited });
 }
 
-bool target_group::impl::assignLiveSlot(steady_time now)
+bool target_group::impl::assignLiveSlot(bool onlyInTime, steady_time now)
 {
     const auto* next = live.queue().front();
     if (!next)
         return false;
-    auto* target = selector.choose(*next, true, now);
+    const bool itemsPresent = table.bulkGrants() > 0 || !bulk.queue().empty();
+    auto* target = selector.choose(*next, true, now, { itemsPresent, onlyInTime });
     if (!target)
         return false;
     auto [request, since] = live.queue().pop();
@@ -136,31 +148,64 @@
 
 bool target_group::impl::assignBulkSlot(steady_time now)
 {
-    if (!bulk.mayStart(live.queue().size(), now))
+    if (bulk.heldBack(now) || !bulk.mayStart(live.queue().size(), now))
         return false;
     const bool needFreeSlot = !std::holds_alternative<unlimited_bulk>(options.policy);
-    auto* target = selector.choose(*bulk.queue().front(), needFreeSlot, now);
+    const auto* first = bulk.queue().front();
+    auto* target = selector.choose(*first, needFreeSlot, now);
     if (!target)
         return false;
-    auto [request, since] = bulk.queue().pop();
+    const auto* next = bulk.nextItem(*target, now);
+    if (!next)
+        return false;
+    if (next != first)
+        target = selector.choose(*next, needFreeSlot, now);
+    if (!target)
+        return false;
+    auto [request, since] = next == first ? bulk.queue().pop() : *bulk.queue().take(next->holder, next->id);
     grantSlot(std::move(request), *target, since, now);
     return true;
 }
 
-void target_group::impl::revoke(std::span<const std::uint64_t> grants)
+void target_group::impl::revoke(std::span<const grant_revocation> revocations)
 {
-    for (const auto id : grants) {
-        table.markRevoked(id);
-        decisions.emplace_back(grant_revocation { table.findGrant(id)->request.holder, id });
+    for (const auto& revocation : revocations) {
+        table.markRevoked(revocation.grantId);
+        bulk.countRevocation(revocation.reason);
+        decisions.emplace_back(revocation);
     }
 }
 
+std::vector<grant_revocation> target_group::impl::grantsToRevoke(steady_time now)
+{
+    const auto* next = live.queue().front();
+    if (!next || table.bulkGrants() == 0)
+        return {};
+    // If a slot is free, it is at a target that is too slow for the request. Then only items at other targets
+    // make a difference to it.
+    const bool slotFree = selector.choose(*next, true, now) != nullptr;
+    const auto suitable
+        = [&](const target_state& target) { return !slotFree || !selector.unsuitable(*next, target, now); };
+    return bulk.grantsToRevoke(live.queue(), live.meanServiceTime(), suitable, now);
+}
+
+/// Refuses an immediate request that was not granted a slot, unless one is expected to become free in time.
+void target_group::impl::refuseOrHold(const slot_request& asked, steady_time now)
+{
+    const bool isLive = asked.workClass == work_class::live;
+    if (isLive && bulk.slotsExpected(live.queue(), live.meanServiceTime(), now))
+        live.queue().hold(asked.holder, asked.id, immediateWaitEnd(asked, now));
+    refuseExpired(now);
+}
+
 void target_group::impl::assignSlots(steady_time now)
 {
     activateNeededTargets(now);
-    while (assignLiveSlot(now)) { }
-    revoke(bulk.grantsToRevoke(live.queue().size(), now));
-    while (assignLiveSlot(now)) { }
+    // Items are revoked before a live request goes to a target that is too slow for it.
+    while (assignLiveSlot(true, now)) { }
+    revoke(grantsToRevoke(now));
+    while (assignLiveSlot(true, now)) { }
+    while (assignLiveSlot(false, now)) { }
     while (assignBulkSlot(now)) { }
 }
 
@@ -169,10 +214,13 @@
     const auto* grant = table.findGrant(release.grantId);
     if (!grant)
         return; // It has expired, or was given by a previous dispatcher of this group.
-    if (auto* target = table.find(grant->target))
+    auto* target = table.find(grant->target);
+    if (target) {
         recordOutcome(*target, release.outcome, now);
+        table.recordRun(*target, *grant, release, now);
+    }
     if (grant->live() && release.outcome == grant_outcome::ok)
-        live.recordServiceTime(now - grant->since);
+        live.recordServiceTime(now - grant->since, target ? table.paceOf(*target, now) : 1);
     if (grant->live())
         bulk.recordFirstToken(release.firstToken);
     table.removeGrant(release.grantId, now);
@@ -202,8 +250,9 @@
 
 void target_group::impl::refuseExpired(steady_time now)
 {
-    for (const auto& request : live.queue().takeExpired(now))
-        refuse(request, live.overloadRefusal(request, "no target had room before the timeout", now));
+    for (const auto& [request, servingClass] : live.queue().takeExpired(now))
+        refuse(request,
+            live.overloadRefusal(request, servingClass, "no target had room before the timeout", now));
     for (const auto& request : bulk.queue().takeExpired(now))
         refuse(request,
             notRun(failure_kind::overloaded, "no slot was available for bulk work in time", minRetryAfter));
@@ -213,12 +262,28 @@
 {
     refuseExpired(now);
     table.removeExpiredGrants(now);
-    bulk.tick(now);
+    bulk.tick(live.queue().size(), now);
+    table.updatePaces(now);
     for (const auto& name : table.deactivateIdle(now))
         selector.forget(name);
     assignSlots(now);
 }
 
+void target_group::impl::summarizePaces(group_summary& summary, steady_time now) const
+{
+    std::vector<double> paces;
+    for (const auto& [name, target] : table.targets())
+        paces.push_back(table.paceOf(target, now));
+    if (paces.empty())
+        return;
+    std::sort(paces.begin(), paces.end());
+    summary.slowestPace = paces.front();
+    summary.medianPace = paces[(paces.size() - 1) / 2];
+    summary.fastestPace = paces.back();
+    summary.slowTargets = static_cast<unsigned>(
+        std::count_if(paces.begin(), paces.end(), [](double pace) { return pace < slowPace; }));
+}
+
 target_group::target_group(group_options options)
     : m_impl(std::make_unique<impl>(std::move(options)))
 {
@@ -303,6 +368,11 @@
     m_impl->assignSlots(now);
 }
 
+void target_group::expectRequests(steady_time now)
+{
+    m_impl->lastRequestTime = now;
+}
+
 void target_group::dropHolder(std::uint64_t holder, steady_time now)
 {
     m_impl->live.queue().removeHolder(holder);
@@ -324,7 +394,10 @@
 
 void target_group::revokeBulk()
 {
-    m_impl->revoke(m_impl->table.revocableGrants());
+    std::vector<grant_revocation> all;
+    for (const auto id : m_impl->table.revocableGrants())
+        all.push_back({ m_impl->table.findGrant(id)->request.holder, id });
+    m_impl->revoke(all);
 }
 
 std::vector<decision> target_group::takeDecisions()
@@ -346,9 +419,18 @@
         summary.slots += table.slotsOf(target, now);
     }
     summary.liveWaiting = m_impl->live.queue().size();
+    summary.liveWaitingPastObjective = m_impl->live.queue().missedObjectives();
     summary.bulkWaiting = m_impl->bulk.queue().size();
     summary.bulkWindow = m_impl->bulk.window();
+    m_impl->summarizePaces(summary, now);
+    summary.revocations = m_impl->bulk.revocations();
+    summary.startsHeldBack = m_impl->bulk.startsHeldBack();
     return summary;
 }
 
+std::vector<pace_change> target_group::takePaceChanges()
+{
+    return m_impl->table.takePaceChanges();
+}
+
 } // namespace yuccachute
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -26,10 +26,11 @@
     void write(std::string_view piece) override { body += piece; }
     void finish() override { finished = true; }
     void abort() override { aborted = true; }
-    std::size_t unsentBytes() const override { return 0; }
+    std::size_t unsentBytes() const override { return unsent; }
     void onDrained(std::function<void()>) override { }
     void onCallerGone(std::function<void()> notify) override { onGone = std::move(notify); }
 
+    std::size_t unsent = 0;
     std::optional<http_reply> reply;
     unsigned status = 0;
     http_headers head;
@@ -65,6 +66,7 @@
     void release(const held_slot& taken, const slot_usage& usage) override
     {
         released += taken.target + ":" + std::to_string(static_cast<int>(usage.outcome)) + " ";
+        lastUsage = usage;
     }
     void grant(const std::string& target)
     {
@@ -80,6 +82,7 @@
     std::function<void(result<held_slot>)> answer;
     bool withdrawn = false;
     std::string released;
+    slot_usage lastUsage;
 };
 
 class scripted_targets final : public target_client {
@@ -170,7 +173,7 @@
 
 struct fixture {
     explicit fixture(request_kind kind = request_kind::streaming, bool resumable = true, int timeoutMs = 1000,
-        request_guard* guard = nullptr, const std::string& key = "")
+        request_guard* guard = nullptr, const std::string& key = "", int ageMs = 0)
     {
         services.guard = guard;
         auto made = std::make_shared<routing_table>();
@@ -188,7 +191,8 @@
         table = made;
         request_facts facts;
         facts.id = "id";
-        serveLive(services, caller, { facts, table, table->routes[0], { table->customers.byKey(key) } });
+        serveLive(services, caller,
+            { facts, table, table->routes[0], { table->customers.byKey(key) }, milliseconds { ageMs } });
     }
     void run(int ms = 5) { loop.runFor(milliseconds { ms }); }
 
@@ -231,6 +235,45 @@
     CHECK(f.slots.released == "t1:0 ");
 }
 
+// Guards against a wait at the target, or slow reading by the caller, that counts as a slow target.
+TEST_CASE("a release tells the number of events and the interval between them, without wait and pauses")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.run(100);
+    f.targets.body(event(1));
+    f.run(20);
+    f.targets.body(event(2) + event(3));
+    f.run(20);
+    f.caller->unsent = 1u << 20; // Reading from the target pauses with this event.
+    f.targets.body(event(4));
+    f.caller->unsent = 0;
+    f.run(200);
+    f.targets.body(event(5));
+    f.targets.whole();
+    CHECK(f.slots.lastUsage.events == 5);
+    CHECK(f.slots.lastUsage.eventInterval >= milliseconds { 13 });
+    CHECK(f.slots.lastUsage.eventInterval < milliseconds { 45 });
+}
+
+// Guards against figures of the first target that are released as those of the second one.
+TEST_CASE("the figures of a release are those of its own run")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.targets.body(event(1) + event(2) + event(3));
+    f.targets.fail(connectionReset());
+    CHECK(f.slots.lastUsage.events == 3);
+    f.slots.grant("t2");
+    f.targets.head(200);
+    f.targets.body(event(4));
+    f.targets.whole();
+    CHECK(f.slots.lastUsage.events == 1);
+    CHECK(f.slots.lastUsage.eventInterval == milliseconds { 0 });
+}
+
 // A target terminates in the middle of an event of a resumable stream. The caller must receive the rest from
 // another target without a duplicate, missing or partial event.
 TEST_CASE("an interrupted stream resumes after its last complete event and keeps its first response head")
@@ -551,3 +594,58 @@
     without.slots.grant("t1");
     CHECK(without.targets.customer == "as sent");
 }
+
+TEST_CASE("a first attempt waits for a slot within its objective and is refused at its end")
+{
+    fixture f(request_kind::streaming, true, 5000);
+    CHECK(f.slots.last.age.count() == 0);
+    CHECK(f.slots.last.grantDeadline == f.caller->received() + milliseconds { 250 });
+    f.slots.answer(notRun(failure_kind::overloaded, "full", milliseconds { 1500 }));
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 503);
+    CHECK(f.slots.acquisitions == 1);
+}
+
+// Guards against refusals at the end of an objective that the request had missed before it arrived: its
+// caller had waited for a connection while all VMs were down.
+TEST_CASE("a request that is late on arrival waits for a slot until its deadline")
+{
+    fixture f(request_kind::streaming, true, 5000, nullptr, "", 900);
+    CHECK(f.slots.last.age >= milliseconds { 900 });
+    CHECK(f.slots.last.grantDeadline == f.caller->received() + milliseconds { 5000 });
+    // Only a wait that exceeds its deadline is a reason to refuse it.
+    f.slots.answer(notRun(failure_kind::overloaded, "full", milliseconds { 6000 }));
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 503);
+    CHECK(f.slots.acquisitions == 1);
+}
+
+TEST_CASE("a repeated attempt that cannot be on time after all waits until its deadline")
+{
+    fixture f(request_kind::streaming, true, 5000, nullptr, "", 100);
+    CHECK(f.slots.last.age >= milliseconds { 100 });
+    CHECK(f.slots.last.grantDeadline == f.caller->received() + milliseconds { 150 });
+    f.slots.answer(notRun(failure_kind::overloaded, "full", milliseconds { 1500 }));
+    CHECK(!f.caller->reply);
+    CHECK(f.slots.acquisitions == 2);
+    CHECK(f.slots.last.grantDeadline == f.caller->received() + milliseconds { 5000 });
+    f.slots.answer(notRun(failure_kind::overloaded, "full", milliseconds { 6000 }));
+    CHECK(f.caller->reply);
+    CHECK(f.slots.acquisitions == 2);
+}
+
+// Guards against a stream that is interrupted and then waits behind requests that have not begun, because its
+// caller had repeated it.
+TEST_CASE("a request that has begun, or whose deadline comes first, has no age")
+{
+    fixture f(request_kind::streaming, true, 5000, nullptr, "", 900);
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.targets.body(event(1));
+    f.targets.fail(connectionReset());
+    REQUIRE(f.slots.acquisitions == 2);
+    CHECK(f.slots.last.begun);
+    CHECK(f.slots.last.age.count() == 0);
+    fixture deadlineFirst(request_kind::streaming, true, 150, nullptr, "", 100);
+    CHECK(deadlineFirst.slots.last.age.count() == 0);
+}
--- a/libs/load_player/src/load_player.cpp
+++ b/libs/load_player/src/load_player.cpp
@@ -4,6 +4,7 @@
 #include "played_target.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <random>
 #include <set>
@@ -27,6 +28,9 @@
 /// Callers follow a Retry-After up to this part of the time that they have left.
 constexpr int followedPart = 3;
 
+/// Multiplier of the FNV hash of 64 bits.
+constexpr std::uint64_t hashPrime = 1099511628211u;
+
 /// 450 tokens of prompt, 55 of them in a millisecond.
 constexpr milliseconds readingTime { 8 };
 /// What was generated is read again so many times as fast: 55 tokens in a millisecond where 0.27 are made.
@@ -39,6 +43,8 @@
     bool returned = false;
     bool refusedEarly = false;
     bool firstEvent = false;
+    std::optional<milliseconds> left; ///< Set if the answer has begun at the target `avoid`.
+    std::string avoid;
 };
 
 struct item {
@@ -50,6 +56,11 @@
     std::uint64_t request = 0;
     std::size_t target = 0;
     std::uint64_t grant = 0;
+    bool live = false;
+    steady_time since;
+    steady_time lastEvent;
+    milliseconds firstEvent { 0 };
+    event_timing timing;
 };
 
 class player {
@@ -62,9 +73,13 @@
         std::vector<target_description> listed;
         for (unsigned i = 0; i < plan.targets; ++i) {
             m_targets.emplace_back("t" + std::to_string(i), plan.slots);
+            if (!plan.speeds.empty())
+                m_targets.back().setSpeed(plan.speeds[i % plan.speeds.size()]);
             listed.push_back({ m_targets.back().name(), "a", plan.slots, false });
         }
         m_listed = listed;
+        m_outcome.liveGrants.resize(plan.targets);
+        m_outcome.itemGrants.resize(plan.targets);
         m_group.setTargets(listed, m_now);
     }
 
@@ -75,6 +90,7 @@
             applyEvents();
             arrive();
             work();
+            failOver();
             if ((m_now - m_begin) % groupTick == milliseconds { 0 })
                 m_group.tick(m_now);
             exchangeReports();
@@ -94,7 +110,10 @@
         options.refusalBackoff = milliseconds { 150 };
         options.waitMargin = m_plan.policy.waitMargin;
         options.keptForLive = m_plan.policy.keptForLive;
+        options.bulkLookahead = m_plan.policy.bulkLookahead;
+        options.assumedEventInterval = m_plan.items.eventInterval;
         options.pollsLoadReports = m_plan.policy.reports;
+        options.targetPace = m_plan.policy.targetPace;
         return options;
     }
 
@@ -155,6 +174,15 @@
             m_targets[i].goDark();
     }
 
+    void apply(const targets_change_speed& event)
+    {
+        for (auto i = event.first; i < event.first + event.count && i < m_targets.size(); ++i) {
+            m_targets[i].setSpeed(event.speed);
+            if (event.reportsIdle)
+                m_targets[i].reportIdle();
+        }
+    }
+
     double liveRate() const
     {
         double rate = 0;
@@ -181,7 +209,9 @@
             return;
         if (happens(liveRate())) {
             ++m_outcome.asked;
-            ask({ m_now, m_now, {} });
+            caller who;
+            who.arrived = who.attempt = m_now;
+            ask(who);
         }
         if (elapsed() < m_plan.items.until && happens(m_plan.items.perSecond)) {
             ++m_outcome.items;
@@ -209,7 +239,12 @@
         wanted.requestId = std::to_string(id);
         wanted.customer = "live";
         wanted.deadline = who.attempt + m_plan.live.objective - firstEventTime;
+        if (who.left)
+            wanted.deadline = who.arrived + m_plan.live.patience;
+        wanted.begun = who.left.has_value();
+        wanted.avoid = who.avoid;
         wanted.hold = m_plan.live.patience;
+        wanted.maxEventInterval = m_plan.live.maxEventInterval;
         m_group.ask(std::move(wanted), m_now);
     }
 
@@ -225,6 +260,10 @@
         wanted.hold = m_plan.length;
         wanted.due
             = one.due < m_now + one.left ? m_now : one.due; // What can only be late is overdue already.
+        if (const auto interval = m_plan.items.eventInterval; interval.count() > 0) {
+            wanted.remainingEvents = static_cast<double>(one.left.count()) / interval.count();
+            wanted.producedEvents = static_cast<std::uint32_t>((m_plan.items.run - one.left) / interval);
+        }
         m_asked.insert(id);
         m_group.ask(std::move(wanted), m_now);
     }
@@ -241,6 +280,12 @@
 
     void progress(const target_progress& told)
     {
+        if (const auto run = findGranted(told.request); run != m_granted.end()) {
+            run->timing.record(told.events, m_now);
+            run->lastEvent = told.events > 0 ? m_now : run->lastEvent;
+            if (told.firstEvent)
+                run->firstEvent = std::chrono::duration_cast<milliseconds>(m_now - run->since);
+        }
         if (const auto live = m_callers.find(told.request); live != m_callers.end()) {
             if (told.firstEvent)
                 firstEvent(live->second);
@@ -254,8 +299,28 @@
             release(told.request, grant_outcome::ok);
     }
 
+    void failOver()
+    {
+        if (m_plan.live.silenceTimeout.count() == 0)
+            return;
+        std::vector<granted> silent;
+        std::copy_if(m_granted.begin(), m_granted.end(), std::back_inserter(silent), [&](const granted& one) {
+            return one.live && m_now - one.lastEvent > m_plan.live.silenceTimeout;
+        });
+        for (const auto& one : silent) {
+            auto& who = m_callers.at(one.request);
+            who.left = m_targets[one.target].drop(one.request);
+            who.avoid = m_targets[one.target].name();
+            ++m_outcome.failovers;
+            release(one.request, grant_outcome::failed);
+            askFor(one.request);
+        }
+    }
+
     void firstEvent(caller& who)
     {
+        if (who.firstEvent)
+            return; // Of the rest of an answer.
         who.firstEvent = true;
         const bool inTime = m_now - who.attempt <= m_plan.live.objective;
         if (inTime && !who.returned)
@@ -271,18 +336,28 @@
     void itemFinished(std::map<std::uint64_t, item>::iterator one)
     {
         (m_now <= one->second.due ? m_outcome.itemsOnTime : m_outcome.itemsLate) += 1;
+        const auto arrived = one->second.due - m_plan.items.due;
+        m_outcome.itemSeconds += std::chrono::duration<double>(m_now - arrived).count();
         m_items.erase(one);
     }
 
     void release(std::uint64_t request, grant_outcome outcome)
     {
-        const auto found = std::find_if(
-            m_granted.begin(), m_granted.end(), [&](const granted& one) { return one.request == request; });
+        const auto found = findGranted(request);
         if (found == m_granted.end())
             return; // Orphaned.
-        const auto grant = found->grant;
+        const auto run = std::move(*found);
         m_granted.erase(found);
-        m_group.release({ grant, outcome, milliseconds { 0 }, 0 }, m_now);
+        const auto interval = run.timing.interval(outcome, m_now);
+        const auto objective = m_plan.live.maxEventInterval;
+        m_outcome.longPauses += run.live && objective.count() > 0 && interval > objective ? 1 : 0;
+        m_group.release({ run.grant, outcome, run.firstEvent, 0, run.timing.events(), interval }, m_now);
+    }
+
+    std::vector<granted>::iterator findGranted(std::uint64_t request)
+    {
+        return std::find_if(
+            m_granted.begin(), m_granted.end(), [&](const granted& one) { return one.request == request; });
     }
 
     void exchangeReports()
@@ -325,11 +400,14 @@
     {
         auto& target = targetNamed(given.target);
         const auto number = static_cast<std::size_t>(&target - m_targets.data());
-        m_granted.push_back({ given.slotRequestId, number, given.grantId });
+        const bool toLive = m_callers.contains(given.slotRequestId);
+        m_granted.push_back({ given.slotRequestId, number, given.grantId, toLive, m_now, m_now, {}, {} });
+        m_outcome.grantsHash = (m_outcome.grantsHash ^ given.slotRequestId) * hashPrime + number;
+        ++(toLive ? m_outcome.liveGrants : m_outcome.itemGrants)[number];
         m_asked.erase(given.slotRequestId);
         if (const auto live = m_callers.find(given.slotRequestId); live != m_callers.end()) {
             live->second.placed = m_now;
-            return target.take(given.slotRequestId, m_plan.live.run, readingTime);
+            return target.take(given.slotRequestId, live->second.left.value_or(m_plan.live.run), readingTime);
         }
         const auto& one = m_items.at(given.slotRequestId);
         target.take(
@@ -364,6 +442,7 @@
         if (found == m_granted.end())
             return;
         ++m_outcome.revocations;
+        m_outcome.revocationsAtRisk += revoked.reason == revocation_reason::at_risk ? 1 : 0;
         const auto id = found->request;
         m_items.at(id).left = m_targets[found->target].drop(id);
         release(id, grant_outcome::abandoned);
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -1,6 +1,9 @@
 #include "places/places.h"
 
 #include "limit_gate.h"
+#include "logging/logging.h"
+
+#include <cmath>
 
 namespace yuccachute {
 
@@ -27,7 +30,7 @@
 group_host::group_host(event_loop& loop, sender send, primary_check first, load_report_source* loads,
     const group_options& options, distributed_rate_limiter* limits)
     : m_loads(loads)
-    , m_limitGate(std::make_unique<limit_gate>(limits))
+    , m_limitGate(std::make_unique<limit_gate>(limits, options.customerShares))
     , m_options(options)
     , m_send(std::move(send))
     , m_isPrimary(std::move(first))
@@ -44,6 +47,16 @@
     return groupName(target.service, target.zone, 0);
 }
 
+void logPaceChanges(const std::string& group, const std::vector<pace_change>& changes)
+{
+    for (const auto& change : changes)
+        logEvent(change.slow ? log_level::warning : log_level::info,
+            change.slow ? "target below half speed: requests prefer other targets" : "target no longer slow",
+            { { "target", change.target }, { "group", group },
+                { "pace_percent", std::int64_t { std::llround(change.pace * 100) } },
+                { "event_interval_us", std::int64_t { change.eventInterval.count() } } });
+}
+
 target_description describe(const listed_target& target)
 {
     return { target.id, target.address, target.slots, target.draining };
@@ -102,6 +115,18 @@
     return hosted;
 }
 
+void group_host::prepare(const std::string& name, steady_time now)
+{
+    if (!m_options.pollsLoadReports || !m_loads || m_groups.contains(name))
+        return;
+    auto& hosted = find(name, now);
+    logEvent(log_level::info, "polling targets before the first request",
+        { { "group", name }, { "targets", std::int64_t { hosted.group.summary(now).targets } } });
+    hosted.group.expectRequests(now);
+    requestReports(name, hosted, now);
+    armTick();
+}
+
 void group_host::received(std::uint64_t session, envelope message, steady_time now)
 {
     std::set<std::string> touched;
@@ -126,11 +151,17 @@
     armTick();
 }
 
+milliseconds group_host::objectiveOf(std::string_view group) const
+{
+    const auto found = m_objectives.find(group.substr(0, group.find('/')));
+    return found == m_objectives.end() ? milliseconds { 0 } : found->second;
+}
+
 void group_host::handleSlotRequest(
     std::uint64_t session, ask_message one, envelope& acknowledgement, steady_time now)
 {
     one.ask.holder = session;
-    auto refused = m_limitGate->admit(one.ask, now);
+    auto refused = m_limitGate->admit(one.ask, objectiveOf(one.group), now);
     if (one.ask.workClass == work_class::bulk && !m_isPrimary(one.group))
         refused = notRun(failure_kind::unavailable,
             "bulk work is refused: this entry is not the primary dispatcher of the group",
@@ -147,7 +178,8 @@
 void group_host::received(const release_message& message, steady_time now)
 {
     auto& group = find(message.group, now).group;
-    m_limitGate->released(group.requestOfGrant(message.release.grantId), message.release.outcome, now);
+    m_limitGate->released(group.requestOfGrant(message.release.grantId), message.release.outcome,
+        objectiveOf(message.group), now);
     group.release(message.release, now);
 }
 
@@ -160,6 +192,19 @@
     }
 }
 
+namespace {
+
+void logRevocation(const std::string& name, const target_group& group, const grant_revocation& revoked)
+{
+    const auto* item = group.requestOfGrant(revoked.grantId);
+    logEvent(log_level::info, "item revoked",
+        { { "group", name }, { "item", item ? std::string_view(item->requestId) : std::string_view() },
+            { "reason", toString(revoked.reason) },
+            { "expected_late_ms", std::int64_t { revoked.expectedLateness.count() } } });
+}
+
+} // namespace
+
 void group_host::sendDecisions(const std::string& name, hosted_group& hosted)
 {
     std::map<std::uint64_t, envelope> bySession;
@@ -171,8 +216,10 @@
             m_limitGate->dropped(refused->holder, refused->slotRequestId, std::chrono::steady_clock::now());
             bySession[refused->holder].refusals.push_back(std::move(*refused));
         }
-        if (const auto* revoked = std::get_if<grant_revocation>(&one))
+        if (const auto* revoked = std::get_if<grant_revocation>(&one)) {
             bySession[revoked->holder].revokes.push_back({ name, revoked->grantId });
+            logRevocation(name, hosted.group, *revoked);
+        }
     }
     for (auto& [session, message] : bySession)
         m_send(session, std::move(message));
@@ -192,6 +239,7 @@
         if (!m_isPrimary(name))
             hosted.group.revokeBulk();
         hosted.group.tick(now);
+        logPaceChanges(name, hosted.group.takePaceChanges());
         sendDecisions(name, hosted);
         requestReports(name, hosted, now);
         active = active || hosted.group.active(now);
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -15,6 +15,9 @@
 /// A reachable dispatcher acknowledges a slot request within a few milliseconds, even on an overloaded VM. A
 /// dead dispatcher delays a request by this time.
 constexpr milliseconds acknowledgementTimeout { 50 };
+/// A dispatcher decides on an immediate request within this fraction of the time until its grant deadline: it
+/// may hold the request until a slot that is about to become free.
+constexpr int immediateWaitDivisor = 5;
 /// A dispatcher that did not respond is tried last for this time.
 constexpr milliseconds unresponsivePeriod { 1000 };
 constexpr std::uint64_t localSession = 0;
@@ -257,6 +260,7 @@
 
     void start()
     {
+        m_started = std::chrono::steady_clock::now();
         auto zones = m_owner->zonesOf(m_request.service);
         std::stable_partition(
             zones.begin(), zones.end(), [&](const auto& zone) { return zone == m_owner->self.zone; });
@@ -331,7 +335,9 @@
     {
         if (m_dispatcher.empty())
             return;
-        m_timer.armAt(m_queueDeadline.value_or(std::chrono::steady_clock::now()) + acknowledgementTimeout,
+        const auto now = std::chrono::steady_clock::now();
+        const auto immediateWait = (m_request.grantDeadline - now) / immediateWaitDivisor;
+        m_timer.armAt(m_queueDeadline.value_or(now + immediateWait) + acknowledgementTimeout,
             [this, keep = weak_from_this()] {
                 if (keep.lock())
                     onAcknowledgementTimeout();
@@ -402,12 +408,13 @@
         slotRequest.prefixes = m_request.prefixes;
         slotRequest.avoid = m_request.avoid;
         slotRequest.immediate = !m_queueDeadline;
-        slotRequest.deadline = m_queueDeadline.value_or(steady_time {});
+        slotRequest.deadline = m_queueDeadline.value_or(m_request.grantDeadline);
         slotRequest.hold = m_request.hold;
         slotRequest.due = m_request.due;
         slotRequest.remainingEvents = m_request.remainingEvents;
         slotRequest.producedEvents = m_request.producedEvents;
-        slotRequest.age = m_request.age;
+        if (m_request.age.count() > 0)
+            describeAge(slotRequest);
         slotRequest.maxEventInterval = m_request.maxEventInterval;
         envelope message;
         message.asks.push_back({ m_group, std::move(slotRequest) });
@@ -420,6 +427,17 @@
         m_owner->send(m_dispatcher, std::move(message));
     }
 
+    /// The dispatcher recognizes a request that has missed its objective by a grant deadline at the end of
+    /// its hold time (see missedObjective()), also if the request does not wait, so both count from now.
+    void describeAge(slot_request& slotRequest) const
+    {
+        const auto elapsed
+            = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_started);
+        slotRequest.age = m_request.age + elapsed;
+        slotRequest.hold = std::max(m_request.hold - elapsed, milliseconds { 1 });
+        slotRequest.deadline = m_request.grantDeadline;
+    }
+
     void onAcknowledgementTimeout()
     {
         const auto now = std::chrono::steady_clock::now();
@@ -485,6 +503,7 @@
     slot_requirements m_request;
     granted m_done;
     bool m_bulk;
+    steady_time m_started;
     loop_timer m_timer;
     std::deque<step> m_steps;
     std::deque<std::string> m_candidates;
@@ -671,6 +690,11 @@
         m_impl->exchange->setMembers(members);
 }
 
+void slot_broker::setObjectives(service_objectives objectives)
+{
+    m_impl->host.setObjectives(std::move(objectives));
+}
+
 void slot_broker::limitsChanged()
 {
     if (m_impl->exchange)
@@ -706,6 +730,15 @@
     m_impl->host.setTargets(targets, changes, now);
 }
 
+void slot_broker::prepareGroups(steady_time now)
+{
+    for (const auto& [service, zones] : m_impl->targetsByZone) {
+        const auto group = groupName(service, m_impl->self.zone, 0);
+        if (zones.contains(m_impl->self.zone) && m_impl->isPrimary(group, now))
+            m_impl->host.prepare(group, now);
+    }
+}
+
 std::shared_ptr<slot_acquisition> slot_broker::acquire(slot_requirements request, granted done)
 {
     const auto run = std::make_shared<impl::slot_search>(m_impl, std::move(request), std::move(done));
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -28,6 +28,17 @@
     /// Weight of a fully cached prompt in the choice of a target: it offsets this percentage of occupied
     /// slots.
     unsigned affinityPercent = 60;
+    /// Whether the speeds of targets are learned from the runs at them and used in the choice of targets and
+    /// in expected waits. Without effect where targets are equally fast.
+    bool targetPace = true;
+    /// Whether items are started and revoked by their expected time and by repeating peaks of live demand.
+    bool bulkLookahead = true;
+    /// Whether requests wait for the first configuration or list of targets of an entry that has just
+    /// started, and whether its groups poll their targets before the first request.
+    bool startup = true;
+    /// Whether competing customers are treated by their shares: which requests of a customer above its limit
+    /// get its tokens.
+    bool customerShares = true;
 };
 
 /// How customers' request limits are enforced. In any time span of `windowSeconds`, a customer is granted at
