--- a/libs/dispatch/src/fair_queue.cpp
+++ b/libs/dispatch/src/fair_queue.cpp
@@ -36,7 +36,7 @@
     const double start = std::max(m_virtualTime, customer.lastFinish);
     customer.lastFinish = start + std::max(request.cost, 1.0) / customer.weight;
     const bool overdue = request.due <= now;
-    waiting_request arriving { std::move(request), start, m_arrivals++, now, overdue };
+    waiting_request arriving { std::move(request), start, m_arrivals++, now, overdue, std::nullopt };
     auto position = customer.requests.end();
     if (m_order == order::due)
         position = std::upper_bound(customer.requests.begin(), customer.requests.end(), arriving,
