dispatch: an immediate request that got its slot does not look at expected releases

Each immediate live request, the usual first one of an entry, went through all grants of the group twice, also if it had been granted at once and none was waiting. Now only while live requests wait; the decisions are the same, since there is then no request to let wait. test_dispatch 85 cases, test_load_player 17, test_places 24 and test_front 41 pass; the processor time saved was not measured.

--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -193,7 +193,7 @@
 void target_group::impl::refuseOrLetWait(const slot_request& asked, steady_time now)
 {
     const bool isLive = asked.workClass == work_class::live;
-    if (isLive && bulk.slotsExpected(live.queue(), live.meanServiceTime(), now))
+    if (isLive && !live.queue().empty() && bulk.slotsExpected(live.queue(), live.meanServiceTime(), now))
         live.queue().letWait(asked.holder, asked.id, immediateWaitEnd(asked, now));
     refuseExpired(now);
 }
