Log the software version of targets, and which stream a request resumes

The version is decoded from the targets' entries and stands in 'target listed', in the line of each request (target_version, stream_versions, resumes, resumed_after) and of each item run. Nothing decides by it yet.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -66,6 +66,7 @@
     }
 
     const std::string& target() const override { return m_target; }
+    std::optional<std::string> version() const override { return m_version; }
 
 private:
     void slotDenied(const std::string& reason)
@@ -79,6 +80,7 @@
         m_slot = std::move(slot);
         m_target = m_slot->target;
         m_address = m_slot->address;
+        m_version = m_slot->version;
         m_services.slots.onRevoked(*m_slot, [weak = weak_from_this()] {
             if (const auto self = weak.lock())
                 self->revoked();
@@ -229,6 +231,7 @@
     std::optional<held_slot> m_slot;
     std::string m_target;
     std::string m_address;
+    std::optional<std::string> m_version;
     strike_record m_recordWhenSent; ///< Strikes known against the item when it was sent.
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
@@ -249,6 +252,7 @@
         m_run->stop();
     }
     const std::string& target() const override { return m_run->target(); }
+    std::optional<std::string> version() const override { return m_run->version(); }
 
 private:
     std::shared_ptr<item_run_impl> m_run;
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -28,6 +28,8 @@
 public:
     virtual ~item_run() = default;
     virtual const std::string& target() const = 0;
+    /// Software version of the target; unset if it is unknown or there is no target yet.
+    virtual std::optional<std::string> version() const = 0;
 };
 
 struct item_run_request {
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -269,6 +269,7 @@
     auto& held = found->second;
     const auto run = held.runs.find(index);
     const std::string target = run == held.runs.end() ? "" : run->second->target();
+    const auto version = run == held.runs.end() ? std::nullopt : run->second->version();
     const bool hadSlot = !target.empty();
     held.runs.erase(index);
     requeueItem(id, index, outcome,
@@ -283,6 +284,7 @@
     if (hadSlot)
         logEvent(outcome == run_outcome::completed ? log_level::info : log_level::warning, "item run",
             { { "job", id }, { "item", held.job->record().items[index].id }, { "target", target },
+                { "target_version", version.value_or("unknown") },
                 { "end", static_cast<std::int64_t>(outcome) }, { "reason", reason } });
     startRuns();
 }
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -330,7 +330,7 @@
         else if (!before || before->draining != after->draining)
             logEvent(log_level::info, after->draining ? "target drains" : "target listed",
                 { { "target", after->id }, { "address", after->address }, { "zone", after->zone },
-                    { "revision", revision } });
+                    { "version", after->version }, { "revision", revision } });
     }
     if (changes.size() > maxLoggedChanges)
         logEvent(log_level::info, "targets changed",
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -32,6 +32,14 @@
 constexpr unsigned gatewayTimeout = 504;
 constexpr unsigned firstServerErrorStatus = 500;
 
+std::string joined(const std::vector<std::string>& parts)
+{
+    std::string text;
+    for (const auto& part : parts)
+        text += (text.empty() ? "" : ",") + part;
+    return text;
+}
+
 milliseconds toMilliseconds(steady_time::duration duration)
 {
     return std::chrono::duration_cast<milliseconds>(duration);
@@ -246,6 +254,7 @@
         m_slot = std::move(slot);
         m_lastTarget = m_slot->target;
         m_lastAddress = m_slot->address;
+        m_lastVersion = versionOf(m_slot);
         m_recordWhenSent = guardHasSuspects() ? m_services.guard->record(identity()) : strike_record {};
         m_targetsAge = m_services.targetsAge();
         m_waited += m_slot->waited;
@@ -335,6 +344,7 @@
         if (events.empty())
             return true;
         m_timing.record(m_splitter.events() - eventsBefore, now());
+        recordVersion();
         cancelFailover();
         armSilenceTimer(nextEventTimeout);
         if (m_splitter.lastId())
@@ -344,6 +354,19 @@
         return true;
     }
 
+    /// The target has sent an event that is about to be passed on.
+    void recordVersion()
+    {
+        const auto version = versionOf(m_slot);
+        if (m_versions.empty() || m_versions.back() != version)
+            m_versions.push_back(version);
+    }
+
+    static std::string versionOf(const std::optional<held_slot>& slot)
+    {
+        return slot ? slot->version.value_or("unknown") : "";
+    }
+
     bool bufferBody(std::string_view piece)
     {
         if (m_replyStarted) {
@@ -558,10 +581,13 @@
             { { "request_id", m_facts.id }, { "route", m_route.name },
                 { "customer", m_callerIdentity.name() }, { "config", m_table->version },
                 { "outcome", outcome }, { "status", std::int64_t { m_replyHead.status } },
-                { "target", m_lastTarget }, { "targets_age_ms", m_targetsAge.count() },
-                { "sends", std::int64_t { m_sends } }, { "objective_ms", m_route.objective.count() },
-                { "age_ms", m_ageOnArrival.count() }, { "waited_ms", m_waited.count() },
-                { "first_event_ms", m_firstEvent.count() }, { "took_ms", toMilliseconds(took).count() },
+                { "target", m_lastTarget }, { "target_version", m_lastVersion },
+                { "stream_versions", joined(m_versions) }, { "resumes", m_facts.resumes },
+                { "resumed_after", m_facts.lastEvent ? static_cast<std::int64_t>(*m_facts.lastEvent) : -1 },
+                { "targets_age_ms", m_targetsAge.count() }, { "sends", std::int64_t { m_sends } },
+                { "objective_ms", m_route.objective.count() }, { "age_ms", m_ageOnArrival.count() },
+                { "waited_ms", m_waited.count() }, { "first_event_ms", m_firstEvent.count() },
+                { "took_ms", toMilliseconds(took).count() },
                 { "identity", m_identity ? toString(*m_identity) : std::string() }, { "reason", m_reason } });
     }
 
@@ -596,6 +622,8 @@
     std::string m_body;
     std::string m_lastTarget;
     std::string m_lastAddress;
+    std::string m_lastVersion;
+    std::vector<std::string> m_versions; ///< Software versions that sent events of this response, in order.
     std::string m_reason;
     std::optional<failure> m_lastFailure;
     milliseconds m_waited { 0 };
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -56,6 +57,8 @@
     std::string address;
     std::string zone;
     milliseconds waited { 0 };
+    /// Software version of the target; unset if neither the dispatcher nor this process knows it.
+    std::optional<std::string> version;
 };
 
 /// How a granted slot was used. The figures are of the stream from the target, and zero if unknown.
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -190,6 +190,13 @@
         return known ? known->draining : removedTargets.contains(target);
     }
 
+    /// Software version of the granted target.
+    std::optional<std::string> versionOf(const slot_grant& given) const
+    {
+        const auto* known = targets ? targets->find(given.target) : nullptr;
+        return known ? std::optional(known->version) : std::nullopt;
+    }
+
     /// Zones with targets of a service, sorted by name. If this process knows only some of the targets, this
     /// includes every zone with a dispatcher, because dispatchers know the targets of their groups.
     std::vector<std::string> zonesOf(const std::string& service) const
@@ -297,6 +304,7 @@
         found.address = given.address;
         found.zone = m_zone;
         found.waited = given.waited;
+        found.version = m_owner->versionOf(given);
         if (m_bulk)
             m_owner->fullZones.markAvailable(m_zone);
         ++m_owner->figures.grants;
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -137,6 +137,9 @@
     bool draining = false;
     std::string instance; ///< Name of the target that remains the same after a restart.
     std::int64_t started = 0; ///< Increases with each start of an instance; 0 if unknown.
+    /// Version of its software, which is fixed for the id. A stream can be continued only by a target of the
+    /// version that began it.
+    std::string version;
 };
 
 /// A process stores each target once and shares it among its components.
--- a/libs/routing/src/target_directory.cpp
+++ b/libs/routing/src/target_directory.cpp
@@ -13,7 +13,7 @@
 bool sameForSelection(const listed_target& left, const listed_target& right)
 {
     return left.service == right.service && left.address == right.address && left.zone == right.zone
-        && left.slots == right.slots && left.draining == right.draining;
+        && left.slots == right.slots && left.draining == right.draining && left.version == right.version;
 }
 
 /// Identifies the target across restarts; its id if the platform does not list an instance.
--- a/libs/serving/include/serving/serving.h
+++ b/libs/serving/include/serving/serving.h
@@ -22,6 +22,8 @@
     std::string key; ///< API key, which identifies the customer. Secret. Empty if there is none.
     std::optional<milliseconds> callerTimeout; ///< How long the caller waits for the response.
     std::optional<std::uint64_t> lastEvent; ///< The stream resumes after the event with this id.
+    /// Id of the request that received the first event of the stream to resume; empty for a new stream.
+    std::string resumes;
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
     std::vector<std::uint64_t>
