--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -16,6 +16,7 @@
 /// Requests that wait for a slot; more are refused.
 constexpr std::size_t queueLength = 24;
 const std::string serviceName = "llm";
+const std::string firstVersion = "v1";
 
 /// What the servers have run, for checks.
 struct run_record {
@@ -27,6 +28,7 @@
     std::int64_t reachedMs = 0; ///< When the request arrived, by the same clock.
     bool endedServer = false; ///< Its server crashed under it.
     std::string customer; ///< As it was named to the server.
+    std::string version; ///< Software version of the server.
     bool keyPassed = false; ///< The caller's key came along.
 };
 
@@ -67,9 +69,13 @@
         start();
     }
 
+    /// Changes the software version, from the next start on.
+    void setVersion(std::string version) { m_nextVersion = std::move(version); }
+
     void start()
     {
         ++m_starts;
+        m_version = m_nextVersion;
         m_id = "i-" + m_address.substr(m_address.rfind(':') + 1) + "-" + std::to_string(m_starts);
         http_listener_options options;
         const auto colon = m_address.rfind(':');
@@ -105,6 +111,7 @@
     void cutEach(unsigned answers) { m_cutEach = answers; }
     const std::string& id() const { return m_id; }
     std::size_t running() const { return m_running.size(); }
+    const std::string& version() const { return m_version; }
 
 private:
     struct stream {
@@ -126,7 +133,7 @@
     {
         m_store.put("servers/" + m_id,
             { { "service", serviceName }, { "address", m_listedAddress }, { "zone", m_zone },
-                { "version", "v1" }, { "slots", m_slots }, { "state", state }, { "cold_left_ms", 0 },
+                { "version", m_version }, { "slots", m_slots }, { "state", state }, { "cold_left_ms", 0 },
                 { "call_seq", 0 } });
     }
 
@@ -151,7 +158,7 @@
             return caller->send(
                 { 503, { { "Yuccachute-Not-Run", "1" }, { "Yuccachute-Request-Id", id } }, "" });
         const run_record run { id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false, 0,
-            steadyMs(), false, std::string(findHeader(headers, "Yuccachute-Tenant")),
+            steadyMs(), false, std::string(findHeader(headers, "Yuccachute-Tenant")), m_version,
             !findHeader(headers, "Api-Key").empty() };
         const http_headers head { { "Yuccachute-Request-Id", id },
             { "Yuccachute-Server-Seal", "seal-" + m_id } };
@@ -233,7 +240,7 @@
         }
         if (one.next <= one.last) {
             const auto number = std::to_string(one.next++);
-            one.caller->write("id: " + number + "\ndata: " + one.id + "-" + number + "\n\n");
+            one.caller->write("id: " + number + "\ndata: " + one.id + "-" + number + versionMark() + "\n\n");
         }
         if (one.next > one.last) {
             m_runs[*one.begun].finished = true;
@@ -242,6 +249,9 @@
         }
     }
 
+    /// Names the version in each event, unless it is the first one.
+    std::string versionMark() const { return m_version == firstVersion ? "" : "@" + m_version; }
+
     event_loop& m_loop;
     platform_store& m_store;
     std::vector<run_record>& m_runs;
@@ -253,6 +263,8 @@
     milliseconds m_interval;
     std::string m_id;
     int m_starts = 0;
+    std::string m_version;
+    std::string m_nextVersion = firstVersion;
     bool m_dark = false;
     std::string m_cutId;
     unsigned m_cutEach = 0;
@@ -390,6 +402,8 @@
                 server.crashFor(milliseconds { number("ms") });
             if (what == "cut_each")
                 server.cutEach(static_cast<unsigned>(number("answers")));
+            if (const auto version = value("version"); !version.empty())
+                server.setVersion(version);
             if (what == "start")
                 server.start();
             if (what == "drain")
@@ -398,12 +412,13 @@
                 server.unlist();
             if (what == "dark")
                 server.setDark(number("on") != 0);
-            return { { "id", server.id() }, { "running", server.running() } };
+            return { { "id", server.id() }, { "running", server.running() },
+                { "version", server.version() } };
         }
         auto runs = json::array();
         for (const auto& run : m_runs)
             runs.push_back({ { "id", run.id }, { "server", run.server }, { "last", run.lastEvent },
-                { "finished", run.finished }, { "ended_server", run.endedServer },
+                { "finished", run.finished }, { "version", run.version }, { "ended_server", run.endedServer },
                 { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs }, { "customer", run.customer },
                 { "key_passed", run.keyPassed } });
         return { { "runs", runs }, { "calls", m_store.calls() },
--- /dev/null
+++ b/tests/failures_versions.cpp
@@ -0,0 +1,212 @@
+#include "platform_system.h"
+#include "resuming_caller.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+using namespace yuccachute;
+using namespace yuccachute::testing;
+
+namespace {
+
+constexpr int streamEvents = 60;
+const std::string path = "/resumable/x";
+
+platform_layout twoZones()
+{
+    platform_layout layout;
+    layout.eventMs = 10;
+    layout.slots = 8;
+    layout.zones = { { "a", 2, 1, 4 }, { "b", 2, 1, 4 } };
+    return layout;
+}
+
+/// Replaces the software of a target, which starts again under another id.
+void upgrade(platform_system& system, unsigned number, const std::string& version)
+{
+    const auto target = "/server?number=" + std::to_string(number);
+    system.control(target + "&do=unlist");
+    system.control(target + "&do=crash");
+    system.control(target + "&do=start&version=" + version);
+}
+
+/// Two of the four targets of each zone run another version.
+void upgradeHalf(platform_system& system)
+{
+    for (const unsigned number : { 0, 1, 4, 5 })
+        upgrade(system, number, "v2");
+    std::this_thread::sleep_for(milliseconds { 1500 }); // Until all entries know of the new targets.
+}
+
+std::uint16_t portOf(const platform_system& system, const std::string& entry)
+{
+    return system.entries.at(entry).callers;
+}
+
+struct resumed_streams {
+    int begun = 0;
+    int wentOn = 0;
+    int mixed = 0;
+    int refused = 0;
+};
+
+/// Begins streams at one entry, leaves each in the middle, and resumes it at another entry.
+resumed_streams resumeStreams(
+    platform_system& system, const std::string& first, const std::string& second, const std::string& name)
+{
+    resumed_streams streams;
+    constexpr int number = 24;
+    std::vector<std::pair<std::string, received_stream>> left(number);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < number; ++i) {
+        callers.emplace_back([&, i] {
+            const auto id = name + "-" + std::to_string(i);
+            left[i] = { id,
+                readStream(
+                    portOf(system, first), path, platform_system::requestHeaders(id, streamEvents), 5 + i) };
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    callers.clear();
+    std::vector<received_stream> rest(number);
+    for (int i = 0; i < number; ++i) {
+        callers.emplace_back([&, i] {
+            const auto& [id, begun] = left[i];
+            if (begun.lastEvent > 0)
+                rest[i] = readStream(portOf(system, second), path,
+                    resumingHeaders(id + "-again", streamEvents, id, begun.lastEvent));
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    for (int i = 0; i < number; ++i) {
+        streams.begun += left[i].second.lastEvent > 0 ? 1 : 0;
+        streams.wentOn += rest[i].whole && rest[i].lastEvent == streamEvents ? 1 : 0;
+        streams.refused += rest[i].status == 503 ? 1 : 0;
+        streams.mixed += versionsIn(left[i].second.events + rest[i].events).size() > 1 ? 1 : 0;
+    }
+    return streams;
+}
+
+} // namespace
+
+// Guards against a stream that its caller resumes at a target of another software version.
+TEST_CASE("a stream that is resumed at another entry goes on at the software version that began it")
+{
+    platform_system system(twoZones());
+    upgradeHalf(system);
+    for (const auto& [first, second] : std::vector<std::pair<std::string, std::string>> {
+             { "entry-a-1", "entry-a-2" }, { "entry-a-2", "entry-b-1" }, { "entry-b-2", "entry-a-1" } }) {
+        const auto streams = resumeStreams(system, first, second, "r-" + first);
+        INFO(first << " to " << second);
+        CHECK(streams.begun == 24);
+        CHECK(streams.mixed == 0);
+        CHECK(streams.wentOn == 24);
+    }
+}
+
+// Guards against a failover within one response to a target of another software version.
+TEST_CASE("a stream that its target breaks off goes on at the software version that began it")
+{
+    platform_system system(twoZones());
+    upgradeHalf(system);
+    for (unsigned number = 0; number < system.servers(); ++number)
+        system.control("/server?number=" + std::to_string(number) + "&do=cut_each&answers=2");
+    std::atomic<int> whole { 0 };
+    std::atomic<int> mixed { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 32; ++i) {
+        callers.emplace_back([&, i] {
+            const auto entry = i % 2 == 0 ? "entry-a-1" : "entry-b-1";
+            const auto read = readStream(portOf(system, entry), path,
+                platform_system::requestHeaders("f-" + std::to_string(i), streamEvents));
+            whole += read.whole && read.lastEvent == streamEvents ? 1 : 0;
+            mixed += versionsIn(read.events).size() > 1 ? 1 : 0;
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(mixed == 0);
+    CHECK(whole >= 16); // Two attempts each: a stream whose second run is broken off as well ends there.
+}
+
+// Guards against a resumed stream that mixes versions, or is refused, because the entry that began it is
+// dead.
+TEST_CASE("a stream goes on at its software version after its entry was killed")
+{
+    platform_system system(twoZones());
+    upgradeHalf(system);
+    std::vector<received_stream> begun(16);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < begun.size(); ++i) {
+        callers.emplace_back([&, i] {
+            begun[i] = readStream(portOf(system, "entry-a-1"), path,
+                platform_system::requestHeaders("k-" + std::to_string(i), streamEvents));
+        });
+    }
+    std::this_thread::sleep_for(milliseconds { 300 });
+    system.entries.at("entry-a-1").running->signal(SIGKILL);
+    for (auto& caller : callers)
+        caller.join();
+    int wentOn = 0;
+    int mixed = 0;
+    for (std::size_t i = 0; i < begun.size(); ++i) {
+        REQUIRE(begun[i].lastEvent > 0);
+        const auto id = "k-" + std::to_string(i);
+        const auto rest = readStream(portOf(system, i % 2 == 0 ? "entry-a-2" : "entry-b-1"), path,
+            resumingHeaders(id + "-again", streamEvents, id, begun[i].lastEvent));
+        wentOn += rest.whole && rest.lastEvent == streamEvents ? 1 : 0;
+        mixed += versionsIn(begun[i].events + rest.events).size() > 1 ? 1 : 0;
+    }
+    CHECK(mixed == 0);
+    CHECK(wentOn == 16);
+}
+
+// Guards against a guess: no process knows where the stream began, while targets of two versions serve.
+TEST_CASE("a stream of unknown origin is refused at once while several software versions serve")
+{
+    platform_system system(twoZones());
+    upgradeHalf(system);
+    const auto began = std::chrono::steady_clock::now();
+    const auto refused = readStream(
+        portOf(system, "entry-a-1"), path, resumingHeaders("u-1", streamEvents, "nobody-knows", 7));
+    CHECK(refused.status == 503);
+    CHECK(std::chrono::steady_clock::now() - began < milliseconds { 300 });
+    CHECK(system.runsOf("u-1").empty());
+}
+
+// Guards against streams that are lost with their entries although all targets run one version.
+TEST_CASE("a stream of unknown origin goes on while a single software version serves")
+{
+    platform_system system(twoZones());
+    std::this_thread::sleep_for(milliseconds { 500 });
+    const auto rest = readStream(
+        portOf(system, "entry-b-1"), path, resumingHeaders("o-1", streamEvents, "nobody-knows", 7));
+    CHECK(rest.status == 200);
+    CHECK(rest.lastEvent == streamEvents);
+}
+
+// Guards against items whose text comes from two software versions, also across the death of their holder.
+TEST_CASE("the text of an item comes from one software version")
+{
+    platform_system system(twoZones());
+    upgradeHalf(system);
+    for (unsigned number = 0; number < system.servers(); ++number)
+        system.control("/server?number=" + std::to_string(number) + "&do=cut_each&answers=3");
+    REQUIRE(system.submit("entry-a-1", "job", 40, 300) == 202);
+    std::this_thread::sleep_for(milliseconds { 3000 });
+    system.batches.at("batch-a-1").running->signal(SIGKILL);
+    std::this_thread::sleep_for(milliseconds { 500 });
+    system.startBatch("batch-a-1");
+    const auto listed = system.allResults("entry-b-1", "job", 40);
+    int mixed = 0;
+    for (const auto& entry : listed) {
+        CHECK(entry["state"] == "done");
+        mixed += versionsIn(entry["text"].get<std::string>()).size() > 1 ? 1 : 0;
+    }
+    CHECK(mixed == 0);
+}
