--- a/libs/dispatch/include/dispatch/dispatch.h
+++ b/libs/dispatch/include/dispatch/dispatch.h
@@ -53,6 +53,9 @@
     milliseconds age { 0 };
     /// Live only: objective for the time between two events; 0 for none.
     milliseconds maxEventInterval { 0 };
+    /// Software version that the target must have, because a target of this version began the stream; unset
+    /// if any will do.
+    std::optional<std::string> version;
 };
 
 /// Whether a live request can no longer meet the latency objective of its caller. Its sender knows the
@@ -70,6 +73,7 @@
     std::string target;
     std::string address;
     milliseconds waited { 0 };
+    std::optional<std::string> version; ///< Software version of the target; unset if unknown.
 };
 
 struct slot_refusal {
@@ -149,8 +153,12 @@
     std::string address;
     unsigned slots = 8;
     bool drain = false;
+    std::string version; ///< Software version, which is fixed for the name.
 };
 
+/// Whether a target may run the request, by its software version.
+bool acceptsVersion(const slot_request& request, const target_description& target);
+
 /// Load as reported by a target itself. It lags behind the actual load.
 struct load_report {
     unsigned running = 0;
--- a/libs/dispatch/src/bulk_scheduler.cpp
+++ b/libs/dispatch/src/bulk_scheduler.cpp
@@ -119,11 +119,31 @@
     return slots;
 }
 
+std::vector<const slot_request*> bulk_scheduler::heads() const
+{
+    const auto* first = m_queue.front();
+    if (!first)
+        return {};
+    std::map<std::optional<std::string_view>, const slot_request*> byVersion;
+    m_queue.forEach([&](const slot_request& item, steady_time) {
+        auto& head = byVersion[item.version];
+        if (!head || item.due < head->due)
+            head = &item;
+    });
+    std::vector<const slot_request*> heads { first };
+    for (const auto& [version, head] : byVersion) {
+        if (version != first->version)
+            heads.push_back(head);
+    }
+    return heads;
+}
+
 /// Items at risk of being late come first and those that are late anyway last, each by due time.
-const slot_request* bulk_scheduler::nextItem(const target_state& target, steady_time now)
+const slot_request* bulk_scheduler::nextItem(
+    const slot_request& head, const target_state& target, steady_time now)
 {
     if (!looksAhead())
-        return m_queue.front();
+        return &head;
     const auto interval = expectedEventInterval(target, now);
     const auto peak = m_demand.nextPeak(now);
     const auto wait = expectedItemWait(interval, now);
@@ -132,6 +152,8 @@
     const slot_request* heldBackItem = nullptr;
     auto bestUrgency = item_urgency::late;
     m_queue.forEach([&](const slot_request& item, steady_time since) {
+        if (!acceptsVersion(item, target.description))
+            return;
         const auto remaining = expectedTime(item, interval);
         auto urgency = remaining ? urgencyOf(item.due, *remaining, wait, now) : item_urgency::on_time;
         urgency = item.due <= since ? item_urgency::late : urgency;
@@ -181,12 +203,13 @@
 }
 
 std::vector<steady_time> bulk_scheduler::expectedReleases(
-    std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+    const slot_request& next, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
 {
     std::vector<steady_time> releases;
     for (const auto& [id, grant] : m_table.grants()) {
         const auto target = m_table.targets().find(grant.target);
-        if (grant.revoked || target == m_table.targets().end() || !m_table.usable(target->second, now))
+        if (grant.revoked || target == m_table.targets().end() || !m_table.usable(target->second, now)
+            || !acceptsVersion(next, target->second.description))
             continue;
         if (grant.live() && serviceTime.count() > 0) {
             const auto expected = serviceTime / m_table.paceOf(target->second, now);
@@ -221,37 +244,35 @@
     });
 }
 
-std::size_t bulk_scheduler::neededRevocations(
-    const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+std::size_t bulk_scheduler::neededRevocations(const slot_request& next, std::vector<steady_time> latest,
+    std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
 {
-    std::vector<steady_time> latest;
-    live.forEach([&](const slot_request& request, steady_time since) {
-        latest.push_back(latestGrantTime(request, since));
-    });
-    return revocationsNeeded(std::move(latest), expectedReleases(serviceTime, now), now);
+    return revocationsNeeded(std::move(latest), expectedReleases(next, serviceTime, now), now);
 }
 
-bool bulk_scheduler::slotsExpected(
-    const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
+bool bulk_scheduler::slotsExpected(const live_queue& live, const slot_request& next,
+    std::chrono::duration<double, std::milli> serviceTime, steady_time now) const
 {
-    return knowsRemainingTimes(now) && neededRevocations(live, serviceTime, now) == 0;
+    return knowsRemainingTimes(now)
+        && neededRevocations(next, live.latestGrantTimes(next), serviceTime, now) == 0;
 }
 
 /// No grant is revoked for a live request that is expected to get a slot in time anyway. Without figures for
 /// any of the items, as many are revoked as live requests wait.
-std::vector<grant_revocation> bulk_scheduler::grantsToRevoke(const live_queue& live,
+std::vector<grant_revocation> bulk_scheduler::grantsToRevoke(const live_queue& live, const slot_request& next,
     std::chrono::duration<double, std::milli> serviceTime, const target_filter& suitable,
     steady_time now) const
 {
-    if (!revokesBulkGrants(m_options.policy) || live.empty())
+    if (!revokesBulkGrants(m_options.policy))
         return {};
+    auto latest = live.latestGrantTimes(next);
     std::vector<grant_revocation> revocations;
     if (!knowsRemainingTimes(now)) {
-        for (const auto id : revokedWithoutFigures(live.size(), suitable, now))
+        for (const auto id : revokedWithoutFigures(latest.size(), suitable, now))
             revocations.push_back({ m_table.findGrant(id)->request.holder, id });
         return revocations;
     }
-    const auto needed = neededRevocations(live, serviceTime, now);
+    const auto needed = neededRevocations(next, std::move(latest), serviceTime, now);
     if (needed == 0)
         return {};
     const auto nominal = m_table.nominalEventInterval(now);
--- a/libs/dispatch/src/bulk_scheduler.h
+++ b/libs/dispatch/src/bulk_scheduler.h
@@ -35,21 +35,25 @@
 
     /// Whether another item may start while `liveWaiting` live requests wait.
     bool mayStart(std::size_t liveWaiting, steady_time now);
-    /// The waiting item that starts next, if its target is `target`; null if all are held back for a peak of
-    /// live demand.
-    const slot_request* nextItem(const target_state& target, steady_time now);
+    /// The next item in order, and then the next of those of each other software version, or of none.
+    std::vector<const slot_request*> heads() const;
+    /// The waiting item that starts next, if its target is `target`, which suits `head`; null if all are held
+    /// back for a peak of live demand.
+    const slot_request* nextItem(const slot_request& head, const target_state& target, steady_time now);
     /// Whether all items were held back so recently that nextItem() need not be called again yet.
     bool heldBack(steady_time now) const { return now < m_heldBackUntil; }
     /// An item has arrived, which may start although the others are held back.
     void recordBulkArrival() { m_heldBackUntil = {}; }
-    /// The grants to revoke for the live requests that wait, at the targets that are suitable for these.
-    /// `serviceTime` is the mean time for which live grants are held at nominal pace; zero if unknown.
-    std::vector<grant_revocation> grantsToRevoke(const live_queue& live,
+    /// The grants to revoke for the live requests that compete for the targets of `next`, at the targets that
+    /// are suitable for it. `serviceTime` is the mean time for which live grants are held at nominal pace;
+    /// zero if unknown.
+    std::vector<grant_revocation> grantsToRevoke(const live_queue& live, const slot_request& next,
         std::chrono::duration<double, std::milli> serviceTime, const target_filter& suitable,
         steady_time now) const;
-    /// Whether all live requests that wait are expected to get slots in time without further revocations.
-    bool slotsExpected(
-        const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
+    /// Whether all live requests that compete for the targets of `next` are expected to get slots in time
+    /// without further revocations.
+    bool slotsExpected(const live_queue& live, const slot_request& next,
+        std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
     /// Slots that waiting live requests get by revocation if expected releases do not come in time. Items
     /// without figures are not counted: decisions on them are the same as without the lookahead.
     std::size_t revocableSlots(steady_time now) const;
@@ -79,13 +83,14 @@
     revocable_item revocableItemOf(std::uint64_t grantId, steady_time::duration wait, steady_time now) const;
     /// Usable slots without those used by others.
     int ownSlots(steady_time now) const;
-    std::vector<steady_time> expectedReleases(
+    /// At the targets that the request can use.
+    std::vector<steady_time> expectedReleases(const slot_request& next,
         std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
     /// Whether the time that any of the revocable items still needs is known.
     bool knowsRemainingTimes(steady_time now) const;
-    /// Number of waiting live requests that get no slot in time without a revocation.
-    std::size_t neededRevocations(
-        const live_queue& live, std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
+    /// Number of live requests that get no slot in time without a revocation.
+    std::size_t neededRevocations(const slot_request& next, std::vector<steady_time> latest,
+        std::chrono::duration<double, std::milli> serviceTime, steady_time now) const;
     std::vector<std::uint64_t> revokedWithoutFigures(
         std::size_t liveWaiting, const target_filter& suitable, steady_time now) const;
 
--- a/libs/dispatch/src/live_admission.cpp
+++ b/libs/dispatch/src/live_admission.cpp
@@ -23,7 +23,7 @@
 {
     double slots = 0; // In slots of nominal pace: a slot at half the pace serves half as many requests.
     for (const auto& [name, target] : m_table.targets()) {
-        if (!m_table.usable(target, now))
+        if (!acceptsVersion(request, target.description) || !m_table.usable(target, now))
             continue;
         // A target that has not reported yet is not counted as full here: it will report within milliseconds,
         // and the request can wait for that.
@@ -34,7 +34,7 @@
     if (slots == 0)
         return unavailableRetryAfter;
     const bool fair = m_options.order == fair_queue::order::fair;
-    const auto& queue = m_queue.queueOf(servingClass);
+    const auto& queue = m_queue.queueOf(request, servingClass);
     const auto waiting = fair ? queue.sizeOf(request.customer) : queue.size();
     const auto ahead = static_cast<double>(waiting - std::min(waiting, revocableSlots));
     const double share = fair ? queue.shareOf(request.customer, request.weight) : 1;
@@ -60,11 +60,15 @@
     if (!m_table.anyUsable(now))
         return notRun(
             failure_kind::unavailable, "no target of this service can be used now", unavailableRetryAfter);
+    if (!m_table.anyUsable(request, now))
+        return notRun(failure_kind::unavailable,
+            "no target of software version " + *request.version + ", which began the stream, can be used now",
+            unavailableRetryAfter);
     if (request.workClass == work_class::bulk)
         return std::nullopt;
     const auto servingClass = servingClassOf(request, now);
     const auto wait = expectedWait(request, servingClass, revocableSlots, now);
-    const auto waiting = m_queue.queueOf(servingClass).sizeOf(request.customer);
+    const auto waiting = m_queue.queueOf(request, servingClass).sizeOf(request.customer);
     if (waiting - std::min(waiting, revocableSlots) >= request.queueLimit)
         return notRun(failure_kind::overloaded, "too many requests of this customer are waiting",
             std::max(wait, minRetryAfter));
--- a/libs/dispatch/src/live_queue.cpp
+++ b/libs/dispatch/src/live_queue.cpp
@@ -1,5 +1,8 @@
 #include "live_queue.h"
 
+#include "revocation.h"
+
+#include <numeric>
 #include <utility>
 
 namespace yuccachute {
@@ -21,8 +24,15 @@
     return request.deadline + encodingDelay >= now + request.hold;
 }
 
+bool acceptsVersion(const slot_request& request, const target_description& target)
+{
+    return !request.version || *request.version == target.version;
+}
+
 serving_class servingClassOf(const slot_request& request, steady_time now)
 {
+    if (request.version)
+        return serving_class::bound;
     return missedObjective(request, now) ? serving_class::missed : serving_class::timely;
 }
 
@@ -36,30 +46,100 @@
     return moved;
 }
 
+template <typename Visit> void live_queue::forEachQueue(Visit visit)
+{
+    for (auto& [version, queue] : m_bound)
+        visit(queue, serving_class::bound);
+    visit(m_timely, serving_class::timely);
+    visit(m_missed, serving_class::missed);
+    std::erase_if(m_bound, [](const auto& entry) { return entry.second.empty(); });
+}
+
 void live_queue::setOrder(fair_queue::order order)
 {
-    m_timely = reordered(std::move(m_timely), order);
-    m_missed = reordered(std::move(m_missed), order);
+    m_order = order;
+    forEachQueue([order](fair_queue& queue, serving_class) { queue = reordered(std::move(queue), order); });
 }
 
 void live_queue::push(slot_request request, steady_time now)
 {
+    if (request.version) {
+        auto& queue = m_bound.try_emplace(*request.version, m_order).first->second;
+        return queue.push(std::move(request), now);
+    }
     auto& queue = servingClassOf(request, now) == serving_class::missed ? m_missed : m_timely;
     queue.push(std::move(request), now);
 }
 
-const fair_queue& live_queue::queueOf(serving_class servingClass) const
+std::size_t live_queue::boundSize() const
+{
+    return std::accumulate(m_bound.begin(), m_bound.end(), std::size_t { 0 },
+        [](std::size_t sum, const auto& entry) { return sum + entry.second.size(); });
+}
+
+std::size_t live_queue::size() const
 {
+    return boundSize() + m_timely.size() + m_missed.size();
+}
+
+const fair_queue& live_queue::queueOf(const slot_request& request, serving_class servingClass) const
+{
+    static const fair_queue none;
+    if (request.version) {
+        const auto found = m_bound.find(*request.version);
+        return found == m_bound.end() ? none : found->second;
+    }
     return servingClass == serving_class::missed ? m_missed : m_timely;
 }
 
 std::size_t live_queue::sizeBefore(serving_class servingClass) const
 {
-    return servingClass == serving_class::missed ? m_timely.size() : 0;
+    switch (servingClass) {
+    case serving_class::bound:
+        return 0;
+    case serving_class::timely:
+        return boundSize();
+    case serving_class::missed:
+        return boundSize() + m_timely.size();
+    }
+    return 0;
+}
+
+std::vector<const slot_request*> live_queue::heads() const
+{
+    std::vector<const slot_request*> heads;
+    for (const auto& [version, queue] : m_bound)
+        heads.push_back(queue.front());
+    if (const auto* next = unbound().front())
+        heads.push_back(next);
+    return heads;
+}
+
+std::pair<slot_request, steady_time> live_queue::pop(const slot_request& head)
+{
+    if (!head.version)
+        return m_timely.empty() ? m_missed.pop() : m_timely.pop();
+    const auto found = m_bound.find(*head.version);
+    auto popped = found->second.pop();
+    if (found->second.empty())
+        m_bound.erase(found);
+    return popped;
+}
+
+std::vector<steady_time> live_queue::latestGrantTimes(const slot_request& request) const
+{
+    std::vector<steady_time> latest;
+    forEach([&](const slot_request& waiting, steady_time since) {
+        if (!request.version || waiting.version == request.version)
+            latest.push_back(latestGrantTime(waiting, since));
+    });
+    return latest;
 }
 
 void live_queue::forEach(const std::function<void(const slot_request&, steady_time since)>& visit) const
 {
+    for (const auto& [version, queue] : m_bound)
+        queue.forEach(visit);
     m_timely.forEach(visit);
     m_missed.forEach(visit);
 }
@@ -67,28 +147,28 @@
 std::vector<live_queue::expired_request> live_queue::takeExpired(steady_time now)
 {
     std::vector<expired_request> expired;
-    for (auto& request : m_timely.takeExpired(now))
-        expired.push_back({ std::move(request), serving_class::timely });
-    for (auto& request : m_missed.takeExpired(now))
-        expired.push_back({ std::move(request), serving_class::missed });
+    forEachQueue([&](fair_queue& queue, serving_class servingClass) {
+        for (auto& request : queue.takeExpired(now))
+            expired.push_back({ std::move(request), servingClass });
+    });
     return expired;
 }
 
 void live_queue::letWait(std::uint64_t holder, std::uint64_t id, steady_time until)
 {
-    if (!m_timely.letWait(holder, id, until))
-        m_missed.letWait(holder, id, until);
+    forEachQueue([&](fair_queue& queue, serving_class) { queue.letWait(holder, id, until); });
 }
 
 bool live_queue::remove(std::uint64_t holder, std::uint64_t id)
 {
-    return m_timely.remove(holder, id) || m_missed.remove(holder, id);
+    bool removed = false;
+    forEachQueue([&](fair_queue& queue, serving_class) { removed = queue.remove(holder, id) || removed; });
+    return removed;
 }
 
 void live_queue::removeHolder(std::uint64_t holder)
 {
-    m_timely.removeHolder(holder);
-    m_missed.removeHolder(holder);
+    forEachQueue([&](fair_queue& queue, serving_class) { queue.removeHolder(holder); });
 }
 
 } // namespace yuccachute
--- a/libs/dispatch/src/live_queue.h
+++ b/libs/dispatch/src/live_queue.h
@@ -5,20 +5,29 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 namespace yuccachute {
 
-/// Whether a live request can still meet its objective.
-enum class serving_class : std::uint8_t { timely, missed };
+/// Classes of live requests in the order in which they are served.
+enum class serving_class : std::uint8_t {
+    bound, ///< Continues a stream, and can use targets of one software version only.
+    timely, ///< Can still meet its objective.
+    missed ///< Has missed its objective.
+};
 
 serving_class servingClassOf(const slot_request& request, steady_time now);
 
-/// The waiting live requests of a group. Requests that can still meet their objective are served before those
-/// that have missed it: after a restart, the latter would otherwise take the slots first and make the
-/// requests that arrive meanwhile late as well. Within each class, the order is that of fair_queue.
+/// The waiting live requests of a group. Requests that are bound to a software version come first, because
+/// others can use all targets. They have a queue for each version, so that none waits for a target that it
+/// cannot use, and no other request waits for them. Of the others, requests that can still meet their
+/// objective are served before those that have missed it: after a restart, the latter would otherwise take
+/// the slots first and make the requests that arrive meanwhile late as well. Within each class, the order is
+/// that of fair_queue.
 class live_queue {
 public:
     struct expired_request {
@@ -27,7 +36,8 @@
     };
 
     explicit live_queue(fair_queue::order order)
-        : m_timely(order)
+        : m_order(order)
+        , m_timely(order)
         , m_missed(order)
     {
     }
@@ -36,18 +46,24 @@
     void setOrder(fair_queue::order order);
 
     void push(slot_request request, steady_time now);
-    bool empty() const { return m_timely.empty() && m_missed.empty(); }
-    std::size_t size() const { return m_timely.size() + m_missed.size(); }
+    bool empty() const { return size() == 0; }
+    std::size_t size() const;
     /// Number of requests that have missed their objective.
     std::size_t missedObjectives() const { return m_missed.size(); }
 
-    const fair_queue& queueOf(serving_class servingClass) const;
-    /// Number of waiting requests of the class that is served before this one.
+    /// The queue that a request of this class is in, or would be added to.
+    const fair_queue& queueOf(const slot_request& request, serving_class servingClass) const;
+    /// Number of waiting requests that can use the same targets and are served before those of this class.
     std::size_t sizeBefore(serving_class servingClass) const;
 
-    const slot_request* front() const { return m_timely.empty() ? m_missed.front() : m_timely.front(); }
-    std::pair<slot_request, steady_time> pop() { return m_timely.empty() ? m_missed.pop() : m_timely.pop(); }
+    /// The next request of each software version, and then the next one of those that can use any target.
+    std::vector<const slot_request*> heads() const;
+    /// Removes one of the heads and returns it with the time at which it was queued.
+    std::pair<slot_request, steady_time> pop(const slot_request& head);
 
+    /// Times until which the waiting requests can wait that compete for the targets of this one: those of its
+    /// software version, or all of them.
+    std::vector<steady_time> latestGrantTimes(const slot_request& request) const;
     /// Calls `visit` for each waiting request with the time at which it was queued.
     void forEach(const std::function<void(const slot_request&, steady_time since)>& visit) const;
     std::vector<expired_request> takeExpired(steady_time now);
@@ -57,6 +73,12 @@
     void removeHolder(std::uint64_t holder);
 
 private:
+    template <typename Visit> void forEachQueue(Visit visit);
+    std::size_t boundSize() const;
+    const fair_queue& unbound() const { return m_timely.empty() ? m_missed : m_timely; }
+
+    fair_queue::order m_order;
+    std::map<std::string, fair_queue, std::less<>> m_bound; ///< By software version; without empty ones.
     fair_queue m_timely;
     fair_queue m_missed;
 };
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -95,6 +95,7 @@
 {
     lastRequestTime = now;
     activateNeededTargets(now);
+    table.activateForVersion(request, now);
     const auto revocable = live.queue().empty() ? 0 : bulk.revocableSlots(now);
     if (auto refusal = live.refusalOf(request, revocable, now))
         return refuse(request, std::move(*refusal));
@@ -128,22 +129,22 @@
     const auto holder = request.holder;
     const auto slotRequestId = request.id;
     const auto id = table.addGrant(std::move(request), target, now);
-    decisions.emplace_back(slot_grant {
-        holder, slotRequestId, id, target.description.name, target.description.address, waited });
+    decisions.emplace_back(slot_grant { holder, slotRequestId, id, target.description.name,
+        target.description.address, waited, target.description.version });
 }
 
 bool target_group::impl::assignLiveSlot(bool onlyInTime, steady_time now)
 {
-    const auto* next = live.queue().front();
-    if (!next)
-        return false;
     const bool itemsPresent = table.bulkGrants() > 0 || !bulk.queue().empty();
-    auto* target = selector.choose(*next, true, now, { itemsPresent, onlyInTime });
-    if (!target)
-        return false;
-    auto [request, since] = live.queue().pop();
-    grantSlot(std::move(request), *target, since, now);
-    return true;
+    for (const auto* next : live.queue().heads()) {
+        auto* target = selector.choose(*next, true, now, { itemsPresent, onlyInTime });
+        if (!target)
+            continue;
+        auto [request, since] = live.queue().pop(*next);
+        grantSlot(std::move(request), *target, since, now);
+        return true;
+    }
+    return false;
 }
 
 bool target_group::impl::assignBulkSlot(steady_time now)
@@ -151,20 +152,22 @@
     if (bulk.heldBack(now) || !bulk.mayStart(live.queue().size(), now))
         return false;
     const bool needFreeSlot = !std::holds_alternative<unlimited_bulk>(options.policy);
-    const auto* first = bulk.queue().front();
-    auto* target = selector.choose(*first, needFreeSlot, now);
-    if (!target)
-        return false;
-    const auto* next = bulk.nextItem(*target, now);
-    if (!next)
-        return false;
-    if (next != first)
-        target = selector.choose(*next, needFreeSlot, now);
-    if (!target)
-        return false;
-    auto [request, since] = next == first ? bulk.queue().pop() : *bulk.queue().take(next->holder, next->id);
-    grantSlot(std::move(request), *target, since, now);
-    return true;
+    for (const auto* first : bulk.heads()) {
+        auto* target = selector.choose(*first, needFreeSlot, now);
+        if (!target)
+            continue;
+        const auto* next = bulk.nextItem(*first, *target, now);
+        if (!next)
+            return false;
+        if (next != first)
+            target = selector.choose(*next, needFreeSlot, now);
+        if (!target)
+            return false;
+        auto [request, since] = *bulk.queue().take(next->holder, next->id);
+        grantSlot(std::move(request), *target, since, now);
+        return true;
+    }
+    return false;
 }
 
 void target_group::impl::revoke(std::span<const grant_revocation> revocations)
@@ -176,24 +179,32 @@
     }
 }
 
+/// Requests that are bound to a software version are helped only by items at targets of that version.
 std::vector<grant_revocation> target_group::impl::grantsToRevoke(steady_time now)
 {
-    const auto* next = live.queue().front();
-    if (!next || table.bulkGrants() == 0)
+    if (table.bulkGrants() == 0)
         return {};
-    // If a slot is free, it is at a target that is too slow for the request. Then only items at other targets
-    // make a difference to it.
-    const bool slotFree = selector.choose(*next, true, now) != nullptr;
-    const auto suitable
-        = [&](const target_state& target) { return !slotFree || !selector.unsuitable(*next, target, now); };
-    return bulk.grantsToRevoke(live.queue(), live.meanServiceTime(), suitable, now);
+    for (const auto* next : live.queue().heads()) {
+        // If a slot is free, it is at a target that is too slow for the request. Then only items at other
+        // targets make a difference to it.
+        const bool slotFree = selector.choose(*next, true, now) != nullptr;
+        const auto suitable = [&](const target_state& target) {
+            return acceptsVersion(*next, target.description)
+                && (!slotFree || !selector.unsuitable(*next, target, now));
+        };
+        auto revocations = bulk.grantsToRevoke(live.queue(), *next, live.meanServiceTime(), suitable, now);
+        if (!revocations.empty())
+            return revocations;
+    }
+    return {};
 }
 
 /// Refuses an immediate request that was not granted a slot, unless one is expected to become free in time.
 void target_group::impl::refuseOrLetWait(const slot_request& asked, steady_time now)
 {
     const bool isLive = asked.workClass == work_class::live;
-    if (isLive && !live.queue().empty() && bulk.slotsExpected(live.queue(), live.meanServiceTime(), now))
+    if (isLive && !live.queue().empty()
+        && bulk.slotsExpected(live.queue(), asked, live.meanServiceTime(), now))
         live.queue().letWait(asked.holder, asked.id, immediateWaitEnd(asked, now));
     refuseExpired(now);
 }
--- a/libs/dispatch/src/target_selector.cpp
+++ b/libs/dispatch/src/target_selector.cpp
@@ -90,7 +90,7 @@
     bool othersUsable = false;
     bool slowOneFree = false;
     for (auto& [name, target] : m_table.targets()) {
-        if (!m_table.usable(target, now))
+        if (!acceptsVersion(request, target.description) || !m_table.usable(target, now))
             continue;
         const double pace = m_table.paceOf(target, now);
         const bool tooSlow = pace < needed;
@@ -120,7 +120,8 @@
 bool target_selector::unsuitable(
     const slot_request& request, const target_state& target, steady_time now) const
 {
-    return target.description.name == request.avoid || m_table.paceOf(target, now) < neededPace(request, now);
+    return !acceptsVersion(request, target.description) || target.description.name == request.avoid
+        || m_table.paceOf(target, now) < neededPace(request, now);
 }
 
 void target_selector::recordGrant(const slot_request& request, const target_state& target, steady_time now)
--- a/libs/dispatch/src/target_selector.h
+++ b/libs/dispatch/src/target_selector.h
@@ -29,7 +29,8 @@
     /// speed unless all usable ones are.
     target_state* choose(
         const slot_request& request, bool needFreeSlot, steady_time now, selection_context context = {});
-    /// Whether the target would probably miss an objective of a live request, or has just failed it.
+    /// Whether the target would probably miss an objective of a live request, has just failed it, or has
+    /// another software version than it needs.
     bool unsuitable(const slot_request& request, const target_state& target, steady_time now) const;
     /// Remembers that the target is about to have the request's prefixes in its cache.
     void recordGrant(const slot_request& request, const target_state& target, steady_time now);
--- a/libs/dispatch/src/target_table.cpp
+++ b/libs/dispatch/src/target_table.cpp
@@ -112,6 +112,20 @@
     }
 }
 
+void target_table::activateForVersion(const slot_request& request, steady_time now)
+{
+    if (!request.version || m_standby.empty())
+        return;
+    const bool found = std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& entry) {
+        return acceptsVersion(request, entry.second.description) && usable(entry.second, now)
+            && freeSlots(entry.second, now) > 0;
+    });
+    if (found)
+        return;
+    if (auto next = m_standby.popFirst(*request.version))
+        activate(std::move(*next), now);
+}
+
 std::vector<std::string> target_table::deactivateIdle(steady_time now)
 {
     std::vector<std::string> deactivated;
@@ -160,6 +174,13 @@
         m_targets.begin(), m_targets.end(), [&](const auto& entry) { return usable(entry.second, now); });
 }
 
+bool target_table::anyUsable(const slot_request& request, steady_time now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& entry) {
+        return acceptsVersion(request, entry.second.description) && usable(entry.second, now);
+    });
+}
+
 unsigned target_table::slotsOf(const target_state& target, steady_time now) const
 {
     if (target.health.at(now) == target_health::state::probing)
--- a/libs/dispatch/src/target_table.h
+++ b/libs/dispatch/src/target_table.h
@@ -67,6 +67,9 @@
     bool remove(std::string_view name);
     /// Activates as many standby targets as the grants and `waiting` requests need.
     void activateNeeded(std::size_t waiting, steady_time now);
+    /// Activates a standby target for a request that is bound to a software version, unless a target in use
+    /// has a free slot for it.
+    void activateForVersion(const slot_request& request, steady_time now);
     /// Activates the standby targets that come before any target in use. So a process that learns of the
     /// targets one by one uses the same ones as a process that learns of all at once.
     void activatePreceding(steady_time now);
@@ -76,6 +79,8 @@
 
     bool usable(const target_state& target, steady_time now) const;
     bool anyUsable(steady_time now) const;
+    /// Whether any target is usable for the request.
+    bool anyUsable(const slot_request& request, steady_time now) const;
     unsigned slotsOf(const target_state& target, steady_time now) const;
     unsigned slotsUsedByOthers(const target_state& target, steady_time now) const;
     unsigned freeSlots(const target_state& target, steady_time now) const;
--- a/libs/dispatch/src/working_set.cpp
+++ b/libs/dispatch/src/working_set.cpp
@@ -45,6 +45,16 @@
     return std::move(first.mapped());
 }
 
+std::optional<target_description> standby_targets::popFirst(std::string_view version)
+{
+    const auto found = std::find_if(m_targets.begin(), m_targets.end(),
+        [&](const auto& entry) { return entry.second.version == version && !entry.second.drain; });
+    if (found == m_targets.end())
+        return std::nullopt;
+    auto first = m_targets.extract(found);
+    return std::move(first.mapped());
+}
+
 std::vector<std::string> standby_targets::names() const
 {
     std::vector<std::string> names;
--- a/libs/dispatch/src/working_set.h
+++ b/libs/dispatch/src/working_set.h
@@ -20,6 +20,8 @@
     void add(target_description target);
     bool remove(std::string_view name);
     std::optional<target_description> popFirst();
+    /// The first one of a software version that is not draining.
+    std::optional<target_description> popFirst(std::string_view version);
     /// Activation order of the target that popFirst() would return. There must be one.
     std::uint64_t firstActivationOrder() const { return m_targets.begin()->first.first; }
     std::vector<std::string> names() const;
--- a/libs/dispatch/tests/test_serving_order.cpp
+++ b/libs/dispatch/tests/test_serving_order.cpp
@@ -41,7 +41,7 @@
 {
     std::vector<std::uint64_t> order;
     while (!queue.empty())
-        order.push_back(queue.pop().first.id);
+        order.push_back(queue.pop(*queue.heads().front()).first.id);
     return order;
 }
 
@@ -116,7 +116,8 @@
             request.deadline = start + request.hold;
         queue.push(request, start);
         reference.push(request, start);
-        CHECK(queue.queueOf(servingClassOf(request, start)).sizeOf("small") == reference.sizeOf("small"));
+        CHECK(queue.queueOf(request, servingClassOf(request, start)).sizeOf("small")
+            == reference.sizeOf("small"));
         CHECK(queue.sizeBefore(servingClassOf(request, start)) == 0);
     }
     std::vector<std::uint64_t> expected;
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -67,6 +67,27 @@
         = 0;
 };
 
+/// A pending lookup of the origin of a stream. Destroying this object ends it.
+class origin_lookup {
+public:
+    virtual ~origin_lookup() = default;
+};
+
+/// Knows where streams began, so that they are continued only by targets of the same software version.
+class stream_origins {
+public:
+    virtual ~stream_origins() = default;
+    /// The first event of a stream is about to be passed on. The stream can be resumed for `validFor` at
+    /// most.
+    virtual void record(const stream_origin& origin, milliseconds validFor) = 0;
+    /// Looks up where a stream of this service began. `streamId` is empty if the caller does not name it.
+    /// `done` is called exactly once, asynchronously and within 200 ms, unless the returned object is
+    /// destroyed before. A failure says whether it is worthwhile to try again.
+    virtual std::shared_ptr<origin_lookup> find(const std::string& streamId, const std::string& service,
+        std::function<void(result<stream_origin>)> done)
+        = 0;
+};
+
 /// Services shared by all requests of an entry.
 struct live_services {
     event_loop& loop;
@@ -77,6 +98,7 @@
     /// Age of the target list, for the request log.
     std::function<milliseconds()> targetsAge = [] { return milliseconds { 0 }; };
     request_guard* guard = nullptr; ///< May be null.
+    stream_origins* origins = nullptr; ///< If null, callers cannot resume streams.
 };
 
 /// An authenticated request that matched a live route.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -2,7 +2,9 @@
 
 #include "job_forwarder.h"
 #include "logging/logging.h"
+#include "origin_finder.h"
 #include "request_age.h"
+#include "version_registry.h"
 #include "waiting_callers.h"
 
 #include <algorithm>
@@ -141,8 +143,11 @@
               groupOptions(settings), &m_limits)
         , m_slots(m_broker)
         , m_targets(m_client)
+        , m_versions(m_store)
+        , m_origins(m_loop, m_broker, m_versions, m_figures)
         , m_live { m_loop, m_slots, m_targets, adapter.callers, m_figures,
-            [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); }, &m_suspects.guard }
+            [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); }, &m_suspects.guard,
+            &m_origins }
         , m_jobs(
               m_loop, m_client, adapter.callers, settings.zone,
               [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
@@ -250,6 +255,8 @@
     {
         const auto now = std::chrono::steady_clock::now();
         m_broker.setTargets(m_fleet.targets(), changes, now);
+        m_versions.targetsChanged(changes, now);
+        updateVersions(now);
         m_suspects.guard.setTargets(m_fleet.targets(), changes, now);
         prepareGroups(now);
         m_loop.post([this] { resumeWaitingCallers(); });
@@ -314,9 +321,17 @@
         });
     }
 
+    /// Every process that follows the store records versions: one of them alone could be dead or cut off.
+    void updateVersions(steady_time now)
+    {
+        if (m_fleet.hasJoined() && m_fleet.storeContact().watches && m_store.reachable())
+            m_versions.update(now);
+    }
+
     void checkStore()
     {
         const auto now = std::chrono::steady_clock::now();
+        updateVersions(now);
         m_limits.setStoreReachable(m_fleet.targetsAge(now) <= storeLostAfter, now);
         const auto lost = m_limits.takeExpiredMembers();
         if (m_fleet.storeContact().watches) {
@@ -644,6 +659,8 @@
     slot_broker m_broker;
     broker_slot_source m_slots;
     http_targets m_targets;
+    version_registry m_versions;
+    origin_finder m_origins;
     live_services m_live;
     request_ages m_ages;
     job_forwarder m_jobs;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -79,6 +79,8 @@
         });
         if (const auto refusal = admissionRefusal())
             return refuseOrFail(*refusal);
+        if (resumesStream())
+            return findOrigin();
         acquireSlot();
     }
 
@@ -86,6 +88,70 @@
     steady_time now() const { return std::chrono::steady_clock::now(); }
     bool streaming() const { return m_route.kind == request_kind::streaming; }
 
+    /// Whether the caller has received a part of the stream with an earlier request.
+    bool resumesStream() const { return streaming() && m_route.retryable() && m_facts.lastEvent.has_value(); }
+
+    // --- Software versions
+
+    /// Id of the request that received, or will receive, the first event of the stream.
+    const std::string& streamId() const { return m_facts.resumes.empty() ? m_facts.id : m_facts.resumes; }
+
+    void findOrigin()
+    {
+        if (!m_services.origins)
+            return refuseOrFail(
+                notRun(failure_kind::unavailable, "this process does not know where streams began"));
+        m_originLookup = m_services.origins->find(m_facts.resumes,
+            m_route.pickService(std::hash<std::string> {}(streamId())), [this](result<stream_origin> found) {
+                m_originLookup.reset();
+                onOriginResult(std::move(found));
+            });
+    }
+
+    void onOriginResult(result<stream_origin> found)
+    {
+        if (!found)
+            return refuseOrFail(found.error());
+        m_origin = std::move(found.value());
+        const bool routed = std::any_of(m_route.shares.begin(), m_route.shares.end(),
+            [&](const auto& share) { return share.service == m_origin->service; });
+        if (!routed)
+            return refuseOrFail(notRun(
+                failure_kind::unavailable, "the route no longer leads to the service that began the stream"));
+        acquireSlot();
+    }
+
+    /// The target has sent an event that is about to be passed on: from now on only targets of its software
+    /// version can continue the stream.
+    void recordOrigin()
+    {
+        const auto version = versionOf(m_slot);
+        if (m_versions.empty() || m_versions.back() != version)
+            m_versions.push_back(version);
+        if (std::exchange(m_originRecorded, true) || !m_route.retryable() || !m_slot->version)
+            return;
+        if (!m_origin)
+            m_origin = { streamId(), m_service, *m_slot->version };
+        if (m_services.origins)
+            m_services.origins->record(*m_origin, resumableFor());
+    }
+
+    /// For how long the caller may resume the stream.
+    milliseconds resumableFor() const
+    {
+        constexpr milliseconds margin { 1000 };
+        const auto callerDeadline = m_caller->received() + m_facts.callerTimeout.value_or(m_route.timeout);
+        return toMilliseconds(std::max(callerDeadline, m_deadline) - now()) + margin;
+    }
+
+    /// Whether another target may run the request, or the rest of it.
+    bool canContinue() const { return !m_replyStarted || (eventStream() && m_origin); }
+
+    static std::string versionOf(const std::optional<held_slot>& slot)
+    {
+        return slot ? slot->version.value_or("unknown") : "";
+    }
+
     // --- Requests that terminate their targets
 
     const request_identity& identity()
@@ -155,7 +221,10 @@
     {
         slot_requirements wanted;
         wanted.requestId = m_facts.id;
-        wanted.service = m_route.pickService(std::hash<std::string> {}(m_facts.id));
+        m_service = m_origin ? m_origin->service : m_route.pickService(std::hash<std::string> {}(streamId()));
+        wanted.service = m_service;
+        if (m_origin)
+            wanted.version = m_origin->version;
         wanted.customer = m_callerIdentity.customer ? m_callerIdentity.customer->name : m_route.name;
         if (m_callerIdentity.customer)
             wanted.weight = m_table->customers.weightOf(*m_callerIdentity.customer);
@@ -290,7 +359,7 @@
         if (!m_route.retryable() || !streaming())
             return;
         m_silenceTimer.arm(timeout, [this] {
-            if (m_failoverWanted || m_acquiring || m_attempts + 1 >= m_route.maxAttempts)
+            if (m_failoverWanted || m_acquiring || m_attempts + 1 >= m_route.maxAttempts || !canContinue())
                 return;
             m_failoverWanted = true;
             m_mayHaveRun = true;
@@ -344,7 +413,7 @@
         if (events.empty())
             return true;
         m_timing.record(m_splitter.events() - eventsBefore, now());
-        recordVersion();
+        recordOrigin();
         cancelFailover();
         armSilenceTimer(nextEventTimeout);
         if (m_splitter.lastId())
@@ -354,19 +423,6 @@
         return true;
     }
 
-    /// The target has sent an event that is about to be passed on.
-    void recordVersion()
-    {
-        const auto version = versionOf(m_slot);
-        if (m_versions.empty() || m_versions.back() != version)
-            m_versions.push_back(version);
-    }
-
-    static std::string versionOf(const std::optional<held_slot>& slot)
-    {
-        return slot ? slot->version.value_or("unknown") : "";
-    }
-
     bool bufferBody(std::string_view piece)
     {
         if (m_replyStarted) {
@@ -493,8 +549,7 @@
         releaseSlot(grant_outcome::failed);
         if (m_acquiring)
             return examineTarget();
-        const bool resumable = !m_replyStarted || eventStream();
-        if (m_route.retryable() && resumable && m_attempts < m_route.maxAttempts && now() < m_deadline)
+        if (m_route.retryable() && canContinue() && m_attempts < m_route.maxAttempts && now() < m_deadline)
             return acquireSlotWhenExamined();
         examineTarget();
         failRequest(error);
@@ -560,6 +615,7 @@
         m_silenceTimer.cancel();
         m_examinationTimer.cancel();
         m_awaitingExamination = false;
+        m_originLookup.reset();
         m_acquisition.reset();
         if (m_call)
             m_call->cancel();
@@ -609,6 +665,10 @@
     steady_time m_objectiveDeadline;
     steady_time m_sentAt;
     milliseconds m_targetsAge { 0 }; ///< Age of the target list when the last target was chosen.
+    std::shared_ptr<origin_lookup> m_originLookup;
+    std::optional<stream_origin> m_origin; ///< Set once the stream has begun, here or at an earlier request.
+    bool m_originRecorded = false;
+    std::string m_service;
     std::shared_ptr<slot_acquisition> m_acquisition;
     std::optional<held_slot> m_slot;
     std::shared_ptr<client_call> m_call;
--- /dev/null
+++ b/libs/front/src/version_registry.cpp
@@ -0,0 +1,230 @@
+#include "version_registry.h"
+
+#include "logging/logging.h"
+
+#include <cctype>
+#include <utility>
+
+namespace yuccachute {
+
+namespace {
+
+constexpr std::string_view recordsPrefix = "yuccachute/service-version/";
+/// Longer than any stream lasts, so that no stream of an unrecorded version can still be resumed.
+constexpr std::chrono::seconds recordRetention { 60 };
+
+/// Versions and names of services may contain any character and be long, keys cannot.
+std::string encodeName(std::string_view name)
+{
+    std::string encoded;
+    for (const unsigned char letter : name) {
+        constexpr std::string_view digits = "0123456789abcdef";
+        if (std::isalnum(letter) || letter == '.' || letter == '-') {
+            encoded += static_cast<char>(letter);
+            continue;
+        }
+        encoded += '_';
+        encoded += digits[letter >> 4];
+        encoded += digits[letter & 15];
+    }
+    return encoded;
+}
+
+std::string servicePrefix(std::string_view service)
+{
+    return std::string(recordsPrefix) + encodeName(service) + '/';
+}
+
+std::string keyOf(const listed_versions::service_version& named)
+{
+    return servicePrefix(named.service) + encodeName(named.version);
+}
+
+/// The value holds both names, one per line.
+std::string valueOf(const listed_versions::service_version& named)
+{
+    return named.service + '\n' + named.version;
+}
+
+listed_versions::service_version readValue(std::string_view value)
+{
+    const auto end = value.find('\n');
+    if (end == std::string_view::npos)
+        return { std::string(value), "" };
+    return { std::string(value.substr(0, end)), std::string(value.substr(end + 1)) };
+}
+
+} // namespace
+
+void listed_versions::apply(std::span<const target_change> changes)
+{
+    for (const auto& [before, after, released] : changes) {
+        if (after)
+            ++m_counts[{ after->service, after->version }];
+        if (!before)
+            continue;
+        const auto found = m_counts.find({ before->service, before->version });
+        if (found != m_counts.end() && --found->second == 0)
+            m_counts.erase(found);
+    }
+}
+
+std::set<std::string> listed_versions::of(std::string_view service) const
+{
+    std::set<std::string> versions;
+    for (const auto& [listed, count] : m_counts) {
+        if (listed.service == service)
+            versions.insert(listed.version);
+    }
+    return versions;
+}
+
+std::vector<listed_versions::service_version> listed_versions::all() const
+{
+    std::vector<service_version> all;
+    for (const auto& [listed, count] : m_counts)
+        all.push_back(listed);
+    return all;
+}
+
+void version_registry::targetsChanged(std::span<const target_change> changes, steady_time now)
+{
+    m_listed.apply(changes);
+    for (auto& [version, record] : m_records) {
+        if (m_listed.contains(version))
+            record.unlistedSince.reset();
+        else if (!record.unlistedSince)
+            record.unlistedSince = now;
+    }
+}
+
+void version_registry::update(steady_time now)
+{
+    if (m_loaded != load_state::loaded)
+        return loadRecords();
+    writeMissing();
+    for (auto& [version, record] : m_records) {
+        if (m_listed.contains(version))
+            continue;
+        if (!record.unlistedSince)
+            record.unlistedSince = now;
+        if (record.revision != 0 && !record.busy && now - *record.unlistedSince >= recordRetention)
+            remove(version);
+    }
+    std::erase_if(m_records, [this](const auto& entry) {
+        return entry.second.revision == 0 && !entry.second.busy && !m_listed.contains(entry.first);
+    });
+}
+
+void version_registry::writeMissing()
+{
+    for (const auto& listed : m_listed.all()) {
+        const auto& record = m_records[listed];
+        if (record.revision == 0 && !record.busy)
+            write(listed);
+    }
+}
+
+void version_registry::loadRecords()
+{
+    if (std::exchange(m_loaded, load_state::loading) == load_state::loading)
+        return;
+    m_store.list(recordsPrefix, [this, alive = std::weak_ptr(m_alive)](result<store_listing> listing) {
+        if (alive.expired())
+            return;
+        m_loaded = listing ? load_state::loaded : load_state::unknown;
+        if (!listing)
+            return;
+        for (const auto& entry : listing.value().values)
+            m_records[readValue(entry.value)].revision = entry.modRevision;
+        writeMissing();
+    });
+}
+
+void version_registry::write(const service_version& listed)
+{
+    m_records[listed].busy = true;
+    store_transaction transaction;
+    const auto key = keyOf(listed);
+    transaction.conditions.push_back({ store_condition::kind::absent, key, 0 });
+    transaction.writes.push_back({ key, valueOf(listed), 0 });
+    m_store.commit(
+        transaction, [this, alive = std::weak_ptr(m_alive), listed](result<commit_outcome> outcome) {
+            if (alive.expired())
+                return;
+            auto& record = m_records[listed];
+            record.busy = false;
+            if (!outcome)
+                return;
+            if (outcome.value().applied)
+                record.revision = outcome.value().revision;
+            else if (!outcome.value().found.empty())
+                record.revision = outcome.value().found.front().modRevision;
+        });
+}
+
+void version_registry::remove(const service_version& unlisted)
+{
+    auto& record = m_records[unlisted];
+    record.busy = true;
+    store_transaction transaction;
+    const auto key = keyOf(unlisted);
+    // Another process may have removed the record, and written it again for a target that was listed since.
+    transaction.conditions.push_back({ store_condition::kind::mod_revision, key, record.revision });
+    transaction.removals.push_back({ key, false });
+    m_store.commit(
+        transaction, [this, alive = std::weak_ptr(m_alive), unlisted](result<commit_outcome> outcome) {
+            if (alive.expired())
+                return;
+            auto& record = m_records[unlisted];
+            record.busy = false;
+            if (!outcome)
+                return;
+            record.revision = 0; // Written again if the version is listed.
+            logEvent(log_level::info, "software version no longer listed",
+                { { "service", unlisted.service }, { "version", unlisted.version } });
+        });
+}
+
+void version_registry::findOnlyVersion(const std::string& service, only_version_callback done)
+{
+    auto& reads = m_reads[service];
+    // A call that was sent earlier could have missed a version that has been listed since.
+    reads.next.push_back(std::move(done));
+    if (reads.current.empty())
+        readFor(service);
+}
+
+void version_registry::readFor(const std::string& service)
+{
+    auto& reads = m_reads[service];
+    reads.current = std::exchange(reads.next, {});
+    m_store.list(servicePrefix(service),
+        [this, alive = std::weak_ptr(m_alive), service](result<store_listing> listing) {
+            if (alive.expired())
+                return;
+            const auto answered = std::exchange(m_reads[service].current, {});
+            if (!m_reads[service].next.empty())
+                readFor(service);
+            else
+                m_reads.erase(service);
+            const auto outcome = onlyVersion(service, listing);
+            for (const auto& done : answered)
+                done(outcome);
+        });
+}
+
+result<std::optional<std::string>> version_registry::onlyVersion(
+    const std::string& service, const result<store_listing>& listing) const
+{
+    if (!listing)
+        return listing.error();
+    if (listing.value().values.empty())
+        return std::optional<std::string>();
+    auto versions = m_listed.of(service);
+    for (const auto& entry : listing.value().values)
+        versions.insert(readValue(entry.value).version);
+    return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
+} // namespace yuccachute
--- /dev/null
+++ b/libs/front/src/version_registry.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "routing/routing.h"
+#include "store/store.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace yuccachute {
+
+/// Software versions of a service's targets. It changes only with the list of targets.
+class listed_versions {
+public:
+    struct service_version {
+        std::string service;
+        std::string version;
+
+        auto operator<=>(const service_version&) const = default;
+    };
+
+    void apply(std::span<const target_change> changes);
+    std::set<std::string> of(std::string_view service) const;
+    std::vector<service_version> all() const;
+    bool contains(const service_version& listed) const { return m_counts.contains(listed); }
+
+private:
+    std::map<service_version, std::size_t> m_counts; ///< Number of targets.
+};
+
+/// Records in the store which software versions of a service have been listed recently.
+///
+/// After all processes have been killed, nobody knows where a stream began. The list of targets does not
+/// tell, because the last target of a version may have left it since. If these records name a single version,
+/// the stream began there. Each version has a key of its own, so that processes do not race for a common one.
+class version_registry {
+public:
+    explicit version_registry(async_store& store)
+        : m_store(store)
+    {
+    }
+
+    void targetsChanged(std::span<const target_change> changes, steady_time now);
+    /// Writes missing records and removes outdated ones. To be called a few times a second by the processes
+    /// that follow the store.
+    void update(steady_time now);
+
+    /// Has a value if the service has only one version; a failure if the store does not answer.
+    using only_version_callback = std::function<void(result<std::optional<std::string>>)>;
+    /// Reads the records from the store. The call is sent after the question.
+    void findOnlyVersion(const std::string& service, only_version_callback done);
+
+private:
+    using service_version = listed_versions::service_version;
+    struct record {
+        std::int64_t revision = 0; ///< 0 while the record is not known to exist.
+        bool busy = false; ///< A call about it is pending.
+        std::optional<steady_time> unlistedSince;
+    };
+
+    void loadRecords();
+    void writeMissing();
+    void write(const service_version& listed);
+    void remove(const service_version& unlisted);
+    void readFor(const std::string& service);
+    result<std::optional<std::string>> onlyVersion(
+        const std::string& service, const result<store_listing>& listing) const;
+
+    async_store& m_store;
+    listed_versions m_listed;
+    std::map<service_version, record> m_records;
+    enum class load_state : std::uint8_t { unknown, loading, loaded };
+    load_state m_loaded = load_state::unknown;
+    struct pending_reads {
+        std::vector<only_version_callback> current; ///< Answered by the pending call.
+        std::vector<only_version_callback> next; ///< Arrived after it was sent.
+    };
+    std::map<std::string, pending_reads> m_reads; ///< By service.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace yuccachute
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -68,11 +68,12 @@
         released += taken.target + ":" + std::to_string(static_cast<int>(usage.outcome)) + " ";
         lastUsage = usage;
     }
-    void grant(const std::string& target)
+    void grant(const std::string& target, std::optional<std::string> version = "v1")
     {
         held_slot found;
         found.target = target;
         found.address = target;
+        found.version = version;
         const auto done = answer;
         done(found);
     }
@@ -171,9 +172,27 @@
     bool refuses = true;
 };
 
+class scripted_origins final : public stream_origins {
+public:
+    struct lookup : origin_lookup { };
+    void record(const stream_origin& origin, milliseconds) override { recorded.push_back(origin); }
+    std::shared_ptr<origin_lookup> find(const std::string& streamId, const std::string&,
+        std::function<void(result<stream_origin>)> done) override
+    {
+        asked = streamId;
+        answer = std::move(done);
+        return std::make_shared<lookup>();
+    }
+
+    std::vector<stream_origin> recorded;
+    std::string asked;
+    std::function<void(result<stream_origin>)> answer;
+};
+
 struct fixture {
     explicit fixture(request_kind kind = request_kind::streaming, bool resumable = true, int timeoutMs = 1000,
-        request_guard* guard = nullptr, const std::string& key = "", int ageMs = 0)
+        request_guard* guard = nullptr, const std::string& key = "", int ageMs = 0,
+        std::optional<std::uint64_t> resumedAfter = std::nullopt)
     {
         services.guard = guard;
         auto made = std::make_shared<routing_table>();
@@ -191,6 +210,11 @@
         table = made;
         request_facts facts;
         facts.id = "id";
+        if (resumedAfter) {
+            facts.lastEvent = resumedAfter;
+            facts.resumes = "first";
+        }
+        services.origins = &origins;
         serveLive(services, caller,
             { facts, table, table->routes[0], { table->customers.byKey(key) }, milliseconds { ageMs } });
     }
@@ -201,6 +225,7 @@
     scripted_targets targets;
     plain_protocol protocol;
     metrics figures;
+    scripted_origins origins;
     live_services services { loop, slots, targets, protocol, figures };
     std::shared_ptr<recording_caller> caller = std::make_shared<recording_caller>(http_request {});
     std::shared_ptr<const routing_table> table;
@@ -649,3 +674,91 @@
     fixture deadlineFirst(request_kind::streaming, true, 150, nullptr, "", 100);
     CHECK(deadlineFirst.slots.last.age.count() == 0);
 }
+
+// Guards against a failover within one response to a target of another software version.
+TEST_CASE("after its first event a stream is bound to the software version that sent it")
+{
+    fixture f;
+    CHECK(!f.slots.last.version);
+    f.slots.grant("t1", "v1");
+    f.targets.head(200);
+    f.targets.body(event(1));
+    CHECK(f.origins.recorded == std::vector<stream_origin> { { "id", "service", "v1" } });
+    f.targets.fail(connectionReset());
+    REQUIRE(f.slots.acquisitions == 2);
+    CHECK(f.slots.last.version == "v1");
+    f.slots.grant("t2", "v1");
+    f.targets.head(200);
+    f.targets.body(event(2));
+    f.targets.whole();
+    CHECK(f.caller->finished);
+    CHECK(f.origins.recorded.size() == 1);
+}
+
+// Guards against new streams that are bound to the version of a target that never answered.
+TEST_CASE("before its first event a stream can move to any software version")
+{
+    fixture f;
+    f.slots.grant("t1", "v1");
+    f.targets.fail(connectionReset());
+    REQUIRE(f.slots.acquisitions == 2);
+    CHECK(!f.slots.last.version);
+    f.slots.grant("t2", "v2");
+    f.targets.head(200);
+    f.targets.body(event(1));
+    CHECK(f.origins.recorded == std::vector<stream_origin> { { "id", "service", "v2" } });
+}
+
+// Guards against a guess where a dispatcher and the list of targets do not tell the version.
+TEST_CASE("a stream from a target of unknown version is not continued elsewhere")
+{
+    fixture f;
+    f.slots.grant("t1", std::nullopt);
+    f.targets.head(200);
+    f.targets.body(event(1));
+    f.targets.fail(connectionReset());
+    f.run();
+    CHECK(f.slots.acquisitions == 1);
+    CHECK(f.caller->aborted);
+    CHECK(f.origins.recorded.empty());
+}
+
+// Guards against a resumed stream that is placed like a new request.
+TEST_CASE("a stream that its caller resumes is bound to the version that began it")
+{
+    fixture f(request_kind::streaming, true, 1000, nullptr, "", 0, 7);
+    CHECK(f.slots.acquisitions == 0);
+    CHECK(f.origins.asked == "first");
+    f.origins.answer(stream_origin { "first", "service", "v2" });
+    REQUIRE(f.slots.acquisitions == 1);
+    CHECK(f.slots.last.version == "v2");
+    f.slots.grant("t1", "v2");
+    CHECK(f.targets.sent == "t1@7 ");
+    f.targets.head(200);
+    f.targets.body(event(8));
+    CHECK(f.origins.recorded == std::vector<stream_origin> { { "first", "service", "v2" } });
+}
+
+// Guards against a stream of unknown origin that is sent to a target by guess, or whose caller waits in vain.
+TEST_CASE("a stream of unknown origin is refused at once and not run")
+{
+    fixture f(request_kind::streaming, true, 1000, nullptr, "", 0, 7);
+    f.origins.answer(notRun(failure_kind::unavailable, "unknown", milliseconds { 100 }));
+    f.run();
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 503);
+    CHECK(findHeader(f.caller->reply->headers, "Retry-After") == "0.100");
+    CHECK(f.slots.acquisitions == 0);
+    CHECK(f.targets.sent.empty());
+}
+
+// Guards against a route that has moved to another service since the stream began.
+TEST_CASE("a stream is not resumed at another service than the one that began it")
+{
+    fixture f(request_kind::streaming, true, 1000, nullptr, "", 0, 7);
+    f.origins.answer(stream_origin { "first", "former service", "v1" });
+    f.run();
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 503);
+    CHECK(f.slots.acquisitions == 0);
+}
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -3,6 +3,7 @@
 #include "dispatch/dispatch.h"
 #include "limits/limits.h"
 #include "membership/membership.h"
+#include "origins/origins.h"
 #include "quarantine/quarantine.h"
 #include "settings/settings.h"
 #include "verdict/verdict.h"
@@ -62,6 +63,9 @@
     std::vector<release_message> releases;
     std::vector<withdraw_message> withdrawals;
     std::vector<limit_message> limits;
+    std::vector<origin_record> origins; ///< Origins of streams that have begun, to be kept.
+    std::vector<std::string> originQueries; ///< Ids of streams whose origin the sender asks for.
+    std::vector<origin_answer> originAnswers;
 
     bool empty() const;
     /// Appends the messages of `other`.
--- a/libs/messages/src/envelope.cpp
+++ b/libs/messages/src/envelope.cpp
@@ -16,7 +16,8 @@
 bool envelope::empty() const
 {
     return asks.empty() && grants.empty() && refusals.empty() && moved.empty() && revokes.empty()
-        && releases.empty() && withdrawals.empty() && limits.empty();
+        && releases.empty() && withdrawals.empty() && limits.empty() && origins.empty()
+        && originQueries.empty() && originAnswers.empty();
 }
 
 void envelope::add(envelope other)
@@ -29,6 +30,9 @@
     append(releases, std::move(other.releases));
     append(withdrawals, std::move(other.withdrawals));
     append(limits, std::move(other.limits));
+    append(origins, std::move(other.origins));
+    append(originQueries, std::move(other.originQueries));
+    append(originAnswers, std::move(other.originAnswers));
 }
 
 } // namespace yuccachute
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -4,6 +4,7 @@
 #include "event_loop/event_loop.h"
 #include "limits/limits.h"
 #include "messages/messages.h"
+#include "origins/origins.h"
 #include "routing/routing.h"
 #include "rpc/rpc.h"
 
@@ -46,6 +47,9 @@
     std::uint32_t producedEvents = 0; ///< Events produced by earlier runs; bulk work only.
     milliseconds age { 0 }; ///< Time since the caller's first attempt; 0 if unknown or for the first attempt.
     milliseconds maxEventInterval { 0 }; ///< Objective for the time between two events; 0 for none.
+    /// Software version that the target must have, because one of this version began the stream; unset if any
+    /// will do.
+    std::optional<std::string> version;
 };
 
 /// A granted slot at a target. It must be released exactly once.
@@ -75,6 +79,20 @@
     virtual ~slot_acquisition() = default;
 };
 
+/// What is known of the origin of a stream.
+struct origin_answers {
+    std::optional<stream_origin> origin; ///< Unset if no process that answered has a record.
+    bool complete = true; ///< False if a process that may have a record did not answer.
+};
+
+using origin_callback = std::function<void(origin_answers)>;
+
+/// A pending search for the origin of a stream. Destroying this object ends it.
+class origin_search {
+public:
+    virtual ~origin_search() = default;
+};
+
 /// Fetches load reports from targets.
 class load_report_source {
 public:
@@ -220,6 +238,14 @@
     void onRevoked(const held_slot& taken, revoked notify);
     void release(const held_slot& taken, const slot_usage& usage);
 
+    /// Tells the processes that callers may turn to next where a stream began. A stream can be resumed for
+    /// `validFor` at most.
+    void recordOrigin(const stream_origin& origin, milliseconds validFor);
+    /// Searches the origin of a stream of this service. `done` is called exactly once, asynchronously and
+    /// within some 50 ms, unless the returned object is destroyed before.
+    std::shared_ptr<origin_search> findOrigin(
+        const std::string& streamId, const std::string& service, origin_callback done);
+
     // Grant streams that peers have opened to this process. These functions are thread-safe.
     void sessionOpened(std::uint64_t session, std::function<void(envelope)> send);
     void sessionReceived(std::uint64_t session, envelope message);
--- a/libs/places/src/group_host.cpp
+++ b/libs/places/src/group_host.cpp
@@ -59,7 +59,7 @@
 
 target_description describe(const listed_target& target)
 {
-    return { target.id, target.address, target.slots, target.draining };
+    return { target.id, target.address, target.slots, target.draining, target.version };
 }
 
 } // namespace
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -3,6 +3,7 @@
 #include "limit_exchange.h"
 #include "logging/logging.h"
 #include "membership/membership.h"
+#include "origin_exchange.h"
 
 #include <algorithm>
 #include <deque>
@@ -109,6 +110,12 @@
               [this](const std::string& group) { return isPrimary(group, std::chrono::steady_clock::now()); },
               loads, options, customerLimits)
         , limits(customerLimits)
+        , origins(eventLoop,
+              { [this](const std::string& address, envelope message) { send(address, std::move(message)); },
+                  [this](const std::string& service, steady_time now) { return originKeepers(service, now); },
+                  [this](const std::string& service, steady_time now) {
+                      return possibleOriginKeepers(service, now);
+                  } })
     {
         if (limits)
             exchange = std::make_unique<limit_exchange>(loop, *limits, self.address,
@@ -190,9 +197,56 @@
         return known ? known->draining : removedTargets.contains(target);
     }
 
-    /// Software version of the granted target.
+    /// Zones with dispatchers, sorted by name and beginning with this process's own.
+    std::vector<std::string> dispatcherZones() const
+    {
+        std::set<std::string> zones;
+        for (const auto& dispatcher : dispatchers)
+            zones.insert(dispatcher.zone);
+        std::vector<std::string> rotated(zones.lower_bound(self.zone), zones.end());
+        rotated.insert(rotated.end(), zones.begin(), zones.lower_bound(self.zone));
+        return rotated;
+    }
+
+    /// The dispatchers of the service in this zone, which its callers' next attempts can ask as well, and one
+    /// in the next zone, which remains if this zone is lost.
+    std::vector<std::string> originKeepers(const std::string& service, steady_time now)
+    {
+        auto zones = dispatcherZones();
+        zones.resize(std::min<std::size_t>(zones.size(), 2));
+        return dispatchersOf(service, zones, now);
+    }
+
+    /// The same, and a dispatcher of each other zone: callers may come from any of them.
+    std::vector<std::string> possibleOriginKeepers(const std::string& service, steady_time now)
+    {
+        return dispatchersOf(service, dispatcherZones(), now);
+    }
+
+    /// Dispatchers of the service without this process: two in the first zone, one in each other zone.
+    std::vector<std::string> dispatchersOf(
+        const std::string& service, const std::vector<std::string>& zones, steady_time now)
+    {
+        std::vector<std::string> addresses;
+        for (const auto& zone : zones) {
+            auto ranked = candidates(groupName(service, zone, 0), now);
+            if (zone != zones.front())
+                ranked.resize(std::min<std::size_t>(ranked.size(), 1));
+            for (const auto& address : ranked) {
+                const bool known = std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+                if (address != self.address && !known)
+                    addresses.push_back(address);
+            }
+        }
+        return addresses;
+    }
+
+    /// Software version of the granted target. A dispatcher of an older software version of this system does
+    /// not name it.
     std::optional<std::string> versionOf(const slot_grant& given) const
     {
+        if (given.version)
+            return given.version;
         const auto* known = targets ? targets->find(given.target) : nullptr;
         return known ? std::optional(known->version) : std::nullopt;
     }
@@ -231,6 +285,7 @@
     dispatcher_info self;
     group_host host;
     distributed_rate_limiter* limits; ///< May be null.
+    origin_exchange origins;
     std::unique_ptr<limit_exchange> exchange; ///< Null without limits.
     std::vector<dispatcher_info> dispatchers;
     std::map<std::string, std::vector<std::string>> rankedByGroup;
@@ -278,24 +333,19 @@
                 "service " + m_request.service + " has no targets", milliseconds { 1000 }));
         const auto now = std::chrono::steady_clock::now();
         for (const auto& zone : zones) {
-            if (!m_bulk || !m_owner->fullZones.isFull(zone, now))
+            if (!isKnownFull(zone, now))
                 m_steps.push_back({ zone, std::nullopt });
         }
         // An item whose own zone is known to be full waits there instead of in another zone that refuses it.
-        if (m_bulk && m_owner->fullZones.isFull(zones.front(), now))
+        if (isKnownFull(zones.front(), now))
             m_queueZone = zones.front();
         nextStep();
     }
 
     void onDecision(const slot_grant& given)
     {
-        if (m_owner->isDrainingOrRemoved(given.target)) {
-            m_owner->released(
-                m_dispatcher, { m_group, { given.grantId, grant_outcome::refused, milliseconds { 0 }, 0 } });
-            m_slotRequestId = 0;
-            m_request.avoid = given.target;
-            return nextStep();
-        }
+        if (m_owner->isDrainingOrRemoved(given.target))
+            return declineGrant(given, grant_outcome::refused);
         held_slot found;
         found.group = m_group;
         found.dispatcher = m_dispatcher;
@@ -305,8 +355,10 @@
         found.zone = m_zone;
         found.waited = given.waited;
         found.version = m_owner->versionOf(given);
+        if (m_request.version && found.version != m_request.version)
+            return declineGrant(given, grant_outcome::unused);
         if (m_bulk)
-            m_owner->fullZones.markAvailable(m_zone);
+            markZoneAvailable();
         ++m_owner->figures.grants;
         m_owner->figures.grantsInOtherZones += m_zone != m_owner->self.zone ? 1 : 0;
         finish(std::move(found));
@@ -324,7 +376,7 @@
         // A zone without a usable target is not marked as full, because items would then queue there. It is
         // asked on each attempt instead.
         if (m_bulk && refused.reason.kind == failure_kind::overloaded)
-            m_owner->fullZones.markFull(m_zone, std::chrono::steady_clock::now());
+            m_owner->fullZones.markFull(fullZoneKey(m_zone), std::chrono::steady_clock::now());
         m_refusal = refused.reason;
         // The limit applies to all zones together.
         if (refused.reason.kind == failure_kind::limited)
@@ -365,6 +417,34 @@
     }
 
 private:
+    /// A zone may be full for items that are bound to a software version, and have slots for others.
+    std::string fullZoneKey(const std::string& zone) const
+    {
+        return m_request.version ? zone + '/' + *m_request.version : zone;
+    }
+
+    bool isKnownFull(const std::string& zone, steady_time now) const
+    {
+        return m_bulk
+            && (m_owner->fullZones.isFull(zone, now) || m_owner->fullZones.isFull(fullZoneKey(zone), now));
+    }
+
+    void markZoneAvailable()
+    {
+        m_owner->fullZones.markAvailable(m_zone);
+        m_owner->fullZones.markAvailable(fullZoneKey(m_zone));
+    }
+
+    /// Returns a grant of a target that the request cannot use: the dispatcher does not know that it leaves,
+    /// or does not consider software versions.
+    void declineGrant(const slot_grant& given, grant_outcome outcome)
+    {
+        m_owner->released(m_dispatcher, { m_group, { given.grantId, outcome, milliseconds { 0 }, 0 } });
+        m_slotRequestId = 0;
+        m_request.avoid = given.target;
+        nextStep();
+    }
+
     struct step {
         std::string zone;
         std::optional<steady_time> queueDeadline; ///< Without a value: immediately or not at all.
@@ -424,6 +504,7 @@
         if (m_request.age.count() > 0)
             setAgeAndDeadline(slotRequest);
         slotRequest.maxEventInterval = m_request.maxEventInterval;
+        slotRequest.version = m_request.version;
         envelope message;
         message.asks.push_back({ m_group, std::move(slotRequest) });
         if (m_dispatcher.empty())
@@ -596,6 +677,9 @@
     if (!address.empty())
         unresponsiveUntil.erase(address);
     handleLimitMessages(message.limits, [&](envelope out) { send(address, std::move(out)); });
+    origins.received(
+        message, address, [&](envelope out) { send(address, std::move(out)); },
+        std::chrono::steady_clock::now());
     const auto find = [this](std::uint64_t id) -> search_ptr {
         const auto found = pendingRequests.find(id);
         return found == pendingRequests.end() ? nullptr : found->second.lock();
@@ -767,6 +851,17 @@
             { taken.grantId, usage.outcome, usage.firstToken, 0, usage.events, usage.eventInterval } });
 }
 
+void slot_broker::recordOrigin(const stream_origin& origin, milliseconds validFor)
+{
+    m_impl->origins.record(origin, validFor, std::chrono::steady_clock::now());
+}
+
+std::shared_ptr<origin_search> slot_broker::findOrigin(
+    const std::string& streamId, const std::string& service, origin_callback done)
+{
+    return m_impl->origins.find(streamId, service, std::move(done), std::chrono::steady_clock::now());
+}
+
 void slot_broker::sessionOpened(std::uint64_t session, std::function<void(envelope)> send)
 {
     m_impl->loop.post([weak = m_impl->weak_from_this(), session, send = std::move(send)] {
@@ -783,6 +878,9 @@
             return;
         owner->handleLimitMessages(
             message.limits, [&](envelope out) { owner->sendToSession(session, std::move(out)); });
+        owner->origins.received(
+            message, "", [&](envelope out) { owner->sendToSession(session, std::move(out)); },
+            std::chrono::steady_clock::now());
         owner->host.received(session, std::move(message), std::chrono::steady_clock::now());
     });
 }
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -595,3 +595,75 @@
     }
     CHECK(polls == 1);
 }
+
+// Guards against a dispatcher of an older version of this system, which grants any target to a stream that is
+// bound to a software version.
+TEST_CASE("a slot at a target of another software version is not used")
+{
+    fixture f;
+    auto known = f.targets;
+    known.at("ta").version = "v1";
+    known.at("tb").version = "v2";
+    f.a.setTargets(known); // The dispatchers know neither version and grant slots at both.
+    f.b.setTargets(f.targets);
+    f.a.broker.setDispatchers({ f.b.self });
+    slot_requirements request;
+    request.service = "llm";
+    request.customer = "c";
+    request.hold = milliseconds { 5000 };
+    request.grantDeadline = std::chrono::steady_clock::now() + milliseconds { 200 };
+    request.version = "v2";
+    std::optional<result<held_slot>> outcome;
+    auto acquisition = f.a.broker.acquire(request, [&](auto found) { outcome.emplace(std::move(found)); });
+    f.run(300);
+    REQUIRE(outcome);
+    CHECK((!*outcome || outcome->value().version == "v2"));
+}
+
+namespace {
+
+struct origin_question {
+    origin_question(entry& from, const std::string& streamId)
+        : search(from.broker.findOrigin(streamId, "llm", [this](origin_answers found) { answers = found; }))
+    {
+    }
+    std::optional<origin_answers> answers;
+    std::shared_ptr<origin_search> search;
+};
+
+} // namespace
+
+// Guards against a stream that is lost with the entry that began it.
+TEST_CASE("the origin of a stream is known to the other entries after the one that began it is gone")
+{
+    fixture f;
+    const stream_origin origin { "s1", "llm", "v1" };
+    f.a.broker.recordOrigin(origin, milliseconds { 5000 });
+    f.run();
+    origin_question here(f.a, "s1");
+    f.run(5);
+    REQUIRE(here.answers);
+    CHECK(here.answers->origin == origin);
+    f.a.unresponsive = true;
+    origin_question elsewhere(f.b, "s1");
+    f.run();
+    REQUIRE(elsewhere.answers);
+    CHECK(elsewhere.answers->origin == origin);
+}
+
+// Guards against a guess where the process that knows the origin does not answer.
+TEST_CASE("a search for an origin says whether all processes that may know it have answered")
+{
+    fixture f;
+    origin_question unknown(f.b, "s1");
+    f.run();
+    REQUIRE(unknown.answers);
+    CHECK(!unknown.answers->origin);
+    CHECK(unknown.answers->complete);
+    f.a.unresponsive = true;
+    origin_question silent(f.b, "s1");
+    f.run(100);
+    REQUIRE(silent.answers);
+    CHECK(!silent.answers->origin);
+    CHECK(!silent.answers->complete);
+}
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -37,6 +37,8 @@
     out.set_produced_events(request.producedEvents);
     out.set_age_ms(static_cast<std::uint32_t>(request.age.count()));
     out.set_max_event_interval_ms(static_cast<std::uint32_t>(request.maxEventInterval.count()));
+    if (request.version)
+        out.set_version(*request.version);
 }
 
 ask_message fromWire(const peer::Ask& in, steady_time now)
@@ -62,9 +64,23 @@
     request.age = milliseconds { in.age_ms() };
     request.maxEventInterval = milliseconds { in.max_event_interval_ms() };
     request.due = now + milliseconds { static_cast<std::int64_t>(in.due_in_ms()) };
+    if (in.has_version())
+        request.version = in.version();
     return message;
 }
 
+void toWire(const stream_origin& origin, peer::StreamOrigin& out)
+{
+    out.set_stream_id(origin.streamId);
+    out.set_service(origin.service);
+    out.set_version(origin.version);
+}
+
+stream_origin fromWire(const peer::StreamOrigin& in)
+{
+    return { in.stream_id(), in.service(), in.version() };
+}
+
 void toWire(const share_request& request, peer::LimitMessage& out)
 {
     auto& wire = *out.mutable_share_ask();
@@ -196,6 +212,8 @@
         wire.set_target(grant.target);
         wire.set_address(grant.address);
         wire.set_waited_ms(static_cast<std::uint32_t>(grant.waited.count()));
+        if (grant.version)
+            wire.set_version(*grant.version);
     }
     for (const auto& refusal : message.refusals) {
         auto& wire = *out.add_refusals();
@@ -231,6 +249,19 @@
     }
     for (const auto& element : message.limits)
         toWire(element, *out.add_limits());
+    for (const auto& record : message.origins) {
+        auto& wire = *out.add_origins();
+        toWire(record.origin, wire);
+        wire.set_valid_ms(static_cast<std::uint32_t>(record.validFor.count()));
+    }
+    for (const auto& streamId : message.originQueries)
+        out.add_origin_queries(streamId);
+    for (const auto& answer : message.originAnswers) {
+        auto& wire = *out.add_origin_answers();
+        wire.set_stream_id(answer.streamId);
+        if (answer.origin)
+            toWire(*answer.origin, *wire.mutable_origin());
+    }
 }
 
 envelope fromWire(const peer::Envelope& in, steady_time now)
@@ -240,7 +271,8 @@
         message.asks.push_back(fromWire(request, now));
     for (const auto& grant : in.grants())
         message.grants.push_back({ 0, grant.ask_id(), grant.grant_id(), grant.target(), grant.address(),
-            milliseconds { grant.waited_ms() } });
+            milliseconds { grant.waited_ms() },
+            grant.has_version() ? std::optional(grant.version()) : std::nullopt });
     for (const auto& refusal : in.refusals()) {
         const auto kind = refusal.kind() <= static_cast<std::uint32_t>(failure_kind::internal)
             ? static_cast<failure_kind>(refusal.kind())
@@ -267,6 +299,12 @@
         if (auto known = fromWire(element))
             message.limits.push_back(std::move(*known));
     }
+    for (const auto& record : in.origins())
+        message.origins.push_back({ fromWire(record), milliseconds { record.valid_ms() } });
+    message.originQueries.assign(in.origin_queries().begin(), in.origin_queries().end());
+    for (const auto& answer : in.origin_answers())
+        message.originAnswers.push_back({ answer.stream_id(),
+            answer.has_origin() ? std::optional(fromWire(answer.origin())) : std::nullopt });
     return message;
 }
 
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -28,7 +28,8 @@
     request.maxEventInterval = 400ms;
     request.age = 1200ms;
     message.asks.push_back({ "screening/rennes-a/0", request });
-    message.grants.push_back({ 0, 7, 8, "s1", "127.0.0.1:7001", 12ms });
+    message.grants.push_back({ 0, 7, 8, "s1", "127.0.0.1:7001", 12ms, "v1.1" });
+    message.grants.push_back({ 0, 7, 8, "s2", "127.0.0.1:7002", 12ms });
     message.refusals.push_back({ 0, 9, notRun(failure_kind::overloaded, "full", 1500ms) });
     message.moved.push_back({ 10, "127.0.0.1:9" });
     message.revokes.push_back({ "g", 11 });
@@ -40,6 +41,11 @@
     message.limits.push_back({ "vm", 7, token_request { 5, { { 99, 0.5, 12 } } } });
     message.limits.push_back({ "vm", 7, token_transfer { 5, 600ms, { { 99, 1.3, 0.7 } } } });
     message.asks.front().ask.begun = true;
+    message.asks.front().ask.version = "";
+    message.origins.push_back({ { "stream", "screening", "v1.1" }, 4500ms });
+    message.originQueries.push_back("other");
+    message.originAnswers.push_back({ "other", stream_origin { "other", "screening", "v1" } });
+    message.originAnswers.push_back({ "unknown", std::nullopt });
     const auto later = start + 1h;
     peer::Envelope wire;
     toWire(message, start, wire);
@@ -64,6 +70,12 @@
     CHECK(copy.withdrawals[0].slotRequestId == 15);
     CHECK(copy.limits == message.limits);
     CHECK(copy.asks.front().ask.begun);
+    CHECK(copy.asks.front().ask.version == "");
+    CHECK(copy.grants[0].version == "v1.1");
+    CHECK(!copy.grants[1].version);
+    CHECK(copy.origins == message.origins);
+    CHECK(copy.originQueries == message.originQueries);
+    CHECK(copy.originAnswers == message.originAnswers);
 }
 
 TEST_CASE("members and settings are unchanged by encoding and decoding")
