Resume an item only at the software version that made its events

The progress of an item now holds the version, also in the store, and its next run is bound to it. An item begins anew if no target of its version is listed, or if none has been usable for two seconds while other items got slots; so does one whose progress was saved by a process that did not know versions.

--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -132,6 +132,8 @@
     std::uint32_t index = 0;
     std::uint64_t lastEvent = 0;
     std::vector<std::string> events; ///< Data of all events received so far.
+    /// Software version of the target that made the events; unset if unknown.
+    std::optional<std::string> version;
 
     bool operator==(const item_progress&) const = default;
 };
@@ -160,6 +162,8 @@
 struct bulk_item_start {
     std::uint32_t index = 0;
     std::optional<std::uint64_t> lastEvent; ///< Last event received; the run resumes after it.
+    /// Software version that made the events received, which alone can resume them; unset if unknown.
+    std::optional<std::string> version;
 };
 
 /// Items of a job that this process holds.
@@ -195,6 +199,10 @@
     /// before the first next().
     void restore(std::vector<item_progress> saved);
 
+    /// Sets the software version that makes the events of a running item, unless it has events already.
+    void setVersion(std::uint32_t index, const std::optional<std::string>& version);
+    /// Discards the events of an item, which begins anew: no target can resume them.
+    void discardEvents(std::uint32_t index);
     /// Adds an event to a running item. Returns false if its id does not follow that of the previous event.
     bool addEvent(std::uint32_t index, std::optional<std::uint64_t> id, std::string data);
     void finishRun(std::uint32_t index, run_outcome outcome, steady_time now);
@@ -217,6 +225,7 @@
     struct item_state {
         std::vector<std::string> events;
         std::optional<std::uint64_t> lastEvent;
+        std::optional<std::string> version;
         unsigned failures = 0;
         bool hasResult = false; ///< Whether the item has a result, committed or not.
         bool running = false;
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -70,7 +70,7 @@
     for (std::uint32_t index = 0; index < m_items.size(); ++index) {
         const auto& item = m_items[index];
         if (!item.hasResult && item.lastEvent)
-            all.push_back({ index, *item.lastEvent, item.events });
+            all.push_back({ index, *item.lastEvent, item.events, item.version });
     }
     return all;
 }
@@ -88,6 +88,7 @@
             continue; // A result was committed after this progress was saved.
         m_items[one.index].lastEvent = one.lastEvent;
         m_items[one.index].events = std::move(one.events);
+        m_items[one.index].version = std::move(one.version);
     }
 }
 
@@ -100,7 +101,21 @@
     m_waiting.erase(chosen);
     m_items[index].running = true;
     ++m_running;
-    return bulk_item_start { index, m_items[index].lastEvent };
+    return bulk_item_start { index, m_items[index].lastEvent, m_items[index].version };
+}
+
+void bulk_job::setVersion(std::uint32_t index, const std::optional<std::string>& version)
+{
+    if (!m_items[index].lastEvent)
+        m_items[index].version = version;
+}
+
+void bulk_job::discardEvents(std::uint32_t index)
+{
+    auto& item = m_items[index];
+    item.events.clear();
+    item.lastEvent.reset();
+    item.version.reset();
 }
 
 bool bulk_job::addEvent(std::uint32_t index, std::optional<std::uint64_t> id, std::string data)
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -78,7 +78,9 @@
     std::vector<item_progress> items;
     for (const auto& entry : document.at("items")) {
         item_progress item { entry.at("index").get<std::uint32_t>(), entry.at("last").get<std::uint64_t>(),
-            {} };
+            {}, std::nullopt };
+        if (const auto version = entry.find("version"); version != entry.end())
+            item.version = version->get<std::string>();
         for (const auto& event : entry.at("events"))
             item.events.push_back(textOf(event));
         items.push_back(std::move(item));
@@ -151,8 +153,10 @@
         auto events = json::array();
         for (const auto& event : item.events)
             events.push_back(bytesOf(event));
-        list.push_back(
-            { { "index", item.index }, { "last", item.lastEvent }, { "events", std::move(events) } });
+        json entry { { "index", item.index }, { "last", item.lastEvent }, { "events", std::move(events) } };
+        if (item.version)
+            entry["version"] = *item.version;
+        list.push_back(std::move(entry));
     }
     return pack({ { "items", std::move(list) } });
 }
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -74,6 +74,30 @@
     CHECK(held.committedResults()[0].text == "a\nb\nc");
 }
 
+// Guards against an item whose text comes from two software versions after its holder has changed.
+TEST_CASE("an item keeps the software version that made its events, and loses it with them")
+{
+    auto held = job(1);
+    REQUIRE(held.next());
+    held.setVersion(0, "v1");
+    CHECK(held.addEvent(0, 1, "a"));
+    held.setVersion(0, "v2");
+    held.finishRun(0, run_outcome::interrupted, at(1));
+    const auto saved = decodeItemProgress(encodeItemProgress(held.progress()));
+    REQUIRE(saved);
+    CHECK(saved.value() == held.progress());
+    auto takenOver = job(1);
+    takenOver.restore(saved.value());
+    const auto again = takenOver.next();
+    CHECK(again->lastEvent == 1);
+    CHECK(again->version == "v1");
+    takenOver.discardEvents(0);
+    takenOver.setVersion(0, "v2");
+    CHECK(takenOver.addEvent(0, 1, "b"));
+    CHECK(takenOver.progress()[0].version == "v2");
+    CHECK(takenOver.progress()[0].events == std::vector<std::string> { "b" });
+}
+
 TEST_CASE("only failures and rejections lead to an item being abandoned")
 {
     auto held = job(2, 2);
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -45,12 +45,14 @@
         requirements.hold
             = std::chrono::duration_cast<milliseconds>(m_request.expiry - std::chrono::steady_clock::now());
         requirements.due = m_request.due;
+        if (m_request.lastEvent)
+            requirements.version = m_request.version;
         m_slotRequestedAt = std::chrono::steady_clock::now();
         m_slotAcquisition
             = m_services.slots.acquire(std::move(requirements), [this](result<held_slot> found) {
                   m_slotAcquisition.reset();
                   if (!found)
-                      return slotDenied(found.error().message);
+                      return slotDenied(found.error());
                   send(std::move(found.value()));
               });
     }
@@ -67,12 +69,14 @@
 
     const std::string& target() const override { return m_target; }
     std::optional<std::string> version() const override { return m_version; }
+    bool targetsUnavailable() const override { return m_targetsUnavailable; }
 
 private:
-    void slotDenied(const std::string& reason)
+    void slotDenied(const failure& refusal)
     {
+        m_targetsUnavailable = refusal.kind == failure_kind::unavailable;
         m_retryTimer.armAt(m_slotRequestedAt + minAttemptInterval,
-            [this, reason] { end(run_outcome::interrupted, reason); });
+            [this, reason = refusal.message] { end(run_outcome::interrupted, reason); });
     }
 
     void send(held_slot slot)
@@ -238,6 +242,7 @@
     /// Whether the response is framed, so that its end can be told from a lost connection.
     bool m_framed = false;
     bool m_stopped = false;
+    bool m_targetsUnavailable = false;
 };
 
 class item_run_handle final : public item_run {
@@ -253,6 +258,7 @@
     }
     const std::string& target() const override { return m_run->target(); }
     std::optional<std::string> version() const override { return m_run->version(); }
+    bool targetsUnavailable() const override { return m_run->targetsUnavailable(); }
 
 private:
     std::shared_ptr<item_run_impl> m_run;
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -30,6 +30,8 @@
     virtual const std::string& target() const = 0;
     /// Software version of the target; unset if it is unknown or there is no target yet.
     virtual std::optional<std::string> version() const = 0;
+    /// Whether the run ended without a slot because no target that could run the item was usable.
+    virtual bool targetsUnavailable() const = 0;
 };
 
 struct item_run_request {
@@ -43,6 +45,7 @@
     steady_time due;
     steady_time expiry;
     std::optional<std::uint64_t> lastEvent;
+    std::optional<std::string> version; ///< Software version that made the earlier events.
     bool chargeTarget = true; ///< Whether an aborted run counts against the target's health.
 };
 
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -19,6 +19,9 @@
 /// cannot be refused like a live request, nor be abandoned before it expires. A few more terminated targets
 /// until then are accepted, so that a wrongly suspected item is only delayed.
 constexpr milliseconds suspectedItemDelay { 20000 };
+/// An item begins anew after its software version has been unavailable for this time, although it is listed
+/// and other items get slots: its targets may be cut off or fail for longer than the item has left.
+constexpr milliseconds versionTimeout { 2000 };
 
 } // namespace
 
@@ -178,16 +181,27 @@
         return false;
     }
     const bool late = willMissDeadline(job, now());
-    const auto produced = job.nextItemEvents();
-    const auto next = job.next();
+    auto produced = job.nextItemEvents();
+    auto next = job.next();
     const auto& item = record.items[next->index];
+    const auto& service = matchedRoute->pickService(std::hash<std::string> {}(item.id));
+    if (next->lastEvent && !canResume(held, *next, service)) {
+        logEvent(log_level::info, "item begins anew: no target of its software version",
+            { { "job", record.id }, { "item", item.id }, { "version", next->version.value_or("unknown") },
+                { "events", static_cast<std::int64_t>(produced) } });
+        m_metrics.count("yuccachute_items_begun_anew_total", "reason", "version");
+        job.discardEvents(next->index);
+        held.versionUnavailableSince.erase(next->index);
+        next->lastEvent.reset();
+        produced = 0;
+    }
     item_run_request request;
     request.itemId = item.id;
     request.request = m_adapter.jobs.itemRequest(record, item);
     request.customer = record.customer.empty() ? matchedRoute->name : record.customer;
     if (deferSuspectedItem(held, next->index, request))
         return true;
-    request.service = matchedRoute->pickService(std::hash<std::string> {}(item.id));
+    request.service = service;
     request.cost = static_cast<double>(item.tokens);
     // Dispatchers treat an item that will miss its due time as overdue.
     request.due = late ? now() : job.due();
@@ -197,11 +211,15 @@
     request.producedEvents = static_cast<std::uint32_t>(produced);
     request.expiry = now() + defaultRunTime;
     request.lastEvent = next->lastEvent;
+    request.version = next->version;
     const auto aborts = held.consecutiveAborts.find(next->index);
     request.chargeTarget
         = aborts == held.consecutiveAborts.end() || aborts->second < maxAbortsChargedToTarget;
     item_run_events events;
-    events.slotGranted = [this] { startRuns(); };
+    events.slotGranted = [this] {
+        m_lastSlotGranted = now();
+        startRuns();
+    };
     const auto id = record.id;
     const auto index = next->index;
     const auto statistics = std::make_shared<run_statistics>();
@@ -209,8 +227,12 @@
         if (statistics->events++ == 0)
             statistics->firstEventAt = now();
         const auto found = m_jobs.find(id);
-        if (found != m_jobs.end())
+        if (found != m_jobs.end()) {
             found->second.consecutiveAborts.erase(index);
+            found->second.versionUnavailableSince.erase(index);
+            if (const auto run = found->second.runs.find(index); run != found->second.runs.end())
+                found->second.job->setVersion(index, run->second->version());
+        }
         return found != m_jobs.end() && found->second.job->addEvent(index, event, std::move(data));
     };
     events.finished = [this, id, index, statistics, fresh = !next->lastEvent, produced,
@@ -225,6 +247,23 @@
     return true;
 }
 
+bool bulk_process::canResume(
+    const held_job& held, const bulk_item_start& start, std::string_view service) const
+{
+    if (!start.version)
+        return false;
+    const auto unavailable = held.versionUnavailableSince.find(start.index);
+    // While no item gets a slot, the others would wait for a target as well.
+    if (unavailable != held.versionUnavailableSince.end() && now() - unavailable->second >= versionTimeout
+        && m_lastSlotGranted > unavailable->second)
+        return false;
+    const auto& targets = m_fleet.targets().targets();
+    return std::any_of(targets.begin(), targets.end(), [&](const auto& entry) {
+        const auto& target = *entry.second;
+        return target.service == service && target.version == *start.version && !target.draining;
+    });
+}
+
 bool bulk_process::deferSuspectedItem(held_job& held, std::uint32_t index, const item_run_request& request)
 {
     auto& guard = m_suspects.guard;
@@ -271,6 +310,10 @@
     const std::string target = run == held.runs.end() ? "" : run->second->target();
     const auto version = run == held.runs.end() ? std::nullopt : run->second->version();
     const bool hadSlot = !target.empty();
+    if (run != held.runs.end() && run->second->targetsUnavailable())
+        held.versionUnavailableSince.try_emplace(index, now());
+    else
+        held.versionUnavailableSince.erase(index);
     held.runs.erase(index);
     requeueItem(id, index, outcome,
         outcome == run_outcome::aborted ? retryDelayAfterAborts(++held.consecutiveAborts[index])
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -40,6 +40,8 @@
     std::map<std::uint32_t, unsigned> consecutiveAborts;
     /// Delays of items whose runs were aborted, or that are suspected of terminating targets.
     std::map<std::uint32_t, loop_timer> requeueTimers;
+    /// Since when items have found no usable target of the software version that made their events.
+    std::map<std::uint32_t, steady_time> versionUnavailableSince;
     /// Items suspected of terminating targets whose delay has passed; they may run next.
     std::set<std::uint32_t> suspectDelayPassed;
     std::vector<waiting_reader> readers;
@@ -123,6 +125,8 @@
     /// Updates the mean duration of runs and the mean time per event with an uninterrupted run.
     void updateMeanDurations(const run_statistics& run);
     bool startItem(held_job& held, const routing_table& table);
+    /// Whether a target could resume events that were made by this software version.
+    bool canResume(const held_job& held, const bulk_item_start& start, std::string_view service) const;
     /// Delays an item that is suspected of terminating targets. Returns false if the item may run now.
     bool deferSuspectedItem(held_job& held, std::uint32_t index, const item_run_request& request);
     void runFinished(
@@ -198,6 +202,7 @@
     double m_meanRunMs = initialMeanRunMs;
     double m_meanEventMs = initialMeanEventMs;
     item_lengths m_itemLengths;
+    steady_time m_lastSlotGranted;
     steady_time m_nextProgressSave;
     bool m_saving = false;
     bool m_scanning = false;
