Know a service's single software version from peers, without the store

Cause: a single version was known from the store alone.

Each process keeps which versions its list of targets has had lately. A peer that is asked for a record says what it knows of the time in question; if all that were asked have answered, and none of those that have followed the list for so long knows another version, the stream began there. A silent peer may have used a version that the others do not know, so that the store is asked then, as before.

--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -80,11 +80,10 @@
     /// The first event of a stream is about to be passed on. The stream can be resumed for `validFor` at
     /// most.
     virtual void record(const stream_origin& origin, milliseconds validFor) = 0;
-    /// Looks up where a stream of this service began. `streamId` is empty if the caller does not name it.
-    /// `done` is called exactly once, asynchronously and within 200 ms, unless the returned object is
-    /// destroyed before. A failure says whether it is worthwhile to try again.
-    virtual std::shared_ptr<origin_lookup> find(const std::string& streamId, const std::string& service,
-        std::function<void(result<stream_origin>)> done)
+    /// Looks up where a stream began. `done` is called exactly once, asynchronously and within 200 ms, unless
+    /// the returned object is destroyed before. A failure says whether it is worthwhile to try again.
+    virtual std::shared_ptr<origin_lookup> find(
+        const origin_query& query, std::function<void(result<stream_origin>)> done)
         = 0;
 };
 
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -28,6 +28,8 @@
 /// A terminated target refuses connections within a few milliseconds. The result for a target that does not
 /// respond takes longer, and the caller is not delayed for it.
 constexpr milliseconds examinationTimeout { 20 };
+/// A caller's attempts together may take longer than the timeout of one request.
+constexpr int maxStreamLifetimes = 2;
 constexpr unsigned badGateway = 502;
 constexpr unsigned gatewayTimeout = 504;
 constexpr unsigned firstServerErrorStatus = 500;
@@ -101,11 +103,14 @@
         if (!m_services.origins)
             return refuseOrFail(
                 notRun(failure_kind::unavailable, "this process does not know where streams began"));
-        m_originLookup = m_services.origins->find(m_facts.resumes,
-            m_route.pickService(std::hash<std::string> {}(streamId())), [this](result<stream_origin> found) {
-                m_originLookup.reset();
-                onOriginResult(std::move(found));
-            });
+        origin_query query;
+        query.streamId = m_facts.resumes;
+        query.service = m_route.pickService(std::hash<std::string> {}(streamId()));
+        query.lookback = maxStreamLifetimes * m_route.timeout;
+        m_originLookup = m_services.origins->find(query, [this](result<stream_origin> found) {
+            m_originLookup.reset();
+            onOriginResult(std::move(found));
+        });
     }
 
     void onOriginResult(result<stream_origin> found)
--- a/libs/front/src/origin_finder.cpp
+++ b/libs/front/src/origin_finder.cpp
@@ -16,11 +16,9 @@
 
 class origin_finder::lookup final : public origin_lookup, public std::enable_shared_from_this<lookup> {
 public:
-    lookup(origin_finder& owner, std::string streamId, std::string service,
-        std::function<void(result<stream_origin>)> done)
+    lookup(origin_finder& owner, origin_query query, std::function<void(result<stream_origin>)> done)
         : m_owner(owner)
-        , m_streamId(std::move(streamId))
-        , m_service(std::move(service))
+        , m_query(std::move(query))
         , m_done(std::move(done))
         , m_timer(owner.m_loop)
     {
@@ -28,39 +26,53 @@
 
     void start()
     {
-        if (m_streamId.empty())
-            return findOnlyVersion();
-        m_search = m_owner.m_broker.findOrigin(m_streamId, m_service, [this](const origin_answers& answers) {
-            m_complete = answers.complete;
-            if (answers.origin)
-                return finish("recorded", *answers.origin);
-            findOnlyVersion();
-        });
+        m_search = m_owner.m_broker.findOrigin(
+            m_query, [this](const origin_answers& answers) { onAnswers(answers); });
     }
 
 private:
-    void findOnlyVersion()
+    void onAnswers(const origin_answers& answers)
+    {
+        if (answers.origin)
+            return finish("recorded", *answers.origin);
+        const auto& evidence = answers.evidence;
+        if (evidence.known == version_evidence::kind::several)
+            return refuseUnknown(answers.complete);
+        // A silent peer may have used a version that the others do not know of.
+        if (evidence.known == version_evidence::kind::single && answers.complete)
+            return finish(
+                "only version", stream_origin { m_query.streamId, m_query.service, evidence.version });
+        findOnlyVersion(answers.complete);
+    }
+
+    void findOnlyVersion(bool complete)
     {
         m_timer.arm(storeTimeout, [this] { refuse("the store does not answer", storeRetryAfter); });
-        m_owner.m_versions.findOnlyVersion(
-            m_service, [weak = weak_from_this()](const result<std::optional<std::string>>& only) {
+        m_owner.m_versions.findOnlyVersion(m_query.service,
+            [weak = weak_from_this(), complete](const result<std::optional<std::string>>& only) {
                 if (const auto self = weak.lock())
-                    self->onOnlyVersion(only);
+                    self->onOnlyVersion(only, complete);
             });
     }
 
-    void onOnlyVersion(const result<std::optional<std::string>>& only)
+    void onOnlyVersion(const result<std::optional<std::string>>& only, bool complete)
     {
         if (!m_timer.armed())
             return;
         m_timer.cancel();
         if (!only)
             return refuse("the store does not answer: " + only.error().message, storeRetryAfter);
-        if (!only.value() && !m_complete)
-            return refuse("a process that may know it does not answer", otherEntryRetryAfter);
         if (!only.value())
-            return refuse("the service has not had a single software version lately", milliseconds { 0 });
-        finish("only version", stream_origin { m_streamId, m_service, *only.value() });
+            return refuseUnknown(complete);
+        finish(
+            "only version in the store", stream_origin { m_query.streamId, m_query.service, *only.value() });
+    }
+
+    /// If all processes have answered, there is none to which the caller could turn.
+    void refuseUnknown(bool complete)
+    {
+        refuse("the service has not had a single software version lately",
+            complete ? milliseconds { 0 } : otherEntryRetryAfter);
     }
 
     void refuse(const std::string& reason, milliseconds retryAfter)
@@ -81,12 +93,10 @@
     }
 
     origin_finder& m_owner;
-    std::string m_streamId;
-    std::string m_service;
+    origin_query m_query;
     std::function<void(result<stream_origin>)> m_done;
     loop_timer m_timer;
     std::shared_ptr<origin_search> m_search;
-    bool m_complete = true; ///< All peers that may have a record have answered.
 };
 
 void origin_finder::record(const stream_origin& origin, milliseconds validFor)
@@ -95,9 +105,9 @@
 }
 
 std::shared_ptr<origin_lookup> origin_finder::find(
-    const std::string& streamId, const std::string& service, std::function<void(result<stream_origin>)> done)
+    const origin_query& query, std::function<void(result<stream_origin>)> done)
 {
-    const auto started = std::make_shared<lookup>(*this, streamId, service, std::move(done));
+    const auto started = std::make_shared<lookup>(*this, query, std::move(done));
     started->start();
     return started;
 }
--- a/libs/front/src/origin_finder.h
+++ b/libs/front/src/origin_finder.h
@@ -19,8 +19,8 @@
     }
 
     void record(const stream_origin& origin, milliseconds validFor) override;
-    std::shared_ptr<origin_lookup> find(const std::string& streamId, const std::string& service,
-        std::function<void(result<stream_origin>)> done) override;
+    std::shared_ptr<origin_lookup> find(
+        const origin_query& query, std::function<void(result<stream_origin>)> done) override;
 
 private:
     class lookup;
--- a/libs/front/src/version_registry.cpp
+++ b/libs/front/src/version_registry.cpp
@@ -3,6 +3,7 @@
 #include "logging/logging.h"
 
 #include <cctype>
+#include <set>
 #include <utility>
 
 namespace yuccachute {
@@ -35,18 +36,18 @@
     return std::string(recordsPrefix) + encodeName(service) + '/';
 }
 
-std::string keyOf(const listed_versions::service_version& named)
+std::string keyOf(const version_history::service_version& named)
 {
     return servicePrefix(named.service) + encodeName(named.version);
 }
 
 /// The value holds both names, one per line.
-std::string valueOf(const listed_versions::service_version& named)
+std::string valueOf(const version_history::service_version& named)
 {
     return named.service + '\n' + named.version;
 }
 
-listed_versions::service_version readValue(std::string_view value)
+version_history::service_version readValue(std::string_view value)
 {
     const auto end = value.find('\n');
     if (end == std::string_view::npos)
@@ -56,42 +57,11 @@
 
 } // namespace
 
-void listed_versions::apply(std::span<const target_change> changes)
-{
-    for (const auto& [before, after, released] : changes) {
-        if (after)
-            ++m_counts[{ after->service, after->version }];
-        if (!before)
-            continue;
-        const auto found = m_counts.find({ before->service, before->version });
-        if (found != m_counts.end() && --found->second == 0)
-            m_counts.erase(found);
-    }
-}
-
-std::set<std::string> listed_versions::of(std::string_view service) const
-{
-    std::set<std::string> versions;
-    for (const auto& [listed, count] : m_counts) {
-        if (listed.service == service)
-            versions.insert(listed.version);
-    }
-    return versions;
-}
-
-std::vector<listed_versions::service_version> listed_versions::all() const
-{
-    std::vector<service_version> all;
-    for (const auto& [listed, count] : m_counts)
-        all.push_back(listed);
-    return all;
-}
-
 void version_registry::targetsChanged(std::span<const target_change> changes, steady_time now)
 {
-    m_listed.apply(changes);
+    m_listed.apply(changes, true, now);
     for (auto& [version, record] : m_records) {
-        if (m_listed.contains(version))
+        if (m_listed.listed(version))
             record.unlistedSince.reset();
         else if (!record.unlistedSince)
             record.unlistedSince = now;
@@ -104,7 +74,7 @@
         return loadRecords();
     writeMissing();
     for (auto& [version, record] : m_records) {
-        if (m_listed.contains(version))
+        if (m_listed.listed(version))
             continue;
         if (!record.unlistedSince)
             record.unlistedSince = now;
@@ -112,13 +82,13 @@
             remove(version);
     }
     std::erase_if(m_records, [this](const auto& entry) {
-        return entry.second.revision == 0 && !entry.second.busy && !m_listed.contains(entry.first);
+        return entry.second.revision == 0 && !entry.second.busy && !m_listed.listed(entry.first);
     });
 }
 
 void version_registry::writeMissing()
 {
-    for (const auto& listed : m_listed.all()) {
+    for (const auto& listed : m_listed.allListed()) {
         const auto& record = m_records[listed];
         if (record.revision == 0 && !record.busy)
             write(listed);
@@ -221,7 +191,11 @@
         return listing.error();
     if (listing.value().values.empty())
         return std::optional<std::string>();
-    auto versions = m_listed.of(service);
+    std::set<std::string> versions;
+    for (const auto& listed : m_listed.allListed()) {
+        if (listed.service == service)
+            versions.insert(listed.version);
+    }
     for (const auto& entry : listing.value().values)
         versions.insert(readValue(entry.value).version);
     return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
--- a/libs/front/src/version_registry.h
+++ b/libs/front/src/version_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "origins/origins.h"
 #include "routing/routing.h"
 #include "store/store.h"
 
@@ -7,32 +8,12 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
 
 namespace yuccachute {
 
-/// Software versions of a service's targets. It changes only with the list of targets.
-class listed_versions {
-public:
-    struct service_version {
-        std::string service;
-        std::string version;
-
-        auto operator<=>(const service_version&) const = default;
-    };
-
-    void apply(std::span<const target_change> changes);
-    std::set<std::string> of(std::string_view service) const;
-    std::vector<service_version> all() const;
-    bool contains(const service_version& listed) const { return m_counts.contains(listed); }
-
-private:
-    std::map<service_version, std::size_t> m_counts; ///< Number of targets.
-};
-
 /// Records in the store which software versions of a service have been listed recently.
 ///
 /// After all processes have been killed, nobody knows where a stream began. The list of targets does not
@@ -56,7 +37,7 @@
     void findOnlyVersion(const std::string& service, only_version_callback done);
 
 private:
-    using service_version = listed_versions::service_version;
+    using service_version = version_history::service_version;
     struct record {
         std::int64_t revision = 0; ///< 0 while the record is not known to exist.
         bool busy = false; ///< A call about it is pending.
@@ -72,7 +53,7 @@
         const std::string& service, const result<store_listing>& listing) const;
 
     async_store& m_store;
-    listed_versions m_listed;
+    version_history m_listed;
     std::map<service_version, record> m_records;
     enum class load_state : std::uint8_t { unknown, loading, loaded };
     load_state m_loaded = load_state::unknown;
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -176,10 +176,10 @@
 public:
     struct lookup : origin_lookup { };
     void record(const stream_origin& origin, milliseconds) override { recorded.push_back(origin); }
-    std::shared_ptr<origin_lookup> find(const std::string& streamId, const std::string&,
-        std::function<void(result<stream_origin>)> done) override
+    std::shared_ptr<origin_lookup> find(
+        const origin_query& query, std::function<void(result<stream_origin>)> done) override
     {
-        asked = streamId;
+        asked = query.streamId;
         answer = std::move(done);
         return std::make_shared<lookup>();
     }
--- a/libs/messages/include/messages/messages.h
+++ b/libs/messages/include/messages/messages.h
@@ -64,7 +64,7 @@
     std::vector<withdraw_message> withdrawals;
     std::vector<limit_message> limits;
     std::vector<origin_record> origins; ///< Origins of streams that have begun, to be kept.
-    std::vector<std::string> originQueries; ///< Ids of streams whose origin the sender asks for.
+    std::vector<origin_query> originQueries;
     std::vector<origin_answer> originAnswers;
 
     bool empty() const;
--- a/libs/origins/include/origins/origins.h
+++ b/libs/origins/include/origins/origins.h
@@ -1,12 +1,17 @@
 #pragma once
 
+#include "routing/routing.h"
 #include "verdict/verdict.h"
 
+#include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// Records of the software versions that began streams: a stream can be continued only by a target of the
 /// version that sent its first event. Layer: coordination. No I/O, not thread-safe.
@@ -29,14 +34,68 @@
     bool operator==(const origin_record&) const = default;
 };
 
-/// Answer to the question where a stream began.
+/// Asks where a stream began. Without a record of the stream, the answer is found if the service has had a
+/// single version for as long as the stream may have lasted.
+struct origin_query {
+    std::string streamId; ///< Empty if the caller does not name the stream.
+    std::string service;
+    milliseconds lookback { 0 }; ///< Longest time since the stream began.
+
+    bool operator==(const origin_query&) const = default;
+};
+
+/// What a process knows of the software versions that a service had in a period that ends now.
+struct version_evidence {
+    enum class kind : std::uint8_t {
+        none, ///< It has not followed the list of targets for the whole period.
+        single,
+        several
+    };
+    kind known = kind::none;
+    std::string version; ///< If `single`.
+
+    bool operator==(const version_evidence&) const = default;
+};
+
+/// Answer to an origin_query.
 struct origin_answer {
-    std::string streamId;
+    std::string streamId; ///< As in the query.
+    std::string service; ///< As in the query.
     std::optional<stream_origin> origin; ///< Unset if the answering process has no record.
+    version_evidence evidence;
 
     bool operator==(const origin_answer&) const = default;
 };
 
+/// Combines what several processes know; those without evidence do not count.
+version_evidence combine(const version_evidence& left, const version_evidence& right);
+
+/// The software versions of targets that are listed, or have been lately.
+class version_history {
+public:
+    struct service_version {
+        std::string service;
+        std::string version;
+
+        auto operator<=>(const service_version&) const = default;
+    };
+
+    /// `complete`: the list contains all targets. Before that, and without any target, there is no evidence.
+    void apply(std::span<const target_change> changes, bool complete, steady_time now);
+    bool listed(const service_version& named) const;
+    std::vector<service_version> allListed() const;
+    version_evidence evidence(std::string_view service, milliseconds lookback, steady_time now) const;
+
+private:
+    struct entry {
+        std::size_t targets = 0;
+        steady_time lastListed; ///< Without targets.
+    };
+
+    std::map<service_version, entry> m_entries;
+    std::optional<steady_time> m_completeSince;
+};
+
 /// Origins of recent streams, in bounded memory. A record never changes: the version that began a stream is a
 /// fact of the past.
 class origin_table {
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -83,6 +83,7 @@
 struct origin_answers {
     std::optional<stream_origin> origin; ///< Unset if no process that answered has a record.
     bool complete = true; ///< False if a process that may have a record did not answer.
+    version_evidence evidence; ///< Of all processes that answered.
 };
 
 using origin_callback = std::function<void(origin_answers)>;
@@ -241,10 +242,9 @@
     /// Tells the processes that callers may turn to next where a stream began. A stream can be resumed for
     /// `validFor` at most.
     void recordOrigin(const stream_origin& origin, milliseconds validFor);
-    /// Searches the origin of a stream of this service. `done` is called exactly once, asynchronously and
-    /// within some 50 ms, unless the returned object is destroyed before.
-    std::shared_ptr<origin_search> findOrigin(
-        const std::string& streamId, const std::string& service, origin_callback done);
+    /// Searches the origin of a stream. `done` is called exactly once, asynchronously and within some 50 ms,
+    /// unless the returned object is destroyed before.
+    std::shared_ptr<origin_search> findOrigin(const origin_query& query, origin_callback done);
 
     // Grant streams that peers have opened to this process. These functions are thread-safe.
     void sessionOpened(std::uint64_t session, std::function<void(envelope)> send);
--- a/libs/places/src/origin_exchange.cpp
+++ b/libs/places/src/origin_exchange.cpp
@@ -13,10 +13,11 @@
 
 class origin_exchange::search final : public origin_search {
 public:
-    search(event_loop& loop, origin_callback done)
+    search(event_loop& loop, version_evidence ownEvidence, origin_callback done)
         : m_loop(loop)
         , m_done(std::move(done))
         , m_timer(loop)
+        , m_evidence(std::move(ownEvidence))
     {
     }
 
@@ -24,15 +25,16 @@
     {
         m_pending.insert(addresses.begin(), addresses.end());
         if (m_pending.empty())
-            return finish({ std::nullopt, true });
-        m_timer.arm(answerTimeout, [this] { finish({ std::nullopt, false }); });
+            return finish({ std::nullopt, true, m_evidence });
+        m_timer.arm(answerTimeout, [this] { finish({ std::nullopt, false, m_evidence }); });
     }
 
-    void answered(const std::string& address, const std::optional<stream_origin>& origin)
+    void answered(const std::string& address, const origin_answer& answer)
     {
         m_pending.erase(address);
-        if (origin || m_pending.empty())
-            finish({ origin, true });
+        m_evidence = combine(m_evidence, answer.evidence);
+        if (answer.origin || m_pending.empty())
+            finish({ answer.origin, true, m_evidence });
     }
 
     /// Deferred, so that the caller of find() has received its object.
@@ -54,6 +56,7 @@
     origin_callback m_done;
     loop_timer m_timer;
     std::set<std::string> m_pending; ///< Peers that have not answered.
+    version_evidence m_evidence;
     bool m_finished = false;
 };
 
@@ -74,21 +77,21 @@
 }
 
 std::shared_ptr<origin_search> origin_exchange::find(
-    const std::string& streamId, const std::string& service, origin_callback done, steady_time now)
+    const origin_query& query, origin_callback done, steady_time now)
 {
     std::erase_if(m_searches, [](const auto& entry) { return entry.second.expired(); });
-    const auto started = std::make_shared<search>(m_loop, std::move(done));
+    const auto started = std::make_shared<search>(m_loop, m_env.evidence(query, now), std::move(done));
     started->m_self = started;
-    if (auto known = m_table.find(streamId, now)) {
-        started->finish({ std::move(known), true });
+    if (auto known = m_table.find(query.streamId, now)) {
+        started->finish({ std::move(known), true, {} });
         return started;
     }
-    m_searches.emplace(streamId, started);
-    const auto addresses = m_env.possibleKeepers(service, now);
+    m_searches.emplace(std::pair(query.streamId, query.service), started);
+    const auto addresses = m_env.possibleKeepers(query.service, now);
     started->start(addresses);
     for (const auto& address : addresses) {
         envelope message;
-        message.originQueries.push_back(streamId);
+        message.originQueries.push_back(query);
         m_env.send(address, std::move(message));
     }
     return started;
@@ -98,8 +101,9 @@
     const envelope& message, const std::function<void(envelope)>& reply, steady_time now) const
 {
     envelope answers;
-    for (const auto& streamId : message.originQueries)
-        answers.originAnswers.push_back({ streamId, m_table.find(streamId, now) });
+    for (const auto& query : message.originQueries)
+        answers.originAnswers.push_back(
+            { query.streamId, query.service, m_table.find(query.streamId, now), m_env.evidence(query, now) });
     reply(std::move(answers));
 }
 
@@ -110,15 +114,15 @@
         m_table.record(record.origin, now + record.validFor, now);
     if (!message.originQueries.empty())
         answer(message, reply, now);
-    for (const auto& [streamId, origin] : message.originAnswers) {
+    for (const auto& answer : message.originAnswers) {
         std::vector<std::shared_ptr<search>> searches;
-        const auto [begin, end] = m_searches.equal_range(streamId);
+        const auto [begin, end] = m_searches.equal_range({ answer.streamId, answer.service });
         for (auto entry = begin; entry != end; ++entry) {
             if (auto running = entry->second.lock())
                 searches.push_back(std::move(running));
         }
         for (const auto& running : searches)
-            running->answered(sender, origin);
+            running->answered(sender, answer);
     }
 }
 
--- a/libs/places/src/origin_exchange.h
+++ b/libs/places/src/origin_exchange.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace yuccachute {
@@ -24,14 +25,14 @@
         /// Addresses of other processes that may have an origin, including those to which another zone sends
         /// it.
         std::function<std::vector<std::string>(const std::string& service, steady_time)> possibleKeepers;
+        std::function<version_evidence(const origin_query& query, steady_time)> evidence;
     };
 
     origin_exchange(event_loop& loop, environment env);
 
     void record(const stream_origin& origin, milliseconds validFor, steady_time now);
     /// `done` is called exactly once, asynchronously, unless the returned object is destroyed before.
-    std::shared_ptr<origin_search> find(
-        const std::string& streamId, const std::string& service, origin_callback done, steady_time now);
+    std::shared_ptr<origin_search> find(const origin_query& query, origin_callback done, steady_time now);
     /// Handles the messages about origins of a peer. `reply` sends to that peer.
     void received(const envelope& message, const std::string& sender,
         const std::function<void(envelope)>& reply, steady_time now);
@@ -44,7 +45,8 @@
     event_loop& m_loop;
     environment m_env;
     origin_table m_table;
-    std::multimap<std::string, std::weak_ptr<search>> m_searches; ///< By stream id.
+    /// By stream id, which may be empty, and service.
+    std::multimap<std::pair<std::string, std::string>, std::weak_ptr<search>> m_searches;
 };
 
 } // namespace yuccachute
--- a/libs/places/src/slot_broker.cpp
+++ b/libs/places/src/slot_broker.cpp
@@ -115,6 +115,9 @@
                   [this](const std::string& service, steady_time now) { return originKeepers(service, now); },
                   [this](const std::string& service, steady_time now) {
                       return possibleOriginKeepers(service, now);
+                  },
+                  [this](const origin_query& query, steady_time now) {
+                      return versions.evidence(query.service, query.lookback, now);
                   } })
     {
         if (limits)
@@ -286,6 +289,7 @@
     group_host host;
     distributed_rate_limiter* limits; ///< May be null.
     origin_exchange origins;
+    version_history versions;
     std::unique_ptr<limit_exchange> exchange; ///< Null without limits.
     std::vector<dispatcher_info> dispatchers;
     std::map<std::string, std::vector<std::string>> rankedByGroup;
@@ -810,6 +814,7 @@
     const target_directory& targets, std::span<const target_change> changes, steady_time now)
 {
     m_impl->targets = &targets;
+    m_impl->versions.apply(changes, !targets.partial(), now);
     for (const auto& [before, after, released] : changes) {
         if (before)
             m_impl->uncountTarget(*before);
@@ -856,10 +861,9 @@
     m_impl->origins.record(origin, validFor, std::chrono::steady_clock::now());
 }
 
-std::shared_ptr<origin_search> slot_broker::findOrigin(
-    const std::string& streamId, const std::string& service, origin_callback done)
+std::shared_ptr<origin_search> slot_broker::findOrigin(const origin_query& query, origin_callback done)
 {
-    return m_impl->origins.find(streamId, service, std::move(done), std::chrono::steady_clock::now());
+    return m_impl->origins.find(query, std::move(done), std::chrono::steady_clock::now());
 }
 
 void slot_broker::sessionOpened(std::uint64_t session, std::function<void(envelope)> send)
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -624,7 +624,8 @@
 
 struct origin_question {
     origin_question(entry& from, const std::string& streamId)
-        : search(from.broker.findOrigin(streamId, "llm", [this](origin_answers found) { answers = found; }))
+        : search(from.broker.findOrigin({ streamId, "llm", milliseconds { 10 } },
+            [this](origin_answers found) { answers = std::move(found); }))
     {
     }
     std::optional<origin_answers> answers;
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -81,6 +81,14 @@
     return { in.stream_id(), in.service(), in.version() };
 }
 
+/// A kind that only newer versions know is no evidence.
+version_evidence evidenceFromWire(const peer::OriginAnswer& in)
+{
+    if (in.versions_known() > static_cast<std::uint32_t>(version_evidence::kind::several))
+        return {};
+    return { static_cast<version_evidence::kind>(in.versions_known()), in.version() };
+}
+
 void toWire(const share_request& request, peer::LimitMessage& out)
 {
     auto& wire = *out.mutable_share_ask();
@@ -254,13 +262,20 @@
         toWire(record.origin, wire);
         wire.set_valid_ms(static_cast<std::uint32_t>(record.validFor.count()));
     }
-    for (const auto& streamId : message.originQueries)
-        out.add_origin_queries(streamId);
+    for (const auto& query : message.originQueries) {
+        auto& wire = *out.add_origin_queries();
+        wire.set_stream_id(query.streamId);
+        wire.set_service(query.service);
+        wire.set_lookback_ms(static_cast<std::uint32_t>(query.lookback.count()));
+    }
     for (const auto& answer : message.originAnswers) {
         auto& wire = *out.add_origin_answers();
         wire.set_stream_id(answer.streamId);
         if (answer.origin)
             toWire(*answer.origin, *wire.mutable_origin());
+        wire.set_service(answer.service);
+        wire.set_versions_known(static_cast<std::uint32_t>(answer.evidence.known));
+        wire.set_version(answer.evidence.version);
     }
 }
 
@@ -301,10 +316,13 @@
     }
     for (const auto& record : in.origins())
         message.origins.push_back({ fromWire(record), milliseconds { record.valid_ms() } });
-    message.originQueries.assign(in.origin_queries().begin(), in.origin_queries().end());
+    for (const auto& query : in.origin_queries())
+        message.originQueries.push_back(
+            { query.stream_id(), query.service(), milliseconds { query.lookback_ms() } });
     for (const auto& answer : in.origin_answers())
-        message.originAnswers.push_back({ answer.stream_id(),
-            answer.has_origin() ? std::optional(fromWire(answer.origin())) : std::nullopt });
+        message.originAnswers.push_back({ answer.stream_id(), answer.service(),
+            answer.has_origin() ? std::optional(fromWire(answer.origin())) : std::nullopt,
+            evidenceFromWire(answer) });
     return message;
 }
 
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -43,9 +43,11 @@
     message.asks.front().ask.begun = true;
     message.asks.front().ask.version = "";
     message.origins.push_back({ { "stream", "screening", "v1.1" }, 4500ms });
-    message.originQueries.push_back("other");
-    message.originAnswers.push_back({ "other", stream_origin { "other", "screening", "v1" } });
-    message.originAnswers.push_back({ "unknown", std::nullopt });
+    message.originQueries.push_back({ "other", "screening", 10s });
+    message.originAnswers.push_back(
+        { "other", "screening", stream_origin { "other", "screening", "v1" }, {} });
+    message.originAnswers.push_back(
+        { "unknown", "screening", std::nullopt, { version_evidence::kind::single, "v1" } });
     const auto later = start + 1h;
     peer::Envelope wire;
     toWire(message, start, wire);
