Soak: servers of several software versions, releases, and streams that callers resume

The servers of the soak now have versions, releases replace some of them beside the others, callers resume what broke off or what they left, at any entry, and one check a stream and an item says that all its events come from one version. Of streams resumed at entries in touch while two servers of their version serve, at least half as many go on as new ones are served.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -61,8 +61,9 @@
     const auto violations = state.book.violations();
     std::cout << "seed " << seed << " (" << toString(moodOf(seed)) << "): " << disturbances
               << " disturbances, " << requests.size() << " requests, " << served << " served, " << refused
-              << " refused; " << jobs.size() << " jobs, " << accepted << " accepted; " << violations.size()
-              << " violations" << std::endl;
+              << " refused; " << state.resumptions << " streams resumed, " << state.resumed << " went on; "
+              << jobs.size() << " jobs, " << accepted << " accepted; " << violations.size() << " violations"
+              << std::endl;
     for (const auto& what : violations)
         std::cout << "  " << what << '\n';
 }
@@ -106,6 +107,8 @@
     }
     for (const auto& [name, process] : system.batches)
         state.batchNames.push_back(name);
+    for (unsigned number = 0; number < system.servers(); ++number)
+        state.versions.set(number, "v1");
     disturber faults(state, moodOf(seed), seed);
     caller_threads callers(state);
     for (unsigned i = 0; i < system.servers() * liveCallersPerServer; ++i)
@@ -129,6 +132,7 @@
     const auto runs = system.control("/runs")["runs"];
     book.checkRuns(runs, book.disturbed, state.batchNames, moodOf(seed) != mood::all);
     book.checkLeaving(runs, book.disturbed);
+    checkResumptions(state);
     faults.stopAll();
     report(seed, state, faults);
     const bool kept = book.violations().empty();
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -83,6 +83,7 @@
                     later(i * 200, [this] { configure(); });
             } },
         { "server drains", 2, [this, anyServer] { replaceServer(anyServer(), "drain", drainMs); } },
+        { "release", 3, [this] { release(); } },
         { "server is unlisted", 1, [this, anyServer] { replaceServer(anyServer(), "unlist", drainMs); } },
         { "VM is to be emptied", 1, [this] { emptyVm(anyBatch()); } },
     };
@@ -300,11 +301,13 @@
 }
 
 /// A server goes, orderly or not, and another takes its address.
-void disturber::replaceServer(unsigned number, const std::string& first, std::int64_t goneAfter)
+void disturber::replaceServer(
+    unsigned number, const std::string& first, std::int64_t goneAfter, const std::string& version)
 {
     if (m_serverBusy[number])
         return;
     m_serverBusy[number] = true;
+    m_state.versions.remove(number);
     const auto call = [this, number](const std::string& what) {
         return m_state.system.control("/server?do=" + what + "&number=" + std::to_string(number));
     };
@@ -312,16 +315,30 @@
     if (first == "drain" || first == "unlist")
         m_state.book.addLeaving(answer["id"], steadyMs());
     // A server that leaves finishes what it has; it goes some time after.
-    later(goneAfter + (goneAfter > 0 ? between(1500, 3000) : 0), [this, call, number] {
+    later(goneAfter + (goneAfter > 0 ? between(1500, 3000) : 0), [this, call, number, version] {
         call("crash");
-        later(between(200, 2500), [this, call, number] {
+        later(between(200, 2500), [this, call, number, version] {
             call("unlist");
-            call("start");
+            const auto started = call("start&version=" + version);
+            m_state.versions.set(number, started["version"]);
             m_serverBusy[number] = false;
         });
     });
 }
 
+/// Replaces some of the servers one after the other by ones with a new software version, beside those that
+/// stay.
+void disturber::release()
+{
+    const auto version = "v" + std::to_string(++m_versions);
+    std::int64_t when = 0;
+    for (unsigned number = 0; number < m_state.system.servers(); ++number) {
+        if (m_random() % 2 == 0)
+            later(when += between(200, 800),
+                [this, number, version] { replaceServer(number, "drain", drainMs, version); });
+    }
+}
+
 /// Orders a VM to be emptied; when that is reported it is removed, and another one comes in its place.
 void disturber::emptyVm(const std::string& name)
 {
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -64,7 +64,10 @@
     void freeze(const std::string& name, std::int64_t lasts);
     void harmStore(const std::string& fault, std::int64_t lasts);
     void harmRoute(const std::string& route, const std::string& part, std::int64_t lasts);
-    void replaceServer(unsigned number, const std::string& first, std::int64_t goneAfter);
+    /// The next start has the version, or that of the start before if it is empty.
+    void replaceServer(
+        unsigned number, const std::string& first, std::int64_t goneAfter, const std::string& version = "");
+    void release();
     void emptyVm(const std::string& name);
     void awaitEmpty(const std::string& name, std::int64_t until);
     void configure();
@@ -78,6 +81,7 @@
     std::map<std::string, managed> m_processes;
     std::multimap<std::int64_t, std::function<void()>> m_schedule;
     std::map<unsigned, bool> m_serverBusy; ///< Being replaced.
+    int m_versions = 1; ///< Software versions so far.
     std::map<std::string, int> m_counts;
     std::int64_t m_nextInjection = 0;
     bool m_emptying = false; ///< One VM at a time.
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -1,5 +1,7 @@
 #include "soak_ledger.h"
 
+#include "resuming_caller.h"
+
 #include <algorithm>
 #include <chrono>
 #include <set>
@@ -127,7 +129,10 @@
         std::string whole;
         for (int event = 1; event <= job.events; ++event)
             whole += (event > 1 ? "\n" : "") + item + "-" + std::to_string(event);
-        if (results[i]["state"] != "done" || results[i]["text"] != whole)
+        const auto given = results[i].value("text", "");
+        if (testing::versionsIn(given).size() > 1)
+            violation("job " + job.id + ": item " + item + " holds events of two software versions");
+        if (results[i]["state"] != "done" || testing::withoutVersions(given) != whole)
             violation("job " + job.id + ": item " + item + " is listed as " + text.substr(0, 200));
         job.positions.push_back(text);
     }
--- a/tests/soak/soak_load.cpp
+++ b/tests/soak/soak_load.cpp
@@ -1,6 +1,8 @@
 #include "soak_load.h"
 
 #include "event_loop/event_loop.h"
+#include "resuming_caller.h"
+#include "serving/serving.h"
 
 #include <algorithm>
 
@@ -34,7 +36,8 @@
         request.headers.emplace_back("Host", "test.example");
         request.body = std::move(body);
         std::optional<result<http_reply>> outcome;
-        http_reply reply;
+        m_received = {};
+        auto& reply = m_received;
         client_call_events events;
         events.head = [&](const http_reply& head) {
             reply = head;
@@ -44,7 +47,7 @@
             reply.body.append(piece);
             return true;
         };
-        events.whole = [&] { outcome.emplace(std::move(reply)); };
+        events.whole = [&] { outcome.emplace(reply); };
         events.failed = [&](const failure& error) { outcome.emplace(error); };
         client_call_options options;
         const auto now = std::chrono::steady_clock::now();
@@ -61,9 +64,13 @@
         return std::move(*outcome);
     }
 
+    /// What arrived of the last response, also if it ended early.
+    const http_reply& received() const { return m_received; }
+
 private:
     event_loop m_loop;
     http_client m_client { m_loop, {} };
+    http_reply m_received;
 };
 
 std::string wholeAnswer(route_kind kind, const std::string& id, int events)
@@ -78,6 +85,66 @@
     return std::find(allowed.begin(), allowed.end(), status) != allowed.end();
 }
 
+std::uint64_t lastEventOf(event_splitter& splitter, std::string_view body, std::string& events)
+{
+    events += splitter.feed(body);
+    return splitter.lastId().value_or(0);
+}
+
+/// A stream that its caller resumes after a part of it.
+struct partial_stream {
+    std::string id;
+    int events = 0;
+    std::string received; ///< Complete events.
+    std::uint64_t lastEvent = 0;
+};
+
+/// The rest that a resumed stream must have.
+std::string restOf(const std::string& id, std::uint64_t lastEvent, int events)
+{
+    std::string text;
+    for (auto number = lastEvent + 1; number <= static_cast<std::uint64_t>(events); ++number)
+        text += "id: " + std::to_string(number) + "\ndata: " + id + "-" + std::to_string(number) + "\n\n";
+    return text;
+}
+
+/// Resumes a stream at any entry, as callers do, and checks that all its events come from one version.
+void resumeStream(soak_state& state, kept_caller& caller, const partial_stream& stream, std::mt19937& random)
+{
+    seen_request seen;
+    seen.id = stream.id + "-again";
+    seen.kind = route_kind::resumable;
+    seen.entry = state.entryNames[random() % state.entryNames.size()];
+    seen.beganMs = steadyMs();
+    const auto versions = testing::versionsIn(stream.received);
+    const auto reply = caller.call(state.system.entries.at(seen.entry).callers, "POST", "/resumable/x",
+        testing::resumingHeaders(seen.id, stream.events, stream.id, stream.lastEvent), "prompt");
+    seen.endedMs = steadyMs();
+    seen.status = reply ? reply.value().status : 0;
+    std::string events;
+    event_splitter splitter;
+    if (caller.received().status == 200)
+        lastEventOf(splitter, caller.received().body, events);
+    const auto what = "stream " + stream.id + ", resumed after " + std::to_string(stream.lastEvent) + " as "
+        + seen.id + " at " + seen.entry;
+    if (testing::versionsIn(stream.received + events).size() > 1)
+        state.book.violation(what + ", holds events of two software versions");
+    const bool whole = seen.status == 200
+        && testing::withoutVersions(events) == restOf(seen.id, stream.lastEvent, stream.events);
+    if (seen.status == 200 && !whole)
+        state.book.violation(what + ", got another rest that looked whole");
+    const auto calm = [&](const std::string& part) {
+        return state.book.disturbed.calm(part, seen.beganMs - catchUpMs, seen.endedMs);
+    };
+    const bool owed = state.versions.servers(*versions.begin()) >= 2 && calm(seen.entry) && calm("store")
+        && calm("start of " + seen.entry);
+    ++state.resumptions;
+    state.resumed += whole ? 1 : 0;
+    state.resumptionsOwed += owed ? 1 : 0;
+    state.resumedOwed += owed && whole ? 1 : 0;
+    state.book.add(std::move(seen));
+}
+
 /// Sends one live request and checks its answer by itself.
 unsigned sendOne(
     soak_state& state, kept_caller& caller, seen_request& seen, int events, milliseconds leaveAfter)
@@ -93,7 +160,10 @@
     const auto what = "request " + seen.id + " (" + prefixOf(seen.kind) + " at " + seen.entry + ")";
     if (reply && !mayBeAnswered(seen.status))
         state.book.violation(what + " was answered " + std::to_string(seen.status));
-    if (seen.status == 200 && reply.value().body != wholeAnswer(seen.kind, seen.id, events))
+    if (seen.status == 200 && testing::versionsIn(reply.value().body).size() > 1)
+        state.book.violation(what + " holds events of two software versions");
+    if (seen.status == 200
+        && testing::withoutVersions(reply.value().body) != wholeAnswer(seen.kind, seen.id, events))
         state.book.violation(
             what + " got another answer that looked whole: " + reply.value().body.substr(0, 200));
     if (seen.endedMs - seen.beganMs > routeTimeoutMs + overdueMs
@@ -213,11 +283,48 @@
         const int events = 5 + static_cast<int>(random() % 50);
         const milliseconds leaveAfter { random() % 12 == 0 ? 1 + random() % 200 : 0 };
         const auto status = sendOne(state, caller, seen, events, leaveAfter);
+        partial_stream stream { seen.id, events, "", 0 };
+        event_splitter splitter;
+        if (seen.kind == route_kind::resumable && status == 0 && caller.received().status == 200)
+            stream.lastEvent = lastEventOf(splitter, caller.received().body, stream.received);
         state.book.add(std::move(seen));
+        if (stream.lastEvent > 0)
+            resumeStream(state, caller, stream, random);
         std::this_thread::sleep_for(milliseconds { status == 200 ? random() % 40 : 50 + random() % 150 });
     }
 }
 
+void checkResumptions(soak_state& state)
+{
+    constexpr int fewest = 12;
+    const auto requests = state.book.requests();
+    const auto served = std::count_if(
+        requests.begin(), requests.end(), [](const auto& one) { return one.status == 200 || one.left; });
+    const double newOnes = static_cast<double>(served) / static_cast<double>(requests.size());
+    if (state.resumptionsOwed >= fewest && state.resumedOwed < newOnes / 2 * state.resumptionsOwed)
+        state.book.violation("of " + std::to_string(state.resumptionsOwed) + " resumed streams only "
+            + std::to_string(state.resumedOwed) + " went on");
+}
+
+void serving_versions::set(unsigned server, const std::string& version)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_versions[server] = version;
+}
+
+void serving_versions::remove(unsigned server)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_versions.erase(server);
+}
+
+int serving_versions::servers(const std::string& version) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return static_cast<int>(std::count_if(
+        m_versions.begin(), m_versions.end(), [&](const auto& entry) { return entry.second == version; }));
+}
+
 void sendJobs(soak_state& state, unsigned seed)
 {
     std::mt19937 random(seed);
--- a/tests/support/resuming_caller.cpp
+++ b/tests/support/resuming_caller.cpp
@@ -68,4 +68,18 @@
     return versions;
 }
 
+std::string withoutVersions(std::string_view text)
+{
+    std::string plain;
+    while (!text.empty()) {
+        const auto mark = text.find('@');
+        plain += text.substr(0, mark);
+        if (mark == std::string_view::npos)
+            break;
+        const auto end = text.find('\n', mark);
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end);
+    }
+    return plain;
+}
+
 } // namespace yuccachute::testing
--- a/tests/support/resuming_caller.h
+++ b/tests/support/resuming_caller.h
@@ -33,5 +33,7 @@
 
 /// Software versions of the targets that made the events or the text of an item, as its lines name them.
 std::set<std::string> versionsIn(std::string_view text);
+/// The same text without the names of the versions.
+std::string withoutVersions(std::string_view text);
 
 } // namespace yuccachute::testing
