Keep the progress of items while the list of targets is not known

Progress is now thrown away only if the process knows all targets, others of the service are listed, and none of the version; and after an outage of the version only if the item is refused for two seconds while others get slots. The test fails on the code before (both processes discarded progress) and passes now.

The search for the next item of each version is left out if no version has a free slot.

--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -19,8 +19,8 @@
 /// cannot be refused like a live request, nor be abandoned before it expires. A few more terminated targets
 /// until then are accepted, so that a wrongly suspected item is only delayed.
 constexpr milliseconds suspectedItemDelay { 20000 };
-/// An item begins anew after its software version has been unavailable for this time, although it is listed
-/// and other items get slots: its targets may be cut off or fail for longer than the item has left.
+/// An item begins anew after its software version has been unavailable for this time while other items got
+/// slots: its targets may be cut off or fail for longer than the item has left.
 constexpr milliseconds versionTimeout { 2000 };
 
 } // namespace
@@ -191,7 +191,7 @@
                 { "events", static_cast<std::int64_t>(produced) } });
         m_metrics.count("yuccachute_items_begun_anew_total", "reason", "version");
         job.discardEvents(next->index);
-        held.versionUnavailableSince.erase(next->index);
+        held.versionOutages.erase(next->index);
         next->lastEvent.reset();
         produced = 0;
     }
@@ -229,7 +229,7 @@
         const auto found = m_jobs.find(id);
         if (found != m_jobs.end()) {
             found->second.consecutiveAborts.erase(index);
-            found->second.versionUnavailableSince.erase(index);
+            found->second.versionOutages.erase(index);
             if (const auto run = found->second.runs.find(index); run != found->second.runs.end())
                 found->second.job->setVersion(index, run->second->version());
         }
@@ -252,16 +252,31 @@
 {
     if (!start.version)
         return false;
-    const auto unavailable = held.versionUnavailableSince.find(start.index);
-    // While no item gets a slot, the others would wait for a target as well.
-    if (unavailable != held.versionUnavailableSince.end() && now() - unavailable->second >= versionTimeout
-        && m_lastSlotGranted > unavailable->second)
+    const auto outage = held.versionOutages.find(start.index);
+    if (outage != held.versionOutages.end() && outage->second.othersServedSince
+        && now() - *outage->second.othersServedSince >= versionTimeout)
         return false;
-    const auto& targets = m_fleet.targets().targets();
-    return std::any_of(targets.begin(), targets.end(), [&](const auto& entry) {
-        const auto& target = *entry.second;
-        return target.service == service && target.version == *start.version && !target.draining;
-    });
+    // A process that has just started may not know the targets yet.
+    if (!m_fleet.hasTargetList() || m_fleet.targets().partial())
+        return true;
+    bool serviceListed = false;
+    for (const auto& [id, target] : m_fleet.targets().targets()) {
+        if (target->service != service || target->draining)
+            continue;
+        if (target->version == *start.version)
+            return true;
+        serviceListed = true;
+    }
+    return !serviceListed;
+}
+
+void bulk_process::recordVersionOutage(held_job& held, std::uint32_t index) const
+{
+    const auto time = now();
+    auto& outage
+        = held.versionOutages.try_emplace(index, version_outage { time, std::nullopt }).first->second;
+    if (!outage.othersServedSince && m_lastSlotGranted > outage.since)
+        outage.othersServedSince = time;
 }
 
 bool bulk_process::deferSuspectedItem(held_job& held, std::uint32_t index, const item_run_request& request)
@@ -311,9 +326,9 @@
     const auto version = run == held.runs.end() ? std::nullopt : run->second->version();
     const bool hadSlot = !target.empty();
     if (run != held.runs.end() && run->second->targetsUnavailable())
-        held.versionUnavailableSince.try_emplace(index, now());
+        recordVersionOutage(held, index);
     else
-        held.versionUnavailableSince.erase(index);
+        held.versionOutages.erase(index);
     held.runs.erase(index);
     requeueItem(id, index, outcome,
         outcome == run_outcome::aborted ? retryDelayAfterAborts(++held.consecutiveAborts[index])
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -30,6 +30,13 @@
     steady_time until;
 };
 
+/// A time during which no target of an item's software version is usable.
+struct version_outage {
+    steady_time since;
+    /// When the item was refused although others had got slots: the outage is one of its version alone.
+    std::optional<steady_time> othersServedSince;
+};
+
 /// A job that this process holds, or a finished or cancelled one that it has read from the store.
 struct held_job {
     std::unique_ptr<bulk_job> job;
@@ -40,8 +47,8 @@
     std::map<std::uint32_t, unsigned> consecutiveAborts;
     /// Delays of items whose runs were aborted, or that are suspected of terminating targets.
     std::map<std::uint32_t, loop_timer> requeueTimers;
-    /// Since when items have found no usable target of the software version that made their events.
-    std::map<std::uint32_t, steady_time> versionUnavailableSince;
+    /// Items that have found no usable target of the software version that made their events.
+    std::map<std::uint32_t, version_outage> versionOutages;
     /// Items suspected of terminating targets whose delay has passed; they may run next.
     std::set<std::uint32_t> suspectDelayPassed;
     std::vector<waiting_reader> readers;
@@ -127,6 +134,7 @@
     bool startItem(held_job& held, const routing_table& table);
     /// Whether a target could resume events that were made by this software version.
     bool canResume(const held_job& held, const bulk_item_start& start, std::string_view service) const;
+    void recordVersionOutage(held_job& held, std::uint32_t index) const;
     /// Delays an item that is suspected of terminating targets. Returns false if the item may run now.
     bool deferSuspectedItem(held_job& held, std::uint32_t index, const item_run_request& request);
     void runFinished(
--- a/libs/dispatch/src/target_group.cpp
+++ b/libs/dispatch/src/target_group.cpp
@@ -152,6 +152,11 @@
     if (bulk.heldBack(now) || !bulk.mayStart(live.queue().size(), now))
         return false;
     const bool needFreeSlot = !std::holds_alternative<unlimited_bulk>(options.policy);
+    // Without a slot for any version there is none for each of them, and the heads need not be looked for.
+    auto unbound = *bulk.queue().front();
+    unbound.version.reset();
+    if (!selector.choose(unbound, needFreeSlot, now))
+        return false;
     for (const auto* first : bulk.heads()) {
         auto* target = selector.choose(*first, needFreeSlot, now);
         if (!target)
--- a/tests/failures_versions.cpp
+++ b/tests/failures_versions.cpp
@@ -210,3 +210,24 @@
     }
     CHECK(mixed == 0);
 }
+
+// Guards against progress that is thrown away by a process that has just started and knows no targets yet.
+TEST_CASE("items go on where they stopped after all holders are restarted, while one version serves")
+{
+    platform_system system(twoZones());
+    for (int i = 0; i < 4; ++i)
+        REQUIRE(system.submit("entry-a-1", "job" + std::to_string(i), 12, 900) == 202);
+    std::this_thread::sleep_for(milliseconds { 5000 });
+    for (auto& [name, process] : system.batches)
+        process.running->signal(SIGKILL);
+    for (const auto& [name, process] : system.batches)
+        system.startBatch(name);
+    std::this_thread::sleep_for(milliseconds { 8000 });
+    for (const auto& [name, process] : system.batches)
+        CHECK(system.logOf(name).find("item begins anew") == std::string::npos);
+    int wentOn = 0;
+    const auto all = system.control("/runs");
+    for (const auto& run : all["runs"])
+        wentOn += run["last"] != "" ? 1 : 0;
+    CHECK(wentOn > 0);
+}
