--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -239,7 +239,7 @@
     strike_record m_recordWhenSent; ///< Strikes known against the item when it was sent.
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
-    /// Whether the response is framed, so that its end can be told from a lost connection.
+    /// Whether the response is framed, so that its end differs from a lost connection.
     bool m_framed = false;
     bool m_stopped = false;
     bool m_targetsUnavailable = false;
--- a/libs/dispatch/src/target_table.cpp
+++ b/libs/dispatch/src/target_table.cpp
@@ -10,7 +10,7 @@
 constexpr milliseconds grantGrace { 2000 };
 /// How often the targets in use are checked for ones that are no longer needed.
 constexpr milliseconds deactivationInterval { 1000 };
-/// Runs that tell the speed of a target take longer than this, and an update looks at all targets.
+/// Runs that show the speed of a target take longer than this, and an update looks at all targets.
 constexpr milliseconds paceUpdateInterval { 250 };
 /// The nominal interval describes the service, which changes with a release, and not the present state of its
 /// targets. At low load the preferred targets have nearly all recent runs, and their median would make the
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -57,7 +57,7 @@
 /// this many other zones.
 constexpr std::size_t unregisteredOtherZones = 1;
 /// Limits of the delay between calls while the store does not answer. Watchers retry every second. The others
-/// retry less often, because refused calls are charged too and watchers tell them when the store is back.
+/// retry less often, because refused calls are charged too and watchers inform them when the store is back.
 constexpr milliseconds watcherMaxRetryDelay { 1000 };
 constexpr milliseconds followerMaxRetryDelay { 4000 };
 /// Targets and processes are added and removed in groups, and each process that follows the store makes a
@@ -422,7 +422,7 @@
     confirmCopies(now);
     publishStandings();
     dropMissingTargets();
-    // During an outage of the store nobody can register again, so missing processes are kept.
+    // During an outage of the store no process can register again, so missing processes are kept.
     const bool drop = m_nodesMirror.connected() && std::erase_if(m_nodes, [&](const auto& entry) {
         return entry.second.missingSince && now - *entry.second.missingSince > missingNodeRetention;
     }) > 0;
@@ -507,7 +507,7 @@
     for (const auto* mirror : { &m_operatorMirror, &m_targetsMirror, &m_nodesMirror }) {
         const auto from = mirror->history().syncFromRevision();
         // The list of targets is by far the largest section. It is requested only after the first answer,
-        // which tells which peers are in this process's zone.
+        // which shows which peers are in this process's zone.
         const bool unknownZones = m_fullCopyRequests <= 1 && !peersKnown;
         const bool later = !whole || (mirror == &m_targetsMirror && unknownZones);
         if (from != 0 || !later)
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -446,7 +446,7 @@
             if (auto one = admit(std::move(caller), !tooLate))
                 admitted.push_back(std::move(*one));
         }
-        // All are recorded before the first is served: together they tell which of them are first attempts.
+        // All are recorded before the first is served: together they show which of them are first attempts.
         for (auto& one : admitted)
             start(std::move(one));
         if (!released.empty())
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -683,7 +683,7 @@
     answer_meaning m_meaning = answer_meaning::own;
     http_reply m_replyHead;
     std::optional<std::uint64_t> m_contentLength;
-    bool m_lengthDelimited = false; ///< The end of the body can be told from a broken connection.
+    bool m_lengthDelimited = false; ///< The end of the body differs from a broken connection.
     std::string m_body;
     std::string m_lastTarget;
     std::string m_lastAddress;
--- a/libs/front/src/version_registry.h
+++ b/libs/front/src/version_registry.h
@@ -16,9 +16,10 @@
 
 /// Records in the store which software versions of a service have been listed recently.
 ///
-/// After all processes have been killed, nobody knows where a stream began. The list of targets does not
-/// tell, because the last target of a version may have left it since. If these records name a single version,
-/// the stream began there. Each version has a key of its own, so that processes do not race for a common one.
+/// After all processes have been killed, the origins of streams are lost. The list of targets is not
+/// sufficient, because the last target of a version may have left it since. If these records name a single
+/// version, the stream began there. Each version has a key of its own, so that processes do not race for a
+/// common one.
 class version_registry {
 public:
     explicit version_registry(async_store& store)
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -709,7 +709,7 @@
     CHECK(f.origins.recorded == std::vector<stream_origin> { { "id", "service", "v2" } });
 }
 
-// Guards against a guess where a dispatcher and the list of targets do not tell the version.
+// Guards against a guess where neither a dispatcher nor the list of targets has the version.
 TEST_CASE("a stream from a target of unknown version is not continued elsewhere")
 {
     fixture f;
