--- a/libs/origins/include/origins/origins.h
+++ b/libs/origins/include/origins/origins.h
@@ -3,7 +3,6 @@
 #include "routing/routing.h"
 #include "verdict/verdict.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -11,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 /// Records of the software versions that began streams: a stream can be continued only by a target of the
@@ -77,7 +77,10 @@
         std::string service;
         std::string version;
 
-        auto operator<=>(const service_version&) const = default;
+        bool operator<(const service_version& other) const
+        {
+            return std::tie(service, version) < std::tie(other.service, other.version);
+        }
     };
 
     /// `complete`: the list contains all targets. Before that, and without any target, there is no evidence.
