--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -186,11 +186,12 @@
     /// Reports that the target may have been terminated by this item.
     void reportToGuard(const failure& error)
     {
-        const auto identity = identityOf(m_request.request, m_request.customer);
+        const interrupted_run run { identityOf(m_request.request, m_request.customer), m_recordWhenSent,
+            { m_target, m_address }, m_request.promptParts, m_timing.events() };
         if (error.kind == failure_kind::timeout)
-            m_services.guard.targetUnresponsive(identity, m_recordWhenSent, { m_target, m_address });
+            m_services.guard.targetUnresponsive(run);
         else
-            m_services.guard.aborted(identity, m_recordWhenSent, { m_target, m_address }, nullptr);
+            m_services.guard.aborted(run, nullptr);
     }
 
     grant_outcome abortOutcome() const
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -46,6 +46,7 @@
     steady_time expiry;
     std::optional<std::uint64_t> lastEvent;
     std::optional<std::string> version; ///< Software version that made the earlier events.
+    std::vector<prompt_part> promptParts; ///< Parts of its prompt that other requests may share.
     bool chargeTarget = true; ///< Whether an aborted run counts against the target's health.
 };
 
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -199,6 +199,8 @@
     request.itemId = item.id;
     request.request = m_adapter.jobs.itemRequest(record, item);
     request.customer = record.customer.empty() ? matchedRoute->name : record.customer;
+    if (auto facts = m_adapter.callers.describe(request.request))
+        request.promptParts = std::move(facts.value().promptParts);
     if (deferSuspectedItem(held, next->index, request))
         return true;
     request.service = service;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -183,15 +183,19 @@
     void examineTarget(std::function<void()> done = nullptr)
     {
         if (m_services.guard)
-            m_services.guard->aborted(
-                identity(), m_recordWhenSent, { m_lastTarget, m_lastAddress }, std::move(done));
+            m_services.guard->aborted(interruptedRun(), std::move(done));
     }
 
     void reportUnresponsiveTarget()
     {
         if (m_services.guard)
-            m_services.guard->targetUnresponsive(
-                identity(), m_recordWhenSent, { m_lastTarget, m_lastAddress });
+            m_services.guard->targetUnresponsive(interruptedRun());
+    }
+
+    interrupted_run interruptedRun()
+    {
+        return { identity(), m_recordWhenSent, { m_lastTarget, m_lastAddress }, m_facts.promptParts,
+            m_timing.events() };
     }
 
     /// Acquires a slot at another target once it is known whether this request terminated the last one: each
@@ -388,6 +392,8 @@
                 m_replyHead.headers = endToEndHeaders(head.headers);
             m_contentLength = contentLength(head);
             m_lengthDelimited = m_contentLength || !findHeader(head.headers, "Transfer-Encoding").empty();
+            if (!m_lengthDelimited)
+                m_services.figures.count("yuccachute_unframed_responses_total", "route", m_route.name);
         }
         return true;
     }
@@ -649,7 +655,10 @@
                 { "objective_ms", m_route.objective.count() }, { "age_ms", m_ageOnArrival.count() },
                 { "waited_ms", m_waited.count() }, { "first_event_ms", m_firstEvent.count() },
                 { "took_ms", toMilliseconds(took).count() },
-                { "identity", m_identity ? toString(*m_identity) : std::string() }, { "reason", m_reason } });
+                { "identity", m_identity ? toString(*m_identity) : std::string() },
+                { "prompt_parts", toString(m_facts.promptParts) },
+                { "events", static_cast<std::int64_t>(m_timing.events()) },
+                { "framed", m_lengthDelimited ? 1 : 0 }, { "reason", m_reason } });
     }
 
     live_services& m_services;
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -29,6 +29,15 @@
     std::string address; ///< host:port.
 };
 
+/// A run of a request at a target whose response ended early.
+struct interrupted_run {
+    request_identity identity;
+    strike_record recordWhenSent;
+    executing_target target;
+    std::span<const prompt_part> parts; ///< Of its prompt; those that other requests may share.
+    std::uint64_t events = 0; ///< Complete events that arrived.
+};
+
 /// Determines whether a target that aborted a response has terminated. All calls are made on the event loop's
 /// thread.
 ///
@@ -122,11 +131,9 @@
 
     /// A target aborted the response to a request. `settled` is called, asynchronously, once it is known
     /// whether the target has terminated; it may be null.
-    void aborted(const request_identity& identity, const strike_record& recordWhenSent,
-        const executing_target& target, std::function<void()> settled);
+    void aborted(const interrupted_run& run, std::function<void()> settled);
     /// A target stopped responding in the middle of a request.
-    void targetUnresponsive(const request_identity& identity, const strike_record& recordWhenSent,
-        const executing_target& target);
+    void targetUnresponsive(const interrupted_run& run);
     /// A target has sent a complete response to the request.
     void answered(const request_identity& identity);
     /// Merges the records of other processes. Returns whether any of them changed what this process knows.
@@ -136,8 +143,18 @@
 private:
     class running_trial;
 
-    void targetTerminated(
-        const request_identity& identity, const strike_record& recordWhenSent, const std::string& target);
+    /// An interrupted run, for the time until it is known whether its target has terminated.
+    struct pending_run {
+        explicit pending_run(const interrupted_run& run);
+
+        request_identity identity;
+        strike_record recordWhenSent;
+        std::string target;
+        std::vector<prompt_part> parts;
+        std::uint64_t events;
+    };
+
+    void targetTerminated(const pending_run& run);
     void notifyListener(const request_identity& identity);
 
     metrics& m_metrics;
--- a/libs/guard/src/request_guard.cpp
+++ b/libs/guard/src/request_guard.cpp
@@ -58,40 +58,48 @@
     return m_suspects.statusOf(identity, std::chrono::steady_clock::now()) != quarantine::status::clear;
 }
 
-void request_guard::aborted(const request_identity& identity, const strike_record& recordWhenSent,
-    const executing_target& target, std::function<void()> settled)
+request_guard::pending_run::pending_run(const interrupted_run& run)
+    : identity(run.identity)
+    , recordWhenSent(run.recordWhenSent)
+    , target(run.target.id)
+    , parts(run.parts.begin(), run.parts.end())
+    , events(run.events)
 {
-    m_terminationCheck.examine(target,
-        [this, identity, recordWhenSent, id = target.id, settled = std::move(settled)](bool terminated) {
+}
+
+void request_guard::aborted(const interrupted_run& run, std::function<void()> settled)
+{
+    m_terminationCheck.examine(
+        run.target, [this, pending = pending_run(run), settled = std::move(settled)](bool terminated) {
             if (terminated)
-                targetTerminated(identity, recordWhenSent, id);
+                targetTerminated(pending);
             if (settled)
                 settled();
         });
 }
 
-void request_guard::targetUnresponsive(
-    const request_identity& identity, const strike_record& recordWhenSent, const executing_target& target)
+void request_guard::targetUnresponsive(const interrupted_run& run)
 {
-    m_terminationCheck.awaitRestart(
-        target, [this, identity, recordWhenSent, id = target.id](bool terminated) {
-            if (terminated)
-                targetTerminated(identity, recordWhenSent, id);
-        });
+    m_terminationCheck.awaitRestart(run.target, [this, pending = pending_run(run)](bool terminated) {
+        if (terminated)
+            targetTerminated(pending);
+    });
 }
 
-void request_guard::targetTerminated(
-    const request_identity& identity, const strike_record& recordWhenSent, const std::string& target)
+void request_guard::targetTerminated(const pending_run& run)
 {
-    if (!m_suspects.targetTerminated(identity, recordWhenSent, std::chrono::steady_clock::now()))
-        return;
-    const auto record = m_suspects.record(identity);
+    const bool counted
+        = m_suspects.targetTerminated(run.identity, run.recordWhenSent, std::chrono::steady_clock::now());
+    const auto record = m_suspects.record(run.identity);
     logEvent(log_level::warning, "target ended under a request",
-        { { "identity", toString(identity) }, { "target", target },
-            { "strikes", std::int64_t { record.strikes } },
+        { { "identity", toString(run.identity) }, { "target", run.target },
+            { "prompt_parts", toString(run.parts) }, { "events", static_cast<std::int64_t>(run.events) },
+            { "counted", counted ? 1 : 0 }, { "strikes", std::int64_t { record.strikes } },
             { "acquittals", std::int64_t { record.acquittals } } });
+    if (!counted)
+        return;
     m_metrics.count("yuccachute_request_strikes_total", "strikes", std::to_string(record.strikes));
-    notifyListener(identity);
+    notifyListener(run.identity);
 }
 
 void request_guard::answered(const request_identity& identity)
--- a/libs/guard/tests/test_request_guard.cpp
+++ b/libs/guard/tests/test_request_guard.cpp
@@ -42,7 +42,7 @@
     }
     void end(const request_identity& identity, const std::string& target = "t1")
     {
-        guard.aborted(identity, guard.record(identity), { target, target }, nullptr);
+        guard.aborted({ identity, guard.record(identity), { target, target }, {}, 0 }, nullptr);
     }
 
     scripted_loads loads;
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -36,6 +36,15 @@
 /// No value if the text is not in the format of toString().
 std::optional<request_identity> parseIdentity(std::string_view text);
 
+/// Id of a part of prompts that requests may share.
+enum class prompt_part : std::uint64_t {};
+
+/// Ids are hexadecimal numbers; of a longer text, a hash is taken.
+prompt_part parsePromptPart(std::string_view text);
+std::string toString(prompt_part part);
+/// Separated by commas.
+std::string toString(std::span<const prompt_part> parts);
+
 /// Evidence against a request.
 ///
 /// A strike is the termination of a target during a run that was sent when all earlier strikes were known.
--- a/libs/quarantine/src/request_identity.cpp
+++ b/libs/quarantine/src/request_identity.cpp
@@ -54,4 +54,29 @@
     return request_identity { *high, *low };
 }
 
+prompt_part parsePromptPart(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value, 16);
+    if (error == std::errc {} && stop == end)
+        return prompt_part { value };
+    return prompt_part { XXH3_64bits(text.data(), text.size()) };
+}
+
+std::string toString(prompt_part part)
+{
+    char digits[digitsOfHalf + 1];
+    std::snprintf(digits, sizeof digits, "%llx", static_cast<unsigned long long>(part));
+    return digits;
+}
+
+std::string toString(std::span<const prompt_part> parts)
+{
+    std::string text;
+    for (const auto part : parts)
+        text += (text.empty() ? "" : ",") + toString(part);
+    return text;
+}
+
 } // namespace yuccachute
--- a/libs/serving/include/serving/serving.h
+++ b/libs/serving/include/serving/serving.h
@@ -28,6 +28,8 @@
     std::uint64_t maxOutputTokens = 0;
     std::vector<std::uint64_t>
         prefixes; ///< Hashes of leading parts of the prompt, to detect shared prefixes.
+    /// Parts of the prompt that other requests may share: all but the last one.
+    std::vector<prompt_part> promptParts;
 };
 
 /// Data that the system adds to a request before it is sent to a target.
