--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -30,6 +30,7 @@
     std::string customer; ///< As it was named to the server.
     std::string version; ///< Software version of the server.
     bool keyPassed = false; ///< The caller's key came along.
+    bool deadly = false; ///< It crashes each server that begins to run it.
 };
 
 std::int64_t steadyMs()
@@ -41,10 +42,42 @@
 /// Requests that crash each server which begins to run them.
 struct deadly_requests {
     std::string mark; ///< Their bodies contain it; empty for none.
+    /// Their prompts contain one of these parts, and not as the last one.
+    std::vector<std::string> parts;
     milliseconds after { 50 }; ///< From their beginning to the crash.
     milliseconds back { 2000 }; ///< From the crash to the server's next start.
 };
 
+std::vector<std::string> split(const std::string& text, char separator)
+{
+    std::vector<std::string> pieces;
+    std::stringstream stream(text);
+    for (std::string piece; std::getline(stream, piece, separator);)
+        pieces.push_back(piece);
+    return pieces;
+}
+
+/// Parts of a prompt that other requests may share: the names of all but the last.
+std::vector<std::string> sharedParts(const std::string& prompt)
+{
+    auto parts = split(prompt, ',');
+    if (!parts.empty())
+        parts.pop_back();
+    for (auto& part : parts)
+        part = part.substr(0, part.find(':'));
+    return parts;
+}
+
+bool isDeadly(const deadly_requests& deadly, const http_request& request)
+{
+    if (!deadly.mark.empty() && request.body.find(deadly.mark) != std::string::npos)
+        return true;
+    const auto parts = sharedParts(std::string(findHeader(request.headers, "Yuccachute-Prompt-Prefix")));
+    return std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
+        return std::find(deadly.parts.begin(), deadly.parts.end(), part) != deadly.parts.end();
+    });
+}
+
 /// After a crash a server's entry stays in the list for three missed heartbeats.
 constexpr milliseconds entryLapsesAfter { 3600 };
 
@@ -81,6 +114,7 @@
         const auto colon = m_address.rfind(':');
         options.address = m_address.substr(0, colon);
         options.port = static_cast<std::uint16_t>(std::stoi(m_address.substr(colon + 1)));
+        options.chunkedResponses = !m_endByClose;
         m_listener = std::make_unique<http_listener>(
             m_loop, options, [this](auto caller) { serve(std::move(caller)); });
         list("ready");
@@ -109,6 +143,14 @@
     void cutAnswersTo(std::string id) { m_cutId = std::move(id); }
     /// Breaks off each answer of so many in its middle; 0 for none.
     void cutEach(unsigned answers) { m_cutEach = answers; }
+    /// Whether streams end with their connection, without length and chunks. Starts the server anew.
+    void setEndByClose(bool endByClose)
+    {
+        m_endByClose = endByClose;
+        m_store.remove("servers/" + m_id);
+        crash();
+        start();
+    }
     const std::string& id() const { return m_id; }
     std::size_t running() const { return m_running.size(); }
     const std::string& version() const { return m_version; }
@@ -176,8 +218,8 @@
         one.id = id;
         const std::string tokens(findHeader(headers, "Yuccachute-Token-Count"));
         one.last = std::stoi(tokens.substr(tokens.find(',') + 1));
-        one.deadly
-            = !m_deadly.mark.empty() && caller->request().body.find(m_deadly.mark) != std::string::npos;
+        one.deadly = isDeadly(m_deadly, caller->request());
+        one.run.deadly = one.deadly;
         if (!run.lastEvent.empty())
             one.next = std::stoi(run.lastEvent) + 1;
         if (m_cutEach != 0 && ++m_answers % m_cutEach == 0)
@@ -218,6 +260,7 @@
         if (found == m_running.end())
             return;
         m_runs[*found->begun].endedServer = true;
+        found->caller->write("id: 1\nda"); // It had begun to write the answer.
         m_loop.post([this] { crashFor(m_deadly.back); });
     }
 
@@ -266,6 +309,7 @@
     std::string m_version;
     std::string m_nextVersion = firstVersion;
     bool m_dark = false;
+    bool m_endByClose = false;
     std::string m_cutId;
     unsigned m_cutEach = 0;
     unsigned m_answers = 0;
@@ -388,7 +432,8 @@
                 server->cutAnswersTo(value("id"));
         }
         if (request.path == "/deadly")
-            m_deadly = { value("mark"), milliseconds { number("after") }, milliseconds { number("back") } };
+            m_deadly = { value("mark"), split(value("parts"), ','), milliseconds { number("after") },
+                milliseconds { number("back") } };
         if (request.path == "/remove")
             m_store.remove(value("key"));
         if (request.path == "/key")
@@ -402,6 +447,8 @@
                 server.crashFor(milliseconds { number("ms") });
             if (what == "cut_each")
                 server.cutEach(static_cast<unsigned>(number("answers")));
+            if (what == "end_by_close")
+                server.setEndByClose(number("on") != 0);
             if (const auto version = value("version"); !version.empty())
                 server.setVersion(version);
             if (what == "start")
@@ -419,8 +466,8 @@
         for (const auto& run : m_runs)
             runs.push_back({ { "id", run.id }, { "server", run.server }, { "last", run.lastEvent },
                 { "finished", run.finished }, { "version", run.version }, { "ended_server", run.endedServer },
-                { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs }, { "customer", run.customer },
-                { "key_passed", run.keyPassed } });
+                { "deadly", run.deadly }, { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs },
+                { "customer", run.customer }, { "key_passed", run.keyPassed } });
         return { { "runs", runs }, { "calls", m_store.calls() },
             { "open", m_store.count("yuccachute/open/") },
             { "nodes", m_store.count("yuccachute/node/entry/") + m_store.count("yuccachute/node/batch/") } };
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -106,6 +106,8 @@
     http_limits limits;
     std::string certificateFile; ///< PEM; enables TLS if set.
     std::string privateKeyFile;
+    /// If not set, responses of unknown length end with their connection, as those of some servers do.
+    bool chunkedResponses = true;
 };
 
 /// Accepts connections on an event loop and passes complete requests to a handler. Chunked request bodies are
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -385,14 +385,16 @@
 void connection::startStream(
     unsigned status, const http_headers& headers, std::optional<std::uint64_t> length)
 {
-    m_chunked = !length;
+    m_chunked = !length && m_owner->options.chunkedResponses;
     if (m_owner->draining)
         m_keepAlive = false;
     auto text = formatResponseHead(status, headers);
     if (length)
         text += "Content-Length: " + std::to_string(*length) + "\r\n";
-    else
+    else if (m_chunked)
         text += "Transfer-Encoding: chunked\r\n";
+    else
+        m_keepAlive = false; // The end of the connection is the end of the body.
     if (!m_keepAlive)
         text += "Connection: close\r\n";
     queue(text + "\r\n");
