Quarantine parts of prompts that crash targets

Cause: a strike was against the whole content of a request. Contents that never come again are never refused: knowledge was kept under a name that is too narrow for what it is about. Change: part_quarantine keeps for each part the set of targets that ended under requests with it before their first event. An answer acquits all parts of its prompt; parts that have been answered since are no suspects while a request has others; each ended target is attributed to the part that explains most (greedy set cover), so that the parts beside it, and those of other requests on the same target, are cleared without an answer. Two targets: one run at a time in a process and no second try; three: refused, 429. Parts that occur only together are told apart by the first request with one of them. After a minute (then four, then five) one run is allowed, in the whole fleet, by a conditional write to the store; without the store none. Requests are judged again when they get their slot. Items with a refused part wait. Records travel, merge and are stored like those of requests. Why it works: the part is in every request that ends targets, however they differ, and in no answer; sets of targets merge to the same result in any order, so that ends at different entries add up.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -81,6 +81,10 @@
 
     void send(held_slot slot)
     {
+        if (!mayRunNow()) {
+            m_services.slots.release(slot, { grant_outcome::unused });
+            return end(run_outcome::interrupted, "a part of the prompt is suspected of crashing targets");
+        }
         m_slot = std::move(slot);
         m_target = m_slot->target;
         m_address = m_slot->address;
@@ -116,7 +120,7 @@
             release(abortOutcome());
             end(run_outcome::aborted, error.message);
         };
-        if (m_services.guard.hasSuspects())
+        if (m_services.guard.needsIdentities())
             m_recordWhenSent = m_services.guard.record(identityOf(m_request.request, m_request.customer));
         m_call = m_services.targets.start(m_slot->address,
             m_services.callers.forTarget(m_request.request, envelope), options, std::move(events));
@@ -156,8 +160,8 @@
             return end(run_outcome::interrupted, "another target responds at this address");
         }
         const bool truncated = m_status == 200 && m_splitter.midEvent();
-        if (!truncated && m_framed && m_services.guard.hasSuspects())
-            m_services.guard.answered(identityOf(m_request.request, m_request.customer));
+        if (!truncated)
+            reportAnswer();
         if (m_status == 200 && !truncated) {
             release(grant_outcome::ok);
             return end(run_outcome::completed, "");
@@ -186,14 +190,45 @@
     /// Reports that the target may have been terminated by this item.
     void reportToGuard(const failure& error)
     {
-        const interrupted_run run { identityOf(m_request.request, m_request.customer), m_recordWhenSent,
-            { m_target, m_address }, m_request.promptParts, m_timing.events() };
+        const auto run = interruptedRun();
         if (error.kind == failure_kind::timeout)
             m_services.guard.targetUnresponsive(run);
         else
             m_services.guard.aborted(run, nullptr);
     }
 
+    interrupted_run interruptedRun() const
+    {
+        return { identityOf(m_request.request, m_request.customer), m_recordWhenSent, { m_target, m_address },
+            m_request.promptParts, m_timing.events() };
+    }
+
+    /// The target has sent a complete response, and so survived the item. The end of an unframed response may
+    /// also be that of its target.
+    void reportAnswer()
+    {
+        auto& guard = m_services.guard;
+        const auto identity = guard.needsIdentities()
+            ? std::optional(identityOf(m_request.request, m_request.customer))
+            : std::nullopt;
+        const auto parts = m_status == 200 ? m_request.promptParts : std::vector<prompt_part>();
+        if (m_framed)
+            return guard.answered({ identity, parts });
+        if (guard.hasStrikes(parts))
+            guard.aborted(interruptedRun(), [&guard, identity, parts](bool terminated) {
+                if (!terminated)
+                    guard.answered({ identity, parts });
+            });
+    }
+
+    /// What is known of the item's prompt may have changed while it waited for the slot.
+    bool mayRunNow()
+    {
+        auto admission = m_services.guard.admit({ std::nullopt, m_request.promptParts }, m_request.trial);
+        m_request.trial = std::move(admission.runningTrial);
+        return !admission.refusal;
+    }
+
     grant_outcome abortOutcome() const
     {
         return m_request.chargeTarget ? grant_outcome::failed : grant_outcome::abandoned;
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -47,6 +47,8 @@
     std::optional<std::uint64_t> lastEvent;
     std::optional<std::string> version; ///< Software version that made the earlier events.
     std::vector<prompt_part> promptParts; ///< Parts of its prompt that other requests may share.
+    /// Held while the item runs if a part of its prompt is suspected of crashing targets.
+    std::shared_ptr<request_guard::trial> trial;
     bool chargeTarget = true; ///< Whether an aborted run counts against the target's health.
 };
 
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -19,6 +19,8 @@
 /// cannot be refused like a live request, nor be abandoned before it expires. A few more terminated targets
 /// until then are accepted, so that a wrongly suspected item is only delayed.
 constexpr milliseconds suspectedItemDelay { 20000 };
+/// The same for an item with a part of its prompt that is suspected: requests without it may clear it sooner.
+constexpr milliseconds suspectedPartDelay { 5000 };
 /// An item begins anew after its software version has been unavailable for this time while other items got
 /// slots: its targets may be cut off or fail for longer than the item has left.
 constexpr milliseconds versionTimeout { 2000 };
@@ -281,10 +283,32 @@
         outage.othersServedSince = time;
 }
 
-bool bulk_process::deferSuspectedItem(held_job& held, std::uint32_t index, const item_run_request& request)
+bool bulk_process::deferSuspectedItem(held_job& held, std::uint32_t index, item_run_request& request)
+{
+    return m_suspects.guard.hasSuspects()
+        && (deferForContent(held, index, request) || deferForPromptPart(held, index, request));
+}
+
+bool bulk_process::deferForPromptPart(held_job& held, std::uint32_t index, item_run_request& request)
+{
+    auto admission = m_suspects.guard.admit({ std::nullopt, request.promptParts });
+    if (!admission.refusal) {
+        request.trial = std::move(admission.runningTrial);
+        return false;
+    }
+    const auto& record = held.job->record();
+    logEvent(log_level::warning, "item held back",
+        { { "job", record.id }, { "item", record.items[index].id },
+            { "prompt_parts", toString(request.promptParts) }, { "reason", admission.refusal->message },
+            { "for_ms", suspectedPartDelay.count() } });
+    requeueItem(record.id, index, run_outcome::interrupted, suspectedPartDelay);
+    return true;
+}
+
+bool bulk_process::deferForContent(held_job& held, std::uint32_t index, const item_run_request& request)
 {
     auto& guard = m_suspects.guard;
-    if (!guard.hasSuspects())
+    if (!guard.needsIdentities())
         return false;
     const auto identity = identityOf(request.request, request.customer);
     if (guard.known().statusOf(identity, now()) != quarantine::status::refused)
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -136,7 +136,9 @@
     bool canResume(const held_job& held, const bulk_item_start& start, std::string_view service) const;
     void recordVersionOutage(held_job& held, std::uint32_t index) const;
     /// Delays an item that is suspected of terminating targets. Returns false if the item may run now.
-    bool deferSuspectedItem(held_job& held, std::uint32_t index, const item_run_request& request);
+    bool deferSuspectedItem(held_job& held, std::uint32_t index, item_run_request& request);
+    bool deferForContent(held_job& held, std::uint32_t index, const item_run_request& request);
+    bool deferForPromptPart(held_job& held, std::uint32_t index, item_run_request& request);
     void runFinished(
         const std::string& id, std::uint32_t index, run_outcome outcome, std::string_view reason);
     /// Returns the item to the waiting items, at once or after a delay.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -572,6 +572,8 @@
             "yuccachute_configuration_age_ms", static_cast<double>(m_fleet.configurationAge(now).count()));
         m_figures.set("yuccachute_targets_age_ms", static_cast<double>(m_fleet.targetsAge(now).count()));
         m_figures.set("yuccachute_suspected_requests", static_cast<double>(m_suspects.guard.known().size()));
+        m_figures.set(
+            "yuccachute_suspected_prompt_parts", static_cast<double>(m_suspects.guard.knownParts().size()));
         if (m_limits.hasLimits()) {
             m_figures.set("yuccachute_limit_part", m_limits.share(now));
             m_figures.set("yuccachute_limit_refusals", static_cast<double>(m_limits.refused()));
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -32,6 +32,7 @@
 constexpr int maxStreamLifetimes = 2;
 constexpr unsigned badGateway = 502;
 constexpr unsigned gatewayTimeout = 504;
+constexpr unsigned firstFailureStatus = 300;
 constexpr unsigned firstServerErrorStatus = 500;
 
 std::string joined(const std::vector<std::string>& parts)
@@ -166,21 +167,27 @@
         return *m_identity;
     }
 
-    /// Whether any request at all is suspected of terminating targets.
+    /// Whether any request or part of prompts at all is suspected of terminating targets.
     bool guardHasSuspects() const { return m_services.guard && m_services.guard->hasSuspects(); }
 
+    guarded_request guardedRequest()
+    {
+        return { m_services.guard->needsIdentities() ? std::optional(identity()) : std::nullopt,
+            m_facts.promptParts };
+    }
+
     std::optional<failure> admissionRefusal()
     {
         if (!guardHasSuspects())
             return std::nullopt;
-        auto admission = m_services.guard->admit(identity());
+        auto admission = m_services.guard->admit(guardedRequest(), m_trial);
         m_trial = std::move(admission.runningTrial);
         return admission.refusal;
     }
 
     /// Checks whether the target terminated while it ran this request. `done` is called, never within this
     /// call, once the result is known.
-    void examineTarget(std::function<void()> done = nullptr)
+    void examineTarget(std::function<void(bool terminated)> done = nullptr)
     {
         if (m_services.guard)
             m_services.guard->aborted(interruptedRun(), std::move(done));
@@ -206,7 +213,7 @@
             return acquireSlot();
         m_awaitingExamination = true;
         m_examinationTimer.arm(examinationTimeout, [this] { onExamined(); });
-        examineTarget([weak = weak_from_this()] {
+        examineTarget([weak = weak_from_this()](bool) {
             if (const auto self = weak.lock())
                 self->onExamined();
         });
@@ -222,7 +229,30 @@
         acquireSlot();
     }
 
-    bool requestIsSuspected() { return guardHasSuspects() && m_services.guard->isSuspected(identity()); }
+    bool requestIsSuspected()
+    {
+        return guardHasSuspects() && m_services.guard->isSuspected(guardedRequest());
+    }
+
+    /// The target has sent a complete response, and so survived the request. A response without length and
+    /// chunks also ends like that when its target terminates, so the target is asked if anything depends on
+    /// it.
+    void reportAnswer()
+    {
+        if (!m_services.guard)
+            return;
+        // Only a successful response shows that the target can write one with these parts.
+        const auto parts
+            = m_replyHead.status < firstFailureStatus ? m_facts.promptParts : std::vector<prompt_part>();
+        const auto request = guardedRequest();
+        if (m_lengthDelimited)
+            return m_services.guard->answered({ request.identity, parts });
+        if (m_services.guard->hasStrikes(parts))
+            examineTarget([guard = m_services.guard, content = request.identity, parts](bool terminated) {
+                if (!terminated)
+                    guard->answered({ content, parts });
+            });
+    }
 
     // --- Acquiring a slot
 
@@ -298,6 +328,13 @@
             return failRequest(m_lastFailure.value_or(mayHaveRun(failure_kind::incomplete,
                 "the targets that ran the request terminated or stopped responding; it is not retried")));
         }
+        if (!m_call && m_attempts == 0) {
+            // It may have become known while the request waited for the slot.
+            if (const auto refusal = admissionRefusal()) {
+                m_services.slots.release(found.value(), { grant_outcome::unused });
+                return refuseOrFail(*refusal);
+            }
+        }
         if (m_call && (!m_failoverWanted || suspectedSinceSent)) {
             // The current target responded in the meantime, or the request must not run on another one.
             m_failoverWanted = false;
@@ -333,7 +370,9 @@
         m_lastTarget = m_slot->target;
         m_lastAddress = m_slot->address;
         m_lastVersion = versionOf(m_slot);
-        m_recordWhenSent = guardHasSuspects() ? m_services.guard->record(identity()) : strike_record {};
+        m_recordWhenSent = m_services.guard && m_services.guard->needsIdentities()
+            ? m_services.guard->record(identity())
+            : strike_record {};
         m_targetsAge = m_services.targetsAge();
         m_waited += m_slot->waited;
         m_splitter.restart();
@@ -506,10 +545,7 @@
         if (eventStream() && m_splitter.midEvent())
             return onInterrupted(
                 mayHaveRun(failure_kind::incomplete, "the stream from the target ended within an event"));
-        // A complete response of any status shows that the target survived the request. Without a length the
-        // end of the body could also be a broken connection.
-        if (m_lengthDelimited && guardHasSuspects())
-            m_services.guard->answered(identity());
+        reportAnswer();
         const bool retryAfterError
             = m_replyHead.status >= firstServerErrorStatus && m_route.retryable() && !m_replyStarted;
         if (retryAfterError && m_attempts < m_route.maxAttempts && now() < m_deadline) {
@@ -522,7 +558,7 @@
         startReply(m_body.size());
         m_caller->write(m_body);
         m_caller->finish();
-        recordOutcome(m_replyHead.status < 300 ? "served" : "failed at target");
+        recordOutcome(m_replyHead.status < firstFailureStatus ? "served" : "failed at target");
         end();
     }
 
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -192,7 +192,7 @@
 struct fixture {
     explicit fixture(request_kind kind = request_kind::streaming, bool resumable = true, int timeoutMs = 1000,
         request_guard* guard = nullptr, const std::string& key = "", int ageMs = 0,
-        std::optional<std::uint64_t> resumedAfter = std::nullopt)
+        std::optional<std::uint64_t> resumedAfter = std::nullopt, std::vector<prompt_part> promptParts = {})
     {
         services.guard = guard;
         auto made = std::make_shared<routing_table>();
@@ -210,6 +210,7 @@
         table = made;
         request_facts facts;
         facts.id = "id";
+        facts.promptParts = std::move(promptParts);
         if (resumedAfter) {
             facts.lastEvent = resumedAfter;
             facts.resumes = "first";
@@ -762,3 +763,67 @@
     CHECK(f.caller->reply->status == 503);
     CHECK(f.slots.acquisitions == 0);
 }
+
+namespace {
+
+constexpr prompt_part harmfulPart { 9 };
+
+/// A request whose prompt contains the part that ends targets.
+struct harmful_fixture : fixture {
+    explicit harmful_fixture(request_guard& guard)
+        : fixture(request_kind::streaming, true, 1000, &guard, "", 0, std::nullopt,
+            { prompt_part { 1 }, harmfulPart })
+    {
+    }
+};
+
+void endTargets(request_guard& guard, std::initializer_list<const char*> targets)
+{
+    const std::vector<prompt_part> parts { harmfulPart };
+    for (const auto* target : targets)
+        guard.aborted({ request_identity { 5, 5 }, {}, { target, target }, parts, 0 }, nullptr);
+}
+
+} // namespace
+
+// Guards against requests that wait for a slot while the part of their prompts becomes known.
+TEST_CASE("a request whose prompt part becomes refused while it waits is refused as not run")
+{
+    guard_fixture all;
+    harmful_fixture f(all.guard);
+    endTargets(all.guard, { "t1", "t2", "t3" });
+    f.slots.grant("t2");
+    CHECK(f.targets.sent.empty());
+    CHECK(f.slots.lastUsage.outcome == grant_outcome::unused);
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 429);
+}
+
+TEST_CASE("a request with a part that has ended two targets is not retried")
+{
+    guard_fixture all;
+    endTargets(all.guard, { "t1" });
+    harmful_fixture f(all.guard);
+    f.slots.grant("t2");
+    f.targets.fail(connectionReset());
+    CHECK(f.slots.acquisitions == 1);
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 502);
+}
+
+// Guards against ends that are taken for answers where responses have neither length nor chunks.
+TEST_CASE("a response without framing acquits the parts of its prompt only if its target still runs")
+{
+    for (const bool terminated : { true, false }) {
+        guard_fixture all;
+        endTargets(all.guard, { "t1" });
+        all.loads.refuses = terminated;
+        harmful_fixture f(all.guard);
+        f.slots.grant("t2");
+        f.targets.head(200);
+        f.targets.body(event(1));
+        f.targets.whole();
+        CHECK(f.caller->finished);
+        CHECK(all.guard.hasStrikes(std::vector { harmfulPart }) == terminated);
+    }
+}
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -29,6 +29,23 @@
     std::string address; ///< host:port.
 };
 
+/// What identifies a request to the guard.
+struct guarded_request {
+    guarded_request(const request_identity& content)
+        : identity(content)
+    {
+    }
+    guarded_request(std::optional<request_identity> content, std::span<const prompt_part> promptParts)
+        : identity(content)
+        , parts(promptParts)
+    {
+    }
+
+    /// May be unset while request_guard::needsIdentities() is false.
+    std::optional<request_identity> identity;
+    std::span<const prompt_part> parts; ///< Of its prompt; those that other requests may share.
+};
+
 /// A run of a request at a target whose response ended early.
 struct interrupted_run {
     request_identity identity;
@@ -90,8 +107,8 @@
         = std::make_shared<bool>(true); ///< Load reports may arrive after the destructor.
 };
 
-/// Records which requests crash their targets, and decides which of them may run. All calls are made on the
-/// event loop's thread.
+/// Records which requests, and which parts of prompts, crash targets, and decides which requests may run. All
+/// calls are made on the event loop's thread.
 ///
 /// Such a request crashes one target after the other, each together with all requests that it is serving, and
 /// its caller sends it again to any entry under another request id: callers of the whole fleet lose their
@@ -102,7 +119,8 @@
     /// Called for each change that this process has observed itself.
     using listener = std::function<void(const suspect_report& change)>;
 
-    /// A run of a suspected request. While it lasts, this process starts no other run of the same request.
+    /// A run of a suspected request. While it lasts, this process starts no other run of the same request, or
+    /// of one with the same suspected part.
     class trial {
     public:
         virtual ~trial() = default;
@@ -115,30 +133,49 @@
 
     request_guard(event_loop& loop, load_report_source& loads, metrics& processMetrics);
 
+    /// Claims the next run of a refused part for this process. `done` is told, asynchronously, whether it may
+    /// run: of all processes only one may.
+    using trial_claim = std::function<void(const suspect_report& claimed, std::function<void(bool)> done)>;
+
     void onChange(listener notify) { m_listener = std::move(notify); }
+    void claimTrialsBy(trial_claim claim) { m_claimTrial = std::move(claim); }
     void setTargets(const target_directory& targets, std::span<const target_change> changes, steady_time now)
     {
         m_terminationCheck.setTargets(targets, changes, now);
     }
 
+    /// Whether there is any record.
+    bool hasSuspects() const { return needsIdentities() || !m_parts.empty(); }
     /// Whether there is a record of any request. If not, the identities of requests are not needed.
-    bool hasSuspects() const { return !m_suspects.empty(); }
-    admission admit(const request_identity& identity);
+    bool needsIdentities() const { return !m_suspects.empty(); }
+    /// Whether the request may run now. To be asked again right before it is sent, with the trial of its
+    /// admission if there is one: what was known of it may have changed while it waited.
+    admission admit(const guarded_request& request, const std::shared_ptr<trial>& held = nullptr);
     /// Whether a request should not be retried at once after a failure.
-    bool isSuspected(const request_identity& identity) const;
+    bool isSuspected(const guarded_request& request) const;
+    /// Whether a target has terminated under one of the parts since the part was last acquitted.
+    bool hasStrikes(std::span<const prompt_part> parts) const { return m_parts.hasStrikes(parts); }
     strike_record record(const request_identity& identity) const { return m_suspects.record(identity); }
     const quarantine& known() const { return m_suspects; }
+    const part_quarantine& knownParts() const { return m_parts; }
+    /// The records to send to other processes.
+    std::vector<suspect_report> reports(steady_time now) const;
+    std::optional<suspect_report> report(const request_identity& identity, steady_time now) const;
 
     /// A target aborted the response to a request. `settled` is called, asynchronously, once it is known
     /// whether the target has terminated; it may be null.
-    void aborted(const interrupted_run& run, std::function<void()> settled);
+    void aborted(const interrupted_run& run, std::function<void(bool terminated)> settled);
     /// A target stopped responding in the middle of a request.
     void targetUnresponsive(const interrupted_run& run);
     /// A target has sent a complete response to the request.
-    void answered(const request_identity& identity);
+    void answered(const guarded_request& request);
     /// Merges the records of other processes. Returns whether any of them changed what this process knows.
     bool merge(std::span<const suspect_report> reports);
-    void expire(steady_time now) { m_suspects.expire(now); }
+    void expire(steady_time now)
+    {
+        m_suspects.expire(now);
+        m_parts.expire(now);
+    }
 
 private:
     class running_trial;
@@ -155,11 +192,20 @@
     };
 
     void targetTerminated(const pending_run& run);
+    void blameParts(const pending_run& run, steady_time now);
+    std::optional<failure> refusalOfPart(
+        const part_quarantine::assessment& found, running_trial* held, steady_time now);
+    void claimTrial(prompt_part part, steady_time now);
+    bool mergeOne(const suspect_report& report, steady_time now);
     void notifyListener(const request_identity& identity);
 
     metrics& m_metrics;
     termination_check m_terminationCheck;
     quarantine m_suspects;
+    part_quarantine m_parts;
+    trial_claim m_claimTrial;
+    std::map<prompt_part, steady_time> m_permits; ///< Parts of which one run may begin until then.
+    std::map<prompt_part, steady_time> m_nextClaims;
     std::shared_ptr<std::set<request_identity>> m_trials = std::make_shared<std::set<request_identity>>();
     listener m_listener;
 };
@@ -215,10 +261,10 @@
     snapshot m_snapshot;
 };
 
-/// Persists the records of requests in the platform's store, for processes that start when no other process
-/// is left to sync with. Requests with one strike are not written: most of them only ran on a target that
-/// terminated for another reason, and are acquitted within a second. All calls are made on the event loop's
-/// thread.
+/// Persists the records of requests and of parts of prompts in the platform's store, for processes that start
+/// when no other process is left to sync with. Requests with one strike are not written: most of them only
+/// ran on a target that terminated for another reason, and are acquitted within a second. All calls are made
+/// on the event loop's thread.
 class suspect_archive {
 public:
     suspect_archive(event_loop& loop, async_store& store, request_guard& guard);
@@ -226,17 +272,22 @@
     /// Loads the stored records, and retries until the store responds.
     void load(std::function<void()> loaded = [] {});
     void save(const suspect_report& change);
+    /// Stores a record on condition that no other process has changed it since this process last read it.
+    /// `done` is told whether it was stored.
+    void claim(const suspect_report& claimed, std::function<void(bool)> done);
 
 private:
     struct stored_record {
-        strike_record record;
+        suspect_report report;
         std::int64_t revision = 0; ///< Modification revision of its key.
     };
 
     void mergeStored(std::span<const stored_value> values);
     void scheduleWrite(milliseconds pause);
     void write();
+    void withLease(std::function<void(std::optional<std::int64_t>)> proceed);
     void writeWithLease(std::int64_t lease);
+    void commitClaim(const suspect_report& claimed, std::int64_t lease, std::function<void(bool)> done);
     store_condition conditionOf(const request_identity& identity) const;
     void onWritten(const std::vector<suspect_report>& reports, const result<commit_outcome>& outcome);
 
--- a/libs/guard/src/suspect_archive.cpp
+++ b/libs/guard/src/suspect_archive.cpp
@@ -37,10 +37,13 @@
 
 std::string encodeSuspect(const suspect_report& report, std::int64_t wallClockMs)
 {
-    return json {
-        { "acquittals", report.record.acquittals }, { "strikes", report.record.strikes },
-        { "changed_ms", wallClockMs - report.age.count() }
-    }.dump();
+    json document { { "acquittals", report.record.acquittals }, { "strikes", report.record.strikes },
+        { "changed_ms", wallClockMs - report.age.count() } };
+    if (promptPartOf(report.identity)) {
+        document["targets"] = report.targets;
+        document["trials"] = report.trials;
+    }
+    return document.dump();
 }
 
 result<suspect_report> decodeSuspect(
@@ -63,6 +66,20 @@
     }
     suspect_report report;
     report.identity = *identity;
+    if (promptPartOf(*identity)) {
+        const auto targets = object.find("targets");
+        const bool valid = targets != object.end() && targets->is_array()
+            && std::all_of(targets->begin(), targets->end(),
+                [](const auto& target) { return target.is_number_unsigned(); });
+        if (!valid)
+            return invalid("field targets: not an array of whole numbers");
+        report.targets = targets->get<std::vector<target_hash>>();
+        std::sort(report.targets.begin(), report.targets.end());
+        const auto trials = object.find("trials");
+        if (trials == object.end() || !trials->is_number_unsigned())
+            return invalid("field trials: not a whole number");
+        report.trials = trials->get<std::uint32_t>();
+    }
     report.record = { object["acquittals"].get<std::uint32_t>(), object["strikes"].get<std::uint32_t>() };
     // The clocks of VMs differ and may jump.
     const auto age = milliseconds { wallClockMs - object["changed_ms"].get<std::int64_t>() };
@@ -99,7 +116,7 @@
                 { { "message", decoded.error().message } });
             continue;
         }
-        m_stored[decoded.value().identity] = { decoded.value().record, value.modRevision };
+        m_stored[decoded.value().identity] = { decoded.value(), value.modRevision };
         reports.push_back(decoded.value());
     }
     m_guard.merge(reports);
@@ -127,30 +144,60 @@
     if (m_unsaved.empty())
         return;
     m_writing = true;
-    const auto now = std::chrono::steady_clock::now();
-    if (m_lease != 0 && now - m_leaseGrantedAt < leaseReusePeriod)
-        return writeWithLease(m_lease);
-    m_store.grantLease(reportTtl, [this, now](const result<std::int64_t>& lease) {
-        m_lease = lease ? lease.value() : 0;
-        m_leaseGrantedAt = now;
+    withLease([this](std::optional<std::int64_t> lease) {
         if (lease)
-            return writeWithLease(m_lease);
+            return writeWithLease(*lease);
         m_writing = false;
         scheduleWrite(writeRetryDelay);
     });
 }
 
+void suspect_archive::withLease(std::function<void(std::optional<std::int64_t>)> proceed)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (m_lease != 0 && now - m_leaseGrantedAt < leaseReusePeriod)
+        return proceed(m_lease);
+    m_store.grantLease(
+        reportTtl, [this, now, proceed = std::move(proceed)](const result<std::int64_t>& lease) {
+            m_lease = lease ? lease.value() : 0;
+            m_leaseGrantedAt = now;
+            proceed(lease ? std::optional(m_lease) : std::nullopt);
+        });
+}
+
+void suspect_archive::claim(const suspect_report& claimed, std::function<void(bool)> done)
+{
+    withLease([this, claimed, done = std::move(done)](std::optional<std::int64_t> lease) {
+        if (!lease)
+            return done(false);
+        commitClaim(claimed, *lease, done);
+    });
+}
+
+void suspect_archive::commitClaim(
+    const suspect_report& claimed, std::int64_t lease, std::function<void(bool)> done)
+{
+    store_transaction transaction;
+    transaction.conditions.push_back(conditionOf(claimed.identity));
+    transaction.writes.push_back({ keyOf(claimed.identity), encodeSuspect(claimed, wallClockMs()), lease });
+    m_store.commit(
+        transaction, [this, claimed, done = std::move(done)](const result<commit_outcome>& outcome) {
+            onWritten({ claimed }, outcome);
+            done(outcome && outcome.value().applied);
+        });
+}
+
 void suspect_archive::writeWithLease(std::int64_t lease)
 {
     const auto now = std::chrono::steady_clock::now();
     std::erase_if(
-        m_unsaved, [&](const auto& identity) { return !m_guard.known().report(identity, now).has_value(); });
+        m_unsaved, [&](const auto& identity) { return !m_guard.report(identity, now).has_value(); });
     store_transaction transaction;
     std::vector<suspect_report> reports;
     for (const auto& identity : m_unsaved) {
         if (reports.size() == maxReportsPerTransaction)
             break;
-        reports.push_back(*m_guard.known().report(identity, now));
+        reports.push_back(*m_guard.report(identity, now));
         transaction.conditions.push_back(conditionOf(identity));
         transaction.writes.push_back(
             { keyOf(identity), encodeSuspect(reports.back(), wallClockMs()), lease });
@@ -188,16 +235,18 @@
     }
     if (outcome.value().applied) {
         for (const auto& report : reports)
-            m_stored[report.identity] = { report.record, outcome.value().revision };
+            m_stored[report.identity] = { report, outcome.value().revision };
     } else {
         // Another process has changed the keys. Their present revisions are the conditions of the next call.
         for (const auto& report : reports)
             m_stored.erase(report.identity);
         mergeStored(outcome.value().found);
     }
+    const auto now = std::chrono::steady_clock::now();
     std::erase_if(m_unsaved, [&](const auto& identity) {
         const auto stored = m_stored.find(identity);
-        return stored != m_stored.end() && !m_guard.record(identity).supersedes(stored->second.record);
+        const auto own = m_guard.report(identity, now);
+        return stored != m_stored.end() && (!own || !supersedes(*own, stored->second.report));
     });
 }
 
--- a/libs/guard/src/suspect_replicator.cpp
+++ b/libs/guard/src/suspect_replicator.cpp
@@ -40,7 +40,7 @@
 void suspect_replicator::publishSnapshot()
 {
     const auto now = std::chrono::steady_clock::now();
-    snapshot next { m_guard.known().reports(now), 0, now };
+    snapshot next { m_guard.reports(now), 0, now };
     next.digest = digestOf(next.reports);
     const std::scoped_lock lock(m_mutex);
     m_snapshot = std::move(next);
--- a/libs/guard/tests/test_request_guard.cpp
+++ b/libs/guard/tests/test_request_guard.cpp
@@ -11,6 +11,15 @@
 
 constexpr request_identity harmfulRequest { 1, 1 };
 constexpr request_identity other { 2, 2 };
+constexpr prompt_part commonPart { 1 };
+constexpr prompt_part harmfulPart { 2 };
+const std::vector<prompt_part> harmfulPrompt { commonPart, harmfulPart };
+const std::vector<prompt_part> soundPrompt { commonPart };
+
+guarded_request withPrompt(const std::vector<prompt_part>& parts)
+{
+    return { std::nullopt, parts };
+}
 
 /// Targets that refuse connections or respond, as the test sets.
 class scripted_loads final : public load_report_source {
@@ -45,6 +54,14 @@
         guard.aborted({ identity, guard.record(identity), { target, target }, {}, 0 }, nullptr);
     }
 
+    /// A target terminates under a request that no other resembles but in these parts of its prompt.
+    void endUnder(const std::vector<prompt_part>& parts, const std::string& target, std::uint64_t events = 0)
+    {
+        const request_identity unique { 100, ++requests };
+        guard.aborted({ unique, guard.record(unique), { target, target }, parts, events }, nullptr);
+    }
+    std::uint64_t requests = 0;
+
     scripted_loads loads;
     metrics processMetrics;
     whole_list listed;
@@ -306,3 +323,145 @@
     CHECK(decodeSuspect(key, "{}", 0).error().message.find("acquittals") != std::string::npos);
     CHECK(decodeSuspect(key, "[", 0).error().message.find("JSON") != std::string::npos);
 }
+
+// Guards against requests that share a part of their prompts only and end one target after the other.
+TEST_CASE("requests with a part that crashed three targets are refused at once, and others are not")
+{
+    event_loop loop;
+    entry one(loop);
+    one.guard.answered(withPrompt(soundPrompt));
+    for (const auto* target : { "t1", "t2", "t3" }) {
+        CHECK_FALSE(one.guard.admit(withPrompt(harmfulPrompt)).refusal);
+        one.endUnder(harmfulPrompt, target);
+    }
+    const auto admission = one.guard.admit(withPrompt(harmfulPrompt));
+    REQUIRE(admission.refusal);
+    CHECK(admission.refusal->ran == verdict::not_run);
+    CHECK(httpStatus(admission.refusal->kind) == 429);
+    CHECK(admission.refusal->retryAfter > std::chrono::seconds { 50 });
+    CHECK_FALSE(one.guard.admit(withPrompt(soundPrompt)).refusal);
+    CHECK(one.guard.isSuspected(withPrompt(harmfulPrompt)));
+    CHECK_FALSE(one.guard.isSuspected(withPrompt(soundPrompt)));
+}
+
+TEST_CASE("a run that had an event is no evidence against the parts of its prompt")
+{
+    event_loop loop;
+    entry one(loop);
+    for (const auto* target : { "t1", "t2", "t3", "t4" })
+        one.endUnder(harmfulPrompt, target, 1);
+    CHECK_FALSE(one.guard.hasStrikes(harmfulPrompt));
+}
+
+// Guards against requests that were admitted before anything was known, and are sent when it is.
+TEST_CASE("a suspected part has one run at a time, and one that waited is refused when the part is")
+{
+    event_loop loop;
+    entry one(loop);
+    one.guard.answered(withPrompt(soundPrompt));
+    one.endUnder(harmfulPrompt, "t1");
+    one.endUnder(harmfulPrompt, "t2");
+    auto first = one.guard.admit(withPrompt(harmfulPrompt));
+    CHECK_FALSE(first.refusal);
+    CHECK(first.runningTrial);
+    CHECK(one.guard.admit(withPrompt(harmfulPrompt)).refusal);
+    CHECK_FALSE(one.guard.admit(withPrompt(harmfulPrompt), first.runningTrial).refusal);
+    one.endUnder(harmfulPrompt, "t3");
+    CHECK(one.guard.admit(withPrompt(harmfulPrompt), first.runningTrial).refusal);
+}
+
+TEST_CASE("what is known of a prompt part reaches other entries at once, and processes that start")
+{
+    event_loop loop;
+    fake_store store;
+    replicating_entry left(loop, { "right" });
+    replicating_entry right(loop, { "left" });
+    left.links.peers["right"] = &right.replicator;
+    right.links.peers["left"] = &left.replicator;
+    left.endUnder(harmfulPrompt, "t1");
+    right.endUnder(harmfulPrompt, "t2");
+    left.endUnder(harmfulPrompt, "t3");
+    loop.runFor(milliseconds { 50 });
+    CHECK(right.guard.admit(withPrompt(harmfulPrompt)).refusal);
+    CHECK(left.guard.admit(withPrompt(harmfulPrompt)).refusal);
+
+    archiving_entry stored(loop, store);
+    stored.guard.answered(withPrompt(soundPrompt));
+    for (const auto* target : { "t1", "t2", "t3" })
+        stored.endUnder(harmfulPrompt, target);
+    loop.runFor(milliseconds { 100 });
+    CHECK(store.commits == 1);
+    archiving_entry started(loop, store);
+    started.archive.load([] {});
+    CHECK(started.guard.admit(withPrompt(harmfulPrompt)).refusal);
+    CHECK_FALSE(started.guard.admit(withPrompt(soundPrompt)).refusal);
+}
+
+// Guards against one trial in each process instead of one in the fleet.
+TEST_CASE("of all processes one may run a request with a refused part when its time has passed")
+{
+    event_loop loop;
+    fake_store store;
+    const auto key = "yuccachute/suspect/" + toString(identityOf(harmfulPart));
+    const suspect_report old { identityOf(harmfulPart), { 0, 3 }, std::chrono::minutes { 2 }, { 1, 2, 3 },
+        0 };
+    store.values[key] = { key, encodeSuspect(old, wallClockMs()), 1, 1, 7 };
+    const auto claiming = [](archiving_entry& one) {
+        one.guard.claimTrialsBy([&one](const suspect_report& claimed, std::function<void(bool)> done) {
+            one.archive.claim(claimed, std::move(done));
+        });
+        one.archive.load([] {});
+    };
+    archiving_entry left(loop, store);
+    archiving_entry right(loop, store);
+    claiming(left);
+    claiming(right);
+    int runs = 0;
+    std::vector<std::shared_ptr<request_guard::trial>> running;
+    for (int i = 0; i < 10; ++i) {
+        for (auto* one : { &left, &right }) {
+            auto admission = one->guard.admit(withPrompt(harmfulPrompt));
+            runs += admission.refusal ? 0 : 1;
+            running.push_back(std::move(admission.runningTrial));
+        }
+        loop.runFor(milliseconds { 5 });
+    }
+    CHECK(runs == 1);
+    CHECK(store.commits >= 1);
+    left.guard.answered(withPrompt(harmfulPrompt));
+    CHECK_FALSE(left.guard.admit(withPrompt(harmfulPrompt)).refusal);
+}
+
+TEST_CASE("no refused part runs while the store is unreachable")
+{
+    event_loop loop;
+    fake_store store;
+    const auto key = "yuccachute/suspect/" + toString(identityOf(harmfulPart));
+    const suspect_report old { identityOf(harmfulPart), { 0, 3 }, std::chrono::minutes { 2 }, { 1, 2, 3 },
+        0 };
+    store.values[key] = { key, encodeSuspect(old, wallClockMs()), 1, 1, 7 };
+    archiving_entry one(loop, store);
+    one.guard.claimTrialsBy([&one](const suspect_report& claimed, std::function<void(bool)> done) {
+        one.archive.claim(claimed, std::move(done));
+    });
+    one.archive.load([] {});
+    store.down = true;
+    for (int i = 0; i < 5; ++i) {
+        CHECK(one.guard.admit(withPrompt(harmfulPrompt)).refusal);
+        loop.runFor(milliseconds { 5 });
+    }
+}
+
+TEST_CASE("a stored record of a prompt part is read as written, and decoding errors name the invalid field")
+{
+    const suspect_report report { identityOf(harmfulPart), { 1, 2 }, milliseconds { 5000 }, { 7, 9 }, 1 };
+    const auto key = "yuccachute/suspect/" + toString(report.identity);
+    const auto read = decodeSuspect(key, encodeSuspect(report, 100000), 100000);
+    REQUIRE(read);
+    CHECK(read.value().targets == report.targets);
+    CHECK(read.value().trials == 1);
+    const std::string start = R"({"acquittals":0,"strikes":1,"changed_ms":1)";
+    CHECK(decodeSuspect(key, start + "}", 1).error().message.find("targets") != std::string::npos);
+    CHECK(decodeSuspect(key, start + R"(,"targets":[1]})", 1).error().message.find("trials")
+        != std::string::npos);
+}
--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -133,6 +133,20 @@
     return suspect_report { identity, found->second.record, since(found->second.changed, now) };
 }
 
+bool supersedes(const suspect_report& first, const suspect_report& second)
+{
+    if (first.record.acquittals != second.record.acquittals)
+        return first.record.acquittals > second.record.acquittals;
+    if (!promptPartOf(first.identity))
+        return first.record.supersedes(second.record);
+    const auto lacks = [&](target_hash target) {
+        const bool full = second.targets.size() >= maxRecordedTargets;
+        return !std::binary_search(second.targets.begin(), second.targets.end(), target)
+            && (!full || target < second.targets.back());
+    };
+    return first.trials > second.trials || std::any_of(first.targets.begin(), first.targets.end(), lacks);
+}
+
 std::uint64_t digestOf(std::span<const suspect_report> reports)
 {
     std::uint64_t digest = 0;
@@ -140,6 +154,10 @@
         const std::array<std::uint64_t, 4> words { report.identity.high, report.identity.low,
             report.record.acquittals, report.record.strikes };
         digest ^= XXH3_64bits(words.data(), sizeof words);
+        for (const auto target : report.targets)
+            digest ^= XXH3_64bits_withSeed(&target, sizeof target, report.identity.low);
+        if (report.trials != 0)
+            digest ^= XXH3_64bits_withSeed(&report.trials, sizeof report.trials, report.identity.low);
     }
     return digest;
 }
--- a/libs/quarantine/src/request_identity.cpp
+++ b/libs/quarantine/src/request_identity.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t digitsOfHalf = 16;
+/// Upper half of the identities of prompt parts: "part" in ASCII.
+constexpr std::uint64_t promptPartTag = 0x7061727400000000;
 
 std::optional<std::uint64_t> parseHalf(std::string_view digits)
 {
@@ -64,6 +66,23 @@
     return prompt_part { XXH3_64bits(text.data(), text.size()) };
 }
 
+request_identity identityOf(prompt_part part)
+{
+    return { promptPartTag, static_cast<std::uint64_t>(part) };
+}
+
+std::optional<prompt_part> promptPartOf(const request_identity& identity)
+{
+    if (identity.high != promptPartTag)
+        return std::nullopt;
+    return prompt_part { identity.low };
+}
+
+target_hash hashTarget(std::string_view targetId)
+{
+    return XXH3_64bits(targetId.data(), targetId.size());
+}
+
 std::string toString(prompt_part part)
 {
     char digits[digitsOfHalf + 1];
--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -499,12 +499,15 @@
     out.set_acquittals(report.record.acquittals);
     out.set_strikes(report.record.strikes);
     out.set_age_ms(static_cast<std::uint64_t>(report.age.count()));
+    out.mutable_targets()->Add(report.targets.begin(), report.targets.end());
+    out.set_trials(report.trials);
 }
 
 suspect_report fromWire(const peer::Suspect& in)
 {
     return { { in.identity_high(), in.identity_low() }, { in.acquittals(), in.strikes() },
-        milliseconds { static_cast<std::int64_t>(in.age_ms()) } };
+        milliseconds { static_cast<std::int64_t>(in.age_ms()) }, { in.targets().begin(), in.targets().end() },
+        in.trials() };
 }
 
 } // namespace
