Do not take a stream that ends with its connection and without an event for a whole one

Callers saw: 200 with an empty stream that looked complete, when a target that answers without length and chunks ended before its first event. An item in the same place was listed as done with an empty text, or what it had so far. Cause: such a response ends like a whole one; only an end inside an event was looked for. The new test of test_live_run plays it for a single request. Change: without an event, the response of a new stream has been broken off, and another target is tried. Why it works: a stream that begins has an event; where it need not, the target's state decides.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -159,7 +159,24 @@
             release(grant_outcome::failed);
             return end(run_outcome::interrupted, "another target responds at this address");
         }
-        const bool truncated = m_status == 200 && m_splitter.midEvent();
+        if (m_status == 200 && !m_framed && m_timing.events() == 0)
+            return onConnectionEndWithoutEvent();
+        finishResponse(m_status == 200 && m_splitter.midEvent());
+    }
+
+    /// A response without length and chunks that holds no event looks the same whether the item is complete
+    /// or its target terminated. Only a resumed item can have nothing left to send.
+    void onConnectionEndWithoutEvent()
+    {
+        m_services.guard.aborted(interruptedRun(), [weak = weak_from_this()](bool terminated) {
+            const auto self = weak.lock();
+            if (self && !self->m_stopped)
+                self->finishResponse(terminated || !self->m_request.lastEvent);
+        });
+    }
+
+    void finishResponse(bool truncated)
+    {
         if (!truncated)
             reportAnswer();
         if (m_status == 200 && !truncated) {
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -545,6 +545,37 @@
         if (eventStream() && m_splitter.midEvent())
             return onInterrupted(
                 mayHaveRun(failure_kind::incomplete, "the stream from the target ended within an event"));
+        if (eventStream() && !m_lengthDelimited && m_timing.events() == 0)
+            return onConnectionEndWithoutEvent();
+        completeReply();
+    }
+
+    /// A response without length and chunks that holds no event looks the same whether the stream is complete
+    /// or its target terminated.
+    void onConnectionEndWithoutEvent()
+    {
+        const auto interrupted = mayHaveRun(failure_kind::incomplete,
+            "the stream from the target ended with its connection, without an event");
+        // Only a resumed stream can have nothing left to send.
+        if (!resumesStream() || !m_services.guard)
+            return onInterrupted(interrupted);
+        m_awaitingExamination = true;
+        const auto decide = [weak = weak_from_this(), interrupted](bool complete) {
+            const auto self = weak.lock();
+            if (!self || !std::exchange(self->m_awaitingExamination, false))
+                return;
+            self->m_examinationTimer.cancel();
+            if (complete)
+                self->completeReply();
+            else
+                self->onInterrupted(interrupted);
+        };
+        m_examinationTimer.arm(examinationTimeout, [decide] { decide(false); });
+        examineTarget([decide](bool terminated) { decide(!terminated); });
+    }
+
+    void completeReply()
+    {
         reportAnswer();
         const bool retryAfterError
             = m_replyHead.status >= firstServerErrorStatus && m_route.retryable() && !m_replyStarted;
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -827,3 +827,58 @@
         CHECK(all.guard.hasStrikes(std::vector { harmfulPart }) == terminated);
     }
 }
+
+// Guards against a target that ends before its first event and whose closed connection looks like the end of
+// the stream.
+TEST_CASE("a stream that ends with its connection and without an event is not complete")
+{
+    fixture f;
+    for (const auto* target : { "t1", "t2" }) {
+        f.slots.grant(target);
+        f.targets.head(200);
+        f.targets.whole();
+    }
+    CHECK(f.targets.sent == "t1@ t2@ ");
+    CHECK_FALSE(f.caller->finished);
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 502);
+
+    fixture framed;
+    framed.slots.grant("t1");
+    framed.targets.head(200, { { "Transfer-Encoding", "chunked" } });
+    framed.targets.whole();
+    CHECK(framed.caller->finished);
+}
+
+TEST_CASE(
+    "a resumed stream that ends with its connection and without an event is complete if its target runs")
+{
+    for (const bool terminated : { true, false }) {
+        guard_fixture all;
+        all.loads.refuses = terminated;
+        fixture f(request_kind::streaming, true, 1000, &all.guard, "", 0, 5);
+        f.origins.answer(stream_origin { "first", "service", "v1" });
+        f.slots.grant("t1", "v1");
+        f.targets.head(200);
+        f.targets.whole();
+        all.loop.runFor(milliseconds { 5 });
+        CHECK(f.caller->finished != terminated);
+        CHECK((f.slots.acquisitions == 2) == terminated);
+    }
+}
+
+TEST_CASE("a stream that ends with its connection inside an event is resumed after its last complete event")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.targets.body(event(1) + "id: 2\nda");
+    f.targets.whole();
+    REQUIRE(f.slots.acquisitions == 2);
+    f.slots.grant("t2");
+    f.targets.head(200);
+    f.targets.body(event(2));
+    f.targets.whole();
+    CHECK(f.caller->body == event(1) + event(2));
+    CHECK(f.caller->finished);
+}
