Read new connections at the limit: close the longest idle one, or the new one unread

Cause: at its limit the listener stopped accepting, so that idle connections kept the room for up to the idle timeout and new ones lay unread in the kernel's backlog, where their callers cannot know that nobody reads them. Change: it accepts always. At the limit the connection that has been idle longest, for a second at least, is closed; if there is none, the new one is, before anything is read from it. Closed ones are counted. Why it works: an idle connection costs its caller a reconnection at most; a connection that is closed unread lets its caller turn to another entry at once. The limit, and with it memory and descriptors, stays.

--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -562,6 +562,8 @@
         m_figures.set("yuccachute_place_refusals", static_cast<double>(places.refusals));
         m_figures.set("yuccachute_dispatchers_silent", static_cast<double>(places.unresponsiveDispatchers));
         m_figures.set("yuccachute_caller_connections", static_cast<double>(m_callers->connections()));
+        m_figures.set("yuccachute_caller_connections_closed_unread",
+            static_cast<double>(m_callers->connectionsClosedUnread()));
         m_figures.set(
             "yuccachute_target_connections_opened", static_cast<double>(m_client.connectionsOpened()));
         m_figures.set("yuccachute_configuration_version",
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -97,7 +97,9 @@
     /// For the request headers and between pieces of the body; then the request is answered 408.
     milliseconds headerTimeout { 20000 };
     milliseconds idleTimeout { 30000 }; ///< Between requests; then the connection is closed.
-    std::size_t maxConnections = 4000; ///< Further ones are not accepted until one closes.
+    /// A further connection replaces the one that has been idle longest, or is closed without being read if
+    /// none is idle: its peer can turn to another server at once.
+    std::size_t maxConnections = 4000;
 };
 
 struct http_listener_options {
@@ -132,6 +134,8 @@
     std::size_t connections() const;
     /// Number of requests that were received completely and whose response is not fully written yet.
     std::size_t exchanges() const;
+    /// Number of connections that were closed at once because there was no room for them.
+    std::uint64_t connectionsClosedUnread() const;
 
     struct impl; ///< Internal; public only for this library's source files.
 
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -29,6 +29,8 @@
 /// Time allowed for the peer to close the connection after its last response. Closing a socket with unread
 /// input sends a reset, and a reset can discard response bytes that the peer has not read yet.
 constexpr milliseconds lingerTimeout { 1000 };
+/// A connection that has been idle for less may be about to bring the request that it was opened for.
+constexpr milliseconds minIdleTimeBeforeEviction { 1000 };
 /// Delay before accepting again after a failure, usually a lack of file descriptors.
 constexpr milliseconds acceptRetryDelay { 50 };
 
@@ -85,6 +87,7 @@
     void listen();
     void accept();
     void startConnection(tcp::socket socket);
+    bool makeRoom(steady_time now);
     void remove(const std::shared_ptr<connection>& gone);
 
     event_loop& loop;
@@ -95,6 +98,7 @@
     asio::ssl::context tls;
     std::set<std::shared_ptr<connection>> connections;
     std::size_t exchanges = 0;
+    std::uint64_t closedUnread = 0;
     bool accepting = false;
     bool draining = false;
     bool closed = false;
@@ -131,6 +135,13 @@
             close();
     }
 
+    /// Since when no request has been under way; unset during one.
+    std::optional<steady_time> idleSince() const
+    {
+        const bool idle = !m_exchangeActive && !m_lingering && !requestStarted();
+        return idle ? std::optional(m_idleSince) : std::nullopt;
+    }
+
     // Interface for `exchange`. The id identifies an exchange; calls of one that is not current are ignored.
     bool current(std::uint64_t exchange) const { return m_exchangeActive && exchange == m_exchangeId; }
     bool awaitingResponse(std::uint64_t exchange) const { return current(exchange) && !m_responseQueued; }
@@ -171,6 +182,7 @@
     std::string m_outputInFlight;
     std::function<void()> m_onCallerGone;
     std::function<void()> m_onDrained;
+    steady_time m_idleSince = std::chrono::steady_clock::now();
     std::uint64_t m_exchangeId = 0;
     bool m_exchangeActive = false;
     bool m_reading = false;
@@ -302,6 +314,7 @@
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     m_parser->body_limit(limits.maxBodyBytes);
     m_continueSent = false;
+    m_idleSince = std::chrono::steady_clock::now();
     armTimer(limits.idleTimeout);
 }
 
@@ -501,7 +514,7 @@
 
 void http_listener::impl::accept()
 {
-    if (accepting || !acceptor.is_open() || connections.size() >= options.limits.maxConnections)
+    if (accepting || !acceptor.is_open())
         return;
     accepting = true;
     acceptor.async_accept([self = shared_from_this()](const error_code& error, tcp::socket socket) {
@@ -515,8 +528,32 @@
     });
 }
 
+/// Returns whether a further connection can be served.
+bool http_listener::impl::makeRoom(steady_time now)
+{
+    if (connections.size() < options.limits.maxConnections)
+        return true;
+    std::shared_ptr<connection> longestIdle;
+    auto earliest = now - minIdleTimeBeforeEviction;
+    for (const auto& one : connections) {
+        const auto since = one->idleSince();
+        if (!since || *since > earliest)
+            continue;
+        earliest = *since;
+        longestIdle = one;
+    }
+    if (!longestIdle)
+        return false;
+    longestIdle->close();
+    return true;
+}
+
 void http_listener::impl::startConnection(tcp::socket socket)
 {
+    if (!makeRoom(std::chrono::steady_clock::now())) {
+        ++closedUnread;
+        return; // The socket's destructor closes it.
+    }
     setSocketOptions(socket);
     auto stream = options.certificateFile.empty() ? plainStream(std::move(socket))
                                                   : tlsStream(std::move(socket), tls);
@@ -580,4 +617,9 @@
     return m_impl->exchanges;
 }
 
+std::uint64_t http_listener::connectionsClosedUnread() const
+{
+    return m_impl->closedUnread;
+}
+
 } // namespace yuccachute
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -334,3 +334,39 @@
     CHECK(second.error->kind == failure_kind::timeout);
     CHECK(second.error->ran == verdict::may_have_run);
 }
+
+// Guards against callers whose new connections are never read because idle ones take all the room.
+TEST_CASE("at its limit the listener closes the connection that is idle longest, or the new one unread")
+{
+    fixture f;
+    f.options.limits.maxConnections = 2;
+    f.options.limits.idleTimeout = milliseconds { 20000 };
+    f.listener->setLimits(f.options.limits);
+    raw_client busy(f.options.port);
+    busy.send(simpleRequest);
+    raw_client idle(f.options.port);
+    idle.send(simpleRequest);
+    f.run();
+    REQUIRE(f.exchanges.size() == 2);
+    f.exchanges[1]->send({ 200, {}, "done" });
+    f.run();
+    idle.receive();
+
+    raw_client early(f.options.port);
+    f.run();
+    early.receive();
+    CHECK(early.closed());
+    CHECK_FALSE(idle.closed());
+    CHECK(f.listener->connectionsClosedUnread() == 1);
+
+    f.run(1000);
+    raw_client late(f.options.port);
+    late.send(simpleRequest);
+    f.run();
+    idle.receive();
+    CHECK(idle.closed());
+    CHECK(f.exchanges.size() == 3);
+    busy.receive();
+    CHECK_FALSE(busy.closed());
+    CHECK(f.listener->connections() == 2);
+}
