End responses of unknown length to HTTP/1.0 callers with the connection

Callers of HTTP/1.0 saw the sizes of chunks as part of the body. Had they been sent plain bytes, a response that was broken off would have looked whole to them. Cause: the listener chunked each response without a length, whatever the version of the request. Change: such a response ends with its connection; if it is broken off, the connection is reset, which no caller takes for its end.

--- a/libs/http/src/byte_stream.cpp
+++ b/libs/http/src/byte_stream.cpp
@@ -21,6 +21,13 @@
 constexpr int keepaliveIntervalSeconds = 1;
 constexpr int maxKeepaliveProbes = 3;
 
+/// Lets the socket send a reset when it is closed.
+void setReset(tcp::socket& socket)
+{
+    boost::system::error_code ignored; // A connection that has failed needs no reset.
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 class plain_stream final : public byte_stream {
 public:
     explicit plain_stream(tcp::socket socket)
@@ -52,6 +59,12 @@
         m_socket.close(ignored);
     }
 
+    void reset() override
+    {
+        setReset(m_socket);
+        close();
+    }
+
 private:
     tcp::socket m_socket;
 };
@@ -90,6 +103,12 @@
         m_stream.next_layer().close(ignored);
     }
 
+    void reset() override
+    {
+        setReset(m_stream.next_layer());
+        close();
+    }
+
 private:
     asio::ssl::stream<tcp::socket> m_stream;
 };
--- a/libs/http/src/byte_stream.h
+++ b/libs/http/src/byte_stream.h
@@ -26,6 +26,8 @@
     /// Shuts down the sending direction, so that the peer reads end of file.
     virtual void finishSending() = 0;
     virtual void close() = 0;
+    /// Closes the connection so that the peer does not read the end of what was sent as a regular one.
+    virtual void reset() = 0;
 };
 
 std::unique_ptr<byte_stream> plainStream(boost::asio::ip::tcp::socket socket);
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -23,6 +23,7 @@
 
 namespace {
 
+constexpr unsigned http10 = 10; ///< HTTP/1.0, as Boost.Beast gives versions.
 constexpr std::size_t readBufferBytes = 8u << 10;
 /// Limit on unparsed pipelined input; above it the connection is not read until a response is written.
 constexpr std::size_t maxReadAheadBytes = 64u << 10;
@@ -187,6 +188,8 @@
     bool m_exchangeActive = false;
     bool m_reading = false;
     bool m_headRequest = false; ///< The response to a HEAD request has no body.
+    bool m_http10 = false; ///< The caller does not understand chunks.
+    bool m_endsByClose = false; ///< The end of the connection is the end of the response.
     bool m_chunked = false;
     bool m_keepAlive = true;
     bool m_responseQueued = false; ///< The current response is completely queued.
@@ -292,7 +295,10 @@
         return;
     m_closed = true;
     const auto self = shared_from_this();
-    m_stream->close();
+    if (m_exchangeActive && m_endsByClose && !m_responseQueued)
+        m_stream->reset();
+    else
+        m_stream->close();
     m_timer.cancel();
     m_onDrained = nullptr;
     const auto gone = std::exchange(m_onCallerGone, nullptr);
@@ -367,6 +373,8 @@
     m_timer.cancel();
     m_keepAlive = message.keep_alive();
     m_headRequest = message.method() == beast_http::verb::head;
+    m_http10 = message.version() == http10;
+    m_endsByClose = false;
     m_exchangeActive = true;
     m_responseQueued = false;
     ++m_owner->exchanges;
@@ -398,7 +406,8 @@
 void connection::startStream(
     unsigned status, const http_headers& headers, std::optional<std::uint64_t> length)
 {
-    m_chunked = !length && m_owner->options.chunkedResponses;
+    m_endsByClose = !length && m_http10;
+    m_chunked = !length && !m_endsByClose && m_owner->options.chunkedResponses;
     if (m_owner->draining)
         m_keepAlive = false;
     auto text = formatResponseHead(status, headers);
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -40,6 +41,7 @@
         while ((count = ::recv(m_fd, buffer, sizeof buffer, MSG_DONTWAIT)) > 0)
             all.append(buffer, static_cast<std::size_t>(count));
         m_closed = count == 0;
+        m_reset = count < 0 && errno == ECONNRESET;
         return all;
     }
 
@@ -50,10 +52,12 @@
         m_fd = -1;
     }
     bool closed() const { return m_closed; }
+    bool wasReset() const { return m_reset; }
 
 private:
     int m_fd;
     bool m_closed = false;
+    bool m_reset = false;
 };
 
 /// Listener that stores the exchanges it receives.
@@ -370,3 +374,33 @@
     CHECK_FALSE(busy.closed());
     CHECK(f.listener->connections() == 2);
 }
+
+// Guards against chunks in responses to callers that take them for the body, and against a response that was
+// cut but looks complete to them.
+TEST_CASE(
+    "a response of unknown length to an HTTP/1.0 caller ends with its connection, and by a reset if cut")
+{
+    constexpr std::string_view oldRequest = "GET /a HTTP/1.0\r\nHost: h\r\n\r\n";
+    fixture f;
+    raw_client whole(f.options.port);
+    whole.send(oldRequest);
+    raw_client cut(f.options.port);
+    cut.send(oldRequest);
+    f.run();
+    REQUIRE(f.exchanges.size() == 2);
+    for (const auto& exchange : f.exchanges) {
+        exchange->startStream(200, {}, std::nullopt);
+        exchange->write("body");
+    }
+    f.exchanges[0]->finish();
+    f.run();
+    const auto text = whole.receive();
+    CHECK(text.find("Transfer-Encoding") == std::string::npos);
+    CHECK(text.ends_with("\r\n\r\nbody"));
+    CHECK(whole.closed());
+    f.exchanges[1]->abort();
+    f.run();
+    cut.receive();
+    CHECK_FALSE(cut.closed());
+    CHECK(cut.wasReset());
+}
