Soak: a prompt part that crashes servers, crowds at one entry, and answers that end with their connection

In all moods most new connections of the callers go to one entry at times. In the other moods, where no server or way to one is cut, every other server answers without length and chunks. A server of the stand-in that was started by two causes listened twice; it leaves the list and listens anew now.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -107,6 +107,10 @@
 
     void start()
     {
+        // It may have started again after a crash already.
+        m_restart.cancel();
+        if (std::exchange(m_listener, nullptr))
+            unlist();
         ++m_starts;
         m_version = m_nextVersion;
         m_id = "i-" + m_address.substr(m_address.rfind(':') + 1) + "-" + std::to_string(m_starts);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -62,8 +62,8 @@
     std::cout << "seed " << seed << " (" << toString(moodOf(seed)) << "): " << disturbances
               << " disturbances, " << requests.size() << " requests, " << served << " served, " << refused
               << " refused; " << state.resumptions << " streams resumed, " << state.resumed << " went on; "
-              << jobs.size() << " jobs, " << accepted << " accepted; " << violations.size() << " violations"
-              << std::endl;
+              << jobs.size() << " jobs, " << accepted << " accepted; " << state.deadlyEnds
+              << " servers crashed by a part; " << violations.size() << " violations" << std::endl;
     for (const auto& what : violations)
         std::cout << "  " << what << '\n';
 }
@@ -94,6 +94,14 @@
     std::vector<std::thread> m_threads;
 };
 
+/// Every other server answers without length and chunks. Only where no server or way to one is cut: what
+/// ends by the close of a connection between two events cannot be told from a whole answer.
+void endByClose(testing::platform_system& system)
+{
+    for (unsigned number = 0; number < system.servers(); number += 2)
+        system.control("/server?do=end_by_close&on=1&number=" + std::to_string(number));
+}
+
 /// Returns whether all promises were kept.
 bool soakOnce(unsigned seed, const soak_options& options)
 {
@@ -109,11 +117,15 @@
         state.batchNames.push_back(name);
     for (unsigned number = 0; number < system.servers(); ++number)
         state.versions.set(number, "v1");
+    if (moodOf(seed) != mood::all)
+        endByClose(system);
     disturber faults(state, moodOf(seed), seed);
     caller_threads callers(state);
     for (unsigned i = 0; i < system.servers() * liveCallersPerServer; ++i)
         callers.add([&state, i, seed] { sendLive(state, seed * 1000 + i); });
     callers.add([&state] { probeConfiguration(state); });
+    if (moodOf(seed) == mood::all)
+        callers.add([&state, seed] { sendDeadly(state, seed); });
     for (unsigned i = 0; i < jobCallers; ++i)
         callers.add([&state, i, seed] { sendJobs(state, seed * 1000 + 900 + i); });
 
@@ -133,6 +145,7 @@
     book.checkRuns(runs, book.disturbed, state.batchNames, moodOf(seed) != mood::all);
     book.checkLeaving(runs, book.disturbed);
     checkResumptions(state);
+    checkDeadly(state, runs);
     faults.stopAll();
     report(seed, state, faults);
     const bool kept = book.violations().empty();
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -85,6 +85,11 @@
         { "server drains", 2, [this, anyServer] { replaceServer(anyServer(), "drain", drainMs); } },
         { "release", 3, [this] { release(); } },
         { "server is unlisted", 1, [this, anyServer] { replaceServer(anyServer(), "unlist", drainMs); } },
+        { "crowd at one entry", 2,
+            [this] {
+                m_state.crowded = static_cast<int>(m_random() % m_state.entryNames.size());
+                later(between(1000, 4000), [this] { m_state.crowded = -1; });
+            } },
         { "VM is to be emptied", 1, [this] { emptyVm(anyBatch()); } },
     };
     const std::vector<choice> store {
@@ -124,6 +129,18 @@
                 for (const auto& [name, process] : m_processes)
                     kill(name, between(0, 800));
             } },
+        { "part that crashes servers", 6,
+            [this] {
+                constexpr std::int64_t lasts = 6000;
+                constexpr std::int64_t serversBackMs = 4000;
+                // Once: an answer after the spell acquits the part, and a second one would begin from
+                // nothing.
+                if (std::exchange(m_deadlyPlayed, true))
+                    return;
+                m_state.system.control("/deadly?after=50&back=1500&parts=" + std::string(deadlyPart));
+                disturb("servers", lasts + serversBackMs);
+                later(lasts, [this] { m_state.system.control("/deadly"); });
+            } },
         { "server crashes", 3, [this, anyServer] { replaceServer(anyServer(), "none", 0); } },
         { "server is dark", 2,
             [this, anyServer] {
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -84,6 +84,7 @@
     int m_versions = 1; ///< Software versions so far.
     std::map<std::string, int> m_counts;
     std::int64_t m_nextInjection = 0;
+    bool m_deadlyPlayed = false;
     bool m_emptying = false; ///< One VM at a time.
     bool m_healing = false;
 };
--- a/tests/soak/soak_load.cpp
+++ b/tests/soak/soak_load.cpp
@@ -137,7 +137,7 @@
         return state.book.disturbed.calm(part, seen.beganMs - catchUpMs, seen.endedMs);
     };
     const bool owed = state.versions.servers(*versions.begin()) >= 2 && calm(seen.entry) && calm("store")
-        && calm("start of " + seen.entry);
+        && calm("servers") && calm("start of " + seen.entry);
     ++state.resumptions;
     state.resumed += whole ? 1 : 0;
     state.resumptionsOwed += owed ? 1 : 0;
@@ -272,7 +272,7 @@
 void sendLive(soak_state& state, unsigned seed)
 {
     std::mt19937 random(seed);
-    kept_caller caller;
+    std::optional<kept_caller> caller(std::in_place);
     for (int number = 0; !state.stop; ++number) {
         static constexpr std::array kinds { route_kind::resumable, route_kind::resumable, route_kind::once,
             route_kind::plain, route_kind::unsafe };
@@ -280,20 +280,78 @@
         seen.id = "r" + std::to_string(seed) + "-" + std::to_string(number);
         seen.kind = kinds[random() % kinds.size()];
         seen.entry = state.entryNames[random() % state.entryNames.size()];
+        if (const int crowded = state.crowded; crowded >= 0 && random() % 5 != 0) {
+            seen.entry = state.entryNames[static_cast<std::size_t>(crowded)];
+            caller.emplace(); // Over a new connection.
+        }
         const int events = 5 + static_cast<int>(random() % 50);
         const milliseconds leaveAfter { random() % 12 == 0 ? 1 + random() % 200 : 0 };
-        const auto status = sendOne(state, caller, seen, events, leaveAfter);
+        const auto status = sendOne(state, *caller, seen, events, leaveAfter);
         partial_stream stream { seen.id, events, "", 0 };
         event_splitter splitter;
-        if (seen.kind == route_kind::resumable && status == 0 && caller.received().status == 200)
-            stream.lastEvent = lastEventOf(splitter, caller.received().body, stream.received);
+        if (seen.kind == route_kind::resumable && status == 0 && caller->received().status == 200)
+            stream.lastEvent = lastEventOf(splitter, caller->received().body, stream.received);
         state.book.add(std::move(seen));
         if (stream.lastEvent > 0)
-            resumeStream(state, caller, stream, random);
+            resumeStream(state, *caller, stream, random);
         std::this_thread::sleep_for(milliseconds { status == 200 ? random() % 40 : 50 + random() % 150 });
     }
 }
 
+void sendDeadly(soak_state& state, unsigned seed)
+{
+    std::mt19937 random(seed);
+    for (int number = 0; !state.stop; ++number) {
+        seen_request seen;
+        seen.id = "deadly" + std::to_string(seed) + "-" + std::to_string(number);
+        seen.entry = state.entryNames[random() % state.entryNames.size()];
+        auto headers = platform_system::requestHeaders(seen.id, 5);
+        headers.back().second = "5a:50," + std::to_string(random() % 4) + ":50," + deadlyPart + ":50,cd:50";
+        kept_caller caller;
+        seen.beganMs = steadyMs();
+        const auto reply = caller.call(
+            state.system.entries.at(seen.entry).callers, "POST", "/resumable/x", headers, "prompt" + seen.id);
+        seen.endedMs = steadyMs();
+        seen.status = reply ? reply.value().status : 0;
+        state.book.add(std::move(seen));
+        std::this_thread::sleep_for(milliseconds { 100 + random() % 200 });
+    }
+}
+
+void checkDeadly(soak_state& state, const json& runs)
+{
+    constexpr std::size_t endsThatProve = 5;
+    constexpr std::int64_t contactMs = 3000;
+    constexpr int mostLateSends = 3;
+    std::map<std::string, std::string> entries;
+    for (const auto& request : state.book.requests())
+        entries[request.id] = request.entry;
+    std::vector<std::int64_t> ends;
+    for (const auto& run : runs) {
+        if (run["ended_server"])
+            ends.push_back(run["began_ms"]);
+    }
+    state.deadlyEnds = static_cast<int>(ends.size());
+    if (ends.size() < endsThatProve)
+        return;
+    std::sort(ends.begin(), ends.end());
+    const auto known = ends[endsThatProve - 1] + contactMs;
+    int late = 0;
+    for (const auto& run : runs) {
+        const auto reached = run["reached_ms"].get<std::int64_t>();
+        const auto entry = entries.find(run["id"]);
+        if (!run["deadly"] || reached <= known || entry == entries.end())
+            continue;
+        const auto calm = [&](const std::string& part) {
+            return state.book.disturbed.calm(part, reached - contactMs, reached);
+        };
+        late += calm(entry->second) && calm("store") && calm("start of " + entry->second) ? 1 : 0;
+    }
+    if (late > mostLateSends)
+        state.book.violation(std::to_string(late) + " requests with a part that crashes servers reached them "
+            + "after " + std::to_string(ends.size()) + " crashes");
+}
+
 void checkResumptions(soak_state& state)
 {
     constexpr int fewest = 12;
--- a/tests/soak/soak_load.h
+++ b/tests/soak/soak_load.h
@@ -21,6 +21,9 @@
     std::map<unsigned, std::string> m_versions;
 };
 
+/// Prompt part that crashes servers in some spells.
+constexpr const char* deadlyPart = "dead";
+
 /// What the callers and the one who disturbs the system share.
 struct soak_state {
     testing::platform_system& system;
@@ -33,15 +36,22 @@
     std::atomic<std::int64_t> stepMs { 0 }; ///< When.
     std::map<std::string, std::atomic<int>> starts; ///< Of each entry.
     serving_versions versions;
+    /// Index of the entry that gets most new connections; -1 for none.
+    std::atomic<int> crowded { -1 };
     std::atomic<int> resumptions { 0 }; ///< Of streams, each at most once.
     std::atomic<int> resumed { 0 }; ///< Of these, streams that went on.
     /// The same, of entries in touch while two servers of the stream's version served.
     std::atomic<int> resumptionsOwed { 0 };
     std::atomic<int> resumedOwed { 0 };
+    int deadlyEnds = 0; ///< Servers that crashed under requests with the part.
 };
 
 /// Sends live requests of all kinds to all entries until it is told to stop.
 void sendLive(soak_state& state, unsigned seed);
+/// Sends requests with a prompt part that crashes servers while the disturber lets it.
+void sendDeadly(soak_state& state, unsigned seed);
+/// Checks that after five crashes hardly any of them reached a server from an entry in touch.
+void checkDeadly(soak_state& state, const nlohmann::json& runs);
 /// Submits jobs, reads their results at all entries, ends some; waits for the open ones at the end.
 void sendJobs(soak_state& state, unsigned seed);
 /// Checks that streams which callers resumed went on at least half as often as new ones were served.
