--- a/libs/fleet/tests/test_fleet_freshness.cpp
+++ b/libs/fleet/tests/test_fleet_freshness.cpp
@@ -260,8 +260,10 @@
         for (const auto& process : fleet->processes)
             process->link.waitCalls = 0;
     }
+    const auto began = std::chrono::steady_clock::now();
     fleets.run(seconds * milliseconds { 1000 });
     const auto now = std::chrono::steady_clock::now();
+    const auto took = std::chrono::duration_cast<milliseconds>(now - began);
     for (const auto& fleet : fleets.all) {
         unsigned waitCalls = 0;
         milliseconds oldest { 0 };
@@ -269,7 +271,8 @@
             waitCalls += process->link.waitCalls;
             oldest = std::max(oldest, process->watch.targetsAge(now));
         }
-        INFO(fleet->processes.size() << " processes, oldest list " << oldest.count() << " ms");
+        INFO(fleet->processes.size() << " processes, oldest list " << oldest.count() << " ms, in "
+                                     << took.count() << " ms");
         CHECK(waitCalls > 0);
         CHECK(waitCalls <= seconds * sections * maxCallsPerSecond);
         CHECK(oldest <= targetRemovalDeadline - dispatchDelay);
--- a/tests/failures_customers.cpp
+++ b/tests/failures_customers.cpp
@@ -228,6 +228,8 @@
     for (int i = 0; i < 60 && retryAfter.empty(); ++i)
         (void)send(system, port, "fill-" + std::to_string(i), secret, &retryAfter);
     REQUIRE(!retryAfter.empty());
+    const auto toldBefore = retryAfter;
+    CAPTURE(toldBefore, retryAfter, system.folder());
     const auto begun = std::chrono::steady_clock::now();
     CHECK(send(system, port, "over", secret, &retryAfter) == 429);
     CHECK(std::chrono::steady_clock::now() - begun < milliseconds { 75 });
