A stream that goes on within one response may have nothing left to send either

A response without length, chunks and events was taken for an interrupted one there without looking at its target; it is asked now, as for a stream that its caller resumes. Found by reading the change; a stream whose last event had just been passed on would have ended as broken off. test_front 58 cases pass.

--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -556,8 +556,8 @@
     {
         const auto interrupted = mayHaveRun(failure_kind::incomplete,
             "the stream from the target ended with its connection, without an event");
-        // Only a resumed stream can have nothing left to send.
-        if (!resumesStream() || !m_services.guard)
+        // Only a stream that is resumed, here or by its caller, can have nothing left to send.
+        if (!m_lastEvent || !m_services.guard)
             return onInterrupted(interrupted);
         m_awaitingExamination = true;
         const auto decide = [weak = weak_from_this(), interrupted](bool complete) {
