Repeat the probe of a target over a new connection when it was interrupted

Callers saw: more targets ended than needed before a part of prompts, or a request, was known. Cause: the question to a target after an interrupted response may go over an idle connection that the target's end has just closed. It fails as interrupted, not as refused, and the list had to decide, seconds later. Change: an interrupted probe is repeated after 5 ms, four probes in all, while the client drops closed connections. Why it works: the last of them opens a new connection, which a target that has ended refuses.

--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -87,6 +87,8 @@
         std::vector<callback> callbacks;
         bool probing = false; ///< A load report has been requested from the target.
         bool comparedWithFullList = false; ///< Afterwards only changes of the list matter.
+        unsigned interruptedProbes = 0;
+        std::unique_ptr<loop_timer> nextProbe; ///< After an interrupted one.
     };
     using pending_check_list = std::list<pending_check>;
 
@@ -95,6 +97,7 @@
     pending_check* begin(const executing_target& target, callback done);
     void probe(pending_check& one);
     void answered(const std::string& target, const result<load_report>& report);
+    void probeAgain(pending_check& one);
     void finish(pending_check_list::iterator one, bool terminated);
     bool hasRestarted(pending_check& one, std::span<const target_change> changes) const;
     void expire(steady_time now);
--- a/libs/guard/src/termination_check.cpp
+++ b/libs/guard/src/termination_check.cpp
@@ -12,6 +12,10 @@
 /// A target that has crashed is listed again, under another id, within several seconds; its old list entry
 /// expires after four seconds.
 constexpr milliseconds listTimeout { 10000 };
+/// A probe over an idle connection that the target's end has closed tells nothing. Within this time the
+/// client notices that it is closed, and the next probe opens a new connection.
+constexpr milliseconds probeRetryDelay { 5 };
+constexpr unsigned maxInterruptedProbes = 4;
 
 } // namespace
 
@@ -73,7 +77,7 @@
         [&](const auto& other) { return other.target == target.id; });
     if (one == m_pendingChecks.end()) {
         m_pendingChecks.push_back(
-            { target.id, listed ? listed->address : target.address, {}, {}, false, false });
+            { target.id, listed ? listed->address : target.address, {}, {}, false, false, 0, nullptr });
         one = std::prev(m_pendingChecks.end());
     }
     one->until = now + listTimeout;
@@ -103,7 +107,16 @@
     const auto& error = report.error();
     // The connection was refused. An unreachable target refuses none; in this case the target list decides.
     if (error.ran == verdict::not_run && error.kind == failure_kind::unavailable)
-        finish(one, true);
+        return finish(one, true);
+    if (error.kind == failure_kind::incomplete && ++one->interruptedProbes < maxInterruptedProbes)
+        probeAgain(*one);
+}
+
+void termination_check::probeAgain(pending_check& one)
+{
+    one.probing = true;
+    one.nextProbe = std::make_unique<loop_timer>(m_loop);
+    one.nextProbe->arm(probeRetryDelay, [this, &one] { probe(one); });
 }
 
 void termination_check::finish(pending_check_list::iterator one, bool terminated)
--- a/libs/guard/tests/test_termination_check.cpp
+++ b/libs/guard/tests/test_termination_check.cpp
@@ -110,3 +110,25 @@
     loads.answer(notRun(failure_kind::unavailable, "connection refused"));
     CHECK(found == "ended ");
 }
+
+// Guards against an end that is noticed seconds later, by the list, because the probe went over an idle
+// connection which the end had closed.
+TEST_CASE("a probe that is interrupted is repeated over a new connection")
+{
+    fixture f;
+    f.examine("t1");
+    f.loads.answer(mayHaveRun(failure_kind::incomplete, "no answer: End of file"));
+    CHECK(f.found.empty());
+    f.loop.runFor(milliseconds { 20 });
+    REQUIRE(f.loads.polledAddresses == "a1 a1 ");
+    f.loads.answer(notRun(failure_kind::unavailable, "connection refused"));
+    CHECK(f.found == "ended ");
+    f.examine("t2");
+    for (int i = 0; i < 8; ++i) {
+        f.loads.answer(mayHaveRun(failure_kind::incomplete, "connection reset"));
+        f.loop.runFor(milliseconds { 20 });
+    }
+    CHECK(f.loads.polledAddresses == "a1 a1 a2 a2 a2 a2 ");
+    f.list({ listedAt("t2b", "a2") });
+    CHECK(f.found == "ended ended ");
+}
