--- a/review/tests/support.cpp
+++ b/review/tests/support.cpp
@@ -1,7 +1,5 @@
 #include "support.h"
 
-#include <boost/asio.hpp>
-
 #include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
@@ -21,9 +19,6 @@
 
 namespace yuccachute::review {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
-
 const std::vector<std::string> zones { "rennes-a", "brest-b", "vannes-c" };
 const std::string host = "nony24.example";
 
@@ -323,129 +318,6 @@
     });
 }
 
-// --- Proxy
-
-namespace {
-
-class proxied_connection : public std::enable_shared_from_this<proxied_connection> {
-public:
-    proxied_connection(tcp::socket caller, bool silent)
-        : m_caller(std::move(caller))
-        , m_target(m_caller.get_executor())
-        , m_silent(silent)
-    {
-    }
-
-    void start(const tcp::endpoint& target)
-    {
-        if (m_silent)
-            return discard();
-        m_target.async_connect(target, [self = shared_from_this()](const auto& error) {
-            if (error)
-                return self->close();
-            self->m_caller.set_option(tcp::no_delay(true));
-            self->m_target.set_option(tcp::no_delay(true));
-            self->pump(self->m_caller, self->m_target, self->m_upward);
-            self->pump(self->m_target, self->m_caller, self->m_downward);
-        });
-    }
-
-private:
-    using buffer = std::array<char, 16384>;
-
-    void discard()
-    {
-        m_caller.async_read_some(
-            asio::buffer(m_upward), [self = shared_from_this()](const auto& error, std::size_t) {
-                if (!error)
-                    self->discard();
-            });
-    }
-
-    void pump(tcp::socket& from, tcp::socket& to, buffer& bytes)
-    {
-        from.async_read_some(asio::buffer(bytes),
-            [self = shared_from_this(), &from, &to, &bytes](const auto& error, std::size_t count) {
-                if (error)
-                    return self->close();
-                asio::async_write(to, asio::buffer(bytes, count),
-                    [self, &from, &to, &bytes](const auto& failed, std::size_t) {
-                        if (failed)
-                            return self->close();
-                        self->pump(from, to, bytes);
-                    });
-            });
-    }
-
-    void close()
-    {
-        boost::system::error_code ignored; // The sockets may be closed already.
-        m_caller.close(ignored);
-        m_target.close(ignored);
-    }
-
-    tcp::socket m_caller;
-    tcp::socket m_target;
-    bool m_silent;
-    buffer m_upward {};
-    buffer m_downward {};
-};
-
-tcp::endpoint endpointOf(const std::string& address)
-{
-    const auto [ip, port] = splitAddress(address);
-    return { asio::ip::make_address(ip), port };
-}
-
-} // namespace
-
-struct silencing_proxy::impl : std::enable_shared_from_this<silencing_proxy::impl> {
-    impl(event_loop& loop, const std::string& listen, const std::string& to)
-        : acceptor(loop.context(), endpointOf(listen))
-        , target(endpointOf(to))
-    {
-    }
-
-    void accept()
-    {
-        acceptor.async_accept([self = shared_from_this()](const auto& error, tcp::socket socket) {
-            if (error)
-                return;
-            const bool silent = std::exchange(self->silenceNext, false);
-            self->silenced += silent ? 1 : 0;
-            std::make_shared<proxied_connection>(std::move(socket), silent)->start(self->target);
-            self->accept();
-        });
-    }
-
-    tcp::acceptor acceptor;
-    tcp::endpoint target;
-    bool silenceNext = false;
-    unsigned silenced = 0;
-};
-
-silencing_proxy::silencing_proxy(event_loop& loop, const std::string& listen, const std::string& target)
-    : m_impl(std::make_shared<impl>(loop, listen, target))
-{
-    m_impl->accept();
-}
-
-silencing_proxy::~silencing_proxy()
-{
-    boost::system::error_code ignored; // A failed close cannot be handled.
-    m_impl->acceptor.close(ignored);
-}
-
-void silencing_proxy::silenceNextConnection()
-{
-    m_impl->silenceNext = true;
-}
-
-unsigned silencing_proxy::silenced() const
-{
-    return m_impl->silenced;
-}
-
 // --- Deployment
 
 deployment::deployment(record_file& record, unsigned entriesPerZone)
@@ -469,10 +341,10 @@
     m_store = std::make_unique<standin::platform_store>(m_loop, m_storeAddress);
     for (const auto& zone : zones) {
         for (unsigned i = 1; i <= entriesPerZone; ++i)
-            m_machines.push_back(std::make_unique<machine>(machine {
-                "edge-" + zone + "-" + std::to_string(i), zone, "entry", newIp(), m_storeAddress }));
-        m_machines.push_back(std::make_unique<machine>(
-            machine { "store-" + zone + "-1", zone, "batch", newIp(), m_storeAddress }));
+            m_machines.push_back(std::make_unique<machine>(
+                machine { "edge-" + zone + "-" + std::to_string(i), zone, "entry", newIp() }));
+        m_machines.push_back(
+            std::make_unique<machine>(machine { "store-" + zone + "-1", zone, "batch", newIp() }));
     }
     m_thread = std::thread([this] { m_loop.run(); });
 }
@@ -606,7 +478,7 @@
             { "bounds.status_s", "120" }, { "bounds.quota_overshoot", "0.1" }, { "listen.front", at(0) },
             { "listen.ready", at(1) }, { "listen.control", at(2) },
             { "port_range.0", std::to_string(m_ports[3]) }, { "seeds", seeds },
-            { "platform.address", one.storeAddress }, { "platform.value_bytes", "1048576" },
+            { "platform.address", m_storeAddress }, { "platform.value_bytes", "1048576" },
             { "limits.cpu_share", entry ? "0.25" : "0.5" }, { "limits.max_fds", entry ? "4200" : "8200" } });
 }
 
@@ -620,28 +492,6 @@
     m_record.write("start of " + command + " on " + one.name);
 }
 
-void deployment::signal(machine& one, int number)
-{
-    m_record.write("signal " + std::to_string(number) + " to " + one.name);
-    ::kill(one.pid, number);
-}
-
-void deployment::awaitEnd(machine& one)
-{
-    ::waitpid(one.pid, nullptr, 0);
-    one.pid = -1;
-    m_record.write("end of the process on " + one.name);
-}
-
-machine& deployment::find(const std::string& name)
-{
-    for (auto& one : m_machines) {
-        if (one->name == name)
-            return *one;
-    }
-    throw std::runtime_error("there is no machine " + name);
-}
-
 std::vector<machine*> deployment::machines(const std::string& role)
 {
     std::vector<machine*> found;
--- a/review/tests/support.h
+++ b/review/tests/support.h
@@ -106,28 +106,12 @@
     loop_timer m_unlisting;
 };
 
-/// Forwards TCP connections to one address. Single connections can go silent: they stay open and nothing is
-/// forwarded any more.
-class silencing_proxy {
-public:
-    silencing_proxy(event_loop& loop, const std::string& listen, const std::string& target);
-    ~silencing_proxy();
-    /// The next connection that is opened goes silent at once.
-    void silenceNextConnection();
-    unsigned silenced() const;
-
-private:
-    struct impl;
-    std::shared_ptr<impl> m_impl;
-};
-
 /// A virtual machine that runs one program of the project.
 struct machine {
     std::string name;
     std::string zone;
     std::string role; ///< Of the deploy file: entry or batch.
     std::string ip;
-    std::string storeAddress;
     pid_t pid = -1;
 };
 
@@ -150,11 +134,8 @@
     /// Runs the function on the thread of the stand-ins and waits for it.
     void onLoop(const std::function<void()>& work);
     event_loop& loop() { return m_loop; }
-    standin::platform_store& store() { return *m_store; }
-    const std::string& storeAddress() const { return m_storeAddress; }
     /// An address that nobody else in the deployment has.
     std::string newIp();
-    std::uint16_t frontPort() const { return m_ports[0]; }
 
     /// Servers whose answers are not framed send neither a length nor chunks and end with their connection.
     void addServers(const std::string& service, std::size_t perZone, std::size_t slots,
@@ -173,12 +154,8 @@
     milliseconds configure(const json& configuration);
 
     void start(machine& one);
-    void signal(machine& one, int number);
-    /// Waits for the end of the process.
-    void awaitEnd(machine& one);
     /// Starts all machines and waits until they serve. Throws std::runtime_error if they do not.
     void startAll();
-    machine& find(const std::string& name);
     std::vector<machine*> machines(const std::string& role);
 
     result<http_reply> call(const machine& entry, const std::string& method, const std::string& target,
