Log the path, route, service and configuration of each item run

An item's run named its target only, so that the log could not tell which of three things had sent it to a service: an old configuration, the split among the services of one route, or the route of something else. The "item run" line now has the item's path, the route that was matched, the service and the version of the configuration; the "request" line of a live request has the service.

--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -227,6 +227,7 @@
     const auto id = record.id;
     const auto index = next->index;
     const auto statistics = std::make_shared<run_statistics>();
+    const run_placement placement { matchedRoute->name, service, table.version };
     events.event = [this, id, index, statistics](std::optional<std::uint64_t> event, std::string data) {
         if (statistics->events++ == 0)
             statistics->firstEventAt = now();
@@ -239,13 +240,13 @@
         }
         return found != m_jobs.end() && found->second.job->addEvent(index, event, std::move(data));
     };
-    events.finished = [this, id, index, statistics, fresh = !next->lastEvent, produced,
-                          routeName = matchedRoute->name](run_outcome outcome, std::string_view reason) {
+    events.finished = [this, id, index, statistics, fresh = !next->lastEvent, produced, placement](
+                          run_outcome outcome, std::string_view reason) {
         if (outcome == run_outcome::completed)
-            m_itemLengths.record(routeName, produced + statistics->events);
+            m_itemLengths.record(placement.route, produced + statistics->events);
         if (outcome == run_outcome::completed && fresh)
             updateMeanDurations(*statistics);
-        runFinished(id, index, outcome, reason);
+        runFinished(id, index, placement, outcome, reason);
     };
     held.runs[index] = runItem(m_itemRunServices, std::move(request), std::move(events));
     return true;
@@ -340,8 +341,8 @@
     });
 }
 
-void bulk_process::runFinished(
-    const std::string& id, std::uint32_t index, run_outcome outcome, std::string_view reason)
+void bulk_process::runFinished(const std::string& id, std::uint32_t index, const run_placement& placement,
+    run_outcome outcome, std::string_view reason)
 {
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end())
@@ -367,7 +368,9 @@
                                                   : "impossible");
     if (hadSlot)
         logEvent(outcome == run_outcome::completed ? log_level::info : log_level::warning, "item run",
-            { { "job", id }, { "item", held.job->record().items[index].id }, { "target", target },
+            { { "job", id }, { "item", held.job->record().items[index].id },
+                { "path", held.job->record().items[index].path }, { "route", placement.route },
+                { "service", placement.service }, { "config", placement.config }, { "target", target },
                 { "target_version", version.value_or("unknown") },
                 { "end", static_cast<std::int64_t>(outcome) }, { "reason", reason } });
     startRuns();
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -60,6 +60,13 @@
     bool cancelled = false; ///< Cancelled by its caller.
 };
 
+/// What decided where a run was sent.
+struct run_placement {
+    std::string route;
+    std::string service;
+    std::int64_t config = 0; ///< Version of the configuration.
+};
+
 /// Measurements of one run.
 struct run_statistics {
     steady_time firstEventAt; ///< Time of the first event.
@@ -139,8 +146,8 @@
     bool deferSuspectedItem(held_job& held, std::uint32_t index, item_run_request& request);
     bool deferForContent(held_job& held, std::uint32_t index, const item_run_request& request);
     bool deferForPromptPart(held_job& held, std::uint32_t index, item_run_request& request);
-    void runFinished(
-        const std::string& id, std::uint32_t index, run_outcome outcome, std::string_view reason);
+    void runFinished(const std::string& id, std::uint32_t index, const run_placement& placement,
+        run_outcome outcome, std::string_view reason);
     /// Returns the item to the waiting items, at once or after a delay.
     void requeueItem(const std::string& id, std::uint32_t index, run_outcome outcome, milliseconds delay);
 
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -712,7 +712,7 @@
         if (m_replyStarted)
             m_services.figures.observe("yuccachute_first_event_seconds", labels, m_firstEvent);
         logEvent(outcome == "served" ? log_level::info : log_level::warning, "request",
-            { { "request_id", m_facts.id }, { "route", m_route.name },
+            { { "request_id", m_facts.id }, { "route", m_route.name }, { "service", m_service },
                 { "customer", m_callerIdentity.name() }, { "config", m_table->version },
                 { "outcome", outcome }, { "status", std::int64_t { m_replyHead.status } },
                 { "target", m_lastTarget }, { "target_version", m_lastVersion },
