--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds firstEventAfter { 10 };
 /// Requests that wait for a slot; more are refused.
 constexpr std::size_t queueLength = 24;
-const std::string serviceName = "llm";
+const std::string firstService = "llm";
 const std::string firstVersion = "v1";
 
 /// What the servers have run, for checks.
@@ -31,6 +31,9 @@
     std::string version; ///< Software version of the server.
     bool keyPassed = false; ///< The caller's key came along.
     bool deadly = false; ///< It crashes each server that begins to run it.
+    std::string path = {};
+    std::string service = {}; ///< Service that the server belongs to.
+    unsigned status = 200;
 };
 
 std::int64_t steadyMs()
@@ -104,6 +107,14 @@
 
     /// Changes the software version, from the next start on.
     void setVersion(std::string version) { m_nextVersion = std::move(version); }
+    /// Changes the service, from the next start on.
+    void setService(std::string service) { m_service = std::move(service); }
+    /// Answers requests whose path contains this text with a failure; empty for none.
+    void failPaths(std::string text, unsigned status)
+    {
+        m_failingPaths = std::move(text);
+        m_failureStatus = status;
+    }
 
     void start()
     {
@@ -178,7 +189,7 @@
     void list(const std::string& state)
     {
         m_store.put("servers/" + m_id,
-            { { "service", serviceName }, { "address", m_listedAddress }, { "zone", m_zone },
+            { { "service", m_service }, { "address", m_listedAddress }, { "zone", m_zone },
                 { "version", m_version }, { "slots", m_slots }, { "state", state }, { "cold_left_ms", 0 },
                 { "call_seq", 0 } });
     }
@@ -203,11 +214,19 @@
         if (m_running.size() >= m_slots + queueLength)
             return caller->send(
                 { 503, { { "Yuccachute-Not-Run", "1" }, { "Yuccachute-Request-Id", id } }, "" });
-        const run_record run { id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false, 0,
-            steadyMs(), false, std::string(findHeader(headers, "Yuccachute-Tenant")), m_version,
+        run_record run { id, m_id, std::string(findHeader(headers, "Last-Event-Id")), false, 0, steadyMs(),
+            false, std::string(findHeader(headers, "Yuccachute-Tenant")), m_version,
             !findHeader(headers, "Api-Key").empty() };
+        run.path = caller->request().path;
+        run.service = m_service;
         const http_headers head { { "Yuccachute-Request-Id", id },
             { "Yuccachute-Server-Seal", "seal-" + m_id } };
+        if (!m_failingPaths.empty() && run.path.find(m_failingPaths) != std::string::npos) {
+            run.beganMs = steadyMs();
+            run.status = m_failureStatus;
+            m_runs.push_back(run);
+            return caller->send({ m_failureStatus, head, "" });
+        }
         if (caller->request().method == "GET") {
             m_runs.push_back(run);
             m_runs.back().beganMs = steadyMs();
@@ -287,7 +306,7 @@
         }
         if (one.next <= one.last) {
             const auto number = std::to_string(one.next++);
-            one.caller->write("id: " + number + "\ndata: " + one.id + "-" + number + versionMark() + "\n\n");
+            one.caller->write("id: " + number + "\ndata: " + one.id + "-" + number + originMark() + "\n\n");
         }
         if (one.next > one.last) {
             m_runs[*one.begun].finished = true;
@@ -296,8 +315,12 @@
         }
     }
 
-    /// Names the version in each event, unless it is the first one.
-    std::string versionMark() const { return m_version == firstVersion ? "" : "@" + m_version; }
+    /// Names the version and the service in each event, unless they are the first ones.
+    std::string originMark() const
+    {
+        return (m_version == firstVersion ? "" : "@" + m_version)
+            + (m_service == firstService ? "" : "#" + m_service);
+    }
 
     event_loop& m_loop;
     platform_store& m_store;
@@ -312,6 +335,9 @@
     int m_starts = 0;
     std::string m_version;
     std::string m_nextVersion = firstVersion;
+    std::string m_service = firstService;
+    std::string m_failingPaths;
+    unsigned m_failureStatus = 500;
     bool m_dark = false;
     bool m_endByClose = false;
     std::string m_cutId;
@@ -353,7 +379,7 @@
     const auto routeOf = [&](std::string name, std::string prefix, std::string kind, json more) {
         json route { { "name", name }, { "host", "test.example" }, { "prefix", prefix }, { "kind", kind },
             { "timeout_ms", timeoutMs }, { "target_latency_ms", 300 }, { "priority", 0 },
-            { "service", serviceName }, { "max_attempts", 2 } };
+            { "service", firstService }, { "max_attempts", 2 } };
         route.update(more);
         return route;
     };
@@ -371,7 +397,7 @@
     if (extraRoute)
         routes.push_back(routeOf("extra", "/extra/", "safe", json::object()));
     return { { "version", version }, { "routes", routes },
-        { "services", json::array({ { { "name", serviceName }, { "engine", { { "slots", 4 } } } } }) },
+        { "services", json::array({ { { "name", firstService }, { "engine", { { "slots", 4 } } } } }) },
         { "limits",
             { { "max_header_bytes", 16384 }, { "max_body_bytes", 100000 }, { "header_timeout_ms", 3000 },
                 { "idle_timeout_ms", 15000 } } } };
@@ -423,7 +449,12 @@
                 m_store.compact();
         }
         if (request.path == "/config") {
-            auto next = configuration(++m_version, number("timeout"), number("extra") != 0, number("steps"));
+            ++m_version;
+            // A body holds the routes and services of a configuration of the test's own.
+            auto next = request.body.empty()
+                ? configuration(m_version, number("timeout"), number("extra") != 0, number("steps"))
+                : json::parse(request.body);
+            next["version"] = m_version;
             if (const auto customers = value("customers"); !customers.empty())
                 next["tenants"] = customersOf(customers);
             m_store.put("op/config", next);
@@ -435,6 +466,10 @@
             for (auto& server : m_servers)
                 server->cutAnswersTo(value("id"));
         }
+        if (request.path == "/fail") {
+            for (auto& server : m_servers)
+                server->failPaths(value("paths"), static_cast<unsigned>(number("status")));
+        }
         if (request.path == "/deadly")
             m_deadly = { value("mark"), split(value("parts"), ','), milliseconds { number("after") },
                 milliseconds { number("back") } };
@@ -455,6 +490,8 @@
                 server.setEndByClose(number("on") != 0);
             if (const auto version = value("version"); !version.empty())
                 server.setVersion(version);
+            if (const auto service = value("service"); !service.empty())
+                server.setService(service);
             if (what == "start")
                 server.start();
             if (what == "drain")
@@ -471,7 +508,8 @@
             runs.push_back({ { "id", run.id }, { "server", run.server }, { "last", run.lastEvent },
                 { "finished", run.finished }, { "version", run.version }, { "ended_server", run.endedServer },
                 { "deadly", run.deadly }, { "began_ms", run.beganMs }, { "reached_ms", run.reachedMs },
-                { "customer", run.customer }, { "key_passed", run.keyPassed } });
+                { "customer", run.customer }, { "key_passed", run.keyPassed }, { "path", run.path },
+                { "service", run.service }, { "status", run.status } });
         return { { "runs", runs }, { "calls", m_store.calls() },
             { "open", m_store.count("yuccachute/open/") },
             { "nodes", m_store.count("yuccachute/node/entry/") + m_store.count("yuccachute/node/batch/") } };
--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -34,8 +35,15 @@
     std::vector<bulk_item> items;
     /// Empty in a deployment without customers. Stored, because a job can outlive its customer's API keys.
     std::string customer;
+    std::string path; ///< Path of the submission; empty in records of releases that did not store it.
+    /// Time from the acceptance to the last result by the route of the submission; unset if the route was
+    /// unknown, and in records of releases that did not store it.
+    std::optional<milliseconds> completionWindow;
 };
 
+/// Path that the job's own route follows from: that of its submission, or of its first item if unknown.
+const std::string& submissionPath(const bulk_record& record);
+
 /// Returns the internal id of something that is named by a customer, so that equal ids of different customers
 /// do not collide. `id` may contain only letters, digits, '-', '_' and '.'.
 std::string customerScopedId(std::string_view customer, std::string_view id);
@@ -141,12 +149,6 @@
 std::string encodeItemProgress(std::span<const item_progress> items);
 result<std::vector<item_progress>> decodeItemProgress(std::string_view bytes);
 
-/// Limits from the job's route.
-struct bulk_limits {
-    unsigned maxAttempts = 1; ///< Number of failures after which an item is abandoned.
-    steady_time expiry; ///< Time at which unfinished items are abandoned.
-};
-
 /// Outcome of one run of an item.
 enum class run_outcome : std::uint8_t {
     completed, ///< All events were received.
@@ -170,10 +172,11 @@
 class bulk_job {
 public:
     /// Starts with all items waiting. Committed results are added by addCommitted().
-    bulk_job(bulk_record record, bulk_limits limits, steady_time due);
+    bulk_job(bulk_record record, steady_time due);
 
     const bulk_record& record() const { return m_record; }
     steady_time due() const { return m_due; }
+    void setDue(steady_time due) { m_due = due; }
 
     /// Adds a committed group. The calls define the order of the results.
     void addCommitted(const bulk_result_group& group);
@@ -190,6 +193,7 @@
     std::size_t running() const { return m_running; }
     /// Number of events that the item returned by the next call of next() has received.
     std::size_t nextItemEvents() const;
+    std::size_t eventsOf(std::uint32_t index) const { return m_items[index].events.size(); }
 
     /// Returns the progress of all items without a result.
     std::vector<item_progress> progress() const;
@@ -205,11 +209,12 @@
     void discardEvents(std::uint32_t index);
     /// Adds an event to a running item. Returns false if its id does not follow that of the previous event.
     bool addEvent(std::uint32_t index, std::optional<std::uint64_t> id, std::string data);
-    void finishRun(std::uint32_t index, run_outcome outcome, steady_time now);
-    /// Abandons all waiting items, because the job has expired or no route matches it any more.
-    void abandonWaiting(steady_time now);
-    /// Abandons all waiting items if the job has expired.
-    void expire(steady_time now);
+    /// Ends a run. An item that has failed `maxAttempts` times is abandoned.
+    void finishRun(std::uint32_t index, run_outcome outcome, unsigned maxAttempts, steady_time now);
+    /// Abandons an item that waits or was returned by next().
+    void abandon(std::uint32_t index, steady_time now);
+    /// Abandons waiting items that have expired. Returns when to call this again.
+    steady_time expire(const std::function<steady_time(std::uint32_t)>& expiryOf, steady_time now);
 
     /// Number of results not committed yet; uncommittedSince() is the time of the oldest one.
     std::size_t uncommitted() const { return m_uncommitted.size(); }
@@ -236,7 +241,6 @@
     std::deque<std::uint32_t>::const_iterator mostAdvancedItem() const;
 
     bulk_record m_record;
-    bulk_limits m_limits;
     steady_time m_due;
     std::vector<item_state> m_items;
     std::deque<std::uint32_t> m_waiting;
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -12,6 +12,9 @@
 constexpr milliseconds maxRetryDelay { 2000 };
 constexpr unsigned maxRetryDelayDoublings = 5;
 
+/// An item that has expired while it runs is checked again after this time.
+constexpr milliseconds expiryCheckInterval { 1000 };
+
 /// Keeps an encoded group below the size limit of a value in the store.
 constexpr std::size_t maxGroupBytes = 400u << 10;
 
@@ -28,9 +31,8 @@
 
 } // namespace
 
-bulk_job::bulk_job(bulk_record record, bulk_limits limits, steady_time due)
+bulk_job::bulk_job(bulk_record record, steady_time due)
     : m_record(std::move(record))
-    , m_limits(limits)
     , m_due(due)
     , m_items(m_record.items.size())
     , m_waiting(m_record.items.size())
@@ -128,7 +130,7 @@
     return true;
 }
 
-void bulk_job::finishRun(std::uint32_t index, run_outcome outcome, steady_time now)
+void bulk_job::finishRun(std::uint32_t index, run_outcome outcome, unsigned maxAttempts, steady_time now)
 {
     auto& item = m_items[index];
     if (item.running)
@@ -142,7 +144,7 @@
     case run_outcome::rejected:
         return finishItem(index, false, now);
     case run_outcome::failed:
-        if (++item.failures >= m_limits.maxAttempts)
+        if (++item.failures >= maxAttempts)
             return finishItem(index, false, now);
         break;
     case run_outcome::interrupted:
@@ -162,16 +164,32 @@
     item.events.clear();
 }
 
-void bulk_job::abandonWaiting(steady_time now)
+void bulk_job::abandon(std::uint32_t index, steady_time now)
 {
-    for (const auto index : std::exchange(m_waiting, {}))
+    auto& item = m_items[index];
+    std::erase(m_waiting, index);
+    if (item.running)
+        --m_running;
+    item.running = false;
+    if (!item.hasResult)
         finishItem(index, false, now);
 }
 
-void bulk_job::expire(steady_time now)
+steady_time bulk_job::expire(const std::function<steady_time(std::uint32_t)>& expiryOf, steady_time now)
 {
-    if (now >= m_limits.expiry)
-        abandonWaiting(now);
+    auto next = steady_time::max();
+    for (std::uint32_t index = 0; index < m_items.size(); ++index) {
+        if (m_items[index].hasResult)
+            continue;
+        const auto expiry = expiryOf(index);
+        if (now < expiry)
+            next = std::min(next, expiry);
+        else if (m_items[index].running)
+            next = std::min(next, now + expiryCheckInterval);
+        else
+            abandon(index, now);
+    }
+    return next;
 }
 
 const bulk_result_group& bulk_job::nextGroup(std::string_view token)
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -56,6 +56,9 @@
     record.customer = document.value("customer", "");
     record.host = document.at("host").get<std::string>();
     record.acceptedMs = document.at("accepted_ms").get<std::int64_t>();
+    record.path = document.value("path", "");
+    if (const auto window = document.find("completion_ms"); window != document.end())
+        record.completionWindow = milliseconds { window->get<std::int64_t>() };
     for (const auto& item : document.at("items"))
         record.items.push_back({ item.at("id").get<std::string>(), item.at("path").get<std::string>(),
             item.at("headers").get<std::vector<std::pair<std::string, std::string>>>(),
@@ -111,6 +114,11 @@
     return digits + (':' + std::string(id));
 }
 
+const std::string& submissionPath(const bulk_record& record)
+{
+    return record.path.empty() && !record.items.empty() ? record.items.front().path : record.path;
+}
+
 std::uint64_t tokensOf(const bulk_record& record)
 {
     return std::accumulate(record.items.begin(), record.items.end(), std::uint64_t { 0 },
@@ -123,8 +131,11 @@
     for (const auto& item : record.items)
         items.push_back({ { "id", item.id }, { "path", item.path }, { "headers", item.headers },
             { "body", bytesOf(item.body) }, { "tokens", item.tokens } });
-    return pack({ { "id", record.id }, { "customer", record.customer }, { "host", record.host },
-        { "accepted_ms", record.acceptedMs }, { "items", std::move(items) } });
+    json document { { "id", record.id }, { "customer", record.customer }, { "host", record.host },
+        { "path", record.path }, { "accepted_ms", record.acceptedMs }, { "items", std::move(items) } };
+    if (record.completionWindow)
+        document["completion_ms"] = record.completionWindow->count();
+    return pack(document);
 }
 
 result<bulk_record> decodeBulkRecord(std::string_view bytes)
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -24,9 +24,16 @@
     return made;
 }
 
-bulk_job job(unsigned items, unsigned attempts = 2)
+constexpr unsigned maxAttempts = 2;
+
+bulk_job job(unsigned items)
 {
-    return { record(items), { attempts, at(60000) }, at(18000) };
+    return { record(items), at(18000) };
+}
+
+void finish(bulk_job& held, std::uint32_t index, run_outcome outcome, int ms)
+{
+    held.finishRun(index, outcome, maxAttempts, at(ms));
 }
 
 } // namespace
@@ -58,12 +65,12 @@
     CHECK(held.addEvent(0, 1, "a"));
     CHECK(held.addEvent(0, 2, "b"));
     CHECK(!held.addEvent(0, 4, "d"));
-    held.finishRun(0, run_outcome::interrupted, at(1));
+    finish(held, 0, run_outcome::interrupted, 1);
     const auto again = held.next();
     REQUIRE(again);
     CHECK(again->lastEvent == 2);
     CHECK(held.addEvent(0, 3, "c"));
-    held.finishRun(0, run_outcome::completed, at(2));
+    finish(held, 0, run_outcome::completed, 2);
     CHECK(held.uncommitted() == 1);
     CHECK(held.uncommittedSince() == at(2));
     const auto group = held.nextGroup("t");
@@ -82,7 +89,7 @@
     held.setVersion(0, "v1");
     CHECK(held.addEvent(0, 1, "a"));
     held.setVersion(0, "v2");
-    held.finishRun(0, run_outcome::interrupted, at(1));
+    finish(held, 0, run_outcome::interrupted, 1);
     const auto saved = decodeItemProgress(encodeItemProgress(held.progress()));
     REQUIRE(saved);
     CHECK(saved.value() == held.progress());
@@ -100,18 +107,18 @@
 
 TEST_CASE("only failures and rejections lead to an item being abandoned")
 {
-    auto held = job(2, 2);
+    auto held = job(2);
     for (int i = 0; i < 20; ++i) {
         REQUIRE(held.next());
-        held.finishRun(i % 2 == 0 ? 0u : 1u, run_outcome::interrupted, at(i));
+        finish(held, i % 2 == 0 ? 0u : 1u, run_outcome::interrupted, i);
     }
     CHECK(held.uncommitted() == 0);
     const auto first = held.next()->index;
-    held.finishRun(first, run_outcome::failed, at(30));
+    finish(held, first, run_outcome::failed, 30);
     CHECK(held.uncommitted() == 0);
-    held.finishRun(held.next()->index, run_outcome::rejected, at(31));
+    finish(held, held.next()->index, run_outcome::rejected, 31);
     CHECK(held.uncommitted() == 1);
-    held.finishRun(held.next()->index, run_outcome::failed, at(32));
+    finish(held, held.next()->index, run_outcome::failed, 32);
     CHECK(held.uncommitted() == 2);
     CHECK(!held.next());
 }
@@ -122,9 +129,9 @@
 TEST_CASE("a commit stays the same until its outcome is known")
 {
     auto held = job(3);
-    held.finishRun(held.next()->index, run_outcome::completed, at(1));
+    finish(held, held.next()->index, run_outcome::completed, 1);
     const auto first = held.nextGroup("a");
-    held.finishRun(held.next()->index, run_outcome::completed, at(2));
+    finish(held, held.next()->index, run_outcome::completed, 2);
     CHECK(held.nextGroup("b").token == "a");
     CHECK(held.nextGroup("b").results.size() == 1);
     held.addCommitted(first);
@@ -139,28 +146,45 @@
     auto held = job(2);
     held.next();
     held.next();
-    held.finishRun(0, run_outcome::completed, at(1));
+    finish(held, 0, run_outcome::completed, 1);
     held.addCommitted({ "other", { { 0, true, "theirs" } } });
     CHECK(held.uncommitted() == 0);
-    held.finishRun(1, run_outcome::completed, at(2));
+    finish(held, 1, run_outcome::completed, 2);
     held.addCommitted(held.nextGroup("mine"));
     CHECK(held.complete());
     CHECK(held.committedResults()[0].text == "theirs");
     // A run that finishes after its item was committed has no effect.
-    held.finishRun(0, run_outcome::completed, at(3));
+    finish(held, 0, run_outcome::completed, 3);
     CHECK(held.uncommitted() == 0);
 }
 
-TEST_CASE("waiting items are abandoned once the job has expired, and not before")
+TEST_CASE("waiting items are abandoned once they have expired, and not before")
 {
-    auto held = job(2);
+    auto held = job(3);
+    const auto expiry = [](std::uint32_t index) { return index == 2 ? at(90000) : at(60000); };
     held.next();
-    held.expire(at(59999));
+    CHECK(held.expire(expiry, at(59999)) == at(60000));
     CHECK(held.uncommitted() == 0);
-    held.expire(at(60000));
+    CHECK(held.expire(expiry, at(60000)) <= at(61000));
     CHECK(held.uncommitted() == 1);
-    held.finishRun(0, run_outcome::interrupted, at(60001));
-    held.expire(at(60002));
+    finish(held, 0, run_outcome::interrupted, 60001);
+    CHECK(held.expire(expiry, at(60002)) == at(90000));
+    CHECK(held.uncommitted() == 2);
+    CHECK(held.expire(expiry, at(90000)) == steady_time::max());
+    CHECK(held.uncommitted() == 3);
+}
+
+TEST_CASE("abandoning an item leaves the others of its job")
+{
+    auto held = job(3);
+    const auto taken = held.next()->index;
+    held.abandon(taken, at(1));
+    CHECK(held.running() == 0);
+    held.abandon(2, at(2));
+    CHECK(held.uncommitted() == 2);
+    CHECK(held.waiting() == 1);
+    // A run that ends after its item was abandoned has no effect.
+    finish(held, taken, run_outcome::completed, 3);
     CHECK(held.uncommitted() == 2);
 }
 
@@ -176,7 +200,7 @@
     CHECK(retryDelayAfterAborts(1000) == milliseconds { 2000 });
     auto held = job(1);
     held.next();
-    held.finishRun(0, run_outcome::aborted, at(1));
+    finish(held, 0, run_outcome::aborted, 1);
     CHECK(held.waiting() == 1);
 }
 
@@ -227,6 +251,20 @@
     }
 }
 
+// Guards against records of earlier releases that cannot be read, or whose jobs have no route.
+TEST_CASE("a record without the path of its submission follows its first item")
+{
+    bulk_record record { "7c41", "h", 1, { { "e1", "/p/1", {}, "", 1 } }, "" };
+    auto read = decodeBulkRecord(encodeRecord(record)).value();
+    CHECK(submissionPath(read) == "/p/1");
+    CHECK(!read.completionWindow);
+    record.path = "/q/7c41";
+    record.completionWindow = milliseconds { 18000 };
+    read = decodeBulkRecord(encodeRecord(record)).value();
+    CHECK(submissionPath(read) == "/q/7c41");
+    CHECK(read.completionWindow == milliseconds { 18000 });
+}
+
 // Guards against a takeover that loses the customer, so that items reach targets without its name. Records
 // written before jobs had customers must remain readable.
 TEST_CASE("the customer is stored with a job")
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -80,8 +80,8 @@
 
 fleet_watch::listeners bulk_process::listeners()
 {
-    return { [] {}, [this](auto changes) { targetsChanged(changes); }, [this] { nodesChanged(); },
-        [this] { m_retirement.ordersChanged(m_fleet.operatorKeys()); } };
+    return { [this] { configurationChanged(); }, [this](auto changes) { targetsChanged(changes); },
+        [this] { nodesChanged(); }, [this] { m_retirement.ordersChanged(m_fleet.operatorKeys()); } };
 }
 
 void bulk_process::targetsChanged(std::span<const target_change> changes)
@@ -100,9 +100,10 @@
 void bulk_process::tick()
 {
     const auto time = now();
+    const auto table = m_fleet.configuration();
     for (auto& [id, held] : m_jobs) {
-        if (held.openRevision != 0)
-            held.job->expire(time);
+        if (held.openRevision != 0 && table)
+            expireItems(held, *table, time);
         notifyReaders(held);
     }
     commitDue();
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -85,6 +85,10 @@
             m_services.slots.release(slot, { grant_outcome::unused });
             return end(run_outcome::interrupted, "a part of the prompt is suspected of crashing targets");
         }
+        if (!m_events.maySend()) {
+            m_services.slots.release(slot, { grant_outcome::unused });
+            return end(run_outcome::interrupted, "the item's route no longer leads to the service");
+        }
         m_slot = std::move(slot);
         m_target = m_slot->target;
         m_address = m_slot->address;
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -67,6 +67,8 @@
         return caller->send({ accepted, {}, "" });
     if (refuseIfStoreUnavailable(*caller))
         return;
+    if (const auto* submission = routeOfSubmission(*m_fleet.configuration(), record.value()))
+        record.value().completionWindow = submission->completionWindow;
     const auto limit = limitFor(record.value());
     m_admission.create(record.value(), limit,
         [this, limit, caller, record = record.value(), id](result<bulk_job_store::creation> created) {
@@ -95,13 +97,13 @@
 token_limit bulk_process::limitFor(const bulk_record& record) const
 {
     const auto table = m_fleet.configuration();
-    const auto* matchedRoute = table->match(record.host, record.items.front().path);
-    if (!matchedRoute)
+    const auto* submission = routeOfSubmission(*table, record);
+    if (!submission)
         return {};
     const auto* customer = table->customers.byName(record.customer);
     const bool ownLimit = customer && customer->maxPendingTokens > 0;
-    return { customerScopedId(record.customer, matchedRoute->name),
-        ownLimit ? customer->maxPendingTokens : matchedRoute->maxPendingTokens };
+    return { customerScopedId(record.customer, submission->name),
+        ownLimit ? customer->maxPendingTokens : submission->maxPendingTokens };
 }
 
 bool bulk_process::isCurrent(const held_job& held) const
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -1,6 +1,7 @@
 #include "process.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace yuccachute {
 
@@ -13,8 +14,6 @@
 /// a peak of live load ends. If all items requested slots, 1,000 of them would send 12,000 requests per
 /// second at such a peak, and the dispatchers would answer them instead of live requests.
 constexpr std::size_t maxRunsWithoutSlot = 24;
-/// Expiry of items whose route does not configure one.
-constexpr std::chrono::hours defaultExpiry { 24 };
 /// Delay before each run of an item that is suspected of terminating targets. The item was accepted, so it
 /// cannot be refused like a live request, nor be abandoned before it expires. A few more terminated targets
 /// until then are accepted, so that a wrongly suspected item is only delayed.
@@ -27,27 +26,29 @@
 
 } // namespace
 
-bulk_limits bulk_process::limitsOf(const bulk_record& record, milliseconds age) const
+void bulk_process::configurationChanged()
 {
-    bulk_limits limits;
-    limits.expiry = now() + defaultExpiry;
     const auto table = m_fleet.configuration();
-    const auto* matchedRoute
-        = table && !record.items.empty() ? table->match(record.host, record.items.front().path) : nullptr;
-    if (!matchedRoute)
-        return limits;
-    limits.maxAttempts = std::max(1u, matchedRoute->maxAttempts);
-    if (matchedRoute->expiry.count() > 0)
-        limits.expiry = now() + matchedRoute->expiry - age;
-    return limits;
+    for (auto& [id, held] : m_jobs)
+        applyConfiguration(held, table.get());
 }
 
-steady_time bulk_process::dueOf(const bulk_record& record, milliseconds age) const
+void bulk_process::applyConfiguration(held_job& held, const routing_table* table) const
 {
-    const auto table = m_fleet.configuration();
-    const auto* matchedRoute
-        = table && !record.items.empty() ? table->match(record.host, record.items.front().path) : nullptr;
-    return now() + (matchedRoute ? matchedRoute->completionWindow : milliseconds { 0 }) - age;
+    held.job->setDue(held.acceptedAt + completionWindowOf(table, held.job->record()));
+    if (!table)
+        return;
+    held.nextExpiryCheck = held.acceptedAt + shortestExpiry(*table);
+}
+
+void bulk_process::expireItems(held_job& held, const routing_table& table, steady_time time) const
+{
+    if (time < held.nextExpiryCheck)
+        return;
+    const auto& record = held.job->record();
+    held.nextExpiryCheck = held.job->expire(
+        [&](std::uint32_t index) { return held.acceptedAt + limitsOfItem(table, record, index).expiry; },
+        time);
 }
 
 held_job bulk_process::makeHeldJob(bulk_job_store::stored_job stored)
@@ -60,9 +61,8 @@
     held.claim = stored.claim;
     held.cancelled = stored.cancelled;
     held.acceptedAt = now() - age;
-    const auto limits = limitsOf(stored.record, age);
-    const auto due = dueOf(stored.record, age);
-    held.job = std::make_unique<bulk_job>(std::move(stored.record), limits, due);
+    held.job = std::make_unique<bulk_job>(std::move(stored.record), held.acceptedAt);
+    applyConfiguration(held, m_fleet.configuration().get());
     for (const auto& group : stored.groups)
         held.job->addCommitted(group);
     held.job->restore(std::move(stored.progress));
@@ -138,8 +138,8 @@
             order.push_back(&held);
     }
     std::sort(order.begin(), order.end(), [this, time = now()](const auto* left, const auto* right) {
-        const bool leftWillMiss = willMissDeadline(*left->job, time);
-        if (leftWillMiss != willMissDeadline(*right->job, time))
+        const bool leftWillMiss = willMissDeadline(*left->job, left->job->nextItemEvents(), time);
+        if (leftWillMiss != willMissDeadline(*right->job, right->job->nextItemEvents(), time))
             return !leftWillMiss;
         return left->job->due() < right->job->due();
     });
@@ -153,9 +153,9 @@
     }
 }
 
-bool bulk_process::willMissDeadline(const bulk_job& job, steady_time time) const
+bool bulk_process::willMissDeadline(const bulk_job& job, std::size_t produced, steady_time time) const
 {
-    const double left = m_meanRunMs - static_cast<double>(job.nextItemEvents()) * m_meanEventMs;
+    const double left = m_meanRunMs - static_cast<double>(produced) * m_meanEventMs;
     return job.due() < time + milliseconds { static_cast<std::int64_t>(std::max(0.0, left)) };
 }
 
@@ -169,65 +169,99 @@
     m_meanEventMs = keep * m_meanEventMs + (1 - keep) * took / static_cast<double>(run.events);
 }
 
-bool bulk_process::startItem(held_job& held, const routing_table& table)
+std::optional<bulk_process::routed_item> bulk_process::nextItem(
+    held_job& held, const routing_table& table) const
 {
     auto& job = *held.job;
-    if (job.waiting() == 0)
-        return false;
     const auto& record = job.record();
-    const auto* matchedRoute = table.match(record.host, record.items.front().path);
-    if (!matchedRoute) {
-        logEvent(log_level::warning, "no route matches the job; abandoning its waiting items",
-            { { "job", record.id }, { "config", table.version } });
-        job.abandonWaiting(now());
-        return false;
-    }
-    const bool late = willMissDeadline(job, now());
-    auto produced = job.nextItemEvents();
-    auto next = job.next();
-    const auto& item = record.items[next->index];
-    const auto& service = matchedRoute->pickService(std::hash<std::string> {}(item.id));
-    if (next->lastEvent && !canResume(held, *next, service)) {
-        logEvent(log_level::info, "item begins anew: no target of its software version",
-            { { "job", record.id }, { "item", item.id }, { "version", next->version.value_or("unknown") },
-                { "events", static_cast<std::int64_t>(produced) } });
-        m_metrics.count("yuccachute_items_begun_anew_total", "reason", "version");
-        job.discardEvents(next->index);
-        held.versionOutages.erase(next->index);
-        next->lastEvent.reset();
-        produced = 0;
+    while (auto start = job.next()) {
+        if (const auto* itemRoute = routeOfItem(table, record, start->index))
+            return routed_item { std::move(*start), itemRoute };
+        logEvent(log_level::warning, "no route matches the item; abandoning it",
+            { { "job", record.id }, { "item", record.items[start->index].id },
+                { "path", record.items[start->index].path }, { "config", table.version } });
+        job.abandon(start->index, now());
     }
+    return std::nullopt;
+}
+
+std::size_t bulk_process::resumeOrDiscard(held_job& held, bulk_item_start& start, std::string_view service)
+{
+    auto& job = *held.job;
+    const auto produced = job.eventsOf(start.index);
+    if (!start.lastEvent || canResume(held, start, service))
+        return produced;
+    const auto& record = job.record();
+    logEvent(log_level::info, "item begins anew: no target of its software version",
+        { { "job", record.id }, { "item", record.items[start.index].id },
+            { "version", start.version.value_or("unknown") },
+            { "events", static_cast<std::int64_t>(produced) } });
+    m_metrics.count("yuccachute_items_begun_anew_total", "reason", "version");
+    job.discardEvents(start.index);
+    held.versionOutages.erase(start.index);
+    start.lastEvent.reset();
+    return 0;
+}
+
+bool bulk_process::startItem(held_job& held, const routing_table& table)
+{
+    auto found = nextItem(held, table);
+    if (!found)
+        return false;
+    auto& start = found->start;
+    const auto& itemRoute = *found->itemRoute;
+    const auto& job = *held.job;
+    const auto& record = job.record();
+    const auto& item = record.items[start.index];
+    const run_placement placement { itemRoute.name, itemRoute.pickService(std::hash<std::string> {}(item.id)),
+        table.version };
+    const bool late = willMissDeadline(job, job.eventsOf(start.index), now());
+    const auto produced = resumeOrDiscard(held, start, placement.service);
     item_run_request request;
     request.itemId = item.id;
     request.request = m_adapter.jobs.itemRequest(record, item);
-    request.customer = record.customer.empty() ? matchedRoute->name : record.customer;
+    request.customer = record.customer.empty() ? itemRoute.name : record.customer;
     if (auto facts = m_adapter.callers.describe(request.request))
         request.promptParts = std::move(facts.value().promptParts);
-    if (deferSuspectedItem(held, next->index, request))
+    if (deferSuspectedItem(held, start.index, request))
         return true;
-    request.service = service;
+    request.service = placement.service;
     request.cost = static_cast<double>(item.tokens);
     // Dispatchers treat an item that will miss its due time as overdue.
     request.due = late ? now() : job.due();
     // An item without a due time cannot be late, and dispatchers decide without its length.
-    if (matchedRoute->completionWindow.count() > 0)
-        request.remainingEvents = m_itemLengths.remaining(matchedRoute->name, produced);
+    if (completionWindowOf(&table, record).count() > 0)
+        request.remainingEvents = m_itemLengths.remaining(itemRoute.name, produced);
     request.producedEvents = static_cast<std::uint32_t>(produced);
     request.expiry = now() + defaultRunTime;
-    request.lastEvent = next->lastEvent;
-    request.version = next->version;
-    const auto aborts = held.consecutiveAborts.find(next->index);
+    request.lastEvent = start.lastEvent;
+    request.version = start.version;
+    const auto aborts = held.consecutiveAborts.find(start.index);
     request.chargeTarget
         = aborts == held.consecutiveAborts.end() || aborts->second < maxAbortsChargedToTarget;
+    held.runs[start.index]
+        = runItem(m_itemRunServices, std::move(request), eventsOfRun(record.id, start, placement, produced));
+    return true;
+}
+
+item_run_events bulk_process::eventsOfRun(
+    const std::string& id, const bulk_item_start& start, const run_placement& placement, std::size_t produced)
+{
+    const auto index = start.index;
+    const auto statistics = std::make_shared<run_statistics>();
     item_run_events events;
+    events.maySend = [this, id, index, service = placement.service] {
+        const auto found = m_jobs.find(id);
+        const auto table = m_fleet.configuration();
+        if (found == m_jobs.end() || !table)
+            return false;
+        const auto* itemRoute = routeOfItem(*table, found->second.job->record(), index);
+        return itemRoute && itemRoute->leadsTo(service);
+    };
     events.slotGranted = [this] {
         m_lastSlotGranted = now();
         startRuns();
     };
-    const auto id = record.id;
-    const auto index = next->index;
-    const auto statistics = std::make_shared<run_statistics>();
-    const run_placement placement { matchedRoute->name, service, table.version };
     events.event = [this, id, index, statistics](std::optional<std::uint64_t> event, std::string data) {
         if (statistics->events++ == 0)
             statistics->firstEventAt = now();
@@ -240,7 +274,7 @@
         }
         return found != m_jobs.end() && found->second.job->addEvent(index, event, std::move(data));
     };
-    events.finished = [this, id, index, statistics, fresh = !next->lastEvent, produced, placement](
+    events.finished = [this, id, index, statistics, fresh = !start.lastEvent, produced, placement](
                           run_outcome outcome, std::string_view reason) {
         if (outcome == run_outcome::completed)
             m_itemLengths.record(placement.route, produced + statistics->events);
@@ -248,8 +282,7 @@
             updateMeanDurations(*statistics);
         runFinished(id, index, placement, outcome, reason);
     };
-    held.runs[index] = runItem(m_itemRunServices, std::move(request), std::move(events));
-    return true;
+    return events;
 }
 
 bool bulk_process::canResume(
@@ -333,7 +366,7 @@
     if (found == m_jobs.end())
         return;
     if (delay.count() == 0)
-        return found->second.job->finishRun(index, outcome, now());
+        return finishRun(found->second, index, outcome);
     auto& timer = found->second.requeueTimers.try_emplace(index, m_loop).first->second;
     timer.arm(delay, [this, id, index, outcome] {
         requeueItem(id, index, outcome, milliseconds { 0 });
@@ -341,6 +374,14 @@
     });
 }
 
+void bulk_process::finishRun(held_job& held, std::uint32_t index, run_outcome outcome) const
+{
+    const auto table = m_fleet.configuration();
+    const auto maxAttempts = table ? limitsOfItem(*table, held.job->record(), index).maxAttempts
+                                   : std::numeric_limits<unsigned>::max();
+    held.job->finishRun(index, outcome, maxAttempts, now());
+}
+
 void bulk_process::runFinished(const std::string& id, std::uint32_t index, const run_placement& placement,
     run_outcome outcome, std::string_view reason)
 {
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -3,6 +3,7 @@
 #include "bulk_process/bulk_process.h"
 
 #include "item_lengths.h"
+#include "item_routing.h"
 #include "item_run.h"
 #include "job_admission.h"
 #include "logging/logging.h"
@@ -53,6 +54,8 @@
     std::set<std::uint32_t> suspectDelayPassed;
     std::vector<waiting_reader> readers;
     steady_time nextCommitAt;
+    /// When an item may have expired; never before a configuration is known.
+    steady_time nextExpiryCheck = steady_time::max();
     std::size_t eventsSaved = 0; ///< Number of events covered by the last save of progress.
     steady_time acceptedAt;
     bool committing = false;
@@ -119,8 +122,10 @@
     void serve(std::shared_ptr<http_exchange> caller, const cancel_job_call& call);
 
     // --- Held jobs
-    bulk_limits limitsOf(const bulk_record& record, milliseconds age) const;
-    steady_time dueOf(const bulk_record& record, milliseconds age) const;
+    void configurationChanged();
+    /// `table` is null until a configuration is known.
+    void applyConfiguration(held_job& held, const routing_table* table) const;
+    void expireItems(held_job& held, const routing_table& table, steady_time time) const;
     held_job makeHeldJob(bulk_job_store::stored_job stored);
     void addHeldJob(bulk_job_store::stored_job stored);
     void dropHeldJob(job_map::iterator job);
@@ -133,14 +138,27 @@
     /// Starts runs of waiting items, ordered by due time. Jobs that can only be late come last: with
     /// earliest-due-first alone, an overload would make all jobs slightly late.
     void startRuns();
-    /// Returns whether the job's next item can only finish after the due time, judged by recent run
-    /// durations.
-    bool willMissDeadline(const bulk_job& job, steady_time time) const;
+    /// Returns whether an item of the job that has produced so many events can only finish after the due
+    /// time, judged by recent run durations.
+    bool willMissDeadline(const bulk_job& job, std::size_t produced, steady_time time) const;
     /// Updates the mean duration of runs and the mean time per event with an uninterrupted run.
     void updateMeanDurations(const run_statistics& run);
     bool startItem(held_job& held, const routing_table& table);
+    /// An item to run, and the route of its path.
+    struct routed_item {
+        bulk_item_start start;
+        const route* itemRoute = nullptr;
+    };
+    /// Takes the next waiting item that has a route, and abandons those before it.
+    std::optional<routed_item> nextItem(held_job& held, const routing_table& table) const;
+    /// Discards the events of an item that cannot be resumed at this service. Returns the number of events
+    /// that it keeps.
+    std::size_t resumeOrDiscard(held_job& held, bulk_item_start& start, std::string_view service);
+    item_run_events eventsOfRun(const std::string& id, const bulk_item_start& start,
+        const run_placement& placement, std::size_t produced);
     /// Whether a target could resume events that were made by this software version.
     bool canResume(const held_job& held, const bulk_item_start& start, std::string_view service) const;
+    void finishRun(held_job& held, std::uint32_t index, run_outcome outcome) const;
     void recordVersionOutage(held_job& held, std::uint32_t index) const;
     /// Delays an item that is suspected of terminating targets. Returns false if the item may run now.
     bool deferSuspectedItem(held_job& held, std::uint32_t index, item_run_request& request);
--- a/libs/bulk_process/tests/test_bulk_job_store.cpp
+++ b/libs/bulk_process/tests/test_bulk_job_store.cpp
@@ -226,7 +226,7 @@
 {
     fixture f;
     const auto revision = f.create("a").value().openRevision;
-    bulk_job job(record("a"), {}, {});
+    bulk_job job(record("a"), {});
     const auto started = job.next();
     for (std::uint64_t id = 0; id < 3; ++id)
         REQUIRE(job.addEvent(started->index, id, "e" + std::to_string(id)));
@@ -238,7 +238,7 @@
     const auto taken = f.takeOver(f.other, f.open().jobs.at(0));
     auto stored = f.load("a").value();
     REQUIRE(stored.progress.size() == 1);
-    bulk_job again(stored.record, {}, {});
+    bulk_job again(stored.record, {});
     again.restore(stored.progress);
     const auto next = again.next();
     CHECK(next->index == started->index);
@@ -258,7 +258,7 @@
 
 TEST_CASE("saved progress of an item that already has a result is ignored")
 {
-    bulk_job job(record("a"), {}, {});
+    bulk_job job(record("a"), {});
     job.addCommitted(first);
     job.restore({ { 0, 5, { "x" } }, { 1, 7, { "y", "z" } }, { 9, 1, { "w" } } });
     const auto next = job.next();
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -119,9 +119,7 @@
         if (!found)
             return refuseOrFail(found.error());
         m_origin = std::move(found.value());
-        const bool routed = std::any_of(m_route.shares.begin(), m_route.shares.end(),
-            [&](const auto& share) { return share.service == m_origin->service; });
-        if (!routed)
+        if (!m_route.leadsTo(m_origin->service))
             return refuseOrFail(notRun(
                 failure_kind::unavailable, "the route no longer leads to the service that began the stream"));
         acquireSlot();
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -56,6 +56,8 @@
     }
     /// Selects the service for a request by weight. The same number always selects the same service.
     const std::string& pickService(std::uint64_t number) const;
+    /// Whether the service is one of those among which the requests are split.
+    bool leadsTo(std::string_view service) const;
 };
 
 struct service_description {
--- a/libs/routing/src/routing_table.cpp
+++ b/libs/routing/src/routing_table.cpp
@@ -33,6 +33,12 @@
     return shares.front().service;
 }
 
+bool route::leadsTo(std::string_view service) const
+{
+    return std::any_of(
+        shares.begin(), shares.end(), [&](const auto& share) { return share.service == service; });
+}
+
 const route* routing_table::match(std::string_view host, std::string_view path) const
 {
     const route* best = nullptr;
--- /dev/null
+++ b/tests/failures_routes.cpp
@@ -0,0 +1,228 @@
+#include "platform_system.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <set>
+#include <thread>
+
+using namespace yuccachute;
+using namespace yuccachute::testing;
+using nlohmann::json;
+
+namespace {
+
+const std::string firstService = "llm";
+const std::string otherService = "other";
+const std::string serviceWithoutTargets = "empty";
+/// Longest time from the acknowledgement of a configuration until it is in force.
+constexpr milliseconds configurationDelay { 2000 };
+
+struct batch_route {
+    std::string prefix;
+    std::string service = firstService;
+    unsigned maxAttempts = 3;
+    int expirySeconds = 60;
+};
+
+std::string configuration(const std::vector<batch_route>& routes)
+{
+    auto list = json::array();
+    for (const auto& route : routes)
+        list.push_back(
+            { { "name", "r" + route.prefix }, { "host", "test.example" }, { "prefix", route.prefix },
+                { "kind", "batch" }, { "timeout_ms", 15000 }, { "target_latency_ms", 500 }, { "priority", 2 },
+                { "service", route.service }, { "max_attempts", route.maxAttempts },
+                { "result_due_ms", 18000 }, { "expiry_s", route.expirySeconds } });
+    auto services = json::array();
+    for (const auto& name : { firstService, otherService, serviceWithoutTargets })
+        services.push_back({ { "name", name }, { "engine", { { "slots", 4 } } } });
+    return json {
+        { "routes", list }, { "services", services },
+        { "limits",
+            { { "max_header_bytes", 16384 }, { "max_body_bytes", 100000 }, { "header_timeout_ms", 3000 },
+                { "idle_timeout_ms", 15000 } } }
+    }.dump();
+}
+
+/// Writes a configuration; returns when it was acknowledged, by the steady clock.
+std::int64_t configure(platform_system& system, const std::vector<batch_route>& routes)
+{
+    system.control("/config", configuration(routes));
+    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+void configureAndWait(platform_system& system, const std::vector<batch_route>& routes)
+{
+    configure(system, routes);
+    std::this_thread::sleep_for(configurationDelay);
+}
+
+/// The second target of each zone serves the other service.
+void startOtherService(platform_system& system)
+{
+    for (const unsigned number : { 1, 3 }) {
+        const auto target = "/server?number=" + std::to_string(number);
+        system.control(target + "&do=unlist");
+        system.control(target + "&do=crash");
+        system.control(target + "&do=start&service=" + otherService);
+    }
+}
+
+std::map<std::string, json> byItem(const json& results)
+{
+    std::map<std::string, json> found;
+    for (const auto& one : results)
+        found[one["id"]] = one;
+    return found;
+}
+
+std::map<std::string, json> listedItems(platform_system& system, const std::string& job)
+{
+    const auto page = system.results("entry-a-1", job);
+    return page ? byItem((*page)["results"]) : std::map<std::string, json>();
+}
+
+void waitForItem(platform_system& system, const std::string& job, const std::string& item)
+{
+    waitUntil(item + " is listed", [&] { return listedItems(system, job).contains(item); });
+}
+
+/// Whether all events of a text come from one service.
+bool fromOneService(const std::string& text)
+{
+    const auto marked = text.find('#') != std::string::npos;
+    for (std::size_t at = 0; at <= text.size();) {
+        const auto end = std::min(text.find('\n', at), text.size());
+        if ((text.substr(at, end - at).find('#') != std::string::npos) != marked)
+            return false;
+        at = end + 1;
+    }
+    return true;
+}
+
+std::size_t eventsIn(const std::string& text)
+{
+    return text.empty() ? 0 : static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n')) + 1;
+}
+
+} // namespace
+
+// Guards against items that run at the service of another item of their job.
+TEST_CASE("each item of a job runs at the service of its own route")
+{
+    platform_system system;
+    startOtherService(system);
+    configureAndWait(system, { { "/jobs/" }, { "/jobs/split/", otherService }, { "/tasks/", otherService } });
+    const std::vector<std::string> paths { "/jobs/split/1", "/jobs/2", "/tasks/3" };
+    const std::vector<std::string> services { otherService, firstService, otherService };
+    for (std::size_t first = 0; first < paths.size(); ++first) {
+        const auto job = "own-" + std::to_string(first);
+        std::vector<std::string> itemPaths;
+        for (std::size_t i = 0; i < 9; ++i)
+            itemPaths.push_back(paths[(first + i) % paths.size()]);
+        REQUIRE(system.submit("entry-a-1", "/jobs/1", job, itemPaths, 10) == 202);
+        for (const auto& [item, listed] : byItem(system.allResults("entry-b-1", job, itemPaths.size())))
+            CHECK(listed["state"] == "done");
+        for (std::size_t i = 0; i < itemPaths.size(); ++i) {
+            for (const auto& run : system.runsOf(job + "-" + std::to_string(i))) {
+                INFO(run.dump());
+                CHECK(run["service"] == services[(first + i) % paths.size()]);
+            }
+        }
+    }
+}
+
+// Guards against items that go on running at the service that their route led to before it moved, also if
+// their job is taken over meanwhile.
+TEST_CASE("items that have not run yet follow their route to another service")
+{
+    platform_system system;
+    startOtherService(system);
+    configureAndWait(system, { { "/jobs/" } });
+    std::vector<std::string> paths;
+    for (int i = 0; i < 96; ++i)
+        paths.push_back(i % 2 == 0 ? "/jobs/split/x" : "/jobs/x");
+    for (const std::string job : { "move-1", "move-2" })
+        REQUIRE(system.submit("entry-a-1", "/jobs/1", job, paths, 100) == 202);
+    std::this_thread::sleep_for(milliseconds { 300 });
+    const auto moved = configure(system, { { "/jobs/" }, { "/jobs/split/", otherService } });
+    system.batches.at("batch-a-1").running->signal(SIGKILL);
+    for (const std::string job : { "move-1", "move-2" }) {
+        for (const auto& [item, listed] : byItem(system.allResults("entry-b-1", job, paths.size()))) {
+            INFO(item);
+            CHECK(listed["state"] == "done");
+            CHECK(eventsIn(listed["text"]) == 100);
+            CHECK(fromOneService(listed["text"]));
+        }
+    }
+    const auto all = system.control("/runs");
+    std::size_t late = 0;
+    for (const auto& run : all["runs"]) {
+        const bool split = run["path"] == "/jobs/split/x";
+        const bool applied = run["reached_ms"].get<std::int64_t>() >= moved + configurationDelay.count();
+        late += applied ? 1 : 0;
+        INFO(run.dump());
+        if (!split)
+            CHECK(run["service"] == firstService);
+        else if (applied)
+            CHECK(run["service"] == otherService);
+    }
+    CHECK(late > 20);
+}
+
+// Guards against items that are given up after the attempts that another item's route allows.
+TEST_CASE("an item is given up after the attempts of its own route")
+{
+    platform_system system;
+    configureAndWait(system, { { "/jobs/", firstService, 5 }, { "/tasks/", firstService, 2 } });
+    system.control("/fail?paths=bad&status=500");
+    REQUIRE(system.submit("entry-a-1", "/jobs/1", "tried-1", { "/tasks/bad", "/jobs/bad" }, 10) == 202);
+    REQUIRE(system.submit("entry-a-1", "/tasks/1", "tried-2", { "/tasks/bad", "/jobs/bad" }, 10) == 202);
+    for (const std::string job : { "tried-1", "tried-2" }) {
+        for (const auto& [item, listed] : byItem(system.allResults("entry-b-1", job, 2)))
+            CHECK(listed["state"] == "dead_letter");
+    }
+    // The attempts of the job's route are at least made as well, within three times those of the item's own.
+    CHECK(system.runsOf("tried-1-0").size() == 5);
+    CHECK(system.runsOf("tried-1-1").size() == 5);
+    CHECK(system.runsOf("tried-2-0").size() == 2);
+    CHECK(system.runsOf("tried-2-1").size() == 5);
+}
+
+// Guards against items that are given up because another item's route has ended, and against items that go
+// on running after the end of their own.
+TEST_CASE("only items whose own route has ended are given up")
+{
+    platform_system system;
+    const batch_route jobs { "/jobs/", serviceWithoutTargets };
+    const batch_route tasks { "/tasks/", serviceWithoutTargets };
+    configureAndWait(system, { jobs, tasks });
+    const std::vector<std::string> paths { "/jobs/1", "/tasks/2" };
+    REQUIRE(system.submit("entry-a-1", "/jobs/1", "first", paths, 10) == 202);
+    REQUIRE(system.submit("entry-a-1", "/tasks/1", "second", { paths[1], paths[0] }, 10) == 202);
+    configureAndWait(system, { tasks });
+    waitForItem(system, "first", "first-0");
+    waitForItem(system, "second", "second-1");
+    CHECK(listedItems(system, "first").size() == 1);
+    CHECK(listedItems(system, "second").size() == 1);
+    configureAndWait(system, { { "/tasks/" } });
+    for (const std::string job : { "first", "second" }) {
+        for (const auto& [item, listed] : byItem(system.allResults("entry-b-1", job, 2))) {
+            INFO(item);
+            const bool ended = item == "first-0" || item == "second-1";
+            CHECK(listed["state"] == (ended ? "dead_letter" : "done"));
+            CHECK(system.runsOf(item).size() == (ended ? 0 : 1));
+        }
+    }
+    REQUIRE(system.submit("entry-a-1", "/tasks/1", "third", std::vector<std::string>(2, "/tasks/1"), 2000)
+        == 202);
+    configureAndWait(system, { { "/other/" } });
+    system.control("/server?number=0&do=crash");
+    system.control("/server?number=1&do=crash");
+    system.control("/server?number=2&do=crash");
+    system.control("/server?number=3&do=crash");
+    for (const auto& [item, listed] : byItem(system.allResults("entry-b-1", "third", 2)))
+        CHECK(listed["state"] == "dead_letter");
+}
--- a/tests/support/platform_system.cpp
+++ b/tests/support/platform_system.cpp
@@ -153,9 +153,9 @@
     waitUntil(name + " is ready", [&] { return ready(name); });
 }
 
-json platform_system::control(const std::string& path)
+json platform_system::control(const std::string& path, const std::string& body)
 {
-    const auto reply = tryControl(path);
+    const auto reply = tryControl(path, body);
     if (!reply)
         throw std::runtime_error(
             "the stand-in of the platform does not answer " + path + ": " + reply.error().message);
@@ -211,10 +211,16 @@
 }
 
 std::string platform_system::submission(const std::string& id, int items, int events)
+{
+    return submission(id, std::vector<std::string>(static_cast<std::size_t>(items), "/jobs/1"), events);
+}
+
+std::string platform_system::submission(
+    const std::string& id, const std::vector<std::string>& paths, int events)
 {
     auto list = json::array();
-    for (int i = 0; i < items; ++i)
-        list.push_back({ { "id", id + "-" + std::to_string(i) }, { "path", "/jobs/1" },
+    for (std::size_t i = 0; i < paths.size(); ++i)
+        list.push_back({ { "id", id + "-" + std::to_string(i) }, { "path", paths[i] },
             { "headers", { { "Yuccachute-Token-Count", "100," + std::to_string(events) } } },
             { "body", base64Of("abc" + std::to_string(100 + i)) }, { "tokens", 100 + events } });
     return json { { "items", list } }.dump();
@@ -227,6 +233,14 @@
     return reply ? reply.value().status : 0;
 }
 
+unsigned platform_system::submit(const std::string& entry, const std::string& path, const std::string& id,
+    const std::vector<std::string>& itemPaths, int events)
+{
+    const auto reply = call(
+        entries.at(entry).callers, "POST", path, requestHeaders(id), submission(id, itemPaths, events));
+    return reply ? reply.value().status : 0;
+}
+
 std::optional<json> platform_system::results(
     const std::string& entry, const std::string& id, std::size_t after)
 {
@@ -285,9 +299,9 @@
     return { std::istreambuf_iterator<char>(file), {} };
 }
 
-result<http_reply> platform_system::tryControl(const std::string& path)
+result<http_reply> platform_system::tryControl(const std::string& path, const std::string& body)
 {
-    return call(m_control, "GET", path, {}, "", controlLimit);
+    return call(m_control, body.empty() ? "GET" : "POST", path, {}, body, controlLimit);
 }
 
 void platform_system::write(const std::string& name, const process& one, bool entry) const
--- a/tests/support/platform_system.h
+++ b/tests/support/platform_system.h
@@ -51,7 +51,7 @@
     void waitReady(const std::string& name);
 
     /// The stand-in's control port: faults, orders, and what the servers have run.
-    nlohmann::json control(const std::string& path);
+    nlohmann::json control(const std::string& path, const std::string& body = "");
     /// Sets the faults of a route of the proxy, as a query string.
     void route(const std::string& name, const std::string& query);
 
@@ -66,8 +66,13 @@
 
     /// The body of a submission of items "ID-0", "ID-1" and so on.
     static std::string submission(const std::string& id, int items, int events);
+    /// The same with a path for each item.
+    static std::string submission(const std::string& id, const std::vector<std::string>& paths, int events);
     /// Submits a job once; the status, or 0 if there was no answer.
     unsigned submit(const std::string& entry, const std::string& id, int items, int events);
+    /// The same under a path of its own and with a path for each item.
+    unsigned submit(const std::string& entry, const std::string& path, const std::string& id,
+        const std::vector<std::string>& itemPaths, int events);
     std::optional<nlohmann::json> results(
         const std::string& entry, const std::string& id, std::size_t after = 0);
     /// Waits for all results; a position that changes or an item that comes twice is an error.
@@ -87,7 +92,7 @@
     std::map<std::string, process> batches;
 
 private:
-    result<http_reply> tryControl(const std::string& path);
+    result<http_reply> tryControl(const std::string& path, const std::string& body = "");
     void startPlatform(const platform_layout& layout);
     void write(const std::string& name, const process& one, bool entry) const;
 
