Begin an item anew when its route has moved to another service

What callers saw: an item that was interrupted after its route had moved went on at the new service after its last event, so that its result was half one service's text and half the other's.

Cause: an item keeps the software version of its events, but not their service, and two services may have targets of equally named versions. Found while looking for what is decided once from the configuration and used later.

Change: progress holds the service beside the version, also in the store. An item resumes only at that service, and stays there as long as its route leads there, so that a new ratio among the services of one route costs no events. Older processes ignore the field; without it the version alone decides, as before.

--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -142,6 +142,8 @@
     std::vector<std::string> events; ///< Data of all events received so far.
     /// Software version of the target that made the events; unset if unknown.
     std::optional<std::string> version;
+    /// Service that made the events; unset if unknown.
+    std::optional<std::string> service;
 
     bool operator==(const item_progress&) const = default;
 };
@@ -166,6 +168,8 @@
     std::optional<std::uint64_t> lastEvent; ///< Last event received; the run resumes after it.
     /// Software version that made the events received, which alone can resume them; unset if unknown.
     std::optional<std::string> version;
+    /// Service that made the events received; unset if unknown.
+    std::optional<std::string> service;
 };
 
 /// Items of a job that this process holds.
@@ -203,8 +207,10 @@
     /// before the first next().
     void restore(std::vector<item_progress> saved);
 
-    /// Sets the software version that makes the events of a running item, unless it has events already.
-    void setVersion(std::uint32_t index, const std::optional<std::string>& version);
+    /// Sets the software version and the service that make the events of a running item, unless it has
+    /// events already.
+    void setOrigin(
+        std::uint32_t index, const std::optional<std::string>& version, const std::string& service);
     /// Discards the events of an item, which begins anew: no target can resume them.
     void discardEvents(std::uint32_t index);
     /// Adds an event to a running item. Returns false if its id does not follow that of the previous event.
@@ -231,6 +237,7 @@
         std::vector<std::string> events;
         std::optional<std::uint64_t> lastEvent;
         std::optional<std::string> version;
+        std::optional<std::string> service;
         unsigned failures = 0;
         bool hasResult = false; ///< Whether the item has a result, committed or not.
         bool running = false;
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -72,7 +72,7 @@
     for (std::uint32_t index = 0; index < m_items.size(); ++index) {
         const auto& item = m_items[index];
         if (!item.hasResult && item.lastEvent)
-            all.push_back({ index, *item.lastEvent, item.events, item.version });
+            all.push_back({ index, *item.lastEvent, item.events, item.version, item.service });
     }
     return all;
 }
@@ -91,6 +91,7 @@
         m_items[one.index].lastEvent = one.lastEvent;
         m_items[one.index].events = std::move(one.events);
         m_items[one.index].version = std::move(one.version);
+        m_items[one.index].service = std::move(one.service);
     }
 }
 
@@ -103,13 +104,18 @@
     m_waiting.erase(chosen);
     m_items[index].running = true;
     ++m_running;
-    return bulk_item_start { index, m_items[index].lastEvent, m_items[index].version };
+    return bulk_item_start { index, m_items[index].lastEvent, m_items[index].version,
+        m_items[index].service };
 }
 
-void bulk_job::setVersion(std::uint32_t index, const std::optional<std::string>& version)
+void bulk_job::setOrigin(
+    std::uint32_t index, const std::optional<std::string>& version, const std::string& service)
 {
-    if (!m_items[index].lastEvent)
-        m_items[index].version = version;
+    auto& item = m_items[index];
+    if (item.lastEvent)
+        return;
+    item.version = version;
+    item.service = service;
 }
 
 void bulk_job::discardEvents(std::uint32_t index)
@@ -118,6 +124,7 @@
     item.events.clear();
     item.lastEvent.reset();
     item.version.reset();
+    item.service.reset();
 }
 
 bool bulk_job::addEvent(std::uint32_t index, std::optional<std::uint64_t> id, std::string data)
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -81,9 +81,11 @@
     std::vector<item_progress> items;
     for (const auto& entry : document.at("items")) {
         item_progress item { entry.at("index").get<std::uint32_t>(), entry.at("last").get<std::uint64_t>(),
-            {}, std::nullopt };
+            {}, std::nullopt, std::nullopt };
         if (const auto version = entry.find("version"); version != entry.end())
             item.version = version->get<std::string>();
+        if (const auto service = entry.find("service"); service != entry.end())
+            item.service = service->get<std::string>();
         for (const auto& event : entry.at("events"))
             item.events.push_back(textOf(event));
         items.push_back(std::move(item));
@@ -167,6 +169,8 @@
         json entry { { "index", item.index }, { "last", item.lastEvent }, { "events", std::move(events) } };
         if (item.version)
             entry["version"] = *item.version;
+        if (item.service)
+            entry["service"] = *item.service;
         list.push_back(std::move(entry));
     }
     return pack({ { "items", std::move(list) } });
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -81,14 +81,15 @@
     CHECK(held.committedResults()[0].text == "a\nb\nc");
 }
 
-// Guards against an item whose text comes from two software versions after its holder has changed.
-TEST_CASE("an item keeps the software version that made its events, and loses it with them")
+// Guards against an item whose text comes from two software versions or services after its holder has
+// changed.
+TEST_CASE("an item keeps the software version and service that made its events, and loses them with them")
 {
     auto held = job(1);
     REQUIRE(held.next());
-    held.setVersion(0, "v1");
+    held.setOrigin(0, "v1", "service");
     CHECK(held.addEvent(0, 1, "a"));
-    held.setVersion(0, "v2");
+    held.setOrigin(0, "v2", "other");
     finish(held, 0, run_outcome::interrupted, 1);
     const auto saved = decodeItemProgress(encodeItemProgress(held.progress()));
     REQUIRE(saved);
@@ -98,10 +99,12 @@
     const auto again = takenOver.next();
     CHECK(again->lastEvent == 1);
     CHECK(again->version == "v1");
+    CHECK(again->service == "service");
     takenOver.discardEvents(0);
-    takenOver.setVersion(0, "v2");
+    takenOver.setOrigin(0, "v2", "other");
     CHECK(takenOver.addEvent(0, 1, "b"));
     CHECK(takenOver.progress()[0].version == "v2");
+    CHECK(takenOver.progress()[0].service == "other");
     CHECK(takenOver.progress()[0].events == std::vector<std::string> { "b" });
 }
 
--- a/libs/bulk_process/src/item_routing.cpp
+++ b/libs/bulk_process/src/item_routing.cpp
@@ -1,6 +1,7 @@
 #include "item_routing.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace yuccachute {
 
@@ -71,4 +72,12 @@
     return submission ? submission->completionWindow : milliseconds { 0 };
 }
 
+const std::string& serviceOfItem(
+    const route& itemRoute, const bulk_item& item, const std::optional<std::string>& origin)
+{
+    if (origin && itemRoute.leadsTo(*origin))
+        return *origin;
+    return itemRoute.pickService(std::hash<std::string> {}(item.id));
+}
+
 } // namespace yuccachute
--- a/libs/bulk_process/src/item_routing.h
+++ b/libs/bulk_process/src/item_routing.h
@@ -31,4 +31,9 @@
 /// Time from the acceptance of a job to its last result; 0 if there is no due time, or it is unknown.
 milliseconds completionWindowOf(const routing_table* table, const bulk_record& record);
 
+/// The service at which an item is to run: the one that made its events as long as its route leads there, so
+/// that they are not lost when the route is split among services in another ratio.
+const std::string& serviceOfItem(
+    const route& itemRoute, const bulk_item& item, const std::optional<std::string>& origin);
+
 } // namespace yuccachute
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -189,14 +189,19 @@
 {
     auto& job = *held.job;
     const auto produced = job.eventsOf(start.index);
-    if (!start.lastEvent || canResume(held, start, service))
+    if (!start.lastEvent)
+        return produced;
+    const bool moved = start.service && *start.service != service;
+    if (!moved && canResume(held, start, service))
         return produced;
     const auto& record = job.record();
-    logEvent(log_level::info, "item begins anew: no target of its software version",
+    logEvent(log_level::info,
+        moved ? "item begins anew: its route has moved to another service"
+              : "item begins anew: no target of its software version",
         { { "job", record.id }, { "item", record.items[start.index].id },
-            { "version", start.version.value_or("unknown") },
+            { "version", start.version.value_or("unknown") }, { "service", service },
             { "events", static_cast<std::int64_t>(produced) } });
-    m_metrics.count("yuccachute_items_begun_anew_total", "reason", "version");
+    m_metrics.count("yuccachute_items_begun_anew_total", "reason", moved ? "service" : "version");
     job.discardEvents(start.index);
     held.versionOutages.erase(start.index);
     start.lastEvent.reset();
@@ -213,7 +218,7 @@
     const auto& job = *held.job;
     const auto& record = job.record();
     const auto& item = record.items[start.index];
-    const run_placement placement { itemRoute.name, itemRoute.pickService(std::hash<std::string> {}(item.id)),
+    const run_placement placement { itemRoute.name, serviceOfItem(itemRoute, item, start.service),
         table.version };
     const bool late = willMissDeadline(job, job.eventsOf(start.index), now());
     const auto produced = resumeOrDiscard(held, start, placement.service);
@@ -262,7 +267,8 @@
         m_lastSlotGranted = now();
         startRuns();
     };
-    events.event = [this, id, index, statistics](std::optional<std::uint64_t> event, std::string data) {
+    events.event = [this, id, index, service = placement.service, statistics](
+                       std::optional<std::uint64_t> event, std::string data) {
         if (statistics->events++ == 0)
             statistics->firstEventAt = now();
         const auto found = m_jobs.find(id);
@@ -270,7 +276,7 @@
             found->second.consecutiveAborts.erase(index);
             found->second.versionOutages.erase(index);
             if (const auto run = found->second.runs.find(index); run != found->second.runs.end())
-                found->second.job->setVersion(index, run->second->version());
+                found->second.job->setOrigin(index, run->second->version(), service);
         }
         return found != m_jobs.end() && found->second.job->addEvent(index, event, std::move(data));
     };
--- a/libs/bulk_process/tests/test_item_routing.cpp
+++ b/libs/bulk_process/tests/test_item_routing.cpp
@@ -92,3 +92,14 @@
     CHECK(completionWindowOf(&table, record) == milliseconds { 7000 });
     CHECK(completionWindowOf(nullptr, record) == milliseconds { 7000 });
 }
+
+// Guards against items that begin anew each time the weights of their route's services change.
+TEST_CASE("an item stays at the service that made its events while its route leads there")
+{
+    auto split = batchRoute("/a/", "one");
+    const bulk_item item { "item", "/a/1", {}, "", 1 };
+    CHECK(serviceOfItem(split, item, "two") == "one");
+    split.shares.push_back({ "two", 1 });
+    CHECK(serviceOfItem(split, item, "one") == "one");
+    CHECK(serviceOfItem(split, item, "two") == "two");
+}
--- a/tests/failures_routes.cpp
+++ b/tests/failures_routes.cpp
@@ -172,6 +172,26 @@
     CHECK(late > 20);
 }
 
+// Guards against an item whose text comes from two services after its route has moved.
+TEST_CASE("an item whose route has moved begins anew at the new service")
+{
+    platform_system system(10, 8);
+    startOtherService(system);
+    configureAndWait(system, { { "/jobs/" } });
+    REQUIRE(
+        system.submit("entry-a-1", "/jobs/1", "anew", std::vector<std::string>(8, "/jobs/x"), 400) == 202);
+    std::this_thread::sleep_for(milliseconds { 500 });
+    configureAndWait(system, { { "/jobs/", otherService } });
+    for (const unsigned number : { 0, 2 })
+        system.control("/server?number=" + std::to_string(number) + "&do=crash");
+    for (const auto& [item, listed] : byItem(system.allResults("entry-b-1", "anew", 8))) {
+        INFO(item);
+        CHECK(listed["state"] == "done");
+        CHECK(eventsIn(listed["text"]) == 400);
+        CHECK(fromOneService(listed["text"]));
+    }
+}
+
 // Guards against items that are given up after the attempts that another item's route allows.
 TEST_CASE("an item is given up after the attempts of its own route")
 {
