Give items up that expire while they find no slot

What callers saw: an item for which there was never a slot, such as one whose service has no targets, was never listed, neither done nor given up, however old it became.

Cause: only waiting items expire. An item without a slot asks for one again at the moment at which its last question ends, so that it counts as running whenever the expiry is checked. Found by the test of expiry by an item's own route.

Change: an item is also checked when it is taken for its next run, where it waits for certain.

--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -38,7 +38,15 @@
     held.job->setDue(held.acceptedAt + completionWindowOf(table, held.job->record()));
     if (!table)
         return;
-    held.nextExpiryCheck = held.acceptedAt + shortestExpiry(*table);
+    held.earliestExpiry = held.acceptedAt + shortestExpiry(*table);
+    held.nextExpiryCheck = held.earliestExpiry;
+}
+
+bool bulk_process::hasExpired(const held_job& held, std::uint32_t index, const routing_table& table) const
+{
+    const auto time = now();
+    return time >= held.earliestExpiry
+        && time >= held.acceptedAt + limitsOfItem(table, held.job->record(), index).expiry;
 }
 
 void bulk_process::expireItems(held_job& held, const routing_table& table, steady_time time) const
@@ -175,9 +183,12 @@
     auto& job = *held.job;
     const auto& record = job.record();
     while (auto start = job.next()) {
-        if (const auto* itemRoute = routeOfItem(table, record, start->index))
+        const auto* itemRoute = routeOfItem(table, record, start->index);
+        const bool expired = hasExpired(held, start->index, table);
+        if (itemRoute && !expired)
             return routed_item { std::move(*start), itemRoute };
-        logEvent(log_level::warning, "no route matches the item; abandoning it",
+        logEvent(log_level::warning,
+            itemRoute ? "item has expired; abandoning it" : "no route matches the item; abandoning it",
             { { "job", record.id }, { "item", record.items[start->index].id },
                 { "path", record.items[start->index].path }, { "config", table.version } });
         job.abandon(start->index, now());
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -54,7 +54,8 @@
     std::set<std::uint32_t> suspectDelayPassed;
     std::vector<waiting_reader> readers;
     steady_time nextCommitAt;
-    /// When an item may have expired; never before a configuration is known.
+    /// No item expires earlier by the configuration in force, or while none is known.
+    steady_time earliestExpiry = steady_time::max();
     steady_time nextExpiryCheck = steady_time::max();
     std::size_t eventsSaved = 0; ///< Number of events covered by the last save of progress.
     steady_time acceptedAt;
@@ -125,6 +126,7 @@
     void configurationChanged();
     /// `table` is null until a configuration is known.
     void applyConfiguration(held_job& held, const routing_table* table) const;
+    bool hasExpired(const held_job& held, std::uint32_t index, const routing_table& table) const;
     void expireItems(held_job& held, const routing_table& table, steady_time time) const;
     held_job makeHeldJob(bulk_job_store::stored_job stored);
     void addHeldJob(bulk_job_store::stored_job stored);
@@ -149,7 +151,8 @@
         bulk_item_start start;
         const route* itemRoute = nullptr;
     };
-    /// Takes the next waiting item that has a route, and abandons those before it.
+    /// Takes the next waiting item that may run, and abandons those before it: an item that finds no slot
+    /// waits only for a moment between two runs.
     std::optional<routed_item> nextItem(held_job& held, const routing_table& table) const;
     /// Discards the events of an item that cannot be resumed at this service. Returns the number of events
     /// that it keeps.
--- a/tests/failures_routes.cpp
+++ b/tests/failures_routes.cpp
@@ -211,6 +211,21 @@
     CHECK(system.runsOf("tried-2-1").size() == 5);
 }
 
+// Guards against items that are given up when another item of their job expires.
+TEST_CASE("an item expires by its own route")
+{
+    platform_system system;
+    const batch_route shortLived { "/tasks/", serviceWithoutTargets, 3, 2 };
+    configureAndWait(system, { { "/jobs/", serviceWithoutTargets }, shortLived });
+    REQUIRE(system.submit("entry-a-1", "/tasks/1", "old", { "/tasks/1", "/jobs/2" }, 10) == 202);
+    waitForItem(system, "old", "old-0");
+    std::this_thread::sleep_for(milliseconds { 1500 });
+    CHECK(listedItems(system, "old")["old-0"]["state"] == "dead_letter");
+    CHECK(!listedItems(system, "old").contains("old-1"));
+    configureAndWait(system, { { "/jobs/" }, shortLived });
+    CHECK(byItem(system.allResults("entry-b-1", "old", 2))["old-1"]["state"] == "done");
+}
+
 // Guards against items that are given up because another item's route has ended, and against items that go
 // on running after the end of their own.
 TEST_CASE("only items whose own route has ended are given up")
