Run items again whose target is lost before their first event

What callers saw: items that a target ran when it was lost for good, before their first event, never ran again and were never listed, not even after their expiry, if the target answers without length and chunks.

Cause: such an answer ends like a whole one, so that the run asks the guard whether the target has terminated, and waits for the reply without a time limit. The guard's check probes the target once. If that is not answered, only the list of targets or another interrupted run ends the check; after the lost target's entry has gone, nothing changes any more. The check promised to end within seconds and had no timer for it. The run counted as running all the while, so that its item did not expire either.

Evidence: "items of a target that is lost before their first event run at another one" (failures_platform) and "the check of a target that stays silent ends although the target list does not change" (test_guard).

Change: the check has a timer for its own end, for all who wait for it, and the run waits for half a second at most. A target that does not respond leaves open whether the answer was whole; the item is resumed at another target, which has nothing left to send if it was. Looked for elsewhere: calls to the store (1.5 s), questions for slots, origins (50 ms) and live requests (20 ms) have limits of their own.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr milliseconds firstEventAfter { 10 };
 /// Requests that wait for a slot; more are refused.
 constexpr std::size_t queueLength = 24;
 const std::string firstService = "llm";
@@ -151,6 +150,20 @@
         m_restart.arm(time, [this] { start(); });
     }
 
+    /// Its process ends, which closes its connections, and from then on its machine does not respond. Its
+    /// entry lapses.
+    void lose()
+    {
+        for (auto& one : m_running) {
+            if (!*one.gone)
+                one.caller->finish();
+        }
+        m_running.clear();
+        m_dark = true;
+        m_lapse.arm(entryLapsesAfter, [this, id = m_id] { m_store.remove("servers/" + id); });
+    }
+
+    void setFirstEventAfter(milliseconds time) { m_firstEventAfter = time; }
     void drain() { list("draining"); }
     void unlist() { m_store.remove("servers/" + m_id); }
     void setDark(bool dark) { m_dark = dark; }
@@ -294,7 +307,7 @@
             one.begun = m_runs.size();
             m_runs.push_back(one.run);
             m_runs.back().beganMs = steadyMs();
-            one.from = now + firstEventAfter;
+            one.from = now + m_firstEventAfter;
             if (one.deadly)
                 one.endsServerAt = now + m_deadly.after;
         }
@@ -338,6 +351,7 @@
     std::string m_service = firstService;
     std::string m_failingPaths;
     unsigned m_failureStatus = 500;
+    milliseconds m_firstEventAfter { 10 };
     bool m_dark = false;
     bool m_endByClose = false;
     std::string m_cutId;
@@ -494,6 +508,10 @@
                 server.setService(service);
             if (what == "start")
                 server.start();
+            if (what == "lose")
+                server.lose();
+            if (what == "first_event")
+                server.setFirstEventAfter(milliseconds { number("ms") });
             if (what == "drain")
                 server.drain();
             if (what == "unlist")
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -17,6 +17,9 @@
 /// process the item.
 constexpr milliseconds idleTimeout { 700 };
 constexpr milliseconds connectTimeout { 300 };
+/// A target that runs answers the question whether it does within a few milliseconds, and one that has
+/// terminated refuses it. A target that does not respond leaves it open.
+constexpr milliseconds examinationTimeout { 500 };
 constexpr unsigned rejectedStatus = 422;
 constexpr unsigned failedStatus = 500;
 
@@ -27,6 +30,7 @@
         , m_request(std::move(request))
         , m_events(std::move(events))
         , m_retryTimer(services.loop)
+        , m_examinationTimer(services.loop)
     {
         m_splitter.collectData();
     }
@@ -169,14 +173,20 @@
     }
 
     /// A response without length and chunks that holds no event looks the same whether the item is complete
-    /// or its target terminated. Only a resumed item can have nothing left to send.
+    /// or its target terminated. Only a resumed item can have nothing left to send. If the target does not
+    /// respond, the item is resumed at another one, which has nothing left to send either if it is complete.
     void onConnectionEndWithoutEvent()
     {
-        m_services.guard.aborted(interruptedRun(), [weak = weak_from_this()](bool terminated) {
+        m_awaitingExamination = true;
+        const auto decide = [weak = weak_from_this()](bool truncated) {
             const auto self = weak.lock();
-            if (self && !self->m_stopped)
-                self->finishResponse(terminated || !self->m_request.lastEvent);
-        });
+            if (!self || self->m_stopped || !std::exchange(self->m_awaitingExamination, false))
+                return;
+            self->m_examinationTimer.cancel();
+            self->finishResponse(truncated || !self->m_request.lastEvent);
+        };
+        m_examinationTimer.arm(examinationTimeout, [decide] { decide(true); });
+        m_services.guard.aborted(interruptedRun(), decide);
     }
 
     void finishResponse(bool truncated)
@@ -284,6 +294,7 @@
     item_run_request m_request;
     item_run_events m_events;
     loop_timer m_retryTimer;
+    loop_timer m_examinationTimer;
     steady_time m_slotRequestedAt;
     event_splitter m_splitter;
     event_timing m_timing;
@@ -299,6 +310,7 @@
     /// Whether the response is framed, so that its end differs from a lost connection.
     bool m_framed = false;
     bool m_stopped = false;
+    bool m_awaitingExamination = false; ///< Waiting to know whether the target has terminated.
     bool m_targetsUnavailable = false;
 };
 
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -65,8 +65,13 @@
 class termination_check {
 public:
     using callback = std::function<void(bool terminated)>;
+    /// A target that has crashed is listed again, under another id, within several seconds; its old list
+    /// entry expires after four seconds.
+    static constexpr milliseconds defaultListTimeout { 10000 };
 
-    termination_check(event_loop& loop, load_report_source& loads);
+    /// `listTimeout` is how long the target list may take to show a restart.
+    termination_check(
+        event_loop& loop, load_report_source& loads, milliseconds listTimeout = defaultListTimeout);
 
     /// `targets` must outlive this object.
     void setTargets(const target_directory& targets, std::span<const target_change> changes, steady_time now);
@@ -101,11 +106,14 @@
     void finish(pending_check_list::iterator one, bool terminated);
     bool hasRestarted(pending_check& one, std::span<const target_change> changes) const;
     void expire(steady_time now);
+    void armExpiryTimer();
 
     event_loop& m_loop;
     load_report_source& m_loads;
+    milliseconds m_listTimeout;
     const target_directory* m_targets = nullptr;
     pending_check_list m_pendingChecks;
+    loop_timer m_expiryTimer; ///< The target list may not change for a long time.
     std::shared_ptr<bool> m_alive
         = std::make_shared<bool>(true); ///< Load reports may arrive after the destructor.
 };
--- a/libs/guard/src/termination_check.cpp
+++ b/libs/guard/src/termination_check.cpp
@@ -9,19 +9,20 @@
 
 namespace {
 
-/// A target that has crashed is listed again, under another id, within several seconds; its old list entry
-/// expires after four seconds.
-constexpr milliseconds listTimeout { 10000 };
 /// A probe over an idle connection that the target's end has closed tells nothing. Within this time the
 /// client notices that it is closed, and the next probe opens a new connection.
 constexpr milliseconds probeRetryDelay { 5 };
 constexpr unsigned maxInterruptedProbes = 4;
+/// Delay before a check that is over is looked at again while its probe is under way.
+constexpr milliseconds minExpiryInterval { 100 };
 
 } // namespace
 
-termination_check::termination_check(event_loop& loop, load_report_source& loads)
+termination_check::termination_check(event_loop& loop, load_report_source& loads, milliseconds listTimeout)
     : m_loop(loop)
     , m_loads(loads)
+    , m_listTimeout(listTimeout)
+    , m_expiryTimer(loop)
 {
 }
 
@@ -80,8 +81,9 @@
             { target.id, listed ? listed->address : target.address, {}, {}, false, false, 0, nullptr });
         one = std::prev(m_pendingChecks.end());
     }
-    one->until = now + listTimeout;
+    one->until = now + m_listTimeout;
     one->callbacks.push_back(std::move(done));
+    armExpiryTimer();
     return &*one;
 }
 
@@ -141,4 +143,17 @@
     }
 }
 
+void termination_check::armExpiryTimer()
+{
+    if (m_pendingChecks.empty() || m_expiryTimer.armed())
+        return;
+    const auto first = std::min_element(m_pendingChecks.begin(), m_pendingChecks.end(),
+        [](const auto& left, const auto& right) { return left.until < right.until; });
+    // A probe that is still under way ends the check itself, or leaves it to the next call.
+    m_expiryTimer.armAt(std::max(first->until, std::chrono::steady_clock::now() + minExpiryInterval), [this] {
+        expire(std::chrono::steady_clock::now());
+        armExpiryTimer();
+    });
+}
+
 } // namespace yuccachute
--- a/libs/guard/tests/test_termination_check.cpp
+++ b/libs/guard/tests/test_termination_check.cpp
@@ -113,6 +113,32 @@
 
 // Guards against an end that is noticed seconds later, by the list, because the probe went over an idle
 // connection which the end had closed.
+// Guards against a caller that waits forever: after the last change of the target list nothing ended the
+// check.
+TEST_CASE("the check of a target that stays silent ends although the target list does not change")
+{
+    event_loop loop;
+    scripted_loads loads;
+    whole_list listed;
+    termination_check check { loop, loads, milliseconds { 150 } };
+    const auto now = std::chrono::steady_clock::now();
+    const auto changes = listed.changesTo({ listedAt("t1", "a1") }, now, now);
+    check.setTargets(listed.directory(), changes, now);
+    std::string found;
+    const auto record = [&](bool terminated) { found += terminated ? "ended " : "unknown "; };
+    check.examine({ "t1", "" }, record);
+    check.awaitRestart({ "t1", "" }, record);
+    loads.answer(mayHaveRun(failure_kind::timeout, "no response"));
+    loop.runFor(milliseconds { 50 });
+    CHECK(found.empty());
+    loop.runFor(milliseconds { 400 });
+    CHECK(found == "unknown unknown ");
+    check.examine({ "t1", "" }, record);
+    loads.answer(mayHaveRun(failure_kind::timeout, "no response"));
+    loop.runFor(milliseconds { 400 });
+    CHECK(found == "unknown unknown unknown ");
+}
+
 TEST_CASE("a probe that is interrupted is repeated over a new connection")
 {
     fixture f;
--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -403,3 +403,27 @@
     system.control("/store?busy=0");
     system.allResults("entry-b-1", "asked", 4);
 }
+
+// Guards against items that are never listed because the target that ran them is lost before their first
+// event, and nothing answers whether it has terminated.
+TEST_CASE("items of a target that is lost before their first event run at another one")
+{
+    platform_layout layout;
+    layout.zones = { { "a", 1, 1, 2 } };
+    platform_system system(layout);
+    for (const unsigned number : { 0, 1 }) {
+        const auto server = "/server?number=" + std::to_string(number);
+        system.control(server + "&do=first_event&ms=400");
+        system.control(server + "&do=end_by_close&on=1");
+    }
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    REQUIRE(system.submit("entry-a-1", "silent", 8, 20) == 202);
+    waitUntil("the first target runs items",
+        [&] { return system.control("/server?number=0")["running"].get<int>() > 0; });
+    std::this_thread::sleep_for(milliseconds { 100 });
+    system.control("/server?number=0&do=lose");
+    for (const auto& entry : system.allResults("entry-a-1", "silent", 8)) {
+        CHECK(entry["state"] == "done");
+        CHECK(entry["text"].get<std::string>().ends_with(entry["id"].get<std::string>() + "-20"));
+    }
+}
