Test the limits of a job that is taken over before a configuration is known

The test starts the only batch process while the store is silent about the configuration and no entry can tell of one. The store's stand-in learns to leave reads of a prefix unanswered.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -455,6 +455,7 @@
             faults.busy = number("busy") != 0;
             faults.lapse = number("lapse") != 0;
             faults.delayMs = number("delay");
+            faults.silentPrefix = value("silent");
             faults.loseAnswers = number("lose_percent") / 100.0;
             faults.executeLaterMs = number("later");
             if (number("revoke") != 0)
--- a/bench/standins/platform_store.cpp
+++ b/bench/standins/platform_store.cpp
@@ -124,7 +124,11 @@
 void platform_store::serve(std::shared_ptr<http_exchange> caller)
 {
     ++m_calls;
-    if (faults.down) {
+    const auto& query = caller->request().query;
+    const bool silent = !faults.silentPrefix.empty()
+        && (queryParameter(query, "prefix").starts_with(faults.silentPrefix)
+            || queryParameter(query, "key").starts_with(faults.silentPrefix));
+    if (faults.down || silent) {
         m_unanswered.push_back(std::move(caller));
         return;
     }
--- a/bench/standins/platform_store.h
+++ b/bench/standins/platform_store.h
@@ -22,6 +22,7 @@
     bool busy = false; ///< Calls get 503.
     bool lapse = false; ///< Leases run out while it is down.
     int delayMs = 0;
+    std::string silentPrefix; ///< Calls that read keys with this prefix get no answer; empty for none.
     double loseAnswers = 0; ///< Share of the writes that take effect and are not answered.
     int executeLaterMs = 0; ///< Of those, each is executed so much later, if its conditions still hold.
 };
--- a/tests/failures_routes.cpp
+++ b/tests/failures_routes.cpp
@@ -261,3 +261,42 @@
     for (const auto& [item, listed] : byItem(system.allResults("entry-b-1", "third", 2)))
         CHECK(listed["state"] == "dead_letter");
 }
+
+// Guards against items that are given up by default limits because their job was taken over by a process that
+// did not know a configuration yet.
+TEST_CASE("a job that is taken over before a configuration is known keeps the limits of its route")
+{
+    platform_layout layout;
+    layout.zones = { { "a", 1, 1, 2 } };
+    platform_system system(layout);
+    configureAndWait(system, { { "/jobs/", firstService, 3 } });
+    system.control("/fail?paths=bad&status=500");
+    system.control("/server?number=0&do=dark&on=1");
+    system.control("/server?number=1&do=dark&on=1");
+    REQUIRE(system.submit("entry-a-1", "/jobs/1", "early", { "/jobs/bad", "/jobs/bad" }, 10) == 202);
+    auto& batch = system.batches.at("batch-a-1");
+    batch.running->signal(SIGKILL);
+    batch.running.reset();
+    // Nobody tells the new process of a configuration.
+    system.control("/store?silent=op/");
+    auto& entry = *system.entries.at("entry-a-1").running;
+    entry.signal(SIGSTOP);
+    system.startBatch("batch-a-1");
+    waitUntil("the job is taken over", [&] {
+        return system.logOf("batch-a-1").find("\"event\":\"job taken\",\"job\":\"early\"")
+            != std::string::npos;
+    });
+    const auto log = system.logOf("batch-a-1");
+    CHECK(log.find("configuration in force", log.rfind("\"event\":\"started\"")) == std::string::npos);
+    entry.signal(SIGCONT);
+    system.control("/store");
+    system.control("/server?number=0&do=dark");
+    system.control("/server?number=1&do=dark");
+    for (const auto& [item, listed] : byItem(system.allResults("entry-a-1", "early", 2))) {
+        CHECK(listed["state"] == "dead_letter");
+        std::size_t failures = 0;
+        for (const auto& run : system.runsOf(item))
+            failures += run["status"] == 500 ? 1 : 0;
+        CHECK(failures == 3);
+    }
+}
