Take an answer that ends with its connection for whole only if its target runs

What callers saw: items that a target ran when its process was killed were listed as done with a part of their text, and streams ended as complete before their last event, if the target answers without length and chunks.

Cause: the end of such an answer is the end of its connection. One that closed in order between two events counted as whole; only an answer without any event was followed by a question to the target.

Change: after such an answer the target is asked for its load report (liveness_probe, taken out of termination_check). If it answers, the answer is whole. If it refuses, or does not respond, the rest is asked of another target after the last event, which has nothing left to send if the answer was whole; an answer that may not be repeated ends as a broken one. Draining and unlisted targets are asked as well, since they may exit in the middle of their work. The same holds for plain answers, which were sent on with the length of the part that had come.

The end of such an answer comes one round trip later (0.3 s at most); all its events have been passed on by then.

Two checks of test_live_run held the old behaviour fast and are replaced by stricter ones: a response whose target has terminated must not finish (it had to), and the end of such a target is a second strike (it was overlooked).

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -99,6 +99,7 @@
         , m_interval(eventInterval)
         , m_lapse(loop)
         , m_restart(loop)
+        , m_exit(loop)
         , m_ticker(loop, m_interval, [this] { tick(); })
     {
         start();
@@ -163,6 +164,17 @@
         m_lapse.arm(entryLapsesAfter, [this, id = m_id] { m_store.remove("servers/" + id); });
     }
 
+    /// Its process ends in order: its connections are closed, and new ones refused.
+    void exit()
+    {
+        for (auto& one : m_running) {
+            if (!*one.gone)
+                one.caller->finish();
+        }
+        m_running.clear();
+        m_exit.arm(milliseconds { 0 }, [this] { m_listener.reset(); });
+    }
+
     void setFirstEventAfter(milliseconds time) { m_firstEventAfter = time; }
     void drain() { list("draining"); }
     void unlist() { m_store.remove("servers/" + m_id); }
@@ -362,6 +374,7 @@
     std::unique_ptr<http_listener> m_listener;
     loop_timer m_lapse;
     loop_timer m_restart;
+    loop_timer m_exit;
     loop_ticker m_ticker;
 };
 
@@ -509,6 +522,8 @@
                 server.setService(service);
             if (what == "start")
                 server.start();
+            if (what == "exit")
+                server.exit();
             if (what == "lose")
                 server.lose();
             if (what == "first_event")
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -167,26 +167,32 @@
             release(grant_outcome::failed);
             return end(run_outcome::interrupted, "another target responds at this address");
         }
-        if (m_status == 200 && !m_framed && m_timing.events() == 0)
-            return onConnectionEndWithoutEvent();
-        finishResponse(m_status == 200 && m_splitter.midEvent());
+        const bool midEvent = m_status == 200 && m_splitter.midEvent();
+        if (m_status == 200 && !m_framed && !midEvent)
+            return onConnectionEnd();
+        finishResponse(midEvent);
     }
 
-    /// A response without length and chunks that holds no event looks the same whether the item is complete
-    /// or its target terminated. Only a resumed item can have nothing left to send. If the target does not
-    /// respond, the item is resumed at another one, which has nothing left to send either if it is complete.
-    void onConnectionEndWithoutEvent()
+    /// A response without length and chunks ends with its connection, and looks the same whether it is whole
+    /// or its target has terminated. It is whole if its target runs. If that stays open, the item is resumed
+    /// at another target, which has nothing left to send if it is whole.
+    void onConnectionEnd()
     {
         m_awaitingExamination = true;
-        const auto decide = [weak = weak_from_this()](bool truncated) {
+        const auto decide = [weak = weak_from_this()](target_state state) {
             const auto self = weak.lock();
             if (!self || self->m_stopped || !std::exchange(self->m_awaitingExamination, false))
                 return;
             self->m_examinationTimer.cancel();
-            self->finishResponse(truncated || !self->m_request.lastEvent);
+            const bool running = state == target_state::running;
+            if (!running)
+                self->m_services.guard.aborted(self->interruptedRun(), nullptr);
+            // Only a resumed item can have nothing left to send.
+            const bool empty = self->m_timing.events() == 0 && !self->m_request.lastEvent;
+            self->finishResponse(!running || empty);
         };
-        m_examinationTimer.arm(examinationTimeout, [decide] { decide(true); });
-        m_services.guard.aborted(interruptedRun(), decide);
+        m_examinationTimer.arm(examinationTimeout, [decide] { decide(target_state::unknown); });
+        m_services.guard.askWhetherRunning(m_address, decide);
     }
 
     void finishResponse(bool truncated)
@@ -203,7 +209,8 @@
             return end(run_outcome::rejected, "the target rejected the item permanently");
         if (m_status == failedStatus)
             return end(run_outcome::failed, "the target failed on it");
-        end(run_outcome::aborted, "unexpected HTTP status " + std::to_string(m_status));
+        end(run_outcome::aborted,
+            truncated ? "the response was cut off" : "unexpected HTTP status " + std::to_string(m_status));
     }
 
     /// The slot is needed for live requests. The item resumes later, after its last complete event.
@@ -234,22 +241,16 @@
             m_request.promptParts, m_timing.events() };
     }
 
-    /// The target has sent a complete response, and so survived the item. The end of an unframed response may
-    /// also be that of its target.
+    /// The target has sent a complete response, and so survived the item.
     void reportAnswer()
     {
+        if (!m_framed && m_status != 200)
+            return; // Whether its target runs was not asked.
         auto& guard = m_services.guard;
         const auto identity = guard.needsIdentities()
             ? std::optional(identityOf(m_request.request, m_request.customer))
             : std::nullopt;
-        const auto parts = m_status == 200 ? m_request.promptParts : std::vector<prompt_part>();
-        if (m_framed)
-            return guard.answered({ identity, parts });
-        if (guard.hasStrikes(parts))
-            guard.aborted(interruptedRun(), [&guard, identity, parts](bool terminated) {
-                if (!terminated)
-                    guard.answered({ identity, parts });
-            });
+        guard.answered({ identity, m_status == 200 ? m_request.promptParts : std::vector<prompt_part>() });
     }
 
     /// What is known of the item's prompt may have changed while it waited for the slot.
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -28,6 +28,8 @@
 /// A terminated target refuses connections within a few milliseconds. The result for a target that does not
 /// respond takes longer, and the caller is not delayed for it.
 constexpr milliseconds examinationTimeout { 20 };
+/// The same at the end of a response that has been passed on already, where waiting delays no event.
+constexpr milliseconds endConfirmationTimeout { 300 };
 /// A caller's attempts together may take longer than the timeout of one request.
 constexpr int maxStreamLifetimes = 2;
 constexpr unsigned badGateway = 502;
@@ -232,24 +234,15 @@
         return guardHasSuspects() && m_services.guard->isSuspected(guardedRequest());
     }
 
-    /// The target has sent a complete response, and so survived the request. A response without length and
-    /// chunks also ends like that when its target terminates, so the target is asked if anything depends on
-    /// it.
+    /// The target has sent a complete response, and so survived the request.
     void reportAnswer()
     {
-        if (!m_services.guard)
+        if (!m_services.guard || !(m_lengthDelimited || m_endConfirmed))
             return;
         // Only a successful response shows that the target can write one with these parts.
         const auto parts
             = m_replyHead.status < firstFailureStatus ? m_facts.promptParts : std::vector<prompt_part>();
-        const auto request = guardedRequest();
-        if (m_lengthDelimited)
-            return m_services.guard->answered({ request.identity, parts });
-        if (m_services.guard->hasStrikes(parts))
-            examineTarget([guard = m_services.guard, content = request.identity, parts](bool terminated) {
-                if (!terminated)
-                    guard->answered({ content, parts });
-            });
+        m_services.guard->answered({ guardedRequest().identity, parts });
     }
 
     // --- Acquiring a slot
@@ -543,33 +536,40 @@
         if (eventStream() && m_splitter.midEvent())
             return onInterrupted(
                 mayHaveRun(failure_kind::incomplete, "the stream from the target ended within an event"));
-        if (eventStream() && !m_lengthDelimited && m_timing.events() == 0)
-            return onConnectionEndWithoutEvent();
+        if (!m_lengthDelimited && m_replyHead.status < firstFailureStatus)
+            return onConnectionEnd();
         completeReply();
     }
 
-    /// A response without length and chunks that holds no event looks the same whether the stream is complete
-    /// or its target terminated.
-    void onConnectionEndWithoutEvent()
+    /// A response without length and chunks ends with its connection, and looks the same whether it is whole
+    /// or its target has terminated. It is whole if its target runs. If that stays open, a stream is resumed
+    /// at another target, which has nothing left to send if it is whole.
+    void onConnectionEnd()
     {
+        const bool empty = eventStream() && m_timing.events() == 0;
         const auto interrupted = mayHaveRun(failure_kind::incomplete,
-            "the stream from the target ended with its connection, without an event");
+            empty ? "the stream from the target ended with its connection, without an event"
+                  : "the response ended with its connection, and its target does not respond any more");
         // Only a stream that is resumed, here or by its caller, can have nothing left to send.
-        if (!m_lastEvent || !m_services.guard)
+        if (empty && (!m_lastEvent || !m_services.guard))
             return onInterrupted(interrupted);
+        if (!m_services.guard)
+            return completeReply();
         m_awaitingExamination = true;
-        const auto decide = [weak = weak_from_this(), interrupted](bool complete) {
+        const auto decide = [weak = weak_from_this(), interrupted](target_state state) {
             const auto self = weak.lock();
             if (!self || !std::exchange(self->m_awaitingExamination, false))
                 return;
             self->m_examinationTimer.cancel();
-            if (complete)
+            self->m_endConfirmed = state == target_state::running;
+            if (self->m_endConfirmed)
                 self->completeReply();
             else
                 self->onInterrupted(interrupted);
         };
-        m_examinationTimer.arm(examinationTimeout, [decide] { decide(false); });
-        examineTarget([decide](bool terminated) { decide(!terminated); });
+        m_examinationTimer.arm(
+            empty ? examinationTimeout : endConfirmationTimeout, [decide] { decide(target_state::unknown); });
+        m_services.guard->askWhetherRunning(m_lastAddress, decide);
     }
 
     void completeReply()
@@ -758,6 +758,7 @@
     http_reply m_replyHead;
     std::optional<std::uint64_t> m_contentLength;
     bool m_lengthDelimited = false; ///< The end of the body differs from a broken connection.
+    bool m_endConfirmed = false; ///< The target ran after the end of a response that is not length-delimited.
     std::string m_body;
     std::string m_lastTarget;
     std::string m_lastAddress;
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -164,12 +164,16 @@
 public:
     void ask(const std::string&, callback done) override
     {
-        if (refuses)
+        if (silent)
+            done(mayHaveRun(failure_kind::timeout, "no response"));
+        else if (refuses)
             done(notRun(failure_kind::unavailable, "connection refused"));
-        else
+        else if (!neverAnswers)
             done(load_report {});
     }
     bool refuses = true;
+    bool silent = false;
+    bool neverAnswers = false;
 };
 
 class scripted_origins final : public stream_origins {
@@ -602,7 +606,8 @@
     first.targets.head(200);
     first.targets.body(event(1));
     first.targets.whole();
-    CHECK(all.guard.record(identityOf(first.caller->request(), "")).strikes == 1);
+    CHECK_FALSE(first.caller->finished);
+    CHECK(all.guard.record(identityOf(first.caller->request(), "")).strikes == 2);
 }
 
 // A caller sets the customer header, which only the entry may set, to another customer's name. The target
@@ -823,7 +828,7 @@
         f.targets.head(200);
         f.targets.body(event(1));
         f.targets.whole();
-        CHECK(f.caller->finished);
+        CHECK(f.caller->finished == !terminated);
         CHECK(all.guard.hasStrikes(std::vector { harmfulPart }) == terminated);
     }
 }
@@ -867,6 +872,68 @@
     }
 }
 
+// Guards against a target that ends between two events and whose closed connection looks like the end of the
+// stream.
+TEST_CASE("a stream that ends with its connection between two events is whole only if its target runs")
+{
+    for (const std::string target : { "runs", "has terminated", "is silent" }) {
+        INFO("the target " << target);
+        guard_fixture all;
+        all.loads.refuses = target == "has terminated";
+        all.loads.silent = target == "is silent";
+        fixture f(request_kind::streaming, true, 1000, &all.guard);
+        f.slots.grant("t1");
+        f.targets.head(200);
+        f.targets.body(event(1));
+        f.targets.whole();
+        CHECK(f.caller->finished == (target == "runs"));
+        if (target == "runs")
+            continue;
+        f.loop.runFor(milliseconds { 50 });
+        REQUIRE(f.slots.acquisitions == 2);
+        f.slots.grant("t2");
+        f.targets.head(200, { { "Transfer-Encoding", "chunked" } });
+        f.targets.body(event(2));
+        f.targets.whole();
+        CHECK(f.caller->body == event(1) + event(2));
+        CHECK(f.caller->finished);
+    }
+}
+
+// Guards against a stream that waits for a question to its target that is never answered.
+TEST_CASE("a stream whose target is never heard of again is resumed elsewhere")
+{
+    guard_fixture all;
+    all.loads.refuses = false;
+    all.loads.neverAnswers = true;
+    fixture f(request_kind::streaming, true, 5000, &all.guard);
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.targets.body(event(1));
+    f.targets.whole();
+    f.loop.runFor(milliseconds { 100 });
+    CHECK(f.slots.acquisitions == 1);
+    f.loop.runFor(milliseconds { 400 });
+    CHECK(f.slots.acquisitions == 2);
+}
+
+// Guards against answers that are cut off and look whole to callers whose requests may not run again.
+TEST_CASE("a response that may not be repeated and whose target has terminated does not look whole")
+{
+    for (const auto kind : { request_kind::streaming, request_kind::unsafe }) {
+        guard_fixture all;
+        fixture f(kind, false, 1000, &all.guard);
+        f.slots.grant("t1");
+        f.targets.head(200);
+        f.targets.body(event(1));
+        f.targets.whole();
+        CHECK(f.slots.acquisitions == 1);
+        CHECK_FALSE(f.caller->finished);
+        const bool stream = kind == request_kind::streaming;
+        CHECK((f.caller->reply && f.caller->reply->status == 502) == !stream);
+    }
+}
+
 TEST_CASE("a stream that ends with its connection inside an event is resumed after its last complete event")
 {
     fixture f;
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -55,6 +55,41 @@
     std::uint64_t events = 0; ///< Complete events that arrived.
 };
 
+/// What a target that was asked whether it runs has shown.
+enum class target_state : std::uint8_t {
+    running, ///< It has responded.
+    terminated, ///< It refuses connections.
+    unknown ///< It has not responded.
+};
+
+/// Asks targets whether they run. All calls are made on the event loop's thread.
+class liveness_probe {
+public:
+    using callback = std::function<void(target_state)>;
+
+    liveness_probe(event_loop& loop, load_report_source& loads);
+
+    /// Calls `done` exactly once, asynchronously, within a fraction of a second. Each call sends a request of
+    /// its own: the state of a target at an earlier moment says nothing about a connection that has ended
+    /// since.
+    void ask(const std::string& address, callback done);
+
+private:
+    struct question {
+        std::string address;
+        callback done;
+        unsigned interruptions = 0;
+        loop_timer retry;
+    };
+
+    void send(const std::shared_ptr<question>& pending);
+
+    event_loop& m_loop;
+    load_report_source& m_loads;
+    std::shared_ptr<bool> m_alive
+        = std::make_shared<bool>(true); ///< Load reports may arrive after the destructor.
+};
+
 /// Determines whether a target that aborted a response has terminated. All calls are made on the event loop's
 /// thread.
 ///
@@ -92,8 +127,6 @@
         std::vector<callback> callbacks;
         bool probing = false; ///< A load report has been requested from the target.
         bool comparedWithFullList = false; ///< Afterwards only changes of the list matter.
-        unsigned interruptedProbes = 0;
-        std::unique_ptr<loop_timer> nextProbe; ///< After an interrupted one.
     };
     using pending_check_list = std::list<pending_check>;
 
@@ -101,21 +134,18 @@
     /// nothing can be concluded about the target.
     pending_check* begin(const executing_target& target, callback done);
     void probe(pending_check& one);
-    void answered(const std::string& target, const result<load_report>& report);
-    void probeAgain(pending_check& one);
+    void probed(const std::string& target, target_state state);
     void finish(pending_check_list::iterator one, bool terminated);
     bool hasRestarted(pending_check& one, std::span<const target_change> changes) const;
     void expire(steady_time now);
     void armExpiryTimer();
 
     event_loop& m_loop;
-    load_report_source& m_loads;
+    liveness_probe m_probe;
     milliseconds m_listTimeout;
     const target_directory* m_targets = nullptr;
     pending_check_list m_pendingChecks;
     loop_timer m_expiryTimer; ///< The target list may not change for a long time.
-    std::shared_ptr<bool> m_alive
-        = std::make_shared<bool>(true); ///< Load reports may arrive after the destructor.
 };
 
 /// Records which requests, and which parts of prompts, crash targets, and decides which requests may run. All
@@ -178,6 +208,12 @@
     void aborted(const interrupted_run& run, std::function<void(bool terminated)> settled);
     /// A target stopped responding in the middle of a request.
     void targetUnresponsive(const interrupted_run& run);
+    /// Asks whether a target runs that has ended a response by closing its connection. Like that a whole
+    /// response without length and chunks ends, and one whose target has terminated.
+    void askWhetherRunning(const std::string& address, liveness_probe::callback done)
+    {
+        m_probe.ask(address, std::move(done));
+    }
     /// A target has sent a complete response to the request.
     void answered(const guarded_request& request);
     /// Merges the records of other processes. Returns whether any of them changed what this process knows.
@@ -211,6 +247,7 @@
     void notifyListener(const request_identity& identity);
 
     metrics& m_metrics;
+    liveness_probe m_probe;
     termination_check m_terminationCheck;
     quarantine m_suspects;
     part_quarantine m_parts;
--- /dev/null
+++ b/libs/guard/src/liveness_probe.cpp
@@ -0,0 +1,51 @@
+#include "guard/guard.h"
+
+#include <utility>
+
+namespace yuccachute {
+
+namespace {
+
+/// A probe over an idle connection that the target's end has closed tells nothing. Within this time the
+/// client notices that it is closed, and the next probe opens a new connection.
+constexpr milliseconds retryDelay { 5 };
+constexpr unsigned maxInterruptions = 4;
+
+target_state stateAfter(const failure& error)
+{
+    const bool refused = error.ran == verdict::not_run && error.kind == failure_kind::unavailable;
+    return refused ? target_state::terminated : target_state::unknown;
+}
+
+} // namespace
+
+liveness_probe::liveness_probe(event_loop& loop, load_report_source& loads)
+    : m_loop(loop)
+    , m_loads(loads)
+{
+}
+
+void liveness_probe::ask(const std::string& address, callback done)
+{
+    send(std::make_shared<question>(question { address, std::move(done), 0, loop_timer(m_loop) }));
+}
+
+void liveness_probe::send(const std::shared_ptr<question>& pending)
+{
+    m_loads.ask(
+        pending->address, [this, pending, alive = std::weak_ptr(m_alive)](const result<load_report>& report) {
+            if (alive.expired())
+                return;
+            if (report)
+                return pending->done(target_state::running);
+            const bool interrupted = report.error().kind == failure_kind::incomplete;
+            if (!interrupted || ++pending->interruptions >= maxInterruptions)
+                return pending->done(stateAfter(report.error()));
+            pending->retry.arm(retryDelay, [this, pending, alive] {
+                if (!alive.expired())
+                    send(pending);
+            });
+        });
+}
+
+} // namespace yuccachute
--- a/libs/guard/src/request_guard.cpp
+++ b/libs/guard/src/request_guard.cpp
@@ -45,6 +45,7 @@
 
 request_guard::request_guard(event_loop& loop, load_report_source& loads, metrics& processMetrics)
     : m_metrics(processMetrics)
+    , m_probe(loop, loads)
     , m_terminationCheck(loop, loads)
 {
 }
--- a/libs/guard/src/termination_check.cpp
+++ b/libs/guard/src/termination_check.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// A probe over an idle connection that the target's end has closed tells nothing. Within this time the
-/// client notices that it is closed, and the next probe opens a new connection.
-constexpr milliseconds probeRetryDelay { 5 };
-constexpr unsigned maxInterruptedProbes = 4;
 /// Delay before a check that is over is looked at again while its probe is under way.
 constexpr milliseconds minExpiryInterval { 100 };
 
@@ -20,7 +16,7 @@
 
 termination_check::termination_check(event_loop& loop, load_report_source& loads, milliseconds listTimeout)
     : m_loop(loop)
-    , m_loads(loads)
+    , m_probe(loop, loads)
     , m_listTimeout(listTimeout)
     , m_expiryTimer(loop)
 {
@@ -78,7 +74,7 @@
         [&](const auto& other) { return other.target == target.id; });
     if (one == m_pendingChecks.end()) {
         m_pendingChecks.push_back(
-            { target.id, listed ? listed->address : target.address, {}, {}, false, false, 0, nullptr });
+            { target.id, listed ? listed->address : target.address, {}, {}, false, false });
         one = std::prev(m_pendingChecks.end());
     }
     one->until = now + m_listTimeout;
@@ -90,35 +86,19 @@
 void termination_check::probe(pending_check& one)
 {
     one.probing = true;
-    m_loads.ask(one.address,
-        [this, target = one.target, alive = std::weak_ptr(m_alive)](const result<load_report>& report) {
-            if (!alive.expired())
-                answered(target, report);
-        });
+    m_probe.ask(one.address, [this, target = one.target](target_state state) { probed(target, state); });
 }
 
-void termination_check::answered(const std::string& target, const result<load_report>& report)
+void termination_check::probed(const std::string& target, target_state state)
 {
     const auto one = std::find_if(m_pendingChecks.begin(), m_pendingChecks.end(),
         [&](const auto& other) { return other.target == target; });
     if (one == m_pendingChecks.end())
         return;
     one->probing = false;
-    if (report)
-        return finish(one, false);
-    const auto& error = report.error();
-    // The connection was refused. An unreachable target refuses none; in this case the target list decides.
-    if (error.ran == verdict::not_run && error.kind == failure_kind::unavailable)
-        return finish(one, true);
-    if (error.kind == failure_kind::incomplete && ++one->interruptedProbes < maxInterruptedProbes)
-        probeAgain(*one);
-}
-
-void termination_check::probeAgain(pending_check& one)
-{
-    one.probing = true;
-    one.nextProbe = std::make_unique<loop_timer>(m_loop);
-    one.nextProbe->arm(probeRetryDelay, [this, &one] { probe(one); });
+    // An unreachable target refuses no connection; in this case the target list decides.
+    if (state != target_state::unknown)
+        finish(one, state == target_state::terminated);
 }
 
 void termination_check::finish(pending_check_list::iterator one, bool terminated)
--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <thread>
@@ -427,3 +428,49 @@
         CHECK(entry["text"].get<std::string>().ends_with(entry["id"].get<std::string>() + "-20"));
     }
 }
+
+// Guards against answers that are cut off between two events, by a close in order, and look whole.
+TEST_CASE("answers without length whose target ends between two events are not taken for whole ones")
+{
+    for (const std::string end : { "do=exit", "do=lose", "do=drain" }) {
+        INFO("the first target gets " << end);
+        platform_layout layout;
+        layout.eventMs = 10;
+        layout.slots = 24;
+        layout.zones = { { "a", 1, 1, 2 } };
+        platform_system system(layout);
+        for (const unsigned number : { 0, 1 })
+            system.control("/server?number=" + std::to_string(number) + "&do=end_by_close&on=1");
+        std::this_thread::sleep_for(milliseconds { 1000 });
+        REQUIRE(system.submit("entry-a-1", "cut", 8, 150) == 202);
+        std::atomic<int> whole { 0 };
+        std::atomic<int> cutOnesThatLookWhole { 0 };
+        std::vector<std::thread> callers;
+        for (int i = 0; i < 16; ++i) {
+            callers.emplace_back([&, i] {
+                const auto id = "c-" + std::to_string(i);
+                const auto route = i % 2 == 0 ? "resumable" : "once";
+                const auto reply = system.stream("entry-a-1", route, id, 150);
+                const bool all = reply && reply.value().body == platform_system::wholeStream(id, 150);
+                whole += all && i % 2 == 0 ? 1 : 0;
+                cutOnesThatLookWhole += reply && reply.value().status == 200 && !all ? 1 : 0;
+            });
+        }
+        std::this_thread::sleep_for(milliseconds { 600 });
+        CHECK(system.control("/server?number=0")["running"].get<int>() > 4);
+        system.control("/server?number=0&" + end);
+        if (end == "do=drain") {
+            std::this_thread::sleep_for(milliseconds { 300 });
+            system.control("/server?number=0&do=exit");
+        }
+        for (auto& caller : callers)
+            caller.join();
+        CHECK(whole == 8);
+        CHECK(cutOnesThatLookWhole == 0);
+        for (const auto& entry : system.allResults("entry-a-1", "cut", 8)) {
+            const std::string text = entry["text"];
+            CHECK(entry["state"] == "done");
+            CHECK(std::count(text.begin(), text.end(), '\n') == 149);
+        }
+    }
+}
