Reject requests that could carry another request with them

What callers could do: a request with "Transfer-Encoding: identity", "xchunked" or "chunked, identity" was read as one without a body, and its body as the next request, which ran. Header names and values, paths and ids of items went to the target as they stood in the JSON, with line ends, so that a batch job could make a target run a request that no client had sent; an item's own Host or Yuccachute-Request-Id header went beside that of the system.

Cause: the parser only knows the transfer coding "chunked" and gives any other one no body; nothing checked what JSON can hold and a header cannot.

Change: a request whose transfer coding is not "chunked" alone is answered 400 and its connection closed, as http.h promised.

--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -47,6 +47,14 @@
 /// Returns the percent-decoded value of a query parameter, or an empty string if it is missing.
 std::string queryParameter(std::string_view query, std::string_view name);
 
+/// Whether a header can be sent as it is: its name is a token, and its value has no line ends or other
+/// control characters but tabs (RFC 9110, 5.5 and 5.6.2).
+bool isValidHeader(std::string_view name, std::string_view value);
+
+/// Whether a request target can be sent as it is: it begins with a slash and has no spaces or control
+/// characters.
+bool isValidTarget(std::string_view target);
+
 /// Response writer for one request of a blocking server. Call either send() once, or startStream(), then
 /// write() any number of times, then finish().
 class reply_sink {
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -60,6 +60,15 @@
     return request;
 }
 
+/// Whether the length of the body follows from a transfer coding that is not "chunked" alone. The parser
+/// takes such a request for one without a body, and its body for the next request.
+bool hasAmbiguousLength(const beast_http::request_header<>& head)
+{
+    const auto codings = head.equal_range(beast_http::field::transfer_encoding);
+    const auto count = std::distance(codings.first, codings.second);
+    return count > 1 || (count == 1 && !boost::beast::iequals(codings.first->value(), "chunked"));
+}
+
 /// Maps a parse error to the status code of the response.
 unsigned statusForParseError(const error_code& error)
 {
@@ -353,6 +362,8 @@
         m_input.erase(0, used);
         if (error && error != beast_http::error::need_more)
             return rejectRequest(statusForParseError(error), error.message());
+        if (m_parser->is_header_done() && hasAmbiguousLength(m_parser->get()))
+            return rejectRequest(400, "the transfer coding is not supported");
         if (m_parser->is_done())
             return dispatchRequest();
         if (m_parser->is_header_done()) {
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -59,6 +59,25 @@
     return {};
 }
 
+bool isValidHeader(std::string_view name, std::string_view value)
+{
+    constexpr std::string_view tokenPunctuation = "!#$%&'*+-.^_`|~";
+    const auto isTokenCharacter = [&](unsigned char letter) {
+        return std::isalnum(letter)
+            || tokenPunctuation.find(static_cast<char>(letter)) != std::string_view::npos;
+    };
+    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter)
+        && std::none_of(value.begin(), value.end(),
+            [](unsigned char letter) { return letter != '\t' && std::iscntrl(letter); });
+}
+
+bool isValidTarget(std::string_view target)
+{
+    return target.starts_with('/') && std::none_of(target.begin(), target.end(), [](unsigned char letter) {
+        return letter == ' ' || std::iscntrl(letter);
+    });
+}
+
 std::pair<std::string, std::uint16_t> splitAddress(std::string_view address)
 {
     const auto colon = address.rfind(':');
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -137,7 +137,10 @@
     for (const char* fields : { "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
              "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
              "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: +5\r\n",
-             "Content-Length: 5 \r\nBad Name: x\r\n" }) {
+             "Content-Length: 5 \r\nBad Name: x\r\n", "Transfer-Encoding: identity\r\n",
+             "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked, identity\r\n",
+             "Transfer-Encoding: gzip, chunked\r\n",
+             "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n" }) {
         fixture f;
         raw_client client(f.options.port);
         client.send("POST /x HTTP/1.1\r\nHost: h\r\n" + std::string(fields)
