Take no requests after the third second of a shutdown

What callers saw: an entry that was stopped took requests from open connections for 3.2 s, and cut those streams in the middle that it had taken in the last 0.2 s and that were not finished when it ended, 7.6 s after the SIGTERM.

Cause: users allow streams to be cut at the end of the grace period only if they were sent in the first 3 s after the SIGTERM, and the time in which requests are accepted was longer than that.

Evidence: "an entry that is stopped takes no request that it cannot finish in its grace period" (failures_platform): 4 of 4 streams that were sent 3.02 to 3.14 s after the SIGTERM over open connections began and were cut.

Change: requests are accepted for 2.9 s. A readiness probe a second takes an entry out after 2 to 3 s.

--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -17,8 +17,9 @@
 namespace {
 
 /// The platform's readiness probe must fail twice, a second apart, before the platform routes callers to
-/// other entries. Until then new connections still arrive and are served.
-constexpr milliseconds acceptPeriodAfterStop { 3200 };
+/// other entries. Until then new connections still arrive and are served. Requests that callers send more
+/// than 3 s after the stop must not be cut off at the end of the grace period, so none is taken from then on.
+constexpr milliseconds acceptPeriodAfterStop { 2900 };
 constexpr milliseconds shutdownPollInterval { 50 };
 /// Part of the grace period that is reserved for stopping the process itself.
 constexpr milliseconds shutdownMargin { 400 };
--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -1,5 +1,8 @@
 #include "platform_system.h"
 
+#include "event_loop/event_loop.h"
+#include "serving/serving.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -474,3 +477,67 @@
         }
     }
 }
+
+// Guards against requests that an entry takes from open connections so late in its shutdown that it cuts
+// their streams.
+TEST_CASE("an entry that is stopped takes no request that it cannot finish in its grace period")
+{
+    platform_layout layout;
+    layout.eventMs = 10;
+    layout.slots = 24;
+    layout.zones = { { "a", 2, 1, 2 } };
+    platform_system system(layout);
+    const auto address = "127.0.0.1:" + std::to_string(system.entries.at("entry-a-1").callers);
+    event_loop loop;
+    http_client client(loop, { 8 });
+    const auto start = [&](const std::string& method, const std::string& target, const std::string& id,
+                           int events, client_call_events received) {
+        http_request request;
+        request.method = method;
+        request.target = target;
+        request.headers = platform_system::requestHeaders(id, events);
+        request.headers.emplace_back("Host", "test.example");
+        client_call_options options;
+        options.deadline = std::chrono::steady_clock::now() + milliseconds { 7000 };
+        return client.start(address, request, options, std::move(received));
+    };
+    constexpr int number = 4;
+    int opened = 0;
+    std::vector<std::shared_ptr<client_call>> calls;
+    for (int i = 0; i < number; ++i) {
+        client_call_events events;
+        events.whole = [&] { ++opened; };
+        calls.push_back(start("GET", "/plain/x", "open-" + std::to_string(i), 0, std::move(events)));
+    }
+    const auto pause = [&](int ms) { loop.runFor(milliseconds { ms }); };
+    for (int i = 0; i < 100 && opened < number; ++i)
+        pause(10);
+    REQUIRE(opened == number);
+    system.entries.at("entry-a-1").running->signal(SIGTERM);
+    // Readiness probes take the entry out after two failures a second apart, so callers come back until then.
+    const auto stopped = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - stopped < milliseconds { 3020 })
+        pause(10);
+    int begun = 0;
+    int whole = 0;
+    int ended = 0;
+    for (int i = 0; i < number; ++i) {
+        client_call_events events;
+        events.head = [&](const http_reply& head) {
+            begun += head.status == 200 ? 1 : 0;
+            return true;
+        };
+        events.body = [](std::string_view) { return true; };
+        events.whole = [&] {
+            ++whole;
+            ++ended;
+        };
+        events.failed = [&](const failure&) { ++ended; };
+        calls.push_back(start("POST", "/once/x", "late-" + std::to_string(i), 280, std::move(events)));
+        pause(40);
+    }
+    for (int i = 0; i < 700 && ended < number; ++i)
+        pause(10);
+    CHECK(ended == number);
+    CHECK(whole >= begun);
+}
