Look limits up only for items that failed, and write expiry and closed connections once

Cause: the end of each run matched two routes for a limit that only failed items need, also for runs without a slot, which end many times a second. The age at which an item expires was computed in two places, and the stand-in's lost and exiting servers closed their connections by the same loop.

Change: the limit is looked up if the item has failed; expiryOf() and closeConnections() are called in both places. Two comments say plainly what they meant. Behaviour is the same.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -155,11 +155,7 @@
     /// entry lapses.
     void lose()
     {
-        for (auto& one : m_running) {
-            if (!*one.gone)
-                one.caller->finish();
-        }
-        m_running.clear();
+        closeConnections();
         m_dark = true;
         m_lapse.arm(entryLapsesAfter, [this, id = m_id] { m_store.remove("servers/" + id); });
     }
@@ -167,11 +163,7 @@
     /// Its process ends in order: its connections are closed, and new ones refused.
     void exit()
     {
-        for (auto& one : m_running) {
-            if (!*one.gone)
-                one.caller->finish();
-        }
-        m_running.clear();
+        closeConnections();
         m_exit.arm(milliseconds { 0 }, [this] { m_listener.reset(); });
     }
 
@@ -211,6 +203,15 @@
         bool finished = false;
     };
 
+    void closeConnections()
+    {
+        for (auto& one : m_running) {
+            if (!*one.gone)
+                one.caller->finish();
+        }
+        m_running.clear();
+    }
+
     void list(const std::string& state)
     {
         m_store.put("servers/" + m_id,
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -42,21 +42,24 @@
     held.nextExpiryCheck = held.earliestExpiry;
 }
 
+steady_time bulk_process::expiryOf(
+    const held_job& held, std::uint32_t index, const routing_table& table) const
+{
+    return held.acceptedAt + limitsOfItem(table, held.job->record(), index).expiry;
+}
+
 bool bulk_process::hasExpired(const held_job& held, std::uint32_t index, const routing_table& table) const
 {
     const auto time = now();
-    return time >= held.earliestExpiry
-        && time >= held.acceptedAt + limitsOfItem(table, held.job->record(), index).expiry;
+    return time >= held.earliestExpiry && time >= expiryOf(held, index, table);
 }
 
 void bulk_process::expireItems(held_job& held, const routing_table& table, steady_time time) const
 {
     if (time < held.nextExpiryCheck)
         return;
-    const auto& record = held.job->record();
-    held.nextExpiryCheck = held.job->expire(
-        [&](std::uint32_t index) { return held.acceptedAt + limitsOfItem(table, record, index).expiry; },
-        time);
+    held.nextExpiryCheck
+        = held.job->expire([&](std::uint32_t index) { return expiryOf(held, index, table); }, time);
 }
 
 held_job bulk_process::makeHeldJob(bulk_job_store::stored_job stored)
@@ -393,7 +396,8 @@
 
 void bulk_process::finishRun(held_job& held, std::uint32_t index, run_outcome outcome) const
 {
-    const auto table = m_fleet.configuration();
+    // Most runs end otherwise, those without a slot many times a second.
+    const auto table = outcome == run_outcome::failed ? m_fleet.configuration() : nullptr;
     const auto maxAttempts = table ? limitsOfItem(*table, held.job->record(), index).maxAttempts
                                    : std::numeric_limits<unsigned>::max();
     held.job->finishRun(index, outcome, maxAttempts, now());
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -126,6 +126,8 @@
     void configurationChanged();
     /// `table` is null until a configuration is known.
     void applyConfiguration(held_job& held, const routing_table* table) const;
+    /// When an item may be abandoned by this configuration.
+    steady_time expiryOf(const held_job& held, std::uint32_t index, const routing_table& table) const;
     bool hasExpired(const held_job& held, std::uint32_t index, const routing_table& table) const;
     void expireItems(held_job& held, const routing_table& table, steady_time time) const;
     held_job makeHeldJob(bulk_job_store::stored_job stored);
--- a/libs/guard/src/liveness_probe.cpp
+++ b/libs/guard/src/liveness_probe.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// A probe over an idle connection that the target's end has closed tells nothing. Within this time the
+/// A probe over an idle connection that the target has closed does not show its state. Within this time the
 /// client notices that it is closed, and the next probe opens a new connection.
 constexpr milliseconds retryDelay { 5 };
 constexpr unsigned maxInterruptions = 4;
--- a/tests/failures_routes.cpp
+++ b/tests/failures_routes.cpp
@@ -277,7 +277,7 @@
     auto& batch = system.batches.at("batch-a-1");
     batch.running->signal(SIGKILL);
     batch.running.reset();
-    // Nobody tells the new process of a configuration.
+    // The new process gets a configuration from neither the store nor an entry.
     system.control("/store?silent=op/");
     auto& entry = *system.entries.at("entry-a-1").running;
     entry.signal(SIGSTOP);
