Test: a target that is back at its address at once vouches for the cut responses of its last start

Two cases on real processes: a target without length and chunks crashes between two events and is back at its address at once, or while the entry and the batch process stand still (SIGSTOP).

--- /dev/null
+++ b/tests/failures_whole_answers.cpp
@@ -0,0 +1,96 @@
+#include "platform_system.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+using namespace yuccachute;
+using namespace yuccachute::testing;
+
+namespace {
+
+constexpr int events = 150;
+constexpr int streams = 16;
+constexpr int items = 8;
+
+/// One entry, one batch process, and two targets whose responses end with their connection.
+platform_layout unframedLayout()
+{
+    platform_layout layout;
+    layout.eventMs = 10;
+    layout.slots = 24;
+    layout.zones = { { "a", 1, 1, 2 } };
+    return layout;
+}
+
+void endResponsesByClose(platform_system& system)
+{
+    for (const unsigned number : { 0, 1 })
+        system.control("/server?number=" + std::to_string(number) + "&do=end_by_close&on=1");
+    std::this_thread::sleep_for(milliseconds { 1000 });
+}
+
+/// Streams of both kinds and a job, in the middle of which `disturb` is called. Resumable streams and items
+/// must be whole, and other streams must not look whole if they are not.
+void checkThatNothingCutLooksWhole(platform_system& system, const std::function<void()>& disturb)
+{
+    REQUIRE(system.submit("entry-a-1", "cut", items, events) == 202);
+    std::atomic<int> whole { 0 };
+    std::atomic<int> cutOnesThatLookWhole { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < streams; ++i) {
+        callers.emplace_back([&, i] {
+            const auto id = "c-" + std::to_string(i);
+            const auto route = i % 2 == 0 ? "resumable" : "once";
+            const auto reply = system.stream("entry-a-1", route, id, events);
+            const bool all = reply && reply.value().body == platform_system::wholeStream(id, events);
+            whole += all && i % 2 == 0 ? 1 : 0;
+            cutOnesThatLookWhole += reply && reply.value().status == 200 && !all ? 1 : 0;
+        });
+    }
+    std::this_thread::sleep_for(milliseconds { 600 });
+    CHECK(system.control("/server?number=0")["running"].get<int>() > 4);
+    disturb();
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(whole == streams / 2);
+    CHECK(cutOnesThatLookWhole == 0);
+    for (const auto& entry : system.allResults("entry-a-1", "cut", items)) {
+        const std::string text = entry["text"];
+        CHECK(entry["state"] == "done");
+        CHECK(std::count(text.begin(), text.end(), '\n') == events - 1);
+        CHECK(text.ends_with("-" + std::to_string(events)));
+    }
+}
+
+} // namespace
+
+// Guards against cut responses that are taken for whole because the question whether their target runs is
+// answered by its next start, which is back at the same address.
+TEST_CASE("a target that is back at its address at once does not vouch for the responses of its last start")
+{
+    platform_system system(unframedLayout());
+    endResponsesByClose(system);
+    checkThatNothingCutLooksWhole(system, [&] { system.control("/server?number=0&do=crash_for&ms=0"); });
+}
+
+// Guards against the same with processes that stand still while the target crashes and starts again, so that
+// they learn of the end of the connection only when the new start runs.
+TEST_CASE("processes that stood still while a target crashed and returned take no cut response for whole")
+{
+    platform_system system(unframedLayout());
+    endResponsesByClose(system);
+    checkThatNothingCutLooksWhole(system, [&] {
+        auto& entry = *system.entries.at("entry-a-1").running;
+        auto& batch = *system.batches.begin()->second.running;
+        entry.signal(SIGSTOP);
+        batch.signal(SIGSTOP);
+        system.control("/server?number=0&do=crash_for&ms=100");
+        std::this_thread::sleep_for(milliseconds { 250 });
+        entry.signal(SIGCONT);
+        batch.signal(SIGCONT);
+    });
+}
