Ask the start that ran a request, not its address, whether a response that ended with its connection is whole

What callers saw: items listed as done with a part of their text, and streams that ended as complete before their last event, if a target without length and chunks crashed between two events and was back at its address before it was asked, or while the process that asks stood still.

Cause: liveness_probe asked an address. The next start of the target answered for the last one.

The question is sent on a fresh connection, on which no answer to an earlier question can lie. Should a target respond to questions that name another start, the target list refutes it if it shows a later start at the address. Polls of load reports are as before.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -192,7 +192,7 @@
             self->finishResponse(!running || empty);
         };
         m_examinationTimer.arm(examinationTimeout, [decide] { decide(target_state::unknown); });
-        m_services.guard.askWhetherRunning(m_address, decide);
+        m_services.guard.askWhetherRunning({ m_target, m_address }, decide);
     }
 
     void finishResponse(bool truncated)
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -130,8 +130,11 @@
 class load_protocol {
 public:
     virtual ~load_protocol() = default;
-    virtual http_request loadRequest() const = 0;
-    /// The failure names the invalid field.
+    /// Returns the request for a load report. Only the start with this target id may respond; any, if it is
+    /// empty.
+    virtual http_request loadRequest(std::string_view target) const = 0;
+    /// The failure names the invalid field. Its kind is failure_kind::gone if another start has responded
+    /// than the one that the request named.
     virtual result<load_report> readLoad(const http_reply& reply) const = 0;
 };
 
@@ -140,8 +143,11 @@
 public:
     target_loads(http_client& client, const load_protocol& protocol);
     void ask(const std::string& address, callback done) override;
+    void askStart(const std::string& address, const std::string& target, callback done) override;
 
 private:
+    void send(const std::string& address, const http_request& request, bool freshConnection, callback done);
+
     http_client& m_client;
     const load_protocol& m_protocol;
 };
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -569,7 +569,7 @@
         };
         m_examinationTimer.arm(
             empty ? examinationTimeout : endConfirmationTimeout, [decide] { decide(target_state::unknown); });
-        m_services.guard->askWhetherRunning(m_lastAddress, decide);
+        m_services.guard->askWhetherRunning({ m_lastTarget, m_lastAddress }, decide);
     }
 
     void completeReply()
--- a/libs/front/src/target_loads.cpp
+++ b/libs/front/src/target_loads.cpp
@@ -19,16 +19,28 @@
 }
 
 void target_loads::ask(const std::string& address, callback done)
+{
+    send(address, m_protocol.loadRequest({}), false, std::move(done));
+}
+
+void target_loads::askStart(const std::string& address, const std::string& target, callback done)
+{
+    send(address, m_protocol.loadRequest(target), true, std::move(done));
+}
+
+void target_loads::send(
+    const std::string& address, const http_request& request, bool freshConnection, callback done)
 {
     client_call_options options;
+    options.freshConnection = freshConnection;
     options.deadline = std::chrono::steady_clock::now() + loadReportTimeout;
     options.connectTimeout = loadReportTimeout;
-    m_client.fetch(address, m_protocol.loadRequest(), options,
-        [this, done = std::move(done)](const result<http_reply>& reply) {
+    m_client.fetch(
+        address, request, options, [this, done = std::move(done)](const result<http_reply>& reply) {
             if (!reply)
                 return done(reply.error());
             auto read = m_protocol.readLoad(reply.value());
-            if (read)
+            if (read || read.error().kind == failure_kind::gone)
                 return done(std::move(read));
             // A target that responds without a valid report is alive, but its load is unknown.
             logEvent(log_level::debug, "invalid load report; load of the target taken as unknown",
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -171,6 +171,15 @@
         else if (!neverAnswers)
             done(load_report {});
     }
+    void askStart(const std::string& address, const std::string& target, callback done) override
+    {
+        askedStarts += target + '@' + address + ' ';
+        if (restarted)
+            return done(notRun(failure_kind::gone, "another start of the target responds"));
+        ask(address, std::move(done));
+    }
+    std::string askedStarts;
+    bool restarted = false;
     bool refuses = true;
     bool silent = false;
     bool neverAnswers = false;
@@ -876,9 +885,10 @@
 // stream.
 TEST_CASE("a stream that ends with its connection between two events is whole only if its target runs")
 {
-    for (const std::string target : { "runs", "has terminated", "is silent" }) {
+    for (const std::string target : { "runs", "has terminated", "is silent", "has started again" }) {
         INFO("the target " << target);
         guard_fixture all;
+        all.loads.restarted = target == "has started again";
         all.loads.refuses = target == "has terminated";
         all.loads.silent = target == "is silent";
         fixture f(request_kind::streaming, true, 1000, &all.guard);
@@ -887,6 +897,7 @@
         f.targets.body(event(1));
         f.targets.whole();
         CHECK(f.caller->finished == (target == "runs"));
+        CHECK(all.loads.askedStarts.starts_with("t1@t1 "));
         if (target == "runs")
             continue;
         f.loop.runFor(milliseconds { 50 });
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -57,12 +57,12 @@
 
 /// What a target that was asked whether it runs has shown.
 enum class target_state : std::uint8_t {
-    running, ///< It has responded.
-    terminated, ///< It refuses connections.
+    running, ///< This start of it has responded.
+    terminated, ///< It refuses connections, or another start responds at its address.
     unknown ///< It has not responded.
 };
 
-/// Asks targets whether they run. All calls are made on the event loop's thread.
+/// Asks starts of targets whether they run. All calls are made on the event loop's thread.
 class liveness_probe {
 public:
     using callback = std::function<void(target_state)>;
@@ -72,11 +72,11 @@
     /// Calls `done` exactly once, asynchronously, within a fraction of a second. Each call sends a request of
     /// its own: the state of a target at an earlier moment says nothing about a connection that has ended
     /// since.
-    void ask(const std::string& address, callback done);
+    void ask(const executing_target& target, callback done);
 
 private:
     struct question {
-        std::string address;
+        executing_target target;
         callback done;
         unsigned interruptions = 0;
         loop_timer retry;
@@ -118,6 +118,9 @@
     /// target list. Under load, targets stop responding by the hundred, and each probe would be one more call
     /// to them.
     void awaitRestart(const executing_target& target, callback done);
+    /// Whether the target list shows that a later start has taken the target's address. If it does not, the
+    /// target may still have terminated: a crash appears in the list seconds later.
+    bool replaced(const executing_target& target) const;
 
 private:
     struct pending_check {
@@ -208,11 +211,15 @@
     void aborted(const interrupted_run& run, std::function<void(bool terminated)> settled);
     /// A target stopped responding in the middle of a request.
     void targetUnresponsive(const interrupted_run& run);
-    /// Asks whether a target runs that has ended a response by closing its connection. Like that a whole
-    /// response without length and chunks ends, and one whose target has terminated.
-    void askWhetherRunning(const std::string& address, liveness_probe::callback done)
+    /// Asks whether the start of a target runs that has ended a response by closing its connection. Like that
+    /// a whole response without length and chunks ends, and one whose target has terminated.
+    void askWhetherRunning(const executing_target& target, liveness_probe::callback done)
     {
-        m_probe.ask(address, std::move(done));
+        m_probe.ask(target, [this, target, done = std::move(done)](target_state state) {
+            // Should a target respond to questions that name another start, the target list may tell.
+            const bool refuted = state == target_state::running && m_terminationCheck.replaced(target);
+            done(refuted ? target_state::terminated : state);
+        });
     }
     /// A target has sent a complete response to the request.
     void answered(const guarded_request& request);
--- a/libs/guard/src/liveness_probe.cpp
+++ b/libs/guard/src/liveness_probe.cpp
@@ -6,15 +6,16 @@
 
 namespace {
 
-/// A probe over an idle connection that the target has closed does not show its state. Within this time the
-/// client notices that it is closed, and the next probe opens a new connection.
+/// A connection that the target accepts and closes at once, as it does while it terminates, does not show its
+/// state. A probe that follows after this time finds it refusing connections.
 constexpr milliseconds retryDelay { 5 };
 constexpr unsigned maxInterruptions = 4;
 
 target_state stateAfter(const failure& error)
 {
     const bool refused = error.ran == verdict::not_run && error.kind == failure_kind::unavailable;
-    return refused ? target_state::terminated : target_state::unknown;
+    const bool restarted = error.kind == failure_kind::gone;
+    return refused || restarted ? target_state::terminated : target_state::unknown;
 }
 
 } // namespace
@@ -25,15 +26,15 @@
 {
 }
 
-void liveness_probe::ask(const std::string& address, callback done)
+void liveness_probe::ask(const executing_target& target, callback done)
 {
-    send(std::make_shared<question>(question { address, std::move(done), 0, loop_timer(m_loop) }));
+    send(std::make_shared<question>(question { target, std::move(done), 0, loop_timer(m_loop) }));
 }
 
 void liveness_probe::send(const std::shared_ptr<question>& pending)
 {
-    m_loads.ask(
-        pending->address, [this, pending, alive = std::weak_ptr(m_alive)](const result<load_report>& report) {
+    m_loads.askStart(pending->target.address, pending->target.id,
+        [this, pending, alive = std::weak_ptr(m_alive)](const result<load_report>& report) {
             if (alive.expired())
                 return;
             if (report)
--- a/libs/guard/src/termination_check.cpp
+++ b/libs/guard/src/termination_check.cpp
@@ -59,6 +59,21 @@
     begin(target, std::move(done));
 }
 
+bool termination_check::replaced(const executing_target& target) const
+{
+    if (!m_targets)
+        return false;
+    const auto* own = m_targets->find(target.id);
+    const auto& all = m_targets->targets();
+    return std::any_of(all.begin(), all.end(), [&](const auto& entry) {
+        const auto& other = *entry.second;
+        if (other.address != target.address || other.id == target.id)
+            return false;
+        // The entry of an earlier start stays in the list for several seconds.
+        return own ? own->started != 0 && other.started > own->started : !m_targets->partial();
+    });
+}
+
 termination_check::pending_check* termination_check::begin(const executing_target& target, callback done)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -86,7 +101,8 @@
 void termination_check::probe(pending_check& one)
 {
     one.probing = true;
-    m_probe.ask(one.address, [this, target = one.target](target_state state) { probed(target, state); });
+    m_probe.ask({ one.target, one.address },
+        [this, target = one.target](target_state state) { probed(target, state); });
 }
 
 void termination_check::probed(const std::string& target, target_state state)
--- a/libs/guard/tests/test_request_guard.cpp
+++ b/libs/guard/tests/test_request_guard.cpp
@@ -31,6 +31,10 @@
         else
             done(load_report {});
     }
+    void askStart(const std::string& address, const std::string&, callback done) override
+    {
+        ask(address, std::move(done));
+    }
     bool refuses = true;
 };
 
--- a/libs/guard/tests/test_termination_check.cpp
+++ b/libs/guard/tests/test_termination_check.cpp
@@ -14,7 +14,13 @@
         polledAddresses += address + ' ';
         answer = std::move(done);
     }
+    void askStart(const std::string& address, const std::string& target, callback done) override
+    {
+        askedStarts += target + ' ';
+        ask(address, std::move(done));
+    }
     std::string polledAddresses;
+    std::string askedStarts;
     callback answer;
 };
 
@@ -93,6 +99,34 @@
     CHECK(f.found == "ended alive alive "); // A failed link: no other target was listed at its address.
 }
 
+// Guards against a crash that goes unnoticed because the target is back at its address before it is asked.
+TEST_CASE("a target whose next start responds at its address has terminated")
+{
+    fixture f;
+    f.examine("t1");
+    CHECK(f.loads.askedStarts == "t1 ");
+    f.loads.answer(notRun(failure_kind::gone, "another start of the target responds"));
+    CHECK(f.found == "ended ");
+}
+
+TEST_CASE("a target is replaced if a later start is listed at its address")
+{
+    fixture f;
+    const executing_target first { "t1", "a1" };
+    CHECK(!f.check.replaced(first));
+    CHECK(f.check.replaced({ "unlisted", "a1" }));
+    CHECK(!f.check.replaced({ "unlisted", "a9" }));
+    auto next = listedAt("t1b", "a1");
+    auto previous = listedAt("t1", "a1");
+    f.list({ previous, next });
+    CHECK(!f.check.replaced(first)); // Which of them is the later start is unknown.
+    previous.started = 5;
+    next.started = 6;
+    f.list({ previous, next });
+    CHECK(f.check.replaced(first));
+    CHECK(!f.check.replaced({ "t1b", "a1" }));
+}
+
 // Guards against a request that crashes one target after the other because the entry's slice of the target
 // list does not contain them.
 TEST_CASE("the termination of a target that this process does not list is detected at its address")
--- a/libs/places/include/places/places.h
+++ b/libs/places/include/places/places.h
@@ -103,6 +103,10 @@
     /// Calls `done` exactly once, asynchronously; with a failure after a fraction of a second if the target
     /// does not respond.
     virtual void ask(const std::string& address, callback done) = 0;
+    /// Like ask(), but only the start with this id may respond: it fails with failure_kind::gone if another
+    /// start responds. The question is sent over a connection of its own, on which no answer to an earlier
+    /// request can arrive.
+    virtual void askStart(const std::string& address, const std::string& target, callback done) = 0;
 };
 
 /// Options of the target groups on a platform: bulk work fills all spare slots, ordered by due time.
--- a/libs/places/tests/test_places.cpp
+++ b/libs/places/tests/test_places.cpp
@@ -462,6 +462,10 @@
     {
         polls.emplace_back(address, std::move(done));
     }
+    void askStart(const std::string& address, const std::string&, callback done) override
+    {
+        ask(address, std::move(done));
+    }
     /// Answers all pending polls.
     void answer(const result<load_report>& report)
     {
