Do not send a request over an idle connection on which input has already arrived

What callers saw: nothing so far; found by looking for answers to earlier requests that are taken for the answer of this one.

Cause: the loop closes an idle connection when it reads input there. In a process that stood still, a late second response, or the end of the connection, can lie unread while the next call already takes the connection.

Change: right before it writes on an idle connection, a call looks whether input is unread (one recv with MSG_PEEK) and opens a new connection if so.

--- a/libs/http/src/byte_stream.cpp
+++ b/libs/http/src/byte_stream.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
 
 namespace yuccachute {
@@ -28,6 +29,13 @@
     socket.set_option(asio::socket_base::linger(true, 0), ignored);
 }
 
+bool hasUnread(tcp::socket& socket)
+{
+    char byte = 0;
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 class plain_stream final : public byte_stream {
 public:
     explicit plain_stream(tcp::socket socket)
@@ -42,6 +50,8 @@
         m_socket.async_read_some(into, std::move(done));
     }
 
+    bool hasUnreadInput() override { return hasUnread(m_socket); }
+
     void writeAll(asio::const_buffer from, transfer_handler done) override
     {
         asio::async_write(m_socket, from, std::move(done));
@@ -86,6 +96,8 @@
         m_stream.async_read_some(into, std::move(done));
     }
 
+    bool hasUnreadInput() override { return hasUnread(m_stream.next_layer()); }
+
     void writeAll(asio::const_buffer from, transfer_handler done) override
     {
         asio::async_write(m_stream, from, std::move(done));
--- a/libs/http/src/byte_stream.h
+++ b/libs/http/src/byte_stream.h
@@ -22,6 +22,8 @@
     /// Performs the server side of the TLS handshake. On a plain stream the handler runs immediately.
     virtual void accept(done_handler done) = 0;
     virtual void readSome(boost::asio::mutable_buffer into, transfer_handler done) = 0;
+    /// Whether input, the end of file or an error has arrived that no call of readSome() has received yet.
+    virtual bool hasUnreadInput() = 0;
     virtual void writeAll(boost::asio::const_buffer from, transfer_handler done) = 0;
     /// Shuts down the sending direction, so that the peer reads end of file.
     virtual void finishSending() = 0;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -195,7 +195,7 @@
         if (!m_options.freshConnection)
             m_connection = m_owner->takeIdle(m_address);
         if (m_connection)
-            return m_owner->loop.post([self = shared_from_this()] { self->send(); });
+            return m_owner->loop.post([self = shared_from_this()] { self->sendOnIdle(); });
         connect();
     }
 
@@ -243,6 +243,15 @@
         });
     }
 
+    /// In a process that stood still, a late response to an earlier request, or the end of the connection,
+    /// may lie on an idle connection that the loop has not read yet.
+    void sendOnIdle()
+    {
+        if (!m_ended && !m_connection->closed && m_connection->stream->hasUnreadInput())
+            m_connection->close();
+        send();
+    }
+
     void send()
     {
         if (m_ended)
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -316,6 +316,59 @@
     ::close(fd);
 }
 
+// Guards against response mix-up in a process that stood still: a second response, or the end of the
+// connection, has arrived on an idle connection and is unread when the next call starts.
+TEST_CASE("an idle connection on which input has arrived is not used for the next call")
+{
+    fixture f;
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(::listen(fd, 8) == 0);
+    socklen_t length = sizeof address;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    const auto serverAddress = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    const auto send = [](int peer, std::string_view body) {
+        const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + std::string(body);
+        REQUIRE(::send(peer, reply.data(), reply.size(), MSG_NOSIGNAL) > 0);
+    };
+    for (const bool secondResponse : { true, false }) {
+        http_client client(f.loop, {});
+        call_recorder first;
+        const auto call
+            = client.start(serverAddress, {}, withDeadline(milliseconds { 1000 }), first.events());
+        f.run();
+        const int peer = ::accept(fd, nullptr, nullptr);
+        REQUIRE(peer >= 0);
+        send(peer, "a1");
+        f.run();
+        REQUIRE(first.body == "a1");
+        // The loop does not run between the arrival and the next call.
+        if (secondResponse)
+            send(peer, "a2");
+        else
+            ::close(peer);
+        call_recorder second;
+        const auto next
+            = client.start(serverAddress, {}, withDeadline(milliseconds { 1000 }), second.events());
+        f.run();
+        CHECK(second.body.empty());
+        CHECK(!second.error);
+        REQUIRE(client.connectionsOpened() == 2);
+        const int nextPeer = ::accept(fd, nullptr, nullptr);
+        REQUIRE(nextPeer >= 0);
+        send(nextPeer, "b1");
+        f.run();
+        CHECK(second.body == "b1");
+        ::close(nextPeer);
+        if (secondResponse)
+            ::close(peer);
+    }
+    ::close(fd);
+}
+
 TEST_CASE("the server detects a cancelled call, and a call without a response ends at the idle timeout")
 {
     fixture f;
