One place that decides whether a run is whole, and strict ids of events

event_splitter took an id that is no number for 0 and did not notice an event without one; both are out of order now, and comments are no events. bulk_job::addEvent took any number for the first event of an item; it must be 1. Saved progress whose number of events is not its last id lacks a part of the text, and the item begins anew.

--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -213,7 +213,8 @@
         std::uint32_t index, const std::optional<std::string>& version, const std::string& service);
     /// Discards the events of an item, which begins anew: no target can resume them.
     void discardEvents(std::uint32_t index);
-    /// Adds an event to a running item. Returns false if its id does not follow that of the previous event.
+    /// Adds an event to a running item. Returns false if its id does not follow that of the previous event,
+    /// or is not 1 for the first event.
     bool addEvent(std::uint32_t index, std::optional<std::uint64_t> id, std::string data);
     /// Ends a run. An item that has failed `maxAttempts` times is abandoned.
     void finishRun(std::uint32_t index, run_outcome outcome, unsigned maxAttempts, steady_time now);
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -88,6 +88,8 @@
     for (auto& one : saved) {
         if (one.index >= m_items.size() || m_items[one.index].hasResult)
             continue; // A result was committed after this progress was saved.
+        if (one.events.size() != one.lastEvent)
+            continue; // A part of the item's text is missing, so it begins anew.
         m_items[one.index].lastEvent = one.lastEvent;
         m_items[one.index].events = std::move(one.events);
         m_items[one.index].version = std::move(one.version);
@@ -130,7 +132,7 @@
 bool bulk_job::addEvent(std::uint32_t index, std::optional<std::uint64_t> id, std::string data)
 {
     auto& item = m_items[index];
-    if (!id || (item.lastEvent && *id != *item.lastEvent + 1))
+    if (!id || *id != item.lastEvent.value_or(0) + 1)
         return false;
     item.lastEvent = id;
     item.events.push_back(std::move(data));
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -81,6 +81,23 @@
     CHECK(held.committedResults()[0].text == "a\nb\nc");
 }
 
+// Guards against an item whose text begins with an event of another answer, or lacks its beginning.
+TEST_CASE("the first event of an item is 1, and progress that lacks events is not restored")
+{
+    auto held = job(1);
+    REQUIRE(held.next());
+    CHECK(!held.addEvent(0, 0, "a"));
+    CHECK(!held.addEvent(0, 2, "b"));
+    CHECK(!held.addEvent(0, std::nullopt, "c"));
+    CHECK(held.eventsOf(0) == 0);
+    CHECK(held.addEvent(0, 1, "a"));
+    auto takenOver = job(2);
+    takenOver.restore({ { 0, 3, { "b", "c" } }, { 1, 2, { "a", "b" } } });
+    const auto progress = takenOver.progress();
+    REQUIRE(progress.size() == 1);
+    CHECK(progress[0].index == 1);
+}
+
 // Guards against an item whose text comes from two software versions or services after its holder has
 // changed.
 TEST_CASE("an item keeps the software version and service that made its events, and loses them with them")
--- a/libs/serving/include/serving/serving.h
+++ b/libs/serving/include/serving/serving.h
@@ -81,8 +81,9 @@
     bool midEvent() const { return !m_partial.empty(); }
     /// Id of the last complete event, if one had an id.
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
+    /// Number of complete events; comments do not count.
     std::uint64_t events() const { return m_events; }
-    /// Whether the id of an event was not that of its predecessor plus one.
+    /// Whether an event had no numeric id, or one that was not that of its predecessor plus one.
     bool outOfOrder() const { return m_outOfOrder; }
     /// Returns the data of the events since the last call, one string for each event. Requires collectData().
     std::vector<std::string> takeData() { return std::exchange(m_data, {}); }
@@ -99,4 +100,62 @@
     std::vector<std::string> m_data;
 };
 
+/// How the end of a run's response became known.
+enum class response_end : std::uint8_t {
+    open, ///< It has not ended, or has been broken off.
+    framed, ///< Its length or its last chunk has arrived.
+    closed, ///< Its connection has ended, which shows nothing.
+    confirmed, ///< Its connection has ended, and the start of the target that sent it runs.
+    refuted ///< Its connection has ended, and that start has terminated or does not respond.
+};
+
+std::string_view toString(response_end end);
+
+/// Decides whether one run of a request at a target has sent its whole response. Only what belongs to this
+/// run is evidence of it: the order of its events from the first one on, the framing of its response, and the
+/// start of the target that sent it. The absence of an error is none, since a target that terminates closes
+/// its connections in order, and neither is an address or a request id, which serve other runs as well.
+class run_evidence {
+public:
+    enum class completeness : std::uint8_t {
+        whole,
+        cut,
+        unconfirmed ///< Whole if the start of the target that sent the response still runs.
+    };
+
+    run_evidence() = default;
+    /// For a run that continues after `lastEvent`; one without it begins with event 1.
+    explicit run_evidence(std::optional<std::uint64_t> lastEvent)
+        : m_resumed(lastEvent.has_value())
+        , m_lastEvent(lastEvent.value_or(0))
+    {
+    }
+
+    void receiveHead(const http_reply& head);
+    /// Adds `count` events with successive ids, of which the last one is `lastId`. Returns false if they are
+    /// not the next ones of the run.
+    bool addEvents(std::uint64_t count, std::optional<std::uint64_t> lastId);
+    /// The response of an event stream has ended without an error.
+    completeness endStream(bool midEvent);
+    /// A response without events has ended without an error.
+    completeness endPlain();
+    /// After an unconfirmed end: whether the start that sent the response runs.
+    completeness confirm(bool running);
+
+    /// Whether the response has a length or chunks, so that its end differs from that of its connection.
+    bool framed() const { return m_framed; }
+    response_end end() const { return m_end; }
+    /// Id of the run's first event; 0 if there was none.
+    std::uint64_t firstEvent() const { return m_firstEvent; }
+    /// Id of the last event, of this run or of the ones that it continues; 0 if there was none.
+    std::uint64_t lastEvent() const { return m_lastEvent; }
+
+private:
+    bool m_resumed = false;
+    std::uint64_t m_lastEvent = 0;
+    std::uint64_t m_firstEvent = 0;
+    bool m_framed = false;
+    response_end m_end = response_end::open;
+};
+
 } // namespace yuccachute
--- a/libs/serving/src/event_splitter.cpp
+++ b/libs/serving/src/event_splitter.cpp
@@ -19,6 +19,16 @@
     return value;
 }
 
+std::optional<std::uint64_t> parseId(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
 } // namespace
 
 std::string event_splitter::feed(std::string_view piece)
@@ -39,7 +49,7 @@
 {
     std::string data;
     bool hasData = false;
-    ++m_events;
+    std::optional<std::uint64_t> number;
     while (!event.empty()) {
         const auto end = event.find('\n');
         auto line = event.substr(0, end);
@@ -47,19 +57,23 @@
         if (line.ends_with('\r'))
             line.remove_suffix(1);
         if (const auto id = fieldValue(line, "id")) {
-            std::uint64_t number = 0;
-            std::from_chars(id->data(), id->data() + id->size(), number);
-            m_outOfOrder = m_outOfOrder || (m_lastId && number != *m_lastId + 1);
-            m_lastId = number;
+            number = parseId(*id);
+            m_outOfOrder = m_outOfOrder || !number;
         }
-        if (const auto text = fieldValue(line, "data"); text && m_collect) {
-            if (hasData)
+        if (const auto text = fieldValue(line, "data")) {
+            if (hasData && m_collect)
                 data += '\n';
-            data.append(*text);
+            if (m_collect)
+                data.append(*text);
             hasData = true;
         }
     }
-    if (hasData)
+    if (!hasData && !number)
+        return; // A comment.
+    ++m_events;
+    m_outOfOrder = m_outOfOrder || !number || (m_lastId && *number != *m_lastId + 1);
+    m_lastId = number;
+    if (hasData && m_collect)
         m_data.push_back(std::move(data));
 }
 
--- a/libs/serving/tests/test_serving.cpp
+++ b/libs/serving/tests/test_serving.cpp
@@ -36,6 +36,27 @@
     CHECK(splitter.outOfOrder());
 }
 
+// Guards against parts of another answer whose ids are not numbers or are missing.
+TEST_CASE("events without a numeric id are out of order, and comments are no events")
+{
+    for (const std::string event :
+        { "data: x\n\n", "id: 2x\ndata: x\n\n", "id:\ndata: x\n\n", "id: -2\n\n" }) {
+        INFO(event);
+        event_splitter splitter;
+        splitter.feed("id: 1\ndata: a\n\n");
+        CHECK(!splitter.outOfOrder());
+        splitter.feed(event);
+        CHECK(splitter.outOfOrder());
+    }
+    event_splitter splitter;
+    CHECK(splitter.feed(": comment\n\n") == ": comment\n\n");
+    CHECK(splitter.events() == 0);
+    splitter.feed("id: 1\ndata: a\n\n: comment\n\nid: 2\ndata: b\n\n");
+    CHECK(splitter.events() == 2);
+    CHECK(splitter.lastId() == 2);
+    CHECK(!splitter.outOfOrder());
+}
+
 TEST_CASE("hop-by-hop headers are not forwarded")
 {
     const auto forwarded
