item_run and live_run decide by run_evidence whether a response is whole

Cause: both held their own flags and waits for the end of a response without length and chunks, and checked the order of events only inside one run: a stream could begin with any event, and a resumed one with an earlier event than due.

Change: both take run_evidence for the decision and start_confirmation (libs/guard) for the wait. The first event of a run is the one after the last event passed on, or 1. A wait ends when a further run of the request begins. The log lines "item run" and "request" tell the first and the last event, whether the response was framed, and how its end was known (response_end: open, framed, closed, confirmed, refuted).

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds connectTimeout { 300 };
 /// A target that runs answers the question whether it does within a few milliseconds, and one that has
 /// terminated refuses it. A target that does not respond leaves it open.
-constexpr milliseconds examinationTimeout { 500 };
+constexpr milliseconds confirmationTimeout { 500 };
 constexpr unsigned rejectedStatus = 422;
 constexpr unsigned failedStatus = 500;
 
@@ -30,7 +30,8 @@
         , m_request(std::move(request))
         , m_events(std::move(events))
         , m_retryTimer(services.loop)
-        , m_examinationTimer(services.loop)
+        , m_confirmation(services.loop)
+        , m_evidence(m_request.lastEvent)
     {
         m_splitter.collectData();
     }
@@ -64,6 +65,7 @@
     void stop()
     {
         m_stopped = true;
+        m_confirmation.cancel();
         m_slotAcquisition.reset();
         if (m_call)
             m_call->cancel();
@@ -74,6 +76,7 @@
     const std::string& target() const override { return m_target; }
     std::optional<std::string> version() const override { return m_version; }
     bool targetsUnavailable() const override { return m_targetsUnavailable; }
+    const run_evidence& evidence() const override { return m_evidence; }
 
 private:
     void slotDenied(const failure& refusal)
@@ -114,8 +117,7 @@
         client_call_events events;
         events.head = [this](const http_reply& head) {
             m_status = head.status;
-            m_framed = !findHeader(head.headers, "Content-Length").empty()
-                || !findHeader(head.headers, "Transfer-Encoding").empty();
+            m_evidence.receiveHead(head);
             m_meaning = m_services.callers.classify(head, m_request.itemId);
             return m_meaning != answer_meaning::foreign;
         };
@@ -145,9 +147,14 @@
             const auto end = piece.find('\n');
             const auto line = piece.substr(0, end == std::string_view::npos ? piece.size() : end + 1);
             piece.remove_prefix(line.size());
-            if (m_splitter.feed(line).empty())
+            const auto before = m_splitter.events();
+            m_splitter.feed(line);
+            const auto count = m_splitter.events() - before;
+            if (m_splitter.outOfOrder() || !m_evidence.addEvents(count, m_splitter.lastId()))
+                return false;
+            if (count == 0)
                 continue;
-            m_timing.record(1, now);
+            m_timing.record(count, now);
             for (auto& data : m_splitter.takeData()) {
                 if (!m_events.event(m_splitter.lastId(), std::move(data)))
                     return false;
@@ -167,32 +174,25 @@
             release(grant_outcome::failed);
             return end(run_outcome::interrupted, "another target responds at this address");
         }
-        const bool midEvent = m_status == 200 && m_splitter.midEvent();
-        if (m_status == 200 && !m_framed && !midEvent)
-            return onConnectionEnd();
-        finishResponse(midEvent);
+        if (m_status != 200)
+            return finishResponse(false);
+        const auto found = m_evidence.endStream(m_splitter.midEvent());
+        if (found == run_evidence::completeness::unconfirmed)
+            return confirmEnd();
+        finishResponse(found == run_evidence::completeness::cut);
     }
 
-    /// A response without length and chunks ends with its connection, and looks the same whether it is whole
-    /// or its target has terminated. It is whole if its target runs. If that stays open, the item is resumed
-    /// at another target, which has nothing left to send if it is whole.
-    void onConnectionEnd()
+    /// The response is whole if the start of the target that sent it runs. If that stays open, the item is
+    /// resumed at another target, which has nothing left to send if it is whole.
+    void confirmEnd()
     {
-        m_awaitingExamination = true;
-        const auto decide = [weak = weak_from_this()](target_state state) {
-            const auto self = weak.lock();
-            if (!self || self->m_stopped || !std::exchange(self->m_awaitingExamination, false))
-                return;
-            self->m_examinationTimer.cancel();
-            const bool running = state == target_state::running;
-            if (!running)
-                self->m_services.guard.aborted(self->interruptedRun(), nullptr);
-            // Only a resumed item can have nothing left to send.
-            const bool empty = self->m_timing.events() == 0 && !self->m_request.lastEvent;
-            self->finishResponse(!running || empty);
-        };
-        m_examinationTimer.arm(examinationTimeout, [decide] { decide(target_state::unknown); });
-        m_services.guard.askWhetherRunning({ m_target, m_address }, decide);
+        m_confirmation.ask(
+            m_services.guard, { m_target, m_address }, confirmationTimeout, [this](target_state state) {
+                const bool running = state == target_state::running;
+                if (!running)
+                    m_services.guard.aborted(interruptedRun(), nullptr);
+                finishResponse(m_evidence.confirm(running) == run_evidence::completeness::cut);
+            });
     }
 
     void finishResponse(bool truncated)
@@ -244,7 +244,7 @@
     /// The target has sent a complete response, and so survived the item.
     void reportAnswer()
     {
-        if (!m_framed && m_status != 200)
+        if (!m_evidence.framed() && m_status != 200)
             return; // Whether its target runs was not asked.
         auto& guard = m_services.guard;
         const auto identity = guard.needsIdentities()
@@ -295,9 +295,10 @@
     item_run_request m_request;
     item_run_events m_events;
     loop_timer m_retryTimer;
-    loop_timer m_examinationTimer;
+    start_confirmation m_confirmation;
     steady_time m_slotRequestedAt;
     event_splitter m_splitter;
+    run_evidence m_evidence;
     event_timing m_timing;
     std::shared_ptr<slot_acquisition> m_slotAcquisition;
     std::shared_ptr<client_call> m_call;
@@ -308,10 +309,7 @@
     strike_record m_recordWhenSent; ///< Strikes known against the item when it was sent.
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
-    /// Whether the response is framed, so that its end differs from a lost connection.
-    bool m_framed = false;
     bool m_stopped = false;
-    bool m_awaitingExamination = false; ///< Waiting to know whether the target has terminated.
     bool m_targetsUnavailable = false;
 };
 
@@ -329,6 +327,7 @@
     const std::string& target() const override { return m_run->target(); }
     std::optional<std::string> version() const override { return m_run->version(); }
     bool targetsUnavailable() const override { return m_run->targetsUnavailable(); }
+    const run_evidence& evidence() const override { return m_run->evidence(); }
 
 private:
     std::shared_ptr<item_run_impl> m_run;
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -34,6 +34,8 @@
     virtual std::optional<std::string> version() const = 0;
     /// Whether the run ended without a slot because no target that could run the item was usable.
     virtual bool targetsUnavailable() const = 0;
+    /// What is known of the response.
+    virtual const run_evidence& evidence() const = 0;
 };
 
 struct item_run_request {
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -414,6 +414,7 @@
     const std::string target = run == held.runs.end() ? "" : run->second->target();
     const auto version = run == held.runs.end() ? std::nullopt : run->second->version();
     const bool hadSlot = !target.empty();
+    const auto evidence = run == held.runs.end() ? run_evidence() : run->second->evidence();
     if (run != held.runs.end() && run->second->targetsUnavailable())
         recordVersionOutage(held, index);
     else
@@ -434,7 +435,11 @@
                 { "path", held.job->record().items[index].path }, { "route", placement.route },
                 { "service", placement.service }, { "config", placement.config }, { "target", target },
                 { "target_version", version.value_or("unknown") },
-                { "end", static_cast<std::int64_t>(outcome) }, { "reason", reason } });
+                { "end", static_cast<std::int64_t>(outcome) }, { "reason", reason },
+                { "first_event", static_cast<std::int64_t>(evidence.firstEvent()) },
+                { "last_event", static_cast<std::int64_t>(evidence.lastEvent()) },
+                { "framed", evidence.framed() ? 1 : 0 },
+                { "response_end", std::string(toString(evidence.end())) } });
     startRuns();
 }
 
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -65,6 +65,7 @@
         , m_deadlineTimer(services.loop)
         , m_silenceTimer(services.loop)
         , m_examinationTimer(services.loop)
+        , m_confirmation(services.loop)
         , m_lastEvent(m_facts.lastEvent)
     {
     }
@@ -237,7 +238,7 @@
     /// The target has sent a complete response, and so survived the request.
     void reportAnswer()
     {
-        if (!m_services.guard || !(m_lengthDelimited || m_endConfirmed))
+        if (!m_services.guard || !(m_evidence.framed() || m_evidence.end() == response_end::confirmed))
             return;
         // Only a successful response shows that the target can write one with these parts.
         const auto parts
@@ -366,7 +367,9 @@
             : strike_record {};
         m_targetsAge = m_services.targetsAge();
         m_waited += m_slot->waited;
-        m_splitter.restart();
+        m_confirmation.cancel(); // An earlier run does not decide about this one.
+        m_splitter = {};
+        m_evidence = run_evidence(m_lastEvent);
         m_timing = {};
         m_body.clear();
         m_failoverWanted = false;
@@ -421,8 +424,8 @@
             if (!m_replyStarted)
                 m_replyHead.headers = endToEndHeaders(head.headers);
             m_contentLength = contentLength(head);
-            m_lengthDelimited = m_contentLength || !findHeader(head.headers, "Transfer-Encoding").empty();
-            if (!m_lengthDelimited)
+            m_evidence.receiveHead(head);
+            if (!m_evidence.framed())
                 m_services.figures.count("yuccachute_unframed_responses_total", "route", m_route.name);
         }
         return true;
@@ -449,16 +452,16 @@
             return bufferBody(piece);
         const auto eventsBefore = m_splitter.events();
         const auto events = m_splitter.feed(piece);
-        if (m_splitter.outOfOrder())
+        const auto count = m_splitter.events() - eventsBefore;
+        if (m_splitter.outOfOrder() || !m_evidence.addEvents(count, m_splitter.lastId()))
             return false;
-        if (events.empty())
+        if (count == 0) // Comments need not be passed on.
             return true;
-        m_timing.record(m_splitter.events() - eventsBefore, now());
+        m_timing.record(count, now());
         recordOrigin();
         cancelFailover();
         armSilenceTimer(nextEventTimeout);
-        if (m_splitter.lastId())
-            m_lastEvent = m_splitter.lastId();
+        m_lastEvent = m_evidence.lastEvent();
         startReply(std::nullopt);
         writeToCaller(events);
         return true;
@@ -533,43 +536,40 @@
         if (m_resumptionFailed)
             return onInterrupted(mayHaveRun(failure_kind::incomplete,
                 "the target responded with a failure instead of the rest of the stream"));
-        if (eventStream() && m_splitter.midEvent())
-            return onInterrupted(
-                mayHaveRun(failure_kind::incomplete, "the stream from the target ended within an event"));
-        if (!m_lengthDelimited && m_replyHead.status < firstFailureStatus)
-            return onConnectionEnd();
-        completeReply();
+        if (m_replyHead.status >= firstFailureStatus)
+            return completeReply();
+        switch (eventStream() ? m_evidence.endStream(m_splitter.midEvent()) : m_evidence.endPlain()) {
+        case run_evidence::completeness::whole:
+            return completeReply();
+        case run_evidence::completeness::cut:
+            return onInterrupted(mayHaveRun(failure_kind::incomplete,
+                m_splitter.midEvent()
+                    ? "the stream from the target ended within an event"
+                    : "the stream from the target ended with its connection, without an event"));
+        case run_evidence::completeness::unconfirmed:
+            return confirmEnd();
+        }
     }
 
-    /// A response without length and chunks ends with its connection, and looks the same whether it is whole
-    /// or its target has terminated. It is whole if its target runs. If that stays open, a stream is resumed
-    /// at another target, which has nothing left to send if it is whole.
-    void onConnectionEnd()
+    /// The response is whole if the start of the target that sent it runs. If that stays open, a stream is
+    /// resumed at another target, which has nothing left to send if it is whole.
+    void confirmEnd()
     {
         const bool empty = eventStream() && m_timing.events() == 0;
         const auto interrupted = mayHaveRun(failure_kind::incomplete,
-            empty ? "the stream from the target ended with its connection, without an event"
-                  : "the response ended with its connection, and its target does not respond any more");
-        // Only a stream that is resumed, here or by its caller, can have nothing left to send.
-        if (empty && (!m_lastEvent || !m_services.guard))
-            return onInterrupted(interrupted);
+            "the response ended with its connection, and the start of the target that sent it does not "
+            "respond "
+            "any more");
         if (!m_services.guard)
-            return completeReply();
-        m_awaitingExamination = true;
-        const auto decide = [weak = weak_from_this(), interrupted](target_state state) {
-            const auto self = weak.lock();
-            if (!self || !std::exchange(self->m_awaitingExamination, false))
-                return;
-            self->m_examinationTimer.cancel();
-            self->m_endConfirmed = state == target_state::running;
-            if (self->m_endConfirmed)
-                self->completeReply();
-            else
-                self->onInterrupted(interrupted);
-        };
-        m_examinationTimer.arm(
-            empty ? examinationTimeout : endConfirmationTimeout, [decide] { decide(target_state::unknown); });
-        m_services.guard->askWhetherRunning({ m_lastTarget, m_lastAddress }, decide);
+            return empty ? onInterrupted(interrupted) : completeReply();
+        m_confirmation.ask(*m_services.guard, { m_lastTarget, m_lastAddress },
+            empty ? examinationTimeout : endConfirmationTimeout, [this, interrupted](target_state state) {
+                const auto found = m_evidence.confirm(state == target_state::running);
+                if (found == run_evidence::completeness::whole)
+                    completeReply();
+                else
+                    onInterrupted(interrupted);
+            });
     }
 
     void completeReply()
@@ -690,6 +690,7 @@
         m_deadlineTimer.cancel();
         m_silenceTimer.cancel();
         m_examinationTimer.cancel();
+        m_confirmation.cancel();
         m_awaitingExamination = false;
         m_originLookup.reset();
         m_acquisition.reset();
@@ -723,7 +724,10 @@
                 { "identity", m_identity ? toString(*m_identity) : std::string() },
                 { "prompt_parts", toString(m_facts.promptParts) },
                 { "events", static_cast<std::int64_t>(m_timing.events()) },
-                { "framed", m_lengthDelimited ? 1 : 0 }, { "reason", m_reason } });
+                { "first_event", static_cast<std::int64_t>(m_evidence.firstEvent()) },
+                { "last_event", static_cast<std::int64_t>(m_evidence.lastEvent()) },
+                { "framed", m_evidence.framed() ? 1 : 0 },
+                { "response_end", std::string(toString(m_evidence.end())) }, { "reason", m_reason } });
     }
 
     live_services& m_services;
@@ -739,6 +743,7 @@
     loop_timer m_deadlineTimer;
     loop_timer m_silenceTimer;
     loop_timer m_examinationTimer;
+    start_confirmation m_confirmation;
     std::shared_ptr<live_run> m_self;
     steady_time m_deadline;
     steady_time m_objectiveDeadline;
@@ -752,13 +757,12 @@
     std::optional<held_slot> m_slot;
     std::shared_ptr<client_call> m_call;
     event_splitter m_splitter;
-    event_timing m_timing; ///< Of the current run at a target.
+    run_evidence m_evidence; ///< Of the current run at a target, as is the timing.
+    event_timing m_timing;
     std::optional<std::uint64_t> m_lastEvent;
     answer_meaning m_meaning = answer_meaning::own;
     http_reply m_replyHead;
     std::optional<std::uint64_t> m_contentLength;
-    bool m_lengthDelimited = false; ///< The end of the body differs from a broken connection.
-    bool m_endConfirmed = false; ///< The target ran after the end of a response that is not length-delimited.
     std::string m_body;
     std::string m_lastTarget;
     std::string m_lastAddress;
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -911,6 +911,37 @@
     }
 }
 
+// Guards against a late answer to another run, or a part of one, that is passed on as the beginning of a
+// stream or as the rest of it.
+TEST_CASE("a stream begins with event 1, and a resumed one with the event after its last one")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.targets.body(event(2));
+    CHECK_FALSE(f.targets.accepted);
+    CHECK(f.caller->body.empty());
+    f.targets.fail(mayHaveRun(failure_kind::incomplete, "rejected"));
+    REQUIRE(f.slots.acquisitions == 2);
+    f.slots.grant("t2");
+    f.targets.head(200);
+    f.targets.body(event(1));
+    CHECK(f.targets.accepted);
+    CHECK(f.caller->body == event(1));
+
+    fixture resumed(request_kind::streaming, true, 1000, nullptr, "", 0, 5);
+    resumed.origins.answer(stream_origin { "first", "service", "v1" });
+    for (const auto& [target, first] : { std::pair("t1", 5), std::pair("t2", 6) }) {
+        resumed.slots.grant(target, "v1");
+        resumed.targets.head(200);
+        resumed.targets.body(event(first));
+        CHECK(resumed.targets.accepted == (first == 6));
+        if (first != 6)
+            resumed.targets.fail(mayHaveRun(failure_kind::incomplete, "rejected"));
+    }
+    CHECK(resumed.caller->body == event(6));
+}
+
 // Guards against a stream that waits for a question to its target that is never answered.
 TEST_CASE("a stream whose target is never heard of again is resumed elsewhere")
 {
--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -265,6 +265,22 @@
     listener m_listener;
 };
 
+/// Waits for a limited time to know whether the start of a target runs that has ended a response by closing
+/// its connection. Destroying this object ends the wait.
+class start_confirmation {
+public:
+    explicit start_confirmation(event_loop& loop);
+
+    /// Calls `done` once, after `limit` with target_state::unknown, unless the wait is cancelled before.
+    void ask(request_guard& guard, const executing_target& target, milliseconds limit,
+        liveness_probe::callback done);
+    void cancel();
+
+private:
+    loop_timer m_limit;
+    std::shared_ptr<liveness_probe::callback> m_done; ///< Null if nothing is awaited.
+};
+
 /// Replicates the records of requests between the processes. The sync requests that processes send to each
 /// other anyway carry a digest of the sender's records, and differences are transferred with the answer. A
 /// change that this process observes is sent at once to the entries that it knows, so that a request that is
--- a/libs/guard/src/liveness_probe.cpp
+++ b/libs/guard/src/liveness_probe.cpp
@@ -49,4 +49,31 @@
         });
 }
 
+start_confirmation::start_confirmation(event_loop& loop)
+    : m_limit(loop)
+{
+}
+
+void start_confirmation::ask(
+    request_guard& guard, const executing_target& target, milliseconds limit, liveness_probe::callback done)
+{
+    m_done = std::make_shared<liveness_probe::callback>(std::move(done));
+    const auto decide = [this, weak = std::weak_ptr(m_done)](target_state state) {
+        // Expires with this object, and when the wait is cancelled or over.
+        const auto callback = weak.lock();
+        if (!callback)
+            return;
+        cancel();
+        (*callback)(state);
+    };
+    m_limit.arm(limit, [decide] { decide(target_state::unknown); });
+    guard.askWhetherRunning(target, decide);
+}
+
+void start_confirmation::cancel()
+{
+    m_limit.cancel();
+    m_done.reset();
+}
+
 } // namespace yuccachute
