--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -171,6 +171,15 @@
         else if (!neverAnswers)
             done(load_report {});
     }
+    void askStart(const std::string& address, const std::string& target, callback done) override
+    {
+        askedStarts += target + '@' + address + ' ';
+        if (restarted)
+            return done(notRun(failure_kind::gone, "another start of the target responds"));
+        ask(address, std::move(done));
+    }
+    std::string askedStarts;
+    bool restarted = false;
     bool refuses = true;
     bool silent = false;
     bool neverAnswers = false;
@@ -876,9 +885,10 @@
 // stream.
 TEST_CASE("a stream that ends with its connection between two events is whole only if its target runs")
 {
-    for (const std::string target : { "runs", "has terminated", "is silent" }) {
+    for (const std::string target : { "runs", "has terminated", "is silent", "has started again" }) {
         INFO("the target " << target);
         guard_fixture all;
+        all.loads.restarted = target == "has started again";
         all.loads.refuses = target == "has terminated";
         all.loads.silent = target == "is silent";
         fixture f(request_kind::streaming, true, 1000, &all.guard);
@@ -887,6 +897,7 @@
         f.targets.body(event(1));
         f.targets.whole();
         CHECK(f.caller->finished == (target == "runs"));
+        CHECK(all.loads.askedStarts.starts_with("t1@t1 "));
         if (target == "runs")
             continue;
         f.loop.runFor(milliseconds { 50 });
@@ -900,6 +911,37 @@
     }
 }
 
+// Guards against a late answer to another run, or a part of one, that is passed on as the beginning of a
+// stream or as the rest of it.
+TEST_CASE("a stream begins with event 1, and a resumed one with the event after its last one")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.targets.head(200);
+    f.targets.body(event(2));
+    CHECK_FALSE(f.targets.accepted);
+    CHECK(f.caller->body.empty());
+    f.targets.fail(mayHaveRun(failure_kind::incomplete, "rejected"));
+    REQUIRE(f.slots.acquisitions == 2);
+    f.slots.grant("t2");
+    f.targets.head(200);
+    f.targets.body(event(1));
+    CHECK(f.targets.accepted);
+    CHECK(f.caller->body == event(1));
+
+    fixture resumed(request_kind::streaming, true, 1000, nullptr, "", 0, 5);
+    resumed.origins.answer(stream_origin { "first", "service", "v1" });
+    for (const auto& [target, first] : { std::pair("t1", 5), std::pair("t2", 6) }) {
+        resumed.slots.grant(target, "v1");
+        resumed.targets.head(200);
+        resumed.targets.body(event(first));
+        CHECK(resumed.targets.accepted == (first == 6));
+        if (first != 6)
+            resumed.targets.fail(mayHaveRun(failure_kind::incomplete, "rejected"));
+    }
+    CHECK(resumed.caller->body == event(6));
+}
+
 // Guards against a stream that waits for a question to its target that is never answered.
 TEST_CASE("a stream whose target is never heard of again is resumed elsewhere")
 {
