Take memory for a received body as its bytes arrive

Cause: Boost.Beast's string_body reserves what Content-Length names. Measured before: an answer with Content-Length raised the peak of the virtual memory from 21 to 1974 MB, and threw std::bad_alloc out of the event loop; a request with Content-Length reserved 62.5 MB for its connection before a byte of its body.

Change: client and listener read into received_body, which appends and reserves nothing.

Tests: the length that an answer promises, the length that a request promises; both failed before as said above.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -1,10 +1,10 @@
 #include "http/http.h"
 
 #include "byte_stream.h"
+#include "received_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <array>
@@ -407,7 +407,7 @@
     loop_timer m_deadlineTimer;
     loop_timer m_inactivityTimer;
     connection_ptr m_connection;
-    std::optional<beast_http::response_parser<beast_http::string_body>> m_parser;
+    std::optional<beast_http::response_parser<received_body>> m_parser;
     std::string m_input;
     bool m_sendStarted = false; ///< Set before the first write; from then on the request may have run.
     bool m_requestWritten = false;
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -1,12 +1,12 @@
 #include "http/http.h"
 
 #include "byte_stream.h"
+#include "received_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <array>
@@ -45,7 +45,7 @@
     return text;
 }
 
-http_request toRequest(beast_http::request<beast_http::string_body>&& message)
+http_request toRequest(beast_http::request<received_body>&& message)
 {
     http_request request;
     request.method = std::string(message.method_string());
@@ -177,7 +177,7 @@
     void responseWritten();
     void startLinger();
 
-    using parser_base = beast_http::request_parser<beast_http::string_body>;
+    using parser_base = beast_http::request_parser<received_body>;
     struct parser : parser_base {
         bool got_some() const { return parser_base::got_some(); }
     };
--- /dev/null
+++ b/libs/http/tests/test_answer_limits.cpp
@@ -0,0 +1,175 @@
+#include "http/http.h"
+#include "support/free_port.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <thread>
+
+using namespace yuccachute;
+
+namespace {
+
+/// Accepts one connection, reads the request and runs the script, which returns when sending fails.
+class scripted_server {
+public:
+    using script = std::function<void(int fd)>;
+
+    explicit scripted_server(script answer)
+        : m_listening(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in local {};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(m_listening, reinterpret_cast<sockaddr*>(&local), sizeof local) == 0);
+        REQUIRE(::listen(m_listening, 1) == 0);
+        socklen_t length = sizeof local;
+        ::getsockname(m_listening, reinterpret_cast<sockaddr*>(&local), &length);
+        address = "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
+        m_thread = std::thread([this, answer = std::move(answer)] {
+            const int peer = ::accept(m_listening, nullptr, nullptr);
+            char request[4096];
+            if (peer >= 0 && ::recv(peer, request, sizeof request, 0) > 0)
+                answer(peer);
+            ::close(peer);
+        });
+    }
+
+    ~scripted_server()
+    {
+        ::shutdown(m_listening, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_listening);
+    }
+
+    std::string address;
+
+private:
+    int m_listening;
+    std::thread m_thread;
+};
+
+bool sendText(int fd, std::string_view text)
+{
+    while (!text.empty()) {
+        const auto count = ::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+        if (count <= 0)
+            return false;
+        text.remove_prefix(static_cast<std::size_t>(count));
+    }
+    return true;
+}
+
+/// Sends the beginning and then the piece again and again, until the client closes the connection.
+scripted_server::script endless(std::string begin, std::string piece, milliseconds pause = milliseconds { 0 })
+{
+    return [=](int fd) {
+        for (bool open = sendText(fd, begin); open; open = sendText(fd, piece))
+            std::this_thread::sleep_for(pause);
+    };
+}
+
+/// Sends the pieces one by one, so that each arrives by itself, and closes the connection.
+scripted_server::script inPieces(std::vector<std::string> pieces)
+{
+    return [=](int fd) {
+        for (const auto& piece : pieces) {
+            sendText(fd, piece);
+            std::this_thread::sleep_for(milliseconds { 10 });
+        }
+    };
+}
+
+struct outcome {
+    result<http_reply> reply = notRun(failure_kind::internal, "the call did not end");
+    milliseconds took { 0 };
+};
+
+/// Runs one call on its own loop and collects the answer.
+outcome fetchFrom(
+    const scripted_server& server, client_call_options options = {}, http_client_options clientOptions = {})
+{
+    event_loop loop;
+    http_client client(loop, clientOptions);
+    const auto begin = std::chrono::steady_clock::now();
+    options.deadline = begin + milliseconds { 6000 };
+    outcome seen;
+    client.fetch(server.address, {}, options, [&](result<http_reply> reply) {
+        seen.reply = std::move(reply);
+        loop.stop();
+    });
+    loop.run();
+    seen.took = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin);
+    return seen;
+}
+
+/// Peak of the virtual memory of this process in KiB, which a reservation raises even if it is never used.
+std::size_t peakVirtualKiB()
+{
+    std::ifstream status("/proc/self/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmPeak:"))
+            return std::stoul(line.substr(7));
+    }
+    return 0;
+}
+
+constexpr std::size_t slackKiB = 16u << 10; ///< Threads of the servers, and what the allocator keeps.
+
+} // namespace
+
+// Guards against a process that ends by std::bad_alloc, or reserves gigabytes, because a header names a
+// length.
+TEST_CASE("the length that an answer promises takes no memory and does not end the process")
+{
+    for (const char* length :
+        { "2000000000", "99999999999", "9223372036854775807", "18446744073709551615" }) {
+        const scripted_server server(
+            inPieces({ "HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length) + "\r\n\r\nabc" }));
+        const auto before = peakVirtualKiB();
+        const auto seen = fetchFrom(server);
+        CHECK(peakVirtualKiB() < before + slackKiB);
+        REQUIRE(!seen.reply);
+        CHECK(seen.reply.error().kind == failure_kind::incomplete);
+    }
+}
+
+namespace {
+
+/// Sends the pieces of a request one by one to a listener that answers "done", and returns what it answers.
+std::string answerToPieces(const std::vector<std::string>& pieces, std::size_t& peakKiB)
+{
+    event_loop loop;
+    http_listener_options options;
+    options.port = freePort();
+    http_listener listener(loop, options, [](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->send({ 200, {}, "done" });
+    });
+    const auto before = peakVirtualKiB();
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    for (const auto& piece : pieces) {
+        sendText(fd, piece);
+        loop.runFor(milliseconds { 10 });
+    }
+    peakKiB = peakVirtualKiB() - before;
+    char buffer[4096];
+    const auto count = ::recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+    ::close(fd);
+    return { buffer, static_cast<std::size_t>(std::max<ssize_t>(count, 0)) };
+}
+
+} // namespace
+
+// Guards against callers that occupy 64 MB a connection by a header alone.
+TEST_CASE("the length that a request promises takes no memory")
+{
+    std::size_t peakKiB = 0;
+    const auto head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 64000000\r\n\r\n";
+    CHECK(answerToPieces({ head, "abc" }, peakKiB).empty());
+    CHECK(peakKiB < slackKiB);
+}
