Keep the end of a chunked message that arrives in pieces from ending the process

Cause: if "0\r\n" arrives as the first chunk and then a single byte, Boost.Beast's parser asserts that five bytes are there (basic_parser.ipp, parse_chunk_header: n >= 5). The programs are built with assertions, so a target's answer or a caller's request of this form ended the process by SIGABRT.

Change: client and listener wait for a fifth byte before they pass these four on.

Tests: the end of a chunked answer (request) may arrive in any pieces; both ended the test program by that assertion before.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -291,7 +291,7 @@
     /// Returns false if the call is finished.
     bool parse()
     {
-        while (!m_input.empty()) {
+        while (!m_input.empty() && !endsWithinLastChunk(*m_parser, m_input)) {
             error_code error;
             const auto used = m_parser->put(asio::buffer(m_input), error);
             m_input.erase(0, used);
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -357,6 +357,8 @@
     while (!m_exchangeActive && !m_lingering && !m_closed && !m_input.empty()) {
         if (!m_parser->is_header_done() && !m_parser->got_some())
             armTimer(m_owner->options.limits.headerTimeout);
+        if (endsWithinLastChunk(*m_parser, m_input))
+            return;
         error_code error;
         const auto used = m_parser->put(asio::buffer(m_input), error);
         m_input.erase(0, used);
--- a/libs/http/src/received_body.h
+++ b/libs/http/src/received_body.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace yuccachute {
 
@@ -44,4 +45,12 @@
     };
 };
 
+/// Whether the parser must not see the input yet. If "0\r\n" came alone, Boost.Beast's parser asserts that
+/// at least two more bytes follow, and a single one would end the process. More bytes always follow, because
+/// neither the last chunk nor a chunk's data ends here.
+template <typename Parser> bool endsWithinLastChunk(const Parser& parser, std::string_view input)
+{
+    return input.size() == 4 && parser.is_header_done() && parser.chunked() && input.starts_with("0\r\n");
+}
+
 } // namespace yuccachute
--- a/libs/http/tests/test_answer_limits.cpp
+++ b/libs/http/tests/test_answer_limits.cpp
@@ -173,3 +173,28 @@
     CHECK(answerToPieces({ head, "abc" }, peakKiB).empty());
     CHECK(peakKiB < slackKiB);
 }
+
+// Guards against a process that ends by an assertion of the parser: it takes the last chunk and one more
+// byte, in pieces of their own, for an impossible state.
+TEST_CASE("the end of a chunked answer may arrive in any pieces")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string begin : { "", "3\r\nabc\r\n", "4\r\n0\r\n\r\r\n" }) {
+        std::vector<std::string> bytes { head };
+        for (const char byte : begin + "0\r\n\r\n")
+            bytes.emplace_back(1, byte);
+        const scripted_server server(inPieces(bytes));
+        const auto seen = fetchFrom(server);
+        REQUIRE(seen.reply);
+        CHECK(seen.reply.value().body == (begin.empty() ? "" : begin.substr(3, begin.size() - 5)));
+    }
+}
+
+// The same of a request: a caller's bytes must not end a server either.
+TEST_CASE("the end of a chunked request may arrive in any pieces")
+{
+    std::size_t peakKiB = 0;
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto answer = answerToPieces({ head, "0", "\r", "\n", "\r", "\n" }, peakKiB);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+}
