Limit the bytes and the time of each part of an answer

Cause: each byte renewed the idle timeout, and http_client collected a body, interim answers, chunk headers and trailers without limit, so an answer could go on until its deadline or as long as there was memory.

Change: answer_limits holds the limits of a head, interim answers, framing, body and event. Crossing one closes the connection, is logged ("answer limit") and counted (yuccachute_answer_limits_total), and fails the call as incomplete. A receiver may set other limits with the head and reports whole events.

The tests use the new options and so were not run on the code before.

--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -18,6 +18,8 @@
 /// programs that use one thread per request. Layer: transport. No Boost.Beast type appears in this header.
 namespace yuccachute {
 
+class metrics;
+
 /// Header fields in order of arrival. Field names are case-insensitive.
 using http_headers = std::vector<std::pair<std::string, std::string>>;
 
@@ -153,6 +155,26 @@
 
 // --- Event-driven client ---
 
+/// Limits of one answer. Crossing one closes the connection, is logged and counted with the name of the
+/// limit, and fails the call with failure_kind::incomplete. Bytes that arrive renew none of the times.
+struct answer_limits {
+    std::string_view kind = "answer"; ///< For logs and counters.
+    /// A head, and all interim answers together. Larger than the heads of any server.
+    std::uint32_t headBytes = 64u << 10;
+    /// From the first byte of a head to its end, from the first interim answer to the last, and from the
+    /// first byte of a chunk's header or of the trailer to its end. They are sent at once; two
+    /// retransmissions over a lossy link take less.
+    milliseconds headTime { 2000 };
+    /// Of a body, whatever its framing. A larger Content-Length fails the call with the head.
+    std::uint64_t bodyBytes = 64u << 20;
+    /// Unlike bodyBytes for a body with Content-Length, which may be passed on as it arrives; 0: bodyBytes.
+    std::uint64_t lengthBytes = 0;
+    /// From the first byte of a body, or of an event, to its end; 0: until the deadline.
+    milliseconds bodyTime { 0 };
+    /// Between two reports of whole events (client_call::eventsReceived); 0: the body has no events.
+    std::uint64_t eventBytes = 0;
+};
+
 /// Handle of one call of an http_client. Use it on the loop's thread only.
 class client_call {
 public:
@@ -162,6 +184,10 @@
     /// Stops reading the response until resume(), for backpressure from a slow consumer.
     virtual void pause() = 0;
     virtual void resume() = 0;
+    /// Replaces the limits for the rest of the answer, once its head tells which kind it is.
+    virtual void setLimits(const answer_limits& /*limits*/) { }
+    /// Reports that the last piece of the body completed an event: its limits apply anew to the next one.
+    virtual void eventsReceived() { }
 };
 
 struct client_call_options {
@@ -173,6 +199,7 @@
     bool freshConnection = false;
     /// Accepts a response without Content-Length or chunking as complete when the peer closes cleanly.
     bool acceptUnframed = false;
+    answer_limits limits;
 };
 
 /// Callbacks of a call, in the order in which they run. The last one is either whole or failed, exactly once.
@@ -187,6 +214,7 @@
 struct http_client_options {
     std::size_t maxIdlePerAddress = 32; ///< Further idle connections are closed.
     milliseconds maxIdleTime { 4000 }; ///< Unless the Keep-Alive header of the peer gives a shorter time.
+    metrics* figures = nullptr; ///< Counts answers that crossed a limit; may be null.
 };
 
 /// HTTP client on an event loop with a pool of persistent connections. It never retries a request by itself.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -1,6 +1,8 @@
 #include "http/http.h"
 
 #include "byte_stream.h"
+#include "logging/logging.h"
+#include "metrics/metrics.h"
 #include "received_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,8 +25,12 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 8u << 10;
-/// Larger than the response headers of any server this client is used with.
-constexpr std::uint32_t maxHeadBytes = 64u << 10;
+/// Framing of a chunked body: an allowance as for a head, and for each byte of the body. The smallest chunk
+/// has six bytes of framing for one of the body; the rest is for leading zeros and short extensions.
+constexpr std::uint64_t framingAllowance = 64u << 10;
+constexpr std::uint64_t framingBytesPerBodyByte = 16;
+/// The line end after a chunk's data may arrive without the next chunk's header.
+constexpr std::size_t chunkLineEndBytes = 2;
 /// An idle connection is not reused this close to the end of the peer's keep-alive timeout, because a request
 /// that is in transit when the peer closes the connection is lost.
 constexpr milliseconds keepAliveMargin { 500 };
@@ -183,6 +189,8 @@
         , m_events(std::move(events))
         , m_deadlineTimer(m_owner->loop)
         , m_inactivityTimer(m_owner->loop)
+        , m_headTimer(m_owner->loop)
+        , m_bodyTimer(m_owner->loop)
     {
     }
 
@@ -206,7 +214,12 @@
             m_connection->close();
     }
 
-    void pause() { m_paused = true; }
+    void pause()
+    {
+        m_paused = true;
+        m_headTimer.cancel();
+        m_bodyTimer.cancel();
+    }
 
     void resume()
     {
@@ -215,6 +228,15 @@
             m_owner->read(m_connection);
     }
 
+    void setLimits(const answer_limits& limits) { m_options.limits = limits; }
+
+    void eventsReceived()
+    {
+        m_eventBytes = 0;
+        m_eventReported = true;
+        cancelIfArmed(m_bodyTimer);
+    }
+
 private:
     void connect()
     {
@@ -269,8 +291,8 @@
     void prepareParser()
     {
         m_parser->eager(true);
-        m_parser->header_limit(maxHeadBytes);
-        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        m_parser->header_limit(m_options.limits.headBytes);
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max()); // See checkBody().
         m_parser->skip(m_headRequest);
     }
 
@@ -284,7 +306,8 @@
         if (m_options.idleTimeout.count() > 0)
             armInactivityTimer(m_options.idleTimeout, "the server sent no data within the idle timeout");
         m_input.append(bytes);
-        if (parse() && !m_paused)
+        m_received += bytes.size();
+        if (parse() && watchHead() && !m_paused)
             m_owner->read(m_connection);
     }
 
@@ -295,11 +318,15 @@
             error_code error;
             const auto used = m_parser->put(asio::buffer(m_input), error);
             m_input.erase(0, used);
+            if (error == beast_http::error::header_limit)
+                return failLimit("head bytes");
             if (error && error != beast_http::error::need_more) {
                 fail(failure_kind::incomplete, "the response is not valid HTTP: " + error.message());
                 return false;
             }
             if (m_parser->is_header_done() && m_parser->get().result_int() / 100 == 1) {
+                if (!checkInterim())
+                    return false;
                 m_parser.emplace(); // An interim response such as 100 Continue; the final one follows.
                 prepareParser();
                 continue;
@@ -316,12 +343,47 @@
         return true;
     }
 
+    /// An interim answer is complete. One alone may be followed by a long wait for the final answer.
+    bool checkInterim()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (!m_firstInterim)
+            m_firstInterim = now;
+        cancelIfArmed(m_headTimer);
+        if (m_received - m_input.size() > m_options.limits.headBytes)
+            return failLimit("interim bytes");
+        return now - *m_firstInterim <= m_options.limits.headTime || failLimit("interim time");
+    }
+
+    /// Limits the time of a head, a chunk's header or a trailer that has begun, and the bytes of the latter
+    /// two. Returns false if the call is finished.
+    bool watchHead()
+    {
+        const bool inBody = m_parser->is_header_done();
+        if (inBody && !m_parser->chunked())
+            return true;
+        const auto framing = m_received - m_bodyBytes; // With the heads, each of which has its own limit.
+        if (inBody
+            && (m_input.size() > framingAllowance
+                || framing > framingAllowance + 2 * m_options.limits.headBytes
+                        + m_bodyBytes * framingBytesPerBodyByte))
+            return failLimit("framing bytes");
+        const bool begun
+            = inBody ? m_input.size() > chunkLineEndBytes : !m_input.empty() || m_parser->got_some();
+        if (!begun)
+            cancelIfArmed(m_headTimer);
+        else if (!m_headTimer.armed() && !m_paused)
+            armLimitTimer(m_headTimer, m_options.limits.headTime, inBody ? "framing time" : "head time");
+        return true;
+    }
+
     bool deliverParsed()
     {
         if (!m_parser->is_header_done())
             return true;
         if (!m_headDelivered) {
             m_headDelivered = true;
+            cancelIfArmed(m_headTimer);
             http_reply head;
             head.status = m_parser->get().result_int();
             for (const auto& field : m_parser->get())
@@ -332,11 +394,68 @@
                 return false;
         }
         const auto body = std::exchange(m_parser->get().body(), {});
-        if (!body.empty() && m_events.body && !m_events.body(body))
+        if (!checkBody(body.size()))
+            return false;
+        if (body.empty())
+            return !m_ended;
+        cancelIfArmed(m_headTimer);
+        m_eventReported = false;
+        if (m_events.body && !m_events.body(body))
             return failRejected();
+        if (!m_ended && !m_eventReported)
+            watchBody();
         return !m_ended;
     }
 
+    bool checkBody(std::size_t added)
+    {
+        const auto& limits = m_options.limits;
+        m_bodyBytes += added;
+        m_eventBytes += added;
+        const auto promised = m_parser->content_length();
+        const bool ownLimit = promised && limits.lengthBytes > 0;
+        const auto allowed = ownLimit ? limits.lengthBytes : limits.bodyBytes;
+        const auto known = promised && !m_parser->is_done() ? *promised : m_bodyBytes;
+        if (known > allowed || m_bodyBytes > allowed)
+            return failLimit("body bytes");
+        return limits.eventBytes == 0 || m_eventBytes <= limits.eventBytes || failLimit("event bytes");
+    }
+
+    /// A part of the body has arrived that completes no event.
+    void watchBody()
+    {
+        const auto& limits = m_options.limits;
+        if (limits.bodyTime.count() > 0 && !m_paused && !m_bodyTimer.armed())
+            armLimitTimer(m_bodyTimer, limits.bodyTime, limits.eventBytes > 0 ? "event time" : "body time");
+    }
+
+    static void cancelIfArmed(loop_timer& timer)
+    {
+        if (timer.armed())
+            timer.cancel();
+    }
+
+    void armLimitTimer(loop_timer& timer, milliseconds time, const char* limit)
+    {
+        timer.arm(time, [weak = weak_from_this(), limit] {
+            if (const auto self = weak.lock())
+                self->failLimit(limit);
+        });
+    }
+
+    /// Returns false.
+    bool failLimit(std::string_view limit)
+    {
+        const auto name = std::string(m_options.limits.kind) + ' ' + std::string(limit);
+        logEvent(log_level::warning, "answer limit",
+            { { "address", m_address }, { "limit", name },
+                { "received_bytes", static_cast<std::int64_t>(m_received) } });
+        if (m_owner->options.figures)
+            m_owner->options.figures->count("yuccachute_answer_limits_total", "limit", name);
+        fail(failure_kind::incomplete, "the response exceeded a limit: " + name);
+        return false;
+    }
+
     bool failRejected()
     {
         if (!m_ended)
@@ -388,6 +507,8 @@
         m_ended = true;
         m_deadlineTimer.cancel();
         m_inactivityTimer.cancel();
+        m_headTimer.cancel();
+        m_bodyTimer.cancel();
     }
 
     void armInactivityTimer(milliseconds time, const char* message)
@@ -406,13 +527,20 @@
     client_call_events m_events;
     loop_timer m_deadlineTimer;
     loop_timer m_inactivityTimer;
+    loop_timer m_headTimer; ///< Of a head, a chunk's header or a trailer that has begun.
+    loop_timer m_bodyTimer; ///< Of a body or event that has begun.
     connection_ptr m_connection;
     std::optional<beast_http::response_parser<received_body>> m_parser;
     std::string m_input;
+    std::optional<steady_time> m_firstInterim;
+    std::uint64_t m_received = 0;
+    std::uint64_t m_bodyBytes = 0;
+    std::uint64_t m_eventBytes = 0; ///< Of the body since the last whole event.
     bool m_sendStarted = false; ///< Set before the first write; from then on the request may have run.
     bool m_requestWritten = false;
     bool m_headDelivered = false;
     bool m_paused = false;
+    bool m_eventReported = false; ///< By the receiver of the current piece of the body.
     bool m_ended = false;
 };
 
@@ -433,6 +561,8 @@
     }
     void pause() override { m_call->pause(); }
     void resume() override { m_call->resume(); }
+    void setLimits(const answer_limits& limits) override { m_call->setLimits(limits); }
+    void eventsReceived() override { m_call->eventsReceived(); }
     /// Called when the call has reported its outcome; afterwards cancel() has no effect.
     void finished() { m_done = true; }
 
--- a/libs/http/tests/test_answer_limits.cpp
+++ b/libs/http/tests/test_answer_limits.cpp
@@ -1,4 +1,5 @@
 #include "http/http.h"
+#include "metrics/metrics.h"
 #include "support/free_port.h"
 
 #include <catch2/catch.hpp>
@@ -198,3 +199,154 @@
     const auto answer = answerToPieces({ head, "0", "\r", "\n", "\r", "\n" }, peakKiB);
     CHECK(answer.starts_with("HTTP/1.1 200"));
 }
+
+namespace {
+
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr milliseconds slowly { 100 }; ///< Between bytes; shorter than any idle timeout.
+constexpr milliseconds closedWithin { 3000 };
+
+struct endless_answer {
+    const char* name;
+    std::string limit; ///< Named in the failure.
+    scripted_server::script script;
+};
+
+std::vector<endless_answer> endlessAnswers()
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    const std::string field = "X-Field: value\r\n";
+    const std::string oneByteChunk = "1;" + std::string(60000, 'e') + "\r\nx\r\n";
+    const std::string text(60000, 'x');
+    return {
+        { "head", "head bytes", endless("HTTP/1.1 200 OK\r\n", field) },
+        { "slow head", "head time", endless("HTTP/1.1 200 OK\r\n", field, slowly) },
+        { "interim answers", "interim bytes", endless("", interim) },
+        { "slow interim answers", "interim time", endless("", interim, slowly) },
+        { "body that is longer than allowed", "body bytes",
+            endless("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", text) },
+        { "body without end", "body bytes", endless("HTTP/1.1 200 OK\r\n\r\n", text) },
+        { "chunks without end", "body bytes", endless(chunkedHead, "ea60\r\n" + text + "\r\n") },
+        { "huge chunk", "body bytes", endless(chunkedHead + "ffffffffffff\r\n", text) },
+        { "chunk size without end", "framing bytes", endless(chunkedHead, std::string(1000, '0')) },
+        { "chunk extension", "framing bytes", endless(chunkedHead + "1;", std::string(1000, 'e')) },
+        { "slow chunk extension", "framing time", endless(chunkedHead + "1;e", "e", slowly) },
+        { "chunks with long extensions", "framing bytes", endless(chunkedHead, oneByteChunk) },
+        { "trailer", "framing bytes", endless(chunkedHead + "0\r\n", field) },
+        { "slow trailer", "framing time", endless(chunkedHead + "1\r\nx\r\n0\r\n", field, slowly) },
+    };
+}
+
+} // namespace
+
+// Guards against answers that go on until the deadline, or as long as there is memory: each byte renewed the
+// idle timeout, and a body was collected without limit.
+TEST_CASE("an answer that never ends is closed at its limit within 3 s, logged and counted")
+{
+    for (const auto& [name, limit, script] : endlessAnswers()) {
+        INFO(name);
+        const scripted_server server(script);
+        metrics figures;
+        client_call_options options;
+        options.idleTimeout = milliseconds { 700 };
+        options.acceptUnframed = true;
+        http_client_options clientOptions;
+        clientOptions.figures = &figures;
+        const auto seen = fetchFrom(server, options, clientOptions);
+        REQUIRE(!seen.reply);
+        CHECK(seen.took < closedWithin);
+        CHECK(seen.reply.error().kind == failure_kind::incomplete);
+        CHECK(seen.reply.error().ran == verdict::may_have_run);
+        CHECK_THAT(seen.reply.error().message, Catch::Contains(limit));
+        CHECK_THAT(figures.text(),
+            Catch::Contains("yuccachute_answer_limits_total{limit=\"answer " + limit + "\"} 1"));
+    }
+}
+
+// Guards against limits that fail sound answers.
+TEST_CASE("an interim answer before a long wait, a slow body and a long trailer are sound")
+{
+    client_call_options options;
+    options.limits.headTime = milliseconds { 50 };
+    const scripted_server waits([](int fd) {
+        sendText(fd, "HTTP/1.1 100 Continue\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds { 150 });
+        sendText(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+        std::this_thread::sleep_for(milliseconds { 150 });
+        sendText(fd, "k");
+    });
+    CHECK(fetchFrom(waits, options).reply.value().body == "ok");
+    const scripted_server slowChunks([](int fd) {
+        sendText(fd, chunkedHead + "2\r\nab\r\n");
+        for (int i = 0; i < 2; ++i) {
+            std::this_thread::sleep_for(milliseconds { 100 });
+            sendText(fd, "2\r\nab\r\n");
+        }
+        sendText(fd, "0\r\nX: " + std::string(60000, 'x') + "\r\n\r\n");
+    });
+    CHECK(fetchFrom(slowChunks, options).reply.value().body == "ababab");
+}
+
+namespace {
+
+/// Runs one call whose receiver reports an event for each newline, and returns its failure.
+std::optional<failure> receiveEvents(const scripted_server& server, const answer_limits& limits)
+{
+    event_loop loop;
+    http_client client(loop, {});
+    client_call_options options;
+    options.deadline = std::chrono::steady_clock::now() + milliseconds { 6000 };
+    options.acceptUnframed = true;
+    std::shared_ptr<client_call> call;
+    std::optional<failure> error;
+    client_call_events events;
+    events.head = [&](const http_reply&) {
+        call->setLimits(limits);
+        return true;
+    };
+    events.body = [&](std::string_view piece) {
+        if (piece.ends_with('\n'))
+            call->eventsReceived();
+        return true;
+    };
+    events.whole = [&] { loop.stop(); };
+    events.failed = [&](const failure& given) {
+        error = given;
+        loop.stop();
+    };
+    call = client.start(server.address, {}, options, std::move(events));
+    loop.run();
+    return error;
+}
+
+answer_limits eventLimits()
+{
+    answer_limits limits;
+    limits.eventBytes = 1000;
+    limits.bodyBytes = 5000;
+    limits.bodyTime = milliseconds { 300 };
+    return limits;
+}
+
+} // namespace
+
+// Guards against a stream whose bytes hold no end of an event, in which each byte renewed the idle timeout.
+TEST_CASE("an event that never ends is closed at its limits, and whole events renew them")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    const auto closedAt = [](const scripted_server::script& script) {
+        const auto error = receiveEvents(scripted_server(script), eventLimits());
+        return error ? error->message : "whole";
+    };
+    CHECK(closedAt(endless(head, std::string(100, 'x'), milliseconds { 1 })).find("event bytes")
+        != std::string::npos);
+    CHECK(closedAt(endless(head, "x", milliseconds { 20 })).find("event time") != std::string::npos);
+    CHECK(closedAt(endless(head, "data: x\n", milliseconds { 1 })).find("body bytes") != std::string::npos);
+    CHECK(closedAt([&](int fd) {
+        sendText(fd, head);
+        for (int i = 0; i < 8; ++i) {
+            sendText(fd, "data: x\n");
+            std::this_thread::sleep_for(milliseconds { 100 });
+        }
+    }) == "whole");
+}
