--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -502,6 +502,8 @@
         if (request.path == "/deadly")
             m_deadly = { value("mark"), split(value("parts"), ','), milliseconds { number("after") },
                 milliseconds { number("back") } };
+        if (request.path == "/put")
+            m_store.put(value("key"), json::parse(request.body));
         if (request.path == "/remove")
             m_store.remove(value("key"));
         if (request.path == "/key")
