Refuse stored job progress whose item count its bits do not hold

The count of items was taken from the stored progress as the size of a list. A huge one threw std::bad_alloc, which nothing catches, and ended the process; a count somewhat too large made items that do not exist.

Test failed before: std::bad_alloc for 2^62, and progress with 9 items in 8 bits was accepted.

--- a/libs/jobs/src/records.cpp
+++ b/libs/jobs/src/records.cpp
@@ -33,10 +33,15 @@
     return bytes;
 }
 
+/// Throws json::exception if there are fewer bits: a stored count must not decide how much memory is
+/// reserved.
 std::vector<bool> toBits(const std::vector<std::uint8_t>& bytes, std::size_t count)
 {
+    constexpr int errorId = 501;
+    if (count > bytes.size() * 8)
+        throw json::other_error::create(errorId, "the number of bits is too large", nullptr);
     std::vector<bool> bits(count);
-    for (std::size_t i = 0; i < count && i / 8 < bytes.size(); ++i)
+    for (std::size_t i = 0; i < count; ++i)
         bits[i] = (bytes[i / 8] >> (i % 8)) & 1;
     return bits;
 }
--- a/libs/jobs/tests/test_jobs.cpp
+++ b/libs/jobs/tests/test_jobs.cpp
@@ -2,8 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
 using namespace yuccachute;
 using namespace std::chrono_literals;
+using nlohmann::json;
 
 namespace {
 
@@ -39,6 +42,12 @@
     return decodeProgress(encodeProgress(commit.progress)).value();
 }
 
+std::string packed(const json& document)
+{
+    const auto bytes = json::to_msgpack(document);
+    return { bytes.begin(), bytes.end() };
+}
+
 std::size_t count(const std::string& text, const std::string& part)
 {
     std::size_t found = 0;
@@ -205,3 +214,18 @@
     CHECK(run.ended());
     CHECK(results.find("\"reason\":\"cut again\",\"attempts\":2") != std::string::npos);
 }
+
+// Guards against a stored number that is taken as the size of a list: an exception that is not one of JSON
+// ended the process.
+TEST_CASE("job progress whose number of items its bits do not hold cannot be decoded")
+{
+    auto stored = json::from_msgpack(encodeProgress({}));
+    for (const std::uint64_t count :
+        { std::uint64_t { 9 }, std::uint64_t { 1 } << 62, ~std::uint64_t { 0 } }) {
+        stored["ended"] = json::binary({ 0xff });
+        stored["count"] = count;
+        CHECK(!decodeProgress(packed(stored)));
+    }
+    stored["count"] = 8;
+    CHECK(decodeProgress(packed(stored)).value().ended.size() == 8);
+}
