Refuse stored job records with fields of the wrong type

Fields of a job record were read outside any try: one of another type threw json::type_error, which nothing catches, and ended the process that read the job.

Test failed before: type_error.302 escaped from decodeRecord.

--- a/libs/jobs/src/records.cpp
+++ b/libs/jobs/src/records.cpp
@@ -60,20 +60,25 @@
 result<job_record> decodeRecord(std::string_view bytes)
 {
     BOOST_OUTCOME_TRY(auto document, fromMessagePack(bytes));
-    job_record record;
-    record.id = document.value("id", "");
-    record.customer = document.value("customer", "");
-    record.service = document.value("service", "");
-    record.token = document.value("token", "");
-    record.itemsHash = document.value("hash", std::uint64_t { 0 });
-    record.items = document.value("items", 0u);
-    record.chunks = document.value("chunks", 0u);
-    record.createdMs = document.value("created", std::int64_t { 0 });
-    record.dueMs = document.value("due", std::int64_t { 0 });
-    record.retentionMs = document.value("retention", std::int64_t { 0 });
-    record.attempts = document.value("attempts", 4u);
-    record.expired = document.value("expired", false);
-    return record;
+    try {
+        job_record record;
+        record.id = document.value("id", "");
+        record.customer = document.value("customer", "");
+        record.service = document.value("service", "");
+        record.token = document.value("token", "");
+        record.itemsHash = document.value("hash", std::uint64_t { 0 });
+        record.items = document.value("items", 0u);
+        record.chunks = document.value("chunks", 0u);
+        record.createdMs = document.value("created", std::int64_t { 0 });
+        record.dueMs = document.value("due", std::int64_t { 0 });
+        record.retentionMs = document.value("retention", std::int64_t { 0 });
+        record.attempts = document.value("attempts", 4u);
+        record.expired = document.value("expired", false);
+        return record;
+    } catch (const json::exception&) {
+        return notRun(
+            failure_kind::internal, "stored job record cannot be decoded: a field has the wrong type");
+    }
 }
 
 std::string_view toString(job_state state)
--- a/libs/jobs/tests/test_jobs.cpp
+++ b/libs/jobs/tests/test_jobs.cpp
@@ -229,3 +229,11 @@
     stored["count"] = 8;
     CHECK(decodeProgress(packed(stored)).value().ended.size() == 8);
 }
+
+// Guards against a field of another type, whose exception ended the process.
+TEST_CASE("a job record with a field of the wrong type cannot be decoded")
+{
+    CHECK(!decodeRecord(packed({ { "id", 7 } })));
+    CHECK(!decodeRecord(packed({ { "items", "many" } })));
+    CHECK(decodeRecord(packed({ { "id", "job" } })).value().id == "job");
+}
