--- a/libs/jobs/src/records.cpp
+++ b/libs/jobs/src/records.cpp
@@ -33,10 +33,15 @@
     return bytes;
 }
 
+/// Throws json::exception if there are fewer bits: a stored count must not decide how much memory is
+/// reserved.
 std::vector<bool> toBits(const std::vector<std::uint8_t>& bytes, std::size_t count)
 {
+    constexpr int errorId = 501;
+    if (count > bytes.size() * 8)
+        throw json::other_error::create(errorId, "the number of bits is too large", nullptr);
     std::vector<bool> bits(count);
-    for (std::size_t i = 0; i < count && i / 8 < bytes.size(); ++i)
+    for (std::size_t i = 0; i < count; ++i)
         bits[i] = (bytes[i / 8] >> (i % 8)) & 1;
     return bits;
 }
@@ -55,20 +60,25 @@
 result<job_record> decodeRecord(std::string_view bytes)
 {
     BOOST_OUTCOME_TRY(auto document, fromMessagePack(bytes));
-    job_record record;
-    record.id = document.value("id", "");
-    record.customer = document.value("customer", "");
-    record.service = document.value("service", "");
-    record.token = document.value("token", "");
-    record.itemsHash = document.value("hash", std::uint64_t { 0 });
-    record.items = document.value("items", 0u);
-    record.chunks = document.value("chunks", 0u);
-    record.createdMs = document.value("created", std::int64_t { 0 });
-    record.dueMs = document.value("due", std::int64_t { 0 });
-    record.retentionMs = document.value("retention", std::int64_t { 0 });
-    record.attempts = document.value("attempts", 4u);
-    record.expired = document.value("expired", false);
-    return record;
+    try {
+        job_record record;
+        record.id = document.value("id", "");
+        record.customer = document.value("customer", "");
+        record.service = document.value("service", "");
+        record.token = document.value("token", "");
+        record.itemsHash = document.value("hash", std::uint64_t { 0 });
+        record.items = document.value("items", 0u);
+        record.chunks = document.value("chunks", 0u);
+        record.createdMs = document.value("created", std::int64_t { 0 });
+        record.dueMs = document.value("due", std::int64_t { 0 });
+        record.retentionMs = document.value("retention", std::int64_t { 0 });
+        record.attempts = document.value("attempts", 4u);
+        record.expired = document.value("expired", false);
+        return record;
+    } catch (const json::exception&) {
+        return notRun(
+            failure_kind::internal, "stored job record cannot be decoded: a field has the wrong type");
+    }
 }
 
 std::string_view toString(job_state state)
