Pass comments of event streams on with the next event

run_evidence counts no comments, and live_run dropped a piece that held nothing else, so that the body was not the target's own. They are kept until the next event, or the end of the response, and discarded with a run that is given up.

--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -369,6 +369,7 @@
         m_waited += m_slot->waited;
         m_confirmation.cancel(); // An earlier run does not decide about this one.
         m_splitter = {};
+        m_unsentEvents.clear();
         m_evidence = run_evidence(m_lastEvent);
         m_timing = {};
         m_body.clear();
@@ -451,19 +452,19 @@
         if (!eventStream())
             return bufferBody(piece);
         const auto eventsBefore = m_splitter.events();
-        const auto events = m_splitter.feed(piece);
+        m_unsentEvents += m_splitter.feed(piece);
         const auto count = m_splitter.events() - eventsBefore;
         if (m_splitter.outOfOrder() || !m_evidence.addEvents(count, m_splitter.lastId()))
             return false;
-        if (count == 0) // Comments need not be passed on.
-            return true;
+        if (count == 0)
+            return true; // Comments are passed on with the next event.
         m_timing.record(count, now());
         recordOrigin();
         cancelFailover();
         armSilenceTimer(nextEventTimeout);
         m_lastEvent = m_evidence.lastEvent();
         startReply(std::nullopt);
-        writeToCaller(events);
+        writeToCaller(std::exchange(m_unsentEvents, {}));
         return true;
     }
 
@@ -584,6 +585,7 @@
         }
         cancelFailover();
         releaseSlot(m_replyHead.status >= firstServerErrorStatus ? grant_outcome::failed : grant_outcome::ok);
+        m_body += std::exchange(m_unsentEvents, {});
         startReply(m_body.size());
         m_caller->write(m_body);
         m_caller->finish();
@@ -757,6 +759,7 @@
     std::optional<held_slot> m_slot;
     std::shared_ptr<client_call> m_call;
     event_splitter m_splitter;
+    std::string m_unsentEvents; ///< Comments that no event has followed yet.
     run_evidence m_evidence; ///< Of the current run at a target, as is the timing.
     event_timing m_timing;
     std::optional<std::uint64_t> m_lastEvent;
