--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -48,8 +48,12 @@
     std::vector<std::string> parts;
     milliseconds after { 50 }; ///< From their beginning to the crash.
     milliseconds back { 2000 }; ///< From the crash to the server's next start.
+    int ends = 0; ///< Each request crashes so many servers, and runs on the next one; 0 for no limit.
+    bool liveOnly = false; ///< Items of jobs crash none, whatever their prompts contain.
 };
 
+const std::string itemPaths = "/jobs/";
+
 std::vector<std::string> split(const std::string& text, char separator)
 {
     std::vector<std::string> pieces;
@@ -267,7 +271,7 @@
         one.id = id;
         const std::string tokens(findHeader(headers, "Yuccachute-Token-Count"));
         one.last = std::stoi(tokens.substr(tokens.find(',') + 1));
-        one.deadly = isDeadly(m_deadly, caller->request());
+        one.deadly = isDeadly(m_deadly, caller->request()) && mayEndServer(one.run);
         one.run.deadly = one.deadly;
         if (!run.lastEvent.empty())
             one.next = std::stoi(run.lastEvent) + 1;
@@ -301,6 +305,16 @@
         std::erase_if(m_running, [](const auto& one) { return *one.gone || one.finished; });
     }
 
+    /// Whether a request that crashes servers crashes this one too.
+    bool mayEndServer(const run_record& run) const
+    {
+        if (m_deadly.liveOnly && run.path.starts_with(itemPaths))
+            return false;
+        const auto ended = std::count_if(m_runs.begin(), m_runs.end(),
+            [&](const auto& earlier) { return earlier.id == run.id && earlier.endedServer; });
+        return m_deadly.ends == 0 || ended < m_deadly.ends;
+    }
+
     /// The server crashes if a request that does so has run for long enough.
     void endUnderDeadly(steady_time now)
     {
@@ -501,7 +515,7 @@
         }
         if (request.path == "/deadly")
             m_deadly = { value("mark"), split(value("parts"), ','), milliseconds { number("after") },
-                milliseconds { number("back") } };
+                milliseconds { number("back") }, number("ends"), number("live_only") != 0 };
         if (request.path == "/remove")
             m_store.remove(value("key"));
         if (request.path == "/key")
