Place items whatever targets have ended under them or their prompts

Items are never requests that crash targets by themselves, but they were judged like live requests: an item with three strikes waited 20 s before each run, and one with a refused prompt part waited 5 s again and again until a trial of the part was due, up to its expiry, in a calm fleet with room.

A target that ends under an item is now no evidence against the item or the parts of its prompt; what is known of live requests holds no item back; and an item that runs whole does not acquit parts, because live requests with them may crash targets all the same. Batch processes still pass records of live requests on. The delays after aborted runs, at most 2 s, stay.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -85,10 +85,6 @@
 
     void send(held_slot slot)
     {
-        if (!mayRunNow()) {
-            m_services.slots.release(slot, { grant_outcome::unused });
-            return end(run_outcome::interrupted, "a part of the prompt is suspected of crashing targets");
-        }
         if (!m_events.maySend()) {
             m_services.slots.release(slot, { grant_outcome::unused });
             return end(run_outcome::interrupted, "the item's route no longer leads to the service");
@@ -123,13 +119,9 @@
         events.whole = [this] { responseComplete(); };
         events.failed = [this](const failure& error) {
             m_call.reset();
-            if (error.ran != verdict::not_run)
-                reportToGuard(error);
             release(abortOutcome());
             end(run_outcome::aborted, error.message);
         };
-        if (m_services.guard.needsIdentities())
-            m_recordWhenSent = m_services.guard.record(identityOf(m_request.request, m_request.customer));
         m_call = m_services.targets.start(m_slot->address,
             m_services.callers.forTarget(m_request.request, envelope), options, std::move(events));
         m_events.slotGranted();
@@ -185,8 +177,6 @@
                 return;
             self->m_examinationTimer.cancel();
             const bool running = state == target_state::running;
-            if (!running)
-                self->m_services.guard.aborted(self->interruptedRun(), nullptr);
             // Only a resumed item can have nothing left to send.
             const bool empty = self->m_timing.events() == 0 && !self->m_request.lastEvent;
             self->finishResponse(!running || empty);
@@ -197,8 +187,6 @@
 
     void finishResponse(bool truncated)
     {
-        if (!truncated)
-            reportAnswer();
         if (m_status == 200 && !truncated) {
             release(grant_outcome::ok);
             return end(run_outcome::completed, "");
@@ -225,42 +213,6 @@
         end(run_outcome::interrupted, "revoked");
     }
 
-    /// Reports that the target may have been terminated by this item.
-    void reportToGuard(const failure& error)
-    {
-        const auto run = interruptedRun();
-        if (error.kind == failure_kind::timeout)
-            m_services.guard.targetUnresponsive(run);
-        else
-            m_services.guard.aborted(run, nullptr);
-    }
-
-    interrupted_run interruptedRun() const
-    {
-        return { identityOf(m_request.request, m_request.customer), m_recordWhenSent, { m_target, m_address },
-            m_request.promptParts, m_timing.events() };
-    }
-
-    /// The target has sent a complete response, and so survived the item.
-    void reportAnswer()
-    {
-        if (!m_framed && m_status != 200)
-            return; // Whether its target runs was not asked.
-        auto& guard = m_services.guard;
-        const auto identity = guard.needsIdentities()
-            ? std::optional(identityOf(m_request.request, m_request.customer))
-            : std::nullopt;
-        guard.answered({ identity, m_status == 200 ? m_request.promptParts : std::vector<prompt_part>() });
-    }
-
-    /// What is known of the item's prompt may have changed while it waited for the slot.
-    bool mayRunNow()
-    {
-        auto admission = m_services.guard.admit({ std::nullopt, m_request.promptParts }, m_request.trial);
-        m_request.trial = std::move(admission.runningTrial);
-        return !admission.refusal;
-    }
-
     grant_outcome abortOutcome() const
     {
         return m_request.chargeTarget ? grant_outcome::failed : grant_outcome::abandoned;
@@ -305,7 +257,6 @@
     std::string m_target;
     std::string m_address;
     std::optional<std::string> m_version;
-    strike_record m_recordWhenSent; ///< Strikes known against the item when it was sent.
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
     /// Whether the response is framed, so that its end differs from a lost connection.
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -26,6 +26,10 @@
 
 /// One run of an item: acquires a slot, sends the item to the target and receives its events. Destroying the
 /// run cancels the request to the target and releases the slot.
+///
+/// Items do not crash targets by themselves. A target that terminates during a run is therefore no evidence
+/// against the item or the parts of its prompt, a complete response does not acquit these parts for live
+/// requests that do crash targets, and neither holds an item back.
 class item_run {
 public:
     virtual ~item_run() = default;
@@ -48,9 +52,6 @@
     steady_time expiry;
     std::optional<std::uint64_t> lastEvent;
     std::optional<std::string> version; ///< Software version that made the earlier events.
-    std::vector<prompt_part> promptParts; ///< Parts of its prompt that other requests may share.
-    /// Held while the item runs if a part of its prompt is suspected of crashing targets.
-    std::shared_ptr<request_guard::trial> trial;
     bool chargeTarget = true; ///< Whether an aborted run counts against the target's health.
 };
 
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -14,12 +14,6 @@
 /// a peak of live load ends. If all items requested slots, 1,000 of them would send 12,000 requests per
 /// second at such a peak, and the dispatchers would answer them instead of live requests.
 constexpr std::size_t maxRunsWithoutSlot = 24;
-/// Delay before each run of an item that is suspected of terminating targets. The item was accepted, so it
-/// cannot be refused like a live request, nor be abandoned before it expires. A few more terminated targets
-/// until then are accepted, so that a wrongly suspected item is only delayed.
-constexpr milliseconds suspectedItemDelay { 20000 };
-/// The same for an item with a part of its prompt that is suspected: requests without it may clear it sooner.
-constexpr milliseconds suspectedPartDelay { 5000 };
 /// An item begins anew after its software version has been unavailable for this time while other items got
 /// slots: its targets may be cut off or fail for longer than the item has left.
 constexpr milliseconds versionTimeout { 2000 };
@@ -240,10 +234,6 @@
     request.itemId = item.id;
     request.request = m_adapter.jobs.itemRequest(record, item);
     request.customer = record.customer.empty() ? itemRoute.name : record.customer;
-    if (auto facts = m_adapter.callers.describe(request.request))
-        request.promptParts = std::move(facts.value().promptParts);
-    if (deferSuspectedItem(held, start.index, request))
-        return true;
     request.service = placement.service;
     request.cost = static_cast<double>(item.tokens);
     // Dispatchers treat an item that will miss its due time as overdue.
@@ -337,48 +327,6 @@
         outage.othersServedSince = time;
 }
 
-bool bulk_process::deferSuspectedItem(held_job& held, std::uint32_t index, item_run_request& request)
-{
-    return m_suspects.guard.hasSuspects()
-        && (deferForContent(held, index, request) || deferForPromptPart(held, index, request));
-}
-
-bool bulk_process::deferForPromptPart(held_job& held, std::uint32_t index, item_run_request& request)
-{
-    auto admission = m_suspects.guard.admit({ std::nullopt, request.promptParts });
-    if (!admission.refusal) {
-        request.trial = std::move(admission.runningTrial);
-        return false;
-    }
-    const auto& record = held.job->record();
-    logEvent(log_level::warning, "item held back",
-        { { "job", record.id }, { "item", record.items[index].id },
-            { "prompt_parts", toString(request.promptParts) }, { "reason", admission.refusal->message },
-            { "for_ms", suspectedPartDelay.count() } });
-    requeueItem(record.id, index, run_outcome::interrupted, suspectedPartDelay);
-    return true;
-}
-
-bool bulk_process::deferForContent(held_job& held, std::uint32_t index, const item_run_request& request)
-{
-    auto& guard = m_suspects.guard;
-    if (!guard.needsIdentities())
-        return false;
-    const auto identity = identityOf(request.request, request.customer);
-    if (guard.known().statusOf(identity, now()) != quarantine::status::refused)
-        return false;
-    if (held.suspectDelayPassed.erase(index) > 0)
-        return false;
-    held.suspectDelayPassed.insert(index);
-    const auto& record = held.job->record();
-    logEvent(log_level::warning, "item held back",
-        { { "job", record.id }, { "item", record.items[index].id }, { "identity", toString(identity) },
-            { "strikes", std::int64_t { guard.record(identity).strikes } },
-            { "for_ms", suspectedItemDelay.count() } });
-    requeueItem(record.id, index, run_outcome::interrupted, suspectedItemDelay);
-    return true;
-}
-
 void bulk_process::requeueItem(
     const std::string& id, std::uint32_t index, run_outcome outcome, milliseconds delay)
 {
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -46,12 +46,10 @@
     std::map<std::uint32_t, std::unique_ptr<item_run>> runs;
     /// Aborted runs without a new event in between, by item.
     std::map<std::uint32_t, unsigned> consecutiveAborts;
-    /// Delays of items whose runs were aborted, or that are suspected of terminating targets.
+    /// Delays of items whose runs were aborted.
     std::map<std::uint32_t, loop_timer> requeueTimers;
     /// Items that have found no usable target of the software version that made their events.
     std::map<std::uint32_t, version_outage> versionOutages;
-    /// Items suspected of terminating targets whose delay has passed; they may run next.
-    std::set<std::uint32_t> suspectDelayPassed;
     std::vector<waiting_reader> readers;
     steady_time nextCommitAt;
     /// No item expires earlier by the configuration in force, or while none is known.
@@ -165,10 +163,6 @@
     bool canResume(const held_job& held, const bulk_item_start& start, std::string_view service) const;
     void finishRun(held_job& held, std::uint32_t index, run_outcome outcome) const;
     void recordVersionOutage(held_job& held, std::uint32_t index) const;
-    /// Delays an item that is suspected of terminating targets. Returns false if the item may run now.
-    bool deferSuspectedItem(held_job& held, std::uint32_t index, item_run_request& request);
-    bool deferForContent(held_job& held, std::uint32_t index, const item_run_request& request);
-    bool deferForPromptPart(held_job& held, std::uint32_t index, item_run_request& request);
     void runFinished(const std::string& id, std::uint32_t index, const run_placement& placement,
         run_outcome outcome, std::string_view reason);
     /// Returns the item to the waiting items, at once or after a delay.
