Try a refused prompt part that was answered before after one second

A sound part of all prompts can be refused when several targets end under one harmful request before the next whole answer. While it is refused no request with it runs, so that no answer can acquit it until the first trial, a minute later.

The first trial of a part that has been acquitted before is now due after one second; further trials follow after 1, 4 and 5 minutes. A part that becomes harmful after it was answered ends one more target by the early trial, which one process in the fleet is granted. Parts that were never answered are tried as before.

The new unit test failed before (no trial due after one second, 4 minutes after the first trial).

--- a/libs/quarantine/src/part_quarantine.cpp
+++ b/libs/quarantine/src/part_quarantine.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::minutes firstRefusalDuration { 1 };
 constexpr int refusalGrowth = 4;
 constexpr std::chrono::minutes maxRefusalDuration { 5 };
+/// The first trial of a part that was answered before it is refused. Most of these are sound, and requests
+/// with them, which may be all requests, are refused until the trial; a harmful one costs one more target.
+constexpr std::chrono::seconds acquittedRefusalDuration { 1 };
 /// For records, and for answers as evidence. Longer than a part is refused.
 constexpr std::chrono::minutes retention { 15 };
 /// About 200 bytes each.
@@ -29,8 +32,13 @@
     return std::chrono::duration_cast<milliseconds>(std::max(now - then, steady_time::duration::zero()));
 }
 
-milliseconds refusalDuration(std::uint32_t trials)
+milliseconds refusalDuration(std::uint32_t trials, std::uint32_t acquittals)
 {
+    if (acquittals > 0) {
+        if (trials == 0)
+            return acquittedRefusalDuration;
+        --trials;
+    }
     milliseconds duration = firstRefusalDuration;
     for (std::uint32_t i = 0; i < trials && duration < maxRefusalDuration; ++i)
         duration *= refusalGrowth;
@@ -76,7 +84,8 @@
         assessment found { quarantine::status::suspect, part };
         if (blamed->second.targets >= refusalThreshold && hasAll) {
             const auto& record = m_suspects.at(part);
-            const auto remaining = refusalDuration(record.trials) - since(record.changed, now);
+            const auto remaining
+                = refusalDuration(record.trials, record.acquittals) - since(record.changed, now);
             found.status = quarantine::status::refused;
             found.remainingRefusal = std::max(remaining, milliseconds { 0 });
             found.trialDue = remaining.count() <= 0;
--- a/libs/quarantine/tests/test_part_quarantine.cpp
+++ b/libs/quarantine/tests/test_part_quarantine.cpp
@@ -165,6 +165,32 @@
     CHECK(f.statusOf({ harmful }) == status::clear);
 }
 
+// Guards against a sound part of all prompts that stays refused for a minute after targets ended under one
+// harmful request, or together with others: while it is refused, no answer can acquit it.
+TEST_CASE(
+    "a part that was answered before it is refused gets its first trial after a second, the others later")
+{
+    fixture f;
+    f.answer({ common });
+    for (const auto* target : { "t1", "t2", "t3", "t4" })
+        f.end({ common }, target);
+    for (const auto* target : { "u1", "u2", "u3", "u4" })
+        f.end({ harmful }, target);
+    REQUIRE(f.statusOf({ common }) == status::refused);
+    CHECK_FALSE(f.known.assess(parts { common }, f.now).trialDue);
+    f.now += milliseconds { 1000 };
+    CHECK(f.known.assess(parts { common }, f.now).trialDue);
+    CHECK_FALSE(f.known.assess(parts { harmful }, f.now).trialDue);
+    // One early trial only: a part that has become harmful ends one more target.
+    f.known.trialAllowed(common, f.now);
+    CHECK(f.known.assess(parts { common }, f.now).remainingRefusal == minutes { 1 });
+    f.known.trialAllowed(common, f.now);
+    CHECK(f.known.assess(parts { common }, f.now).remainingRefusal == minutes { 4 });
+    f.answer({ common });
+    CHECK(f.statusOf({ common }) == status::clear);
+    CHECK(f.statusOf({ harmful }) == status::refused);
+}
+
 TEST_CASE("records of parts merge to the same result in any order")
 {
     fixture left;
