Give answers of targets, the store and other processes limits of their kinds

Cause: live_run and item_run read streams, plain answers, failures of items and refusals without limits; a length that is no number threw out of live_run (std::stoull); reports, answers of the store and of batch processes were collected without limit.

Change: serving.h names the limits with their reasons, and each caller sets those of its answer; streams follow from the tokens that the request may produce. Whole events renew the limits of an event. Both processes count crossed limits.

The fake call of test_live_run records limits and reports of events.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -20,7 +20,7 @@
     const std::function<std::unique_ptr<async_store>(http_client&)>& connect)
     : m_settings(settings)
     , m_adapter(adapter)
-    , m_client(m_loop, { maxIdleConnectionsPerTarget })
+    , m_client(m_loop, { .maxIdlePerAddress = maxIdleConnectionsPerTarget, .figures = &m_metrics })
     , m_platformStore(connect(m_client))
     , m_store(*m_platformStore, m_metrics)
     , m_rpc({})
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -111,12 +111,15 @@
         options.connectTimeout = connectTimeout;
         options.idleTimeout = idleTimeout;
         options.acceptUnframed = true;
+        options.limits = discardedLimits;
         client_call_events events;
         events.head = [this](const http_reply& head) {
             m_status = head.status;
             m_framed = !findHeader(head.headers, "Content-Length").empty()
                 || !findHeader(head.headers, "Transfer-Encoding").empty();
             m_meaning = m_services.callers.classify(head, m_request.itemId);
+            if (m_meaning == answer_meaning::own && m_status == 200)
+                m_call->setLimits(streamLimits(m_maxOutputTokens));
             return m_meaning != answer_meaning::foreign;
         };
         events.body = [this](std::string_view piece) { return receiveBody(piece); };
@@ -128,6 +131,8 @@
             release(abortOutcome());
             end(run_outcome::aborted, error.message);
         };
+        if (const auto facts = m_services.callers.describe(m_request.request))
+            m_maxOutputTokens = facts.value().maxOutputTokens;
         if (m_services.guard.needsIdentities())
             m_recordWhenSent = m_services.guard.record(identityOf(m_request.request, m_request.customer));
         m_call = m_services.targets.start(m_slot->address,
@@ -147,6 +152,8 @@
             piece.remove_prefix(line.size());
             if (m_splitter.feed(line).empty())
                 continue;
+            if (m_call)
+                m_call->eventsReceived();
             m_timing.record(1, now);
             for (auto& data : m_splitter.takeData()) {
                 if (!m_events.event(m_splitter.lastId(), std::move(data)))
@@ -308,6 +315,7 @@
     strike_record m_recordWhenSent; ///< Strikes known against the item when it was sent.
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
+    std::uint64_t m_maxOutputTokens = 0; ///< 0 if unknown.
     /// Whether the response is framed, so that its end differs from a lost connection.
     bool m_framed = false;
     bool m_stopped = false;
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -127,7 +127,7 @@
         const std::function<std::unique_ptr<async_store>(http_client&)>& connect)
         : m_settings(settings)
         , m_adapter(adapter)
-        , m_client(m_loop, { idleConnectionsPerTarget })
+        , m_client(m_loop, { .maxIdlePerAddress = idleConnectionsPerTarget, .figures = &m_figures })
         , m_platformStore(connect(m_client))
         , m_store(*m_platformStore, m_figures)
         , m_rpc({})
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -71,6 +71,7 @@
         client_call_options options;
         options.deadline = std::min(m_deadline, now + answerTimeout + m_maxHold);
         options.connectTimeout = m_onlyIfHeld ? ifHeldConnectTimeout : connectTimeout;
+        options.limits = peerLimits;
         m_reply = {};
         client_call_events events;
         events.head = [this](const http_reply& head) {
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -3,6 +3,7 @@
 #include "logging/logging.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace yuccachute {
 
@@ -382,8 +383,14 @@
         options.connectTimeout = connectTimeout;
         options.freshConnection = !m_route.retryable();
         options.acceptUnframed = true;
+        options.limits = plainLimits;
         client_call_events events;
-        events.head = [this](const http_reply& head) { return onHead(head); };
+        events.head = [this](const http_reply& head) {
+            if (!onHead(head))
+                return false;
+            setAnswerLimits();
+            return true;
+        };
         events.body = [this](std::string_view piece) { return onBody(piece); };
         events.whole = [this] { onReplyComplete(); };
         events.failed = [this](const failure& error) { onCallFailed(error); };
@@ -428,12 +435,24 @@
         return true;
     }
 
+    /// Returns nothing for a value that is not a number or too large for one.
     static std::optional<std::uint64_t> contentLength(const http_reply& head)
     {
         const auto text = findHeader(head.headers, "Content-Length");
-        if (text.empty())
-            return std::nullopt;
-        return std::stoull(std::string(text));
+        std::uint64_t length = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+        const bool valid = error == std::errc() && end == text.data() + text.size();
+        return valid ? std::optional(length) : std::nullopt;
+    }
+
+    void setAnswerLimits()
+    {
+        if (!m_call)
+            return;
+        if (eventStream() && !m_resumptionFailed)
+            m_call->setLimits(streamLimits(m_facts.maxOutputTokens));
+        else if (m_meaning != answer_meaning::own || m_resumptionFailed)
+            m_call->setLimits(discardedLimits);
     }
 
     bool eventStream() const
@@ -453,6 +472,7 @@
             return false;
         if (events.empty())
             return true;
+        m_call->eventsReceived();
         m_timing.record(m_splitter.events() - eventsBefore, now());
         recordOrigin();
         cancelFailover();
--- a/libs/front/src/target_loads.cpp
+++ b/libs/front/src/target_loads.cpp
@@ -23,6 +23,7 @@
     client_call_options options;
     options.deadline = std::chrono::steady_clock::now() + loadReportTimeout;
     options.connectTimeout = loadReportTimeout;
+    options.limits = reportLimits;
     m_client.fetch(address, m_protocol.loadRequest(), options,
         [this, done = std::move(done)](const result<http_reply>& reply) {
             if (!reply)
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -92,8 +92,12 @@
         void cancel() override { cancelled = true; }
         void pause() override { }
         void resume() override { }
+        void setLimits(const answer_limits& given) override { limits = given; }
+        void eventsReceived() override { ++eventReports; }
         ~call() override { cancelled = true; }
         bool cancelled = false;
+        answer_limits limits;
+        int eventReports = 0;
     };
     std::shared_ptr<client_call> start(std::string_view address, const http_request& request,
         const client_call_options& options, client_call_events events) override
@@ -104,6 +108,7 @@
         if (running && !running->cancelled)
             overlapped = true;
         running = std::make_shared<call>();
+        running->limits = options.limits;
         current = std::move(events);
         return running;
     }
@@ -248,6 +253,49 @@
 
 } // namespace
 
+// Guards against a process that ends by std::out_of_range, thrown by the conversion of the length.
+TEST_CASE("an answer whose length is no number is taken for one without a length")
+{
+    for (const char* length : { "99999999999999999999999", "x", ", 5", "-1" }) {
+        fixture f(request_kind::safe);
+        f.slots.grant("t1");
+        f.targets.head(200, { { "Content-Length", length }, { "Transfer-Encoding", "chunked" } });
+        f.targets.body("ok");
+        f.targets.whole();
+        CHECK(f.caller->body == "ok");
+        CHECK(f.caller->finished);
+    }
+}
+
+// Guards against limits of the wrong kind of answer, and against events that do not renew them.
+TEST_CASE("a target's answer has the limits of its kind, and whole events renew them")
+{
+    fixture plain(request_kind::safe);
+    plain.slots.grant("t1");
+    plain.targets.head(200, { { "Content-Length", "2" } });
+    CHECK(plain.targets.running->limits.kind == plainLimits.kind);
+    fixture refused;
+    refused.slots.grant("t1");
+    refused.targets.head(503, { { "Refused", "1" } });
+    CHECK(refused.targets.running->limits.kind == discardedLimits.kind);
+    fixture stream;
+    stream.slots.grant("t1");
+    stream.targets.head(200);
+    CHECK(stream.targets.running->limits.eventBytes == maxEventBytes);
+    stream.targets.body("id: 1\ndata");
+    CHECK(stream.targets.running->eventReports == 0);
+    stream.targets.body(": x\n\n");
+    CHECK(stream.targets.running->eventReports == 1);
+}
+
+TEST_CASE("the limit of a stream follows the tokens that its request may produce, within bounds")
+{
+    CHECK(streamLimits(0).bodyBytes == maxUnknownStreamBytes);
+    CHECK(streamLimits(100).bodyBytes == maxEventBytes + 100 * maxBytesPerToken);
+    CHECK(
+        streamLimits(std::numeric_limits<std::uint64_t>::max()).bodyBytes == maxEventBytes + maxStreamBytes);
+}
+
 TEST_CASE("a stream is relayed event by event, and its slot released at the end")
 {
     fixture f;
--- a/libs/serving/include/serving/serving.h
+++ b/libs/serving/include/serving/serving.h
@@ -5,6 +5,7 @@
 #include "routing/routing.h"
 #include "verdict/verdict.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -70,6 +71,52 @@
 /// Returns the headers that a proxy forwards: all except hop-by-hop headers, Content-Length and Expect.
 http_headers endToEndHeaders(const http_headers& headers);
 
+// --- Limits of answers. Those of time are longer than any sound target needs, and end an answer that never
+// ends within 3 s.
+
+/// An event holds a token or a few and their description, under 1 KB. A value of the store holds 1 MB, so a
+/// larger event could not be kept.
+constexpr std::uint64_t maxEventBytes = 1u << 20;
+/// A target sends an event at once; this leaves time for retransmissions.
+constexpr milliseconds maxEventTime { 2000 };
+/// For the description of one token with its alternatives.
+constexpr std::uint64_t maxBytesPerToken = 4u << 10;
+/// Of a stream whose request does not say how many tokens it may produce.
+constexpr std::uint64_t maxUnknownStreamBytes = 64u << 20;
+/// For claims of callers that no target could produce: 250,000 tokens.
+constexpr std::uint64_t maxStreamBytes = 1u << 30;
+
+/// Of a stream of events, from the tokens that its request may produce; 0: unknown. Events for usage and
+/// errors, and comments that keep the connection alive, have the allowance of one event.
+constexpr answer_limits streamLimits(std::uint64_t maxOutputTokens)
+{
+    answer_limits limits;
+    limits.kind = "stream";
+    const auto tokens = std::min(maxOutputTokens, maxStreamBytes / maxBytesPerToken);
+    limits.bodyBytes = tokens == 0 ? maxUnknownStreamBytes : maxEventBytes + tokens * maxBytesPerToken;
+    limits.bodyTime = maxEventTime;
+    limits.eventBytes = maxEventBytes;
+    return limits;
+}
+
+/// Of a target's answer that is no stream of events and is passed on to a caller. With a length it is passed
+/// on as it arrives and takes no memory, so only the length limits it. The deadline of the request limits its
+/// time, because some targets write such an answer as they compute it.
+constexpr answer_limits plainLimits { .kind = "plain", .lengthBytes = std::uint64_t { 1 } << 40 };
+/// Of a target's answer that is read to its end and not kept: a failure of an item, a refusal.
+constexpr answer_limits discardedLimits {
+    .kind = "discarded", .bodyBytes = 1u << 20, .bodyTime = maxEventTime
+};
+/// Of a load report or health answer: some hundred bytes of JSON. Its deadline of 250 ms limits its time.
+constexpr answer_limits reportLimits { .kind = "report", .headBytes = 16u << 10, .bodyBytes = 64u << 10 };
+/// Of the store: a page ends after 500 items or 1 MB, with one more value of 1 MB, and base64 adds a third.
+/// The changes since a revision and the values of failed conditions are not paged. The deadline of 1.5 s, or
+/// of the wait, limits the time.
+constexpr answer_limits storeLimits { .kind = "store", .bodyBytes = 64u << 20 };
+/// Between processes of this project: results of a job, which are read in parts of less than what a request
+/// may have. The deadline of 1.5 s and the hold that the caller wishes limit the time.
+constexpr answer_limits peerLimits { .kind = "peer", .bodyBytes = 64u << 20 };
+
 /// Splits a stream of server-sent events into complete events. The bytes of an incomplete event are held
 /// back, so that an interrupted stream can be resumed at another target without a gap or a duplicate.
 class event_splitter {
