Fail one call or connection on an exception of its callback

Cause: an exception of a receiver of the client, of a request's handler or of the reader went through the event loop and ended the process, whoever sent the bytes.

Change: the client fails the call as incomplete, the listener closes the connection; both log the exception. What runs from timers and posts is not covered and still ends the process.

Test: an exception of a receiver fails its call or connection; before, the exception left event_loop::runFor.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -276,7 +276,7 @@
         prepareParser();
         m_connection->reader = [weak = weak_from_this()](const error_code& error, std::string_view bytes) {
             if (const auto self = weak.lock())
-                self->received(error, bytes);
+                self->receivedGuarded(error, bytes);
         };
         m_owner->read(m_connection);
         if (m_options.idleTimeout.count() > 0)
@@ -296,6 +296,29 @@
         m_parser->skip(m_headRequest);
     }
 
+    /// An exception of the reader, or of a receiver that could not handle these bytes, fails this call alone.
+    void receivedGuarded(const error_code& error, std::string_view bytes)
+    {
+        try {
+            received(error, bytes);
+        } catch (const std::exception& exception) {
+            logEvent(log_level::error, "exception in a call; its connection is closed",
+                { { "address", m_address }, { "message", exception.what() } });
+            m_connection->close();
+            failAfterException();
+        }
+    }
+
+    void failAfterException()
+    {
+        try {
+            fail(failure_kind::incomplete, "the response could not be handled");
+        } catch (const std::exception& exception) {
+            logEvent(log_level::error, "exception in the report of a failed call",
+                { { "address", m_address }, { "message", exception.what() } });
+        }
+    }
+
     void received(const error_code& error, std::string_view bytes)
     {
         const auto self = shared_from_this();
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -1,6 +1,7 @@
 #include "http/http.h"
 
 #include "byte_stream.h"
+#include "logging/logging.h"
 #include "received_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -170,6 +171,7 @@
     void awaitRequest();
     void read();
     void parse();
+    void parseGuarded();
     void dispatchRequest();
     void rejectRequest(unsigned status, std::string_view message);
     void queue(std::string_view text);
@@ -347,11 +349,23 @@
                 return self->close();
             if (!self->m_lingering)
                 self->m_input.append(self->m_readBuffer.data(), count);
-            self->parse();
+            self->parseGuarded();
             self->read();
         });
 }
 
+/// An exception of the parser or of the request's handler closes this connection alone.
+void connection::parseGuarded()
+{
+    try {
+        parse();
+    } catch (const std::exception& exception) {
+        logEvent(log_level::error, "exception while a request was handled; its connection is closed",
+            { { "message", exception.what() } });
+        close();
+    }
+}
+
 void connection::parse()
 {
     while (!m_exchangeActive && !m_lingering && !m_closed && !m_input.empty()) {
@@ -504,7 +518,7 @@
     awaitRequest();
     // Posted to avoid recursion: this may be called from within the handler of the previous request.
     m_owner->loop.post([self = shared_from_this()] {
-        self->parse();
+        self->parseGuarded();
         self->read();
     });
 }
--- a/libs/http/tests/test_answer_limits.cpp
+++ b/libs/http/tests/test_answer_limits.cpp
@@ -350,3 +350,47 @@
         }
     }) == "whole");
 }
+
+// Guards against bytes that end the process through a receiver that throws.
+TEST_CASE("an exception of a receiver fails its call or connection, and the loop goes on")
+{
+    event_loop loop;
+    http_listener_options options;
+    options.port = freePort();
+    int requests = 0;
+    http_listener listener(loop, options, [&](const std::shared_ptr<http_exchange>& exchange) {
+        if (++requests == 1)
+            throw std::out_of_range("request");
+        exchange->send({ 200, {}, "body" });
+    });
+    http_client client(loop, {});
+    std::vector<std::string> outcomes;
+    const auto callWith = [&](const std::string& thrower) {
+        const auto throwAt = [thrower](const char* place) {
+            if (thrower == place)
+                throw std::runtime_error(place);
+            return true;
+        };
+        client_call_options callOptions;
+        callOptions.deadline = std::chrono::steady_clock::now() + milliseconds { 1000 };
+        client_call_events events;
+        events.head = [=](const http_reply&) { return throwAt("head"); };
+        events.body = [=](std::string_view) { return throwAt("body"); };
+        events.whole = [=, &outcomes] {
+            outcomes.emplace_back("whole");
+            throwAt("whole");
+        };
+        events.failed = [=, &outcomes](const failure& error) {
+            outcomes.emplace_back(toString(error.kind));
+            throwAt("failed");
+        };
+        const auto call
+            = client.start("127.0.0.1:" + std::to_string(options.port), {}, callOptions, std::move(events));
+        loop.runFor(milliseconds { 30 });
+    };
+    for (const char* thrower : { "failed", "head", "body", "whole", "" })
+        callWith(thrower);
+    CHECK(
+        outcomes == std::vector<std::string> { "incomplete", "incomplete", "incomplete", "whole", "whole" });
+    CHECK(listener.exchanges() == 0);
+}
