--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -110,11 +110,14 @@
         options.connectTimeout = connectTimeout;
         options.idleTimeout = idleTimeout;
         options.acceptUnframed = true;
+        options.limits = discardedLimits;
         client_call_events events;
         events.head = [this](const http_reply& head) {
             m_status = head.status;
             m_evidence.receiveHead(head);
             m_meaning = m_services.callers.classify(head, m_request.itemId);
+            if (m_meaning == answer_meaning::own && m_status == 200)
+                m_call->setLimits(streamLimits(m_maxOutputTokens));
             return m_meaning != answer_meaning::foreign;
         };
         events.body = [this](std::string_view piece) { return receiveBody(piece); };
@@ -124,6 +127,8 @@
             release(abortOutcome());
             end(run_outcome::aborted, error.message);
         };
+        if (const auto facts = m_services.callers.describe(m_request.request))
+            m_maxOutputTokens = facts.value().maxOutputTokens;
         m_call = m_services.targets.start(m_slot->address,
             m_services.callers.forTarget(m_request.request, envelope), options, std::move(events));
         m_events.slotGranted();
@@ -146,6 +151,8 @@
                 return false;
             if (count == 0)
                 continue;
+            if (m_call)
+                m_call->eventsReceived();
             m_timing.record(count, now);
             for (auto& data : m_splitter.takeData()) {
                 if (!m_events.event(m_splitter.lastId(), std::move(data)))
@@ -260,6 +267,7 @@
     std::optional<std::string> m_version;
     answer_meaning m_meaning = answer_meaning::own;
     unsigned m_status = 0;
+    std::uint64_t m_maxOutputTokens = 0; ///< 0 if unknown.
     bool m_stopped = false;
     bool m_targetsUnavailable = false;
 };
--- a/libs/front/src/target_loads.cpp
+++ b/libs/front/src/target_loads.cpp
@@ -35,6 +35,7 @@
     options.freshConnection = freshConnection;
     options.deadline = std::chrono::steady_clock::now() + loadReportTimeout;
     options.connectTimeout = loadReportTimeout;
+    options.limits = reportLimits;
     m_client.fetch(
         address, request, options, [this, done = std::move(done)](const result<http_reply>& reply) {
             if (!reply)
