Send a request to a target again over a connection that carried no earlier attempt

Cause: the id of an item, and of a request, is the same in each attempt. A second answer to an earlier attempt that comes late on its kept connection looks like the answer of the next one: a 500 counts as one more failed attempt, a 503 as a refusal, and an empty 200 of a resumed run as nothing left.

Change: an item that a target has received before runs on a fresh connection, and so does a live request at an address that it has been sent to before. Nothing in the answer itself tells the attempts apart. First runs keep their pooled connections; a further one costs a connect, which takes about a millisecond.

That item_run passes the option on is not covered by a test.

--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -114,6 +114,8 @@
         options.connectTimeout = connectTimeout;
         options.idleTimeout = idleTimeout;
         options.acceptUnframed = true;
+        // A second answer to an earlier run bears the same id, and may come late on its connection.
+        options.freshConnection = m_request.repeated;
         client_call_events events;
         events.head = [this](const http_reply& head) {
             m_status = head.status;
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -53,6 +53,7 @@
     std::vector<prompt_part> promptParts; ///< Parts of its prompt that other requests may share.
     /// Held while the item runs if a part of its prompt is suspected of crashing targets.
     std::shared_ptr<request_guard::trial> trial;
+    bool repeated = false; ///< Whether a target has received the item before.
     bool chargeTarget = true; ///< Whether an aborted run counts against the target's health.
 };
 
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -3,6 +3,7 @@
 #include "logging/logging.h"
 
 #include <algorithm>
+#include <set>
 
 namespace yuccachute {
 
@@ -383,7 +384,9 @@
         client_call_options options;
         options.deadline = m_deadline + milliseconds { 1000 }; // Fallback: m_deadlineTimer fires first.
         options.connectTimeout = connectTimeout;
-        options.freshConnection = !m_route.retryable();
+        // A second answer to an earlier attempt bears the same id, and may come late on its connection.
+        const bool repeated = !m_addresses.insert(m_slot->address).second;
+        options.freshConnection = !m_route.retryable() || repeated;
         options.acceptUnframed = true;
         client_call_events events;
         events.head = [this](const http_reply& head) { return onHead(head); };
@@ -766,6 +769,7 @@
     std::string m_body;
     std::string m_lastTarget;
     std::string m_lastAddress;
+    std::set<std::string> m_addresses; ///< Of all targets that the request has been sent to.
     std::string m_lastVersion;
     std::vector<std::string> m_versions; ///< Software versions that sent events of this response, in order.
     std::string m_reason;
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -942,6 +942,24 @@
     CHECK(resumed.caller->body == event(6));
 }
 
+// Guards against a late second answer to an earlier attempt, which bears the same id and looks like the
+// answer to the next one at the same target.
+TEST_CASE("a request that is sent to a target again is sent over a connection of its own")
+{
+    fixture f;
+    f.slots.grant("t1");
+    CHECK_FALSE(f.targets.fresh);
+    f.targets.head(503, { { "Refused", "1" } });
+    f.targets.whole();
+    f.slots.grant("t2");
+    CHECK_FALSE(f.targets.fresh);
+    f.targets.head(500);
+    f.targets.whole();
+    REQUIRE(f.slots.acquisitions == 3);
+    f.slots.grant("t1");
+    CHECK(f.targets.fresh);
+}
+
 // Guards against a stream that waits for a question to its target that is never answered.
 TEST_CASE("a stream whose target is never heard of again is resumed elsewhere")
 {
