--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -111,6 +111,8 @@
         options.idleTimeout = idleTimeout;
         options.acceptUnframed = true;
         options.limits = discardedLimits;
+        // A second answer to an earlier run bears the same id, and may come late on its connection.
+        options.freshConnection = m_request.repeated;
         client_call_events events;
         events.head = [this](const http_reply& head) {
             m_status = head.status;
