Limit the 64-bit times in messages of peers to a year

Ages and due times of 64 bits were converted without a check. 2^63 and more became negative: a suspicion with a negative age lies in the future and does not expire. Above 9.2e12 a due time overflows when it is added to the present time, so that an item that is not due for long is late.

--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -14,6 +14,16 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, left));
 }
 
+/// Longer than any time that this project measures or waits. Far longer times overflow when they are added to
+/// the present time in nanoseconds.
+constexpr std::chrono::hours maxDuration { 365 * 24 };
+
+milliseconds durationFromWire(std::uint64_t ms)
+{
+    constexpr auto most = static_cast<std::uint64_t>(milliseconds { maxDuration }.count());
+    return milliseconds { static_cast<std::int64_t>(std::min(ms, most)) };
+}
+
 void toWire(const ask_message& message, steady_time now, peer::Ask& out)
 {
     const auto& request = message.ask;
@@ -63,7 +73,7 @@
     request.producedEvents = in.produced_events();
     request.age = milliseconds { in.age_ms() };
     request.maxEventInterval = milliseconds { in.max_event_interval_ms() };
-    request.due = now + milliseconds { static_cast<std::int64_t>(in.due_in_ms()) };
+    request.due = now + durationFromWire(in.due_in_ms());
     if (in.has_version())
         request.version = in.version();
     return message;
@@ -506,8 +516,7 @@
 suspect_report fromWire(const peer::Suspect& in)
 {
     return { { in.identity_high(), in.identity_low() }, { in.acquittals(), in.strikes() },
-        milliseconds { static_cast<std::int64_t>(in.age_ms()) }, { in.targets().begin(), in.targets().end() },
-        in.trials() };
+        durationFromWire(in.age_ms()), { in.targets().begin(), in.targets().end() }, in.trials() };
 }
 
 } // namespace
@@ -569,7 +578,7 @@
     answer.contact.watches = in.watches_store();
     for (const auto& standing : in.standings())
         answer.standings.push_back({ standing.prefix(), standing.revision(), standing.settled_revision(),
-            milliseconds { static_cast<std::int64_t>(standing.age_ms()) }, standing.unchanged_until() });
+            durationFromWire(standing.age_ms()), standing.unchanged_until() });
     for (const auto& report : in.suspects())
         answer.suspects.push_back(fromWire(report));
     answer.suspectsDigest = in.suspects_digest();
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -121,6 +121,25 @@
     CHECK(copy.wanted == std::vector<std::uint32_t> { 7 });
 }
 
+// Guards against ages and due times that become negative or overflow: a suspicion with a negative age lies in
+// the future and never expires, and an item that is due in the far future is late.
+TEST_CASE("ages and due times of 64 bits are limited to a year")
+{
+    constexpr milliseconds year { std::chrono::hours { 365 * 24 } };
+    for (const std::uint64_t huge :
+        { ~std::uint64_t { 0 }, std::uint64_t { 1 } << 63, std::uint64_t { 9300000000000 } }) {
+        peer::SyncReply reply;
+        reply.add_suspects()->set_age_ms(huge);
+        reply.add_standings()->set_age_ms(huge);
+        const auto answer = fromWire(reply);
+        CHECK(answer.suspects.at(0).age == year);
+        CHECK(answer.standings.at(0).age == year);
+        peer::Envelope wire;
+        wire.add_asks()->set_due_in_ms(huge);
+        CHECK(fromWire(wire, start).asks.at(0).ask.due == start + year);
+    }
+}
+
 TEST_CASE("reports of suspected requests are unchanged by encoding and decoding")
 {
     const suspect_report note { { 1, 2 }, { 3, 4 }, milliseconds { 500 } };
