--- a/libs/wire/src/wire.cpp
+++ b/libs/wire/src/wire.cpp
@@ -3,6 +3,7 @@
 #include "jobs/jobs.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace yuccachute {
 
@@ -14,6 +15,13 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, left));
 }
 
+/// The count of a time, or the nearest one that 32 bits hold.
+template <typename Duration> std::uint32_t durationToWire(Duration time)
+{
+    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, most));
+}
+
 /// Longer than any time that this project measures or waits. Far longer times overflow when they are added to
 /// the present time in nanoseconds.
 constexpr std::chrono::hours maxDuration { 365 * 24 };
@@ -37,16 +45,16 @@
     for (auto prefix : request.prefixes)
         out.add_prefixes(prefix);
     out.set_avoid(request.avoid);
-    out.set_wait_ms(static_cast<std::uint32_t>(millisecondsUntil(request.deadline, now)));
+    out.set_wait_ms(durationToWire(std::chrono::duration_cast<milliseconds>(request.deadline - now)));
     out.set_due_in_ms(millisecondsUntil(request.due, now));
-    out.set_hold_ms(static_cast<std::uint32_t>(request.hold.count()));
+    out.set_hold_ms(durationToWire(request.hold));
     out.set_at_once(request.immediate);
     out.set_request_id(request.requestId);
     out.set_begun(request.begun);
     out.set_remaining_events(static_cast<float>(request.remainingEvents));
     out.set_produced_events(request.producedEvents);
-    out.set_age_ms(static_cast<std::uint32_t>(request.age.count()));
-    out.set_max_event_interval_ms(static_cast<std::uint32_t>(request.maxEventInterval.count()));
+    out.set_age_ms(durationToWire(request.age));
+    out.set_max_event_interval_ms(durationToWire(request.maxEventInterval));
     if (request.version)
         out.set_version(*request.version);
 }
@@ -114,7 +122,7 @@
     auto& wire = *out.mutable_share_loan();
     wire.set_borrower_incarnation(loan.borrowerIncarnation);
     wire.set_ask_stamp(loan.requestStamp);
-    wire.set_valid_ms(static_cast<std::uint32_t>(loan.validFor.count()));
+    wire.set_valid_ms(durationToWire(loan.validFor));
     wire.set_part(loan.share);
     wire.set_added(loan.added);
     wire.set_fill_percent(loan.fillPercent);
@@ -143,7 +151,7 @@
 {
     auto& wire = *out.mutable_token_transfer();
     wire.set_request_stamp(transfer.requestStamp);
-    wire.set_room_valid_ms(static_cast<std::uint32_t>(transfer.roomValidFor.count()));
+    wire.set_room_valid_ms(durationToWire(transfer.roomValidFor));
     for (const auto& tokens : transfer.tokens) {
         auto& element = *wire.add_tokens();
         element.set_customer(tokens.customer);
@@ -229,7 +237,7 @@
         wire.set_grant_id(grant.grantId);
         wire.set_target(grant.target);
         wire.set_address(grant.address);
-        wire.set_waited_ms(static_cast<std::uint32_t>(grant.waited.count()));
+        wire.set_waited_ms(durationToWire(grant.waited));
         if (grant.version)
             wire.set_version(*grant.version);
     }
@@ -238,7 +246,7 @@
         wire.set_ask_id(refusal.slotRequestId);
         wire.set_kind(static_cast<std::uint32_t>(refusal.reason.kind));
         wire.set_message(refusal.reason.message);
-        wire.set_retry_after_ms(static_cast<std::uint32_t>(refusal.reason.retryAfter.count()));
+        wire.set_retry_after_ms(durationToWire(refusal.reason.retryAfter));
     }
     for (const auto& moved : message.moved) {
         auto& wire = *out.add_moved();
@@ -255,10 +263,10 @@
         wire.set_group(release.group);
         wire.set_grant_id(release.release.grantId);
         wire.set_outcome(static_cast<std::uint32_t>(release.release.outcome));
-        wire.set_first_token_ms(static_cast<std::uint32_t>(release.release.firstToken.count()));
+        wire.set_first_token_ms(durationToWire(release.release.firstToken));
         wire.set_tokens(static_cast<float>(release.release.tokens));
         wire.set_events(release.release.events);
-        wire.set_event_interval_us(static_cast<std::uint32_t>(release.release.eventInterval.count()));
+        wire.set_event_interval_us(durationToWire(release.release.eventInterval));
     }
     for (const auto& withdrawal : message.withdrawals) {
         auto& wire = *out.add_withdrawals();
@@ -270,13 +278,13 @@
     for (const auto& record : message.origins) {
         auto& wire = *out.add_origins();
         toWire(record.origin, wire);
-        wire.set_valid_ms(static_cast<std::uint32_t>(record.validFor.count()));
+        wire.set_valid_ms(durationToWire(record.validFor));
     }
     for (const auto& query : message.originQueries) {
         auto& wire = *out.add_origin_queries();
         wire.set_stream_id(query.streamId);
         wire.set_service(query.service);
-        wire.set_lookback_ms(static_cast<std::uint32_t>(query.lookback.count()));
+        wire.set_lookback_ms(durationToWire(query.lookback));
     }
     for (const auto& answer : message.originAnswers) {
         auto& wire = *out.add_origin_answers();
--- a/libs/wire/tests/test_wire.cpp
+++ b/libs/wire/tests/test_wire.cpp
@@ -140,6 +140,27 @@
     }
 }
 
+// Guards against times that 32 bits do not hold: a hold that had just passed was sent as one of 49 days.
+TEST_CASE("times that are negative or too long for a message are sent as the nearest one")
+{
+    constexpr milliseconds longest { 4294967295 };
+    const auto holdAfterSending = [](milliseconds hold) {
+        envelope message;
+        slot_request request;
+        request.hold = hold;
+        request.deadline = start + hold;
+        message.asks.push_back({ "group", request });
+        peer::Envelope wire;
+        toWire(message, start, wire);
+        const auto received = fromWire(wire, start).asks.at(0).ask;
+        CHECK(received.deadline == start + received.hold);
+        return received.hold;
+    };
+    CHECK(holdAfterSending(-5ms) == 0ms);
+    CHECK(holdAfterSending(longest) == longest);
+    CHECK(holdAfterSending(longest + 5ms) == longest);
+}
+
 TEST_CASE("reports of suspected requests are unchanged by encoding and decoding")
 {
     const suspect_report note { { 1, 2 }, { 3, 4 }, milliseconds { 500 } };
