Reserve no memory for the number of items that a record states

The number of items in a stored job record was reserved before any item was read; 2^32 - 1 items need 340 GB. std::bad_alloc is caught nowhere and ended the batch process. The list grows by what is stored.

Test failed before: std::bad_alloc.

--- a/libs/batch/src/job_store.cpp
+++ b/libs/batch/src/job_store.cpp
@@ -145,7 +145,6 @@
 result<std::vector<job_item>> job_store::readItems(const job_record& record)
 {
     std::vector<job_item> items;
-    items.reserve(record.items);
     for (std::uint32_t number = 0; number < record.chunks; ++number) {
         BOOST_OUTCOME_TRY(auto chunk, m_store.get(chunkKey(inputPrefix, record.id, number)));
         if (!chunk)
--- a/libs/batch/tests/test_job_store.cpp
+++ b/libs/batch/tests/test_job_store.cpp
@@ -91,6 +91,19 @@
     CHECK(f.jobs.create(makeRecord("t", 1), packItems(makeItems(1))).error().ran == verdict::may_have_run);
 }
 
+// Guards against memory reserved for the number of items that a stored record states, which ended the
+// process.
+TEST_CASE("a record that states more items than are stored cannot be read")
+{
+    fixture f;
+    const auto job = f.create("first");
+    auto record = job.job.record;
+    record.items = 4294967295;
+    const auto read = f.jobs.readItems(record);
+    REQUIRE(!read);
+    CHECK(read.error().message.find("number of stored items") != std::string::npos);
+}
+
 // Guards against two results for an item: a holder is paused until its lease lapses, another process claims
 // the job and commits, and then the first holder resumes and commits the same items.
 TEST_CASE("a replaced holder cannot commit")
