Take a stored claim that cannot be decoded for one of another request

Fields of a claim of an idempotency key were read outside any try: one of the wrong type, or a missing body, threw json::exception in a worker thread, which nothing catches, and ended the entry.

Test failed before: type_error.302 escaped from request_claims::take.

--- a/libs/entry/src/claims.cpp
+++ b/libs/entry/src/claims.cpp
@@ -34,16 +34,21 @@
     return reply;
 }
 
-/// Decodes an existing claim.
+/// Decodes an existing claim. One that cannot be decoded counts as that of another request, which may have
+/// run.
 request_claims::claim readClaim(const std::string& value, const std::string& token)
 {
     const auto document = json::from_msgpack(value, true, false);
     if (!document.is_object())
         return {};
-    // The claim is this request's own; the store's response to it was lost.
-    if (document.value("request", "") == token)
-        return { true, std::nullopt };
-    return { false, readStoredReply(document) };
+    try {
+        // The claim is this request's own; the store's response to it was lost.
+        if (document.value("request", "") == token)
+            return { true, std::nullopt };
+        return { false, readStoredReply(document) };
+    } catch (const json::exception&) {
+        return {};
+    }
 }
 
 std::string writeClaim(const json& document)
