Let watchers ask the first one before they call the store

Cause: the first watcher asks the store for a confirmation at an age of 600 to 700 ms. The second one asked it every 250 ms, which its ticks round up to 300 ms, and calls the store above 1,000 ms: a copy taken just before the confirmation reached 1,001 ms. After a pause of its process it called the store at once.

Change: from 700 ms on watchers synchronize at every tick. Processes other than the first watcher call the store after four ticks with old copies, counted anew after a pause of more than 200 ms, at most every 2 s, so that a process that is always slow still asks.

The new test failed on the code before in 5 of 5 fleets.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -258,6 +258,8 @@
     bool needsNewerCopies(steady_time now) const;
     /// Age of a copy from which this process asks the store for a confirmation.
     milliseconds confirmationAge() const;
+    /// Counts the ticks with old copies since the last pause of the process. To be called once a tick.
+    void countAgedTick(steady_time now);
     void confirmCopies(steady_time now);
     milliseconds syncInterval(steady_time now) const;
     void syncWithPeers(steady_time now);
@@ -322,6 +324,10 @@
     /// When this process last got an answer from a watcher to which the store answers.
     steady_time m_lastWatcherAnswer;
     bool m_peerUnresponsive = false; ///< The last synchronization failed.
+    /// Consecutive ticks at which the first watcher should have asked for a confirmation of these copies.
+    unsigned m_agedTicks = 0;
+    steady_time m_lastTick;
+    steady_time m_lastPause; ///< When the aged ticks were last counted anew after a pause of the process.
     mutable std::mutex m_publishedMutex; ///< answer() is called by the transport's threads.
     std::map<std::string, published_section> m_published;
 };
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -20,6 +20,10 @@
 /// Interval at which watchers synchronize with the first watcher otherwise, to receive changes that their own
 /// calls may have missed.
 constexpr milliseconds watcherSyncInterval { 500 };
+/// From this age of its copies a watcher synchronizes at every tick: the first watcher has asked for their
+/// confirmation by then. At followerSyncInterval, which the ticks round up to 300 ms, copies taken just
+/// before this would reach the confirmation age of the second watcher.
+constexpr milliseconds agedCopyAge { 700 };
 constexpr milliseconds syncTimeout { 500 };
 /// A full copy takes longer to arrive.
 constexpr milliseconds fullCopyTimeout { 1500 };
@@ -47,6 +51,16 @@
 constexpr milliseconds confirmationAgeStep { 400 };
 constexpr std::size_t maxConfirmationSteps = 2;
 constexpr std::size_t batchConfirmationSteps = 3;
+/// Consecutive ticks with copies that are older than firstWatcherConfirmationAge after which a process other
+/// than the first watcher may ask the store for a confirmation. Three synchronizations suffice to receive the
+/// first watcher's confirmation, which it publishes at the tick after its call.
+constexpr unsigned minAgedTicks = 4;
+/// After a longer gap between two ticks the process was suspended or its VM overloaded: its copies are old
+/// because it did not ask, so the ticks are counted anew.
+constexpr milliseconds maxTickGap { 200 };
+/// The ticks are counted anew at most this often: a process that is always slow would otherwise never ask the
+/// store.
+constexpr milliseconds minPauseInterval { 2000 };
 /// A process with older copies synchronizes with one entry of each zone: its previous peer may have lost the
 /// store without noticing, such as a watcher whose connection is dead. In an idle fleet this does not happen:
 /// copies are at most 1 s old in watchers and 1.3 s in other processes.
@@ -419,6 +433,7 @@
     }
     readTargetsIfUnknown(now);
     m_watchesStore = m_followsStore && connected() && age(now) <= maxCopyAge;
+    countAgedTick(now);
     confirmCopies(now);
     publishStandings();
     dropMissingTargets();
@@ -461,6 +476,9 @@
 
 milliseconds fleet_watch::syncInterval(steady_time now) const
 {
+    const bool aged = isWatcher() && age(now) > agedCopyAge;
+    if (connected() && aged && !m_peerUnresponsive)
+        return milliseconds { 0 };
     if (!connected() || needsNewerCopies(now))
         return disconnectedSyncInterval;
     return isWatcher() && age(now) <= firstWatcherConfirmationAge ? watcherSyncInterval
@@ -480,6 +498,18 @@
     return firstWatcherConfirmationAge + confirmationAgeStep * steps;
 }
 
+void fleet_watch::countAgedTick(steady_time now)
+{
+    const bool late = now - std::exchange(m_lastTick, now) > maxTickGap;
+    const bool paused = late && now - m_lastPause >= minPauseInterval;
+    if (paused)
+        m_lastPause = now;
+    if (paused || age(now) <= firstWatcherConfirmationAge)
+        m_agedTicks = 0;
+    if (age(now) > firstWatcherConfirmationAge)
+        ++m_agedTicks;
+}
+
 void fleet_watch::confirmCopies(steady_time now)
 {
     if (!m_followsStore || !connected())
@@ -487,9 +517,10 @@
     const auto after = confirmationAge();
     // Targets that are still missing once all lapsed entries should exist again have been removed.
     const bool missing = m_targets.hasMissingTargets() && listsAreComplete(now);
-    if (missing || targetsAge(now) > after)
+    const bool askedPeers = m_watchers->rank(m_self.vm) == 0 || m_agedTicks >= minAgedTicks;
+    if (missing || (askedPeers && targetsAge(now) > after))
         m_targetsMirror.requestConfirmation(now);
-    if (configurationAge(now) > after)
+    if (askedPeers && configurationAge(now) > after)
         m_operatorMirror.requestConfirmation(now);
 }
 
--- a/libs/fleet/tests/test_fleet_freshness.cpp
+++ b/libs/fleet/tests/test_fleet_freshness.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <thread>
 
 using namespace yuccachute;
 
@@ -278,3 +279,37 @@
         CHECK(oldest <= targetRemovalDeadline - dispatchDelay);
     }
 }
+
+// Guards against charged calls of several processes after a pause, such as on an overloaded VM: copies that
+// are older than 1,000 ms only because the process did not run made the second watcher call the store,
+// although the first one was about to do so.
+TEST_CASE("after a pause watchers other than the first one ask it before they call the store")
+{
+    constexpr std::size_t zones = 4;
+    constexpr milliseconds pause { 350 };
+    event_loop loop;
+    std::vector<std::unique_ptr<model_fleet>> fleets;
+    // The processes of a fleet start with different phases of their ticks.
+    for (const auto offset : { 10, 30, 50, 70, 90 }) {
+        fleets.push_back(std::make_unique<model_fleet>(loop, 0, 0));
+        fleets.back()->store.write(target, "ready");
+        for (std::size_t zone = 0; zone < zones; ++zone) {
+            fleets.back()->add("zone-" + std::to_string(zone), true);
+            loop.runFor(milliseconds { offset });
+        }
+    }
+    loop.runFor(settlingTime);
+    for (const auto& fleet : fleets) {
+        for (const auto& process : fleet->processes)
+            process->link.waitCalls = 0;
+    }
+    for (int i = 0; i < 4; ++i) {
+        std::this_thread::sleep_for(pause);
+        loop.runFor(milliseconds { 1750 });
+    }
+    for (const auto& fleet : fleets) {
+        const auto calling = std::count_if(fleet->processes.begin(), fleet->processes.end(),
+            [](const auto& process) { return process->link.waitCalls > 0; });
+        CHECK(calling == 1);
+    }
+}
