End with code 1 when a program cannot listen on its address

Cause: the listener throws, and main of the platform's entry and batch programs caught nothing, so a taken port gave an abort with a crash report.

Evidence: the new test starts a second process with the settings of a running one.

--- a/tests/failures_platform.cpp
+++ b/tests/failures_platform.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <fstream>
 #include <thread>
 
 using namespace yuccachute;
@@ -541,3 +542,24 @@
     CHECK(ended == number);
     CHECK(whole >= begun);
 }
+
+// Guards against an abort with a crash report of a process whose port is taken, which looks like a fault of
+// the program instead of its settings.
+TEST_CASE("a program that cannot listen on its address prints the reason and ends with code 1")
+{
+    platform_system system;
+    const std::vector<std::pair<std::string, std::string>> taken {
+        { "yuccachute-platform-entry", system.entries.begin()->first },
+        { "yuccachute-platform-batch", system.batches.begin()->first },
+    };
+    for (const auto& [program, name] : taken) {
+        const auto log = system.folder() + "/second-" + name + ".log";
+        child_process second(program, { "--config", system.folder() + "/" + name + ".ini" }, log);
+        CHECK(second.wait() == 1);
+        std::ifstream stream(log);
+        const std::string text { std::istreambuf_iterator<char>(stream), {} };
+        CAPTURE(program, text);
+        CHECK(text.find("cannot listen on") != std::string::npos);
+        CHECK(text.find("\"event\":\"crashed\"") == std::string::npos);
+    }
+}
