Count ends under one request once against prompt parts that others were answered with

When targets ended under one harmful request several times before the next whole answer, each end counted against the parts that it shares with sound requests; three of them had all requests with these parts refused.

Ends under a request that has a strike already are no further evidence against parts that have been acquitted before. The request itself is refused by its own strikes. Parts that were never answered are counted as before, so that the limit for live requests with such a part is unchanged; a part that becomes harmful after it was answered needs three different requests under which a target ends.

The new case of test_guard (four targets end under one content whose only part all requests share) failed before: sound requests were refused.

--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -239,7 +239,7 @@
     };
 
     void targetTerminated(const pending_run& run);
-    void blameParts(const pending_run& run, steady_time now);
+    void blameParts(const pending_run& run, bool repeated, steady_time now);
     std::optional<failure> refusalOfPart(
         const part_quarantine::assessment& found, running_trial* held, steady_time now);
     void claimTrial(prompt_part part, steady_time now);
--- a/libs/guard/src/request_guard.cpp
+++ b/libs/guard/src/request_guard.cpp
@@ -198,13 +198,14 @@
         notifyListener(run.identity);
     }
     // A target that has answered a part of the request did not end when it began to.
+    const bool first = counted && record.strikes == 1;
     if (run.events == 0)
-        blameParts(run, now);
+        blameParts(run, !first, now);
 }
 
-void request_guard::blameParts(const pending_run& run, steady_time now)
+void request_guard::blameParts(const pending_run& run, bool repeated, steady_time now)
 {
-    for (const auto part : m_parts.targetTerminated(run.parts, run.target, now)) {
+    for (const auto part : m_parts.targetTerminated(run.parts, run.target, now, repeated)) {
         const auto record = m_parts.report(part, now);
         if (record && record->record.strikes > 0) {
             logEvent(log_level::warning, "target ended under a prompt part",
--- a/libs/guard/tests/test_request_guard.cpp
+++ b/libs/guard/tests/test_request_guard.cpp
@@ -188,6 +188,26 @@
     CHECK_FALSE(one.guard.admit(other).refusal);
 }
 
+// Guards against the refusal of all requests with a sound part that they share, because targets end under one
+// of them before the next whole answer.
+TEST_CASE("ends under one request are not counted again against a part that others were answered with")
+{
+    event_loop loop;
+    entry one(loop);
+    one.guard.answered(withPrompt(soundPrompt));
+    for (const auto* target : { "t1", "t2", "t3", "t4" })
+        one.guard.aborted(
+            { harmfulRequest, one.guard.record(harmfulRequest), { target, target }, soundPrompt, 0 },
+            nullptr);
+    CHECK(one.guard.admit(harmfulRequest).refusal);
+    CHECK_FALSE(one.guard.admit(withPrompt(soundPrompt)).refusal);
+    CHECK_FALSE(one.guard.isSuspected(withPrompt(soundPrompt)));
+    // Other requests still count, each once.
+    for (const auto* target : { "t1", "t2", "t3" })
+        one.endUnder(soundPrompt, target);
+    CHECK(one.guard.admit(withPrompt(soundPrompt)).refusal);
+}
+
 TEST_CASE("a target that keeps running is no strike")
 {
     event_loop loop;
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -170,9 +170,10 @@
     bool hasStrikes(std::span<const prompt_part> parts) const;
 
     /// A target terminated during a run with these parts, before the first event. Returns the parts whose
-    /// records have changed.
-    std::vector<prompt_part> targetTerminated(
-        std::span<const prompt_part> parts, std::string_view targetId, steady_time now);
+    /// records have changed. `repeated` tells that a target has terminated under the same request before: for
+    /// parts that were answered in other requests, further ones are no evidence.
+    std::vector<prompt_part> targetTerminated(std::span<const prompt_part> parts, std::string_view targetId,
+        steady_time now, bool repeated = false);
     /// A request with these parts was answered completely. Returns the parts that this acquits.
     std::vector<prompt_part> answered(std::span<const prompt_part> parts, steady_time now);
     /// A run of a refused part is allowed: the time for which it is refused begins anew.
@@ -211,6 +212,7 @@
     };
 
     bool answeredSinceAcquittal(prompt_part part, steady_time now) const;
+    bool everAcquitted(prompt_part part) const;
     std::optional<steady_time> lastAnswer(prompt_part part) const;
     bool targetRecorded(target_hash target) const;
     void acquit(prompt_part part, steady_time now);
--- a/libs/quarantine/src/part_quarantine.cpp
+++ b/libs/quarantine/src/part_quarantine.cpp
@@ -106,14 +106,17 @@
 }
 
 std::vector<prompt_part> part_quarantine::targetTerminated(
-    std::span<const prompt_part> parts, std::string_view targetId, steady_time now)
+    std::span<const prompt_part> parts, std::string_view targetId, steady_time now, bool repeated)
 {
     const auto target = hashTarget(targetId);
     std::vector<prompt_part> unanswered;
-    std::copy_if(parts.begin(), parts.end(), std::back_inserter(unanswered),
-        [&](const auto part) { return !answeredSinceAcquittal(part, now); });
+    std::copy_if(parts.begin(), parts.end(), std::back_inserter(unanswered), [&](const auto part) {
+        return !answeredSinceAcquittal(part, now) && !(repeated && everAcquitted(part));
+    });
     std::vector<prompt_part> changed;
     if (unanswered.empty()) {
+        if (repeated)
+            return changed;
         // Another request on the target explains its end. Otherwise the parts may have become harmful since
         // their last answers, which therefore count only once.
         if (targetRecorded(target))
@@ -176,6 +179,12 @@
     return known == m_suspects.end() || !known->second.acquitted || *answer > *known->second.acquitted;
 }
 
+bool part_quarantine::everAcquitted(prompt_part part) const
+{
+    const auto known = m_suspects.find(part);
+    return known != m_suspects.end() && known->second.acquittals > 0;
+}
+
 bool part_quarantine::targetRecorded(target_hash target) const
 {
     return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto& entry) {
--- a/libs/quarantine/tests/test_part_quarantine.cpp
+++ b/libs/quarantine/tests/test_part_quarantine.cpp
@@ -110,6 +110,17 @@
     CHECK(f.statusOf({ common, sound }) == status::clear);
 }
 
+// Guards against a harmful part that goes unnoticed because the same request is sent again and again.
+TEST_CASE("a repeated request does not hide a part that was never answered")
+{
+    fixture f;
+    f.answer({ common });
+    for (const auto* target : { "t1", "t2", "t3" })
+        f.known.targetTerminated(parts { common, harmful }, target, f.now, true);
+    CHECK(f.statusOf({ harmful }) == status::refused);
+    CHECK(f.statusOf({ common }) == status::clear);
+}
+
 // Guards against old answers that hide a part which a new version of the service cannot handle.
 TEST_CASE("a part that was answered before and ends targets now is refused")
 {
