Keep the ids that a connection has carried, and other places where one answer could stand for another

A review of the changes for whole answers found these by reading: - A late second answer to a request with the same id may come on any connection that has carried it, also for the item of another job or customer, or of a job that was dropped and taken again. http_client now remembers the ids of each connection (client_call_options::answerId) and reuses none for the same id. Reports without framing are accepted. - A comment started the time limit of an event. - An exception from the report of a call's outcome was swallowed, and its receiver waited for ever. The new checks were not run against the code before.

--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -170,8 +170,6 @@
     std::optional<std::string> version;
     /// Service that made the events received; unset if unknown.
     std::optional<std::string> service;
-    /// Whether a target has received the item before, so that another answer with its id may be on the way.
-    bool repeated = false;
 };
 
 /// Items of a job that this process holds.
@@ -213,8 +211,6 @@
     /// events already.
     void setOrigin(
         std::uint32_t index, const std::optional<std::string>& version, const std::string& service);
-    /// The item is sent to a target.
-    void markSent(std::uint32_t index) { m_items[index].sent = true; }
     /// Discards the events of an item, which begins anew: no target can resume them.
     void discardEvents(std::uint32_t index);
     /// Adds an event to a running item. Returns false if its id does not follow that of the previous event,
@@ -239,7 +235,6 @@
 
 private:
     struct item_state {
-        bool sent = false; ///< A target has received it, from this process or an earlier holder.
         std::vector<std::string> events;
         std::optional<std::uint64_t> lastEvent;
         std::optional<std::string> version;
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -90,7 +90,6 @@
             continue; // A result was committed after this progress was saved.
         if (one.events.size() != one.lastEvent)
             continue; // A part of the item's text is missing, so it begins anew.
-        m_items[one.index].sent = true;
         m_items[one.index].lastEvent = one.lastEvent;
         m_items[one.index].events = std::move(one.events);
         m_items[one.index].version = std::move(one.version);
@@ -107,8 +106,8 @@
     m_waiting.erase(chosen);
     m_items[index].running = true;
     ++m_running;
-    const auto& item = m_items[index];
-    return bulk_item_start { index, item.lastEvent, item.version, item.service, item.sent };
+    return bulk_item_start { index, m_items[index].lastEvent, m_items[index].version,
+        m_items[index].service };
 }
 
 void bulk_job::setOrigin(
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -98,21 +98,6 @@
     CHECK(progress[0].index == 1);
 }
 
-// Guards against a late second answer to an earlier run of an item, which bears the same id.
-TEST_CASE("an item that a target has received before starts as a repeated one")
-{
-    auto held = job(1);
-    CHECK(!held.next()->repeated);
-    finish(held, 0, run_outcome::interrupted, 1);
-    CHECK(!held.next()->repeated); // No target had a slot for it.
-    held.markSent(0);
-    finish(held, 0, run_outcome::failed, 2);
-    CHECK(held.next()->repeated);
-    auto takenOver = job(1);
-    takenOver.restore({ { 0, 1, { "a" } } });
-    CHECK(takenOver.next()->repeated);
-}
-
 // Guards against an item whose text comes from two software versions or services after its holder has
 // changed.
 TEST_CASE("an item keeps the software version and service that made its events, and loses them with them")
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -111,8 +111,7 @@
         options.idleTimeout = idleTimeout;
         options.acceptUnframed = true;
         options.limits = discardedLimits;
-        // A second answer to an earlier run bears the same id, and may come late on its connection.
-        options.freshConnection = m_request.repeated;
+        options.answerId = m_request.itemId;
         client_call_events events;
         events.head = [this](const http_reply& head) {
             m_status = head.status;
@@ -151,10 +150,10 @@
             const auto count = m_splitter.events() - before;
             if (m_splitter.outOfOrder() || !m_evidence.addEvents(count, m_splitter.lastId()))
                 return false;
+            if (m_call && (count > 0 || !m_splitter.midEvent()))
+                m_call->eventsReceived();
             if (count == 0)
                 continue;
-            if (m_call)
-                m_call->eventsReceived();
             m_timing.record(count, now);
             for (auto& data : m_splitter.takeData()) {
                 if (!m_events.event(m_splitter.lastId(), std::move(data)))
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -54,7 +54,6 @@
     steady_time expiry;
     std::optional<std::uint64_t> lastEvent;
     std::optional<std::string> version; ///< Software version that made the earlier events.
-    bool repeated = false; ///< Whether a target has received the item before.
     bool chargeTarget = true; ///< Whether an aborted run counts against the target's health.
 };
 
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -245,7 +245,6 @@
     request.expiry = now() + defaultRunTime;
     request.lastEvent = start.lastEvent;
     request.version = start.version;
-    request.repeated = start.repeated;
     const auto aborts = held.consecutiveAborts.find(start.index);
     request.chargeTarget
         = aborts == held.consecutiveAborts.end() || aborts->second < maxAbortsChargedToTarget;
@@ -268,9 +267,7 @@
         const auto* itemRoute = routeOfItem(*table, found->second.job->record(), index);
         return itemRoute && itemRoute->leadsTo(service);
     };
-    events.slotGranted = [this, id, index] {
-        if (const auto found = m_jobs.find(id); found != m_jobs.end())
-            found->second.job->markSent(index);
+    events.slotGranted = [this] {
         m_lastSlotGranted = now();
         startRuns();
     };
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -146,7 +146,7 @@
     void askStart(const std::string& address, const std::string& target, callback done) override;
 
 private:
-    void send(const std::string& address, const http_request& request, bool freshConnection, callback done);
+    void send(const std::string& address, const http_request& request, bool startOnly, callback done);
 
     http_client& m_client;
     const load_protocol& m_protocol;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <set>
 
 namespace yuccachute {
 
@@ -386,11 +385,10 @@
         client_call_options options;
         options.deadline = m_deadline + milliseconds { 1000 }; // Fallback: m_deadlineTimer fires first.
         options.connectTimeout = connectTimeout;
-        // A second answer to an earlier attempt bears the same id, and may come late on its connection.
-        const bool repeated = !m_addresses.insert(m_slot->address).second;
-        options.freshConnection = !m_route.retryable() || repeated;
+        options.freshConnection = !m_route.retryable();
         options.acceptUnframed = true;
         options.limits = plainLimits;
+        options.answerId = m_facts.id;
         client_call_events events;
         events.head = [this](const http_reply& head) {
             if (!onHead(head))
@@ -478,9 +476,10 @@
         const auto count = m_splitter.events() - eventsBefore;
         if (m_splitter.outOfOrder() || !m_evidence.addEvents(count, m_splitter.lastId()))
             return false;
+        if (!m_splitter.midEvent() || count > 0)
+            m_call->eventsReceived();
         if (count == 0)
             return true; // Comments are passed on with the next event.
-        m_call->eventsReceived();
         m_timing.record(count, now());
         recordOrigin();
         cancelFailover();
@@ -579,15 +578,15 @@
     /// resumed at another target, which has nothing left to send if it is whole.
     void confirmEnd()
     {
+        cancelFailover();
         const bool empty = eventStream() && m_timing.events() == 0;
         const auto interrupted = mayHaveRun(failure_kind::incomplete,
-            "the response ended with its connection, and the start of the target that sent it does not "
-            "respond "
-            "any more");
+            "the response ended with its connection, and its target does not respond any more");
         if (!m_services.guard)
             return empty ? onInterrupted(interrupted) : completeReply();
         m_confirmation.ask(*m_services.guard, { m_lastTarget, m_lastAddress },
-            empty ? examinationTimeout : endConfirmationTimeout, [this, interrupted](target_state state) {
+            empty && !m_replyStarted ? examinationTimeout : endConfirmationTimeout,
+            [this, interrupted](target_state state) {
                 const auto found = m_evidence.confirm(state == target_state::running);
                 if (found == run_evidence::completeness::whole)
                     completeReply();
@@ -792,7 +791,6 @@
     std::string m_body;
     std::string m_lastTarget;
     std::string m_lastAddress;
-    std::set<std::string> m_addresses; ///< Of all targets that the request has been sent to.
     std::string m_lastVersion;
     std::vector<std::string> m_versions; ///< Software versions that sent events of this response, in order.
     std::string m_reason;
--- a/libs/front/src/target_loads.cpp
+++ b/libs/front/src/target_loads.cpp
@@ -29,20 +29,23 @@
 }
 
 void target_loads::send(
-    const std::string& address, const http_request& request, bool freshConnection, callback done)
+    const std::string& address, const http_request& request, bool startOnly, callback done)
 {
     client_call_options options;
-    options.freshConnection = freshConnection;
+    options.freshConnection = startOnly;
     options.deadline = std::chrono::steady_clock::now() + loadReportTimeout;
     options.connectTimeout = loadReportTimeout;
     options.limits = reportLimits;
-    m_client.fetch(
-        address, request, options, [this, done = std::move(done)](const result<http_reply>& reply) {
+    options.acceptUnframed = true; // A report that was cut off is not valid.
+    m_client.fetch(address, request, options,
+        [this, startOnly, done = std::move(done)](const result<http_reply>& reply) {
             if (!reply)
                 return done(reply.error());
             auto read = m_protocol.readLoad(reply.value());
             if (read || read.error().kind == failure_kind::gone)
                 return done(std::move(read));
+            if (startOnly) // Another response than a report does not tell which start sent it.
+                return done(mayHaveRun(failure_kind::bad_request, read.error().message));
             // A target that responds without a valid report is alive, but its load is unknown.
             logEvent(log_level::debug, "invalid load report; load of the target taken as unknown",
                 { { "message", read.error().message } });
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -105,6 +105,7 @@
         sent += std::string(address) + "@" + std::string(findHeader(request.headers, "Last")) + " ";
         customer = findHeader(request.headers, "Customer");
         fresh = options.freshConnection;
+        answerId = options.answerId;
         if (running && !running->cancelled)
             overlapped = true;
         running = std::make_shared<call>();
@@ -138,6 +139,7 @@
     std::string sent;
     std::string customer; ///< Customer sent to the last target.
     bool fresh = false;
+    std::string answerId; ///< Of the options of the last call.
     bool overlapped = false;
     bool accepted = true;
     std::shared_ptr<call> running;
@@ -990,22 +992,30 @@
     CHECK(resumed.caller->body == event(6));
 }
 
-// Guards against a late second answer to an earlier attempt, which bears the same id and looks like the
-// answer to the next one at the same target.
-TEST_CASE("a request that is sent to a target again is sent over a connection of its own")
+// Guards against a late second answer to an earlier attempt at the same target, which bears the same id.
+TEST_CASE("a request is sent with the id that its answer bears")
 {
     fixture f;
     f.slots.grant("t1");
     CHECK_FALSE(f.targets.fresh);
-    f.targets.head(503, { { "Refused", "1" } });
-    f.targets.whole();
-    f.slots.grant("t2");
-    CHECK_FALSE(f.targets.fresh);
-    f.targets.head(500);
-    f.targets.whole();
-    REQUIRE(f.slots.acquisitions == 3);
+    CHECK(!f.targets.answerId.empty());
+}
+
+// Guards against a failover that was wanted before the response ended, and overtakes the question whether it
+// is whole.
+TEST_CASE("a response that ends without framing withdraws the failover that its silence had asked for")
+{
+    guard_fixture all;
+    all.loads.refuses = false;
+    all.loads.neverAnswers = true;
+    fixture f(request_kind::streaming, true, 1000, &all.guard);
     f.slots.grant("t1");
-    CHECK(f.targets.fresh);
+    f.targets.head(200);
+    f.targets.body(event(1));
+    f.loop.runFor(milliseconds { 250 });
+    REQUIRE(f.slots.acquisitions == 2);
+    f.targets.whole();
+    CHECK(f.slots.withdrawn);
 }
 
 // Guards against a stream that waits for a question to its target that is never answered.
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -43,6 +43,10 @@
     std::string body;
 };
 
+/// Whether the end of a response's body follows from the response, rather than from the end of its connection
+/// (RFC 9112, 6.3).
+bool isFramed(const http_reply& head);
+
 /// Splits "host:port" into its parts. The port is 0 if it is missing.
 std::pair<std::string, std::uint16_t> splitAddress(std::string_view address);
 
@@ -197,6 +201,9 @@
     /// Opens a new connection instead of reusing an idle one. The peer may close an idle connection while the
     /// request is in transit, and then it is unknown whether the request ran.
     bool freshConnection = false;
+    /// Id that the peer echoes in its response. An idle connection that has carried a request with this id is
+    /// not reused: a second response to that one would be taken for the response to this one. Empty: none.
+    std::string answerId;
     /// Accepts a response without Content-Length or chunking as complete when the peer closes cleanly.
     bool acceptUnframed = false;
     answer_limits limits;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -11,6 +11,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <deque>
+#include <functional>
 #include <limits>
 #include <list>
 #include <map>
@@ -25,6 +27,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 8u << 10;
+/// A second response arrives within a few requests of the first one, before the connection is idle for long.
+constexpr std::size_t maxCarriedIds = 64;
 /// Framing of a chunked body: an allowance as for a head, and for each byte of the body. The smallest chunk
 /// has six bytes of framing for one of the body; the rest is for leading zeros and short extensions.
 constexpr std::uint64_t framingAllowance = 64u << 10;
@@ -52,6 +56,20 @@
     /// Receives the input. Null while the connection is idle; any input then closes it.
     std::function<void(const error_code&, std::string_view)> reader;
     bool reading = false;
+    std::deque<std::size_t> carriedIds; ///< Hashes of the ids of the latest requests.
+
+    void carry(std::string_view id)
+    {
+        if (carriedIds.size() >= maxCarriedIds)
+            carriedIds.pop_front();
+        carriedIds.push_back(std::hash<std::string_view> {}(id));
+    }
+
+    bool hasCarried(std::string_view id) const
+    {
+        const auto hash = std::hash<std::string_view> {}(id);
+        return std::find(carriedIds.begin(), carriedIds.end(), hash) != carriedIds.end();
+    }
 
     void close()
     {
@@ -115,7 +133,7 @@
     {
     }
 
-    connection_ptr takeIdle(std::string_view address);
+    connection_ptr takeIdle(std::string_view address, std::string_view answerId);
     void addIdle(const connection_ptr& connection, milliseconds time);
     void read(const connection_ptr& connection);
 
@@ -125,19 +143,20 @@
     std::uint64_t opened = 0;
 };
 
-connection_ptr http_client::impl::takeIdle(std::string_view address)
+connection_ptr http_client::impl::takeIdle(std::string_view address, std::string_view answerId)
 {
     const auto found = idleConnections.find(address);
     if (found == idleConnections.end())
         return nullptr;
     auto& connections = found->second;
     connection_ptr taken;
+    std::erase_if(connections, [](const auto& idle) { return idle->closed; });
     // Prefers the connection used last, so that surplus ones reach their idle timeout and are closed.
-    while (!connections.empty() && !taken) {
-        taken = connections.back();
-        connections.pop_back();
-        if (taken->closed)
-            taken.reset();
+    const auto usable = std::find_if(connections.rbegin(), connections.rend(),
+        [&](const auto& idle) { return answerId.empty() || !idle->hasCarried(answerId); });
+    if (usable != connections.rend()) {
+        taken = *usable;
+        connections.erase(std::next(usable).base());
     }
     if (connections.empty())
         idleConnections.erase(found);
@@ -201,7 +220,7 @@
                 self->fail(failure_kind::timeout, "the response was not complete before the deadline");
         });
         if (!m_options.freshConnection)
-            m_connection = m_owner->takeIdle(m_address);
+            m_connection = m_owner->takeIdle(m_address, m_options.answerId);
         if (m_connection)
             return m_owner->loop.post([self = shared_from_this()] { self->sendOnIdle(); });
         connect();
@@ -281,6 +300,8 @@
         if (m_connection->closed) // Closed while the call was queued. No byte was sent, so a retry is safe.
             return connect();
         m_sendStarted = true;
+        if (!m_options.answerId.empty())
+            m_connection->carry(m_options.answerId);
         m_parser.emplace();
         prepareParser();
         m_connection->reader = [weak = weak_from_this()](const error_code& error, std::string_view bytes) {
@@ -311,20 +332,14 @@
         try {
             received(error, bytes);
         } catch (const std::exception& exception) {
+            // From the report of the outcome. Its receiver cannot be told of the end of the call any more,
+            // and would wait for ever for what it did not get to do.
+            if (m_ended)
+                throw;
             logEvent(log_level::error, "exception in a call; its connection is closed",
                 { { "address", m_address }, { "message", exception.what() } });
             m_connection->close();
-            failAfterException();
-        }
-    }
-
-    void failAfterException()
-    {
-        try {
             fail(failure_kind::incomplete, "the response could not be handled");
-        } catch (const std::exception& exception) {
-            logEvent(log_level::error, "exception in the report of a failed call",
-                { { "address", m_address }, { "message", exception.what() } });
         }
     }
 
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -59,6 +59,22 @@
     return {};
 }
 
+bool isFramed(const http_reply& head)
+{
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
+    if (head.status == noContent || head.status == notModified)
+        return true;
+    const auto coding = findHeader(head.headers, "Transfer-Encoding");
+    if (coding.empty())
+        return !findHeader(head.headers, "Content-Length").empty();
+    // With other codings than "chunked" as the last one, the body ends with its connection.
+    const auto comma = coding.find_last_of(',');
+    auto last = comma == std::string_view::npos ? coding : coding.substr(comma + 1);
+    last.remove_prefix(std::min(last.find_first_not_of(" \t"), last.size()));
+    return equalsIgnoringCase(last.substr(0, last.find_last_not_of(" \t") + 1), "chunked");
+}
+
 bool isValidHeader(std::string_view name, std::string_view value)
 {
     constexpr std::string_view tokenPunctuation = "!#$%&'*+-.^_`|~";
--- a/libs/http/tests/test_answer_limits.cpp
+++ b/libs/http/tests/test_answer_limits.cpp
@@ -388,9 +388,12 @@
             = client.start("127.0.0.1:" + std::to_string(options.port), {}, callOptions, std::move(events));
         loop.runFor(milliseconds { 30 });
     };
-    for (const char* thrower : { "failed", "head", "body", "whole", "" })
+    for (const char* thrower : { "", "head", "body", "" })
         callWith(thrower);
-    CHECK(
-        outcomes == std::vector<std::string> { "incomplete", "incomplete", "incomplete", "whole", "whole" });
+    CHECK(outcomes == std::vector<std::string> { "incomplete", "incomplete", "incomplete", "whole" });
+    // Its receiver cannot be told of the end of the call again, and would wait for ever.
+    CHECK_THROWS(callWith("whole"));
+    CHECK(outcomes.back() == "whole");
+    loop.runFor(milliseconds { 30 });
     CHECK(listener.exchanges() == 0);
 }
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -273,6 +273,36 @@
     CHECK(client.connectionsOpened() == 2);
 }
 
+// Guards against a late second response to a request with the same id, such as an earlier attempt or the item
+// of another job, which nothing in the response tells from the one that is awaited.
+TEST_CASE("a connection that has carried a request is not reused for one with the same id")
+{
+    fixture f;
+    http_client client(f.loop, {});
+    const auto address = "127.0.0.1:" + std::to_string(f.options.port);
+    const auto opensFor = [&](const std::string& id) {
+        call_recorder seen;
+        auto options = withDeadline(milliseconds { 1000 });
+        options.answerId = id;
+        const auto before = client.connectionsOpened();
+        const auto call = client.start(address, {}, options, seen.events());
+        f.run();
+        REQUIRE(f.exchanges.size() == 1);
+        f.exchanges[0]->send({ 200, {}, "hi" });
+        f.exchanges.clear();
+        f.run();
+        CHECK(seen.whole);
+        return client.connectionsOpened() > before;
+    };
+    CHECK(opensFor("a"));
+    CHECK_FALSE(opensFor("b"));
+    CHECK(opensFor("a"));
+    CHECK_FALSE(opensFor("b")); // On the second connection.
+    CHECK(opensFor("b"));
+    CHECK_FALSE(opensFor(""));
+    CHECK_FALSE(opensFor("c"));
+}
+
 // Guards against response mix-up: a server sends a second response after the first, and the next request on
 // that connection would receive it.
 TEST_CASE("a connection with extra bytes after the response is not reused")
--- a/libs/serving/src/run_evidence.cpp
+++ b/libs/serving/src/run_evidence.cpp
@@ -21,8 +21,7 @@
 
 void run_evidence::receiveHead(const http_reply& head)
 {
-    m_framed = !findHeader(head.headers, "Content-Length").empty()
-        || !findHeader(head.headers, "Transfer-Encoding").empty();
+    m_framed = isFramed(head);
 }
 
 bool run_evidence::addEvents(std::uint64_t count, std::optional<std::uint64_t> lastId)
@@ -39,7 +38,7 @@
 
 run_evidence::completeness run_evidence::endStream(bool midEvent)
 {
-    // Only a run that continues a stream can have nothing left to send.
+    // Only a run that continues a stream can have nothing left to send, unless the target ends an empty one.
     const bool emptyStream = !m_framed && !m_resumed && m_firstEvent == 0;
     const auto found = endPlain();
     return midEvent || emptyStream ? completeness::cut : found;
--- a/libs/serving/tests/test_run_evidence.cpp
+++ b/libs/serving/tests/test_run_evidence.cpp
@@ -75,6 +75,26 @@
 TEST_CASE("without framing and without events only a run that continues a stream can be whole")
 {
     CHECK(runAfter(std::nullopt, false).endStream(false) == completeness::cut);
+    CHECK(runAfter(5, true).endStream(false) == completeness::whole);
     CHECK(runAfter(5, false).endStream(false) == completeness::unconfirmed);
     CHECK(runAfter(0, false).endStream(false) == completeness::unconfirmed);
 }
+
+// Guards against a response that ends with its connection and counts as framed for a header that is no
+// framing.
+TEST_CASE("a transfer coding other than chunked does not tell where a response ends")
+{
+    const auto framed = [](unsigned status, http_headers headers) {
+        run_evidence run;
+        run.receiveHead({ status, std::move(headers), "" });
+        return run.framed();
+    };
+    CHECK(framed(200, { { "Transfer-Encoding", "chunked" } }));
+    CHECK(framed(200, { { "Transfer-Encoding", "gzip, Chunked " } }));
+    CHECK_FALSE(framed(200, { { "Transfer-Encoding", "identity" } }));
+    CHECK_FALSE(framed(200, { { "Transfer-Encoding", "chunked, gzip" } }));
+    CHECK_FALSE(framed(200, { { "Transfer-Encoding", "gzip" }, { "Content-Length", "5" } }));
+    CHECK(framed(200, { { "Content-Length", "0" } }));
+    CHECK(framed(204, {}));
+    CHECK_FALSE(framed(200, {}));
+}
