Stream plain responses of unknown length once they exceed the buffer

Cause: a plain response without Content-Length was buffered up to 64 MiB, twice that while the buffer grew; one target that never ends such a response took 129 MB of an entry.

Change: beyond 1 MiB it is passed on as it arrives, like one with a length; a response that is cut off then ends its caller's connection without the last chunk.

--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -497,8 +497,8 @@
             return true;
         }
         m_body.append(piece);
-        if (m_body.size() <= maxBufferedBytes || m_contentLength == std::nullopt)
-            return m_body.size() <= 64 * maxBufferedBytes;
+        if (m_body.size() <= maxBufferedBytes)
+            return true;
         startReply(m_contentLength);
         writeToCaller(std::exchange(m_body, {}));
         return true;
