--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -216,7 +216,7 @@
     void askWhetherRunning(const executing_target& target, liveness_probe::callback done)
     {
         m_probe.ask(target, [this, target, done = std::move(done)](target_state state) {
-            // Should a target respond to questions that name another start, the target list may tell.
+            // A target that responds to requests for another start is refuted by the target list.
             const bool refuted = state == target_state::running && m_terminationCheck.replaced(target);
             done(refuted ? target_state::terminated : state);
         });
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -188,7 +188,7 @@
     /// Stops reading the response until resume(), for backpressure from a slow consumer.
     virtual void pause() = 0;
     virtual void resume() = 0;
-    /// Replaces the limits for the rest of the answer, once its head tells which kind it is.
+    /// Replaces the limits for the rest of the answer. Called once its kind is known from the head.
     virtual void setLimits(const answer_limits& /*limits*/) { }
     /// Reports that the last piece of the body completed an event: its limits apply anew to the next one.
     virtual void eventsReceived() { }
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -332,8 +332,8 @@
         try {
             received(error, bytes);
         } catch (const std::exception& exception) {
-            // From the report of the outcome. Its receiver cannot be told of the end of the call any more,
-            // and would wait for ever for what it did not get to do.
+            // Thrown by the receiver of the outcome, which gets no second report: if this went unnoticed, its
+            // next step would be missing.
             if (m_ended)
                 throw;
             logEvent(log_level::error, "exception in a call; its connection is closed",
--- a/libs/http/tests/test_answer_limits.cpp
+++ b/libs/http/tests/test_answer_limits.cpp
@@ -70,7 +70,7 @@
     };
 }
 
-/// Sends the pieces one by one, so that each arrives by itself, and closes the connection.
+/// Sends the pieces one by one, each as a segment of its own, and closes the connection.
 scripted_server::script inPieces(std::vector<std::string> pieces)
 {
     return [=](int fd) {
@@ -391,7 +391,7 @@
     for (const char* thrower : { "", "head", "body", "" })
         callWith(thrower);
     CHECK(outcomes == std::vector<std::string> { "incomplete", "incomplete", "incomplete", "whole" });
-    // Its receiver cannot be told of the end of the call again, and would wait for ever.
+    // The receiver of the outcome gets no second report.
     CHECK_THROWS(callWith("whole"));
     CHECK(outcomes.back() == "whole");
     loop.runFor(milliseconds { 30 });
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -273,8 +273,8 @@
     CHECK(client.connectionsOpened() == 2);
 }
 
-// Guards against a late second response to a request with the same id, such as an earlier attempt or the item
-// of another job, which nothing in the response tells from the one that is awaited.
+// Guards against a late second response to a request with the same id, such as an earlier attempt, or the
+// item of another job: it does not differ from the awaited one.
 TEST_CASE("a connection that has carried a request is not reused for one with the same id")
 {
     fixture f;
