--- a/review/harness/tests/harness.h
+++ b/review/harness/tests/harness.h
@@ -505,6 +505,15 @@
             m_turnedAway.erase(machine);
     }
 
+    /// This share of the writes is done after a time drawn from a range, if it still can be, and not answered.
+    void loseWrites(double share, milliseconds least, milliseconds most)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_lostShare = share;
+        m_leastDelay = least;
+        m_mostDelay = most;
+    }
+
 private:
     struct item {
         std::string value;
@@ -593,6 +602,19 @@
         const auto path = request.path();
         if (path == "/kv-watch")
             return watch(machine, caller, request, lock);
+        if (path == "/kv-txn" && std::uniform_real_distribution<>(0, 1)(m_random) < m_lostShare) {
+            std::uniform_int_distribution<std::int64_t> delays(m_leastDelay.count(), m_mostDelay.count());
+            const auto delay = ms(delays(m_random));
+            lock.unlock();
+            pauseFor(delay);
+            lock.lock();
+            int ignored = 0;
+            commit(json::parse(request.body), ignored);
+            lock.unlock();
+            while (!caller.peerGone())
+                pauseFor(ms(50));
+            return false;
+        }
         int status = 200;
         const auto body = path == "/kv-key" ? get(request, status)
             : path == "/kv-range"           ? range(request)
@@ -729,6 +751,10 @@
     std::map<std::int64_t, lease_state> m_leases;
     std::map<int, watch_state> m_watches;
     std::set<std::string> m_turnedAway;
+    std::mt19937 m_random { std::random_device {}() };
+    double m_lostShare = 0;
+    milliseconds m_leastDelay { 0 };
+    milliseconds m_mostDelay { 0 };
     std::int64_t m_revision = 100;
     std::int64_t m_nextLease = 1;
     int m_nextWatch = 0;
@@ -748,6 +774,7 @@
     int from = 0;
     int to = 0; ///< Last event that was written.
     int total = 0;
+    time_point began = {};
 };
 
 struct run_log {
@@ -873,6 +900,7 @@
         const auto last = headerOf(request.headers, "Last-Event-Id");
         run_entry run { id, m_id, request.path(), last, last.empty() ? 1 : std::stoi(last) + 1, 0, 0 };
         run.total = std::stoi(tokens.substr(tokens.find(',') + 1));
+        run.began = clock_type::now();
         std::size_t place = 0;
         {
             const std::scoped_lock lock(m_log.mutex);
