review: a late first registration hides a batch process for good

Seen: all batch processes are killed and start again while the store loses answers of writes and does them late. They run and renew their leases, but none is listed, and accepted jobs cannot be read. Why: the first write of a registration has no condition; done late, it ties the record to the first lease, which ends. renew looks at the second lease alone.

--- a/review/harness/tests/harness.h
+++ b/review/harness/tests/harness.h
@@ -27,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <sstream>
@@ -529,6 +530,20 @@
         m_mostDelay = most;
     }
 
+    /// The next write of a machine is done after this time, if it still can be, and not answered.
+    void loseNextWrite(const std::string& machine, milliseconds delay)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_lostWrites[machine] = delay;
+    }
+
+    /// How many writes were lost so, and how many there were.
+    std::pair<int, int> writes()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return { m_lostCount, m_writeCount };
+    }
+
 private:
     struct item {
         std::string value;
@@ -617,11 +632,11 @@
         const auto path = request.path();
         if (path == "/kv-watch")
             return watch(machine, caller, request, lock);
-        if (path == "/kv-txn" && std::uniform_real_distribution<>(0, 1)(m_random) < m_lostShare) {
-            std::uniform_int_distribution<std::int64_t> delays(m_leastDelay.count(), m_mostDelay.count());
-            const auto delay = ms(delays(m_random));
+        m_writeCount += path == "/kv-txn" || path == "/kv-lease" ? 1 : 0;
+        if (const auto delay = path == "/kv-txn" ? lossOf(machine) : std::nullopt) {
+            ++m_lostCount;
             lock.unlock();
-            pauseFor(delay);
+            pauseFor(*delay);
             lock.lock();
             int ignored = 0;
             commit(json::parse(request.body), ignored);
@@ -639,6 +654,20 @@
         return reply(caller, status, body);
     }
 
+    /// After which time a write of the machine is done if its answer is to be lost.
+    std::optional<milliseconds> lossOf(const std::string& machine)
+    {
+        if (const auto found = m_lostWrites.find(machine); found != m_lostWrites.end()) {
+            const auto delay = found->second;
+            m_lostWrites.erase(found);
+            return delay;
+        }
+        if (std::uniform_real_distribution<>(0, 1)(m_random) >= m_lostShare)
+            return std::nullopt;
+        return ms(
+            std::uniform_int_distribution<std::int64_t>(m_leastDelay.count(), m_mostDelay.count())(m_random));
+    }
+
     json get(const http_message& request, int& status)
     {
         const auto found = m_items.find(request.parameter("key"));
@@ -767,6 +796,9 @@
     std::map<int, watch_state> m_watches;
     std::set<std::string> m_turnedAway;
     std::mt19937 m_random { std::random_device {}() };
+    std::map<std::string, milliseconds> m_lostWrites;
+    int m_lostCount = 0;
+    int m_writeCount = 0;
     double m_lostShare = 0;
     milliseconds m_leastDelay { 0 };
     milliseconds m_mostDelay { 0 };
