--- a/review/harness/tests/harness.h
+++ b/review/harness/tests/harness.h
@@ -24,6 +24,7 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -171,6 +172,9 @@
     connection& operator=(const connection&) = delete;
 
     void shutDown() { ::shutdown(m_socket, SHUT_RDWR); }
+    /// From now on what arrives here is neither done nor answered.
+    void silence() { m_silent = true; }
+    bool silent() const { return m_silent; }
     /// Reads fail from then on; 0 for never.
     void readUntil(time_point end) { m_readEnd = end; }
 
@@ -300,6 +304,7 @@
     int m_socket;
     std::string m_input;
     bool m_ended = false;
+    std::atomic<bool> m_silent { false };
     time_point m_readEnd;
 };
 
@@ -363,6 +368,18 @@
         }
     }
 
+    /// The connections that are open now.
+    std::vector<std::shared_ptr<connection>> connections() const
+    {
+        std::vector<std::shared_ptr<connection>> found;
+        const std::scoped_lock lock(m_state->mutex);
+        for (const auto& weak : m_state->open) {
+            if (auto one = weak.lock())
+                found.push_back(std::move(one));
+        }
+        return found;
+    }
+
 private:
     struct state {
         handler handle;
@@ -459,10 +476,10 @@
 
     void listen(const std::string& machine, const std::string& address)
     {
-        m_servers.push_back(std::make_unique<http_server>(
+        m_servers[machine] = std::make_unique<http_server>(
             address, [this, machine](connection& caller, const http_message& request) {
                 return serve(machine, caller, request);
-            }));
+            });
     }
 
     /// A write of the operator or of a server.
@@ -510,38 +527,16 @@
             [&](const auto& entry) { return entry.second.machine == machine; }));
     }
 
-    /// While it is set, calls of the machine are answered 503, which means that nothing was done.
-    void turnAway(const std::string& machine, bool away)
-    {
-        const std::scoped_lock lock(m_mutex);
-        if (away)
-            m_turnedAway.insert(machine);
-        else
-            m_turnedAway.erase(machine);
-    }
-
-    /// This share of the writes is done after a time drawn from a range, if it still can be, and not
-    /// answered.
-    void loseWrites(double share, milliseconds least, milliseconds most)
-    {
-        const std::scoped_lock lock(m_mutex);
-        m_lostShare = share;
-        m_leastDelay = least;
-        m_mostDelay = most;
-    }
-
-    /// The next write of a machine is done after this time, if it still can be, and not answered.
-    void loseNextWrite(const std::string& machine, milliseconds delay)
+    /// Connections of this machine that are open now go silent for good, at most so many. New ones work.
+    /// Returns how many there are.
+    std::size_t silenceConnections(const std::string& machine, std::size_t most)
     {
-        const std::scoped_lock lock(m_mutex);
-        m_lostWrites[machine] = delay;
-    }
-
-    /// How many writes were lost so, and how many there were.
-    std::pair<int, int> writes()
-    {
-        const std::scoped_lock lock(m_mutex);
-        return { m_lostCount, m_writeCount };
+        auto open = m_servers.at(machine)->connections();
+        open.resize(std::min(open.size(), most));
+        for (const auto& one : open)
+            one->silence();
+        m_changed.notify_all();
+        return open.size();
     }
 
 private:
@@ -625,47 +620,28 @@
     {
         pauseFor(ms(4)); // The time of an answer.
         std::unique_lock lock(m_mutex);
-        if (m_turnedAway.contains(machine)) {
+        if (caller.silent()) {
             lock.unlock();
-            return reply(caller, 503, json::object());
+            return awaitClose(caller);
         }
         const auto path = request.path();
         if (path == "/kv-watch")
             return watch(machine, caller, request, lock);
-        m_writeCount += path == "/kv-txn" || path == "/kv-lease" ? 1 : 0;
-        if (const auto delay = path == "/kv-txn" ? lossOf(machine) : std::nullopt) {
-            ++m_lostCount;
-            lock.unlock();
-            pauseFor(*delay);
-            lock.lock();
-            int ignored = 0;
-            commit(json::parse(request.body), ignored);
-            lock.unlock();
-            while (!caller.peerGone())
-                pauseFor(ms(50));
-            return false;
-        }
         int status = 200;
         const auto body = path == "/kv-key" ? get(request, status)
             : path == "/kv-range"           ? range(request)
             : path == "/kv-txn"             ? commit(json::parse(request.body), status)
                                             : lease(path, request, status);
         lock.unlock();
-        return reply(caller, status, body);
+        return caller.silent() ? awaitClose(caller) : reply(caller, status, body);
     }
 
-    /// After which time a write of the machine is done if its answer is to be lost.
-    std::optional<milliseconds> lossOf(const std::string& machine)
+    /// Leaves a silent connection as it is until its peer gives it up.
+    static bool awaitClose(connection& caller)
     {
-        if (const auto found = m_lostWrites.find(machine); found != m_lostWrites.end()) {
-            const auto delay = found->second;
-            m_lostWrites.erase(found);
-            return delay;
-        }
-        if (std::uniform_real_distribution<>(0, 1)(m_random) >= m_lostShare)
-            return std::nullopt;
-        return ms(
-            std::uniform_int_distribution<std::int64_t>(m_leastDelay.count(), m_mostDelay.count())(m_random));
+        while (!caller.peerGone())
+            pauseFor(ms(20));
+        return false;
     }
 
     json get(const http_message& request, int& status)
@@ -721,16 +697,17 @@
         const auto number = ++m_nextWatch;
         auto& own = m_watches[number];
         own = { machine, prefix, false };
+        const auto silent = [&] { return own.silent || caller.silent(); };
         const auto ready = [&] {
             return m_ended
-                || (!own.silent && (!eventsSince(after, prefix).empty() || clock_type::now() >= end));
+                || (!silent() && (!eventsSince(after, prefix).empty() || clock_type::now() >= end));
         };
         while (!ready()) {
-            if (own.silent && caller.peerGone())
+            if (silent() && caller.peerGone())
                 break;
             m_changed.wait_for(lock, ms(20));
         }
-        const bool told = !m_ended && !own.silent;
+        const bool told = !m_ended && !silent();
         const auto events = eventsSince(after, prefix);
         const auto revision = m_revision;
         m_watches.erase(number);
@@ -794,19 +771,11 @@
     std::vector<change> m_history;
     std::map<std::int64_t, lease_state> m_leases;
     std::map<int, watch_state> m_watches;
-    std::set<std::string> m_turnedAway;
-    std::mt19937 m_random { std::random_device {}() };
-    std::map<std::string, milliseconds> m_lostWrites;
-    int m_lostCount = 0;
-    int m_writeCount = 0;
-    double m_lostShare = 0;
-    milliseconds m_leastDelay { 0 };
-    milliseconds m_mostDelay { 0 };
     std::int64_t m_revision = 100;
     std::int64_t m_nextLease = 1;
     int m_nextWatch = 0;
     bool m_ended = false;
-    std::vector<std::unique_ptr<http_server>> m_servers;
+    std::map<std::string, std::unique_ptr<http_server>> m_servers;
     std::thread m_ticker;
 };
 
@@ -1132,6 +1101,30 @@
     child_process& operator=(const child_process&) = delete;
 
     void signal(int number) const { ::kill(m_pid, number); }
+    /// How many connections the process has open.
+    std::size_t connections() const
+    {
+        std::set<std::string> own;
+        const auto folder = "/proc/" + std::to_string(m_pid);
+        for (const auto& entry : std::filesystem::directory_iterator(folder + "/fd")) {
+            std::error_code error; // A descriptor may be gone by now.
+            own.insert(std::filesystem::read_symlink(entry.path(), error).string());
+        }
+        std::ifstream table(folder + "/net/tcp");
+        std::size_t count = 0;
+        std::string line;
+        std::getline(table, line); // The heading.
+        while (std::getline(table, line)) {
+            std::istringstream words(line);
+            std::vector<std::string> fields { std::istream_iterator<std::string>(words), {} };
+            constexpr std::size_t state = 3;
+            constexpr std::size_t inode = 9;
+            if (fields.size() > inode && fields[state] == "01"
+                && own.contains("socket:[" + fields[inode] + ']'))
+                ++count;
+        }
+        return count;
+    }
     void kill()
     {
         if (m_pid <= 0)
