Batch jobs are decided by a configuration no older than the one that accepted them

Cause: a batch process whose copy of the configuration was up to 0.6 s old took "no route of my configuration matches" for "the route has ended", and answered 202 to submissions for which it knew no route. Evidence: the log line of each item names configuration 5, the entries have had 7 for 30 ms, and the last such line comes right before the batch process has 7 too.

Entries send the version by which they admitted a submission. A batch process that is older asks the store and waits up to 0.4 s, else it refuses ("not run") and the entry tries another one. The record of a job keeps the version by which it was accepted; a process with an older one neither sends, expires nor gives up items of the job. A submission whose route has ended is 404.

The fault proxy can silence open connections by their latest request.

--- a/bench/standins/fault_proxy.cpp
+++ b/bench/standins/fault_proxy.cpp
@@ -3,6 +3,7 @@
 //
 // fault-proxy --control PORT --route NAME:LISTENPORT:HOST:PORT ...
 // POST /routes/NAME?mode=pass|cut|reset|silent|silent_up|silent_down[&delay_ms=N][&drop_reply_after=N]
+//     [&silence_open=TEXT]: open connections whose latest request contains the text go silent for good
 
 #include "flags.h"
 #include "http/http.h"
@@ -10,6 +11,7 @@
 #include <boost/asio.hpp>
 
 #include <atomic>
+#include <future>
 #include <iostream>
 #include <list>
 #include <map>
@@ -92,11 +94,20 @@
         close();
     }
 
+    /// From now on this connection forwards nothing, if its latest request contains the text.
+    bool silenceIf(std::string_view text)
+    {
+        m_silenced = m_silenced || m_lastRequest.find(text) != std::string::npos;
+        return m_silenced;
+    }
+
 private:
     using buffer = std::array<char, 16384>;
 
     bool silent(bool reply) const
     {
+        if (m_silenced)
+            return true;
         const auto mode = m_route.mode.load();
         return mode == route_mode::silent
             || mode == (reply ? route_mode::silent_down : route_mode::silent_up);
@@ -108,6 +119,8 @@
             [self = shared_from_this(), &from, &to, &data, reply](const auto& error, std::size_t count) {
                 if (error)
                     return self->close();
+                if (!reply)
+                    self->m_lastRequest.assign(data.data(), count);
                 self->forward(from, to, data, count, reply);
             });
     }
@@ -164,6 +177,8 @@
     buffer m_upward;
     buffer m_downward;
     std::size_t m_replied = 0;
+    std::string m_lastRequest; ///< Bytes of the caller that were read last.
+    bool m_silenced = false;
 };
 
 /// Keeps the open connections so that a cut reaches idle ones, too.
@@ -206,7 +221,10 @@
             if (chosen.mode == route_mode::cut || chosen.mode == route_mode::reset)
                 cutAll(chosen, chosen.mode == route_mode::reset);
         }
-        return "{\"bytes\":" + std::to_string(chosen.bytes)
+        std::size_t silenced = 0;
+        if (const auto text = queryParameter(request.query, "silence_open"); !text.empty())
+            silenced = silenceOpen(chosen, text);
+        return "{\"bytes\":" + std::to_string(chosen.bytes) + ",\"silenced\":" + std::to_string(silenced)
             + ",\"connections\":" + std::to_string(chosen.connections) + "}\n";
     }
 
@@ -225,6 +243,21 @@
         });
     }
 
+    /// Silences open connections by their latest request; new ones work. Returns their number.
+    std::size_t silenceOpen(route& through, const std::string& text)
+    {
+        std::promise<std::size_t> counted;
+        asio::post(m_context, [&] {
+            std::size_t silenced = 0;
+            for (const auto& one : through.open) {
+                if (const auto alive = one.lock())
+                    silenced += alive->silenceIf(text) ? 1 : 0;
+            }
+            counted.set_value(silenced);
+        });
+        return counted.get_future().get();
+    }
+
     void cutAll(route& through, bool reset)
     {
         ++through.epoch;
--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -39,6 +39,9 @@
     /// Time from the acceptance to the last result by the route of the submission; unset if the route was
     /// unknown, and in records of releases that did not store it.
     std::optional<milliseconds> completionWindow;
+    /// Version of the configuration by which the job was accepted. An older one may lack the routes of its
+    /// items. 0 in records of releases that did not store it.
+    std::int64_t configuration = 0;
 };
 
 /// Path that the job's own route follows from: that of its submission, or of its first item if unknown.
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -59,6 +59,7 @@
     record.path = document.value("path", "");
     if (const auto window = document.find("completion_ms"); window != document.end())
         record.completionWindow = milliseconds { window->get<std::int64_t>() };
+    record.configuration = document.value("config", std::int64_t { 0 });
     for (const auto& item : document.at("items"))
         record.items.push_back({ item.at("id").get<std::string>(), item.at("path").get<std::string>(),
             item.at("headers").get<std::vector<std::pair<std::string, std::string>>>(),
@@ -137,6 +138,8 @@
         { "path", record.path }, { "accepted_ms", record.acceptedMs }, { "items", std::move(items) } };
     if (record.completionWindow)
         document["completion_ms"] = record.completionWindow->count();
+    if (record.configuration != 0)
+        document["config"] = record.configuration;
     return pack(document);
 }
 
--- a/libs/bulk/tests/test_bulk.cpp
+++ b/libs/bulk/tests/test_bulk.cpp
@@ -285,6 +285,16 @@
     CHECK(read.completionWindow == milliseconds { 18000 });
 }
 
+// Guards against a process that takes a job over and does not know that its own configuration is older than
+// the one by which the job was accepted. Records of earlier releases must remain readable.
+TEST_CASE("the version of the configuration by which a job was accepted is stored with it")
+{
+    bulk_record record { "7c41", "h", 1, { { "e1", "/p/1", {}, "", 1 } }, "" };
+    CHECK(decodeBulkRecord(encodeRecord(record)).value().configuration == 0);
+    record.configuration = 12;
+    CHECK(decodeBulkRecord(encodeRecord(record)).value().configuration == 12);
+}
+
 // Guards against a takeover that loses the customer, so that items reach targets without its name. Records
 // written before jobs had customers must remain readable.
 TEST_CASE("the customer is stored with a job")
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -100,12 +100,12 @@
 void bulk_process::tick()
 {
     const auto time = now();
-    const auto table = m_fleet.configuration();
     for (auto& [id, held] : m_jobs) {
-        if (held.openRevision != 0 && table)
+        if (const auto table = configurationFor(held.job->record()); held.openRevision != 0 && table)
             expireItems(held, *table, time);
         notifyReaders(held);
     }
+    resumeSubmissions();
     commitDue();
     const bool unchecked = m_reconciledGeneration != m_registration.generation();
     if (time >= m_nextScan || (unchecked && time - m_lastScan >= commitRetryDelay))
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -1,6 +1,7 @@
 #include "process.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace yuccachute {
 
@@ -12,6 +13,18 @@
 constexpr std::size_t maxPageBytes = 900u << 10;
 constexpr unsigned accepted = 202;
 constexpr unsigned badGateway = 502;
+/// How long a submission waits for the configuration by which an entry admitted it. The store answers within
+/// milliseconds, or within 200 ms when it is slow; another batch process may have the configuration.
+constexpr milliseconds configurationTimeout { 400 };
+
+/// Returns 0 if the entry did not send a version.
+std::int64_t configurationOf(const http_headers& headers)
+{
+    const auto text = findHeader(headers, configurationHeader);
+    std::int64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
 
 } // namespace
 
@@ -62,16 +75,58 @@
     record.value().customer = findHeader(caller->request().headers, customerHeader);
     record.value().id = customerScopedId(record.value().customer, record.value().id);
     const auto id = record.value().id;
-    const auto known = m_jobs.find(id);
-    if (known != m_jobs.end())
+    if (m_jobs.contains(id))
         return caller->send({ accepted, {}, "" });
     if (refuseIfStoreUnavailable(*caller))
         return;
-    if (const auto* submission = routeOfSubmission(*m_fleet.configuration(), record.value()))
-        record.value().completionWindow = submission->completionWindow;
-    const auto limit = limitFor(record.value());
-    m_admission.create(record.value(), limit,
-        [this, limit, caller, record = record.value(), id](result<bulk_job_store::creation> created) {
+    const auto admittedBy = configurationOf(caller->request().headers);
+    const auto version = m_fleet.configuration()->version;
+    if (version >= admittedBy)
+        return accept(std::move(caller), std::move(record.value()), admittedBy);
+    logEvent(log_level::info, "submission waits for a newer configuration",
+        { { "job", id }, { "config", version }, { "entry_config", admittedBy } });
+    m_waitingSubmissions.push_back(
+        { std::move(caller), std::move(record.value()), admittedBy, now() + configurationTimeout });
+    m_fleet.requestConfiguration(now());
+}
+
+void bulk_process::resumeSubmissions()
+{
+    const auto time = now();
+    for (auto& waiting : std::exchange(m_waitingSubmissions, {})) {
+        const auto version = m_fleet.configuration()->version;
+        if (version >= waiting.configuration)
+            accept(std::move(waiting.caller), std::move(waiting.record), waiting.configuration);
+        else if (m_leaving || time >= waiting.until)
+            replyWithFailure(*waiting.caller,
+                notRun(failure_kind::unavailable,
+                    "this process has configuration " + std::to_string(version) + ", the entry has "
+                        + std::to_string(waiting.configuration) + "; retry",
+                    retryAfter));
+        else
+            m_waitingSubmissions.push_back(std::move(waiting));
+    }
+    if (!m_waitingSubmissions.empty())
+        m_fleet.requestConfiguration(time);
+}
+
+void bulk_process::accept(std::shared_ptr<http_exchange> caller, bulk_record record, std::int64_t admittedBy)
+{
+    const auto table = m_fleet.configuration();
+    record.configuration = table->version;
+    const auto* submission = routeOfSubmission(*table, record);
+    if (!submission)
+        // An entry that sends no version may have a newer configuration.
+        return replyWithFailure(*caller,
+            notRun(admittedBy != 0 ? failure_kind::not_found : failure_kind::unavailable,
+                "no batch route matches " + submissionPath(record) + " in configuration "
+                    + std::to_string(table->version),
+                retryAfter));
+    record.completionWindow = submission->completionWindow;
+    const auto id = record.id;
+    const auto limit = limitFor(record);
+    m_admission.create(
+        record, limit, [this, limit, caller, record, id](result<bulk_job_store::creation> created) {
             if (!created) {
                 logEvent(log_level::warning, "job submission failed",
                     { { "job", id }, { "verdict", toString(created.error().ran) },
@@ -84,7 +139,8 @@
             const auto revision = created.value().openRevision;
             logEvent(log_level::info, "job accepted",
                 { { "job", id }, { "items", static_cast<std::int64_t>(record.items.size()) },
-                    { "revision", revision }, { "existed", std::int64_t { revision == 0 } } });
+                    { "revision", revision }, { "existed", std::int64_t { revision == 0 } },
+                    { "config", record.configuration } });
             if (revision != 0)
                 addHeldJob({ record, {}, {}, std::nullopt, claimOf(record, limit), revision, false });
             else
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -22,14 +22,21 @@
 
 void bulk_process::configurationChanged()
 {
-    const auto table = m_fleet.configuration();
     for (auto& [id, held] : m_jobs)
-        applyConfiguration(held, table.get());
+        applyConfiguration(held);
+    resumeSubmissions();
+}
+
+std::shared_ptr<const routing_table> bulk_process::configurationFor(const bulk_record& record) const
+{
+    auto table = m_fleet.configuration();
+    return table && table->version >= record.configuration ? table : nullptr;
 }
 
-void bulk_process::applyConfiguration(held_job& held, const routing_table* table) const
+void bulk_process::applyConfiguration(held_job& held) const
 {
-    held.job->setDue(held.acceptedAt + completionWindowOf(table, held.job->record()));
+    const auto table = configurationFor(held.job->record());
+    held.job->setDue(held.acceptedAt + completionWindowOf(table.get(), held.job->record()));
     if (!table)
         return;
     held.earliestExpiry = held.acceptedAt + shortestExpiry(*table);
@@ -67,7 +74,7 @@
     held.cancelled = stored.cancelled;
     held.acceptedAt = now() - age;
     held.job = std::make_unique<bulk_job>(std::move(stored.record), held.acceptedAt);
-    applyConfiguration(held, m_fleet.configuration().get());
+    applyConfiguration(held);
     for (const auto& group : stored.groups)
         held.job->addCommitted(group);
     held.job->restore(std::move(stored.progress));
@@ -138,10 +145,17 @@
     if (!table)
         return;
     std::vector<held_job*> order;
+    bool outdated = false;
     for (auto& [id, held] : m_jobs) {
-        if (held.openRevision != 0 && !held.cancelled && held.job->waiting() > 0)
+        if (held.openRevision == 0 || held.cancelled || held.job->waiting() == 0)
+            continue;
+        if (configurationFor(held.job->record()))
             order.push_back(&held);
+        else
+            outdated = true;
     }
+    if (outdated)
+        m_fleet.requestConfiguration(now());
     std::sort(order.begin(), order.end(), [this, time = now()](const auto* left, const auto* right) {
         const bool leftWillMiss = willMissDeadline(*left->job, left->job->nextItemEvents(), time);
         if (leftWillMiss != willMissDeadline(*right->job, right->job->nextItemEvents(), time))
@@ -345,7 +359,7 @@
 void bulk_process::finishRun(held_job& held, std::uint32_t index, run_outcome outcome) const
 {
     // Most runs end otherwise, those without a slot many times a second.
-    const auto table = outcome == run_outcome::failed ? m_fleet.configuration() : nullptr;
+    const auto table = outcome == run_outcome::failed ? configurationFor(held.job->record()) : nullptr;
     const auto maxAttempts = table ? limitsOfItem(*table, held.job->record(), index).maxAttempts
                                    : std::numeric_limits<unsigned>::max();
     held.job->finishRun(index, outcome, maxAttempts, now());
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -31,6 +31,14 @@
     steady_time until;
 };
 
+/// A submission that an entry admitted by a newer configuration than this process has.
+struct waiting_submission {
+    std::shared_ptr<http_exchange> caller;
+    bulk_record record;
+    std::int64_t configuration = 0; ///< Version that this process needs.
+    steady_time until;
+};
+
 /// A time during which no target of an item's software version is usable.
 struct version_outage {
     steady_time since;
@@ -100,6 +108,11 @@
     /// the store's recovery by renewing its own registration.
     bool refuseIfStoreUnavailable(http_exchange& caller);
     void submit(std::shared_ptr<http_exchange> caller);
+    /// Creates the job by the configuration in force. `admittedBy` is the version of the entry's
+    /// configuration, which is not newer, or 0 if unknown.
+    void accept(std::shared_ptr<http_exchange> caller, bulk_record record, std::int64_t admittedBy);
+    /// Accepts the submissions whose configuration has arrived, and refuses those that have waited too long.
+    void resumeSubmissions();
     /// Returns the token limit that applies to a submission.
     token_limit limitFor(const bulk_record& record) const;
     /// Returns whether the in-memory state of a job is known to match the store.
@@ -122,8 +135,10 @@
 
     // --- Held jobs
     void configurationChanged();
-    /// `table` is null until a configuration is known.
-    void applyConfiguration(held_job& held, const routing_table* table) const;
+    /// The configuration in force, or null if it cannot decide about a job: it is unknown, or older than the
+    /// one by which the job was accepted, whose routes it may lack.
+    std::shared_ptr<const routing_table> configurationFor(const bulk_record& record) const;
+    void applyConfiguration(held_job& held) const;
     /// When an item may be abandoned by this configuration.
     steady_time expiryOf(const held_job& held, std::uint32_t index, const routing_table& table) const;
     bool hasExpired(const held_job& held, std::uint32_t index, const routing_table& table) const;
@@ -224,6 +239,7 @@
     retirement m_retirement;
     loop_timer m_stopTimer;
     job_map m_jobs;
+    std::vector<waiting_submission> m_waitingSubmissions;
     std::set<std::string> m_loadingJobs; ///< Jobs that are being taken over or loaded.
     std::unique_ptr<loop_ticker> m_ticker;
     std::unique_ptr<http_listener> m_listener;
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -193,6 +193,9 @@
 
     /// Null until a configuration is known.
     std::shared_ptr<const routing_table> configuration() const { return m_configuration; }
+    /// Asks the store for a newer configuration, unless it has been asked a moment ago: another process has
+    /// one. A copy can be up to two seconds old if the connection of the waiting call is dead.
+    void requestConfiguration(steady_time now) { m_operatorMirror.requestConfirmation(now); }
     const target_directory& targets() const { return m_targets; }
     /// Whether a list of targets is known; without one every request would be refused.
     bool hasTargetList() const { return m_targetsMirror.known(); }
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -487,7 +487,7 @@
             else
                 m_jobs.forward(caller,
                     { call->jobId, customerOf(*table, identity.value()),
-                        job_forwarder::call_kind::existing_job, jobCallTimeout + call->wait, call->wait });
+                        job_forwarder::call_kind::existing_job, jobCallTimeout + call->wait, call->wait, 0 });
             return std::nullopt;
         }
         const auto* matched = table->match(facts.value().host, request.path);
@@ -505,7 +505,8 @@
             const auto callerTimeout = facts.value().callerTimeout.value_or(jobCallTimeout);
             m_jobs.forward(caller,
                 { facts.value().id, customerOf(*table, identity.value()),
-                    job_forwarder::call_kind::submission, callerTimeout, milliseconds { 0 } });
+                    job_forwarder::call_kind::submission, callerTimeout, milliseconds { 0 },
+                    table->version });
             return std::nullopt;
         }
         const bool lacksTargets = mayWait && !m_fleet.hasTargetList();
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -33,11 +33,9 @@
         std::vector<job_candidate> candidates)
         : m_owner(owner)
         , m_caller(std::move(caller))
-        , m_jobId(std::move(call.jobId))
-        , m_customer(std::move(call.customer))
+        , m_admitted(std::move(call))
         , m_candidates(candidates.begin(), candidates.end())
-        , m_deadline(m_caller->received() + call.callerTimeout)
-        , m_maxHold(call.maxHold)
+        , m_deadline(m_caller->received() + m_admitted.callerTimeout)
     {
     }
 
@@ -65,11 +63,11 @@
         m_onlyIfHeld = m_candidates.front().onlyIfHeld;
         m_candidates.pop_front();
         auto request = m_caller->request();
-        request.headers = m_owner.headersFor(request.headers, m_customer);
+        request.headers = m_owner.headersFor(request.headers, m_admitted);
         if (m_onlyIfHeld)
             request.headers.emplace_back(onlyIfHeldHeader, "1");
         client_call_options options;
-        options.deadline = std::min(m_deadline, now + answerTimeout + m_maxHold);
+        options.deadline = std::min(m_deadline, now + answerTimeout + m_admitted.maxHold);
         options.connectTimeout = m_onlyIfHeld ? ifHeldConnectTimeout : connectTimeout;
         options.limits = peerLimits;
         m_reply = {};
@@ -87,7 +85,7 @@
             m_outcomeUnknown = m_outcomeUnknown || error.ran != verdict::not_run;
             m_lastReason = error.message;
             m_excluded.insert(m_address);
-            m_owner.dropHolderHint(m_jobId);
+            m_owner.dropHolderHint(m_admitted.jobId);
             next();
         };
         ++m_attempts;
@@ -103,7 +101,7 @@
             if (!known && m_redirects.size() < maxRedirects) {
                 m_redirects.push_back(holder);
                 m_candidates.push_front({ holder, false });
-                m_owner.addHolderHint(m_jobId, holder);
+                m_owner.addHolderHint(m_admitted.jobId, holder);
             }
             return next();
         }
@@ -117,7 +115,7 @@
         }
         // The next request about this job goes to this process first.
         if (m_onlyIfHeld)
-            m_owner.addHolderHint(m_jobId, m_address);
+            m_owner.addHolderHint(m_admitted.jobId, m_address);
         const auto status = m_reply.status;
         m_caller->send({ m_reply.status, endToEndHeaders(m_reply.headers), std::move(m_reply.body) });
         end("answered", status);
@@ -143,7 +141,7 @@
         const auto took = std::chrono::duration_cast<milliseconds>(
             std::chrono::steady_clock::now() - m_caller->received());
         logEvent(good ? log_level::info : log_level::warning, "job call",
-            { { "job", m_jobId }, { "method", m_caller->request().method }, { "outcome", outcome },
+            { { "job", m_admitted.jobId }, { "method", m_caller->request().method }, { "outcome", outcome },
                 { "status", std::int64_t { status } }, { "batch", m_address },
                 { "sends", std::int64_t { m_attempts } }, { "took_ms", took.count() },
                 { "reason", good ? std::string_view() : std::string_view(m_lastReason) } });
@@ -156,13 +154,11 @@
 
     job_forwarder& m_owner;
     std::shared_ptr<http_exchange> m_caller;
-    std::string m_jobId;
-    std::optional<std::string> m_customer;
+    admitted_call m_admitted;
     std::deque<job_candidate> m_candidates;
     std::vector<std::string> m_redirects;
     std::set<std::string> m_excluded;
     steady_time m_deadline;
-    milliseconds m_maxHold;
     std::shared_ptr<forwarded_call> m_self;
     std::shared_ptr<client_call> m_call;
     std::string m_address;
@@ -253,16 +249,20 @@
     m_holderHints.erase(jobId); // The entry in m_hintOrder stays until its eviction.
 }
 
-/// Removes the customer header sent by the caller, because batch processes trust this header.
-http_headers job_forwarder::headersFor(
-    const http_headers& given, const std::optional<std::string>& customer) const
+/// Removes the headers that batch processes trust if the caller sent them.
+http_headers job_forwarder::headersFor(const http_headers& given, const admitted_call& call) const
 {
     auto headers = endToEndHeaders(given);
-    std::erase_if(headers, [](const auto& field) { return !findHeader({ field }, customerHeader).empty(); });
-    if (!customer)
+    std::erase_if(headers, [](const auto& field) {
+        return !findHeader({ field }, customerHeader).empty()
+            || !findHeader({ field }, configurationHeader).empty();
+    });
+    if (call.configuration != 0)
+        headers.emplace_back(configurationHeader, std::to_string(call.configuration));
+    if (!call.customer)
         return headers;
     m_protocol.removeKey(headers);
-    headers.emplace_back(customerHeader, *customer);
+    headers.emplace_back(customerHeader, *call.customer);
     return headers;
 }
 
--- a/libs/front/src/job_forwarder.h
+++ b/libs/front/src/job_forwarder.h
@@ -49,6 +49,7 @@
         call_kind kind = call_kind::existing_job;
         milliseconds callerTimeout { 0 }; ///< How long the caller waits for the response.
         milliseconds maxHold { 0 }; ///< Long polling: longest delay of the response by the batch process.
+        std::int64_t configuration = 0; ///< Version by which a submission was admitted, otherwise 0.
     };
 
     void forward(std::shared_ptr<http_exchange> caller, admitted_call call);
@@ -56,7 +57,7 @@
 private:
     class forwarded_call;
 
-    http_headers headersFor(const http_headers& given, const std::optional<std::string>& customer) const;
+    http_headers headersFor(const http_headers& given, const admitted_call& call) const;
     std::vector<job_candidate> candidates(const std::string& jobId, call_kind kind) const;
     void addHolderHint(const std::string& jobId, const std::string& holder);
     void dropHolderHint(const std::string& jobId);
--- a/libs/front/tests/test_job_forwarder.cpp
+++ b/libs/front/tests/test_job_forwarder.cpp
@@ -95,11 +95,12 @@
     job_forwarder::call_kind forwarding = job_forwarder::call_kind::submission;
     std::optional<std::string> customer;
     http_headers callerHeaders;
+    std::int64_t configuration = 0;
     std::uint16_t port = freePort();
     http_listener entry { loop, { "127.0.0.1", port, {}, "", "" },
         [this](std::shared_ptr<http_exchange> call) {
-            forwarder.forward(
-                call, { "job", customer, forwarding, milliseconds { 2000 }, milliseconds { 0 } });
+            forwarder.forward(call,
+                { "job", customer, forwarding, milliseconds { 2000 }, milliseconds { 0 }, configuration });
         } };
 };
 
@@ -195,3 +196,16 @@
     CHECK(findHeader(f.near.lastHeaders, customerHeader).empty());
     CHECK(findHeader(f.near.lastHeaders, "Key") == "secret");
 }
+
+// Guards against a caller that names a configuration of its own: its job would wait for it and be refused.
+TEST_CASE("a batch process receives the version of the configuration from the entry only")
+{
+    fixture f(true);
+    f.callerHeaders = { { std::string(configurationHeader), "99" } };
+    f.configuration = 7;
+    CHECK(f.call(job_forwarder::call_kind::submission) == 404);
+    CHECK(findHeader(f.near.lastHeaders, configurationHeader) == "7");
+    f.configuration = 0;
+    CHECK(f.call(job_forwarder::call_kind::submission) == 404);
+    CHECK(findHeader(f.near.lastHeaders, configurationHeader).empty());
+}
--- a/tests/failures_routes.cpp
+++ b/tests/failures_routes.cpp
@@ -300,3 +300,81 @@
         CHECK(failures == 3);
     }
 }
+
+// Guards against items that are given up because their batch process has not received the configuration by
+// which their job was accepted: its connection for changes has gone silent.
+TEST_CASE("items on a route that the batch process does not know yet are not given up")
+{
+    constexpr int changes = 4;
+    constexpr int jobsPerChange = 12;
+    platform_layout layout;
+    layout.proxied = true;
+    layout.serversProxied = false;
+    platform_system system(layout);
+    std::vector<batch_route> routes { { "/jobs/" } };
+    configureAndWait(system, routes);
+    REQUIRE(system.silenceOpen("store-batch-a-1", "/kv-watch?prefix=op") == 1);
+    std::vector<std::string> accepted;
+    for (int change = 1; change <= changes; ++change) {
+        const auto prefix = "/new-" + std::to_string(change) + "/";
+        routes.push_back({ prefix });
+        configure(system, routes);
+        for (int i = 0; i < jobsPerChange; ++i) {
+            std::this_thread::sleep_for(milliseconds { 25 });
+            const auto job = "unheard-" + std::to_string(change) + "-" + std::to_string(i);
+            const auto status = system.submit("entry-a-1", prefix + "1", job, { prefix + "1" }, 10);
+            INFO(job << " " << status);
+            // The entry itself may not have received the configuration yet.
+            CHECK((status == 202 || status == 404 || status == 503));
+            if (status == 202)
+                accepted.push_back(job);
+        }
+        std::this_thread::sleep_for(milliseconds { 400 });
+    }
+    CHECK(accepted.size() > changes * jobsPerChange / 2);
+    for (const auto& job : accepted) {
+        INFO(job);
+        CHECK(system.allResults("entry-b-1", job, 1)[0]["state"] == "done");
+    }
+}
+
+// Guards against items that are given up, or expire, by a configuration older than the one by which their job
+// was accepted, because the process that takes the job over has not received that one.
+TEST_CASE("a job that is taken over by a process with an older configuration waits for the newer one")
+{
+    platform_layout layout;
+    layout.proxied = true;
+    layout.serversProxied = false;
+    layout.zones = { { "a", 1, 2, 2 } };
+    platform_system system(layout);
+    const batch_route shortLived { "/jobs/", serviceWithoutTargets, 3, 2 };
+    configureAndWait(system, { shortLived });
+    auto& frozen = *system.batches.at("batch-a-2").running;
+    frozen.signal(SIGSTOP);
+    // The configuration is not delivered on connections that were open.
+    system.route("store-batch-a-2", "mode=reset");
+    system.route("store-batch-a-2", "mode=pass");
+    configureAndWait(system, { { "/jobs/", serviceWithoutTargets }, { "/new/", serviceWithoutTargets } });
+    waitUntil("the job is accepted", [&] {
+        return system.submit("entry-a-1", "/new/1", "older", { "/new/1", "/jobs/2" }, 10) == 202;
+    });
+    system.control("/store?silent=op/");
+    auto& entry = *system.entries.at("entry-a-1").running;
+    entry.signal(SIGSTOP);
+    system.batches.at("batch-a-1").running->signal(SIGKILL);
+    frozen.signal(SIGCONT);
+    waitUntil("the job is taken over", [&] {
+        return system.logOf("batch-a-2").find("\"event\":\"job taken\",\"job\":\"older\"")
+            != std::string::npos;
+    });
+    std::this_thread::sleep_for(milliseconds { 2500 });
+    CHECK(system.logOf("batch-a-2").find("\"event\":\"configuration in force\",\"version\":5")
+        == std::string::npos);
+    entry.signal(SIGCONT);
+    system.control("/store");
+    configure(system, { { "/jobs/" }, { "/new/" } });
+    for (const auto& [item, listed] : byItem(system.allResults("entry-a-1", "older", 2))) {
+        INFO(item);
+        CHECK(listed["state"] == "done");
+    }
+}
--- a/tests/support/platform_system.cpp
+++ b/tests/support/platform_system.cpp
@@ -169,6 +169,14 @@
         throw std::runtime_error("the fault proxy does not take " + query + " for " + name);
 }
 
+std::size_t platform_system::silenceOpen(const std::string& route, const std::string& text)
+{
+    const auto reply = call(m_proxyControl, "POST", "/routes/" + route + "?silence_open=" + text, {}, "");
+    if (!reply || reply.value().status != 200)
+        throw std::runtime_error("the fault proxy cannot silence " + route);
+    return json::parse(reply.value().body)["silenced"];
+}
+
 result<http_reply> platform_system::call(std::uint16_t port, const std::string& method,
     const std::string& target, http_headers headers, std::string body, milliseconds limit)
 {
--- a/tests/support/platform_system.h
+++ b/tests/support/platform_system.h
@@ -54,6 +54,9 @@
     nlohmann::json control(const std::string& path, const std::string& body = "");
     /// Sets the faults of a route of the proxy, as a query string.
     void route(const std::string& name, const std::string& query);
+    /// Silences the open connections of a route whose latest request contains the text, while new ones work.
+    /// Returns their number.
+    std::size_t silenceOpen(const std::string& route, const std::string& text);
 
     result<http_reply> call(std::uint16_t port, const std::string& method, const std::string& target,
         http_headers headers, std::string body, milliseconds limit = milliseconds { 8000 });
