--- a/tests/failures_versions.cpp
+++ b/tests/failures_versions.cpp
@@ -1,5 +1,6 @@
 #include "platform_system.h"
 #include "resuming_caller.h"
+#include "version_change.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,47 +13,6 @@
 
 namespace {
 
-constexpr int streamEvents = 60;
-const std::string path = "/resumable/x";
-
-platform_layout twoZones()
-{
-    platform_layout layout;
-    layout.eventMs = 10;
-    layout.slots = 8;
-    layout.zones = { { "a", 2, 1, 4 }, { "b", 2, 1, 4 } };
-    return layout;
-}
-
-/// Replaces the software of a target, which starts again under another id.
-void upgrade(platform_system& system, unsigned number, const std::string& version)
-{
-    const auto target = "/server?number=" + std::to_string(number);
-    system.control(target + "&do=unlist");
-    system.control(target + "&do=crash");
-    system.control(target + "&do=start&version=" + version);
-}
-
-/// Two of the four targets of each zone run another version.
-void upgradeHalf(platform_system& system)
-{
-    for (const unsigned number : { 0, 1, 4, 5 })
-        upgrade(system, number, "v2");
-    std::this_thread::sleep_for(milliseconds { 1500 }); // Until all entries know of the new targets.
-}
-
-std::uint16_t portOf(const platform_system& system, const std::string& entry)
-{
-    return system.entries.at(entry).callers;
-}
-
-struct resumed_streams {
-    int begun = 0;
-    int wentOn = 0;
-    int mixed = 0;
-    int refused = 0;
-};
-
 /// Begins streams at one entry, leaves each in the middle, and resumes it at another entry.
 resumed_streams resumeStreams(
     platform_system& system, const std::string& first, const std::string& second, const std::string& name)
@@ -231,3 +191,19 @@
         wentOn += run["last"] != "" ? 1 : 0;
     CHECK(wentOn > 0);
 }
+
+// Guards against streams that go on at another software version because all entries, and with them the
+// origins of the streams, are gone, and targets of a version left meanwhile.
+TEST_CASE("no stream goes on at another software version after all entries were killed")
+{
+    for (const std::string faults : { "", "delay=150" }) {
+        for (const auto change : { change_while_down::none, change_while_down::first_version_leaves,
+                 change_while_down::new_version_leaves }) {
+            const auto streams = resumeAfterKillOfAll(faults, change);
+            INFO("faults " << faults << ", change " << static_cast<int>(change) << ": begun " << streams.begun
+                           << ", went on " << streams.wentOn << ", refused " << streams.refused);
+            CHECK(streams.begun >= 24);
+            CHECK(streams.mixed == 0);
+        }
+    }
+}
