A load report counts for the start that was asked by its time, not by its id alone

Cause: the question names the id, and the report's "born", which alone tells two such starts apart, was not read. Now a report counts only if its time is that of the start that was asked; one without a time proves nothing for a target that is listed with one. Items and live requests share the question.

The stand-in's targets can keep their id.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -104,6 +104,7 @@
         , m_lapse(loop)
         , m_restart(loop)
         , m_exit(loop)
+        , m_listing(loop)
         , m_ticker(loop, m_interval, [this] { tick(); })
     {
         start();
@@ -128,7 +129,10 @@
             unlist();
         ++m_starts;
         m_version = m_nextVersion;
-        m_id = "i-" + m_address.substr(m_address.rfind(':') + 1) + "-" + std::to_string(m_starts);
+        if (!m_keepId)
+            m_id = "i-" + m_address.substr(m_address.rfind(':') + 1) + "-" + std::to_string(m_starts);
+        m_born = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                     .count();
         http_listener_options options;
         const auto colon = m_address.rfind(':');
         options.address = m_address.substr(0, colon);
@@ -136,7 +140,10 @@
         options.chunkedResponses = !m_endByClose;
         m_listener = std::make_unique<http_listener>(
             m_loop, options, [this](auto caller) { serve(std::move(caller)); });
-        list("ready");
+        if (m_listedAfter.count() == 0)
+            list("ready");
+        else
+            m_listing.arm(m_listedAfter, [this] { list("ready"); });
     }
 
     void crash()
@@ -151,7 +158,8 @@
         if (!m_listener)
             return;
         crash();
-        m_lapse.arm(entryLapsesAfter, [this, id = m_id] { m_store.remove("servers/" + id); });
+        if (!m_keepId)
+            m_lapse.arm(entryLapsesAfter, [this, id = m_id] { m_store.remove("servers/" + id); });
         m_restart.arm(time, [this] { start(); });
     }
 
@@ -171,6 +179,24 @@
         m_exit.arm(milliseconds { 0 }, [this] { m_listener.reset(); });
     }
 
+    /// Its process ends in order, which closes its connections, and starts again at once.
+    void restart()
+    {
+        closeConnections();
+        m_exit.arm(milliseconds { 0 }, [this] {
+            m_listener.reset();
+            start();
+        });
+    }
+
+    /// From now on it starts again under the id that it has, tells when it started, and is listed so long
+    /// after a start.
+    void keepId(milliseconds listedAfter)
+    {
+        m_keepId = true;
+        list("ready");
+        m_listedAfter = listedAfter;
+    }
     void setFirstEventAfter(milliseconds time) { m_firstEventAfter = time; }
     void drain() { list("draining"); }
     void unlist() { m_store.remove("servers/" + m_id); }
@@ -218,10 +244,12 @@
 
     void list(const std::string& state)
     {
-        m_store.put("servers/" + m_id,
-            { { "service", m_service }, { "address", m_listedAddress }, { "zone", m_zone },
-                { "version", m_version }, { "slots", m_slots }, { "state", state }, { "cold_left_ms", 0 },
-                { "call_seq", 0 } });
+        json entry { { "service", m_service }, { "address", m_listedAddress }, { "zone", m_zone },
+            { "version", m_version }, { "slots", m_slots }, { "state", state }, { "cold_left_ms", 0 },
+            { "call_seq", 0 } };
+        if (m_keepId)
+            entry["born"] = m_born;
+        m_store.put("servers/" + m_id, entry);
     }
 
     void serve(std::shared_ptr<http_exchange> caller)
@@ -290,8 +318,11 @@
         const auto running = std::min<std::size_t>(m_running.size(), m_slots);
         for (std::size_t i = 0; i < running; ++i)
             runs.push_back({ m_running[i].id, 0, m_running[i].next - 1, 0 });
-        return { { "running", running }, { "waiting", m_running.size() - running },
+        json report { { "running", running }, { "waiting", m_running.size() - running },
             { "runs", std::move(runs) } };
+        if (m_keepId)
+            report["born"] = m_born;
+        return report;
     }
 
     void tick()
@@ -380,6 +411,9 @@
     unsigned m_failureStatus = 500;
     milliseconds m_firstEventAfter { 10 };
     bool m_dark = false;
+    bool m_keepId = false;
+    std::int64_t m_born = 0; ///< Unix time of the start in milliseconds.
+    milliseconds m_listedAfter { 0 };
     bool m_endByClose = false;
     std::string m_cutId;
     unsigned m_cutEach = 0;
@@ -390,6 +424,7 @@
     loop_timer m_lapse;
     loop_timer m_restart;
     loop_timer m_exit;
+    loop_timer m_listing;
     loop_ticker m_ticker;
 };
 
@@ -543,6 +578,10 @@
                 server.exit();
             if (what == "lose")
                 server.lose();
+            if (what == "restart")
+                server.restart();
+            if (what == "keep_id")
+                server.keepId(milliseconds { number("listed_after") });
             if (what == "first_event")
                 server.setFirstEventAfter(milliseconds { number("ms") });
             if (what == "drain")
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -136,9 +136,9 @@
     /// Returns the request for a load report. Only the start with this target id may respond; any, if it is
     /// empty.
     virtual http_request loadRequest(std::string_view target) const = 0;
-    /// The failure names the invalid field. Its kind is failure_kind::gone if another start has responded
-    /// than the one that the request named.
-    virtual result<load_report> readLoad(const http_reply& reply) const = 0;
+    /// `target` is the id that the request named. The failure names the invalid field. Its kind is
+    /// failure_kind::gone if another start has responded than the one named.
+    virtual result<load_report> readLoad(const http_reply& reply, std::string_view target) const = 0;
 };
 
 /// Requests load reports from targets over HTTP. Must be used on the loop's thread.
@@ -149,7 +149,8 @@
     void askStart(const std::string& address, const std::string& target, callback done) override;
 
 private:
-    void send(const std::string& address, const http_request& request, bool startOnly, callback done);
+    /// `target` is the only start that may respond; any, if it is empty.
+    void send(const std::string& address, const std::string& target, callback done);
 
     http_client& m_client;
     const load_protocol& m_protocol;
--- a/libs/front/src/target_loads.cpp
+++ b/libs/front/src/target_loads.cpp
@@ -20,28 +20,28 @@
 
 void target_loads::ask(const std::string& address, callback done)
 {
-    send(address, m_protocol.loadRequest({}), false, std::move(done));
+    send(address, {}, std::move(done));
 }
 
 void target_loads::askStart(const std::string& address, const std::string& target, callback done)
 {
-    send(address, m_protocol.loadRequest(target), true, std::move(done));
+    send(address, target, std::move(done));
 }
 
-void target_loads::send(
-    const std::string& address, const http_request& request, bool startOnly, callback done)
+void target_loads::send(const std::string& address, const std::string& target, callback done)
 {
+    const bool startOnly = !target.empty();
     client_call_options options;
     options.freshConnection = startOnly;
     options.deadline = std::chrono::steady_clock::now() + loadReportTimeout;
     options.connectTimeout = loadReportTimeout;
     options.limits = reportLimits;
     options.acceptUnframed = true; // A report that was cut off is not valid.
-    m_client.fetch(address, request, options,
-        [this, startOnly, done = std::move(done)](const result<http_reply>& reply) {
+    m_client.fetch(address, m_protocol.loadRequest(target), options,
+        [this, startOnly, target, done = std::move(done)](const result<http_reply>& reply) {
             if (!reply)
                 return done(reply.error());
-            auto read = m_protocol.readLoad(reply.value());
+            auto read = m_protocol.readLoad(reply.value(), target);
             if (read || read.error().kind == failure_kind::gone)
                 return done(std::move(read));
             if (startOnly) // Another response than a report does not tell which start sent it.
--- a/tests/failures_whole_answers.cpp
+++ b/tests/failures_whole_answers.cpp
@@ -94,3 +94,14 @@
         batch.signal(SIGCONT);
     });
 }
+
+// Guards against the same where the next start has the id of the one before it and differs in its time only.
+TEST_CASE("a target that is back under its id does not vouch for the responses of its last start")
+{
+    platform_system system(unframedLayout());
+    endResponsesByClose(system);
+    for (const unsigned number : { 0, 1 })
+        system.control("/server?number=" + std::to_string(number) + "&do=keep_id&listed_after=600");
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    checkThatNothingCutLooksWhole(system, [&] { system.control("/server?number=0&do=restart"); });
+}
