--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -129,6 +129,9 @@
 std::unique_ptr<http_listener> serveMetrics(
     event_loop& loop, const std::string& address, metrics& figures, std::function<void()> refresh);
 
+/// Writes the reports to the log, and counts answers that crossed a limit.
+http_diagnostics loggedDiagnostics(metrics& figures);
+
 /// Encodes load requests to targets and decodes their reports. Stateless.
 class load_protocol {
 public:
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -18,8 +18,6 @@
 /// programs that use one thread per request. Layer: transport. No Boost.Beast type appears in this header.
 namespace yuccachute {
 
-class metrics;
-
 /// Header fields in order of arrival. Field names are case-insensitive.
 using http_headers = std::vector<std::pair<std::string, std::string>>;
 
@@ -116,6 +114,15 @@
     std::size_t maxConnections = 4000;
 };
 
+/// Reports of what callers of this library cannot see. This library itself neither logs nor counts.
+struct http_diagnostics {
+    /// An answer crossed a limit, and its call has failed.
+    std::function<void(std::string_view address, std::string_view limit, std::uint64_t receivedBytes)>
+        answerLimit;
+    /// A callback or a parser has thrown; the connection is closed. `peer` is empty at a listener.
+    std::function<void(std::string_view peer, std::string_view message)> exception;
+};
+
 struct http_listener_options {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
@@ -124,6 +131,7 @@
     std::string privateKeyFile;
     /// If not set, responses of unknown length end with their connection, as those of some servers do.
     bool chunkedResponses = true;
+    http_diagnostics diagnostics;
 };
 
 /// Accepts connections on an event loop and passes complete requests to a handler. Chunked request bodies are
@@ -221,7 +229,7 @@
 struct http_client_options {
     std::size_t maxIdlePerAddress = 32; ///< Further idle connections are closed.
     milliseconds maxIdleTime { 4000 }; ///< Unless the Keep-Alive header of the peer gives a shorter time.
-    metrics* figures = nullptr; ///< Counts answers that crossed a limit; may be null.
+    http_diagnostics diagnostics;
 };
 
 /// HTTP client on an event loop with a pool of persistent connections. It never retries a request by itself.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -1,8 +1,6 @@
 #include "http/http.h"
 
 #include "byte_stream.h"
-#include "logging/logging.h"
-#include "metrics/metrics.h"
 #include "received_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -336,8 +334,8 @@
             // next step would be missing.
             if (m_ended)
                 throw;
-            logEvent(log_level::error, "exception in a call; its connection is closed",
-                { { "address", m_address }, { "message", exception.what() } });
+            if (const auto& report = m_owner->options.diagnostics.exception)
+                report(m_address, exception.what());
             m_connection->close();
             fail(failure_kind::incomplete, "the response could not be handled");
         }
@@ -494,11 +492,8 @@
     bool failLimit(std::string_view limit)
     {
         const auto name = std::string(m_options.limits.kind) + ' ' + std::string(limit);
-        logEvent(log_level::warning, "answer limit",
-            { { "address", m_address }, { "limit", name },
-                { "received_bytes", static_cast<std::int64_t>(m_received) } });
-        if (m_owner->options.figures)
-            m_owner->options.figures->count("yuccachute_answer_limits_total", "limit", name);
+        if (const auto& report = m_owner->options.diagnostics.answerLimit)
+            report(m_address, name, m_received);
         fail(failure_kind::incomplete, "the response exceeded a limit: " + name);
         return false;
     }
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -1,7 +1,6 @@
 #include "http/http.h"
 
 #include "byte_stream.h"
-#include "logging/logging.h"
 #include "received_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -360,8 +359,8 @@
     try {
         parse();
     } catch (const std::exception& exception) {
-        logEvent(log_level::error, "exception while a request was handled; its connection is closed",
-            { { "message", exception.what() } });
+        if (const auto& report = m_owner->options.diagnostics.exception)
+            report({}, exception.what());
         close();
     }
 }
--- a/libs/http/tests/test_answer_limits.cpp
+++ b/libs/http/tests/test_answer_limits.cpp
@@ -1,5 +1,4 @@
 #include "http/http.h"
-#include "metrics/metrics.h"
 #include "support/free_port.h"
 
 #include <catch2/catch.hpp>
@@ -241,25 +240,25 @@
 
 // Guards against answers that go on until the deadline, or as long as there is memory: each byte renewed the
 // idle timeout, and a body was collected without limit.
-TEST_CASE("an answer that never ends is closed at its limit within 3 s, logged and counted")
+TEST_CASE("an answer that never ends is closed at its limit within 3 s and reported once")
 {
     for (const auto& [name, limit, script] : endlessAnswers()) {
         INFO(name);
         const scripted_server server(script);
-        metrics figures;
+        std::vector<std::string> crossed;
         client_call_options options;
         options.idleTimeout = milliseconds { 700 };
         options.acceptUnframed = true;
         http_client_options clientOptions;
-        clientOptions.figures = &figures;
+        clientOptions.diagnostics.answerLimit
+            = [&](std::string_view, std::string_view limit, std::uint64_t) { crossed.emplace_back(limit); };
         const auto seen = fetchFrom(server, options, clientOptions);
         REQUIRE(!seen.reply);
         CHECK(seen.took < closedWithin);
         CHECK(seen.reply.error().kind == failure_kind::incomplete);
         CHECK(seen.reply.error().ran == verdict::may_have_run);
         CHECK_THAT(seen.reply.error().message, Catch::Contains(limit));
-        CHECK_THAT(figures.text(),
-            Catch::Contains("yuccachute_answer_limits_total{limit=\"answer " + limit + "\"} 1"));
+        CHECK(crossed == std::vector<std::string> { "answer " + limit });
     }
 }
 
