--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -253,10 +253,8 @@
 http_headers job_forwarder::headersFor(const http_headers& given, const admitted_call& call) const
 {
     auto headers = endToEndHeaders(given);
-    std::erase_if(headers, [](const auto& field) {
-        return !findHeader({ field }, customerHeader).empty()
-            || !findHeader({ field }, configurationHeader).empty();
-    });
+    for (const auto trusted : { customerHeader, configurationHeader })
+        removeHeader(headers, trusted);
     if (call.configuration != 0)
         headers.emplace_back(configurationHeader, std::to_string(call.configuration));
     if (!call.customer)
--- a/libs/front/tests/test_job_forwarder.cpp
+++ b/libs/front/tests/test_job_forwarder.cpp
@@ -209,3 +209,16 @@
     CHECK(f.call(job_forwarder::call_kind::submission) == 404);
     CHECK(findHeader(f.near.lastHeaders, configurationHeader).empty());
 }
+
+// Guards against a caller that sends these headers empty: the first field counts, so that its job belonged to
+// no customer.
+TEST_CASE("a batch process receives no empty header that only an entry may set")
+{
+    fixture f(true);
+    f.callerHeaders = { { std::string(customerHeader), "" }, { std::string(configurationHeader), "" } };
+    f.customer = "firm";
+    f.configuration = 7;
+    CHECK(f.call(job_forwarder::call_kind::submission) == 404);
+    CHECK(findHeader(f.near.lastHeaders, customerHeader) == "firm");
+    CHECK(findHeader(f.near.lastHeaders, configurationHeader) == "7");
+}
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -23,6 +23,10 @@
 
 /// Returns the value of the first field with that name, or an empty view if there is none.
 std::string_view findHeader(const http_headers& headers, std::string_view name);
+/// Removes all fields with that name, also those with an empty value.
+void removeHeader(http_headers& headers, std::string_view name);
+/// Removes all fields with that name and adds one.
+void replaceHeader(http_headers& headers, std::string_view name, std::string value);
 
 struct http_request {
     std::string method = "GET";
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -44,6 +44,17 @@
     return {};
 }
 
+void removeHeader(http_headers& headers, std::string_view name)
+{
+    std::erase_if(headers, [name](const auto& field) { return equalsIgnoringCase(field.first, name); });
+}
+
+void replaceHeader(http_headers& headers, std::string_view name, std::string value)
+{
+    removeHeader(headers, name);
+    headers.emplace_back(name, std::move(value));
+}
+
 std::string queryParameter(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
