One comparison decides whether a configuration is new enough for a job

The record holds the version from the submission on, canDecide() compares it, and a waiting submission keeps no copy. startRuns() and tick() look the configuration up once instead of once a job, many times a second.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -102,8 +102,9 @@
 void bulk_process::tick()
 {
     const auto time = now();
+    const auto table = m_fleet.configuration();
     for (auto& [id, held] : m_jobs) {
-        if (const auto table = configurationFor(held.job->record()); held.openRevision != 0 && table)
+        if (held.openRevision != 0 && table && canDecide(*table, held.job->record()))
             expireItems(held, *table, time);
         notifyReaders(held);
     }
--- a/libs/bulk_process/src/item_routing.cpp
+++ b/libs/bulk_process/src/item_routing.cpp
@@ -30,6 +30,11 @@
 
 } // namespace
 
+bool canDecide(const routing_table& table, const bulk_record& record)
+{
+    return table.version >= record.configuration;
+}
+
 const route* routeOfItem(const routing_table& table, const bulk_record& record, std::uint32_t index)
 {
     return table.match(record.host, record.items[index].path);
--- a/libs/bulk_process/src/item_routing.h
+++ b/libs/bulk_process/src/item_routing.h
@@ -15,6 +15,10 @@
     milliseconds expiry { 0 }; ///< Age of the job from which on the item may be abandoned.
 };
 
+/// Whether a configuration may decide about a job: it is not older than the one by which the job was
+/// accepted, whose routes an older one may lack.
+bool canDecide(const routing_table& table, const bulk_record& record);
+
 /// The route of an item's own path; null if there is none.
 const route* routeOfItem(const routing_table& table, const bulk_record& record, std::uint32_t index);
 
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -74,19 +74,18 @@
     record.value().acceptedMs = wallClockMs();
     record.value().customer = findHeader(caller->request().headers, customerHeader);
     record.value().id = customerScopedId(record.value().customer, record.value().id);
-    const auto id = record.value().id;
-    if (m_jobs.contains(id))
+    record.value().configuration = configurationOf(caller->request().headers);
+    if (m_jobs.contains(record.value().id))
         return caller->send({ accepted, {}, "" });
     if (refuseIfStoreUnavailable(*caller))
         return;
-    const auto admittedBy = configurationOf(caller->request().headers);
-    const auto version = m_fleet.configuration()->version;
-    if (version >= admittedBy)
-        return accept(std::move(caller), std::move(record.value()), admittedBy);
+    if (configurationFor(record.value()))
+        return accept(std::move(caller), std::move(record.value()));
     logEvent(log_level::info, "submission waits for a newer configuration",
-        { { "job", id }, { "config", version }, { "entry_config", admittedBy } });
+        { { "job", record.value().id }, { "config", m_fleet.configuration()->version },
+            { "entry_config", record.value().configuration } });
     m_waitingSubmissions.push_back(
-        { std::move(caller), std::move(record.value()), admittedBy, now() + configurationTimeout });
+        { std::move(caller), std::move(record.value()), now() + configurationTimeout });
     m_fleet.requestConfiguration(now());
 }
 
@@ -94,14 +93,13 @@
 {
     const auto time = now();
     for (auto& waiting : std::exchange(m_waitingSubmissions, {})) {
-        const auto version = m_fleet.configuration()->version;
-        if (version >= waiting.configuration)
-            accept(std::move(waiting.caller), std::move(waiting.record), waiting.configuration);
+        if (configurationFor(waiting.record))
+            accept(std::move(waiting.caller), std::move(waiting.record));
         else if (m_leaving || time >= waiting.until)
             replyWithFailure(*waiting.caller,
                 notRun(failure_kind::unavailable,
-                    "this process has configuration " + std::to_string(version) + ", the entry has "
-                        + std::to_string(waiting.configuration) + "; retry",
+                    "this process has configuration " + std::to_string(m_fleet.configuration()->version)
+                        + ", the entry has " + std::to_string(waiting.record.configuration) + "; retry",
                     retryAfter));
         else
             m_waitingSubmissions.push_back(std::move(waiting));
@@ -110,10 +108,10 @@
         m_fleet.requestConfiguration(time);
 }
 
-void bulk_process::accept(std::shared_ptr<http_exchange> caller, bulk_record record, std::int64_t admittedBy)
+void bulk_process::accept(std::shared_ptr<http_exchange> caller, bulk_record record)
 {
     const auto table = m_fleet.configuration();
-    record.configuration = table->version;
+    const auto admittedBy = std::exchange(record.configuration, table->version);
     const auto* submission = routeOfSubmission(*table, record);
     if (!submission)
         // An entry that sends no version may have a newer configuration.
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -30,7 +30,7 @@
 std::shared_ptr<const routing_table> bulk_process::configurationFor(const bulk_record& record) const
 {
     auto table = m_fleet.configuration();
-    return table && table->version >= record.configuration ? table : nullptr;
+    return table && canDecide(*table, record) ? table : nullptr;
 }
 
 void bulk_process::applyConfiguration(held_job& held) const
@@ -149,7 +149,7 @@
     for (auto& [id, held] : m_jobs) {
         if (held.openRevision == 0 || held.cancelled || held.job->waiting() == 0)
             continue;
-        if (configurationFor(held.job->record()))
+        if (canDecide(*table, held.job->record()))
             order.push_back(&held);
         else
             outdated = true;
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -35,7 +35,6 @@
 struct waiting_submission {
     std::shared_ptr<http_exchange> caller;
     bulk_record record;
-    std::int64_t configuration = 0; ///< Version that this process needs.
     steady_time until;
 };
 
@@ -108,9 +107,9 @@
     /// the store's recovery by renewing its own registration.
     bool refuseIfStoreUnavailable(http_exchange& caller);
     void submit(std::shared_ptr<http_exchange> caller);
-    /// Creates the job by the configuration in force. `admittedBy` is the version of the entry's
-    /// configuration, which is not newer, or 0 if unknown.
-    void accept(std::shared_ptr<http_exchange> caller, bulk_record record, std::int64_t admittedBy);
+    /// Creates the job by the configuration in force, which is not older than the one that the record names:
+    /// that of the entry, or 0 if unknown.
+    void accept(std::shared_ptr<http_exchange> caller, bulk_record record);
     /// Accepts the submissions whose configuration has arrived, and refuses those that have waited too long.
     void resumeSubmissions();
     /// Returns the token limit that applies to a submission.
@@ -135,8 +134,7 @@
 
     // --- Held jobs
     void configurationChanged();
-    /// The configuration in force, or null if it cannot decide about a job: it is unknown, or older than the
-    /// one by which the job was accepted, whose routes it may lack.
+    /// The configuration in force, or null if it is unknown or cannot decide about a job.
     std::shared_ptr<const routing_table> configurationFor(const bulk_record& record) const;
     void applyConfiguration(held_job& held) const;
     /// When an item may be abandoned by this configuration.
--- a/libs/bulk_process/tests/test_item_routing.cpp
+++ b/libs/bulk_process/tests/test_item_routing.cpp
@@ -103,3 +103,16 @@
     CHECK(serviceOfItem(split, item, "one") == "one");
     CHECK(serviceOfItem(split, item, "two") == "two");
 }
+
+// Guards against items that are given up by a configuration that lacks the routes of a newer one.
+TEST_CASE("a configuration decides about jobs that it, or an older one, accepted")
+{
+    auto table = tableOf({ batchRoute("/a/", "one") });
+    table.version = 7;
+    auto record = recordOf("/a/job", { "/a/1" });
+    CHECK(canDecide(table, record)); // Of a release that did not store the version.
+    record.configuration = 7;
+    CHECK(canDecide(table, record));
+    record.configuration = 8;
+    CHECK(!canDecide(table, record));
+}
