--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -189,14 +189,15 @@
         });
     }
 
-    /// From now on it starts again under the id that it has, tells when it started, and is listed so long
-    /// after a start.
+    /// From now on the server keeps its id across starts, reports the time of its start, and is listed this
+    /// long after a start.
     void keepId(milliseconds listedAfter)
     {
         m_keepId = true;
         list("ready");
         m_listedAfter = listedAfter;
     }
+
     void setFirstEventAfter(milliseconds time) { m_firstEventAfter = time; }
     void drain() { list("draining"); }
     void unlist() { m_store.remove("servers/" + m_id); }
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -39,8 +39,8 @@
 /// Set by an entry in a request to a batch process: the customer that the caller's key belongs to. It
 /// replaces the key.
 constexpr std::string_view customerHeader = "X-Customer";
-/// Version of the configuration by which an entry admitted a job. A batch process with an older one cannot
-/// tell a new route from one that has ended.
+/// Set by an entry in a submission to a batch process: the version of the configuration by which it admitted
+/// the job. A batch process with an older one cannot distinguish a new route from one that has ended.
 constexpr std::string_view configurationHeader = "X-Configuration-Version";
 
 /// Recognises requests that concern existing batch jobs. Stateless.
