All clients and listeners report to the log again, under the former events

The listeners for readiness and metrics, the blocking client and server and with them the programs of the project's own interface reported nothing any more, and two log events that operators may match had become one with another name.

The log belongs to the process, like logEvent(): setHttpLog() is called where a program starts its log, by the new library http_log, and the events are those of before.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -21,7 +21,7 @@
     : m_settings(settings)
     , m_adapter(adapter)
     , m_client(m_loop,
-          { .maxIdlePerAddress = maxIdleConnectionsPerTarget, .diagnostics = loggedDiagnostics(m_metrics) })
+          { .maxIdlePerAddress = maxIdleConnectionsPerTarget, .limitCrossed = answerLimitCounter(m_metrics) })
     , m_platformStore(connect(m_client))
     , m_store(*m_platformStore, m_metrics)
     , m_rpc({})
@@ -47,7 +47,6 @@
     options.address = m_settings.address;
     options.port = m_settings.innerPort;
     options.limits.maxConnections = m_settings.descriptors / 2;
-    options.diagnostics = loggedDiagnostics(m_metrics);
     m_listener = std::make_unique<http_listener>(
         m_loop, options, [this](std::shared_ptr<http_exchange> caller) { serve(std::move(caller)); });
     if (m_settings.metricsPort != 0)
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -129,8 +129,8 @@
 std::unique_ptr<http_listener> serveMetrics(
     event_loop& loop, const std::string& address, metrics& figures, std::function<void()> refresh);
 
-/// Writes the reports to the log, and counts answers that crossed a limit.
-http_diagnostics loggedDiagnostics(metrics& figures);
+/// Returns a function that counts the answers that crossed a limit, for http_client_options.
+std::function<void(std::string_view)> answerLimitCounter(metrics& figures);
 
 /// Encodes load requests to targets and decodes their reports. Stateless.
 class load_protocol {
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -128,7 +128,8 @@
         : m_settings(settings)
         , m_adapter(adapter)
         , m_client(m_loop,
-              { .maxIdlePerAddress = idleConnectionsPerTarget, .diagnostics = loggedDiagnostics(m_figures) })
+              { .maxIdlePerAddress = idleConnectionsPerTarget,
+                  .limitCrossed = answerLimitCounter(m_figures) })
         , m_platformStore(connect(m_client))
         , m_store(*m_platformStore, m_figures)
         , m_rpc({})
@@ -173,7 +174,6 @@
         http_listener_options options;
         std::tie(options.address, options.port) = splitAddress(m_settings.callers);
         options.limits = limits({});
-        options.diagnostics = loggedDiagnostics(m_figures);
         m_callers = std::make_unique<http_listener>(
             m_loop, options, [this](std::shared_ptr<http_exchange> caller) { serve(std::move(caller)); });
         m_fleet.start();
--- a/libs/front/src/readiness.cpp
+++ b/libs/front/src/readiness.cpp
@@ -25,6 +25,12 @@
         });
 }
 
+std::function<void(std::string_view)> answerLimitCounter(metrics& figures)
+{
+    return [&figures](
+               std::string_view limit) { figures.count("yuccachute_answer_limits_total", "limit", limit); };
+}
+
 std::unique_ptr<http_listener> serveMetrics(
     event_loop& loop, const std::string& address, metrics& figures, std::function<void()> refresh)
 {
--- a/libs/front/tests/test_http_diagnostics.cpp
+++ b/libs/front/tests/test_answer_limit_counter.cpp
@@ -9,9 +9,9 @@
 TEST_CASE("answers that crossed a limit are counted by limit")
 {
     metrics figures;
-    const auto diagnostics = loggedDiagnostics(figures);
-    diagnostics.answerLimit("10.0.0.1:80", "answer head bytes", 65537);
-    diagnostics.answerLimit("10.0.0.2:80", "answer head bytes", 65537);
+    const auto count = answerLimitCounter(figures);
+    count("answer head bytes");
+    count("answer head bytes");
     CHECK_THAT(
         figures.text(), Catch::Contains("yuccachute_answer_limits_total{limit=\"answer head bytes\"} 2"));
 }
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -118,15 +118,22 @@
     std::size_t maxConnections = 4000;
 };
 
-/// Reports of what callers of this library cannot see. This library itself neither logs nor counts.
-struct http_diagnostics {
+/// What this library reports besides the results of calls. It writes no log itself, so that programs can be
+/// linked without the logging library.
+struct http_log {
     /// An answer crossed a limit, and its call has failed.
     std::function<void(std::string_view address, std::string_view limit, std::uint64_t receivedBytes)>
         answerLimit;
-    /// A callback or a parser has thrown; the connection is closed. `peer` is empty at a listener.
-    std::function<void(std::string_view peer, std::string_view message)> exception;
+    /// A receiver of a call's events has thrown, and the call has failed.
+    std::function<void(std::string_view address, std::string_view message)> callException;
+    /// A handler or the parser of requests has thrown, and the caller's connection is closed.
+    std::function<void(std::string_view message)> requestException;
 };
 
+/// Sets where all clients and listeners of the process report. To be called before the first one is created,
+/// with all functions set; until then nothing is reported.
+void setHttpLog(http_log log);
+
 struct http_listener_options {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
@@ -135,7 +142,6 @@
     std::string privateKeyFile;
     /// If not set, responses of unknown length end with their connection, as those of some servers do.
     bool chunkedResponses = true;
-    http_diagnostics diagnostics;
 };
 
 /// Accepts connections on an event loop and passes complete requests to a handler. Chunked request bodies are
@@ -233,7 +239,8 @@
 struct http_client_options {
     std::size_t maxIdlePerAddress = 32; ///< Further idle connections are closed.
     milliseconds maxIdleTime { 4000 }; ///< Unless the Keep-Alive header of the peer gives a shorter time.
-    http_diagnostics diagnostics;
+    /// Called with the limit that an answer crossed, besides the report to the log; may be empty.
+    std::function<void(std::string_view limit)> limitCrossed;
 };
 
 /// HTTP client on an event loop with a pool of persistent connections. It never retries a request by itself.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -1,6 +1,7 @@
 #include "http/http.h"
 
 #include "byte_stream.h"
+#include "http_log.h"
 #include "received_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -334,8 +335,7 @@
             // next step would be missing.
             if (m_ended)
                 throw;
-            if (const auto& report = m_owner->options.diagnostics.exception)
-                report(m_address, exception.what());
+            currentHttpLog().callException(m_address, exception.what());
             m_connection->close();
             fail(failure_kind::incomplete, "the response could not be handled");
         }
@@ -492,8 +492,9 @@
     bool failLimit(std::string_view limit)
     {
         const auto name = std::string(m_options.limits.kind) + ' ' + std::string(limit);
-        if (const auto& report = m_owner->options.diagnostics.answerLimit)
-            report(m_address, name, m_received);
+        currentHttpLog().answerLimit(m_address, name, m_received);
+        if (const auto& report = m_owner->options.limitCrossed)
+            report(name);
         fail(failure_kind::incomplete, "the response exceeded a limit: " + name);
         return false;
     }
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -1,6 +1,7 @@
 #include "http/http.h"
 
 #include "byte_stream.h"
+#include "http_log.h"
 #include "received_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -359,8 +360,7 @@
     try {
         parse();
     } catch (const std::exception& exception) {
-        if (const auto& report = m_owner->options.diagnostics.exception)
-            report({}, exception.what());
+        currentHttpLog().requestException(exception.what());
         close();
     }
 }
--- a/libs/http/tests/test_answer_limits.cpp
+++ b/libs/http/tests/test_answer_limits.cpp
@@ -250,8 +250,7 @@
         options.idleTimeout = milliseconds { 700 };
         options.acceptUnframed = true;
         http_client_options clientOptions;
-        clientOptions.diagnostics.answerLimit
-            = [&](std::string_view, std::string_view limit, std::uint64_t) { crossed.emplace_back(limit); };
+        clientOptions.limitCrossed = [&](std::string_view limit) { crossed.emplace_back(limit); };
         const auto seen = fetchFrom(server, options, clientOptions);
         REQUIRE(!seen.reply);
         CHECK(seen.took < closedWithin);
@@ -350,9 +349,16 @@
     }) == "whole");
 }
 
-// Guards against bytes that end the process through a receiver that throws.
-TEST_CASE("an exception of a receiver fails its call or connection, and the loop goes on")
+// Guards against bytes that end the process through a receiver that throws, and against exceptions that no
+// log shows.
+TEST_CASE("an exception of a receiver fails its call or connection, is reported, and the loop goes on")
 {
+    std::vector<std::string> reports;
+    setHttpLog({ [](std::string_view, std::string_view, std::uint64_t) {},
+        [&](std::string_view, std::string_view message) {
+            reports.push_back("call " + std::string(message));
+        },
+        [&](std::string_view message) { reports.push_back("request " + std::string(message)); } });
     event_loop loop;
     http_listener_options options;
     options.port = freePort();
@@ -395,4 +401,7 @@
     CHECK(outcomes.back() == "whole");
     loop.runFor(milliseconds { 30 });
     CHECK(listener.exchanges() == 0);
+    CHECK(reports == std::vector<std::string> { "request request", "call head", "call body" });
+    setHttpLog({ [](std::string_view, std::string_view, std::uint64_t) {},
+        [](std::string_view, std::string_view) {}, [](std::string_view) {} });
 }
--- a/libs/node/src/process_options.cpp
+++ b/libs/node/src/process_options.cpp
@@ -1,5 +1,6 @@
 #include "node/node.h"
 
+#include "http_log/http_log.h"
 #include "ini/ini.h"
 #include "logging/logging.h"
 
@@ -136,6 +137,7 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN); // A caller that closes its connection must not terminate the process.
     startLogging(program, options.value().vm, parseLevel(options.value().logLevel));
+    logHttpReports();
     exitCode = 0;
     return options.value();
 }
