One count of resumed streams for both ways of resuming them in the tests

The tests of streams after a kill of all entries counted what became of the streams a second time, and resumed streams that had not begun with a made-up event. countResumed() serves both, a stream without an event is not resumed, and the shared constant says what path it is.

--- a/tests/failures_versions.cpp
+++ b/tests/failures_versions.cpp
@@ -1,5 +1,4 @@
 #include "platform_system.h"
-#include "resuming_caller.h"
 #include "version_change.h"
 
 #include <catch2/catch.hpp>
@@ -17,16 +16,13 @@
 resumed_streams resumeStreams(
     platform_system& system, const std::string& first, const std::string& second, const std::string& name)
 {
-    resumed_streams streams;
     constexpr int number = 24;
-    std::vector<std::pair<std::string, received_stream>> left(number);
+    std::vector<received_stream> begun(number);
     std::vector<std::thread> callers;
     for (int i = 0; i < number; ++i) {
         callers.emplace_back([&, i] {
-            const auto id = name + "-" + std::to_string(i);
-            left[i] = { id,
-                readStream(
-                    portOf(system, first), path, platform_system::requestHeaders(id, streamEvents), 5 + i) };
+            begun[i] = readStream(portOf(system, first), resumablePath,
+                platform_system::requestHeaders(name + "-" + std::to_string(i), streamEvents), 5 + i);
         });
     }
     for (auto& caller : callers)
@@ -35,21 +31,15 @@
     std::vector<received_stream> rest(number);
     for (int i = 0; i < number; ++i) {
         callers.emplace_back([&, i] {
-            const auto& [id, begun] = left[i];
-            if (begun.lastEvent > 0)
-                rest[i] = readStream(portOf(system, second), path,
-                    resumingHeaders(id + "-again", streamEvents, id, begun.lastEvent));
+            const auto id = name + "-" + std::to_string(i);
+            if (begun[i].lastEvent > 0)
+                rest[i] = readStream(portOf(system, second), resumablePath,
+                    resumingHeaders(id + "-again", streamEvents, id, begun[i].lastEvent));
         });
     }
     for (auto& caller : callers)
         caller.join();
-    for (int i = 0; i < number; ++i) {
-        streams.begun += left[i].second.lastEvent > 0 ? 1 : 0;
-        streams.wentOn += rest[i].whole && rest[i].lastEvent == streamEvents ? 1 : 0;
-        streams.refused += rest[i].status == 503 ? 1 : 0;
-        streams.mixed += versionsIn(left[i].second.events + rest[i].events).size() > 1 ? 1 : 0;
-    }
-    return streams;
+    return countResumed(begun, rest);
 }
 
 } // namespace
@@ -82,7 +72,7 @@
     for (int i = 0; i < 32; ++i) {
         callers.emplace_back([&, i] {
             const auto entry = i % 2 == 0 ? "entry-a-1" : "entry-b-1";
-            const auto read = readStream(portOf(system, entry), path,
+            const auto read = readStream(portOf(system, entry), resumablePath,
                 platform_system::requestHeaders("f-" + std::to_string(i), streamEvents));
             whole += read.whole && read.lastEvent == streamEvents ? 1 : 0;
             mixed += versionsIn(read.events).size() > 1 ? 1 : 0;
@@ -104,7 +94,7 @@
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < begun.size(); ++i) {
         callers.emplace_back([&, i] {
-            begun[i] = readStream(portOf(system, "entry-a-1"), path,
+            begun[i] = readStream(portOf(system, "entry-a-1"), resumablePath,
                 platform_system::requestHeaders("k-" + std::to_string(i), streamEvents));
         });
     }
@@ -117,7 +107,7 @@
     for (std::size_t i = 0; i < begun.size(); ++i) {
         REQUIRE(begun[i].lastEvent > 0);
         const auto id = "k-" + std::to_string(i);
-        const auto rest = readStream(portOf(system, i % 2 == 0 ? "entry-a-2" : "entry-b-1"), path,
+        const auto rest = readStream(portOf(system, i % 2 == 0 ? "entry-a-2" : "entry-b-1"), resumablePath,
             resumingHeaders(id + "-again", streamEvents, id, begun[i].lastEvent));
         wentOn += rest.whole && rest.lastEvent == streamEvents ? 1 : 0;
         mixed += versionsIn(begun[i].events + rest.events).size() > 1 ? 1 : 0;
@@ -133,7 +123,7 @@
     upgradeHalf(system);
     const auto began = std::chrono::steady_clock::now();
     const auto refused = readStream(
-        portOf(system, "entry-a-1"), path, resumingHeaders("u-1", streamEvents, "nobody-knows", 7));
+        portOf(system, "entry-a-1"), resumablePath, resumingHeaders("u-1", streamEvents, "nobody-knows", 7));
     CHECK(refused.status == 503);
     CHECK(std::chrono::steady_clock::now() - began < milliseconds { 300 });
     CHECK(system.runsOf("u-1").empty());
@@ -145,7 +135,7 @@
     platform_system system(twoZones());
     std::this_thread::sleep_for(milliseconds { 500 });
     const auto rest = readStream(
-        portOf(system, "entry-b-1"), path, resumingHeaders("o-1", streamEvents, "nobody-knows", 7));
+        portOf(system, "entry-b-1"), resumablePath, resumingHeaders("o-1", streamEvents, "nobody-knows", 7));
     CHECK(rest.status == 200);
     CHECK(rest.lastEvent == streamEvents);
 }
--- a/tests/support/version_change.cpp
+++ b/tests/support/version_change.cpp
@@ -1,7 +1,5 @@
 #include "version_change.h"
 
-#include "resuming_caller.h"
-
 #include <csignal>
 #include <thread>
 
@@ -41,6 +39,18 @@
     return system.entries.at(entry).callers;
 }
 
+resumed_streams countResumed(std::span<const received_stream> begun, std::span<const received_stream> rest)
+{
+    resumed_streams streams;
+    for (std::size_t i = 0; i < begun.size(); ++i) {
+        streams.begun += begun[i].lastEvent > 0 ? 1 : 0;
+        streams.wentOn += rest[i].whole && rest[i].lastEvent == streamEvents ? 1 : 0;
+        streams.refused += rest[i].status == 503 ? 1 : 0;
+        streams.mixed += versionsIn(begun[i].events + rest[i].events).size() > 1 ? 1 : 0;
+    }
+    return streams;
+}
+
 resumed_streams resumeAfterKillOfAll(const std::string& storeFaults, change_while_down change)
 {
     constexpr int number = 32;
@@ -53,7 +63,7 @@
     std::vector<std::thread> callers;
     for (int i = 0; i < number; ++i) {
         callers.emplace_back([&, i] {
-            begun[i] = readStream(portOf(system, i % 2 == 0 ? "entry-a-1" : "entry-b-2"), path,
+            begun[i] = readStream(portOf(system, i % 2 == 0 ? "entry-a-1" : "entry-b-2"), resumablePath,
                 platform_system::requestHeaders("all-" + std::to_string(i), streamEvents));
         });
     }
@@ -64,7 +74,7 @@
         caller.join();
     callers.clear();
     for (unsigned target = 0; target < system.servers(); ++target) {
-        const bool isNew = target % 4 < 2;
+        const bool isNew = target % 4 < 2; // As upgradeHalf() chooses them.
         if (change
             == (isNew ? change_while_down::new_version_leaves : change_while_down::first_version_leaves)) {
             const auto leaving = "/server?number=" + std::to_string(target);
@@ -78,26 +88,17 @@
     for (int i = 0; i < number; ++i) {
         callers.emplace_back([&, i] {
             const auto id = "all-" + std::to_string(i);
-            for (int attempt = 0; attempt < attempts && rest[i].status != 200; ++attempt) {
+            const auto last = begun[i].lastEvent;
+            for (int attempt = 0; last > 0 && attempt < attempts && rest[i].status != 200; ++attempt) {
                 std::this_thread::sleep_for(milliseconds { 600 });
-                rest[i] = readStream(portOf(system, i % 2 == 0 ? "entry-b-1" : "entry-a-2"), path,
-                    resumingHeaders(id + "-again-" + std::to_string(attempt), streamEvents, id,
-                        std::max<std::uint64_t>(begun[i].lastEvent, 1)));
+                rest[i] = readStream(portOf(system, i % 2 == 0 ? "entry-b-1" : "entry-a-2"), resumablePath,
+                    resumingHeaders(id + "-again-" + std::to_string(attempt), streamEvents, id, last));
             }
         });
     }
     for (auto& caller : callers)
         caller.join();
-    resumed_streams streams;
-    for (int i = 0; i < number; ++i) {
-        if (begun[i].lastEvent == 0)
-            continue;
-        ++streams.begun;
-        streams.wentOn += rest[i].whole && rest[i].lastEvent == streamEvents ? 1 : 0;
-        streams.refused += rest[i].status == 503 ? 1 : 0;
-        streams.mixed += versionsIn(begun[i].events + rest[i].events).size() > 1 ? 1 : 0;
-    }
-    return streams;
+    return countResumed(begun, rest);
 }
 
 } // namespace yuccachute::testing
