Logs: a listing of the open jobs that fails, and the revision by which a job is dropped

A batch process learns from a listing of the open jobs that a job was ended elsewhere.

The log line has the duration of the call, the age of the last listing that succeeded, and the cause.

--- a/libs/bulk_process/src/job_takeover.cpp
+++ b/libs/bulk_process/src/job_takeover.cpp
@@ -23,7 +23,8 @@
             m_scanning = false;
             m_nextScan = now() + scanInterval;
             if (!open)
-                return;
+                return logFailedScan(open.error());
+            m_listedAt = m_lastScan;
             m_admission.updateListing(open.value(), now());
             reconcile(open.value());
             // A frozen process may register again while it still believes that it holds jobs that others have
@@ -32,6 +33,17 @@
         });
 }
 
+void bulk_process::logFailedScan(const failure& error) const
+{
+    const auto time = now();
+    const auto since
+        = [time](steady_time from) { return std::chrono::duration_cast<milliseconds>(time - from); };
+    logEvent(log_level::warning, "open jobs could not be listed",
+        { { "jobs", static_cast<std::int64_t>(m_jobs.size()) }, { "took_ms", since(m_lastScan).count() },
+            { "listing_age_ms", m_listedAt ? since(*m_listedAt).count() : -1 },
+            { "message", error.message } });
+}
+
 void bulk_process::reconcile(const bulk_job_store::open_jobs& open)
 {
     std::set<std::string, std::less<>> listed;
@@ -62,8 +74,9 @@
             continue; // Its last commit may have closed the job.
         // The job was cancelled, or another process took it over and finished it while this one was frozen.
         // Its results are known only to the store.
-        logEvent(
-            log_level::info, "job closed by another process; dropping it", { { "job", current->first } });
+        logEvent(log_level::info, "job closed by another process; dropping it",
+            { { "job", current->first }, { "runs", static_cast<std::int64_t>(held.runs.size()) },
+                { "revision", open.revision } });
         dropHeldJob(current);
     }
 }
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -198,6 +198,7 @@
 
     // --- Takeover
     void scan();
+    void logFailedScan(const failure& error) const;
     void reconcile(const bulk_job_store::open_jobs& open);
     /// Returns whether the job's holder is no longer registered, and this process is to take the job over.
     bool shouldTakeOver(const bulk_job_store::open_job& job) const;
@@ -244,6 +245,7 @@
     std::unique_ptr<http_listener> m_metricsListener;
     steady_time m_nextScan;
     steady_time m_lastScan;
+    std::optional<steady_time> m_listedAt; ///< When the last listing that succeeded was requested.
     /// Registration generation at the last comparison with the open jobs.
     std::uint64_t m_reconciledGeneration = 0;
     steady_time m_stopAt;
