Items of a job are sent only while the store has lately shown the job to be open

Cause: a holder learns from a listing of the open jobs, every 2 s, that a job was ended through another process. The listing went over an idle connection that had gone silent and failed after 1,500 ms; a listing that failed was followed by the next one 2 s later, as one that succeeded is; and nothing compared the age of the last good listing with the promise. Interval, timeout and retry added up to 5.5 s.

Change: - Each held job has the time of the last read or write that showed it to be open. Items are sent for 2.5 s from then on, which leaves 0.5 s for the delivery, both when a slot is requested and when it is granted. So the bound holds whatever happens to a listing. Where a listing failed although it was tried over a new connection, the store cannot be reached and items go on: nobody's job is ended then, and zones that are cut off go on serving. Before, one silent connection also cost a process its registration: a renewal waited 1.5 s, and the lease of 2 s lapsed. - After a call that timed out without a byte, the idle connections to the same address on which nothing has arrived since are closed, so that the next call does not wait for another silent one.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr milliseconds tickInterval { 50 };
 constexpr registration::timing registrationTimes { milliseconds { 2000 }, milliseconds { 400 } };
 constexpr milliseconds stopPollInterval { 20 };
 constexpr milliseconds stopMargin { 1000 };
@@ -95,7 +94,7 @@
 void bulk_process::nodesChanged()
 {
     m_broker.setDispatchers(dispatchersAmong(m_fleet.nodes(node_role::entry)));
-    m_nextScan = std::min(m_nextScan, now() + milliseconds { 100 });
+    m_scan.request(bootClockNow() + milliseconds { 100 });
 }
 
 void bulk_process::tick()
@@ -110,7 +109,9 @@
     resumeSubmissions();
     commitDue();
     const bool unchecked = m_reconciledGeneration != m_registration.generation();
-    if (time >= m_nextScan || (unchecked && time - m_lastScan >= commitRetryDelay))
+    if (unchecked)
+        m_scan.request(m_scan.requestedAt() + commitRetryDelay);
+    if (m_scan.due(bootClockNow()))
         scan();
     if (time >= m_nextProgressSave)
         saveProgress();
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -88,9 +88,9 @@
 
     void send(held_slot slot)
     {
-        if (!m_events.maySend()) {
+        if (const auto reason = m_events.reasonNotToSend(); !reason.empty()) {
             m_services.slots.release(slot, { grant_outcome::unused });
-            return end(run_outcome::interrupted, "the item's route no longer leads to the service");
+            return end(run_outcome::interrupted, std::string(reason));
         }
         m_slot = std::move(slot);
         m_target = m_slot->target;
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -15,8 +15,8 @@
 
 /// Callbacks of a run. `finished` is called exactly once, and last, unless the run is destroyed before.
 struct item_run_events {
-    /// Whether the item may still be sent to its service, asked when the slot is granted.
-    std::function<bool()> maySend;
+    /// Why the item may no longer be sent to its service, asked when the slot is granted; empty if it may.
+    std::function<std::string_view()> reasonNotToSend;
     /// The run was granted its slot. Called at most once, and never from within runItem().
     std::function<void()> slotGranted;
     /// An event of the item's stream was received. Returning false aborts the run.
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -123,8 +123,8 @@
     record.completionWindow = submission->completionWindow;
     const auto id = record.id;
     const auto limit = limitFor(record);
-    m_admission.create(
-        record, limit, [this, limit, caller, record, id](result<bulk_job_store::creation> created) {
+    m_admission.create(record, limit,
+        [this, limit, caller, record, id, sent = bootClockNow()](result<bulk_job_store::creation> created) {
             if (!created) {
                 logEvent(log_level::warning, "job submission failed",
                     { { "job", id }, { "verdict", toString(created.error().ran) },
@@ -140,10 +140,10 @@
                     { "revision", revision }, { "existed", std::int64_t { revision == 0 } },
                     { "config", record.configuration } });
             if (revision != 0)
-                addHeldJob({ record, {}, {}, std::nullopt, claimOf(record, limit), revision, false });
+                addHeldJob({ record, {}, {}, std::nullopt, claimOf(record, limit), revision, false }, sent);
             else
                 // This process may be the holder, if the reply to an earlier creation was lost.
-                m_nextScan = now();
+                m_scan.request(bootClockNow());
             caller->send({ accepted, {}, "" });
         });
 }
--- a/libs/bulk_process/src/job_commits.cpp
+++ b/libs/bulk_process/src/job_commits.cpp
@@ -122,7 +122,7 @@
     if (outcome.value() == bulk_job_store::commit_result::lost) {
         logEvent(log_level::warning, "job lost", { { "job", id }, { "revision", revision } });
         dropHeldJob(found);
-        m_nextScan = now();
+        m_scan.request(bootClockNow());
         return;
     }
     const auto group = held.job->nextGroup("");
--- a/libs/bulk_process/src/job_progress.cpp
+++ b/libs/bulk_process/src/job_progress.cpp
@@ -64,7 +64,7 @@
             logEvent(
                 log_level::warning, "progress could not be saved", { { "message", saved.error().message } });
         else if (!saved.value()) // Another process has taken over one of the jobs; find out which.
-            m_nextScan = std::min(m_nextScan, now());
+            m_scan.request(bootClockNow());
     });
 }
 
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -82,7 +82,7 @@
     return held;
 }
 
-void bulk_process::addHeldJob(bulk_job_store::stored_job stored)
+void bulk_process::addHeldJob(bulk_job_store::stored_job stored, steady_time openAt)
 {
     const auto id = stored.record.id;
     const auto known = m_jobs.find(id);
@@ -90,7 +90,7 @@
         return;
     if (known != m_jobs.end())
         dropHeldJob(known);
-    m_jobs.emplace(id, makeHeldJob(std::move(stored)));
+    m_jobs.emplace(id, makeHeldJob(std::move(stored))).first->second.openAt = openAt;
     startRuns();
 }
 
@@ -146,14 +146,18 @@
         return;
     std::vector<held_job*> order;
     bool outdated = false;
+    std::size_t uncertain = 0;
     for (auto& [id, held] : m_jobs) {
         if (held.openRevision == 0 || held.cancelled || held.job->waiting() == 0)
             continue;
-        if (canDecide(*table, held.job->record()))
+        if (endUncertain(held))
+            ++uncertain;
+        else if (canDecide(*table, held.job->record()))
             order.push_back(&held);
         else
             outdated = true;
     }
+    logWaitingJobs(uncertain);
     if (outdated)
         m_fleet.requestConfiguration(now());
     std::sort(order.begin(), order.end(), [this, time = now()](const auto* left, const auto* right) {
@@ -172,6 +176,23 @@
     }
 }
 
+bool bulk_process::endUncertain(const held_job& held) const
+{
+    return !m_scan.maySend(held.openAt, bootClockNow());
+}
+
+void bulk_process::logWaitingJobs(std::size_t count)
+{
+    if (std::exchange(m_jobsWait, count > 0) == m_jobsWait)
+        return;
+    logEvent(m_jobsWait ? log_level::warning : log_level::info,
+        m_jobsWait ? "items wait until the store confirms that their jobs are open"
+                   : "no job waits to be confirmed",
+        { { "jobs", static_cast<std::int64_t>(count) } });
+    if (m_jobsWait)
+        m_metrics.count("yuccachute_item_waits_total", "reason", "job not confirmed");
+}
+
 bool bulk_process::willMissDeadline(const bulk_job& job, std::size_t produced, steady_time time) const
 {
     const double left = m_meanRunMs - static_cast<double>(produced) * m_meanEventMs;
@@ -267,20 +288,28 @@
     return true;
 }
 
+std::string_view bulk_process::reasonNotToSend(
+    const std::string& id, std::uint32_t index, const std::string& service) const
+{
+    const auto found = m_jobs.find(id);
+    const auto table = m_fleet.configuration();
+    if (found == m_jobs.end() || !table)
+        return "the job is no longer held";
+    if (endUncertain(found->second))
+        return "the store has not confirmed lately that the job is open";
+    const auto* itemRoute = routeOfItem(*table, found->second.job->record(), index);
+    const bool leadsThere = itemRoute && itemRoute->leadsTo(service);
+    return leadsThere ? std::string_view() : "the item's route no longer leads to the service";
+}
+
 item_run_events bulk_process::eventsOfRun(
     const std::string& id, const bulk_item_start& start, const run_placement& placement, std::size_t produced)
 {
     const auto index = start.index;
     const auto statistics = std::make_shared<run_statistics>();
     item_run_events events;
-    events.maySend = [this, id, index, service = placement.service] {
-        const auto found = m_jobs.find(id);
-        const auto table = m_fleet.configuration();
-        if (found == m_jobs.end() || !table)
-            return false;
-        const auto* itemRoute = routeOfItem(*table, found->second.job->record(), index);
-        return itemRoute && itemRoute->leadsTo(service);
-    };
+    events.reasonNotToSend
+        = [this, id, index, service = placement.service] { return reasonNotToSend(id, index, service); };
     events.slotGranted = [this] {
         m_lastSlotGranted = now();
         startRuns();
--- a/libs/bulk_process/src/job_takeover.cpp
+++ b/libs/bulk_process/src/job_takeover.cpp
@@ -4,29 +4,18 @@
 
 namespace yuccachute {
 
-namespace {
-
-/// Interval of scans of the open jobs. They find jobs whose holder is no longer registered, and jobs
-/// cancelled through another process, whose runs must stop within 3 s.
-constexpr milliseconds scanInterval { 2000 };
-
-} // namespace
-
 void bulk_process::scan()
 {
-    if (m_scanning)
-        return;
-    m_scanning = true;
-    m_lastScan = now();
+    m_scan.started(bootClockNow());
     m_jobStore.listOpen(
         [this, generation = m_registration.generation()](result<bulk_job_store::open_jobs> open) {
-            m_scanning = false;
-            m_nextScan = now() + scanInterval;
-            if (!open)
+            if (!open) {
+                m_scan.failed(open.error().kind, bootClockNow());
                 return logFailedScan(open.error());
-            m_listedAt = m_lastScan;
+            }
+            m_scan.succeeded(bootClockNow());
             m_admission.updateListing(open.value(), now());
-            reconcile(open.value());
+            reconcile(open.value(), m_scan.requestedAt());
             // A frozen process may register again while it still believes that it holds jobs that others have
             // taken over. From here on its jobs are known to match this registration.
             m_reconciledGeneration = generation;
@@ -35,24 +24,27 @@
 
 void bulk_process::logFailedScan(const failure& error) const
 {
-    const auto time = now();
+    const auto time = bootClockNow();
     const auto since
         = [time](steady_time from) { return std::chrono::duration_cast<milliseconds>(time - from); };
     logEvent(log_level::warning, "open jobs could not be listed",
-        { { "jobs", static_cast<std::int64_t>(m_jobs.size()) }, { "took_ms", since(m_lastScan).count() },
-            { "listing_age_ms", m_listedAt ? since(*m_listedAt).count() : -1 },
+        { { "jobs", static_cast<std::int64_t>(m_jobs.size()) },
+            { "took_ms", since(m_scan.requestedAt()).count() },
+            { "listing_age_ms", m_scan.listedAt() ? since(*m_scan.listedAt()).count() : -1 },
             { "message", error.message } });
 }
 
-void bulk_process::reconcile(const bulk_job_store::open_jobs& open)
+void bulk_process::reconcile(const bulk_job_store::open_jobs& open, steady_time requestedAt)
 {
     std::set<std::string, std::less<>> listed;
     for (const auto& job : open.jobs) {
         listed.insert(job.id);
         const auto held = m_jobs.find(job.id);
         const bool mine = job.holder == bulk_holder { m_self.vm, m_self.incarnation };
-        if (held != m_jobs.end() && held->second.openRevision == job.revision)
+        if (held != m_jobs.end() && held->second.openRevision == job.revision) {
+            held->second.openAt = std::max(held->second.openAt, requestedAt);
             continue;
+        }
         if (held != m_jobs.end() && held->second.openRevision != 0 && job.revision > held->second.openRevision
             && !mine) {
             logEvent(log_level::warning, "job taken by another",
@@ -115,22 +107,23 @@
 {
     if (!m_loadingJobs.insert(job.id).second)
         return;
-    m_jobStore.load(job.id, [this, id = job.id](result<bulk_job_store::stored_job> stored) {
-        m_loadingJobs.erase(id);
-        if (!stored) {
-            logEvent(log_level::warning, "job could not be loaded; retrying",
-                { { "job", id }, { "message", stored.error().message } });
-            m_nextScan = std::min(m_nextScan, now() + commitRetryDelay);
-            return;
-        }
-        const bool mine = stored.value().holder == bulk_holder { m_self.vm, m_self.incarnation };
-        if (!mine || m_leaving)
-            return;
-        logEvent(log_level::info, "job taken",
-            { { "job", id }, { "revision", stored.value().openRevision },
-                { "groups", static_cast<std::int64_t>(stored.value().groups.size()) } });
-        addHeldJob(std::move(stored.value()));
-    });
+    m_jobStore.load(
+        job.id, [this, id = job.id, sent = bootClockNow()](result<bulk_job_store::stored_job> stored) {
+            m_loadingJobs.erase(id);
+            if (!stored) {
+                logEvent(log_level::warning, "job could not be loaded; retrying",
+                    { { "job", id }, { "message", stored.error().message } });
+                m_scan.request(bootClockNow() + commitRetryDelay);
+                return;
+            }
+            const bool mine = stored.value().holder == bulk_holder { m_self.vm, m_self.incarnation };
+            if (!mine || m_leaving)
+                return;
+            logEvent(log_level::info, "job taken",
+                { { "job", id }, { "revision", stored.value().openRevision },
+                    { "groups", static_cast<std::int64_t>(stored.value().groups.size()) } });
+            addHeldJob(std::move(stored.value()), sent);
+        });
 }
 
 } // namespace yuccachute
--- /dev/null
+++ b/libs/bulk_process/src/open_job_scan.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "verdict/verdict.h"
+
+#include <optional>
+
+namespace yuccachute {
+
+/// From the acknowledgement of a job's end, no item of it may reach a target later than this.
+constexpr milliseconds cancelTime { 3000 };
+/// From the decision to send an item to its arrival: the timeout of the connection, 300 ms, and the delivery.
+constexpr milliseconds deliveryTime { 500 };
+/// How long the items of a job may be sent after the store has shown that the job was open.
+constexpr milliseconds maxOpenAge = cancelTime - deliveryTime;
+
+/// Schedules the listings of the open jobs, by which a process learns of jobs that were ended through another
+/// one or have lost their holder, and decides whether items may be sent. No I/O; all times are those of one
+/// clock, which also runs while the process is suspended.
+///
+/// The end of a job is acknowledged once the store has executed it. A process that the store answers sends
+/// items only of jobs that a read of at most maxOpenAge ago has shown to be open. Where the store answers
+/// nobody, no end is acknowledged, and a process that cannot reach it goes on: it tries again all the time,
+/// and stops sending items of ended jobs within retryInterval and one call from when it reaches the store
+/// again.
+class open_job_scan {
+public:
+    bool running() const { return m_running; }
+    bool due(steady_time now) const { return !m_running && now >= m_next; }
+    /// When the current or last listing was requested.
+    steady_time requestedAt() const { return m_requestedAt; }
+    /// When the last listing that succeeded was requested.
+    std::optional<steady_time> listedAt() const { return m_listedAt; }
+    /// Makes the next listing due at this time, if it would be later.
+    void request(steady_time when);
+
+    void started(steady_time now);
+    void succeeded(steady_time now);
+    void failed(failure_kind kind, steady_time now);
+
+    /// Whether items of a job may be sent that was known to be open at a time.
+    bool maySend(steady_time openAt, steady_time now) const
+    {
+        return m_storeUnreachable || now - openAt <= maxOpenAge;
+    }
+
+private:
+    steady_time m_next;
+    steady_time m_requestedAt;
+    std::optional<steady_time> m_listedAt;
+    bool m_running = false;
+    bool m_storeUnreachable = false; ///< As of the last listing.
+};
+
+} // namespace yuccachute
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -8,6 +8,7 @@
 #include "job_admission.h"
 #include "logging/logging.h"
 #include "membership/membership.h"
+#include "open_job_scan.h"
 #include "open_lookup.h"
 #include "retirement.h"
 
@@ -18,6 +19,7 @@
 /// (job_takeover).
 namespace yuccachute {
 
+constexpr milliseconds tickInterval { 50 };
 constexpr milliseconds commitRetryDelay { 200 };
 constexpr milliseconds retryAfter { 500 };
 /// Initial estimates, used until runs have been measured: a run has a few hundred events, 20 ms apart.
@@ -49,6 +51,8 @@
 struct held_job {
     std::unique_ptr<bulk_job> job;
     std::int64_t openRevision = 0; ///< 0 for a finished or cancelled job, which is read-only.
+    /// When the read or write was sent that last showed the job to be open, by bootClockNow().
+    steady_time openAt;
     token_claim claim;
     std::map<std::uint32_t, std::unique_ptr<item_run>> runs;
     /// Aborted runs without a new event in between, by item.
@@ -142,7 +146,8 @@
     bool hasExpired(const held_job& held, std::uint32_t index, const routing_table& table) const;
     void expireItems(held_job& held, const routing_table& table, steady_time time) const;
     held_job makeHeldJob(bulk_job_store::stored_job stored);
-    void addHeldJob(bulk_job_store::stored_job stored);
+    /// `openAt` is when the call was sent by which the job was created or read.
+    void addHeldJob(bulk_job_store::stored_job stored, steady_time openAt);
     void dropHeldJob(job_map::iterator job);
     void notifyReaders(held_job& held);
 
@@ -153,6 +158,9 @@
     /// Starts runs of waiting items, ordered by due time. Jobs that can only be late come last: with
     /// earliest-due-first alone, an overload would make all jobs slightly late.
     void startRuns();
+    /// Whether the store may have ended the job unnoticed, so that its items wait.
+    bool endUncertain(const held_job& held) const;
+    void logWaitingJobs(std::size_t count);
     /// Returns whether an item of the job that has produced so many events can only finish after the due
     /// time, judged by recent run durations.
     bool willMissDeadline(const bulk_job& job, std::size_t produced, steady_time time) const;
@@ -170,6 +178,9 @@
     /// Discards the events of an item that cannot be resumed at this service. Returns the number of events
     /// that it keeps.
     std::size_t resumeOrDiscard(held_job& held, bulk_item_start& start, std::string_view service);
+    /// Why the item may no longer be sent to the service; empty if it may.
+    std::string_view reasonNotToSend(
+        const std::string& id, std::uint32_t index, const std::string& service) const;
     item_run_events eventsOfRun(const std::string& id, const bulk_item_start& start,
         const run_placement& placement, std::size_t produced);
     /// Whether a target could resume events that were made by this software version.
@@ -199,7 +210,7 @@
     // --- Takeover
     void scan();
     void logFailedScan(const failure& error) const;
-    void reconcile(const bulk_job_store::open_jobs& open);
+    void reconcile(const bulk_job_store::open_jobs& open, steady_time requestedAt);
     /// Returns whether the job's holder is no longer registered, and this process is to take the job over.
     bool shouldTakeOver(const bulk_job_store::open_job& job) const;
     void takeOver(const bulk_job_store::open_job& job);
@@ -243,9 +254,7 @@
     std::unique_ptr<loop_ticker> m_ticker;
     std::unique_ptr<http_listener> m_listener;
     std::unique_ptr<http_listener> m_metricsListener;
-    steady_time m_nextScan;
-    steady_time m_lastScan;
-    std::optional<steady_time> m_listedAt; ///< When the last listing that succeeded was requested.
+    open_job_scan m_scan; ///< By bootClockNow().
     /// Registration generation at the last comparison with the open jobs.
     std::uint64_t m_reconciledGeneration = 0;
     steady_time m_stopAt;
@@ -255,7 +264,7 @@
     steady_time m_lastSlotGranted;
     steady_time m_nextProgressSave;
     bool m_saving = false;
-    bool m_scanning = false;
+    bool m_jobsWait = false; ///< Whether the items of some job wait for the store to confirm that it is open.
     bool m_leaving = false;
     bool m_stopping = false;
 };
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -219,6 +219,10 @@
     /// Opens a new connection instead of reusing an idle one. The peer may close an idle connection while the
     /// request is in transit, and then it is unknown whether the request ran.
     bool freshConnection = false;
+    /// Longest time without a byte of the response over a reused connection, which may have gone silent.
+    /// Then, or if the connection ends before a byte, the request is sent once more over a new connection.
+    /// Only for requests that may run twice. 0: none.
+    milliseconds reuseTimeout { 0 };
     /// Id that the peer echoes in its response. An idle connection that has carried a request with this id is
     /// not reused: a second response to that one would be taken for the response to this one. Empty: none.
     std::string answerId;
@@ -243,9 +247,10 @@
     std::function<void(std::string_view limit)> limitCrossed;
 };
 
-/// HTTP client on an event loop with a pool of persistent connections. It never retries a request by itself.
-/// A connection is reused only if the request was sent completely, the response was received completely and
-/// no bytes follow it.
+/// HTTP client on an event loop with a pool of persistent connections. It retries a request by itself only
+/// as client_call_options::reuseTimeout says. A connection is reused only if the request was sent completely,
+/// the response was received completely and no bytes follow it, and not after a later call to the same
+/// address has timed out without a byte of a response: both may have gone silent at the same time.
 class http_client {
 public:
     http_client(event_loop& loop, http_client_options options);
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -52,6 +52,7 @@
     std::string address;
     loop_timer idleTimer; ///< Closes the connection when it has been idle for too long.
     bool closed = false;
+    steady_time lastHeard; ///< When the connection was established or input arrived on it.
     /// Receives the input. Null while the connection is idle; any input then closes it.
     std::function<void(const error_code&, std::string_view)> reader;
     bool reading = false;
@@ -134,6 +135,8 @@
 
     connection_ptr takeIdle(std::string_view address, std::string_view answerId);
     void addIdle(const connection_ptr& connection, milliseconds time);
+    /// Closes idle connections to the address on which nothing has arrived since then.
+    void closeUnheardSince(std::string_view address, steady_time time);
     void read(const connection_ptr& connection);
 
     event_loop& loop;
@@ -175,6 +178,17 @@
     read(connection);
 }
 
+void http_client::impl::closeUnheardSince(std::string_view address, steady_time time)
+{
+    const auto found = idleConnections.find(address);
+    if (found == idleConnections.end())
+        return;
+    for (const auto& idle : found->second) {
+        if (idle->lastHeard < time)
+            idle->close();
+    }
+}
+
 void http_client::impl::read(const connection_ptr& connection)
 {
     if (connection->reading || connection->closed)
@@ -188,6 +202,7 @@
             // On an idle connection this is the end of file, or bytes that belong to no request.
             if (!connection->reader)
                 return connection->close();
+            connection->lastHeard = std::chrono::steady_clock::now();
             const auto reader = connection->reader;
             reader(error, std::string_view(connection->readBuffer.data(), count));
         });
@@ -207,6 +222,7 @@
         , m_events(std::move(events))
         , m_deadlineTimer(m_owner->loop)
         , m_inactivityTimer(m_owner->loop)
+        , m_reuseTimer(m_owner->loop)
         , m_headTimer(m_owner->loop)
         , m_bodyTimer(m_owner->loop)
     {
@@ -216,11 +232,12 @@
     {
         m_deadlineTimer.armAt(m_options.deadline, [weak = weak_from_this()] {
             if (const auto self = weak.lock())
-                self->fail(failure_kind::timeout, "the response was not complete before the deadline");
+                self->failTimedOut("the response was not complete before the deadline");
         });
         if (!m_options.freshConnection)
             m_connection = m_owner->takeIdle(m_address, m_options.answerId);
-        if (m_connection)
+        m_reused = m_connection != nullptr;
+        if (m_reused)
             return m_owner->loop.post([self = shared_from_this()] { self->sendOnIdle(); });
         connect();
     }
@@ -259,6 +276,7 @@
     void connect()
     {
         error_code error;
+        m_reused = false;
         const auto endpoint = parseEndpoint(m_address, error);
         m_connection = std::make_shared<server_connection>(m_owner->loop);
         m_connection->address = m_address;
@@ -279,6 +297,7 @@
             ++self->m_owner->opened;
             self->m_inactivityTimer.cancel();
             self->m_connection->stream = plainStream(std::move(self->m_connection->socket));
+            self->m_connection->lastHeard = std::chrono::steady_clock::now();
             self->send();
         });
     }
@@ -299,6 +318,13 @@
         if (m_connection->closed) // Closed while the call was queued. No byte was sent, so a retry is safe.
             return connect();
         m_sendStarted = true;
+        m_requestWritten = false;
+        m_sentAt = std::chrono::steady_clock::now();
+        if (m_reused && m_options.reuseTimeout.count() > 0)
+            m_reuseTimer.arm(m_options.reuseTimeout, [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->sendAgain();
+            });
         if (!m_options.answerId.empty())
             m_connection->carry(m_options.answerId);
         m_parser.emplace();
@@ -317,6 +343,17 @@
             });
     }
 
+    /// The request may have arrived over the reused connection, on which no byte of the response has.
+    void sendAgain()
+    {
+        if (m_ended)
+            return;
+        cancelIfArmed(m_reuseTimer);
+        m_owner->closeUnheardSince(m_address, m_sentAt);
+        m_connection->close();
+        connect();
+    }
+
     void prepareParser()
     {
         m_parser->eager(true);
@@ -350,6 +387,7 @@
             return connectionEnded(error);
         if (m_options.idleTimeout.count() > 0)
             armInactivityTimer(m_options.idleTimeout, "the server sent no data within the idle timeout");
+        cancelIfArmed(m_reuseTimer);
         m_input.append(bytes);
         m_received += bytes.size();
         if (parse() && watchHead() && !m_paused)
@@ -508,6 +546,8 @@
 
     void connectionEnded(const error_code& error)
     {
+        if (m_reuseTimer.armed())
+            return sendAgain();
         const bool unframed = m_parser->is_header_done() && m_parser->need_eof();
         if (error == asio::error::eof && unframed && m_options.acceptUnframed)
             return complete();
@@ -531,6 +571,13 @@
             report();
     }
 
+    void failTimedOut(std::string message)
+    {
+        if (!m_ended && m_sendStarted && m_connection->lastHeard < m_sentAt)
+            m_owner->closeUnheardSince(m_address, m_sentAt);
+        fail(failure_kind::timeout, std::move(message));
+    }
+
     void fail(failure_kind kind, std::string message)
     {
         if (m_ended)
@@ -550,6 +597,7 @@
         m_ended = true;
         m_deadlineTimer.cancel();
         m_inactivityTimer.cancel();
+        m_reuseTimer.cancel();
         m_headTimer.cancel();
         m_bodyTimer.cancel();
     }
@@ -558,7 +606,7 @@
     {
         m_inactivityTimer.arm(time, [weak = weak_from_this(), message] {
             if (const auto self = weak.lock())
-                self->fail(failure_kind::timeout, message);
+                self->failTimedOut(message);
         });
     }
 
@@ -570,6 +618,7 @@
     client_call_events m_events;
     loop_timer m_deadlineTimer;
     loop_timer m_inactivityTimer;
+    loop_timer m_reuseTimer; ///< Armed until the first byte of a response over a reused connection.
     loop_timer m_headTimer; ///< Of a head, a chunk's header or a trailer that has begun.
     loop_timer m_bodyTimer; ///< Of a body or event that has begun.
     connection_ptr m_connection;
@@ -579,6 +628,8 @@
     std::uint64_t m_received = 0;
     std::uint64_t m_bodyBytes = 0;
     std::uint64_t m_eventBytes = 0; ///< Of the body since the last whole event.
+    steady_time m_sentAt; ///< When sending last began.
+    bool m_reused = false; ///< Whether the connection has carried earlier calls.
     bool m_sendStarted = false; ///< Set before the first write; from then on the request may have run.
     bool m_requestWritten = false;
     bool m_headDelivered = false;
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -303,6 +303,81 @@
     CHECK_FALSE(opensFor("c"));
 }
 
+// Guards against one timeout after the other: all connections to a server have gone silent at once.
+TEST_CASE("idle connections are not reused after a later call has timed out without an answer")
+{
+    fixture f;
+    f.listener->setLimits({});
+    http_client client(f.loop, {});
+    const auto address = "127.0.0.1:" + std::to_string(f.options.port);
+    const auto options = withDeadline(milliseconds { 1000 });
+    std::vector<call_recorder> seen(3);
+    std::vector<std::shared_ptr<client_call>> calls;
+    for (auto& one : seen)
+        calls.push_back(client.start(address, {}, options, one.events()));
+    f.run();
+    REQUIRE(f.exchanges.size() == 3);
+    for (const auto& exchange : f.exchanges)
+        exchange->send({ 200, {}, "hi" });
+    f.exchanges.clear();
+    f.run();
+    call_recorder unanswered;
+    auto impatient = options;
+    impatient.idleTimeout = milliseconds { 30 };
+    const auto silent = client.start(address, {}, impatient, unanswered.events());
+    f.run(60);
+    CHECK(unanswered.error);
+    CHECK(client.connectionsOpened() == 3);
+    f.exchanges.clear();
+    call_recorder last;
+    const auto next = client.start(address, {}, options, last.events());
+    f.run();
+    CHECK(client.connectionsOpened() == 4);
+}
+
+// Guards against late answers to calls that may run twice: a reused connection has gone silent or ends.
+TEST_CASE("a call that may run twice is sent again over a new connection if the reused one does not answer")
+{
+    fixture f;
+    f.listener->setLimits({});
+    http_client client(f.loop, {});
+    const auto address = "127.0.0.1:" + std::to_string(f.options.port);
+    auto options = withDeadline(milliseconds { 1000 });
+    options.reuseTimeout = milliseconds { 30 };
+    const auto answer = [&] {
+        REQUIRE(!f.exchanges.empty());
+        f.exchanges.back()->send({ 200, {}, "hi" });
+        f.run();
+    };
+    for (const bool ends : { false, true }) {
+        const auto before = client.connectionsOpened();
+        call_recorder first;
+        const auto warming = client.start(address, {}, options, first.events());
+        // A new connection may be slow.
+        f.run(60);
+        CHECK(f.exchanges.size() == 1);
+        answer();
+        CHECK(first.whole);
+        options.freshConnection = false;
+        call_recorder again;
+        const auto call = client.start(address, {}, options, again.events());
+        f.run();
+        CHECK(client.connectionsOpened() == before + 1);
+        REQUIRE(f.exchanges.size() == 2);
+        if (ends)
+            f.exchanges.back()->abort();
+        f.run(ends ? 20 : 60);
+        CHECK(client.connectionsOpened() == before + 2);
+        CHECK(f.exchanges.size() == 3);
+        answer();
+        CHECK(again.whole);
+        f.exchanges.clear();
+        f.run(60);
+        // The next round begins with a new connection.
+        options.freshConnection = true;
+    }
+}
+
 // Guards against response mix-up: a server sends a second response after the first, and the next request on
 // that connection would receive it.
 TEST_CASE("a connection with extra bytes after the response is not reused")
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -113,9 +113,15 @@
     std::int64_t revision = 0; ///< To be passed as `after` to the next call.
 };
 
+/// A call that may be executed twice is repeated over a new connection if it gets no answer over an idle one
+/// in this time: the connection may have gone silent. The store answers within some milliseconds, and within
+/// 300 ms when it is slow.
+constexpr milliseconds silentConnectionTimeout { 350 };
+
 /// Non-blocking client of the same service for programs with an event loop. Callbacks run on the loop and
-/// never before the call returns. Only the conditions `absent` and `mod_revision` and removals of single keys
-/// are supported.
+/// never before the call returns. A read that fails has therefore been tried over a new connection, and one
+/// that meets a silent connection is late by silentConnectionTimeout. Only the conditions `absent` and
+/// `mod_revision` and removals of single keys are supported.
 class async_store {
 public:
     template <typename T> using callback = std::function<void(result<T>)>;
--- a/tests/platform_store.cpp
+++ b/tests/platform_store.cpp
@@ -132,3 +132,40 @@
     f.stand.faults = {};
     CHECK(f.get("v/a").value()->value == "1");
 }
+
+// Guards against reads that are answered after seconds, or not in time for a promise that rests on them:
+// their connection has gone silent.
+TEST_CASE("calls that may run twice are repeated over a new connection if a silent one does not answer")
+{
+    fixture f;
+    CHECK(f.put("r/a", "1", 0));
+    const auto answeredAfterSilence = [&](auto call) {
+        f.stand.faults.down = true;
+        bool answered = false;
+        call(answered);
+        f.loop.runFor(milliseconds { 100 });
+        f.stand.faults.down = false;
+        f.loop.runFor(silentConnectionTimeout);
+        return answered;
+    };
+    CHECK(answeredAfterSilence([&](bool& answered) {
+        f.store->get("r/a", [&answered](const auto& found) { answered = found && found.value(); });
+    }));
+    CHECK(answeredAfterSilence([&](bool& answered) {
+        f.store->list("r/", [&answered](const auto& found) { answered = bool(found); });
+    }));
+    CHECK(answeredAfterSilence([&](bool& answered) {
+        f.store->waitForChange(
+            "r/", 0, milliseconds { 1 }, [&answered](const auto& found) { answered = bool(found); });
+    }));
+    std::optional<result<std::int64_t>> granted;
+    f.store->grantLease(milliseconds { 2000 }, f.into(granted));
+    const auto lease = f.wait(granted).value();
+    CHECK(answeredAfterSilence([&](bool& answered) {
+        f.store->renewLease(lease, [&answered](const auto& renewed) { answered = bool(renewed); });
+    }));
+    // A transaction runs once, whatever its conditions say.
+    CHECK_FALSE(answeredAfterSilence([&](bool& answered) {
+        f.store->commit({}, [&answered](const auto& outcome) { answered = bool(outcome); });
+    }));
+}
