Test: a response whose head is cut is never complete

Another operator reported a target that stopped in the middle of its answer's head and closed the connection, after which callers got a 200 with an empty or short body framed as whole.

--- a/libs/http/tests/test_http.cpp
+++ b/libs/http/tests/test_http.cpp
@@ -91,6 +91,22 @@
     return request;
 }
 
+/// Sends a request by the event-driven client, which accepts responses that end with their connection.
+result<http_reply> fetchUnframed(const std::string& address)
+{
+    event_loop loop;
+    http_client client(loop, {});
+    client_call_options options;
+    options.deadline = std::chrono::steady_clock::now() + milliseconds { 2000 };
+    options.acceptUnframed = true;
+    std::optional<result<http_reply>> outcome;
+    client.fetch(address, post("/", "x"), options,
+        [&](result<http_reply> reply) { outcome.emplace(std::move(reply)); });
+    while (!outcome)
+        loop.runFor(milliseconds { 1 });
+    return *outcome;
+}
+
 } // namespace
 
 TEST_CASE("complete and streamed responses are received completely")
@@ -202,6 +218,29 @@
     }
 }
 
+// Guards against an answer with an empty or short body that is taken for whole: the target stopped in the
+// middle of the head and closed the connection in order.
+TEST_CASE("a response whose head is cut is never reported as complete")
+{
+    const std::string sound = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> framings { "Content-Length: 0\r\n", "Content-Length: 4\r\n",
+        "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", "" };
+    for (const std::string& interim :
+        { "", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n" }) {
+        for (const auto& framing : framings) {
+            const auto head = sound + framing + "\r\n";
+            for (std::size_t length = 0; length < head.size(); ++length) {
+                const auto cut = interim + head.substr(0, length);
+                INFO(cut);
+                raw_peer peer(cut);
+                const auto reply = fetchUnframed(peer.address());
+                REQUIRE(!reply);
+                CHECK(reply.error().ran == verdict::may_have_run);
+            }
+        }
+    }
+}
+
 TEST_CASE("a call to an unresponsive peer ends at the deadline, a cancelled call immediately")
 {
     std::uint16_t port = 0;
