Test: an answer whose head is cut by its target is never delivered as whole, on real processes

The fault proxy closes the connections of one and then of both targets after 1 to 120 bytes of each answer, which is within the status line, within the fields and before the end of the head. An earlier form kept one system for all lengths: its targets failed so often that they were left aside for longer than the test waited for items.

--- a/tests/failures_whole_answers.cpp
+++ b/tests/failures_whole_answers.cpp
@@ -105,3 +105,49 @@
     std::this_thread::sleep_for(milliseconds { 1000 });
     checkThatNothingCutLooksWhole(system, [&] { system.control("/server?number=0&do=restart"); });
 }
+
+// Guards against answers with an empty or short body that look whole: their target stopped in the middle of
+// the answer's head and closed the connection in order.
+TEST_CASE("an answer whose head is cut is never delivered as whole")
+{
+    constexpr int shortStream = 5;
+    platform_layout layout;
+    layout.proxied = true;
+    layout.zones = { { "a", 1, 1, 2 } };
+    // Within the status line, after it, within fields, and before the end of the head, which is longer.
+    for (const int bytes : { 1, 9, 15, 17, 30, 60, 90, 120 }) {
+        // A target is used less and less the more often it fails.
+        platform_system system(layout);
+        for (const unsigned cutTargets : { 1, 2 }) {
+            for (unsigned target = 0; target < cutTargets; ++target)
+                system.route("server-" + std::to_string(target), "drop_reply_after=" + std::to_string(bytes));
+            const auto name = std::to_string(bytes) + "-" + std::to_string(cutTargets);
+            REQUIRE(system.submit("entry-a-1", "head-" + name, 2, shortStream) == 202);
+            int served = 0;
+            for (int i = 0; i < 4; ++i) {
+                const auto id = "h-" + name + "-" + std::to_string(i);
+                INFO(id);
+                for (const auto* route : { "resumable", "once" }) {
+                    const auto own = id + route;
+                    const auto reply = system.stream("entry-a-1", route, own, shortStream);
+                    if (!reply || reply.value().status != 200)
+                        continue;
+                    CHECK(reply.value().body == platform_system::wholeStream(own, shortStream));
+                    ++served;
+                }
+                const auto plain = system.plain("entry-a-1", "plain", id);
+                if (plain && plain.value().status == 200)
+                    CHECK(plain.value().body == "plain " + id);
+            }
+            if (cutTargets == 2)
+                CHECK(served == 0);
+            for (unsigned target = 0; target < cutTargets; ++target)
+                system.route("server-" + std::to_string(target), "drop_reply_after=-1");
+            for (const auto& listed : system.allResults("entry-a-1", "head-" + name, 2)) {
+                CHECK(listed["state"] == "done");
+                const std::string text = listed["text"];
+                CHECK(std::count(text.begin(), text.end(), '\n') == shortStream - 1);
+            }
+        }
+    }
+}
