One clock reading for a pass over the held jobs, and none for each piece that is read

Whether a job's end is uncertain read the boot clock once for each held job, at each tick and each slot; the HTTP client read the steady clock for each piece of each response, although only idle connections are judged by that time; and steadyMs() stood in two test files and, spelled out, in a third.

Change: the time is an argument of endUncertain(); a connection keeps since when it has been idle, which is the moment of its last byte, and a call tells by its own count of bytes whether any arrived; steadyMs() is one function of the test support. open_job_scan loses an accessor and a parameter that nothing used, and a comment is put in plain terms. Behaviour and assertions are the same.

No gain in processor time was measured.

--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -147,10 +147,11 @@
     std::vector<held_job*> order;
     bool outdated = false;
     std::size_t uncertain = 0;
+    const auto bootTime = bootClockNow();
     for (auto& [id, held] : m_jobs) {
         if (held.openRevision == 0 || held.cancelled || held.job->waiting() == 0)
             continue;
-        if (endUncertain(held))
+        if (endUncertain(held, bootTime))
             ++uncertain;
         else if (canDecide(*table, held.job->record()))
             order.push_back(&held);
@@ -176,9 +177,9 @@
     }
 }
 
-bool bulk_process::endUncertain(const held_job& held) const
+bool bulk_process::endUncertain(const held_job& held, steady_time bootTime) const
 {
-    return !m_scan.maySend(held.openAt, bootClockNow());
+    return !m_scan.maySend(held.openAt, bootTime);
 }
 
 void bulk_process::logWaitingJobs(std::size_t count)
@@ -295,7 +296,7 @@
     const auto table = m_fleet.configuration();
     if (found == m_jobs.end() || !table)
         return "the job is no longer held";
-    if (endUncertain(found->second))
+    if (endUncertain(found->second, bootClockNow()))
         return "the store has not confirmed lately that the job is open";
     const auto* itemRoute = routeOfItem(*table, found->second.job->record(), index);
     const bool leadsThere = itemRoute && itemRoute->leadsTo(service);
--- a/libs/bulk_process/src/job_takeover.cpp
+++ b/libs/bulk_process/src/job_takeover.cpp
@@ -13,7 +13,7 @@
                 m_scan.failed(open.error().kind, bootClockNow());
                 return logFailedScan(open.error());
             }
-            m_scan.succeeded(bootClockNow());
+            m_scan.succeeded();
             m_admission.updateListing(open.value(), now());
             reconcile(open.value(), m_scan.requestedAt());
             // A frozen process may register again while it still believes that it holds jobs that others have
--- a/libs/bulk_process/src/open_job_scan.cpp
+++ b/libs/bulk_process/src/open_job_scan.cpp
@@ -35,7 +35,7 @@
     m_next = now + scanInterval;
 }
 
-void open_job_scan::succeeded(steady_time)
+void open_job_scan::succeeded()
 {
     m_running = false;
     m_listedAt = m_requestedAt;
--- a/libs/bulk_process/src/open_job_scan.h
+++ b/libs/bulk_process/src/open_job_scan.h
@@ -18,13 +18,11 @@
 /// clock, which also runs while the process is suspended.
 ///
 /// The end of a job is acknowledged once the store has executed it. A process that the store answers sends
-/// items only of jobs that a read of at most maxOpenAge ago has shown to be open. Where the store answers
-/// nobody, no end is acknowledged, and a process that cannot reach it goes on: it tries again all the time,
-/// and stops sending items of ended jobs within retryInterval and one call from when it reaches the store
-/// again.
+/// items only of jobs that a read of at most maxOpenAge ago has shown to be open. While the store cannot be
+/// reached, items are sent all the same, and listings are retried: they confirm the jobs, or remove those
+/// that have ended, within one retry interval and one call from when the store can be reached again.
 class open_job_scan {
 public:
-    bool running() const { return m_running; }
     bool due(steady_time now) const { return !m_running && now >= m_next; }
     /// When the current or last listing was requested.
     steady_time requestedAt() const { return m_requestedAt; }
@@ -34,7 +32,7 @@
     void request(steady_time when);
 
     void started(steady_time now);
-    void succeeded(steady_time now);
+    void succeeded();
     void failed(failure_kind kind, steady_time now);
 
     /// Whether items of a job may be sent that was known to be open at a time.
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -159,7 +159,7 @@
     /// earliest-due-first alone, an overload would make all jobs slightly late.
     void startRuns();
     /// Whether the store may have ended the job unnoticed, so that its items wait.
-    bool endUncertain(const held_job& held) const;
+    bool endUncertain(const held_job& held, steady_time bootTime) const;
     void logWaitingJobs(std::size_t count);
     /// Returns whether an item of the job that has produced so many events can only finish after the due
     /// time, judged by recent run durations.
--- a/libs/bulk_process/tests/test_open_job_scan.cpp
+++ b/libs/bulk_process/tests/test_open_job_scan.cpp
@@ -28,7 +28,7 @@
         if (outcome.failed) {
             scan.failed(*outcome.failed, now + outcome.took);
         } else {
-            scan.succeeded(now + outcome.took);
+            scan.succeeded();
             openAt = scan.requestedAt();
         }
     }
@@ -40,7 +40,7 @@
 {
     open_job_scan scan;
     scan.started(begin);
-    scan.succeeded(begin);
+    scan.succeeded();
     CHECK(scan.maySend(begin, begin + maxOpenAge));
     CHECK_FALSE(scan.maySend(begin, begin + maxOpenAge + milliseconds { 1 }));
     CHECK(maxOpenAge + deliveryTime == cancelTime);
@@ -104,6 +104,6 @@
     scan.started(begin);
     scan.request(begin + milliseconds { 10 });
     CHECK_FALSE(scan.due(begin + milliseconds { 20 }));
-    scan.succeeded(begin + milliseconds { 20 });
+    scan.succeeded();
     CHECK(scan.due(begin + milliseconds { 20 }));
 }
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -247,8 +247,8 @@
     std::function<void(std::string_view limit)> limitCrossed;
 };
 
-/// HTTP client on an event loop with a pool of persistent connections. It retries a request by itself only
-/// as client_call_options::reuseTimeout says. A connection is reused only if the request was sent completely,
+/// HTTP client on an event loop with a pool of persistent connections. It repeats a request only as
+/// client_call_options::reuseTimeout says. A connection is reused only if the request was sent completely,
 /// the response was received completely and no bytes follow it, and not after a later call to the same
 /// address has timed out without a byte of a response: both may have gone silent at the same time.
 class http_client {
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -52,7 +52,7 @@
     std::string address;
     loop_timer idleTimer; ///< Closes the connection when it has been idle for too long.
     bool closed = false;
-    steady_time lastHeard; ///< When the connection was established or input arrived on it.
+    steady_time idleSince; ///< When the last response on it was complete.
     /// Receives the input. Null while the connection is idle; any input then closes it.
     std::function<void(const error_code&, std::string_view)> reader;
     bool reading = false;
@@ -135,8 +135,8 @@
 
     connection_ptr takeIdle(std::string_view address, std::string_view answerId);
     void addIdle(const connection_ptr& connection, milliseconds time);
-    /// Closes idle connections to the address on which nothing has arrived since then.
-    void closeUnheardSince(std::string_view address, steady_time time);
+    /// Closes the connections to the address that have been idle since before then.
+    void closeIdleSince(std::string_view address, steady_time time);
     void read(const connection_ptr& connection);
 
     event_loop& loop;
@@ -173,18 +173,19 @@
     if (time <= milliseconds { 0 } || connections.size() >= options.maxIdlePerAddress)
         return connection->close();
     connections.push_back(connection);
+    connection->idleSince = std::chrono::steady_clock::now();
     connection->reader = nullptr;
     connection->idleTimer.arm(time, [connection] { connection->close(); });
     read(connection);
 }
 
-void http_client::impl::closeUnheardSince(std::string_view address, steady_time time)
+void http_client::impl::closeIdleSince(std::string_view address, steady_time time)
 {
     const auto found = idleConnections.find(address);
     if (found == idleConnections.end())
         return;
     for (const auto& idle : found->second) {
-        if (idle->lastHeard < time)
+        if (idle->idleSince < time)
             idle->close();
     }
 }
@@ -202,7 +203,6 @@
             // On an idle connection this is the end of file, or bytes that belong to no request.
             if (!connection->reader)
                 return connection->close();
-            connection->lastHeard = std::chrono::steady_clock::now();
             const auto reader = connection->reader;
             reader(error, std::string_view(connection->readBuffer.data(), count));
         });
@@ -297,7 +297,6 @@
             ++self->m_owner->opened;
             self->m_inactivityTimer.cancel();
             self->m_connection->stream = plainStream(std::move(self->m_connection->socket));
-            self->m_connection->lastHeard = std::chrono::steady_clock::now();
             self->send();
         });
     }
@@ -349,7 +348,7 @@
         if (m_ended)
             return;
         cancelIfArmed(m_reuseTimer);
-        m_owner->closeUnheardSince(m_address, m_sentAt);
+        m_owner->closeIdleSince(m_address, m_sentAt);
         m_connection->close();
         connect();
     }
@@ -573,8 +572,8 @@
 
     void failTimedOut(std::string message)
     {
-        if (!m_ended && m_sendStarted && m_connection->lastHeard < m_sentAt)
-            m_owner->closeUnheardSince(m_address, m_sentAt);
+        if (!m_ended && m_sendStarted && m_received == 0)
+            m_owner->closeIdleSince(m_address, m_sentAt);
         fail(failure_kind::timeout, std::move(message));
     }
 
--- a/tests/failures_ended_jobs.cpp
+++ b/tests/failures_ended_jobs.cpp
@@ -15,12 +15,6 @@
 constexpr milliseconds cancelTime { 3000 };
 constexpr int eventMs = 10;
 
-std::int64_t steadyMs()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 /// Two zones of one entry, one batch process and one target of four slots each; the processes reach the store
 /// through the fault proxy.
 platform_layout twoSmallZones()
--- a/tests/failures_owed_items.cpp
+++ b/tests/failures_owed_items.cpp
@@ -27,12 +27,6 @@
 /// The body of the first item of each job, and of no other request.
 const std::string firstBody = "abc100";
 
-std::int64_t steadyMs()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 platform_layout sixServers(unsigned batches)
 {
     platform_layout layout;
--- a/tests/failures_routes.cpp
+++ b/tests/failures_routes.cpp
@@ -49,8 +49,7 @@
 std::int64_t configure(platform_system& system, const std::vector<batch_route>& routes)
 {
     system.control("/config", configuration(routes));
-    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
-        .count();
+    return steadyMs();
 }
 
 void configureAndWait(platform_system& system, const std::vector<batch_route>& routes)
--- a/tests/support/platform_system.cpp
+++ b/tests/support/platform_system.cpp
@@ -50,6 +50,12 @@
 
 } // namespace
 
+std::int64_t steadyMs()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
 platform_system::platform_system(int eventMs, int slots)
     : platform_system(layoutOf(eventMs, slots))
 {
--- a/tests/support/platform_system.h
+++ b/tests/support/platform_system.h
@@ -8,6 +8,9 @@
 /// The programs for the users' platform as real processes on the stand-in of it.
 namespace yuccachute::testing {
 
+/// The steady clock's time in ms, which all processes of a machine share.
+std::int64_t steadyMs();
+
 /// Processes and servers of one availability zone; its name is one letter.
 struct zone_layout {
     std::string zone;
