The tests that measure time use the steadyMs() of their support library

Cause: the function was moved to the support library while two tests still defined one of their own. A response that a test of ended jobs does not need is dropped explicitly, which the compiler warned of.

--- a/tests/failures_ended_jobs.cpp
+++ b/tests/failures_ended_jobs.cpp
@@ -40,7 +40,7 @@
                 auto headers = platform_system::requestHeaders("live-" + std::to_string(i), events);
                 for (auto& [name, value] : headers)
                     value = name == "Yuccachute-Deadline-Ms" ? "14000" : value;
-                system.call(port, "POST", "/resumable/x", headers, "prompt", milliseconds { 14000 });
+                (void)system.call(port, "POST", "/resumable/x", headers, "prompt", milliseconds { 14000 });
             });
         }
     }
--- a/tests/failures_prompt_parts.cpp
+++ b/tests/failures_prompt_parts.cpp
@@ -23,12 +23,6 @@
 constexpr int events = 12;
 constexpr unsigned servers = 12;
 
-std::int64_t steadyMs()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 platform_layout twoZones(bool storeProxied = false)
 {
     platform_layout layout;
--- a/tests/failures_query_of_death.cpp
+++ b/tests/failures_query_of_death.cpp
@@ -32,12 +32,6 @@
     return layout;
 }
 
-std::int64_t steadyMs()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 /// Callers of a system that send at any entry until they are stopped.
 class caller_crowd {
 public:
