--- a/bench/standins/fault_proxy.cpp
+++ b/bench/standins/fault_proxy.cpp
@@ -3,6 +3,7 @@
 //
 // fault-proxy --control PORT --route NAME:LISTENPORT:HOST:PORT ...
 // POST /routes/NAME?mode=pass|cut|reset|silent|silent_up|silent_down[&delay_ms=N][&drop_reply_after=N]
+//     [&drop_by=close|reset]: how connections end after drop_reply_after
 //     [&silence_open=TEXT]: open connections whose latest request contains the text go silent for good
 
 #include "flags.h"
@@ -54,6 +55,7 @@
     std::atomic<long> dropReplyAfter {
         -1
     }; ///< Connections are closed after so many reply bytes; -1 for never.
+    std::atomic<bool> dropByReset { false };
     std::atomic<unsigned> epoch { 0 }; ///< Grows with each cut: connections of earlier epochs close.
     std::atomic<std::uint64_t> bytes { 0 };
     std::atomic<std::uint64_t> connections { 0 };
@@ -150,7 +152,7 @@
             if (static_cast<long>(count) > left) {
                 boost::system::error_code ignored;
                 asio::write(to, asio::buffer(data.data(), static_cast<std::size_t>(left)), ignored);
-                return close();
+                return cut(m_route.dropByReset);
             }
         }
         m_replied += reply ? count : 0;
@@ -216,6 +218,8 @@
             chosen.delayMs = std::stoi(value);
         if (const auto value = queryParameter(request.query, "drop_reply_after"); !value.empty())
             chosen.dropReplyAfter = std::stol(value);
+        if (const auto value = queryParameter(request.query, "drop_by"); !value.empty())
+            chosen.dropByReset = value == "reset";
         if (const auto value = queryParameter(request.query, "mode"); !value.empty()) {
             chosen.mode = modeOf(value);
             if (chosen.mode == route_mode::cut || chosen.mode == route_mode::reset)
--- a/libs/http/tests/test_http.cpp
+++ b/libs/http/tests/test_http.cpp
@@ -45,12 +45,14 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+enum class closing : std::uint8_t { orderly, reset };
+
 /// Server that reads once from each connection, sends the given bytes and closes. Counts the requests.
 class raw_peer {
 public:
-    explicit raw_peer(std::string answer)
+    explicit raw_peer(std::string answer, closing end = closing::orderly)
         : m_fd(listenOnFreePort(m_port))
-        , m_thread([this, answer] { serve(answer); })
+        , m_thread([this, answer, end] { serve(answer, end); })
     {
     }
 
@@ -65,9 +67,12 @@
     int requests() const { return m_requests; }
 
 private:
-    void serve(const std::string& answer)
+    void serve(const std::string& answer, closing end)
     {
         for (int peer; (peer = ::accept(m_fd, nullptr, nullptr)) >= 0; ::close(peer)) {
+            const linger discarding { 1, 0 };
+            if (end == closing::reset)
+                ::setsockopt(peer, SOL_SOCKET, SO_LINGER, &discarding, sizeof discarding);
             char buffer[4096];
             if (::recv(peer, buffer, sizeof buffer, 0) > 0)
                 ++m_requests;
@@ -219,7 +224,7 @@
 }
 
 // Guards against an answer with an empty or short body that is taken for whole: the target stopped in the
-// middle of the head and closed the connection in order.
+// middle of the head and closed the connection.
 TEST_CASE("a response whose head is cut is never reported as complete")
 {
     const std::string sound = "HTTP/1.1 200 OK\r\n";
@@ -231,11 +236,17 @@
             const auto head = sound + framing + "\r\n";
             for (std::size_t length = 0; length < head.size(); ++length) {
                 const auto cut = interim + head.substr(0, length);
-                INFO(cut);
-                raw_peer peer(cut);
-                const auto reply = fetchUnframed(peer.address());
-                REQUIRE(!reply);
-                CHECK(reply.error().ran == verdict::may_have_run);
+                for (const auto end : { closing::orderly, closing::reset }) {
+                    INFO(cut << (end == closing::reset ? " and a reset" : ""));
+                    raw_peer peer(cut, end);
+                    const auto reply = fetchUnframed(peer.address());
+                    REQUIRE(!reply);
+                    CHECK(reply.error().ran == verdict::may_have_run);
+                    const auto blocking
+                        = httpCall(peer.address(), post("/", "x"), withDeadline(milliseconds { 2000 }));
+                    REQUIRE(!blocking);
+                    CHECK(blocking.error().ran == verdict::may_have_run);
+                }
             }
         }
     }
