Streams that can be resumed begin only at software versions that the store has recorded

What callers saw: streams joined from two software versions.

Cause: the absence of a record is evidence only if no stream begins before its version is recorded, and nothing ensured that. Change: the records move below the prefix of the processes' registrations, whose copy every entry has. An entry asks for a slot at a recorded version while its list has targets of the service without a record, and checks the granted version again, as a dispatcher may know a new target first. So a stream whose version the records do not name cannot exist, as long as a target of a recorded version accepts requests; without one, streams begin anywhere as before. Nothing per stream is written, and requests that cannot be resumed are not restricted.

Unit tests of the choice of versions, of live requests and of the records are new, written with the change.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -2,6 +2,7 @@
 
 #include "event_loop/event_loop.h"
 #include "mirror/mirror.h"
+#include "origins/origins.h"
 #include "process_settings/process_settings.h"
 #include "routing/routing.h"
 #include "rpc/rpc.h"
@@ -77,6 +78,15 @@
 /// partitioned from the store continues to grant requests from its share after its registration has lapsed.
 std::string shareKey(std::string_view vm);
 
+/// Prefix of the records of the software versions that a service has, or has had lately. Below nodesPrefix as
+/// well: every process needs them, and they change only when a service gets another version.
+constexpr std::string_view versionsPrefix = "yuccachute/node/service-version/";
+/// Prefix of the keys of a service's records.
+std::string versionsPrefixOf(std::string_view service);
+std::string versionKey(const service_version& recorded);
+std::string encodeVersion(const service_version& recorded);
+result<service_version> decodeVersion(std::string_view document);
+
 /// Keeps a process registered under a lease. The key is removed when the process dies. It may also be removed
 /// while the process runs, so the lease is renewed at an interval and the process registers again if it has
 /// lapsed. An entry's share record is written with the registration and removed when the entry leaves.
@@ -210,6 +220,8 @@
     bool listed() const { return m_nodes.contains(nodeKey(m_self)); }
     /// Entries that may own shares of customers' limits, registered or not.
     std::span<const share_record> shareRecords() const { return m_shareRecords; }
+    /// Software versions that are recorded in the store.
+    std::span<const service_version> recordedVersions() const { return m_recordedVersions; }
     const store_section& operatorKeys() const { return m_operatorMirror.section(); }
     bool storeConnected() const { return m_operatorMirror.connected(); }
     /// For how long the configuration, or the list of targets, may have been outdated here.
@@ -268,6 +280,7 @@
     void syncWithPeers(steady_time now);
     void notifyNodes();
     void addShareRecord(const section_entry& entry);
+    void addVersionRecord(const section_entry& entry);
     bool isWatcher() const;
     bool followsTargets(steady_time now) const;
     void readTargetsIfUnknown(steady_time now);
@@ -310,6 +323,7 @@
     };
     std::map<std::string, known_node, std::less<>> m_nodes; ///< By key.
     std::vector<share_record> m_shareRecords;
+    std::vector<service_version> m_recordedVersions;
     std::unique_ptr<store_watchers> m_watchers; ///< Entries that follow the store.
     loop_ticker m_ticker;
     steady_time m_lastSync;
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -379,11 +379,16 @@
     const auto now = std::chrono::steady_clock::now();
     std::map<std::string, known_node, std::less<>> next;
     m_shareRecords.clear();
+    m_recordedVersions.clear();
     for (const auto& entry : mirror.section().entries) {
         if (entry.key().starts_with(sharesPrefix)) {
             addShareRecord(entry);
             continue;
         }
+        if (entry.key().starts_with(versionsPrefix)) {
+            addVersionRecord(entry);
+            continue;
+        }
         const auto known = m_nodes.find(entry.key());
         const std::string key(entry.key());
         if (known != m_nodes.end() && known->second.revision == entry.revision())
@@ -414,6 +419,15 @@
             { { "message", share.error().message } });
 }
 
+void fleet_watch::addVersionRecord(const section_entry& entry)
+{
+    if (auto version = decodeVersion(entry.value()))
+        m_recordedVersions.push_back(std::move(version.value()));
+    else
+        logEvent(log_level::error, "cannot decode version record; ignoring it",
+            { { "key", entry.key() }, { "message", version.error().message } });
+}
+
 void fleet_watch::notifyNodes()
 {
     m_watchers->choose(nodes(node_role::entry));
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -83,6 +83,11 @@
     /// The first event of a stream is about to be passed on. The stream can be resumed for `validFor` at
     /// most.
     virtual void record(const stream_origin& origin, milliseconds validFor) = 0;
+    /// The software version at which a stream of the service must begin, because it could not be resumed
+    /// safely at another one; unset if that of the granted target will do, or, before a slot is granted, any.
+    virtual std::optional<std::string> versionToBegin(
+        const std::string& service, const std::optional<std::string>& granted)
+        = 0;
     /// Looks up where a stream began. `done` is called exactly once, asynchronously and within 200 ms, unless
     /// the returned object is destroyed before. A failure says whether it is worthwhile to try again.
     virtual std::shared_ptr<origin_lookup> find(
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -269,6 +269,7 @@
     {
         const auto entries = m_fleet.nodes(node_role::entry);
         m_broker.setDispatchers(dispatchersAmong(entries));
+        m_versions.setRecorded(m_fleet.recordedVersions());
         setLimitMembers();
         prepareGroups(std::chrono::steady_clock::now());
         // Renews the registration left by an earlier start of this process, since others may rely on it.
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -96,7 +96,8 @@
     bool streaming() const { return m_route.kind == request_kind::streaming; }
 
     /// Whether the caller has received a part of the stream with an earlier request.
-    bool resumesStream() const { return streaming() && m_route.retryable() && m_facts.lastEvent.has_value(); }
+    bool resumesStream() const { return canBeResumed() && m_facts.lastEvent.has_value(); }
+    bool canBeResumed() const { return streaming() && m_route.retryable(); }
 
     // --- Software versions
 
@@ -129,6 +130,14 @@
         acquireSlot();
     }
 
+    /// The version at which the stream must begin; unset if it has begun, or if the granted one will do.
+    std::optional<std::string> versionToBegin(const std::optional<std::string>& granted) const
+    {
+        if (m_origin || !canBeResumed() || !m_services.origins)
+            return std::nullopt;
+        return m_services.origins->versionToBegin(m_service, granted);
+    }
+
     /// The target has sent an event that is about to be passed on: from now on only targets of its software
     /// version can continue the stream.
     void recordOrigin()
@@ -250,13 +259,18 @@
     // --- Acquiring a slot
 
     void acquireSlot()
+    {
+        m_service = m_origin ? m_origin->service : m_route.pickService(std::hash<std::string> {}(streamId()));
+        acquireSlot(versionToBegin(std::nullopt));
+    }
+
+    /// `beginAt`: the version at which the stream must begin; unset if any will do.
+    void acquireSlot(std::optional<std::string> beginAt)
     {
         slot_requirements wanted;
         wanted.requestId = m_facts.id;
-        m_service = m_origin ? m_origin->service : m_route.pickService(std::hash<std::string> {}(streamId()));
         wanted.service = m_service;
-        if (m_origin)
-            wanted.version = m_origin->version;
+        wanted.version = m_origin ? std::optional(m_origin->version) : std::move(beginAt);
         wanted.customer = m_callerIdentity.customer ? m_callerIdentity.customer->name : m_route.name;
         if (m_callerIdentity.customer)
             wanted.weight = m_table->customers.weightOf(*m_callerIdentity.customer);
@@ -334,6 +348,11 @@
             m_services.slots.release(found.value(), { grant_outcome::unused });
             return;
         }
+        // A dispatcher may know a target of a new version before this process does.
+        if (auto needed = found.value().version ? versionToBegin(found.value().version) : std::nullopt) {
+            m_services.slots.release(found.value(), { grant_outcome::unused });
+            return acquireSlot(std::move(needed));
+        }
         // The earlier run is cancelled before the next one begins, so that only one target works on a
         // request.
         if (m_call) {
--- a/libs/front/src/origin_finder.h
+++ b/libs/front/src/origin_finder.h
@@ -19,6 +19,11 @@
     }
 
     void record(const stream_origin& origin, milliseconds validFor) override;
+    std::optional<std::string> versionToBegin(
+        const std::string& service, const std::optional<std::string>& granted) override
+    {
+        return m_versions.versionToBegin(service, granted);
+    }
     std::shared_ptr<origin_lookup> find(
         const origin_query& query, std::function<void(result<stream_origin>)> done) override;
 
--- a/libs/front/src/version_registry.cpp
+++ b/libs/front/src/version_registry.cpp
@@ -2,7 +2,6 @@
 
 #include "logging/logging.h"
 
-#include <cctype>
 #include <set>
 #include <utility>
 
@@ -10,49 +9,14 @@
 
 namespace {
 
-constexpr std::string_view recordsPrefix = "yuccachute/service-version/";
 /// Longer than any stream lasts, so that no stream of an unrecorded version can still be resumed.
 constexpr std::chrono::seconds recordRetention { 60 };
 
-/// Versions and names of services may contain any character and be long, keys cannot.
-std::string encodeName(std::string_view name)
+/// A record that cannot be decoded counts as one of another version.
+service_version readValue(std::string_view value)
 {
-    std::string encoded;
-    for (const unsigned char letter : name) {
-        constexpr std::string_view digits = "0123456789abcdef";
-        if (std::isalnum(letter) || letter == '.' || letter == '-') {
-            encoded += static_cast<char>(letter);
-            continue;
-        }
-        encoded += '_';
-        encoded += digits[letter >> 4];
-        encoded += digits[letter & 15];
-    }
-    return encoded;
-}
-
-std::string servicePrefix(std::string_view service)
-{
-    return std::string(recordsPrefix) + encodeName(service) + '/';
-}
-
-std::string keyOf(const version_history::service_version& named)
-{
-    return servicePrefix(named.service) + encodeName(named.version);
-}
-
-/// The value holds both names, one per line.
-std::string valueOf(const version_history::service_version& named)
-{
-    return named.service + '\n' + named.version;
-}
-
-version_history::service_version readValue(std::string_view value)
-{
-    const auto end = value.find('\n');
-    if (end == std::string_view::npos)
-        return { std::string(value), "" };
-    return { std::string(value.substr(0, end)), std::string(value.substr(end + 1)) };
+    auto decoded = decodeVersion(value);
+    return decoded ? std::move(decoded.value()) : service_version { std::string(value), "" };
 }
 
 } // namespace
@@ -66,6 +30,46 @@
         else if (!record.unlistedSince)
             record.unlistedSince = now;
     }
+    updateListedVersions();
+}
+
+void version_registry::setRecorded(std::span<const service_version> recorded)
+{
+    m_recorded = { recorded.begin(), recorded.end() };
+    updateListedVersions();
+}
+
+void version_registry::updateListedVersions()
+{
+    std::map<std::string, listed_versions> versions;
+    for (const auto& listed : m_listed.allListed()) {
+        auto& known = versions[listed.service];
+        if (!m_recorded.contains(listed))
+            known.anyUnrecorded = true;
+        else if (m_listed.acceptsRequests(listed))
+            known.recorded.push_back(listed.version);
+    }
+    for (const auto& [service, known] : versions) {
+        const auto former = m_listedVersions.find(service);
+        const bool restricted = former != m_listedVersions.end() && former->second.restricted();
+        if (known.restricted() != restricted)
+            logEvent(log_level::info,
+                known.restricted() ? "streams begin at recorded software versions only"
+                                   : "streams begin at any software version",
+                { { "service", service }, { "recorded", static_cast<std::int64_t>(known.recorded.size()) } });
+    }
+    m_listedVersions = std::move(versions);
+}
+
+std::optional<std::string> version_registry::versionToBegin(
+    const std::string& service, const std::optional<std::string>& granted)
+{
+    const auto found = m_listedVersions.find(service);
+    if (found == m_listedVersions.end() || found->second.recorded.empty())
+        return std::nullopt;
+    const auto& [recorded, anyUnrecorded] = found->second;
+    const bool anyWillDo = granted ? m_recorded.contains({ service, *granted }) : !anyUnrecorded;
+    return anyWillDo ? std::nullopt : std::optional(recorded[m_turn++ % recorded.size()]);
 }
 
 void version_registry::update(steady_time now)
@@ -99,7 +103,7 @@
 {
     if (std::exchange(m_loaded, load_state::loading) == load_state::loading)
         return;
-    m_store.list(recordsPrefix, [this, alive = std::weak_ptr(m_alive)](result<store_listing> listing) {
+    m_store.list(versionsPrefix, [this, alive = std::weak_ptr(m_alive)](result<store_listing> listing) {
         if (alive.expired())
             return;
         m_loaded = listing ? load_state::loaded : load_state::unknown;
@@ -115,9 +119,9 @@
 {
     m_records[listed].busy = true;
     store_transaction transaction;
-    const auto key = keyOf(listed);
+    const auto key = versionKey(listed);
     transaction.conditions.push_back({ store_condition::kind::absent, key, 0 });
-    transaction.writes.push_back({ key, valueOf(listed), 0 });
+    transaction.writes.push_back({ key, encodeVersion(listed), 0 });
     m_store.commit(
         transaction, [this, alive = std::weak_ptr(m_alive), listed](result<commit_outcome> outcome) {
             if (alive.expired())
@@ -138,7 +142,7 @@
     auto& record = m_records[unlisted];
     record.busy = true;
     store_transaction transaction;
-    const auto key = keyOf(unlisted);
+    const auto key = versionKey(unlisted);
     // Another process may have removed the record, and written it again for a target that was listed since.
     transaction.conditions.push_back({ store_condition::kind::mod_revision, key, record.revision });
     transaction.removals.push_back({ key, false });
@@ -169,7 +173,7 @@
 {
     auto& reads = m_reads[service];
     reads.current = std::exchange(reads.next, {});
-    m_store.list(servicePrefix(service),
+    m_store.list(versionsPrefixOf(service),
         [this, alive = std::weak_ptr(m_alive), service](result<store_listing> listing) {
             if (alive.expired())
                 return;
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -196,6 +196,12 @@
 public:
     struct lookup : origin_lookup { };
     void record(const stream_origin& origin, milliseconds) override { recorded.push_back(origin); }
+    std::optional<std::string> versionToBegin(
+        const std::string&, const std::optional<std::string>& granted) override
+    {
+        const auto found = versionsToBegin.find(granted.value_or(""));
+        return found == versionsToBegin.end() ? std::nullopt : std::optional(found->second);
+    }
     std::shared_ptr<origin_lookup> find(
         const origin_query& query, std::function<void(result<stream_origin>)> done) override
     {
@@ -205,6 +211,7 @@
     }
 
     std::vector<stream_origin> recorded;
+    std::map<std::string, std::string> versionsToBegin; ///< By granted version; "" before a grant.
     std::string asked;
     std::function<void(result<stream_origin>)> answer;
 };
@@ -740,6 +747,35 @@
     CHECK(deadlineFirst.slots.last.age.count() == 0);
 }
 
+// Guards against streams that begin at a version whose record the store has lost, and are continued at
+// another version after all entries were killed.
+TEST_CASE("a stream that may be resumed begins at the version that its process requires")
+{
+    fixture f;
+    f.origins.versionsToBegin = { { "v2", "v1" } };
+    CHECK(!f.slots.last.version);
+    f.slots.grant("t2", "v2"); // Of a target that this process does not know yet.
+    CHECK(f.slots.released == "t2:4 ");
+    CHECK(f.targets.sent.empty());
+    CHECK(f.slots.last.version == "v1");
+    f.slots.grant("t1", "v1");
+    CHECK(f.targets.sent == "t1@ ");
+    f.targets.head(200);
+    f.targets.body(event(1));
+    CHECK(f.origins.recorded == std::vector<stream_origin> { { "id", "service", "v1" } });
+}
+
+TEST_CASE("a request that cannot be resumed runs at any version")
+{
+    for (const auto kind : { request_kind::streaming, request_kind::safe }) {
+        fixture f(kind, false);
+        f.origins.versionsToBegin = { { "", "v1" }, { "v2", "v1" } };
+        f.slots.grant("t2", "v2");
+        CHECK(!f.slots.last.version);
+        CHECK(f.targets.sent == "t2@ ");
+    }
+}
+
 // Guards against a failover within one response to a target of another software version.
 TEST_CASE("after its first event a stream is bound to the software version that sent it")
 {
--- a/libs/front/tests/test_version_registry.cpp
+++ b/libs/front/tests/test_version_registry.cpp
@@ -181,8 +181,8 @@
             "llm", [&](const auto& only) { found.push_back(only.value().value_or("-")); });
     };
     ask();
-    store.values["yuccachute/service-version/llm/v2"]
-        = { "yuccachute/service-version/llm/v2", "llm\nv2", 9, 9, 0 };
+    const service_version another { "llm", "v2" };
+    store.values[versionKey(another)] = { versionKey(another), encodeVersion(another), 9, 9, 0 };
     ask();
     ask();
     store.answerAll();
@@ -200,3 +200,57 @@
     store.down = true;
     CHECK(onlyVersion(registry) == "?");
 }
+
+// Guards against streams that begin at a version whose record the store has lost, and are continued at
+// another version after all entries were killed.
+TEST_CASE("streams begin at recorded versions while targets of one accept requests")
+{
+    held_store store;
+    version_registry registry(store);
+    listTarget(registry, "t1", "v1", start);
+    CHECK(!registry.versionToBegin("llm", std::nullopt)); // None is recorded.
+    CHECK(!registry.versionToBegin("llm", "v1"));
+    const std::vector<service_version> recorded { { "llm", "v1" }, { "other", "v2" } };
+    registry.setRecorded(recorded);
+    CHECK(!registry.versionToBegin("llm", std::nullopt)); // All are recorded.
+    CHECK(registry.versionToBegin("llm", "v2") == "v1"); // Of a target that is not listed here yet.
+    listTarget(registry, "t2", "v2", start);
+    CHECK(registry.versionToBegin("llm", std::nullopt) == "v1");
+    CHECK(registry.versionToBegin("llm", "v2") == "v1");
+    CHECK(!registry.versionToBegin("llm", "v1"));
+    CHECK(!registry.versionToBegin("other", "v2"));
+}
+
+TEST_CASE("streams begin at unrecorded versions if no target of a recorded one accepts requests")
+{
+    held_store store;
+    version_registry registry(store);
+    listTarget(registry, "t1", "v1", start);
+    listTarget(registry, "t2", "v2", start);
+    const std::vector<service_version> recorded { { "llm", "v1" } };
+    registry.setRecorded(recorded);
+    REQUIRE(registry.versionToBegin("llm", "v2") == "v1");
+    auto draining = std::make_shared<listed_target>(*targetOf("t1", "v1"));
+    draining->draining = true;
+    const std::vector<target_change> drains { { targetOf("t1", "v1"), draining } };
+    registry.targetsChanged(drains, start);
+    CHECK(!registry.versionToBegin("llm", std::nullopt));
+    CHECK(!registry.versionToBegin("llm", "v2"));
+    const std::vector<target_change> leaves { { draining, nullptr } };
+    registry.targetsChanged(leaves, start);
+    CHECK(!registry.versionToBegin("llm", "v2"));
+}
+
+TEST_CASE("streams are distributed among recorded versions")
+{
+    held_store store;
+    version_registry registry(store);
+    for (const auto* version : { "v1", "v2", "v3" })
+        listTarget(registry, std::string("t-") + version, version, start);
+    const std::vector<service_version> recorded { { "llm", "v1" }, { "llm", "v2" } };
+    registry.setRecorded(recorded);
+    std::map<std::string, int> begun;
+    for (int i = 0; i < 10; ++i)
+        ++begun[registry.versionToBegin("llm", std::nullopt).value()];
+    CHECK(begun == std::map<std::string, int> { { "v1", 5 }, { "v2", 5 } });
+}
--- a/libs/origins/include/origins/origins.h
+++ b/libs/origins/include/origins/origins.h
@@ -70,28 +70,33 @@
 /// Combines what several processes know; those without evidence do not count.
 version_evidence combine(const version_evidence& left, const version_evidence& right);
 
+/// A software version that a service has.
+struct service_version {
+    std::string service;
+    std::string version;
+
+    bool operator==(const service_version&) const = default;
+    bool operator<(const service_version& other) const
+    {
+        return std::tie(service, version) < std::tie(other.service, other.version);
+    }
+};
+
 /// The software versions of targets that are listed, or have been lately.
 class version_history {
 public:
-    struct service_version {
-        std::string service;
-        std::string version;
-
-        bool operator<(const service_version& other) const
-        {
-            return std::tie(service, version) < std::tie(other.service, other.version);
-        }
-    };
-
     /// `complete`: the list contains all targets. Before that, and without any target, there is no evidence.
     void apply(std::span<const target_change> changes, bool complete, steady_time now);
     bool listed(const service_version& named) const;
+    /// Whether a target of this version is listed that is not draining.
+    bool acceptsRequests(const service_version& named) const;
     std::vector<service_version> allListed() const;
     version_evidence evidence(std::string_view service, milliseconds lookback, steady_time now) const;
 
 private:
     struct entry {
         std::size_t targets = 0;
+        std::size_t draining = 0; ///< Of these targets.
         steady_time lastListed; ///< Without targets.
     };
 
--- a/libs/origins/src/version_history.cpp
+++ b/libs/origins/src/version_history.cpp
@@ -24,12 +24,16 @@
 void version_history::apply(std::span<const target_change> changes, bool complete, steady_time now)
 {
     for (const auto& [before, after, released] : changes) {
-        if (after)
-            ++m_entries[{ after->service, after->version }].targets;
+        if (after) {
+            auto& joined = m_entries[{ after->service, after->version }];
+            ++joined.targets;
+            joined.draining += after->draining ? 1 : 0;
+        }
         if (!before)
             continue;
         auto& left = m_entries[{ before->service, before->version }];
         left.targets -= left.targets > 0 ? 1 : 0;
+        left.draining -= before->draining && left.draining > 0 ? 1 : 0;
         left.lastListed = now;
     }
     if (!complete || m_entries.empty())
@@ -47,7 +51,13 @@
     return found != m_entries.end() && found->second.targets > 0;
 }
 
-std::vector<version_history::service_version> version_history::allListed() const
+bool version_history::acceptsRequests(const service_version& named) const
+{
+    const auto found = m_entries.find(named);
+    return found != m_entries.end() && found->second.targets > found->second.draining;
+}
+
+std::vector<service_version> version_history::allListed() const
 {
     std::vector<service_version> all;
     for (const auto& [named, entry] : m_entries) {
