A target that this process does not list yet is not taken for one that has been replaced

Cause: the entry's list was 0.4 s older than that of the dispatcher that chose the target. It had the start before at the same address and no entry of the asked one, which counted as proof that the asked one had left, although the target itself had answered that it runs. Change: the list refutes a target without an entry only if it has had one that was removed.

--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -119,7 +119,9 @@
     /// to them.
     void awaitRestart(const executing_target& target, callback done);
     /// Whether the target list shows that a later start has taken the target's address. If it does not, the
-    /// target may still have terminated: a crash appears in the list seconds later.
+    /// target may still have terminated: a crash appears in the list seconds later. A target that has not
+    /// been listed here yet is not replaced by the one before it: the dispatcher that chose it may have a
+    /// newer list.
     bool replaced(const executing_target& target) const;
 
 private:
@@ -140,6 +142,7 @@
     void probed(const std::string& target, target_state state);
     void finish(pending_check_list::iterator one, bool terminated);
     bool hasRestarted(pending_check& one, std::span<const target_change> changes) const;
+    void recordRemovals(std::span<const target_change> changes, steady_time now);
     void expire(steady_time now);
     void armExpiryTimer();
 
@@ -147,6 +150,7 @@
     liveness_probe m_probe;
     milliseconds m_listTimeout;
     const target_directory* m_targets = nullptr;
+    std::map<std::string, steady_time, std::less<>> m_removed; ///< Ids of targets that have left the list.
     pending_check_list m_pendingChecks;
     loop_timer m_expiryTimer; ///< The target list may not change for a long time.
 };
--- a/libs/guard/src/termination_check.cpp
+++ b/libs/guard/src/termination_check.cpp
@@ -11,6 +11,8 @@
 
 /// Delay before a check that is over is looked at again while its probe is under way.
 constexpr milliseconds minExpiryInterval { 100 };
+/// Longer than a response lasts that began before its target left the list.
+constexpr std::chrono::seconds removalRetention { 120 };
 
 } // namespace
 
@@ -26,6 +28,7 @@
     const target_directory& targets, std::span<const target_change> changes, steady_time now)
 {
     m_targets = &targets;
+    recordRemovals(changes, now);
     for (auto one = m_pendingChecks.begin(); one != m_pendingChecks.end();) {
         const auto next = std::next(one);
         if (hasRestarted(*one, changes))
@@ -59,18 +62,30 @@
     begin(target, std::move(done));
 }
 
+void termination_check::recordRemovals(std::span<const target_change> changes, steady_time now)
+{
+    for (const auto& [before, after, released] : changes) {
+        if (after)
+            m_removed.erase(after->id);
+        else if (before && !released)
+            m_removed[before->id] = now;
+    }
+    std::erase_if(m_removed, [now](const auto& entry) { return now - entry.second > removalRetention; });
+}
+
 bool termination_check::replaced(const executing_target& target) const
 {
     if (!m_targets)
         return false;
     const auto* own = m_targets->find(target.id);
+    const bool comparable = own ? own->started != 0 : m_removed.contains(target.id);
+    if (!comparable)
+        return false;
     const auto& all = m_targets->targets();
     return std::any_of(all.begin(), all.end(), [&](const auto& entry) {
         const auto& other = *entry.second;
-        if (other.address != target.address || other.id == target.id)
-            return false;
-        // The entry of an earlier start stays in the list for several seconds.
-        return own ? own->started != 0 && other.started > own->started : !m_targets->partial();
+        return other.address == target.address && other.id != target.id
+            && (!own || other.started > own->started);
     });
 }
 
