A target does not count as terminated because an earlier start is still listed at its address

What callers would see: sound requests refused with 429. A target aborts a response and is then silent for the probe, so that the list of targets decides. The entry of the start before it stays in the list for some four seconds, and any other id at the address counted as a restart: the request got a strike though its target ran.

Cause: the check of aborted responses compared ids alone, while the check of answers that end with their connection compares the times of the starts. Change: both do, where both times are known. The new unit test fails before the change.

--- a/libs/guard/include/guard/guard.h
+++ b/libs/guard/include/guard/guard.h
@@ -128,6 +128,7 @@
     struct pending_check {
         std::string target;
         std::string address;
+        std::int64_t started = 0; ///< As listed; 0 if unknown.
         steady_time until; ///< When to stop waiting for the target list.
         std::vector<callback> callbacks;
         bool probing = false; ///< A load report has been requested from the target.
--- a/libs/guard/src/termination_check.cpp
+++ b/libs/guard/src/termination_check.cpp
@@ -14,6 +14,14 @@
 /// Longer than a response lasts that began before its target left the list.
 constexpr std::chrono::seconds removalRetention { 120 };
 
+/// Whether a target that is listed at the address of another one may be a later start of it. The entry of an
+/// earlier start stays in the list for several seconds.
+bool mayBeLaterStart(const listed_target& listed, std::string_view id, std::int64_t started)
+{
+    const bool startsKnown = listed.started != 0 && started != 0;
+    return listed.id != id && (!startsKnown || listed.started > started);
+}
+
 } // namespace
 
 termination_check::termination_check(event_loop& loop, load_report_source& loads, milliseconds listTimeout)
@@ -41,7 +49,7 @@
 bool termination_check::hasRestarted(pending_check& one, std::span<const target_change> changes) const
 {
     const auto successor = [&](const target_ptr& listed) {
-        return listed && listed->address == one.address && listed->id != one.target;
+        return listed && listed->address == one.address && mayBeLaterStart(*listed, one.target, one.started);
     };
     if (std::exchange(one.comparedWithFullList, true))
         return std::any_of(
@@ -103,8 +111,8 @@
     auto one = std::find_if(m_pendingChecks.begin(), m_pendingChecks.end(),
         [&](const auto& other) { return other.target == target.id; });
     if (one == m_pendingChecks.end()) {
-        m_pendingChecks.push_back(
-            { target.id, listed ? listed->address : target.address, {}, {}, false, false });
+        m_pendingChecks.push_back({ target.id, listed ? listed->address : target.address,
+            listed ? listed->started : 0, {}, {}, false, false });
         one = std::prev(m_pendingChecks.end());
     }
     one->until = now + m_listTimeout;
--- a/libs/guard/tests/test_termination_check.cpp
+++ b/libs/guard/tests/test_termination_check.cpp
@@ -144,6 +144,26 @@
     CHECK(!f.check.replaced({ "t1", "a1" }));
 }
 
+// Guards against sound requests that count as the cause of a crash: their target aborted a response and runs,
+// and the entry of the start before it is still listed at its address.
+TEST_CASE("a target has not terminated because an earlier start is still listed at its address")
+{
+    fixture f;
+    auto earlier = listedAt("t1", "a1");
+    auto later = listedAt("t1b", "a1");
+    earlier.started = 5;
+    later.started = 6;
+    f.list({ earlier, later });
+    f.examine("t1b");
+    f.loads.answer(mayHaveRun(failure_kind::timeout, "silent"));
+    f.list({ earlier, later, listedAt("t9", "a9") });
+    CHECK(f.found.empty());
+    auto next = listedAt("t1c", "a1");
+    next.started = 7;
+    f.list({ later, next });
+    CHECK(f.found == "ended ");
+}
+
 // Guards against a request that crashes one target after the other because the entry's slice of the target
 // list does not contain them.
 TEST_CASE("the termination of a target that this process does not list is detected at its address")
