Only calls to the store close idle connections after a timeout

A load report that is late by 250 ms, or an item without an event for 700 ms, closed the idle connections to a busy target, so that the requests that followed had to connect anew. The store answers within 300 ms when it is slow, so that 1.5 s without a byte say something about its connections; a busy target may take longer.

--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -223,6 +223,10 @@
     /// Then, or if the connection ends before a byte, the request is sent once more over a new connection.
     /// Only for requests that may run twice. 0: none.
     milliseconds reuseTimeout { 0 };
+    /// If the call times out without a byte of the response, idle connections to the address may have gone
+    /// silent as well and are closed. For peers that always respond sooner: a busy one would lose its
+    /// connections just when it is busy.
+    bool closesSilentConnections = false;
     /// Id that the peer echoes in its response. An idle connection that has carried a request with this id is
     /// not reused: a second response to that one would be taken for the response to this one. Empty: none.
     std::string answerId;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -572,7 +572,7 @@
 
     void failTimedOut(std::string message)
     {
-        if (!m_ended && m_sendStarted && m_received == 0)
+        if (!m_ended && m_sendStarted && m_received == 0 && m_options.closesSilentConnections)
             m_owner->closeIdleSince(m_address, m_sentAt);
         fail(failure_kind::timeout, std::move(message));
     }
