The write of a registration is executed only if the record has not changed

Cause: a process whose write gets no answer takes another lease and writes its record again. The first write had no condition; executed later, it tied the record to the first lease, which ended and took the record with it, while renewals of the second lease succeeded. Change: the write names the last known revision of the record, so that a write that has been replaced is not executed. If the record has changed, the process writes again with the revision that the store tells.

--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -123,6 +123,7 @@
     timing m_intervals;
     loop_timer m_timer;
     std::int64_t m_lease = 0;
+    std::int64_t m_revision = 0; ///< Of the record as it was last seen; 0 if it did not exist.
     steady_time m_lastConfirmed;
     std::uint64_t m_generation = 0;
     unsigned m_failures = 0;
--- a/libs/fleet/src/registration.cpp
+++ b/libs/fleet/src/registration.cpp
@@ -52,6 +52,11 @@
     if (m_leaseEnded)
         return;
     store_transaction transaction;
+    // A write without an answer may be executed after the one that replaces it, and would tie the record to a
+    // lease that nobody renews.
+    const auto unchanged
+        = m_revision == 0 ? store_condition::kind::absent : store_condition::kind::mod_revision;
+    transaction.conditions.push_back({ unchanged, nodeKey(m_self), m_revision });
     transaction.writes.push_back({ nodeKey(m_self), encodeNode(m_self), m_lease });
     if (m_self.role == node_role::entry && m_self.leaving)
         transaction.removals.push_back({ shareKey(m_self.vm), false });
@@ -63,6 +68,12 @@
         // Whatever failed, it is safe to start over with a new lease; the old one lapses.
         if (!outcome)
             return scheduleStep(initialRetryDelay, &registration::grant);
+        const auto& [applied, revision, found] = outcome.value();
+        if (!applied) {
+            m_revision = found.empty() ? 0 : found.front().modRevision;
+            return write();
+        }
+        m_revision = revision;
         logEvent(log_level::info, "registered", { { "key", nodeKey(m_self) }, { "lease", m_lease } });
         m_lastConfirmed = sent;
         scheduleStep(m_intervals.renewalInterval, &registration::renew);
@@ -79,6 +90,7 @@
         }
         if (renewed.error().kind == failure_kind::not_found) {
             logEvent(log_level::warning, "registration lapsed", { { "key", nodeKey(m_self) } });
+            m_revision = 0;
             return scheduleStep(milliseconds { 0 }, &registration::grant);
         }
         scheduleStep(std::min(m_intervals.renewalInterval / 2, maxRetryDelay), &registration::renew);
