The soak uses the clock of the tests' support; three comments in plain terms

Cause: reading the change again. The move of steadyMs() to the support library left a twin in the soak, which links that library; three new comments used figurative words.

No product code changes but for a comment.

--- a/libs/fleet/src/registration.cpp
+++ b/libs/fleet/src/registration.cpp
@@ -53,7 +53,7 @@
         return;
     store_transaction transaction;
     // A write without an answer may be executed after the one that replaces it, and would tie the record to a
-    // lease that nobody renews.
+    // lease that is not renewed.
     const auto unchanged
         = m_revision == 0 ? store_condition::kind::absent : store_condition::kind::mod_revision;
     transaction.conditions.push_back({ unchanged, nodeKey(m_self), m_revision });
--- a/libs/fleet/tests/test_registration.cpp
+++ b/libs/fleet/tests/test_registration.cpp
@@ -77,8 +77,8 @@
 
 } // namespace
 
-// Guards against a process that nobody lists any more although it runs: its first write was executed late and
-// tied its record to a lease that ends.
+// Guards against a running process whose registration is gone for good: its first write was executed late and
+// tied the record to a lease that ends.
 TEST_CASE("a write that is executed late does not replace the record of a newer lease")
 {
     event_loop loop;
--- a/tests/failures_silent_connections.cpp
+++ b/tests/failures_silent_connections.cpp
@@ -73,7 +73,7 @@
 } // namespace
 
 // Guards against requests to targets that have left, by processes whose connections to the store went silent:
-// neither the waiting call nor the next calls over idle connections tell them.
+// neither the waiting call nor the next calls over idle connections are answered.
 TEST_CASE("a target that leaves gets no request late after all connections to the store went silent")
 {
     platform_system system(proxiedZones());
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -3,7 +3,6 @@
 #include "resuming_caller.h"
 
 #include <algorithm>
-#include <chrono>
 #include <set>
 
 namespace yuccachute::soak {
@@ -27,12 +26,6 @@
 
 } // namespace
 
-std::int64_t steadyMs()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 void disturbance_log::begin(const std::string& part, std::int64_t now)
 {
     const std::scoped_lock lock(m_mutex);
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -11,8 +11,7 @@
 /// What a soak's callers saw, when what was disturbed, and which promises were broken. Thread-safe.
 namespace yuccachute::soak {
 
-/// Milliseconds of the steady clock, which all processes of a machine share.
-std::int64_t steadyMs();
+using testing::steadyMs;
 
 /// When parts of the system were disturbed. A part is a process by its VM's name, "store", or
 /// "server-NUMBER".
