--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -117,6 +117,7 @@
     struct open_jobs {
         std::vector<open_job> jobs;
         std::int64_t revision = 0; ///< Store revision of the listing; jobs created later are missing from it.
+        unsigned repeatedCalls = 0;
     };
 
     /// `valueBytes` is the size limit of a value in the store.
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -60,7 +60,8 @@
     m_loop.onSignals({ SIGTERM, SIGINT, SIGHUP }, [this](int signal) { handleSignal(signal); });
     logEvent(log_level::info, "started",
         { { "address", m_self.address }, { "store", m_settings.store }, { "zone", m_settings.zone },
-            { "incarnation", static_cast<std::int64_t>(m_self.incarnation) } });
+            { "incarnation", static_cast<std::int64_t>(m_self.incarnation) },
+            { "revision", buildRevision() } });
     m_loop.run();
     return 0;
 }
--- a/libs/bulk_process/src/item_run.cpp
+++ b/libs/bulk_process/src/item_run.cpp
@@ -132,7 +132,7 @@
             m_maxOutputTokens = facts.value().maxOutputTokens;
         m_call = m_services.targets.start(m_slot->address,
             m_services.callers.forTarget(m_request.request, envelope), options, std::move(events));
-        m_events.slotGranted();
+        m_events.sent();
     }
 
     bool receiveBody(std::string_view piece)
--- a/libs/bulk_process/src/item_run.h
+++ b/libs/bulk_process/src/item_run.h
@@ -17,8 +17,9 @@
 struct item_run_events {
     /// Why the item may no longer be sent to its service, asked when the slot is granted; empty if it may.
     std::function<std::string_view()> reasonNotToSend;
-    /// The run was granted its slot. Called at most once, and never from within runItem().
-    std::function<void()> slotGranted;
+    /// The run was granted its slot, and the item has been sent to its target. Called at most once, and never
+    /// from within runItem().
+    std::function<void()> sent;
     /// An event of the item's stream was received. Returning false aborts the run.
     std::function<bool(std::optional<std::uint64_t> id, std::string data)> event;
     std::function<void(run_outcome outcome, std::string_view reason)> finished;
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -159,6 +159,7 @@
             outdated = true;
     }
     logWaitingJobs(uncertain);
+    logUnconfirmedSends();
     if (outdated)
         m_fleet.requestConfiguration(now());
     std::sort(order.begin(), order.end(), [this, time = now()](const auto* left, const auto* right) {
@@ -194,6 +195,33 @@
         m_metrics.count("yuccachute_item_waits_total", "reason", "job not confirmed");
 }
 
+void bulk_process::logUnconfirmedSends()
+{
+    if (std::exchange(m_sendsUnconfirmed, m_scan.sendsUnconfirmed()) == m_sendsUnconfirmed)
+        return;
+    logEvent(m_sendsUnconfirmed ? log_level::warning : log_level::info,
+        m_sendsUnconfirmed ? "items are sent without confirmation of their jobs: the store cannot be reached"
+                           : "items are sent only of confirmed jobs again",
+        { { "jobs", static_cast<std::int64_t>(m_jobs.size()) },
+            { "listing_age_ms", m_scan.listedAt() ? msSince(*m_scan.listedAt()) : -1 },
+            { "store_silent_ms", m_fleet.storeSilence(now()).count() } });
+}
+
+void bulk_process::logSentItem(const std::string& id, std::uint32_t index) const
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return;
+    const auto& held = found->second;
+    const auto run = held.runs.find(index);
+    logEvent(log_level::info, "item sent",
+        { { "job", id }, { "item", held.job->record().items[index].id },
+            { "target", run == held.runs.end() ? std::string_view() : run->second->target() },
+            { "open_age_ms", msSince(held.openAt) },
+            { "store_silent_ms", m_fleet.storeSilence(now()).count() },
+            { "unconfirmed", std::int64_t { m_scan.sendsUnconfirmed() } } });
+}
+
 bool bulk_process::willMissDeadline(const bulk_job& job, std::size_t produced, steady_time time) const
 {
     const double left = m_meanRunMs - static_cast<double>(produced) * m_meanEventMs;
@@ -311,7 +339,8 @@
     item_run_events events;
     events.reasonNotToSend
         = [this, id, index, service = placement.service] { return reasonNotToSend(id, index, service); };
-    events.slotGranted = [this] {
+    events.sent = [this, id, index] {
+        logSentItem(id, index);
         m_lastSlotGranted = now();
         startRuns();
     };
--- a/libs/bulk_process/src/job_takeover.cpp
+++ b/libs/bulk_process/src/job_takeover.cpp
@@ -14,6 +14,7 @@
                 return logFailedScan(open.error());
             }
             m_scan.succeeded();
+            logListing(open.value());
             m_admission.updateListing(open.value(), now());
             reconcile(open.value(), m_scan.requestedAt());
             // A frozen process may register again while it still believes that it holds jobs that others have
@@ -24,16 +25,30 @@
 
 void bulk_process::logFailedScan(const failure& error) const
 {
-    const auto time = bootClockNow();
-    const auto since
-        = [time](steady_time from) { return std::chrono::duration_cast<milliseconds>(time - from); };
     logEvent(log_level::warning, "open jobs could not be listed",
-        { { "jobs", static_cast<std::int64_t>(m_jobs.size()) },
-            { "took_ms", since(m_scan.requestedAt()).count() },
-            { "listing_age_ms", m_scan.listedAt() ? since(*m_scan.listedAt()).count() : -1 },
+        { { "jobs", static_cast<std::int64_t>(m_jobs.size()) }, { "took_ms", msSince(m_scan.requestedAt()) },
+            { "listing_age_ms", m_scan.listedAt() ? msSince(*m_scan.listedAt()) : -1 },
+            { "kind", toString(error.kind) }, { "store_silent_ms", m_fleet.storeSilence(now()).count() },
             { "message", error.message } });
 }
 
+void bulk_process::logListing(const bulk_job_store::open_jobs& open) const
+{
+    if (m_jobs.empty())
+        return;
+    logEvent(log_level::info, "open jobs listed",
+        { { "held", static_cast<std::int64_t>(m_jobs.size()) },
+            { "open", static_cast<std::int64_t>(open.jobs.size()) },
+            { "took_ms", msSince(m_scan.requestedAt()) },
+            { "repeated_calls", static_cast<std::int64_t>(open.repeatedCalls) },
+            { "revision", open.revision } });
+}
+
+std::int64_t bulk_process::msSince(steady_time bootTime)
+{
+    return std::chrono::duration_cast<milliseconds>(bootClockNow() - bootTime).count();
+}
+
 void bulk_process::reconcile(const bulk_job_store::open_jobs& open, steady_time requestedAt)
 {
     std::set<std::string, std::less<>> listed;
--- a/libs/bulk_process/src/open_job_scan.h
+++ b/libs/bulk_process/src/open_job_scan.h
@@ -38,8 +38,10 @@
     /// Whether items of a job may be sent that was known to be open at a time.
     bool maySend(steady_time openAt, steady_time now) const
     {
-        return m_storeUnreachable || now - openAt <= maxOpenAge;
+        return sendsUnconfirmed() || now - openAt <= maxOpenAge;
     }
+    /// Whether items are sent however long ago their job was known to be open.
+    bool sendsUnconfirmed() const { return m_storeUnreachable; }
 
 private:
     steady_time m_next;
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -161,6 +161,8 @@
     /// Whether the store may have ended the job unnoticed, so that its items wait.
     bool endUncertain(const held_job& held, steady_time bootTime) const;
     void logWaitingJobs(std::size_t count);
+    void logUnconfirmedSends();
+    void logSentItem(const std::string& id, std::uint32_t index) const;
     /// Returns whether an item of the job that has produced so many events can only finish after the due
     /// time, judged by recent run durations.
     bool willMissDeadline(const bulk_job& job, std::size_t produced, steady_time time) const;
@@ -210,6 +212,8 @@
     // --- Takeover
     void scan();
     void logFailedScan(const failure& error) const;
+    void logListing(const bulk_job_store::open_jobs& open) const;
+    static std::int64_t msSince(steady_time bootTime);
     void reconcile(const bulk_job_store::open_jobs& open, steady_time requestedAt);
     /// Returns whether the job's holder is no longer registered, and this process is to take the job over.
     bool shouldTakeOver(const bulk_job_store::open_job& job) const;
@@ -264,6 +268,7 @@
     steady_time m_lastSlotGranted;
     steady_time m_nextProgressSave;
     bool m_saving = false;
+    bool m_sendsUnconfirmed = false; ///< As of the last log line about it.
     bool m_jobsWait = false; ///< Whether the items of some job wait for the store to confirm that it is open.
     bool m_leaving = false;
     bool m_stopping = false;
--- a/libs/fleet/src/fleet_watch.cpp
+++ b/libs/fleet/src/fleet_watch.cpp
@@ -723,6 +723,11 @@
     return found;
 }
 
+milliseconds fleet_watch::storeSilence(steady_time now) const
+{
+    return std::min({ ageOf(m_operatorMirror, now), ageOf(m_targetsMirror, now), ageOf(m_nodesMirror, now) });
+}
+
 bool fleet_watch::nodeListReliable(steady_time now) const
 {
     return m_nodesMirror.known() && m_nodesMirror.connected() && m_followsStore && listsAreComplete(now);
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -181,7 +181,8 @@
         m_loop.onSignals({ SIGTERM, SIGINT, SIGHUP }, [this](int signal) { onSignal(signal); });
         logEvent(log_level::info, "started",
             { { "callers", m_settings.callers }, { "control", m_settings.control },
-                { "store", m_settings.store }, { "zone", m_settings.zone } });
+                { "store", m_settings.store }, { "zone", m_settings.zone },
+                { "revision", buildRevision() } });
         m_loop.run();
         return 0;
     }
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -43,6 +43,10 @@
     unsigned status = 200;
     http_headers headers;
     std::string body;
+    /// Of a response that the client received: how often the request was sent, and whether the response came
+    /// over a connection that had carried earlier requests.
+    unsigned attempts = 1;
+    bool reusedConnection = false;
 };
 
 /// Whether the end of a response's body follows from the response, rather than from the end of its connection
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -317,6 +317,7 @@
         if (m_connection->closed) // Closed while the call was queued. No byte was sent, so a retry is safe.
             return connect();
         m_sendStarted = true;
+        ++m_attempts;
         m_requestWritten = false;
         m_sentAt = std::chrono::steady_clock::now();
         if (m_reused && m_options.reuseTimeout.count() > 0)
@@ -467,6 +468,8 @@
             m_headDelivered = true;
             cancelIfArmed(m_headTimer);
             http_reply head;
+            head.attempts = m_attempts;
+            head.reusedConnection = m_reused;
             head.status = m_parser->get().result_int();
             for (const auto& field : m_parser->get())
                 head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
@@ -587,7 +590,7 @@
         cancel();
         if (!report)
             return;
-        message += " (" + m_address + ')';
+        message += " (" + m_address + (m_reused ? ", reused connection)" : ", new connection)");
         report(sent ? mayHaveRun(kind, std::move(message)) : notRun(kind, std::move(message)));
     }
 
@@ -629,6 +632,7 @@
     std::uint64_t m_eventBytes = 0; ///< Of the body since the last whole event.
     steady_time m_sentAt; ///< When sending last began.
     bool m_reused = false; ///< Whether the connection has carried earlier calls.
+    unsigned m_attempts = 0; ///< How often the request was sent.
     bool m_sendStarted = false; ///< Set before the first write; from then on the request may have run.
     bool m_requestWritten = false;
     bool m_headDelivered = false;
--- a/tests/failures_ended_jobs.cpp
+++ b/tests/failures_ended_jobs.cpp
@@ -123,6 +123,31 @@
     }
 }
 
+// Guards against a failure that cannot be traced: the logs do not show what was known of a job when its items
+// were sent.
+TEST_CASE("the log shows what was known of a job when an item of it was sent")
+{
+    platform_system system(twoSmallZones());
+    REQUIRE(system.submit("entry-a-1", "logged", 4, 5) == 202);
+    (void)system.allResults("entry-a-1", "logged", 4);
+    REQUIRE(system.submit("entry-a-1", "longer", 8, 100) == 202);
+    std::this_thread::sleep_for(milliseconds { 2500 });
+    const auto log = system.logOf("batch-a-1");
+    for (const auto* field : { "revision", "item sent", "open_age_ms", "store_silent_ms", "unconfirmed",
+             "open jobs listed", "repeated_calls" }) {
+        INFO(field);
+        CHECK(log.find('"' + std::string(field) + '"') != std::string::npos);
+    }
+    CHECK(log.find(R"("revision":"")") == std::string::npos);
+    system.route("store-batch-a-1", "mode=cut");
+    std::this_thread::sleep_for(milliseconds { 4000 });
+    const auto cutLog = system.logOf("batch-a-1");
+    for (const auto* field : { "open jobs could not be listed", "listing_age_ms", "kind" }) {
+        INFO(field);
+        CHECK(cutLog.find('"' + std::string(field) + '"') != std::string::npos);
+    }
+}
+
 // Guards against a bulk process that stands still while it cannot reach the store.
 TEST_CASE("items go on to run while their holder cannot reach the store")
 {
