Items of jobs that are not confirmed are sent only while the store answers no process

What callers saw: items of jobs that they had ended with a 200 reached targets later than 3 s after it, at a holder whose listing of the open jobs failed once.

Cause: open_job_scan::maySend let all items pass after any failure of the last listing but a limited rate: a timeout, a refusal, an answer that cannot be read. None of these shows that nobody can end jobs; the store may answer all others.

Evidence: failures_ended_jobs, "no item of an ended job reaches a target late while the open jobs cannot be listed": the store answers everything but listings, as a holder sees it whose listings alone fail.

Change: what decides is how long the store has answered no process of the fleet. The copies of its sections carry that already: each process knows of an answer of at most 1.4 s ago, its own or a peer's, while the store can be reached. Items are sent unconfirmed only if a listing failed and this silence is longer than 2 s. When it ends, the open jobs are listed at once. A holder that is cut off alone waits; its registration lapses in 2 s, and the others take its jobs over.

Why it works: an end is acknowledged by a process that the store answers. It or a process that synchronizes with it tells this one of the answer within the tick and sync intervals of fleet_watch, whatever happens to this process's own calls.

--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -159,7 +159,7 @@
             outdated = true;
     }
     logWaitingJobs(uncertain);
-    logUnconfirmedSends();
+    updateStoreLost();
     if (outdated)
         m_fleet.requestConfiguration(now());
     std::sort(order.begin(), order.end(), [this, time = now()](const auto* left, const auto* right) {
@@ -180,7 +180,7 @@
 
 bool bulk_process::endUncertain(const held_job& held, steady_time bootTime) const
 {
-    return !m_scan.maySend(held.openAt, bootTime);
+    return !m_scan.maySend(held.openAt, bootTime, storeSilence());
 }
 
 void bulk_process::logWaitingJobs(std::size_t count)
@@ -195,16 +195,18 @@
         m_metrics.count("yuccachute_item_waits_total", "reason", "job not confirmed");
 }
 
-void bulk_process::logUnconfirmedSends()
+void bulk_process::updateStoreLost()
 {
-    if (std::exchange(m_sendsUnconfirmed, m_scan.sendsUnconfirmed()) == m_sendsUnconfirmed)
+    if (std::exchange(m_storeLost, m_scan.storeLost(storeSilence())) == m_storeLost)
         return;
-    logEvent(m_sendsUnconfirmed ? log_level::warning : log_level::info,
-        m_sendsUnconfirmed ? "items are sent without confirmation of their jobs: the store cannot be reached"
-                           : "items are sent only of confirmed jobs again",
+    logEvent(m_storeLost ? log_level::warning : log_level::info,
+        m_storeLost ? "items are sent without confirmation of their jobs: the store answers no process"
+                    : "items are sent only of confirmed jobs again",
         { { "jobs", static_cast<std::int64_t>(m_jobs.size()) },
             { "listing_age_ms", m_scan.listedAt() ? msSince(*m_scan.listedAt()) : -1 },
-            { "store_silent_ms", m_fleet.storeSilence(now()).count() } });
+            { "store_silent_ms", storeSilence().count() } });
+    if (!m_storeLost)
+        m_scan.request(bootClockNow());
 }
 
 void bulk_process::logSentItem(const std::string& id, std::uint32_t index) const
@@ -217,9 +219,8 @@
     logEvent(log_level::info, "item sent",
         { { "job", id }, { "item", held.job->record().items[index].id },
             { "target", run == held.runs.end() ? std::string_view() : run->second->target() },
-            { "open_age_ms", msSince(held.openAt) },
-            { "store_silent_ms", m_fleet.storeSilence(now()).count() },
-            { "unconfirmed", std::int64_t { m_scan.sendsUnconfirmed() } } });
+            { "open_age_ms", msSince(held.openAt) }, { "store_silent_ms", storeSilence().count() },
+            { "unconfirmed", std::int64_t { m_scan.storeLost(storeSilence()) } } });
 }
 
 bool bulk_process::willMissDeadline(const bulk_job& job, std::size_t produced, steady_time time) const
--- a/libs/bulk_process/src/job_takeover.cpp
+++ b/libs/bulk_process/src/job_takeover.cpp
@@ -28,7 +28,7 @@
     logEvent(log_level::warning, "open jobs could not be listed",
         { { "jobs", static_cast<std::int64_t>(m_jobs.size()) }, { "took_ms", msSince(m_scan.requestedAt()) },
             { "listing_age_ms", m_scan.listedAt() ? msSince(*m_scan.listedAt()) : -1 },
-            { "kind", toString(error.kind) }, { "store_silent_ms", m_fleet.storeSilence(now()).count() },
+            { "kind", toString(error.kind) }, { "store_silent_ms", storeSilence().count() },
             { "message", error.message } });
 }
 
--- a/libs/bulk_process/src/open_job_scan.cpp
+++ b/libs/bulk_process/src/open_job_scan.cpp
@@ -39,7 +39,7 @@
 {
     m_running = false;
     m_listedAt = m_requestedAt;
-    m_storeUnreachable = false;
+    m_listingFailed = false;
 }
 
 void open_job_scan::failed(failure_kind kind, steady_time now)
@@ -47,7 +47,7 @@
     m_running = false;
     m_next = std::max(m_requestedAt + retryInterval, now + minRetryDelay);
     // A store that limits the rate of calls answers other processes.
-    m_storeUnreachable = kind != failure_kind::limited;
+    m_listingFailed = kind != failure_kind::limited;
 }
 
 } // namespace yuccachute
--- a/libs/bulk_process/src/open_job_scan.h
+++ b/libs/bulk_process/src/open_job_scan.h
@@ -12,15 +12,19 @@
 constexpr milliseconds deliveryTime { 500 };
 /// How long the items of a job may be sent after the store has shown that the job was open.
 constexpr milliseconds maxOpenAge = cancelTime - deliveryTime;
+/// The store counts as lost once it has answered no process of the fleet for this time. While it can be
+/// reached, each process knows of an answer that is at most 1.4 s old, its own or that of another process.
+constexpr milliseconds maxStoreSilence { 2000 };
 
 /// Schedules the listings of the open jobs, by which a process learns of jobs that were ended through another
 /// one or have lost their holder, and decides whether items may be sent. No I/O; all times are those of one
 /// clock, which also runs while the process is suspended.
 ///
-/// The end of a job is acknowledged once the store has executed it. A process that the store answers sends
-/// items only of jobs that a read of at most maxOpenAge ago has shown to be open. While the store cannot be
-/// reached, items are sent all the same, and listings are retried: they confirm the jobs, or remove those
-/// that have ended, within one retry interval and one call from when the store can be reached again.
+/// The end of a job is acknowledged once the store has executed it. Items are sent only of jobs that a read
+/// of at most maxOpenAge ago has shown to be open, unless the store answers no process of the fleet: then
+/// nobody can end a job either. That this process gets no listing, or an answer that refuses it, does not
+/// show that. Listings are retried meanwhile, and the next one is due as soon as any process is answered
+/// again.
 class open_job_scan {
 public:
     bool due(steady_time now) const { return !m_running && now >= m_next; }
@@ -35,20 +39,24 @@
     void succeeded();
     void failed(failure_kind kind, steady_time now);
 
-    /// Whether items of a job may be sent that was known to be open at a time.
-    bool maySend(steady_time openAt, steady_time now) const
+    /// Whether items of a job may be sent that was known to be open at a time. `storeSilence` is how long the
+    /// store has answered no process of the fleet, as far as this process knows.
+    bool maySend(steady_time openAt, steady_time now, milliseconds storeSilence) const
     {
-        return sendsUnconfirmed() || now - openAt <= maxOpenAge;
+        return now - openAt <= maxOpenAge || storeLost(storeSilence);
     }
     /// Whether items are sent however long ago their job was known to be open.
-    bool sendsUnconfirmed() const { return m_storeUnreachable; }
+    bool storeLost(milliseconds storeSilence) const
+    {
+        return m_listingFailed && storeSilence > maxStoreSilence;
+    }
 
 private:
     steady_time m_next;
     steady_time m_requestedAt;
     std::optional<steady_time> m_listedAt;
     bool m_running = false;
-    bool m_storeUnreachable = false; ///< As of the last listing.
+    bool m_listingFailed = false; ///< The last one, but not because the store limits the rate of calls.
 };
 
 } // namespace yuccachute
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -161,7 +161,10 @@
     /// Whether the store may have ended the job unnoticed, so that its items wait.
     bool endUncertain(const held_job& held, steady_time bootTime) const;
     void logWaitingJobs(std::size_t count);
-    void logUnconfirmedSends();
+    /// Logs when items begin or cease to be sent without confirmation; in the latter case the store answers
+    /// again, and the open jobs are listed at once.
+    void updateStoreLost();
+    milliseconds storeSilence() const { return m_fleet.storeSilence(now()); }
     void logSentItem(const std::string& id, std::uint32_t index) const;
     /// Returns whether an item of the job that has produced so many events can only finish after the due
     /// time, judged by recent run durations.
@@ -268,7 +271,7 @@
     steady_time m_lastSlotGranted;
     steady_time m_nextProgressSave;
     bool m_saving = false;
-    bool m_sendsUnconfirmed = false; ///< As of the last log line about it.
+    bool m_storeLost = false; ///< As of the last call of updateStoreLost().
     bool m_jobsWait = false; ///< Whether the items of some job wait for the store to confirm that it is open.
     bool m_leaving = false;
     bool m_stopping = false;
--- a/libs/bulk_process/tests/test_open_job_scan.cpp
+++ b/libs/bulk_process/tests/test_open_job_scan.cpp
@@ -10,6 +10,8 @@
 
 const steady_time begin { std::chrono::hours { 1 } };
 constexpr milliseconds tick { 50 };
+/// Oldest answer of the store that a process knows of while the store can be reached.
+constexpr milliseconds answered { 1400 };
 
 struct listing_outcome {
     milliseconds took { 0 };
@@ -41,8 +43,9 @@
     open_job_scan scan;
     scan.started(begin);
     scan.succeeded();
-    CHECK(scan.maySend(begin, begin + maxOpenAge));
-    CHECK_FALSE(scan.maySend(begin, begin + maxOpenAge + milliseconds { 1 }));
+    CHECK(scan.maySend(begin, begin + maxOpenAge, answered));
+    CHECK_FALSE(scan.maySend(begin, begin + maxOpenAge + milliseconds { 1 }, answered));
+    CHECK_FALSE(scan.maySend(begin, begin + maxOpenAge + milliseconds { 1 }, std::chrono::hours { 1 }));
     CHECK(maxOpenAge + deliveryTime == cancelTime);
 }
 
@@ -54,7 +57,7 @@
     auto now = begin;
     bool waited = false;
     play(scan, openAt, now, begin + std::chrono::minutes { 1 }, [&](steady_time time) {
-        waited = waited || !scan.maySend(openAt, time + silentConnectionTimeout);
+        waited = waited || !scan.maySend(openAt, time + silentConnectionTimeout, answered);
         return listing_outcome { silentConnectionTimeout, std::nullopt };
     });
     CHECK_FALSE(waited);
@@ -72,7 +75,7 @@
         play(scan, openAt, now, begin + milliseconds { 100 }, [](auto) { return listing_outcome {}; });
         for (milliseconds back { 5000 }; back < milliseconds { 8000 }; back += tick) {
             play(scan, openAt, now, begin + back, [&](auto) { return lost; });
-            CHECK(scan.maySend(openAt, now));
+            CHECK(scan.maySend(openAt, now, back));
             auto returned = scan;
             auto time = now;
             auto confirmed = openAt;
@@ -84,6 +87,27 @@
     }
 }
 
+// Guards against items of ended jobs at a process whose listings fail in any way, while the store answers
+// others or other calls.
+TEST_CASE("items wait while the open jobs cannot be listed and the store answers a process of the fleet")
+{
+    for (const auto kind : { failure_kind::timeout, failure_kind::unavailable, failure_kind::incomplete,
+             failure_kind::forbidden, failure_kind::internal }) {
+        open_job_scan scan;
+        auto openAt = begin;
+        auto now = begin;
+        play(scan, openAt, now, begin + milliseconds { 100 }, [](auto) { return listing_outcome {}; });
+        play(scan, openAt, now, begin + milliseconds { 6000 }, [kind](auto) {
+            return listing_outcome { milliseconds { 0 }, kind };
+        });
+        CHECK_FALSE(scan.maySend(openAt, now, answered));
+        CHECK_FALSE(scan.maySend(openAt, now, maxStoreSilence));
+        CHECK(scan.maySend(openAt, now, maxStoreSilence + milliseconds { 1 }));
+        // Suspended for hours: the store may have answered others meanwhile.
+        CHECK_FALSE(scan.maySend(openAt, now + std::chrono::hours { 1 }, answered));
+    }
+}
+
 // Guards against items of ended jobs at a process whose calls are refused because of their number, while the
 // store answers others.
 TEST_CASE("items wait while the store limits the rate of calls")
@@ -95,7 +119,7 @@
     play(scan, openAt, now, begin + milliseconds { 6000 }, [](auto) {
         return listing_outcome { milliseconds { 0 }, failure_kind::limited };
     });
-    CHECK_FALSE(scan.maySend(openAt, now));
+    CHECK_FALSE(scan.maySend(openAt, now, std::chrono::hours { 1 }));
 }
 
 TEST_CASE("a listing that is requested while one runs follows at once")
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -228,8 +228,8 @@
     /// For how long the configuration, or the list of targets, may have been outdated here.
     milliseconds configurationAge(steady_time now) const { return ageOf(m_operatorMirror, now); }
     milliseconds targetsAge(steady_time now) const { return ageOf(m_targetsMirror, now); }
-    /// How long ago the store last confirmed one of the copies, to this process or to one that it synchronizes
-    /// with.
+    /// How long ago the store last confirmed one of the copies, to this process or to one that it
+    /// synchronizes with.
     milliseconds storeSilence(steady_time now) const;
     /// Whether the list of processes comes from the store itself, and the store has been reachable for long
     /// enough that processes whose leases lapsed in an outage have registered again.
--- a/libs/logging/include/logging/logging.h
+++ b/libs/logging/include/logging/logging.h
@@ -54,8 +54,8 @@
 /// Writes out what is buffered.
 void stopLogging();
 
-/// Commit of the sources that this program was built from, with "-dirty" if they were changed since; "unknown"
-/// outside of a checkout.
+/// Commit of the sources that this program was built from, with "-dirty" if they were changed since;
+/// "unknown" outside of a checkout.
 std::string_view buildRevision();
 
 /// What the logs of all processes tell of one request, batch job or item, in order of time: the lines that
--- a/tests/failures_ended_jobs.cpp
+++ b/tests/failures_ended_jobs.cpp
@@ -123,6 +123,32 @@
     }
 }
 
+// Guards against items of ended jobs that reach targets because one listing of the open jobs has failed: this
+// does not show that nobody can end jobs, since the store answers all other calls.
+TEST_CASE("no item of an ended job reaches a target late while the open jobs cannot be listed")
+{
+    constexpr milliseconds untilSlotsAreFree { 7000 };
+    const auto jobs = namesOf("unlisted", 6);
+    platform_system system(twoSmallZones());
+    std::int64_t endedMs = 0;
+    {
+        const live_load live(system, untilSlotsAreFree);
+        std::this_thread::sleep_for(milliseconds { 1000 });
+        for (const auto& job : jobs)
+            REQUIRE(system.submit("entry-a-1", job, 10, 5) == 202);
+        REQUIRE(runsAfter(system, "unlisted", 0).empty());
+        inParallel(jobs, [&](const auto& job) { CHECK(endJob(system, "batch-b-1", job) == 200); });
+        endedMs = steadyMs();
+        system.control("/store?silent=yuccachute/open/");
+    }
+    std::this_thread::sleep_for(milliseconds { 2000 });
+    for (const auto& run : runsAfter(system, "unlisted", endedMs + cancelTime.count())) {
+        INFO(run.dump() << " ended at " << endedMs);
+        CHECK(false);
+    }
+    system.control("/store");
+}
+
 // Guards against a failure that cannot be traced: the logs do not show what was known of a job when its items
 // were sent.
 TEST_CASE("the log shows what was known of a job when an item of it was sent")
@@ -148,6 +174,27 @@
     }
 }
 
+// Guards against a bulk process that stands still while the store answers nobody.
+TEST_CASE("items go on to run while the store answers nobody")
+{
+    constexpr milliseconds outage { 6000 };
+    platform_system system(twoSmallZones());
+    REQUIRE(system.submit("entry-a-1", "outage", 100, 100) == 202);
+    std::this_thread::sleep_for(milliseconds { 500 });
+    for (const auto* fault : { "/store?down=1", "/store?busy=1" }) {
+        system.control(fault);
+        const auto downMs = steadyMs();
+        std::this_thread::sleep_for(outage);
+        const auto runs = runsAfter(system, "outage", downMs + outage.count() - 1500).size();
+        INFO(fault << ' ' << runs);
+        CHECK(runs > 2);
+        system.control("/store");
+        std::this_thread::sleep_for(milliseconds { 1500 });
+    }
+    for (const auto& listed : system.allResults("entry-b-1", "outage", 100))
+        CHECK(listed["state"] == "done");
+}
+
 // Guards against a bulk process that stands still while it cannot reach the store.
 TEST_CASE("items go on to run while their holder cannot reach the store")
 {
