Ages of confirmations grow also where the boot clock is refused or stands still

Cause: the guard on items of ended jobs, and the schedule of the listings, read CLOCK_BOOTTIME alone and ignored its errors. Where a system refuses that clock or lets it stand still, each age was 0: no confirmation ever became too old, and after the first listing none was due again, so the holder never learned of an end.

Change: suspension_clock runs with the steady clock and adds the most by which the boot clock has been ahead of it. The "started" line of the batch process says whether the boot clock can be read.

Why it works: an age grows at least as the steady clock does, and suspensions count wherever the system shows them.

--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -61,6 +61,7 @@
     logEvent(log_level::info, "started",
         { { "address", m_self.address }, { "store", m_settings.store }, { "zone", m_settings.zone },
             { "incarnation", static_cast<std::int64_t>(m_self.incarnation) },
+            { "boot_clock", std::int64_t { readBootClock().has_value() } },
             { "revision", buildRevision() } });
     m_loop.run();
     return 0;
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -130,7 +130,21 @@
     bool m_leaseEnded = false;
 };
 
-/// Time of a monotonic clock that also counts the time during which the VM is suspended.
+/// A clock that runs with the steady clock and also counts the time during which the VM is suspended, as far
+/// as the system's boot clock shows it. Some systems refuse that clock or let it stand still. Thread-safe.
+class suspension_clock {
+public:
+    /// The time at these readings of the two clocks; `boot` is unset if it could not be read.
+    steady_time at(steady_time steady, std::optional<steady_time> boot);
+
+private:
+    std::atomic<std::int64_t> m_suspendedNs { 0 }; ///< The most by which the boot clock has been ahead.
+};
+
+/// Reading of the system's boot clock; unset if the system refuses it.
+std::optional<steady_time> readBootClock();
+
+/// Time of the process's suspension_clock.
 steady_time bootClockNow();
 
 struct fleet_options {
--- a/libs/fleet/src/node_record.cpp
+++ b/libs/fleet/src/node_record.cpp
@@ -130,11 +130,4 @@
         + node.vm;
 }
 
-steady_time bootClockNow()
-{
-    timespec now {};
-    ::clock_gettime(CLOCK_BOOTTIME, &now);
-    return steady_time { std::chrono::seconds { now.tv_sec } + std::chrono::nanoseconds { now.tv_nsec } };
-}
-
 } // namespace yuccachute
