The holder of a job is told when another process ends the job

What callers saw: after the 200 for the end of a job, items of it that had waited for slots were still sent, until the holder read the end from the store: 2 s as a rule, 3 s at most.

Cause: the store was the only way from the process that ends a job to its holder.

Change: the process that has ended a job passes the request on to the holder that the open-job record named, with X-Job-Ended, once the store has executed the end. The holder drops the job and lists the open jobs; if the store shows the job to be open after all, it is loaded again. The notice is sent beside the answer to the caller, bounds nothing alone, and is counted (yuccachute_job_end_notices_total). Entries remove the header from callers' requests.

The two tests of the bound end half of their jobs in the store alone now, as if the notice were lost: otherwise it would hide them. test_bulk_job_store checks the holder that end() returns in place of a value that was always true.

--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -176,8 +176,9 @@
     /// Saves the progress of several jobs in one transaction. Returns false and saves nothing if another
     /// process has taken over one of them.
     void saveProgress(std::span<const progress_save> jobs, callback<bool> done);
-    /// Cancels a job for its caller. Fails with not_found if the job does not exist.
-    void end(const std::string& id, callback<bool> done);
+    /// Cancels a job for its caller. Returns the holder that it had; nothing if it had been finished or
+    /// cancelled before. Fails with not_found if the job does not exist.
+    void end(const std::string& id, callback<std::optional<bulk_holder>> done);
     void listOpen(callback<open_jobs> done);
     /// Removes all keys of a job, in several transactions if necessary. `groups` is the number of its result
     /// groups.
@@ -196,7 +197,9 @@
     void appendCommit(store_transaction& committing, const std::string& id, const group_commit& commit) const;
     void resolveCommit(
         const std::string& id, std::size_t number, const std::string& token, callback<commit_result> done);
-    void tryEnd(const std::string& id, unsigned attempt, callback<bool> done);
+    /// `known` is the holder as an earlier attempt read it, which may have taken effect unnoticed.
+    void tryEnd(const std::string& id, unsigned attempt, std::optional<bulk_holder> known,
+        callback<std::optional<bulk_holder>> done);
 
     event_loop& m_loop;
     async_store& m_store;
--- a/libs/bulk_process/src/bulk_job_store.cpp
+++ b/libs/bulk_process/src/bulk_job_store.cpp
@@ -404,30 +404,36 @@
         });
 }
 
-void bulk_job_store::end(const std::string& id, callback<bool> done)
+void bulk_job_store::end(const std::string& id, callback<std::optional<bulk_holder>> done)
 {
-    tryEnd(id, 0, std::move(done));
+    tryEnd(id, 0, std::nullopt, std::move(done));
 }
 
-void bulk_job_store::tryEnd(const std::string& id, unsigned attempt, callback<bool> done)
+void bulk_job_store::tryEnd(const std::string& id, unsigned attempt, std::optional<bulk_holder> known,
+    callback<std::optional<bulk_holder>> done)
 {
     m_store.get(keyOf(openPrefix, id),
-        [this, id, attempt, done = std::move(done)](result<std::optional<stored_value>> open) {
-            const auto again = [this, id, attempt, done](const failure& error) {
+        [this, id, attempt, known, done = std::move(done)](result<std::optional<stored_value>> open) {
+            auto holder = known;
+            if (open && open.value()) {
+                if (auto decoded = decodeOpenJob(open.value()->value))
+                    holder = std::move(decoded.value().holder);
+            }
+            const auto again = [this, id, attempt, holder, done](const failure& error) {
                 if (attempt + 1 < maxOutcomeAttempts)
-                    return tryEnd(id, attempt + 1, done);
+                    return tryEnd(id, attempt + 1, holder, done);
                 done(error);
             };
             if (!open)
                 return again(open.error());
             if (!open.value())
                 return m_store.get(
-                    keyOf(recordPrefix, id), [id, done](result<std::optional<stored_value>> record) {
+                    keyOf(recordPrefix, id), [id, holder, done](result<std::optional<stored_value>> record) {
                         if (!record)
                             return done(record.error());
                         if (!record.value())
                             return done(notRun(failure_kind::not_found, "there is no job " + id));
-                        done(true); // The job was finished or cancelled before.
+                        done(holder); // The job was finished or cancelled before, or by an earlier attempt.
                     });
             store_transaction cancelling;
             const auto openKey = keyOf(openPrefix, id);
@@ -436,9 +442,9 @@
             cancelling.removals.push_back({ openKey, false });
             cancelling.removals.push_back({ remainingKey(id), false });
             cancelling.removals.push_back({ keyOf(progressPrefix, id), false });
-            m_store.commit(cancelling, [done, again](result<commit_outcome> outcome) {
+            m_store.commit(cancelling, [holder, done, again](result<commit_outcome> outcome) {
                 if (outcome && outcome.value().applied)
-                    return done(true);
+                    return done(holder);
                 // Either another process has taken the job over, or the outcome is unknown: read the key
                 // again.
                 again(outcome
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -16,6 +16,9 @@
 /// How long a submission waits for the configuration by which an entry admitted it. The store answers within
 /// milliseconds, or within 200 ms when it is slow; another batch process may have the configuration.
 constexpr milliseconds configurationTimeout { 400 };
+/// For a notice to the holder of a job that has ended, and for its connection.
+constexpr milliseconds noticeTimeout { 1500 };
+constexpr milliseconds noticeConnectTimeout { 300 };
 
 /// Returns 0 if the entry did not send a version.
 std::int64_t configurationOf(const http_headers& headers)
@@ -262,12 +265,17 @@
 
 void bulk_process::serve(std::shared_ptr<http_exchange> caller, const cancel_job_call& call)
 {
+    if (!findHeader(caller->request().headers, jobEndedHeader).empty())
+        return endedElsewhere(*caller, call.jobId);
     if (refuseIfStoreUnavailable(*caller))
         return;
-    m_jobStore.end(call.jobId, [this, caller, id = call.jobId](result<bool> cancelled) {
-        if (!cancelled)
-            return replyWithFailure(*caller, cancelled.error());
+    using former_holder = std::optional<bulk_holder>;
+    m_jobStore.end(call.jobId, [this, caller, id = call.jobId](const result<former_holder>& ended) {
+        if (!ended)
+            return replyWithFailure(*caller, ended.error());
         logEvent(log_level::info, "job cancelled by its caller", { { "job", id } });
+        if (ended.value())
+            notifyHolder(*ended.value(), id, caller->request());
         // Not kept as a finished job: a commit whose reply was lost may have stored results that are unknown
         // here. Callers that have read them from another process must see them again.
         if (const auto found = m_jobs.find(id); found != m_jobs.end())
@@ -276,4 +284,39 @@
     });
 }
 
+/// The notice shortens the time until the items stop. It may be lost: what bounds that time is open_job_scan.
+void bulk_process::notifyHolder(const bulk_holder& holder, const std::string& id, const http_request& end)
+{
+    const auto address = addressOfLiveHolder(holder);
+    if (address.empty())
+        return;
+    auto request = end;
+    request.headers = endToEndHeaders(end.headers);
+    request.headers.emplace_back(jobEndedHeader, "1");
+    client_call_options options;
+    options.deadline = now() + noticeTimeout;
+    options.connectTimeout = noticeConnectTimeout;
+    options.reuseTimeout = silentConnectionTimeout;
+    options.limits = peerLimits;
+    m_client.fetch(address, request, options, [this, id, address](const result<http_reply>& reply) {
+        m_metrics.count("yuccachute_job_end_notices_total", "outcome", reply ? "delivered" : "failed");
+        if (!reply)
+            logEvent(log_level::warning, "the holder of an ended job could not be notified",
+                { { "job", id }, { "holder", address }, { "message", reply.error().message } });
+    });
+}
+
+/// The store decides: a job that is still open there is loaded again after the listing.
+void bulk_process::endedElsewhere(http_exchange& caller, const std::string& id)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && found->second.openRevision != 0) {
+        logEvent(log_level::info, "job ended through another process; dropping it",
+            { { "job", id }, { "runs", static_cast<std::int64_t>(found->second.runs.size()) } });
+        dropHeldJob(found);
+        m_scan.request(bootClockNow());
+    }
+    caller.send({ 200, {}, "" });
+}
+
 } // namespace yuccachute
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -135,6 +135,10 @@
         const std::optional<bulk_job_store::open_job>& open, job_reader use);
     void serve(std::shared_ptr<http_exchange> caller, const read_item_body_call& call);
     void serve(std::shared_ptr<http_exchange> caller, const cancel_job_call& call);
+    /// Passes the request that has ended a job on to the job's former holder, unless this process is the
+    /// holder.
+    void notifyHolder(const bulk_holder& holder, const std::string& id, const http_request& end);
+    void endedElsewhere(http_exchange& caller, const std::string& id);
 
     // --- Held jobs
     void configurationChanged();
--- a/libs/bulk_process/tests/test_bulk_job_store.cpp
+++ b/libs/bulk_process/tests/test_bulk_job_store.cpp
@@ -52,9 +52,9 @@
         by.commit("a", { number, group, revision, completes, std::nullopt }, into(outcome));
         return *outcome;
     }
-    result<bool> end(const std::string& id)
+    result<std::optional<bulk_holder>> end(const std::string& id)
     {
-        std::optional<result<bool>> outcome;
+        std::optional<result<std::optional<bulk_holder>>> outcome;
         jobStore.end(id, into(outcome));
         return *outcome;
     }
@@ -73,7 +73,8 @@
 
     event_loop loop;
     fake_store store;
-    bulk_job_store jobStore { loop, store, { "vm1", 1 }, valueBytes };
+    const bulk_holder self { "vm1", 1 };
+    bulk_job_store jobStore { loop, store, self, valueBytes };
     bulk_job_store other { loop, store, { "vm2", 2 }, valueBytes };
 };
 
@@ -167,8 +168,10 @@
     fixture f;
     const auto revision = f.create("a").value().openRevision;
     CHECK(f.commit(f.jobStore, 0, first, revision, false));
-    CHECK(f.end("a").value());
-    CHECK(f.end("a").value());
+    CHECK(f.end("a").value() == f.self);
+    const auto again = f.end("a");
+    REQUIRE(again);
+    CHECK_FALSE(again.value());
     CHECK(f.commit(f.jobStore, 1, second, revision, true).value() == bulk_job_store::commit_result::lost);
     const auto stored = f.load("a");
     CHECK(stored.value().cancelled);
@@ -176,7 +179,7 @@
     CHECK(f.end("nobody").error().kind == failure_kind::not_found);
     f.create("b");
     f.store.faults = { fake_store::fault::reply_lost };
-    CHECK(f.end("b").value());
+    CHECK(f.end("b").value() == f.self);
 }
 
 TEST_CASE("removing a job removes all its keys")
--- a/libs/bulk_process/tests/test_job_admission.cpp
+++ b/libs/bulk_process/tests/test_job_admission.cpp
@@ -118,7 +118,7 @@
     f.commit(f.one, "a", 1, a->value().openRevision, 1, 0);
     f.pause();
     CHECK(f.pendingTokens() == 400);
-    f.one.jobStore.end("b", [](result<bool> cancelled) { CHECK(cancelled); });
+    f.one.jobStore.end("b", [](const auto& ended) { CHECK(ended); });
     f.pause();
     CHECK(f.pendingTokens() == 200);
     CHECK(f.one.accepted("d"));
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -36,6 +36,10 @@
 /// has to read the store.
 constexpr std::string_view onlyIfHeldHeader = "X-Only-If-Held";
 
+/// Set by a batch process in the request that ends a job, which it passes on to the job's holder once the
+/// store has executed the end.
+constexpr std::string_view jobEndedHeader = "X-Job-Ended";
+
 /// Set by an entry in a request to a batch process: the customer that the caller's key belongs to. It
 /// replaces the key.
 constexpr std::string_view customerHeader = "X-Customer";
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -253,7 +253,7 @@
 http_headers job_forwarder::headersFor(const http_headers& given, const admitted_call& call) const
 {
     auto headers = endToEndHeaders(given);
-    for (const auto trusted : { customerHeader, configurationHeader })
+    for (const auto trusted : { customerHeader, configurationHeader, jobEndedHeader })
         removeHeader(headers, trusted);
     if (call.configuration != 0)
         headers.emplace_back(configurationHeader, std::to_string(call.configuration));
--- a/libs/front/tests/test_job_forwarder.cpp
+++ b/libs/front/tests/test_job_forwarder.cpp
@@ -210,6 +210,15 @@
     CHECK(findHeader(f.near.lastHeaders, configurationHeader).empty());
 }
 
+// Guards against a caller that makes a batch process drop a job by the notice of another batch process.
+TEST_CASE("a batch process receives no notice of a job's end from a caller")
+{
+    fixture f(true);
+    f.callerHeaders = { { std::string(jobEndedHeader), "1" } };
+    CHECK(f.call(job_forwarder::call_kind::submission) == 404);
+    CHECK(findHeader(f.near.lastHeaders, jobEndedHeader).empty());
+}
+
 // Guards against a caller that sends these headers empty: the first field counts, so that its job belonged to
 // no customer.
 TEST_CASE("a batch process receives no empty header that only an entry may set")
--- a/tests/failures_ended_jobs.cpp
+++ b/tests/failures_ended_jobs.cpp
@@ -80,6 +80,20 @@
     return reply ? reply.value().status : 0;
 }
 
+/// Ends half of the jobs through another process than their holder, and half as one does whose notice to the
+/// holder is lost: only the store shows the end.
+void endJobs(platform_system& system, const std::string& batch, const std::vector<std::string>& jobs)
+{
+    std::vector<std::string> noticed;
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        if (i % 2 == 0)
+            noticed.push_back(jobs[i]);
+        else
+            system.control("/remove?key=yuccachute/open/" + jobs[i]);
+    }
+    inParallel(noticed, [&](const auto& job) { CHECK(endJob(system, batch, job) == 200); });
+}
+
 /// Runs of items of jobs with this prefix that reached a target after a time.
 std::vector<json> runsAfter(platform_system& system, const std::string& prefix, std::int64_t afterMs)
 {
@@ -112,7 +126,7 @@
             jobs, [&](const auto& job) { CHECK(system.submit("entry-a-1", job, itemsPerJob, 5) == 202); });
         system.control("/store");
         REQUIRE(runsAfter(system, "ended", 0).empty());
-        inParallel(jobs, [&](const auto& job) { CHECK(endJob(system, "batch-b-1", job) == 200); });
+        endJobs(system, "batch-b-1", jobs);
         endedMs = steadyMs();
         REQUIRE(system.silenceOpen("store-batch-a-1", "/kv") > 0);
     }
@@ -137,7 +151,7 @@
         for (const auto& job : jobs)
             REQUIRE(system.submit("entry-a-1", job, 10, 5) == 202);
         REQUIRE(runsAfter(system, "unlisted", 0).empty());
-        inParallel(jobs, [&](const auto& job) { CHECK(endJob(system, "batch-b-1", job) == 200); });
+        endJobs(system, "batch-b-1", jobs);
         endedMs = steadyMs();
         system.control("/store?silent=yuccachute/open/");
     }
@@ -149,6 +163,41 @@
     system.control("/store");
 }
 
+// Guards against items of ended jobs that go on to run until their holder reads the end from the store.
+TEST_CASE("a job that ends at another process than its holder stops at once")
+{
+    constexpr milliseconds noticeTime { 500 };
+    constexpr milliseconds untilSlotsAreFree { 3000 };
+    platform_system system(twoSmallZones());
+    std::int64_t endedMs = 0;
+    {
+        const live_load live(system, untilSlotsAreFree);
+        std::this_thread::sleep_for(milliseconds { 1000 });
+        REQUIRE(system.submit("entry-a-1", "stopped", 40, 10) == 202);
+        std::this_thread::sleep_for(milliseconds { 600 });
+        CHECK(endJob(system, "batch-b-1", "stopped") == 200);
+        endedMs = steadyMs();
+        system.control("/store?silent=yuccachute/open/");
+    }
+    std::this_thread::sleep_for(milliseconds { 500 });
+    CHECK(runsAfter(system, "stopped", endedMs + noticeTime.count()).empty());
+    system.control("/store");
+}
+
+// Guards against a job that is lost because its holder was told of an end that did not happen.
+TEST_CASE("a holder that is told of an end that the store does not show goes on with the job")
+{
+    platform_system system(twoSmallZones());
+    REQUIRE(system.submit("entry-a-1", "kept", 100, 50) == 202);
+    std::this_thread::sleep_for(milliseconds { 300 });
+    const auto reply = system.call(
+        system.batches.at("batch-a-1").inner, "DELETE", "/lots/kept", { { "X-Job-Ended", "1" } }, "");
+    REQUIRE(reply);
+    CHECK(reply.value().status == 200);
+    for (const auto& listed : system.allResults("entry-b-1", "kept", 100))
+        CHECK(listed["state"] == "done");
+}
+
 // Guards against a failure that cannot be traced: the logs do not show what was known of a job when its items
 // were sent.
 TEST_CASE("the log shows what was known of a job when an item of it was sent")
