A process that inherits blocked signals can be stopped

Cause: a started program inherits its parent's signal mask, and onSignals() set handlers without unblocking their signals.

Change: onSignals() unblocks the signals that it handles.

--- a/libs/event_loop/src/event_loop.cpp
+++ b/libs/event_loop/src/event_loop.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <csignal>
 #include <optional>
 
 namespace yuccachute {
@@ -63,8 +64,14 @@
 {
     m_impl->signalHandler = std::move(handler);
     m_impl->signals.emplace(m_impl->context);
-    for (const int signal : signals)
+    sigset_t handled {};
+    sigemptyset(&handled);
+    for (const int signal : signals) {
         m_impl->signals->add(signal);
+        sigaddset(&handled, signal);
+    }
+    // A program inherits the signals that its parent had blocked.
+    ::pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
     m_impl->waitForSignal();
 }
 
--- a/libs/event_loop/tests/test_event_loop.cpp
+++ b/libs/event_loop/tests/test_event_loop.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
+
 #include <thread>
 
 using namespace yuccachute;
@@ -53,3 +55,25 @@
     loop.runFor(milliseconds { 20 });
     CHECK(ticks == before);
 }
+
+// Guards against a process that no SIGTERM stops, because its parent had blocked the signal and a started
+// program inherits that.
+TEST_CASE("a handled signal arrives although the process has inherited it as blocked")
+{
+    sigset_t blocked {};
+    sigemptyset(&blocked);
+    sigaddset(&blocked, SIGUSR2);
+    sigset_t before {};
+    REQUIRE(pthread_sigmask(SIG_BLOCK, &blocked, &before) == 0);
+    {
+        event_loop loop;
+        int received = 0;
+        loop.onSignals({ SIGUSR2 }, [&](int signal) { received = signal; });
+        std::raise(SIGUSR2);
+        (void)loop.runFor(std::chrono::milliseconds { 200 });
+        CHECK(received == SIGUSR2);
+    }
+    // A signal that stayed blocked is still pending, and would end this process.
+    std::signal(SIGUSR2, SIG_IGN);
+    REQUIRE(pthread_sigmask(SIG_SETMASK, &before, nullptr) == 0);
+}
