Documents that are nested too deeply are rejected before they are parsed

What callers saw: entries ended with signal 11, again and again, while one odd entry stood in the store.

Cause: the JSON library parses text without recursion, but copies values and decodes CBOR and MessagePack by recursion, so that some ten thousand levels overflow the stack. decodeShare copied a nested field; other decoders recurse by themselves.

Open: log lines are bounded by the log's budget, not by entry; no fuzzing of stored documents.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -554,6 +554,8 @@
                 milliseconds { number("back") }, number("ends"), number("live_only") != 0 };
         if (request.path == "/put")
             m_store.put(value("key"), json::parse(request.body));
+        if (request.path == "/put_raw")
+            m_store.putBytes(value("key"), request.body);
         if (request.path == "/remove")
             m_store.remove(value("key"));
         if (request.path == "/key")
--- a/bench/standins/platform_store.cpp
+++ b/bench/standins/platform_store.cpp
@@ -68,10 +68,15 @@
 }
 
 std::int64_t platform_store::put(const std::string& key, const json& value)
+{
+    return putBytes(key, value.dump());
+}
+
+std::int64_t platform_store::putBytes(const std::string& key, const std::string& value)
 {
     ++m_revision;
     auto& found = m_items[key];
-    found = { encodeBase64(value.dump()), m_revision, found.created == 0 ? m_revision : found.created, 0 };
+    found = { encodeBase64(value), m_revision, found.created == 0 ? m_revision : found.created, 0 };
     record(key, false);
     tick();
     return m_revision;
--- a/bench/standins/platform_store.h
+++ b/bench/standins/platform_store.h
@@ -35,6 +35,8 @@
 
     /// Writes a key as the operator or a server does, whatever the faults.
     std::int64_t put(const std::string& key, const nlohmann::json& value);
+    /// The same with any bytes.
+    std::int64_t putBytes(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     /// Ends all leases at once.
     void revokeAll();
--- a/libs/admin/src/admin_api.cpp
+++ b/libs/admin/src/admin_api.cpp
@@ -1,5 +1,6 @@
 #include "admin/admin.h"
 
+#include "json_input/json_input.h"
 #include "logging/logging.h"
 #include "settings_store/settings_store.h"
 
@@ -74,7 +75,7 @@
 
 result<edit_request> parseEdits(const std::string& body)
 {
-    const auto document = json::parse(body, nullptr, false);
+    const auto document = parseJson(body);
     if (!document.is_object() || !document.contains("edits") || !document["edits"].is_array())
         return notRun(failure_kind::bad_request, "the body must be a JSON object with an array \"edits\"");
     edit_request request;
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -1,6 +1,7 @@
 #include "bulk/bulk.h"
 
 #include "jobs/jobs.h"
+#include "json_input/json_input.h"
 #include "membership/membership.h"
 
 #include <nlohmann/json.hpp>
@@ -27,7 +28,7 @@
 template <typename T> result<T> unpack(std::string_view bytes, std::string_view what, T (*read)(const json&))
 {
     BOOST_OUTCOME_TRY(auto plain, decompress(bytes));
-    const auto document = json::from_cbor(plain, true, false);
+    const auto document = parseCbor(plain);
     if (document.is_discarded())
         return notRun(failure_kind::internal, std::string(what) + " in the store is corrupt");
     try {
@@ -194,7 +195,7 @@
 
 result<open_job_record> decodeOpenJob(std::string_view bytes)
 {
-    const auto document = json::parse(bytes, nullptr, false);
+    const auto document = parseJson(bytes);
     try {
         open_job_record openJob;
         openJob.holder.vm = document.at("vm").get<std::string>();
--- a/libs/bulk/src/token_account.cpp
+++ b/libs/bulk/src/token_account.cpp
@@ -1,5 +1,7 @@
 #include "bulk/bulk.h"
 
+#include "json_input/json_input.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -22,7 +24,7 @@
     account.m_revision = revision;
     if (revision == 0)
         return account;
-    const auto document = json::parse(bytes, nullptr, false);
+    const auto document = parseJson(bytes);
     try {
         account.m_trimmedRevision = document.at("covered_to").get<std::int64_t>();
         for (const auto& entry : document.at("latest"))
--- a/libs/entry/src/claims.cpp
+++ b/libs/entry/src/claims.cpp
@@ -1,5 +1,7 @@
 #include "claims.h"
 
+#include "json_input/json_input.h"
+
 #include <nlohmann/json.hpp>
 
 namespace yuccachute {
@@ -38,7 +40,7 @@
 /// run.
 request_claims::claim readClaim(const std::string& value, const std::string& token)
 {
-    const auto document = json::from_msgpack(value, true, false);
+    const auto document = parseMsgpack(value);
     if (!document.is_object())
         return {};
     try {
--- a/libs/entry/src/dispatcher_host.cpp
+++ b/libs/entry/src/dispatcher_host.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher_host.h"
 
+#include "json_input/json_input.h"
 #include "logging/logging.h"
 
 #include <nlohmann/json.hpp>
@@ -16,7 +17,7 @@
 
 std::optional<load_report> parseLoadReport(const std::string& body)
 {
-    const auto document = nlohmann::json::parse(body, nullptr, false);
+    const auto document = parseJson(body);
     if (!document.is_object())
         return std::nullopt;
     const auto number = [&](const char* name) {
--- a/libs/fleet/src/node_record.cpp
+++ b/libs/fleet/src/node_record.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include "json_input/json_input.h"
+
 #include <nlohmann/json.hpp>
 
 #include "membership/membership.h"
@@ -43,7 +45,7 @@
 
 result<node_record> decodeNode(std::string_view document)
 {
-    const auto json = nlohmann::json::parse(document, nullptr, false);
+    const auto json = parseJson(document);
     if (!json.is_object())
         return notRun(failure_kind::internal, "process record is not a JSON object");
     try {
@@ -111,9 +113,9 @@
 
 result<share_record> decodeShare(std::string_view vm, std::string_view document)
 {
-    const auto json = nlohmann::json::parse(document, nullptr, false);
-    if (!json.is_object() || !json.value("zone", nlohmann::json()).is_string()
-        || !json.value("address", nlohmann::json()).is_string())
+    const auto json = parseJson(document);
+    const auto hasText = [&](const char* name) { return json.contains(name) && json[name].is_string(); };
+    if (!json.is_object() || !hasText("zone") || !hasText("address"))
         return notRun(failure_kind::internal,
             "share record of " + std::string(vm) + ": zone or address is missing or not a string");
     return share_record { std::string(vm), json["zone"], json["address"] };
--- a/libs/guard/src/suspect_archive.cpp
+++ b/libs/guard/src/suspect_archive.cpp
@@ -1,5 +1,6 @@
 #include "guard/guard.h"
 
+#include "json_input/json_input.h"
 #include "logging/logging.h"
 
 #include <nlohmann/json.hpp>
@@ -57,7 +58,7 @@
     const auto identity = parseIdentity(key.substr(suspectsPrefix.size()));
     if (!identity)
         return invalid("the key does not end in a request identity");
-    const auto object = json::parse(document, nullptr, false);
+    const auto object = parseJson(document);
     if (!object.is_object())
         return invalid("not a JSON object");
     for (const auto* field : { "acquittals", "strikes", "changed_ms" }) {
--- a/libs/jobs/src/items.cpp
+++ b/libs/jobs/src/items.cpp
@@ -1,5 +1,7 @@
 #include "jobs/jobs.h"
 
+#include "json_input/json_input.h"
+
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 #include <zstd.h>
@@ -25,7 +27,7 @@
 
 result<job_item> parseItem(std::string_view text, std::size_t line, std::size_t index)
 {
-    const auto document = json::parse(text, nullptr, false);
+    const auto document = parseJson(text);
     if (!document.is_object())
         return lineError(line, "not a JSON object");
     job_item item;
--- a/libs/jobs/src/records.cpp
+++ b/libs/jobs/src/records.cpp
@@ -1,5 +1,7 @@
 #include "jobs/jobs.h"
 
+#include "json_input/json_input.h"
+
 #include <nlohmann/json.hpp>
 
 namespace yuccachute {
@@ -16,7 +18,7 @@
 
 result<json> fromMessagePack(std::string_view bytes)
 {
-    auto document = json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    auto document = parseMsgpack(bytes);
     if (!document.is_object())
         return notRun(
             failure_kind::internal, "stored job data cannot be decoded: it is not a MessagePack object");
--- a/libs/logging/src/log_lines.cpp
+++ b/libs/logging/src/log_lines.cpp
@@ -1,5 +1,7 @@
 #include "log_lines.h"
 
+#include "json_input/json_input.h"
+
 #include <algorithm>
 #include <istream>
 
@@ -45,8 +47,7 @@
         const auto brace = text.find('{');
         if (brace == std::string::npos)
             continue;
-        auto fields
-            = json::parse(text.begin() + static_cast<std::ptrdiff_t>(brace), text.end(), nullptr, false);
+        auto fields = parseJson(std::string_view(text).substr(brace));
         if (!fields.is_object() || !fields.contains("event"))
             continue;
         auto time = textOf(fields, "time");
--- a/libs/messages/src/caller_codec.cpp
+++ b/libs/messages/src/caller_codec.cpp
@@ -1,5 +1,7 @@
 #include "messages/messages.h"
 
+#include "json_input/json_input.h"
+
 #include <nlohmann/json.hpp>
 
 namespace yuccachute {
@@ -25,7 +27,7 @@
 
 result<completion_request> parseCompletion(std::string_view body, std::size_t maxPromptBytes)
 {
-    const auto document = json::parse(body, nullptr, false);
+    const auto document = parseJson(body);
     if (document.is_discarded())
         return notRun(failure_kind::bad_request, "the body is not valid JSON");
     if (!document.is_object())
@@ -76,7 +78,7 @@
 
 std::optional<verdict> readVerdict(std::string_view body)
 {
-    const auto document = json::parse(body, nullptr, false);
+    const auto document = parseJson(body);
     if (!document.is_object())
         return std::nullopt;
     const auto error = document.find("error");
--- a/libs/messages/src/event_stream.cpp
+++ b/libs/messages/src/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "messages/messages.h"
 
+#include "json_input/json_input.h"
+
 #include <nlohmann/json.hpp>
 
 namespace yuccachute {
@@ -31,7 +33,7 @@
         m_done = true;
         return;
     }
-    const auto document = nlohmann::json::parse(line, nullptr, false);
+    const auto document = parseJson(line);
     const auto choices = document.is_object() ? document.find("choices") : document.end();
     if (!document.is_object() || choices == document.end() || !choices->is_array() || choices->empty()
         || !choices->front().is_object()) {
--- a/libs/settings_store/src/settings_store.cpp
+++ b/libs/settings_store/src/settings_store.cpp
@@ -1,5 +1,7 @@
 #include "settings_store/settings_store.h"
 
+#include "json_input/json_input.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -35,7 +37,7 @@
 {
     settings_node node;
     node.revision = stored.modRevision;
-    const auto document = json::parse(stored.value, nullptr, false);
+    const auto document = parseJson(stored.value);
     if (!document.is_object())
         return node;
     for (const auto& [key, value] : document.items())
@@ -166,7 +168,7 @@
     std::vector<std::string> entries;
     for (auto entry = listing.values.rbegin(); entry != listing.values.rend() && entries.size() < maxEntries;
          ++entry) {
-        auto document = json::parse(entry->value, nullptr, false);
+        auto document = parseJson(entry->value);
         if (!document.is_object())
             continue;
         document["version"] = entry->modRevision;
