--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -117,7 +117,8 @@
     struct open_jobs {
         std::vector<open_job> jobs;
         std::int64_t revision = 0; ///< Store revision of the listing; jobs created later are missing from it.
-        unsigned repeatedCalls = 0;
+        bool reusedConnection = false; ///< As in store_listing.
+        unsigned repeatedCalls = 0; ///< As in store_listing.
     };
 
     /// `valueBytes` is the size limit of a value in the store.
--- a/libs/bulk_process/src/bulk_job_store.cpp
+++ b/libs/bulk_process/src/bulk_job_store.cpp
@@ -461,6 +461,7 @@
             return done(listing.error());
         open_jobs open;
         open.revision = listing.value().revision;
+        open.reusedConnection = listing.value().reusedConnection;
         open.repeatedCalls = listing.value().repeatedCalls;
         for (const auto& value : listing.value().values)
             appendOpenJob(value, open.jobs);
--- a/libs/bulk_process/src/job_takeover.cpp
+++ b/libs/bulk_process/src/job_takeover.cpp
@@ -40,6 +40,7 @@
         { { "held", static_cast<std::int64_t>(m_jobs.size()) },
             { "open", static_cast<std::int64_t>(open.jobs.size()) },
             { "took_ms", msSince(m_scan.requestedAt()) },
+            { "reused_connection", std::int64_t { open.reusedConnection } },
             { "repeated_calls", static_cast<std::int64_t>(open.repeatedCalls) },
             { "revision", open.revision } });
 }
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -66,6 +66,7 @@
     std::vector<stored_value> values; ///< Sorted by key.
     std::int64_t revision = 0; ///< The store's revision at which the list was read.
     bool more = false; ///< Whether there are further keys beyond the limit.
+    bool reusedConnection = false; ///< The last answer came over a connection that had carried earlier calls.
     unsigned repeatedCalls = 0; ///< Calls that were sent once more, over a new connection or after a failure.
 };
 
--- a/tests/failures_ended_jobs.cpp
+++ b/tests/failures_ended_jobs.cpp
@@ -209,7 +209,7 @@
     std::this_thread::sleep_for(milliseconds { 2500 });
     const auto log = system.logOf("batch-a-1");
     for (const auto* field : { "revision", "item sent", "open_age_ms", "store_silent_ms", "unconfirmed",
-             "open jobs listed", "repeated_calls" }) {
+             "open jobs listed", "reused_connection", "repeated_calls" }) {
         INFO(field);
         CHECK(log.find('"' + std::string(field) + '"') != std::string::npos);
     }
