Settings: limits.memory_mb and memory_mb are read and checked

The processes do not know the memory of their VM, which the platform gives and beyond which it ends them. The key is read and checked, and nothing uses it yet: tests that lower it run on the code as it stands, and fail for what they guard against.

--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -42,6 +42,7 @@
     milliseconds stopLimit { 30000 }; ///< Longest duration of a graceful shutdown.
     std::chrono::seconds leaseTtl { 30 }; ///< TTL of the lease that a batch process has on its jobs.
     unsigned workers = 32; ///< Number of items that a batch process runs at once.
+    std::uint64_t memoryMb = 0; ///< Memory that the process may use, in MB; 0 if unknown.
 };
 
 /// Reads the file. Errors name file, line and key; the error for an unknown key lists the known ones.
--- a/libs/node/src/process_options.cpp
+++ b/libs/node/src/process_options.cpp
@@ -48,7 +48,7 @@
         options.seeds = splitList(value);
         return {};
     }
-    if (key == "stop_limit_ms" || key == "lease_ttl_s" || key == "workers") {
+    if (key == "stop_limit_ms" || key == "lease_ttl_s" || key == "workers" || key == "memory_mb") {
         std::int64_t number = 0;
         const auto parsed = std::from_chars(value.data(), value.data() + value.size(), number);
         if (parsed.ec != std::errc() || parsed.ptr != value.data() + value.size() || number < 1
@@ -58,13 +58,15 @@
             options.stopLimit = milliseconds { number };
         else if (key == "lease_ttl_s")
             options.leaseTtl = std::chrono::seconds { number };
+        else if (key == "memory_mb")
+            options.memoryMb = static_cast<std::uint64_t>(number);
         else
             options.workers = static_cast<unsigned>(number);
         return {};
     }
     return "unknown key; known are vm, zone, http, rpc, store, seeds, data, certificate, private_key, "
-           "peer_certificate, peer_private_key, peer_authority, log_level, stop_limit_ms, lease_ttl_s and "
-           "workers";
+           "peer_certificate, peer_private_key, peer_authority, log_level, stop_limit_ms, lease_ttl_s, workers "
+           "and memory_mb";
 }
 
 log_level parseLevel(const std::string& text)
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -69,6 +69,8 @@
 
     unsigned descriptors = 1024; ///< Limit of open file descriptors, including sockets.
     double cores = 1; ///< CPU capacity of the VM in cores; may be fractional.
+    /// Memory that the process may use, in MB; exceeding it ends the process. 0 if unknown.
+    std::uint64_t memoryMb = 0;
 
     dispatch_settings dispatch;
     limit_settings customerLimits;
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -137,6 +137,7 @@
 {
     constexpr std::uint64_t maxPort = 65535;
     constexpr std::uint64_t maxMs = 86400000;
+    constexpr std::uint64_t minMemoryMb = 64; // An idle process of a large deployment uses about 35.
     static const rule_map all {
         { "process.vm", { text(&process_settings::vm) } },
         { "process.zone", { text(&process_settings::zone) } },
@@ -189,6 +190,8 @@
         { "limits.descriptors",
             { number(
                 64, 1u << 20, [](auto& s, auto value) { s.descriptors = static_cast<unsigned>(value); }) } },
+        { "limits.memory_mb",
+            { number(minMemoryMb, 1u << 24, [](auto& s, auto value) { s.memoryMb = value; }), false } },
     };
     return all;
 }
--- a/libs/process_settings/tests/test_process_settings.cpp
+++ b/libs/process_settings/tests/test_process_settings.cpp
@@ -31,6 +31,7 @@
     CHECK(parsed.value().seeds.size() == 2);
     CHECK(parsed.value().grace == milliseconds { 8000 });
     CHECK(parsed.value().descriptors == 4000);
+    CHECK(parsed.value().memoryMb == 0);
 }
 
 TEST_CASE("errors for invalid values name the file, line and key")
@@ -41,6 +42,9 @@
         parseError(replaced(completeFile, "10.0.0.9:70", "10.0.0.9")).find("f.ini:12: [store] address") == 0);
     CHECK(
         parseError(replaced(completeFile, ",10.0.0.2:1", ",x")).find("f.ini:10: [peers] seeds: \"x\"") == 0);
+    CHECK(parseError(replaced(completeFile, "descriptors = 4000", "descriptors = 4000\nmemory_mb = 2"))
+              .find("f.ini:15: [limits] memory_mb: \"2\"")
+        == 0);
     CHECK(parseError(replaced(completeFile, "vm = v", "vmm = v")) == "f.ini:2: [process] vmm: unknown key");
     CHECK(parseError(replaced(completeFile, "vm = v\n", "")) == "f.ini: [process] vm: is missing");
     CHECK(parseError(replaced(completeFile, "inner_port = 7000", "inner_port = 0"))
