--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -534,6 +534,8 @@
                 ? configuration(m_version, number("timeout"), number("extra") != 0, number("steps"))
                 : json::parse(request.body);
             next["version"] = m_version;
+            if (const auto maxBody = number("max_body"); maxBody != 0)
+                next["limits"]["max_body_bytes"] = maxBody;
             if (const auto customers = value("customers"); !customers.empty())
                 next["tenants"] = customersOf(customers);
             m_store.put("op/config", next);
--- a/tests/support/platform_system.cpp
+++ b/tests/support/platform_system.cpp
@@ -63,6 +63,8 @@
 
 platform_system::platform_system(platform_layout layout)
     : m_folder(newFolder())
+    , m_entryLimits(layout.entryLimits)
+    , m_batchLimits(layout.batchLimits)
 {
     std::filesystem::create_directories(m_folder);
     for (const auto& zone : layout.zones) {
@@ -329,7 +331,8 @@
              << "\ncontrol = " << local(one.control) << "\n";
     file << "inner_port = " << one.inner << "\n[peers]\nseeds = " << local(entries.begin()->second.control)
          << "\n[store]\naddress = " << local(store == m_storeRoutes.end() ? m_store : store->second)
-         << "\n[limits]\ndescriptors = 1000\n";
+         << "\n[limits]\n"
+         << (entry ? m_entryLimits : m_batchLimits);
 }
 
 } // namespace yuccachute::testing
--- a/tests/support/platform_system.h
+++ b/tests/support/platform_system.h
@@ -27,6 +27,9 @@
     /// "store-VM" and "server-NUMBER".
     bool proxied = false;
     bool serversProxied = true; ///< With `proxied`; else the servers are reached as they are.
+    /// Lines of the section [limits] of each entry and each batch process.
+    std::string entryLimits = "descriptors = 1000\n";
+    std::string batchLimits = "descriptors = 1000\n";
 };
 
 /// A system on the stand-in of the platform. All its processes are killed when it is destroyed, and its
@@ -106,6 +109,8 @@
     std::uint16_t m_store = freePort();
     std::uint16_t m_control = freePort();
     std::uint16_t m_proxyControl = freePort();
+    std::string m_entryLimits;
+    std::string m_batchLimits;
     std::map<std::string, std::uint16_t> m_storeRoutes; ///< Port through which a process reaches the store.
     unsigned m_servers = 0;
     bool m_keep = false;
