What all requests of a process hold together has a limit

What callers saw: clients that send large bodies, heads or chunks and stop short of their end ended a process, which ran out of memory; clients that send slowly over more connections than there are kept everybody else out for as long as they liked.

Cause: limits on one request and on the number of connections, and none on what all of them hold: 3,400 connections of 4 MB are 13.6 GB. Processes did not know their memory. Beside the bodies: fields of a head take some 300 bytes each (a head of 16 KB with small fields takes 1 MB), and the parser made them from incomplete heads; 8 KB of read buffer for each connection, idle ones too; a body was kept three times while it was sent (exchange, copy for the target, serialized text); buffers kept their size on idle connections; the system held up to 128 KB unread for each connection; freed bodies stayed in the heap; each byte of a body renewed its timeout; nothing but idle connections gave way to new ones.

Change: libs/memory_budget admits holders of memory, from limits.memory_mb (40 % of it; limits.request_memory_mb sets it; 256 MB without a setting). A quarter is kept for requests up to 256 KB, half of that for those up to 64 KB. Each connection, request and response has shares that return their memory when they end. A body is admitted by its length before it is read, or as its chunks arrive; a head before its fields are parsed, once it is complete. Who is not admitted gets 503 with Retry-After (not run), what follows is discarded, and the connection is closed once its caller has read that. Callers without progress for a second (16 KB received, 64 KB written) give way, longest first, also for places; a request that is being served does not. Requests that are sent ahead are discarded if there is no memory for them. A request must be complete within limits.request_timeout_ms (two minutes). Waiting connections share one read buffer, the system may hold 4 KB for each and 64 KB for one that sends a large body; bodies are shared instead of copied (libs/shared_bytes); blocks from 128 KB are returned to the system at once. Metrics yuccachute_request_memory_*, yuccachute_requests_refused_for_memory, yuccachute_connections_replaced, yuccachute_request_timeouts; log line "connection limit".

--- a/bench/standins/engine.cpp
+++ b/bench/standins/engine.cpp
@@ -119,7 +119,7 @@
 /// Orders carry a fencing number; some deployments' engines refuse an old one, others ignore it.
 void takeOrder(engine_state& state, const http_request& request, reply_sink& sink)
 {
-    const auto order = nlohmann::json::parse(request.body, nullptr, false);
+    const auto order = nlohmann::json::parse(request.body.str(), nullptr, false);
     if (!order.is_object())
         return sendJson(sink, 400, { { "error", { { "message", "not a JSON object" } } } });
     const std::scoped_lock lock(state.mutex);
--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -76,7 +76,7 @@
 
 bool isDeadly(const deadly_requests& deadly, const http_request& request)
 {
-    if (!deadly.mark.empty() && request.body.find(deadly.mark) != std::string::npos)
+    if (!deadly.mark.empty() && request.body.str().find(deadly.mark) != std::string::npos)
         return true;
     const auto parts = sharedParts(std::string(findHeader(request.headers, "Yuccachute-Prompt-Prefix")));
     return std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
@@ -532,7 +532,7 @@
             // A body holds the routes and services of a configuration of the test's own.
             auto next = request.body.empty()
                 ? configuration(m_version, number("timeout"), number("extra") != 0, number("steps"))
-                : json::parse(request.body);
+                : json::parse(request.body.str());
             next["version"] = m_version;
             if (const auto maxBody = number("max_body"); maxBody != 0)
                 next["limits"]["max_body_bytes"] = maxBody;
@@ -555,9 +555,9 @@
             m_deadly = { value("mark"), split(value("parts"), ','), milliseconds { number("after") },
                 milliseconds { number("back") }, number("ends"), number("live_only") != 0 };
         if (request.path == "/put")
-            m_store.put(value("key"), json::parse(request.body));
+            m_store.put(value("key"), json::parse(request.body.str()));
         if (request.path == "/put_raw")
-            m_store.putBytes(value("key"), request.body);
+            m_store.putBytes(value("key"), request.body.str());
         if (request.path == "/remove")
             m_store.remove(value("key"));
         if (request.path == "/key")
--- a/bench/standins/platform_store.cpp
+++ b/bench/standins/platform_store.cpp
@@ -252,7 +252,7 @@
 
 void platform_store::commit(std::shared_ptr<http_exchange> caller)
 {
-    const auto transaction = json::parse(caller->request().body);
+    const auto transaction = json::parse(caller->request().body.str());
     const bool lost = std::uniform_real_distribution<>(0, 1)(m_random) < faults.loseAnswers;
     unsigned status = 200;
     if (lost && faults.executeLaterMs > 0) {
@@ -277,7 +277,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     if (path == "/kv-lease") {
-        const int ttl = json::parse(caller.request().body).at("ttl_ms");
+        const int ttl = json::parse(caller.request().body.str()).at("ttl_ms");
         m_leases[++m_nextLease] = { ttl, now + milliseconds { ttl } };
         return answer(caller, 200, { { "lease", m_nextLease }, { "ttl_ms", ttl } });
     }
--- a/libs/admin/src/admin_api.cpp
+++ b/libs/admin/src/admin_api.cpp
@@ -174,7 +174,7 @@
 
 http_reply admin_api::edit(const http_request& request, const operator_account& account, bool accept)
 {
-    const auto parsed = parseEdits(request.body);
+    const auto parsed = parseEdits(request.body.str());
     if (!parsed)
         return failureReply(parsed.error());
     for (const auto& edit : parsed.value().edits) {
--- a/libs/bulk/include/bulk/bulk.h
+++ b/libs/bulk/include/bulk/bulk.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "shared_bytes/shared_bytes.h"
 #include "verdict/verdict.h"
 
 #include <cstdint>
@@ -23,7 +24,7 @@
     std::string path;
     /// Submitted headers, with the names that the platform uses.
     std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
+    shared_bytes body;
     std::uint64_t tokens = 0; ///< Upper bound for prompt and completion together.
 };
 
@@ -44,6 +45,9 @@
     std::int64_t configuration = 0;
 };
 
+/// Approximate memory of a record that is held.
+std::size_t memoryOf(const bulk_record& record);
+
 /// Path that the job's own route follows from: that of its submission, or of its first item if unknown.
 const std::string& submissionPath(const bulk_record& record);
 
@@ -184,6 +188,9 @@
     const bulk_record& record() const { return m_record; }
     steady_time due() const { return m_due; }
     void setDue(steady_time due) { m_due = due; }
+    /// Discards the bodies of the items, which no run needs any more.
+    void dropItemBodies();
+    bool itemBodiesDropped() const { return m_bodiesDropped; }
 
     /// Adds a committed group. The calls define the order of the results.
     void addCommitted(const bulk_result_group& group);
@@ -261,6 +268,7 @@
     std::vector<bulk_result> m_uncommitted;
     steady_time m_uncommittedSince;
     std::optional<bulk_result_group> m_pendingGroup;
+    bool m_bodiesDropped = false;
 };
 
 /// Number of consecutive aborted runs without a new event that count against the health of the targets. Later
--- a/libs/bulk/src/bulk_job.cpp
+++ b/libs/bulk/src/bulk_job.cpp
@@ -61,6 +61,13 @@
     });
 }
 
+void bulk_job::dropItemBodies()
+{
+    m_bodiesDropped = true;
+    for (auto& item : m_record.items)
+        item.body = {};
+}
+
 std::size_t bulk_job::nextItemEvents() const
 {
     return m_waiting.empty() ? 0 : m_items[*mostAdvancedItem()].events.size();
--- a/libs/bulk/src/bulk_records.cpp
+++ b/libs/bulk/src/bulk_records.cpp
@@ -39,7 +39,7 @@
     }
 }
 
-json bytesOf(const std::string& text)
+json bytesOf(std::string_view text)
 {
     return json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
 }
@@ -118,6 +118,19 @@
     return digits + (':' + std::string(id));
 }
 
+std::size_t memoryOf(const bulk_record& record)
+{
+    constexpr std::size_t perItem = 1024; // With the state of the item.
+    constexpr std::size_t perHeader = 96;
+    std::size_t bytes = 0;
+    for (const auto& item : record.items) {
+        bytes += perItem + item.body.capacity() + item.path.size();
+        for (const auto& [name, value] : item.headers)
+            bytes += perHeader + name.size() + value.size();
+    }
+    return bytes;
+}
+
 const std::string& submissionPath(const bulk_record& record)
 {
     return record.path.empty() && !record.items.empty() ? record.items.front().path : record.path;
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -19,6 +19,8 @@
     const std::function<std::unique_ptr<async_store>(http_client&)>& connect)
     : m_settings(settings)
     , m_adapter(adapter)
+    , m_memory(
+          std::make_shared<memory_budget>(requestMemoryBytes(settings.memoryMb, settings.requestMemoryMb)))
     , m_client(m_loop,
           { .maxIdlePerAddress = maxIdleConnectionsPerTarget, .limitCrossed = answerLimitCounter(m_metrics) })
     , m_platformStore(connect(m_client))
@@ -46,6 +48,8 @@
     options.address = m_settings.address;
     options.port = m_settings.innerPort;
     options.limits.maxConnections = m_settings.descriptors / 2;
+    options.limits.requestTimeout = m_settings.requestTimeout;
+    options.memory = m_memory;
     m_listener = std::make_unique<http_listener>(
         m_loop, options, [this](std::shared_ptr<http_exchange> caller) { serve(std::move(caller)); });
     if (m_settings.metricsPort != 0)
@@ -188,6 +192,7 @@
     m_metrics.set("yuccachute_place_asks", static_cast<double>(slotStats.asks));
     m_metrics.set("yuccachute_place_grants", static_cast<double>(slotStats.grants));
     m_metrics.set("yuccachute_jobs", static_cast<double>(m_jobs.size()));
+    reportMemory(m_metrics, *m_memory, m_listener->counters());
     m_metrics.set("yuccachute_item_runs", static_cast<double>(runs()));
     m_metrics.set("yuccachute_log_lines_dropped", static_cast<double>(droppedLogLines()));
     m_metrics.set("yuccachute_store_connected", m_fleet.storeConnected() ? 1 : 0);
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -253,7 +253,7 @@
     const auto reply = [itemId = call.itemId](http_exchange& to, const bulk_job& job) {
         for (const auto& item : job.record().items) {
             if (item.id == itemId)
-                return to.send({ 200, { { "Content-Type", "application/octet-stream" } }, item.body });
+                return to.send({ 200, { { "Content-Type", "application/octet-stream" } }, item.body.str() });
         }
         to.send({ 404, {}, "" });
     };
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -239,6 +239,7 @@
     static constexpr std::chrono::seconds defaultRunTime { 60 };
     process_settings m_settings;
     const bulk_adapter& m_adapter;
+    std::shared_ptr<memory_budget> m_memory; ///< For requests, held jobs and responses.
     event_loop m_loop;
     metrics m_metrics;
     http_client m_client;
--- a/libs/bulk_process/tests/test_bulk_job_store.cpp
+++ b/libs/bulk_process/tests/test_bulk_job_store.cpp
@@ -21,9 +21,10 @@
     std::minstd_rand random(1);
     auto made = record(std::move(id));
     for (auto& item : made.items) {
-        item.body.clear();
+        std::string body;
         for (std::size_t i = 0; i < bodyBytes; ++i)
-            item.body += static_cast<char>(random() >> 8);
+            body += static_cast<char>(random() >> 8);
+        item.body = std::move(body);
     }
     return made;
 }
--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -110,6 +110,7 @@
     std::function<milliseconds()> targetsAge = [] { return milliseconds { 0 }; };
     request_guard* guard = nullptr; ///< May be null.
     stream_origins* origins = nullptr; ///< If null, callers cannot resume streams.
+    std::shared_ptr<memory_budget> memory = nullptr; ///< For responses that are buffered; null: no limit.
 };
 
 /// An authenticated request that matched a live route.
@@ -138,6 +139,10 @@
 std::unique_ptr<http_listener> serveMetrics(
     event_loop& loop, const std::string& address, metrics& figures, std::function<void()> refresh);
 
+/// Sets the metrics of the memory that requests hold and of what a listener did about connections without
+/// progress.
+void reportMemory(metrics& figures, const memory_budget& memory, const http_listener_counters& counters);
+
 /// Returns a function that counts the answers that crossed a limit, for http_client_options.
 std::function<void(std::string_view)> answerLimitCounter(metrics& figures);
 
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -127,6 +127,8 @@
         const std::function<std::unique_ptr<async_store>(http_client&)>& connect)
         : m_settings(settings)
         , m_adapter(adapter)
+        , m_memory(std::make_shared<memory_budget>(
+              requestMemoryBytes(settings.memoryMb, settings.requestMemoryMb)))
         , m_client(m_loop,
               { .maxIdlePerAddress = idleConnectionsPerTarget,
                   .limitCrossed = answerLimitCounter(m_figures) })
@@ -150,7 +152,7 @@
         , m_origins(m_loop, m_broker, m_versions, m_figures)
         , m_live { m_loop, m_slots, m_targets, adapter.callers, m_figures,
             [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); }, &m_suspects.guard,
-            &m_origins }
+            &m_origins, m_memory }
         , m_jobs(
               m_loop, m_client, adapter.callers, settings.zone,
               [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
@@ -174,6 +176,7 @@
         http_listener_options options;
         std::tie(options.address, options.port) = splitAddress(m_settings.callers);
         options.limits = limits({});
+        options.memory = m_memory;
         m_callers = std::make_unique<http_listener>(
             m_loop, options, [this](std::shared_ptr<http_exchange> caller) { serve(std::move(caller)); });
         m_fleet.start();
@@ -232,6 +235,7 @@
         limits.maxBodyBytes = given.maxBodyBytes;
         limits.headerTimeout = given.headerTimeout;
         limits.idleTimeout = given.idleTimeout;
+        limits.requestTimeout = m_settings.requestTimeout;
         limits.maxConnections = m_settings.descriptors > 2 * reservedDescriptors
             ? m_settings.descriptors - reservedDescriptors
             : m_settings.descriptors / 2;
@@ -570,6 +574,7 @@
         m_figures.set("yuccachute_caller_connections", static_cast<double>(m_callers->connections()));
         m_figures.set("yuccachute_caller_connections_closed_unread",
             static_cast<double>(m_callers->connectionsClosedUnread()));
+        reportMemory(m_figures, *m_memory, m_callers->counters());
         m_figures.set(
             "yuccachute_target_connections_opened", static_cast<double>(m_client.connectionsOpened()));
         m_figures.set("yuccachute_configuration_version",
@@ -654,6 +659,7 @@
 
     process_settings m_settings;
     const platform_adapter& m_adapter;
+    std::shared_ptr<memory_budget> m_memory; ///< For requests of callers.
     event_loop m_loop;
     metrics m_figures;
     http_client m_client;
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -67,6 +67,7 @@
         , m_silenceTimer(services.loop)
         , m_examinationTimer(services.loop)
         , m_confirmation(services.loop)
+        , m_bodyMemory(services.memory)
         , m_lastEvent(m_facts.lastEvent)
     {
     }
@@ -516,8 +517,10 @@
             return true;
         }
         m_body.append(piece);
-        if (m_body.size() <= maxBufferedBytes)
+        // Without memory, the response is passed on as the caller reads it.
+        if (m_body.size() <= maxBufferedBytes && m_bodyMemory.resize(m_body.capacity(), now()))
             return true;
+        m_bodyMemory.release();
         startReply(m_contentLength);
         writeToCaller(std::exchange(m_body, {}));
         return true;
@@ -627,6 +630,7 @@
         cancelFailover();
         releaseSlot(m_replyHead.status >= firstServerErrorStatus ? grant_outcome::failed : grant_outcome::ok);
         m_body += std::exchange(m_unsentEvents, {});
+        m_bodyMemory.release(); // From here on it is output.
         startReply(m_body.size());
         m_caller->write(m_body);
         m_caller->finish();
@@ -808,6 +812,7 @@
     http_reply m_replyHead;
     std::optional<std::uint64_t> m_contentLength;
     std::string m_body;
+    memory_share m_bodyMemory;
     std::string m_lastTarget;
     std::string m_lastAddress;
     std::string m_lastVersion;
--- a/libs/front/tests/test_waiting_callers.cpp
+++ b/libs/front/tests/test_waiting_callers.cpp
@@ -16,7 +16,7 @@
 public:
     explicit silent_caller(std::size_t bodyBytes, std::size_t headerBytes)
     {
-        m_request.body.resize(bodyBytes);
+        m_request.body = std::string(bodyBytes, '\0');
         if (headerBytes > 0)
             m_request.headers.emplace_back("padding", std::string(headerBytes, 'x'));
     }
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "event_loop/event_loop.h"
+#include "memory_budget/memory_budget.h"
+#include "shared_bytes/shared_bytes.h"
 #include "verdict/verdict.h"
 
 #include <atomic>
@@ -36,7 +38,7 @@
     /// query.
     std::string target;
     http_headers headers;
-    std::string body;
+    shared_bytes body;
 };
 
 struct http_reply {
@@ -108,6 +110,11 @@
     virtual void onDrained(std::function<void()> drained) = 0;
     /// Calls the function at most once, if the connection closes before finish().
     virtual void onCallerGone(std::function<void()> gone) = 0;
+    /// Drops the body of the request and returns its memory, if it is not needed any more.
+    virtual void releaseBody() { }
+    /// Reserves memory for this many bytes of the response, to be queued next. Returns false if the process
+    /// has none: its callers have not read the responses that they were sent.
+    virtual bool reserveResponse(std::size_t /*bytes*/) { return true; }
 };
 
 /// Limits on the size and duration of requests and on the number of connections.
@@ -116,12 +123,23 @@
     std::size_t maxBodyBytes = 64u << 20; ///< Larger bodies are answered 413.
     /// For the request headers and between pieces of the body; then the request is answered 408.
     milliseconds headerTimeout { 20000 };
+    /// From the first byte of a request to its last; then it is answered 408.
+    milliseconds requestTimeout { 120000 };
     milliseconds idleTimeout { 30000 }; ///< Between requests; then the connection is closed.
-    /// A further connection replaces the one that has been idle longest, or is closed without being read if
-    /// none is idle: its peer can turn to another server at once.
+    /// A further connection replaces the one that has been idle longest, or else one whose caller has made no
+    /// progress for longest with a request that it sends or a response that it reads. If there is none, it is
+    /// closed without being read: its peer can turn to another server at once.
     std::size_t maxConnections = 4000;
 };
 
+/// What a listener did about connections that it could not serve.
+struct http_listener_counters {
+    std::uint64_t replaced = 0; ///< Connections without progress that gave way to new ones.
+    std::uint64_t refusedForMemory = 0; ///< Requests that the memory budget did not admit.
+    std::uint64_t reclaimed = 0; ///< Connections without progress that were closed for their memory.
+    std::uint64_t timedOut = 0; ///< Requests that were not received within requestTimeout.
+};
+
 /// What this library reports besides the results of calls. It writes no log itself, so that programs can be
 /// linked without the logging library.
 struct http_log {
@@ -132,6 +150,10 @@
     std::function<void(std::string_view address, std::string_view message)> callException;
     /// A handler or the parser of requests has thrown, and the caller's connection is closed.
     std::function<void(std::string_view message)> requestException;
+    /// A connection was refused or closed because of a limit on all of them together. `heldBytes` is the
+    /// memory that it held or asked for, `usedBytes` that of all requests.
+    std::function<void(std::string_view action, std::uint64_t heldBytes, std::uint64_t usedBytes)>
+        connectionLimit;
 };
 
 /// Sets where all clients and listeners of the process report. To be called before the first one is created,
@@ -146,6 +168,8 @@
     std::string privateKeyFile;
     /// If not set, responses of unknown length end with their connection, as those of some servers do.
     bool chunkedResponses = true;
+    /// Limit on the memory of all connections, requests and responses; may be shared. Null: no limit.
+    std::shared_ptr<memory_budget> memory;
 };
 
 /// Accepts connections on an event loop and passes complete requests to a handler. Chunked request bodies are
@@ -172,6 +196,7 @@
     std::size_t exchanges() const;
     /// Number of connections that were closed at once because there was no room for them.
     std::uint64_t connectionsClosedUnread() const;
+    const http_listener_counters& counters() const;
 
     struct impl; ///< Internal; public only for this library's source files.
 
@@ -294,6 +319,8 @@
     std::uint16_t port = 0;
     unsigned maxThreads = 512; ///< Each streamed response occupies one thread.
     std::size_t maxBodyBytes = 64u << 20;
+    /// Limit on the memory of all connections, requests and responses, in bytes; 0: none.
+    std::size_t memoryBytes = 0;
     milliseconds readTimeout { 20000 }; ///< For the request headers and between pieces of the body.
     milliseconds keepAliveTimeout { 30000 };
     std::string certificateFile; ///< PEM; enables TLS if set.
--- a/libs/http/src/blocking_server.cpp
+++ b/libs/http/src/blocking_server.cpp
@@ -85,6 +85,8 @@
         listenerOptions.limits.maxBodyBytes = options.maxBodyBytes;
         listenerOptions.limits.headerTimeout = options.readTimeout;
         listenerOptions.limits.idleTimeout = options.keepAliveTimeout;
+        if (options.memoryBytes != 0)
+            listenerOptions.memory = std::make_shared<memory_budget>(options.memoryBytes);
         listenerOptions.certificateFile = options.certificateFile;
         listenerOptions.privateKeyFile = options.privateKeyFile;
         listener = std::make_unique<http_listener>(loop, listenerOptions,
--- a/libs/http/src/byte_stream.cpp
+++ b/libs/http/src/byte_stream.cpp
@@ -8,6 +8,7 @@
 
 #include <cerrno>
 #include <charconv>
+#include <vector>
 
 namespace yuccachute {
 
@@ -36,6 +37,15 @@
     return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+/// The window that is offered to the peer stays what it was when the connection was made, unless it is set
+/// too.
+void setBuffer(tcp::socket& socket, int bytes)
+{
+    boost::system::error_code ignored; // The connection works with any buffer.
+    socket.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP, &bytes, sizeof bytes);
+}
+
 class plain_stream final : public byte_stream {
 public:
     explicit plain_stream(tcp::socket socket)
@@ -50,6 +60,25 @@
         m_socket.async_read_some(into, std::move(done));
     }
 
+    void receive(asio::mutable_buffer shared, received_handler done) override
+    {
+        boost::system::error_code ignored; // Reading reports any failure.
+        if (!m_socket.non_blocking())
+            m_socket.non_blocking(true, ignored);
+        m_socket.async_wait(tcp::socket::wait_read,
+            [this, shared, done = std::move(done)](const boost::system::error_code& error) mutable {
+                if (error)
+                    return done(error, {});
+                boost::system::error_code readError;
+                const auto count = m_socket.read_some(shared, readError);
+                if (readError == asio::error::would_block || readError == asio::error::try_again)
+                    return receive(shared, std::move(done));
+                done(readError, { static_cast<const char*>(shared.data()), count });
+            });
+    }
+
+    void setReceiveBuffer(int bytes) override { setBuffer(m_socket, bytes); }
+
     bool hasUnreadInput() override { return hasUnread(m_socket); }
 
     void writeAll(asio::const_buffer from, transfer_handler done) override
@@ -96,6 +125,19 @@
         m_stream.async_read_some(into, std::move(done));
     }
 
+    /// Decryption needs a buffer while it waits.
+    void receive(asio::mutable_buffer /*shared*/, received_handler done) override
+    {
+        if (m_buffer.empty())
+            m_buffer.resize(ownBufferBytes);
+        m_stream.async_read_some(asio::buffer(m_buffer),
+            [this, done = std::move(done)](const boost::system::error_code& error, std::size_t count) {
+                done(error, { m_buffer.data(), count });
+            });
+    }
+
+    void setReceiveBuffer(int bytes) override { setBuffer(m_stream.next_layer(), bytes); }
+
     bool hasUnreadInput() override { return hasUnread(m_stream.next_layer()); }
 
     void writeAll(asio::const_buffer from, transfer_handler done) override
@@ -122,7 +164,10 @@
     }
 
 private:
+    static constexpr std::size_t ownBufferBytes = 8u << 10;
+
     asio::ssl::stream<tcp::socket> m_stream;
+    std::vector<char> m_buffer;
 };
 
 } // namespace
--- a/libs/http/src/byte_stream.h
+++ b/libs/http/src/byte_stream.h
@@ -22,6 +22,12 @@
     /// Performs the server side of the TLS handshake. On a plain stream the handler runs immediately.
     virtual void accept(done_handler done) = 0;
     virtual void readSome(boost::asio::mutable_buffer into, transfer_handler done) = 0;
+    using received_handler = std::function<void(const boost::system::error_code&, std::string_view)>;
+    /// Waits for input and passes it on; the bytes are valid only during the call. Unlike readSome(), a plain
+    /// stream uses the buffer only once input has arrived, so that waiting connections can share one.
+    virtual void receive(boost::asio::mutable_buffer shared, received_handler done) = 0;
+    /// Sets how many bytes the system may hold for this stream until they are read.
+    virtual void setReceiveBuffer(int bytes) = 0;
     /// Whether input, the end of file or an error has arrived that no call of readSome() has received yet.
     virtual bool hasUnreadInput() = 0;
     virtual void writeAll(boost::asio::const_buffer from, transfer_handler done) = 0;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -26,6 +26,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 8u << 10;
+/// Larger bodies are written after the head without being copied behind it.
+constexpr std::size_t maxCopiedBody = 16u << 10;
 /// A second response arrives within a few requests of the first one, before the connection is idle for long.
 constexpr std::size_t maxCarriedIds = 64;
 /// Framing of a chunked body: an allowance as for a head, and for each byte of the body. The smallest chunk
@@ -86,6 +88,7 @@
 
 using connection_ptr = std::shared_ptr<server_connection>;
 
+/// The head, and the body if it is small.
 std::string serializeRequest(const http_request& request, std::string_view address)
 {
     std::string target = request.target;
@@ -105,7 +108,9 @@
     const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
     if (hasBody && findHeader(request.headers, "Content-Length").empty())
         add("Content-Length", std::to_string(request.body.size()));
-    text.append("\r\n").append(request.body);
+    text.append("\r\n");
+    if (request.body.size() <= maxCopiedBody)
+        text.append(request.body);
     return text;
 }
 
@@ -217,6 +222,7 @@
         : m_owner(std::move(owner))
         , m_address(address)
         , m_request(serializeRequest(request, address))
+        , m_largeBody(request.body.size() > maxCopiedBody ? request.body : shared_bytes())
         , m_headRequest(request.method == "HEAD")
         , m_options(options)
         , m_events(std::move(events))
@@ -336,11 +342,23 @@
         m_owner->read(m_connection);
         if (m_options.idleTimeout.count() > 0)
             armInactivityTimer(m_options.idleTimeout, "the server sent no data within the idle timeout");
-        m_connection->stream->writeAll(
-            asio::buffer(m_request), [self = shared_from_this()](const error_code& error, std::size_t) {
-                self->m_requestWritten = !error;
-                // A write error is not reported here but by the reader, which may hold a response already.
-            });
+        write(m_request, m_largeBody.empty());
+    }
+
+    /// `last`: whether the request ends with these bytes. A write error is not reported here but by the
+    /// reader, which may hold a response already.
+    void write(std::string_view bytes, bool last)
+    {
+        const auto written
+            = [self = shared_from_this(), last, on = m_connection](const error_code& error, std::size_t) {
+                  if (error || self->m_ended || self->m_connection != on)
+                      return;
+                  if (last)
+                      self->m_requestWritten = true;
+                  else
+                      self->write(self->m_largeBody, true);
+              };
+        m_connection->stream->writeAll(asio::buffer(bytes.data(), bytes.size()), written);
     }
 
     /// The request may have arrived over the reused connection, on which no byte of the response has.
@@ -614,7 +632,8 @@
 
     std::shared_ptr<http_client::impl> m_owner;
     std::string m_address;
-    std::string m_request;
+    std::string m_request; ///< The head, and the body if it is small.
+    shared_bytes m_largeBody;
     bool m_headRequest;
     client_call_options m_options;
     client_call_events m_events;
--- a/libs/http/src/http_log.cpp
+++ b/libs/http/src/http_log.cpp
@@ -9,7 +9,8 @@
 http_log& storedLog()
 {
     static http_log log { [](std::string_view, std::string_view, std::uint64_t) {},
-        [](std::string_view, std::string_view) {}, [](std::string_view) {} };
+        [](std::string_view, std::string_view) {}, [](std::string_view) {},
+        [](std::string_view, std::uint64_t, std::uint64_t) {} };
     return log;
 }
 
--- a/libs/http/tests/test_http.cpp
+++ b/libs/http/tests/test_http.cpp
@@ -127,7 +127,7 @@
             return sink.finish();
         }
         sink.send({ 200, { { "X-Seen", std::string(findHeader(request.headers, "x-id")) } },
-            request.body + request.query });
+            request.body.str() + request.query });
     });
     auto request = post("/echo", "hello");
     request.query = "a=b%20c";
--- a/libs/http_log/src/http_log.cpp
+++ b/libs/http_log/src/http_log.cpp
@@ -21,6 +21,11 @@
         logEvent(log_level::error, "exception while a request was handled; its connection is closed",
             { { "message", message } });
     };
+    log.connectionLimit = [](std::string_view action, std::uint64_t heldBytes, std::uint64_t usedBytes) {
+        logEvent(log_level::warning, "connection limit",
+            { { "action", action }, { "held_bytes", static_cast<std::int64_t>(heldBytes) },
+                { "used_bytes", static_cast<std::int64_t>(usedBytes) } });
+    };
     setHttpLog(std::move(log));
 }
 
--- a/libs/process_settings/include/process_settings/process_settings.h
+++ b/libs/process_settings/include/process_settings/process_settings.h
@@ -71,6 +71,10 @@
     double cores = 1; ///< CPU capacity of the VM in cores; may be fractional.
     /// Memory that the process may use, in MB; exceeding it ends the process. 0 if unknown.
     std::uint64_t memoryMb = 0;
+    /// Part of it for all requests together, in MB; 0 for the default, see requestMemoryBytes().
+    std::uint64_t requestMemoryMb = 0;
+    /// From the first byte of a request to its last, besides the limits of the configuration.
+    milliseconds requestTimeout { 120000 };
 
     dispatch_settings dispatch;
     limit_settings customerLimits;
--- a/libs/process_settings/src/process_settings.cpp
+++ b/libs/process_settings/src/process_settings.cpp
@@ -192,6 +192,11 @@
                 64, 1u << 20, [](auto& s, auto value) { s.descriptors = static_cast<unsigned>(value); }) } },
         { "limits.memory_mb",
             { number(minMemoryMb, 1u << 24, [](auto& s, auto value) { s.memoryMb = value; }), false } },
+        { "limits.request_memory_mb",
+            { number(1, 1u << 24, [](auto& s, auto value) { s.requestMemoryMb = value; }), false } },
+        { "limits.request_timeout_ms",
+            { number(1000, maxMs, [](auto& s, auto value) { s.requestTimeout = milliseconds { value }; }),
+                false } },
     };
     return all;
 }
