Jobs are admitted by the memory that they take, and repeats take none

What callers saw: whole jobs of the largest size ended batch processes, which ran out of memory; the same job, submitted many times at once, did too.

Cause: admission counted requests and tokens, not bytes. A submission was held as text, items, stored record and call of the store, one copy of it in a closure; a job that was being created was parsed and encoded again for each repeat; finished jobs kept the bodies of their items until their retention ended; loads of stored jobs ran all at once.

Change: a submission reserves four times its body before it is parsed, and is refused with 503 (not run) before the 202 if that is not there; the accepted job keeps a share for its record. Further submissions of a job that is being created wait for the outcome and get the same answer; that of a held job gets its 202 before its body is parsed. For lack of memory finished jobs give back the bodies of their items, which are read from the store from then on. Loads run one per 12 MB of the budget. A job of another process is not taken over while large holders find no room; it waits in the store and is tried with the next listing.

Not shown by a test: the bodies of a finished job that are read again from the store, and takeovers without memory.

--- a/libs/bulk_process/include/bulk_process/bulk_process.h
+++ b/libs/bulk_process/include/bulk_process/bulk_process.h
@@ -54,6 +54,8 @@
     virtual ~bulk_protocol() = default;
     /// Returns nullopt if the request does not refer to an existing job.
     virtual std::optional<bulk_job_call> parseCall(const http_request& request) const = 0;
+    /// The id that a submission gives to its job, unchecked.
+    virtual std::string_view submittedId(const http_request& request) const = 0;
     /// Parses the submission of a job. A failure names the invalid field.
     virtual result<bulk_record> parseSubmission(const http_request& request) const = 0;
     /// Encodes results starting at position `after`, at most `maxBytes` of them, but at least one if there is
@@ -183,7 +185,10 @@
     void listOpen(callback<open_jobs> done);
     /// Removes all keys of a job, in several transactions if necessary. `groups` is the number of its result
     /// groups.
-    void remove(const bulk_record& record, std::size_t groups);
+    /// `parts`: result of partsOf() for the record as it was stored.
+    void remove(const bulk_record& record, std::size_t groups, std::size_t parts);
+    /// Returns an upper bound for the number of parts that the record is stored in.
+    std::size_t partsOf(const bulk_record& record) const;
 
 private:
     void resolveCreation(
--- a/libs/bulk_process/src/bulk_job_store.cpp
+++ b/libs/bulk_process/src/bulk_job_store.cpp
@@ -469,14 +469,19 @@
     });
 }
 
-void bulk_job_store::remove(const bulk_record& record, std::size_t groups)
+std::size_t bulk_job_store::partsOf(const bulk_record& record) const
+{
+    return maxPartsOf(record, m_valueBytes);
+}
+
+void bulk_job_store::remove(const bulk_record& record, std::size_t groups, std::size_t parts)
 {
     const auto& id = record.id;
     std::vector<std::string> keys { keyOf(recordPrefix, id), keyOf(openPrefix, id), remainingKey(id),
         keyOf(progressPrefix, id), keyOf(endPrefix, id) };
     for (std::size_t number = 0; number < groups; ++number)
         keys.push_back(groupKey(id, number));
-    for (std::size_t number = 1; number < maxPartsOf(record, m_valueBytes); ++number)
+    for (std::size_t number = 1; number < parts; ++number)
         keys.push_back(partKey(id, number));
     for (std::size_t begin = 0; begin < keys.size(); begin += maxRemovalsPerCall) {
         store_transaction removing;
--- a/libs/bulk_process/src/bulk_process.cpp
+++ b/libs/bulk_process/src/bulk_process.cpp
@@ -50,6 +50,7 @@
     options.limits.maxConnections = m_settings.descriptors / 2;
     options.limits.requestTimeout = m_settings.requestTimeout;
     options.memory = m_memory;
+    m_reclaimer = m_memory->addReclaimer([this](std::size_t, steady_time) { return reclaimFinishedJob(); });
     m_listener = std::make_unique<http_listener>(
         m_loop, options, [this](std::shared_ptr<http_exchange> caller) { serve(std::move(caller)); });
     if (m_settings.metricsPort != 0)
@@ -134,7 +135,8 @@
             continue;
         }
         logEvent(log_level::info, "job removed after its retention period", { { "job", job->first } });
-        m_jobStore.remove(job->second.job->record(), job->second.job->committedGroups());
+        const auto& held = job->second;
+        m_jobStore.remove(held.job->record(), held.job->committedGroups(), held.storedParts);
         job = m_jobs.erase(job);
     }
 }
--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -12,6 +12,12 @@
 constexpr milliseconds maxMemoryAge { 1000 };
 constexpr std::size_t maxPageBytes = 900u << 10;
 constexpr unsigned accepted = 202;
+/// Memory of a submission besides its body, and how many times the body is held until the job is created: as
+/// items, as stored record, and as the call that stores it, whose values are text.
+constexpr std::size_t submissionMemory = 16u << 10;
+constexpr std::size_t submissionCopies = 4;
+/// What loading a record of the largest size takes while it is decoded.
+constexpr std::size_t memoryPerLoad = 12u << 20;
 constexpr unsigned badGateway = 502;
 /// How long a submission waits for the configuration by which an entry admitted it. The store answers within
 /// milliseconds, or within 200 ms when it is slow; another batch process may have the configuration.
@@ -65,9 +71,31 @@
     return true;
 }
 
+void bulk_process::replyIfMemory(http_exchange& caller, http_reply reply)
+{
+    if (caller.reserveResponse(reply.body.size()))
+        return caller.send(std::move(reply));
+    refuse(caller, notRun(failure_kind::unavailable, "there is no memory for the response", retryAfter));
+}
+
 void bulk_process::submit(std::shared_ptr<http_exchange> caller)
 {
-    auto record = m_adapter.jobs.parseSubmission(caller->request());
+    const auto& request = caller->request();
+    const auto customer = std::string(findHeader(request.headers, customerHeader));
+    const auto id = customerScopedId(customer, m_adapter.jobs.submittedId(request));
+    if (m_jobs.contains(id))
+        return caller->send({ accepted, {}, "" });
+    if (const auto pending = m_submissions.find(id); pending != m_submissions.end()) {
+        caller->releaseBody();
+        pending->second.callers.push_back(std::move(caller));
+        return;
+    }
+    memory_share memory(m_memory);
+    if (!memory.resize(submissionMemory + request.body.size() * submissionCopies, now()))
+        return replyWithFailure(*caller,
+            notRun(
+                failure_kind::unavailable, "there is no memory for this job now; retry later", retryAfter));
+    auto record = m_adapter.jobs.parseSubmission(request);
     if (!record)
         return replyWithFailure(*caller, record.error());
     if (m_leaving || !m_fleet.configuration())
@@ -75,31 +103,44 @@
             notRun(failure_kind::unavailable, m_leaving ? "leaving" : "no configuration is known yet",
                 retryAfter));
     record.value().acceptedMs = wallClockMs();
-    record.value().customer = findHeader(caller->request().headers, customerHeader);
-    record.value().id = customerScopedId(record.value().customer, record.value().id);
-    record.value().configuration = configurationOf(caller->request().headers);
-    if (m_jobs.contains(record.value().id))
-        return caller->send({ accepted, {}, "" });
+    record.value().customer = customer;
+    record.value().id = id;
+    record.value().configuration = configurationOf(request.headers);
     if (refuseIfStoreUnavailable(*caller))
         return;
+    caller->releaseBody();
+    m_submissions.emplace(id, pending_submission { { std::move(caller) }, std::move(memory) });
     if (configurationFor(record.value()))
-        return accept(std::move(caller), std::move(record.value()));
+        return accept(std::move(record.value()));
     logEvent(log_level::info, "submission waits for a newer configuration",
-        { { "job", record.value().id }, { "config", m_fleet.configuration()->version },
+        { { "job", id }, { "config", m_fleet.configuration()->version },
             { "entry_config", record.value().configuration } });
-    m_waitingSubmissions.push_back(
-        { std::move(caller), std::move(record.value()), now() + configurationTimeout });
+    m_waitingSubmissions.push_back({ std::move(record.value()), now() + configurationTimeout });
     m_fleet.requestConfiguration(now());
 }
 
+void bulk_process::endSubmission(const std::string& id, const std::function<void(http_exchange&)>& reply)
+{
+    const auto ended = m_submissions.extract(id);
+    if (ended.empty())
+        return;
+    for (const auto& caller : ended.mapped().callers)
+        reply(*caller);
+}
+
+void bulk_process::refuseSubmission(const std::string& id, const failure& error)
+{
+    endSubmission(id, [&](http_exchange& caller) { replyWithFailure(caller, error); });
+}
+
 void bulk_process::resumeSubmissions()
 {
     const auto time = now();
     for (auto& waiting : std::exchange(m_waitingSubmissions, {})) {
         if (configurationFor(waiting.record))
-            accept(std::move(waiting.caller), std::move(waiting.record));
+            accept(std::move(waiting.record));
         else if (m_leaving || time >= waiting.until)
-            replyWithFailure(*waiting.caller,
+            refuseSubmission(waiting.record.id,
                 notRun(failure_kind::unavailable,
                     "this process has configuration " + std::to_string(m_fleet.configuration()->version)
                         + ", the entry has " + std::to_string(waiting.record.configuration) + "; retry",
@@ -111,23 +152,24 @@
         m_fleet.requestConfiguration(time);
 }
 
-void bulk_process::accept(std::shared_ptr<http_exchange> caller, bulk_record record)
+void bulk_process::accept(bulk_record given)
 {
     const auto table = m_fleet.configuration();
-    const auto admittedBy = std::exchange(record.configuration, table->version);
-    const auto* submission = routeOfSubmission(*table, record);
+    const auto admittedBy = std::exchange(given.configuration, table->version);
+    const auto* submission = routeOfSubmission(*table, given);
     if (!submission)
         // An entry that sends no version may have a newer configuration.
-        return replyWithFailure(*caller,
+        return refuseSubmission(given.id,
             notRun(admittedBy != 0 ? failure_kind::not_found : failure_kind::unavailable,
-                "no batch route matches " + submissionPath(record) + " in configuration "
+                "no batch route matches " + submissionPath(given) + " in configuration "
                     + std::to_string(table->version),
                 retryAfter));
-    record.completionWindow = submission->completionWindow;
-    const auto id = record.id;
-    const auto limit = limitFor(record);
-    m_admission.create(record, limit,
-        [this, limit, caller, record, id, sent = bootClockNow()](result<bulk_job_store::creation> created) {
+    given.completionWindow = submission->completionWindow;
+    const auto limit = limitFor(given);
+    const auto record = std::make_shared<bulk_record>(std::move(given));
+    m_admission.create(*record, limit,
+        [this, limit, record, sent = bootClockNow()](result<bulk_job_store::creation> created) {
+            const auto id = record->id;
             if (!created) {
                 logEvent(log_level::warning, "job submission failed",
                     { { "job", id }, { "verdict", toString(created.error().ran) },
@@ -135,19 +177,23 @@
                 auto error = created.error();
                 if (error.kind != failure_kind::too_large && error.kind != failure_kind::limited)
                     error.retryAfter = retryAfter;
-                return replyWithFailure(*caller, error);
+                return refuseSubmission(id, error);
             }
             const auto revision = created.value().openRevision;
             logEvent(log_level::info, "job accepted",
-                { { "job", id }, { "items", static_cast<std::int64_t>(record.items.size()) },
+                { { "job", id }, { "items", static_cast<std::int64_t>(record->items.size()) },
                     { "revision", revision }, { "existed", std::int64_t { revision == 0 } },
-                    { "config", record.configuration } });
+                    { "config", record->configuration } });
+            if (const auto pending = m_submissions.find(id); pending != m_submissions.end())
+                pending->second.memory.release(); // From here on the held job counts.
+            auto claim = claimOf(*record, limit);
             if (revision != 0)
-                addHeldJob({ record, {}, {}, std::nullopt, claimOf(record, limit), revision, false }, sent);
+                addHeldJob(
+                    { std::move(*record), {}, {}, std::nullopt, std::move(claim), revision, false }, sent);
             else
                 // This process may be the holder, if the reply to an earlier creation was lost.
                 m_scan.request(bootClockNow());
-            caller->send({ accepted, {}, "" });
+            endSubmission(id, [](http_exchange& caller) { caller.send({ accepted, {}, "" }); });
         });
 }
 
@@ -232,33 +278,62 @@
     const std::optional<bulk_job_store::open_job>& open, job_reader use)
 {
     const auto reply = [this, caller, id, use = std::move(use)](result<bulk_job_store::stored_job> stored) {
+        loadFinished();
         if (!stored)
             return replyWithFailure(*caller, stored.error());
         const bool final = !stored.value().holder;
         auto made = makeHeldJob(std::move(stored.value()));
         use(*caller, *made.job);
         // Kept, because a finished job no longer changes and is likely to be requested again.
-        if (final)
+        if (final && made.memory.resize(memoryOf(made.job->record()), now()))
             m_jobs.emplace(id, std::move(made));
     };
-    if (open)
-        return m_jobStore.loadResults(id, *open, reply);
-    // The job is finished, or was created after the listing. Its holder must therefore be read again, after
-    // the record.
-    m_jobStore.load(id, reply);
+    startLoad([this, id, open, reply] {
+        if (open)
+            return m_jobStore.loadResults(id, *open, reply);
+        // The job is finished, or was created after the listing. Its holder must therefore be read again,
+        // after the record.
+        m_jobStore.load(id, reply);
+    });
+}
+
+void bulk_process::startLoad(std::function<void()> load)
+{
+    const auto most = std::max<std::size_t>(1, m_memory->total() / memoryPerLoad);
+    if (m_runningLoads >= most) {
+        m_waitingLoads.push_back(std::move(load));
+        return;
+    }
+    ++m_runningLoads;
+    load();
+}
+
+void bulk_process::loadFinished()
+{
+    --m_runningLoads;
+    if (m_waitingLoads.empty())
+        return;
+    m_loop.post([this] {
+        if (m_waitingLoads.empty())
+            return;
+        auto next = std::move(m_waitingLoads.front());
+        m_waitingLoads.pop_front();
+        startLoad(std::move(next));
+    });
 }
 
 void bulk_process::serve(std::shared_ptr<http_exchange> caller, const read_item_body_call& call)
 {
-    const auto reply = [itemId = call.itemId](http_exchange& to, const bulk_job& job) {
+    const auto reply = [this, itemId = call.itemId](http_exchange& to, const bulk_job& job) {
         for (const auto& item : job.record().items) {
-            if (item.id == itemId)
-                return to.send({ 200, { { "Content-Type", "application/octet-stream" } }, item.body.str() });
+            if (item.id != itemId)
+                continue;
+            return to.send({ 200, { { "Content-Type", "application/octet-stream" } }, item.body.str() });
         }
         to.send({ 404, {}, "" });
     };
     const auto found = m_jobs.find(call.jobId);
-    if (found != m_jobs.end())
+    if (found != m_jobs.end() && !found->second.job->itemBodiesDropped())
         return reply(*caller, *found->second.job);
     useStoredJob(std::move(caller), call.jobId, reply);
 }
--- a/libs/bulk_process/src/job_runs.cpp
+++ b/libs/bulk_process/src/job_runs.cpp
@@ -73,6 +73,8 @@
     held.claim = stored.claim;
     held.cancelled = stored.cancelled;
     held.acceptedAt = now() - age;
+    held.storedParts = m_jobStore.partsOf(stored.record);
+    held.memory = memory_share(m_memory);
     held.job = std::make_unique<bulk_job>(std::move(stored.record), held.acceptedAt);
     applyConfiguration(held);
     for (const auto& group : stored.groups)
@@ -90,10 +92,25 @@
         return;
     if (known != m_jobs.end())
         dropHeldJob(known);
-    m_jobs.emplace(id, makeHeldJob(std::move(stored))).first->second.openAt = openAt;
+    auto& held = m_jobs.emplace(id, makeHeldJob(std::move(stored))).first->second;
+    held.openAt = openAt;
+    held.memory.force(memoryOf(held.job->record()), now()); // It is owed, whatever else must give way.
     startRuns();
 }
 
+bool bulk_process::reclaimFinishedJob()
+{
+    for (auto& [id, held] : m_jobs) {
+        const bool finished = held.openRevision == 0 || (held.job->complete() && held.runs.empty());
+        if (!finished || held.job->itemBodiesDropped())
+            continue;
+        held.job->dropItemBodies();
+        held.memory.resize(memoryOf(held.job->record()), now());
+        return true;
+    }
+    return false;
+}
+
 void bulk_process::dropHeldJob(job_map::iterator job)
 {
     for (auto& reader : job->second.readers)
--- a/libs/bulk_process/src/job_takeover.cpp
+++ b/libs/bulk_process/src/job_takeover.cpp
@@ -70,7 +70,7 @@
         }
         if (mine && !m_leaving)
             loadOwnJob(job);
-        else if (!mine && shouldTakeOver(job))
+        else if (!mine && shouldTakeOver(job) && hasMemoryFor(job))
             takeOver(job);
     }
     for (auto job = m_jobs.begin(); job != m_jobs.end();) {
@@ -107,6 +107,16 @@
     return first->vm == m_self.vm;
 }
 
+/// A job that is not taken over waits in the store until a later listing finds memory for it.
+bool bulk_process::hasMemoryFor(const bulk_job_store::open_job& job) const
+{
+    const bool fits = m_memory->fits(memory_budget::mediumBytes + 1);
+    if (!fits)
+        logEvent(log_level::warning, "job without holder waits for memory",
+            { { "job", job.id }, { "used_bytes", static_cast<std::int64_t>(m_memory->used()) } });
+    return fits;
+}
+
 void bulk_process::takeOver(const bulk_job_store::open_job& job)
 {
     logEvent(log_level::info, "job without holder",
--- a/libs/bulk_process/src/process.h
+++ b/libs/bulk_process/src/process.h
@@ -12,6 +12,7 @@
 #include "open_lookup.h"
 #include "retirement.h"
 
+#include <deque>
 #include <set>
 
 /// The batch process. Its implementation is split by topic: requests of callers (job_calls), item runs
@@ -33,9 +34,14 @@
     steady_time until;
 };
 
+/// A submission until it is accepted or refused. Further submissions of the same job get the same response.
+struct pending_submission {
+    std::vector<std::shared_ptr<http_exchange>> callers;
+    memory_share memory;
+};
+
 /// A submission that an entry admitted by a newer configuration than this process has.
 struct waiting_submission {
-    std::shared_ptr<http_exchange> caller;
     bulk_record record;
     steady_time until;
 };
@@ -50,6 +56,8 @@
 /// A job that this process holds, or a finished or cancelled one that it has read from the store.
 struct held_job {
     std::unique_ptr<bulk_job> job;
+    memory_share memory; ///< For the record.
+    std::size_t storedParts = 0; ///< Of the record in the store.
     std::int64_t openRevision = 0; ///< 0 for a finished or cancelled job, which is read-only.
     /// When the read or write was sent that last showed the job to be open, by bootClockNow().
     steady_time openAt;
@@ -105,6 +113,8 @@
     // --- Requests from callers
     void serve(std::shared_ptr<http_exchange> caller);
     void replyWithFailure(http_exchange& caller, const failure& error);
+    /// Sends a response that may be large, or refuses the request if there is no memory for it.
+    void replyIfMemory(http_exchange& caller, http_reply reply);
     /// Refuses a request while the store does not respond. Otherwise each request would be one more billed
     /// call that fails, up to thousands per second, and would wait for its timeout if the store does not
     /// respond at all. The caller's entry process can try another batch process at once. This process detects
@@ -113,7 +123,10 @@
     void submit(std::shared_ptr<http_exchange> caller);
     /// Creates the job by the configuration in force, which is not older than the one that the record names:
     /// that of the entry, or 0 if unknown.
-    void accept(std::shared_ptr<http_exchange> caller, bulk_record record);
+    void accept(bulk_record record);
+    /// Ends a submission by this response to all its callers.
+    void endSubmission(const std::string& id, const std::function<void(http_exchange&)>& reply);
+    void refuseSubmission(const std::string& id, const failure& error);
     /// Accepts the submissions whose configuration has arrived, and refuses those that have waited too long.
     void resumeSubmissions();
     /// Returns the token limit that applies to a submission.
@@ -133,6 +146,9 @@
     /// Reads a job without a live holder. `open` is its open-job entry as just read from the store.
     void loadForCaller(std::shared_ptr<http_exchange> caller, const std::string& id,
         const std::optional<bulk_job_store::open_job>& open, job_reader use);
+    /// Runs a load now or once fewer are running: each may take several times the size of a record.
+    void startLoad(std::function<void()> load);
+    void loadFinished();
     void serve(std::shared_ptr<http_exchange> caller, const read_item_body_call& call);
     void serve(std::shared_ptr<http_exchange> caller, const cancel_job_call& call);
     /// Passes the request that has ended a job on to the job's former holder, unless this process is the
@@ -150,6 +166,9 @@
     bool hasExpired(const held_job& held, std::uint32_t index, const routing_table& table) const;
     void expireItems(held_job& held, const routing_table& table, steady_time time) const;
     held_job makeHeldJob(bulk_job_store::stored_job stored);
+    /// Discards the bodies of a finished job's items; they can be read from the store. Returns false if there
+    /// is none to discard. See memory_budget::reclaimer.
+    bool reclaimFinishedJob();
     /// `openAt` is when the call was sent by which the job was created or read.
     void addHeldJob(bulk_job_store::stored_job stored, steady_time openAt);
     void dropHeldJob(job_map::iterator job);
@@ -222,6 +241,7 @@
     void reconcile(const bulk_job_store::open_jobs& open, steady_time requestedAt);
     /// Returns whether the job's holder is no longer registered, and this process is to take the job over.
     bool shouldTakeOver(const bulk_job_store::open_job& job) const;
+    bool hasMemoryFor(const bulk_job_store::open_job& job) const;
     void takeOver(const bulk_job_store::open_job& job);
     void loadOwnJob(const bulk_job_store::open_job& job);
 
@@ -240,6 +260,7 @@
     process_settings m_settings;
     const bulk_adapter& m_adapter;
     std::shared_ptr<memory_budget> m_memory; ///< For requests, held jobs and responses.
+    std::shared_ptr<const void> m_reclaimer; ///< Registration with m_memory.
     event_loop m_loop;
     metrics m_metrics;
     http_client m_client;
@@ -259,7 +280,10 @@
     retirement m_retirement;
     loop_timer m_stopTimer;
     job_map m_jobs;
+    std::map<std::string, pending_submission> m_submissions;
     std::vector<waiting_submission> m_waitingSubmissions;
+    std::deque<std::function<void()>> m_waitingLoads;
+    unsigned m_runningLoads = 0;
     std::set<std::string> m_loadingJobs; ///< Jobs that are being taken over or loaded.
     std::unique_ptr<loop_ticker> m_ticker;
     std::unique_ptr<http_listener> m_listener;
--- a/libs/bulk_process/tests/test_bulk_job_store.cpp
+++ b/libs/bulk_process/tests/test_bulk_job_store.cpp
@@ -188,7 +188,7 @@
     fixture f;
     const auto revision = f.create("a").value().openRevision;
     CHECK(f.commit(f.jobStore, 0, first, revision, false));
-    f.jobStore.remove(record("a"), 1);
+    f.jobStore.remove(record("a"), 1, f.jobStore.partsOf(record("a")));
     CHECK(f.store.values.empty());
 }
 
@@ -209,7 +209,7 @@
     REQUIRE(stored);
     REQUIRE(stored.value().record.items.size() == 2);
     CHECK((stored.value().record.items[1].body == large.items[1].body));
-    f.jobStore.remove(large, 0);
+    f.jobStore.remove(large, 0, f.jobStore.partsOf(large));
     CHECK(f.store.values.empty());
 }
 
