Large responses about jobs are sent only if there is memory for them

What callers saw: clients that ask for bodies of items and read nothing ended an entry.

Cause: the response was received whole and queued for the caller, whoever else did not read.

Change: a batch process reserves the response before it is queued, an entry reserves it as it arrives; without memory a read is refused with 503 and Retry-After.

--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -233,7 +233,7 @@
 
 void bulk_process::replyWithResults(http_exchange& caller, const held_job& held, std::size_t after)
 {
-    caller.send(
+    replyIfMemory(caller,
         m_adapter.jobs.writeResults(held.job->record(), held.job->committedResults(), after, maxPageBytes));
 }
 
@@ -241,7 +241,8 @@
 {
     useStoredJob(
         std::move(caller), call.jobId, [this, after = call.after](http_exchange& to, const bulk_job& job) {
-            to.send(m_adapter.jobs.writeResults(job.record(), job.committedResults(), after, maxPageBytes));
+            replyIfMemory(
+                to, m_adapter.jobs.writeResults(job.record(), job.committedResults(), after, maxPageBytes));
         });
 }
 
@@ -328,6 +329,9 @@
         for (const auto& item : job.record().items) {
             if (item.id != itemId)
                 continue;
+            if (!to.reserveResponse(item.body.size()))
+                return refuse(
+                    to, notRun(failure_kind::unavailable, "there is no memory for the response", retryAfter));
             return to.send({ 200, { { "Content-Type", "application/octet-stream" } }, item.body.str() });
         }
         to.send({ 404, {}, "" });
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -155,7 +155,7 @@
             &m_origins, m_memory }
         , m_jobs(
               m_loop, m_client, adapter.callers, settings.zone,
-              [this] { return m_fleet.nodes(node_role::batch); }, m_figures)
+              [this] { return m_fleet.nodes(node_role::batch); }, m_figures, m_memory)
         , m_registrationTimer(m_loop)
         , m_storeTicker(m_loop, storeCheckInterval, [this] { checkStore(); })
         , m_stopTimer(m_loop)
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -35,6 +35,7 @@
         , m_caller(std::move(caller))
         , m_admitted(std::move(call))
         , m_candidates(candidates.begin(), candidates.end())
+        , m_replyMemory(m_owner.m_memory)
         , m_deadline(m_caller->received() + m_admitted.callerTimeout)
     {
     }
@@ -76,12 +77,11 @@
             m_reply = head;
             return true;
         };
-        events.body = [this](std::string_view piece) {
-            m_reply.body.append(piece);
-            return true;
-        };
+        events.body = [this](std::string_view piece) { return appendToReply(piece); };
         events.whole = [this] { onReply(); };
         events.failed = [this](const failure& error) {
+            if (m_noMemory)
+                return failForMemory();
             m_outcomeUnknown = m_outcomeUnknown || error.ran != verdict::not_run;
             m_lastReason = error.message;
             m_excluded.insert(m_address);
@@ -92,6 +92,33 @@
         m_call = m_owner.m_client.start(m_address, request, options, std::move(events));
     }
 
+    bool appendToReply(std::string_view piece)
+    {
+        const auto size = m_reply.body.size() + piece.size();
+        if (size > m_reply.body.capacity()) {
+            const auto capacity = std::max(size, 2 * m_reply.body.capacity());
+            m_noMemory = !m_replyMemory.resize(capacity, std::chrono::steady_clock::now());
+            if (m_noMemory)
+                return false;
+            m_reply.body.reserve(capacity);
+        }
+        m_reply.body.append(piece);
+        return true;
+    }
+
+    /// Responses that take memory are those to reads, which can be repeated.
+    void failForMemory()
+    {
+        m_reply = {};
+        m_lastReason = "there is no memory for the response";
+        if (m_admitted.kind == call_kind::submission) {
+            m_caller->send({ badGateway, { { "Content-Type", "text/plain" } }, m_lastReason + "\n" });
+            return end("unknown", badGateway);
+        }
+        refuse(*m_caller, notRun(failure_kind::unavailable, m_lastReason, retryAfter));
+        end("refused", unavailable);
+    }
+
     void onReply()
     {
         if (const auto holder = std::string(findHeader(m_reply.headers, jobHolderHeader)); !holder.empty()) {
@@ -117,6 +144,7 @@
         if (m_onlyIfHeld)
             m_owner.addHolderHint(m_admitted.jobId, m_address);
         const auto status = m_reply.status;
+        m_replyMemory.release(); // From here on it is output.
         m_caller->send({ m_reply.status, endToEndHeaders(m_reply.headers), std::move(m_reply.body) });
         end("answered", status);
     }
@@ -158,6 +186,7 @@
     std::deque<job_candidate> m_candidates;
     std::vector<std::string> m_redirects;
     std::set<std::string> m_excluded;
+    memory_share m_replyMemory;
     steady_time m_deadline;
     std::shared_ptr<forwarded_call> m_self;
     std::shared_ptr<client_call> m_call;
@@ -167,6 +196,7 @@
     unsigned m_attempts = 0;
     bool m_onlyIfHeld = false; ///< Whether the current candidate was queried this way.
     bool m_outcomeUnknown = false;
+    bool m_noMemory = false; ///< For the response.
 };
 
 namespace {
@@ -207,13 +237,14 @@
 }
 
 job_forwarder::job_forwarder(event_loop& loop, http_client& client, const caller_protocol& protocol,
-    std::string zone, node_list batchNodes, metrics& figures)
+    std::string zone, node_list batchNodes, metrics& figures, std::shared_ptr<memory_budget> memory)
     : m_loop(loop)
     , m_client(client)
     , m_protocol(protocol)
     , m_zone(std::move(zone))
     , m_nodes(std::move(batchNodes))
     , m_figures(figures)
+    , m_memory(std::move(memory))
 {
 }
 
