The entry of a deployment of its own limits the memory of its requests too

What callers saw: thirty bodies of 16 MB that stopped short of their end took 465 MB.

Change: its listener has the same budget, 40 % of memory_mb (1,024 MB without the option, since it allows bodies of 128 MB), and its programs return large blocks at once.

--- a/libs/entry/src/entry_process.cpp
+++ b/libs/entry/src/entry_process.cpp
@@ -14,6 +14,8 @@
 
 constexpr milliseconds leaveAnnouncementTime { 300 };
 constexpr milliseconds notReadyRetryAfter { 1000 };
+/// Memory of a VM whose options do not give it. The largest body takes a part of it alone.
+constexpr std::uint64_t defaultEntryMemoryMb = 1024;
 /// Exit code of a shutdown that reached its time limit while requests were running.
 constexpr int exitRequestsCutOff = 3;
 
@@ -86,6 +88,8 @@
         http.certificateFile = options.certificate;
         http.privateKeyFile = options.privateKey;
         http.maxBodyBytes = 128u << 20;
+        http.memoryBytes
+            = requestMemoryBytes(options.memoryMb != 0 ? options.memoryMb : defaultEntryMemoryMb, 0);
         callers = std::make_unique<http_server>(
             http, [this](const http_request& request, reply_sink& sink) { handle(request, sink); });
         logEvent(log_level::info, "started",
--- a/libs/node/src/process_options.cpp
+++ b/libs/node/src/process_options.cpp
@@ -3,6 +3,7 @@
 #include "http_log/http_log.h"
 #include "ini/ini.h"
 #include "logging/logging.h"
+#include "memory_budget/memory_budget.h"
 
 #include <tclap/CmdLine.h>
 
@@ -65,7 +66,8 @@
         return {};
     }
     return "unknown key; known are vm, zone, http, rpc, store, seeds, data, certificate, private_key, "
-           "peer_certificate, peer_private_key, peer_authority, log_level, stop_limit_ms, lease_ttl_s, workers "
+           "peer_certificate, peer_private_key, peer_authority, log_level, stop_limit_ms, lease_ttl_s, "
+           "workers "
            "and memory_mb";
 }
 
@@ -138,6 +140,7 @@
     const auto signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN); // A caller that closes its connection must not terminate the process.
+    configureAllocator();
     startLogging(program, options.value().vm, parseLevel(options.value().logLevel));
     logHttpReports();
     exitCode = 0;
