Callers that read a response slowly have three seconds; tests of the listener's memory

By reading the change again: a caller that reads a response was to give way after one second without progress, like one that sends a request. A retransmission over a lossy link or a short freeze of the caller takes that long, and a response cannot be sent again: three seconds. An item's body that was discarded for memory is not taken from the job if the listing of the store is older than the job's end; the caller is told to come again.

--- a/libs/bulk_process/src/job_calls.cpp
+++ b/libs/bulk_process/src/job_calls.cpp
@@ -329,6 +329,9 @@
         for (const auto& item : job.record().items) {
             if (item.id != itemId)
                 continue;
+            if (job.itemBodiesDropped()) // By an older listing it seems to be held; the store has the body.
+                return refuse(to,
+                    notRun(failure_kind::unavailable, "the job has just been finished; retry", retryAfter));
             if (!to.reserveResponse(item.body.size()))
                 return refuse(
                     to, notRun(failure_kind::unavailable, "there is no memory for the response", retryAfter));
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -15,8 +15,10 @@
 
 /// A connection that has been idle for less may be about to bring the request that it was opened for.
 constexpr milliseconds minIdleTimeBeforeEviction { 1000 };
-/// A caller that is sending or reading makes progress sooner.
+/// Callers that are sending a request make progress sooner.
 constexpr milliseconds minStallTimeBeforeEviction { 1000 };
+/// The same for callers that read a response, which cannot be sent again.
+constexpr milliseconds minUnreadTimeBeforeEviction { 3000 };
 /// Connections that wait to be accepted hold descriptors and memory that no limit counts.
 constexpr int maxWaitingConnections = 1024;
 /// Delay before accepting again after a failure, usually a lack of file descriptors.
@@ -103,10 +105,12 @@
     std::size_t leastBytes, steady_time now) const
 {
     std::shared_ptr<caller_connection> longest;
-    auto earliest = now - minStallTimeBeforeEviction;
+    auto earliest = now;
     for (const auto& one : connections) {
         const auto since = one->stalledSince();
-        if (!since || *since > earliest || one->heldBytes() < leastBytes)
+        const auto allowed
+            = one->unsentBytes() > 0 ? minUnreadTimeBeforeEviction : minStallTimeBeforeEviction;
+        if (!since || *since > std::min(earliest, now - allowed) || one->heldBytes() < leastBytes)
             continue;
         earliest = *since;
         longest = one;
--- a/libs/http/tests/test_event_http.cpp
+++ b/libs/http/tests/test_event_http.cpp
@@ -569,3 +569,126 @@
     CHECK_FALSE(cut.closed());
     CHECK(cut.wasReset());
 }
+
+namespace {
+
+/// Listener whose connections share a memory budget.
+struct budget_fixture : fixture {
+    explicit budget_fixture(std::size_t bytes)
+    {
+        options.limits.maxBodyBytes = 1u << 20;
+        options.limits.headerTimeout = milliseconds { 20000 };
+        options.limits.idleTimeout = milliseconds { 20000 };
+        options.memory = std::make_shared<memory_budget>(bytes);
+        options.port = freePort();
+        listener = std::make_unique<http_listener>(loop, options,
+            [this](std::shared_ptr<http_exchange> exchange) { exchanges.push_back(std::move(exchange)); });
+    }
+    std::string post(std::size_t length) const
+    {
+        return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+    }
+};
+
+} // namespace
+
+// Guards against bodies that are read although there is no memory for them, and against memory that stays
+// counted after its request.
+TEST_CASE(
+    "a body for which there is no memory is answered 503 before it arrives, and small requests are served")
+{
+    budget_fixture f(800u << 10);
+    raw_client large(f.options.port);
+    large.send(f.post(500u << 10));
+    f.run();
+    raw_client refused(f.options.port);
+    refused.send(f.post(500u << 10));
+    f.run();
+    const auto answer = refused.receive();
+    CHECK(answer.starts_with("HTTP/1.1 503 "));
+    CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(f.listener->counters().refusedForMemory == 1);
+    raw_client small(f.options.port);
+    small.send(simpleRequest);
+    f.run();
+    REQUIRE(f.exchanges.size() == 1);
+    for (int i = 0; i < 50; ++i) {
+        large.send(std::string(10u << 10, 'x'));
+        f.run(2);
+    }
+    REQUIRE(f.exchanges.size() == 2);
+    CHECK(f.exchanges[1]->request().body.size() == 500u << 10);
+    const auto used = f.options.memory->used();
+    f.exchanges[1]->releaseBody();
+    CHECK(f.options.memory->used() == used - (500u << 10));
+    CHECK(f.exchanges[1]->request().body.empty());
+    f.exchanges.clear();
+    f.listener.reset();
+    f.run();
+    CHECK(f.options.memory->used() == 0);
+}
+
+// Guards against callers who hold memory or a place by a request that they do not go on to send.
+TEST_CASE("a request without progress gives way to one that needs its memory or its place")
+{
+    budget_fixture f(800u << 10);
+    raw_client stalled(f.options.port);
+    stalled.send(f.post(500u << 10));
+    f.run(1100);
+    raw_client next(f.options.port);
+    next.send(f.post(500u << 10));
+    f.run();
+    CHECK(stalled.receive().starts_with("HTTP/1.1 503 "));
+    CHECK(next.receive().empty());
+    CHECK(f.listener->counters().reclaimed == 1);
+    stalled.close();
+    f.run();
+
+    f.options.limits.maxConnections = 1;
+    f.listener->setLimits(f.options.limits);
+    f.run(1100);
+    raw_client last(f.options.port);
+    last.send(simpleRequest);
+    f.run();
+    CHECK(f.exchanges.size() == 1);
+    next.receive();
+    CHECK(next.closed());
+    CHECK(f.listener->counters().replaced == 1);
+}
+
+// Guards against requests that renew their timeout with each byte.
+TEST_CASE("a request that is not complete within the request timeout is answered 408")
+{
+    fixture f;
+    f.options.limits.requestTimeout = milliseconds { 150 };
+    f.listener->setLimits(f.options.limits);
+    raw_client client(f.options.port);
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 90\r\n\r\n");
+    for (int i = 0; i < 8; ++i) {
+        client.send("x");
+        f.run(30);
+    }
+    CHECK(client.receive().starts_with("HTTP/1.1 408 "));
+    CHECK(f.exchanges.empty());
+    CHECK(f.listener->counters().timedOut == 1);
+}
+
+// Guards against requests that are kept in memory before it is their turn.
+TEST_CASE("requests sent ahead for which there is no memory are discarded, and the current one is served")
+{
+    budget_fixture f(24u << 10);
+    raw_client client(f.options.port);
+    client.send(simpleRequest);
+    f.run();
+    REQUIRE(f.exchanges.size() == 1);
+    for (int i = 0; i < 1000; ++i)
+        client.send(simpleRequest);
+    f.run();
+    f.exchanges[0]->send({ 200, {}, "done" });
+    f.run();
+    const auto answer = client.receive();
+    CHECK(answer.find("done") != std::string::npos);
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(f.exchanges.size() == 1);
+}
