Answers whose status does not exist are not accepted

Callers got such an answer of a target as an answer: "HTTP/1.1 0" for 000, "1 <unknown-status>" for 001, "20" for 020, "99" for 099, 600 and 999 as they are.

Cause: the parser accepts any three digits, and the client, which reads the answers of targets, of the store and of other processes, passed each on. Only its handling of interim answers looked at the number.

Change: the client fails a call whose answer has a status outside 100 to 599 (RFC 9110, 15) as it does for other bytes that are not HTTP: incomplete, may have run. The request goes on at another target where it may, and its caller gets 502 where it may not. Interim answers are read by the same function.

Lines that are no status line (two or four digits, a sign, two blanks, control bytes) were rejected before; they keep a test.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -39,6 +39,9 @@
 /// An idle connection is not reused this close to the end of the peer's keep-alive timeout, because a request
 /// that is in transit when the peer closes the connection is lost.
 constexpr milliseconds keepAliveMargin { 500 };
+/// Statuses that answers can have (RFC 9110, 15).
+constexpr unsigned minStatus = 100;
+constexpr unsigned maxStatus = 599;
 
 /// Client side of one connection.
 struct server_connection {
@@ -421,10 +424,10 @@
             m_input.erase(0, used);
             if (error == beast_http::error::header_limit)
                 return failLimit("head bytes");
-            if (error && error != beast_http::error::need_more) {
-                fail(failure_kind::incomplete, "the response is not valid HTTP: " + error.message());
-                return false;
-            }
+            if (error && error != beast_http::error::need_more)
+                return failInvalid(error.message());
+            if (m_parser->is_header_done() && !hasValidStatus())
+                return failInvalid("its status does not exist");
             if (m_parser->is_header_done() && m_parser->get().result_int() / 100 == 1) {
                 if (!checkInterim())
                     return false;
@@ -444,6 +447,12 @@
         return true;
     }
 
+    bool hasValidStatus() const
+    {
+        const auto status = m_parser->get().result_int();
+        return status >= minStatus && status <= maxStatus;
+    }
+
     /// An interim answer is complete. One alone may be followed by a long wait for the final answer.
     bool checkInterim()
     {
@@ -557,6 +566,13 @@
         return false;
     }
 
+    /// Returns false.
+    bool failInvalid(const std::string& reason)
+    {
+        fail(failure_kind::incomplete, "the response is not valid HTTP: " + reason);
+        return false;
+    }
+
     bool failRejected()
     {
         if (!m_ended)
--- /dev/null
+++ b/tests/failures_broken_answers.cpp
@@ -0,0 +1,130 @@
+#include "platform_system.h"
+#include "raw_target.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace yuccachute;
+using namespace yuccachute::testing;
+using nlohmann::json;
+
+namespace {
+
+constexpr int events = 12;
+constexpr int items = 4;
+constexpr unsigned targets = 2;
+/// Until all processes know a target that was just listed.
+constexpr milliseconds listingDelay { 300 };
+const std::vector<std::string> routes { "resumable", "once", "plain", "unsafe" };
+const std::string idField = "Yuccachute-Request-Id: {id}\r\n";
+
+std::string withStatus(const std::string& status)
+{
+    return "HTTP/1.1 " + status + "\r\n" + idField + "Content-Length: 2\r\n\r\nok";
+}
+
+/// Two entries, a batch process and two targets, all of which send the same broken answer when told to.
+class broken_system {
+public:
+    broken_system()
+        : system(layout())
+    {
+        for (unsigned i = 0; i < targets; ++i)
+            m_targets.push_back(std::make_unique<raw_target>());
+        system.control("/server?number=0&do=unlist");
+        listTargets();
+    }
+
+    /// No caller may get an answer that no sound server has sent, and items wait for a sound server.
+    void checkNotPassedOn(const std::string& bytes, raw_target::answers which)
+    {
+        CAPTURE(bytes);
+        listTargets();
+        const auto job = "job-" + std::to_string(m_listings);
+        send({ bytes, std::nullopt }, which);
+        CHECK(system.submit("entry-a-1", job, items, events) == 202);
+        std::vector<std::thread> callers;
+        std::vector<std::string> wrong(2 * routes.size());
+        for (std::size_t i = 0; i < wrong.size(); ++i)
+            callers.emplace_back([&, i] {
+                const auto id = job + "-r" + std::to_string(i);
+                const auto& route = routes[i % routes.size()];
+                const auto entry = i < routes.size() ? "entry-a-1" : "entry-a-2";
+                const auto reply = route == "plain" ? system.plain(entry, route, id)
+                                                    : system.stream(entry, route, id, events);
+                if (!reply || reply.value().status < 502 || reply.value().status > 504)
+                    wrong[i] = route + " "
+                        + (reply ? std::to_string(reply.value().status) + " " + reply.value().body
+                                 : reply.error().message);
+            });
+        for (auto& caller : callers)
+            caller.join();
+        CHECK(wrong == std::vector<std::string>(wrong.size()));
+        CHECK(brokenAnswers() > 0);
+        for (auto& target : m_targets)
+            target->answerSoundly();
+        for (const auto& listed : system.allResults("entry-a-2", job, items)) {
+            CHECK(listed["state"] == "done");
+            const std::string text = listed["text"];
+            CHECK(std::count(text.begin(), text.end(), '\n') == events - 1);
+        }
+    }
+
+    void send(const broken_answer& answer, raw_target::answers which)
+    {
+        for (auto& target : m_targets)
+            target->sendBroken(answer, which);
+    }
+
+    int brokenAnswers() const
+    {
+        int sum = 0;
+        for (const auto& target : m_targets)
+            sum += target->brokenAnswers();
+        return sum;
+    }
+
+    /// Lists the targets as new ones, so that nothing holds that is known of them.
+    void listTargets()
+    {
+        const auto key = [](std::size_t number, int listing) {
+            return "servers/raw-" + std::to_string(number) + "-" + std::to_string(listing);
+        };
+        ++m_listings;
+        for (std::size_t i = 0; i < m_targets.size(); ++i) {
+            const json listed { { "service", "llm" }, { "address", m_targets[i]->address() }, { "zone", "a" },
+                { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 },
+                { "call_seq", 0 } };
+            system.control("/remove?key=" + key(i, m_listings - 1));
+            system.control("/put?key=" + key(i, m_listings), listed.dump());
+        }
+        std::this_thread::sleep_for(listingDelay);
+    }
+
+    platform_system system;
+
+private:
+    static platform_layout layout()
+    {
+        platform_layout made;
+        made.zones = { { "a", 2, 1, 1 } };
+        return made;
+    }
+
+    std::vector<std::unique_ptr<raw_target>> m_targets;
+    int m_listings = 0;
+};
+
+} // namespace
+
+// Guards against a status that does not exist and reaches callers as an answer.
+TEST_CASE("an answer whose status does not exist reaches no caller")
+{
+    broken_system system;
+    for (const std::string status : { "000 ", "001 One", "020 Twenty", "099 x", "600 Six", "999 Nine",
+             "20 OK", "2000 OK", "-20 OK", " 200 OK" })
+        system.checkNotPassedOn(withStatus(status), raw_target::answers::runs);
+    system.checkNotPassedOn(withStatus("000 "), raw_target::answers::all);
+}
--- a/tests/support/raw_target.cpp
+++ b/tests/support/raw_target.cpp
@@ -99,6 +99,19 @@
     ::close(connection);
 }
 
+/// Sends the answer and ends the connection.
+void sendBrokenAnswer(int connection, const broken_answer& answer, const std::string& id)
+{
+    sendAll(
+        connection, filledIn(answer.bytes, id), std::chrono::steady_clock::now() + raw_target::longestAnswer);
+    if (!answer.resetAfter)
+        return finish(connection);
+    std::this_thread::sleep_for(*answer.resetAfter);
+    const linger sendReset { 1, 0 };
+    ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &sendReset, sizeof sendReset);
+    ::close(connection);
+}
+
 } // namespace
 
 raw_target::raw_target()
@@ -130,6 +143,15 @@
 {
     const std::scoped_lock lock(m_mutex);
     m_bytes = std::move(bytes);
+    m_broken.reset();
+    m_inRuns = which != answers::reports;
+    m_inReports = which != answers::runs;
+}
+
+void raw_target::sendBroken(broken_answer answer, answers which)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_broken = std::move(answer);
     m_inRuns = which != answers::reports;
     m_inReports = which != answers::runs;
 }
@@ -176,13 +198,21 @@
     }
     const auto id = valueOf(head, "Yuccachute-Request-Id");
     endless_bytes bytes;
+    std::optional<broken_answer> broken;
     bool endless = false;
     {
         const std::scoped_lock lock(m_mutex);
-        endless = head.starts_with("GET /report") ? m_inReports : m_inRuns;
+        const bool unsound = head.starts_with("GET /report") ? m_inReports : m_inRuns;
+        if (unsound)
+            broken = m_broken;
+        endless = unsound && !broken;
         bytes = m_bytes;
         m_underWay += endless ? 1 : 0;
     }
+    if (broken) {
+        ++m_brokenAnswers;
+        return sendBrokenAnswer(connection, *broken, id);
+    }
     if (endless) {
         sendEndlessly(connection, bytes, { id, head.starts_with("GET "), false, {}, 0 });
         ::close(connection);
--- a/tests/support/raw_target.h
+++ b/tests/support/raw_target.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,8 +26,16 @@
     bool streamReachesCaller = false;
 };
 
+/// A broken answer that ends.
+struct broken_answer {
+    std::string bytes; ///< "{id}" stands for the request's id.
+    /// Resets the connection so long after the last byte, without reading the rest of the request. If not
+    /// set, the request is read and the connection ends in order.
+    std::optional<milliseconds> resetAfter;
+};
+
 /// A target that answers as the model servers of the stand-in do, at once, until it is told to send endless
-/// bytes. Serves each connection once, on a thread of its own.
+/// bytes or broken answers. Serves each connection once, on a thread of its own.
 class raw_target {
 public:
     raw_target();
@@ -38,7 +47,10 @@
 
     enum class answers { runs, reports, all };
     void sendEndless(endless_bytes bytes, answers which);
+    void sendBroken(broken_answer answer, answers which);
     void answerSoundly();
+    /// How many broken answers it has sent.
+    int brokenAnswers() const { return m_brokenAnswers; }
 
     /// An answer that did not end by itself.
     struct endless_answer {
@@ -64,7 +76,9 @@
     std::mutex m_mutex;
     std::atomic<int> m_open { 0 }; ///< Connections that are served.
     std::atomic<int> m_underWay { 0 }; ///< Those with endless bytes.
+    std::atomic<int> m_brokenAnswers { 0 };
     endless_bytes m_bytes;
+    std::optional<broken_answer> m_broken; ///< Sent instead of endless bytes.
     bool m_inRuns = false;
     bool m_inReports = false;
     std::vector<endless_answer> m_answers;
