An answer without length is not whole if its request was not written

Callers of long uploads got a part of an answer as a complete one: a target answered with a 200 without length while the upload was still being written, sent some events, and reset the connection.

Cause: the system reports a reset once. The write that was under way took it and returned without a word, since the reader was to report the end of the connection; the next read then saw an end of file, which ends an answer without length.

Change: the outcome of the write is kept. An end of file after a failed write is a truncated answer; one during a write waits for its outcome, so that an answer that begins and ends early is whole if its server reads the request to the end, and cut if it does not. Answers with a length or chunks are complete by their framing, as before.

The same call serves items, load reports, the store and other processes; those that take no answer without length were not open to it.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -328,6 +328,7 @@
         m_sendStarted = true;
         ++m_attempts;
         m_requestWritten = false;
+        m_writeError.clear();
         m_sentAt = std::chrono::steady_clock::now();
         if (m_reused && m_options.reuseTimeout.count() > 0)
             m_reuseTimer.arm(m_options.reuseTimeout, [weak = weak_from_this()] {
@@ -348,18 +349,20 @@
         write(m_request, m_largeBody.empty());
     }
 
-    /// `last`: whether the request ends with these bytes. A write error is not reported here but by the
-    /// reader, which may hold a response already.
+    /// `last`: whether the request ends with these bytes. A write error ends the call only after the reader
+    /// has, which may hold a response already.
     void write(std::string_view bytes, bool last)
     {
         const auto written
             = [self = shared_from_this(), last, on = m_connection](const error_code& error, std::size_t) {
-                  if (error || self->m_ended || self->m_connection != on)
+                  if (self->m_ended || self->m_connection != on)
                       return;
-                  if (last)
-                      self->m_requestWritten = true;
-                  else
-                      self->write(self->m_largeBody, true);
+                  if (!error && !last)
+                      return self->write(self->m_largeBody, true);
+                  self->m_writeError = error;
+                  self->m_requestWritten = !error;
+                  if (self->m_inputEnd)
+                      self->connectionEnded(*self->m_inputEnd);
               };
         m_connection->stream->writeAll(asio::buffer(bytes.data(), bytes.size()), written);
     }
@@ -585,11 +588,17 @@
         if (m_reuseTimer.armed())
             return sendAgain();
         const bool unframed = m_parser->is_header_done() && m_parser->need_eof();
-        if (error == asio::error::eof && unframed && m_options.acceptUnframed)
-            return complete();
+        if (error == asio::error::eof && unframed && m_options.acceptUnframed && !m_writeError) {
+            if (m_requestWritten)
+                return complete();
+            m_inputEnd = error;
+            return;
+        }
+        // The system reports a reset once. If that was to the writer, the reader has seen an end in order.
+        const auto& cause = m_writeError ? m_writeError : error;
         const bool begun = m_parser->got_some();
         fail(failure_kind::incomplete,
-            (begun ? "the response was truncated: " : "no answer: ") + error.message());
+            (begun ? "the response was truncated: " : "no answer: ") + cause.message());
     }
 
     void complete()
@@ -670,6 +679,10 @@
     unsigned m_attempts = 0; ///< How often the request was sent.
     bool m_sendStarted = false; ///< Set before the first write; from then on the request may have run.
     bool m_requestWritten = false;
+    error_code m_writeError;
+    /// The input of a response without framing has ended before the request was written. The outcome of the
+    /// write tells whether the connection was reset.
+    std::optional<error_code> m_inputEnd;
     bool m_headDelivered = false;
     bool m_paused = false;
     bool m_eventReported = false; ///< By the receiver of the current piece of the body.
--- a/libs/http/tests/test_broken_answers.cpp
+++ b/libs/http/tests/test_broken_answers.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// Larger than what the system buffers for a connection whose peer reads nothing.
+constexpr std::size_t uploadBytes = 32u << 20;
+const std::string okHead = "HTTP/1.1 200 OK\r\n";
+
 /// The error of a call to a server that sends these bytes and closes the connection; nothing if the call
 /// succeeded.
 std::optional<failure> errorOf(const std::string& bytes)
@@ -32,6 +36,30 @@
     CHECK(error->ran == verdict::may_have_run);
 }
 
+/// Sends a request that is still being written while the server runs the script.
+result<http_reply> uploadTo(scripted_server::script answer)
+{
+    const scripted_server server(std::move(answer));
+    http_request request;
+    request.method = "POST";
+    request.body = std::string(uploadBytes, 'u');
+    client_call_options options;
+    options.acceptUnframed = true;
+    return fetchFrom(server, options, {}, request).reply;
+}
+
+void resetConnection(int fd)
+{
+    const linger sendReset { 1, 0 };
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &sendReset, sizeof sendReset);
+}
+
+void readToEnd(int fd)
+{
+    std::vector<char> piece(1u << 20);
+    while (::recv(fd, piece.data(), piece.size(), 0) > 0) { }
+}
+
 } // namespace
 
 // Guards against a status that does not exist and is passed on as an answer, as "HTTP/1.1 0" or "20".
@@ -54,3 +82,54 @@
             "HTTP/2.0 200 OK", "HTTP/1.1 20\x01 OK", "HTTP/1.1 200 O\x01K", "200 OK" })
         checkRejected(line + "\r\nContent-Length: 2\r\n\r\nok");
 }
+
+// Guards against a part of a body that counts as whole: the error of the write takes the place of the reset,
+// which the next read reports as an end in order.
+TEST_CASE("an answer without length that is reset while its request is written is not whole")
+{
+    for (const int pauseMs : { 0, 10, 50, 150 }) {
+        CAPTURE(pauseMs);
+        const auto reply = uploadTo([pauseMs](int fd) {
+            sendText(fd, okHead + "\r\nid: 1\ndata: a\n\n");
+            std::this_thread::sleep_for(milliseconds { pauseMs });
+            resetConnection(fd);
+        });
+        CHECK(!reply);
+        if (reply)
+            continue;
+        CHECK(reply.error().kind == failure_kind::incomplete);
+        CHECK(reply.error().ran == verdict::may_have_run);
+    }
+}
+
+// Guards against the same where the connection ends in order, with a part of the request unread.
+TEST_CASE("an answer without length whose request is never read to its end is not whole")
+{
+    const auto reply = uploadTo([](int fd) {
+        sendText(fd, okHead + "\r\nid: 1\ndata: a\n\n");
+        ::shutdown(fd, SHUT_WR);
+        std::this_thread::sleep_for(milliseconds { 100 });
+    });
+    REQUIRE(!reply);
+    CHECK(reply.error().kind == failure_kind::incomplete);
+}
+
+// Guards against sound answers that are rejected because they begin, or end, before their request does.
+TEST_CASE("an early answer is whole if its request is read to the end, or if it has a length")
+{
+    const auto unframed = uploadTo([](int fd) {
+        sendText(fd, okHead + "\r\nok");
+        ::shutdown(fd, SHUT_WR);
+        std::this_thread::sleep_for(milliseconds { 50 });
+        readToEnd(fd);
+    });
+    REQUIRE(unframed);
+    CHECK(unframed.value().body == "ok");
+    const auto withLength = uploadTo([](int fd) {
+        sendText(fd, okHead + "Content-Length: 2\r\n\r\nok");
+        std::this_thread::sleep_for(milliseconds { 50 });
+        resetConnection(fd);
+    });
+    REQUIRE(withLength);
+    CHECK(withLength.value().body == "ok");
+}
--- a/tests/failures_broken_answers.cpp
+++ b/tests/failures_broken_answers.cpp
@@ -17,14 +17,23 @@
 constexpr unsigned targets = 2;
 /// Until all processes know a target that was just listed.
 constexpr milliseconds listingDelay { 300 };
+/// More than what the system buffers for a connection whose peer reads nothing.
+constexpr std::size_t uploadBytes = 24u << 20;
 const std::vector<std::string> routes { "resumable", "once", "plain", "unsafe" };
 const std::string idField = "Yuccachute-Request-Id: {id}\r\n";
+const std::string streamType = "Content-Type: text/event-stream\r\n";
+const std::string twoEvents = "id: 1\ndata: {id}-1\n\nid: 2\ndata: {id}-2\n\n";
 
 std::string withStatus(const std::string& status)
 {
     return "HTTP/1.1 " + status + "\r\n" + idField + "Content-Length: 2\r\n\r\nok";
 }
 
+std::string withFields(const std::string& fields, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\n" + idField + fields + "\r\n" + body;
+}
+
 /// Two entries, a batch process and two targets, all of which send the same broken answer when told to.
 class broken_system {
 public:
@@ -128,3 +137,29 @@
         system.checkNotPassedOn(withStatus(status), raw_target::answers::runs);
     system.checkNotPassedOn(withStatus("000 "), raw_target::answers::all);
 }
+
+// Guards against a part of an answer that looks whole: it has no length, and a reset takes its rest while the
+// request is still being written.
+TEST_CASE("an answer that is reset while a long upload is written does not look whole")
+{
+    broken_system system;
+    system.system.control("/config?timeout=5000&max_body=" + std::to_string(2 * uploadBytes));
+    std::this_thread::sleep_for(milliseconds { 1000 });
+    const auto port = system.system.entries.at("entry-a-1").callers;
+    const std::string body(uploadBytes, 'u');
+    int number = 0;
+    for (const int afterMs : { 0, 1, 5, 20, 50, 150 }) {
+        for (const std::string route : { "once", "resumable", "unsafe" }) {
+            system.listTargets();
+            system.send(
+                { withFields(streamType, twoEvents), milliseconds { afterMs } }, raw_target::answers::runs);
+            const auto sent = system.brokenAnswers();
+            const auto id = "upload-" + std::to_string(++number);
+            const auto reply = system.system.call(
+                port, "POST", "/" + route + "/x", platform_system::requestHeaders(id, events), body);
+            CAPTURE(afterMs, route, reply ? reply.value().body : reply.error().message);
+            CHECK(system.brokenAnswers() > sent);
+            CHECK((!reply || reply.value().status == 502 || reply.value().status == 504));
+        }
+    }
+}
