The fields of a trailer are not fields of the head

A caller could get fields that an answer carried after its body as fields of its head, and a target could change the meaning of its answer by them, if the whole answer arrived at once; if the trailer came later it was dropped. Found by reading while the next fault was looked at.

Cause: the client parsed all that had arrived before it looked at the head, and the parser adds the fields of a trailer to the same message (RFC 9110, 6.5.1: a recipient must not merge them).

Change: the parser stops at the end of the head, which is passed on before the body is parsed. Trailers are dropped always.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -380,7 +380,7 @@
 
     void prepareParser()
     {
-        m_parser->eager(true);
+        m_parser->eager(false); // Until the end of the head.
         m_parser->header_limit(m_options.limits.headBytes);
         m_parser->body_limit(std::numeric_limits<std::uint64_t>::max()); // See checkBody().
         m_parser->skip(m_headRequest);
@@ -508,6 +508,7 @@
             if (m_ended)
                 return false;
         }
+        m_parser->eager(true);
         const auto body = std::exchange(m_parser->get().body(), {});
         if (!checkBody(body.size()))
             return false;
--- a/libs/http/tests/test_broken_answers.cpp
+++ b/libs/http/tests/test_broken_answers.cpp
@@ -133,3 +133,14 @@
     REQUIRE(withLength);
     CHECK(withLength.value().body == "ok");
 }
+
+// Guards against fields that come after the body and are taken for fields of the head if both arrive at once.
+TEST_CASE("the fields of a trailer are not added to the head")
+{
+    const scripted_server server(
+        inPieces({ okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Trailer: v\r\n\r\n" }));
+    const auto reply = fetchFrom(server).reply;
+    REQUIRE(reply);
+    CHECK(reply.value().body == "ok");
+    CHECK(findHeader(reply.value().headers, "X-Trailer").empty());
+}
