Answers with a folded line in their head are not accepted

Callers got an answer in whose head the name of a field began with a blank or a tab: the line was passed on as a part of the value of the field before it ("Content-Type: text/event-stream X-Name: v"). If it named the framing, the sizes of chunks were given to the caller as the body, with 200, or the end of the connection as the end of a body with a length.

Cause: the parser takes such a line for the continuation of the one before, an obsolete form (RFC 9112, 5.2), and joins them.

Change: the client fails a call whose head, or that of an interim answer, holds such a line. A recipient may also replace it by blanks; but then the field it names is lost, and with it the end of the body.

Requests of callers may fold lines still: the parser replaces the fold, as a server may.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -130,6 +130,13 @@
     return std::min(maxIdle, milliseconds { seconds * 1000 } - keepAliveMargin);
 }
 
+/// Whether a line begins with a blank. The parser appends such a line to the value of the field before it; no
+/// current server sends one (RFC 9112, 5.2).
+bool hasFoldedLine(std::string_view fields)
+{
+    return fields.find("\r\n ") != std::string_view::npos || fields.find("\r\n\t") != std::string_view::npos;
+}
+
 class call;
 
 } // namespace
@@ -423,12 +430,16 @@
     {
         while (!m_input.empty() && !endsWithinLastChunk(*m_parser, m_input)) {
             error_code error;
+            const bool inHead = !m_parser->is_header_done();
             const auto used = m_parser->put(asio::buffer(m_input), error);
+            const bool folded = inHead && hasFoldedLine(std::string_view(m_input).substr(0, used));
             m_input.erase(0, used);
             if (error == beast_http::error::header_limit)
                 return failLimit("head bytes");
             if (error && error != beast_http::error::need_more)
                 return failInvalid(error.message());
+            if (folded)
+                return failInvalid("a line of its head is folded");
             if (m_parser->is_header_done() && !hasValidStatus())
                 return failInvalid("its status does not exist");
             if (m_parser->is_header_done() && m_parser->get().result_int() / 100 == 1) {
--- a/libs/http/tests/test_broken_answers.cpp
+++ b/libs/http/tests/test_broken_answers.cpp
@@ -134,6 +134,51 @@
     CHECK(withLength.value().body == "ok");
 }
 
+// Guards against a folded line, which changes the value of the field before it or hides the framing of the
+// body, so that the sizes of chunks are taken for a part of it.
+TEST_CASE("an answer with a folded line in its head is not accepted")
+{
+    for (const std::string blank : { " ", "\t", "  " }) {
+        checkRejected(
+            okHead + "Content-Type: text/plain\r\n" + blank + "X-Name: v\r\nContent-Length: 2\r\n\r\nok");
+        checkRejected(
+            okHead + "X-Name: v\r\n" + blank + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        checkRejected(okHead + "X-Name: v\r\n" + blank + "Content-Length: 2\r\n\r\nok");
+        checkRejected(okHead + "Content-Length:\r\n" + blank + "2\r\n\r\nok");
+        checkRejected(okHead + "Content-Length: 2\r\n" + blank + "\r\n\r\nok");
+        checkRejected(okHead + blank + "X-Name: v\r\nContent-Length: 2\r\n\r\nok");
+        checkRejected("HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + blank + "b\r\n\r\n" + okHead
+            + "Content-Length: 2\r\n\r\nok");
+    }
+}
+
+// Guards against the same where the line arrives in pieces.
+TEST_CASE("a folded line that arrives in pieces is not accepted")
+{
+    const std::string bytes = okHead + "X-Name: v\r\n Content-Length: 2\r\n\r\nok";
+    for (std::size_t cut = okHead.size() - 2; cut < bytes.size(); ++cut) {
+        CAPTURE(cut);
+        const scripted_server server(inPieces({ bytes.substr(0, cut), bytes.substr(cut) }));
+        client_call_options options;
+        options.acceptUnframed = true;
+        CHECK(!fetchFrom(server, options).reply);
+    }
+}
+
+// Guards against fields whose names no receiver agrees on.
+TEST_CASE("an answer with a blank or a control byte in the name of a field is not accepted")
+{
+    for (int control = 0; control <= ' '; ++control) {
+        const std::string byte(1, static_cast<char>(control));
+        for (const auto& name : { "X" + byte + "Name", "X-Name" + byte, byte + "X-Name" }) {
+            checkRejected(okHead + name + ": v\r\nContent-Length: 2\r\n\r\nok");
+            checkRejected(okHead + "Content-Length: 2\r\n" + name + ": v\r\n\r\nok");
+        }
+    }
+    for (const std::string name : { "", "X\x7f", "X\xff", "X(Name)" })
+        checkRejected(okHead + name + ": v\r\nContent-Length: 2\r\n\r\nok");
+}
+
 // Guards against fields that come after the body and are taken for fields of the head if both arrive at once.
 TEST_CASE("the fields of a trailer are not added to the head")
 {
--- a/tests/failures_broken_answers.cpp
+++ b/tests/failures_broken_answers.cpp
@@ -138,6 +138,25 @@
     system.checkNotPassedOn(withStatus("000 "), raw_target::answers::all);
 }
 
+// Guards against a line that is passed on within the field before it, and against bodies whose framing it
+// hides.
+TEST_CASE("an answer with a broken field in its head reaches no caller")
+{
+    broken_system system;
+    const std::string length = "Content-Length: 2\r\n";
+    const std::string chunks = "5\r\nid: 1\r\n0\r\n\r\n";
+    for (const std::string blank : { " ", "\t" }) {
+        system.checkNotPassedOn(
+            withFields(streamType + blank + "X-Name: v\r\n" + length, "ok"), raw_target::answers::runs);
+        system.checkNotPassedOn(withFields(streamType + blank + "Transfer-Encoding: chunked\r\n", chunks),
+            raw_target::answers::runs);
+        system.checkNotPassedOn(withFields(streamType + blank + length, "ok"), raw_target::answers::runs);
+    }
+    for (const std::string name : { "X Name", "X-Name ", "X\x01Name", "\x01X-Name", "X-Name\x7f" })
+        system.checkNotPassedOn(withFields(length + name + ": v\r\n", "ok"), raw_target::answers::runs);
+    system.checkNotPassedOn(withFields(streamType + " " + length, "ok"), raw_target::answers::all);
+}
+
 // Guards against a part of an answer that looks whole: it has no length, and a reset takes its rest while the
 // request is still being written.
 TEST_CASE("an answer that is reset while a long upload is written does not look whole")
