Requests late in a stop are refused or answered, not cut

Callers of an entry that was being stopped got no answer: requests that had begun to arrive within the acceptance period were taken whenever they were whole, passed on with little of the grace period left, and at its end their connections were closed, among them requests that may not be repeated.

Cause: the end of the acceptance period closed idle connections only. Nothing after it knew when the process would end, neither requests that came nor those that waited for a slot, and the loop was stopped with callers unanswered.

Change: request_drain knows the requests under way and the end. From the end of the acceptance period on, one that no target can have run is refused with 503 at once, before it is passed on, if its deadline comes after the end of the process (a job call: its longest attempt), also when it waits for a slot or a target has refused it. What still runs 0.4 s before the end of the grace period is answered 502, or broken off if its response has begun, and the process waits up to 0.25 s for these responses to be written.

Requests whose deadline leaves time are served as before.

--- a/libs/front/include/front/front.h
+++ b/libs/front/include/front/front.h
@@ -99,6 +99,8 @@
         = 0;
 };
 
+class request_drain;
+
 /// Services shared by all requests of an entry.
 struct live_services {
     event_loop& loop;
@@ -111,6 +113,7 @@
     request_guard* guard = nullptr; ///< May be null.
     stream_origins* origins = nullptr; ///< If null, callers cannot resume streams.
     std::shared_ptr<memory_budget> memory = nullptr; ///< For responses that are buffered; null: no limit.
+    request_drain* drain = nullptr; ///< If null, the process is never stopped.
 };
 
 /// An authenticated request that matched a live route.
--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -4,6 +4,7 @@
 #include "logging/logging.h"
 #include "origin_finder.h"
 #include "request_age.h"
+#include "request_drain.h"
 #include "version_registry.h"
 #include "waiting_callers.h"
 
@@ -18,11 +19,14 @@
 
 /// The platform's readiness probe must fail twice, a second apart, before the platform routes callers to
 /// other entries. Until then new connections still arrive and are served. Requests that callers send more
-/// than 3 s after the stop must not be cut off at the end of the grace period, so none is taken from then on.
+/// than 3 s after the stop must not be cut off at the end of the grace period: from then on none is passed on
+/// that may not be complete by then.
 constexpr milliseconds acceptPeriodAfterStop { 2900 };
 constexpr milliseconds shutdownPollInterval { 50 };
-/// Part of the grace period that is reserved for stopping the process itself.
+/// Part of the grace period that is reserved for ending the requests that still run, and the process.
 constexpr milliseconds shutdownMargin { 400 };
+/// The part of it that is reserved for the process.
+constexpr milliseconds exitMargin { 150 };
 constexpr milliseconds jobCallTimeout { 3500 };
 constexpr milliseconds noConfigurationRetryAfter { 500 };
 /// File descriptors reserved for targets, peers, the store and files.
@@ -152,10 +156,10 @@
         , m_origins(m_loop, m_broker, m_versions, m_figures)
         , m_live { m_loop, m_slots, m_targets, adapter.callers, m_figures,
             [this] { return m_fleet.targetsAge(std::chrono::steady_clock::now()); }, &m_suspects.guard,
-            &m_origins, m_memory }
+            &m_origins, m_memory, &m_drain }
         , m_jobs(
               m_loop, m_client, adapter.callers, settings.zone,
-              [this] { return m_fleet.nodes(node_role::batch); }, m_figures, m_memory)
+              [this] { return m_fleet.nodes(node_role::batch); }, m_figures, m_memory, &m_drain)
         , m_registrationTimer(m_loop)
         , m_storeTicker(m_loop, storeCheckInterval, [this] { checkStore(); })
         , m_stopTimer(m_loop)
@@ -438,7 +442,13 @@
         return waits;
     }
 
-    void resumeWaitingCallers()
+    /// Refuses the requests that wait for the first configuration or list of targets.
+    void endWaitingCallers() { releaseWaitingCallers(steady_time::max()); }
+
+    void resumeWaitingCallers() { releaseWaitingCallers(std::chrono::steady_clock::now()); }
+
+    /// Serves the requests that can be served, and refuses those that do not wait until after `until`.
+    void releaseWaitingCallers(steady_time until)
     {
         if (m_waiting.empty())
             return;
@@ -447,7 +457,7 @@
         std::vector<admitted_request> admitted;
         steady_time::duration longest { 0 };
         std::int64_t expired = 0;
-        auto released = m_waiting.take(startupState(), now);
+        auto released = m_waiting.take(startupState(), until);
         for (auto& [caller, tooLate] : released) {
             longest = std::max(longest, now - caller->received());
             expired += tooLate ? 1 : 0;
@@ -642,6 +652,7 @@
     {
         m_callers->stopAccepting();
         m_callers->closeAfterAnswers();
+        m_drain.begin(m_stopAt + m_settings.grace - shutdownMargin);
         awaitConnectionsClosed();
     }
 
@@ -654,6 +665,17 @@
         logEvent(log_level::info, "stopped",
             { { "unfinished", static_cast<std::int64_t>(m_callers->exchanges()) } });
         m_registration.end();
+        endWaitingCallers();
+        m_drain.cutOffAll();
+        awaitResponsesWritten();
+    }
+
+    void awaitResponsesWritten()
+    {
+        const auto elapsed = std::chrono::steady_clock::now() - m_stopAt;
+        const bool overdue = elapsed > m_settings.grace - exitMargin;
+        if (m_callers->exchanges() > 0 && !overdue)
+            return m_stopTimer.arm(shutdownPollInterval, [this] { awaitResponsesWritten(); });
         m_stopTimer.arm(shutdownPollInterval, [this] { m_loop.stop(); });
     }
 
@@ -677,6 +699,7 @@
     http_targets m_targets;
     version_registry m_versions;
     origin_finder m_origins;
+    request_drain m_drain;
     live_services m_live;
     request_ages m_ages;
     job_forwarder m_jobs;
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 /// A request that is sent to one batch process after the other until one gives a final response.
-class job_forwarder::forwarded_call : public std::enable_shared_from_this<forwarded_call> {
+class job_forwarder::forwarded_call final : public drainable_request,
+                                            public std::enable_shared_from_this<forwarded_call> {
 public:
     forwarded_call(job_forwarder& owner, std::shared_ptr<http_exchange> caller, admitted_call call,
         std::vector<job_candidate> candidates)
@@ -47,10 +48,35 @@
             if (const auto self = weak.lock())
                 self->end("caller gone", 0);
         });
+        if (m_owner.m_drain) {
+            m_owner.m_drain->add(*this);
+            if (m_owner.m_drain->refuses(std::min(m_deadline, m_caller->received() + longestAttempt())))
+                return refuseStopping();
+        }
         next();
     }
 
+    /// Each call has been passed on, and its response is awaited.
+    void drain(steady_time /*end*/) override { }
+
+    void cutOff() override
+    {
+        m_lastReason = "this process is being stopped";
+        m_outcomeUnknown = m_outcomeUnknown || m_call;
+        failCall();
+    }
+
 private:
+    milliseconds longestAttempt() const { return answerTimeout + m_admitted.maxHold; }
+
+    void refuseStopping()
+    {
+        const auto reason = stoppingFailure();
+        m_lastReason = reason.message;
+        refuse(*m_caller, reason);
+        end("refused", unavailable);
+    }
+
     void next()
     {
         m_call.reset();
@@ -68,7 +94,7 @@
         if (m_onlyIfHeld)
             request.headers.emplace_back(onlyIfHeldHeader, "1");
         client_call_options options;
-        options.deadline = std::min(m_deadline, now + answerTimeout + m_admitted.maxHold);
+        options.deadline = std::min(m_deadline, now + longestAttempt());
         options.connectTimeout = m_onlyIfHeld ? ifHeldConnectTimeout : connectTimeout;
         options.limits = peerLimits;
         m_reply = {};
@@ -164,6 +190,8 @@
 
     void end(std::string_view outcome, unsigned status)
     {
+        if (m_owner.m_drain)
+            m_owner.m_drain->remove(*this);
         const bool good = outcome == "answered" && status < 400;
         m_owner.m_figures.count("yuccachute_job_calls_total", "outcome", outcome);
         const auto took = std::chrono::duration_cast<milliseconds>(
@@ -237,7 +265,8 @@
 }
 
 job_forwarder::job_forwarder(event_loop& loop, http_client& client, const caller_protocol& protocol,
-    std::string zone, node_list batchNodes, metrics& figures, std::shared_ptr<memory_budget> memory)
+    std::string zone, node_list batchNodes, metrics& figures, std::shared_ptr<memory_budget> memory,
+    request_drain* drain)
     : m_loop(loop)
     , m_client(client)
     , m_protocol(protocol)
@@ -245,6 +274,7 @@
     , m_nodes(std::move(batchNodes))
     , m_figures(figures)
     , m_memory(std::move(memory))
+    , m_drain(drain)
 {
 }
 
--- a/libs/front/src/job_forwarder.h
+++ b/libs/front/src/job_forwarder.h
@@ -2,6 +2,8 @@
 
 #include "front/front.h"
 
+#include "request_drain.h"
+
 #include <deque>
 #include <map>
 #include <optional>
@@ -36,7 +38,8 @@
     using node_list = std::function<std::vector<node_record>()>;
 
     job_forwarder(event_loop& loop, http_client& client, const caller_protocol& protocol, std::string zone,
-        node_list batchNodes, metrics& figures, std::shared_ptr<memory_budget> memory = nullptr);
+        node_list batchNodes, metrics& figures, std::shared_ptr<memory_budget> memory = nullptr,
+        request_drain* drain = nullptr);
 
     enum class call_kind : std::uint8_t { submission, existing_job };
 
@@ -69,6 +72,7 @@
     node_list m_nodes;
     metrics& m_figures;
     std::shared_ptr<memory_budget> m_memory; ///< For responses until they are passed on.
+    request_drain* m_drain; ///< If null, the process is never stopped.
     /// Last known holder of a job, which is queried first. Hints only: an entry may be out of date.
     std::map<std::string, std::string> m_holderHints;
     std::deque<std::string> m_hintOrder; ///< Job ids in the order of insertion, for eviction.
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -1,6 +1,7 @@
 #include "front/front.h"
 
 #include "logging/logging.h"
+#include "request_drain.h"
 
 #include <algorithm>
 #include <charconv>
@@ -53,7 +54,7 @@
 
 /// Serves one live request: acquires a slot, sends the request and relays the response, with retries and
 /// failover to other targets. Runs on the loop's thread.
-class live_run : public std::enable_shared_from_this<live_run> {
+class live_run final : public drainable_request, public std::enable_shared_from_this<live_run> {
 public:
     live_run(live_services& services, std::shared_ptr<http_exchange> caller, live_request request)
         : m_services(services)
@@ -75,6 +76,8 @@
     void start()
     {
         m_self = shared_from_this();
+        if (m_services.drain)
+            m_services.drain->add(*this);
         auto callerTimeout = m_route.timeout;
         if (m_facts.callerTimeout)
             callerTimeout = std::min(callerTimeout, *m_facts.callerTimeout);
@@ -92,9 +95,26 @@
         acquireSlot();
     }
 
+    void drain(steady_time end) override
+    {
+        if (hasNotRun() && m_deadline > end)
+            refuseOrFail(stoppingFailure());
+    }
+
+    void cutOff() override
+    {
+        if (hasNotRun())
+            return refuseOrFail(stoppingFailure());
+        m_reason = "this process is being stopped";
+        failRequest(mayHaveRun(
+            failure_kind::incomplete, "this process was stopped before the target's response was complete"));
+    }
+
 private:
     steady_time now() const { return std::chrono::steady_clock::now(); }
     bool streaming() const { return m_route.kind == request_kind::streaming; }
+    /// Whether no target can have run the request, so far.
+    bool hasNotRun() const { return !m_mayHaveRun && m_attempts == 0 && !m_call; }
 
     /// Whether the caller has received a part of the stream with an earlier request.
     bool resumesStream() const { return canBeResumed() && m_facts.lastEvent.has_value(); }
@@ -268,6 +288,8 @@
     /// `beginAt`: the version at which the stream must begin; unset if any will do.
     void acquireSlot(std::optional<std::string> beginAt)
     {
+        if (hasNotRun() && m_services.drain && m_services.drain->refuses(m_deadline))
+            return refuseOrFail(stoppingFailure());
         slot_requirements wanted;
         wanted.requestId = m_facts.id;
         wanted.service = m_service;
@@ -734,6 +756,8 @@
 
     void end()
     {
+        if (m_services.drain)
+            m_services.drain->remove(*this);
         m_deadlineTimer.cancel();
         m_silenceTimer.cancel();
         m_examinationTimer.cancel();
--- a/libs/front/tests/test_live_run.cpp
+++ b/libs/front/tests/test_live_run.cpp
@@ -1,3 +1,4 @@
+#include "../src/request_drain.h"
 #include "front/front.h"
 #include "support/whole_list.h"
 
@@ -222,6 +223,7 @@
         std::optional<std::uint64_t> resumedAfter = std::nullopt, std::vector<prompt_part> promptParts = {})
     {
         services.guard = guard;
+        services.drain = &drain;
         auto made = std::make_shared<routing_table>();
         route one;
         one.name = "r";
@@ -254,6 +256,7 @@
     plain_protocol protocol;
     metrics figures;
     scripted_origins origins;
+    request_drain drain;
     live_services services { loop, slots, targets, protocol, figures };
     std::shared_ptr<recording_caller> caller = std::make_shared<recording_caller>(http_request {});
     std::shared_ptr<const routing_table> table;
@@ -1103,3 +1106,91 @@
     CHECK(f.caller->body == event(1) + event(2));
     CHECK(f.caller->finished);
 }
+
+namespace {
+
+/// From now, the timeout of the fixture's requests being a second.
+steady_time afterMs(int ms)
+{
+    return std::chrono::steady_clock::now() + milliseconds { ms };
+}
+
+} // namespace
+
+// Guards against requests that are passed on although their process ends before they are complete.
+TEST_CASE("a request that waits for a slot in a stop is refused if it may last longer than its process")
+{
+    fixture late;
+    late.drain.begin(afterMs(500));
+    REQUIRE(late.caller->reply);
+    CHECK(late.caller->reply->status == 503);
+    CHECK(findHeader(late.caller->reply->headers, "Retry-After") == "0.001");
+    CHECK(late.targets.sent.empty());
+    fixture early;
+    early.drain.begin(afterMs(2000));
+    CHECK(!early.caller->reply);
+    early.slots.grant("t1");
+    CHECK(early.targets.sent == "t1@ ");
+}
+
+// Guards against the same of a request that a target has refused.
+TEST_CASE("a request that was refused by a target in a stop is not sent to another one")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.drain.begin(afterMs(500));
+    CHECK(!f.caller->reply);
+    f.targets.head(503, { { "Refused", "1" } });
+    f.targets.whole();
+    REQUIRE(f.caller->reply);
+    CHECK(f.caller->reply->status == 503);
+    CHECK(f.slots.acquisitions == 1);
+}
+
+// Guards against a refusal that is not true: a target may have run the request.
+TEST_CASE("a request that a target may have run goes on in a stop")
+{
+    fixture f;
+    f.slots.grant("t1");
+    f.drain.begin(afterMs(500));
+    f.targets.head(200);
+    f.targets.body(event(1));
+    f.targets.fail(connectionReset());
+    f.slots.grant("t2");
+    CHECK(f.targets.sent == "t1@ t2@1 ");
+    f.targets.head(200);
+    f.targets.body(event(2));
+    f.targets.whole();
+    CHECK(f.caller->finished);
+}
+
+// Guards against connections that are closed without a response when the process ends.
+TEST_CASE("a request that is cut off by the end of its process gets a response that is true")
+{
+    fixture waiting;
+    waiting.drain.cutOffAll();
+    REQUIRE(waiting.caller->reply);
+    CHECK(waiting.caller->reply->status == 503);
+
+    fixture running(request_kind::unsafe);
+    running.slots.grant("t1");
+    running.drain.cutOffAll();
+    REQUIRE(running.caller->reply);
+    CHECK(running.caller->reply->status == 502);
+
+    fixture streaming;
+    streaming.slots.grant("t1");
+    streaming.targets.head(200);
+    streaming.targets.body(event(1));
+    streaming.drain.cutOffAll();
+    CHECK(streaming.caller->aborted);
+    CHECK(!streaming.caller->finished);
+
+    fixture done;
+    done.slots.grant("t1");
+    done.targets.head(200);
+    done.targets.body(event(1));
+    done.targets.whole();
+    done.drain.cutOffAll();
+    CHECK(!done.caller->aborted);
+}
