--- a/tests/failures_broken_answers.cpp
+++ b/tests/failures_broken_answers.cpp
@@ -52,6 +52,7 @@
         CAPTURE(bytes);
         listTargets();
         const auto job = "job-" + std::to_string(m_listings);
+        const auto sent = brokenAnswers();
         send({ bytes, std::nullopt }, which);
         CHECK(system.submit("entry-a-1", job, items, events) == 202);
         std::vector<std::thread> callers;
@@ -71,7 +72,7 @@
         for (auto& caller : callers)
             caller.join();
         CHECK(wrong == std::vector<std::string>(wrong.size()));
-        CHECK(brokenAnswers() > 0);
+        CHECK(brokenAnswers() > sent);
         for (auto& target : m_targets)
             target->answerSoundly();
         for (const auto& listed : system.allResults("entry-a-2", job, items)) {
