One rule decides which requests do not begin in a stop

Cause: live_run asked it twice, at the begin of the drain against the end it was given and before a slot against the end that request_drain holds; front_process worked out the end of the grace period in three places.

Change: mustNotBegin() serves both, so that drain() needs no time; graceEnd() serves the three.

--- a/libs/front/src/front_process.cpp
+++ b/libs/front/src/front_process.cpp
@@ -652,14 +652,16 @@
     {
         m_callers->stopAccepting();
         m_callers->closeAfterAnswers();
-        m_drain.begin(m_stopAt + m_settings.grace - shutdownMargin);
+        m_drain.begin(graceEnd(shutdownMargin));
         awaitConnectionsClosed();
     }
 
+    /// When the given part of the grace period is left.
+    steady_time graceEnd(milliseconds margin) const { return m_stopAt + m_settings.grace - margin; }
+
     void awaitConnectionsClosed()
     {
-        const auto elapsed = std::chrono::steady_clock::now() - m_stopAt;
-        const bool overdue = elapsed > m_settings.grace - shutdownMargin;
+        const bool overdue = std::chrono::steady_clock::now() > graceEnd(shutdownMargin);
         if (m_callers->connections() > 0 && !overdue)
             return m_stopTimer.arm(shutdownPollInterval, [this] { awaitConnectionsClosed(); });
         logEvent(log_level::info, "stopped",
@@ -672,8 +674,7 @@
 
     void awaitResponsesWritten()
     {
-        const auto elapsed = std::chrono::steady_clock::now() - m_stopAt;
-        const bool overdue = elapsed > m_settings.grace - exitMargin;
+        const bool overdue = std::chrono::steady_clock::now() > graceEnd(exitMargin);
         if (m_callers->exchanges() > 0 && !overdue)
             return m_stopTimer.arm(shutdownPollInterval, [this] { awaitResponsesWritten(); });
         m_stopTimer.arm(shutdownPollInterval, [this] { m_loop.stop(); });
--- a/libs/front/src/job_forwarder.cpp
+++ b/libs/front/src/job_forwarder.cpp
@@ -57,7 +57,7 @@
     }
 
     /// Each call has been passed on, and its response is awaited.
-    void drain(steady_time /*end*/) override { }
+    void drain() override { }
 
     void cutOff() override
     {
--- a/libs/front/src/live_run.cpp
+++ b/libs/front/src/live_run.cpp
@@ -95,9 +95,9 @@
         acquireSlot();
     }
 
-    void drain(steady_time end) override
+    void drain() override
     {
-        if (hasNotRun() && m_deadline > end)
+        if (mustNotBegin())
             refuseOrFail(stoppingFailure());
     }
 
@@ -115,6 +115,11 @@
     bool streaming() const { return m_route.kind == request_kind::streaming; }
     /// Whether no target can have run the request, so far.
     bool hasNotRun() const { return !m_mayHaveRun && m_attempts == 0 && !m_call; }
+    /// Whether the process is being stopped and may end before the request, which has not run.
+    bool mustNotBegin() const
+    {
+        return hasNotRun() && m_services.drain && m_services.drain->refuses(m_deadline);
+    }
 
     /// Whether the caller has received a part of the stream with an earlier request.
     bool resumesStream() const { return canBeResumed() && m_facts.lastEvent.has_value(); }
@@ -288,7 +293,7 @@
     /// `beginAt`: the version at which the stream must begin; unset if any will do.
     void acquireSlot(std::optional<std::string> beginAt)
     {
-        if (hasNotRun() && m_services.drain && m_services.drain->refuses(m_deadline))
+        if (mustNotBegin())
             return refuseOrFail(stoppingFailure());
         slot_requirements wanted;
         wanted.requestId = m_facts.id;
--- a/libs/front/src/request_drain.cpp
+++ b/libs/front/src/request_drain.cpp
@@ -12,7 +12,7 @@
 void request_drain::begin(steady_time end)
 {
     m_end = end;
-    forEach([end](drainable_request& request) { request.drain(end); });
+    forEach([](drainable_request& request) { request.drain(); });
 }
 
 void request_drain::cutOffAll()
--- a/libs/front/src/request_drain.h
+++ b/libs/front/src/request_drain.h
@@ -11,8 +11,8 @@
 class drainable_request {
 public:
     virtual ~drainable_request() = default;
-    /// Refuses the request if it has not run and may last longer than until `end`.
-    virtual void drain(steady_time end) = 0;
+    /// Refuses the request if it has not run and request_drain::refuses() its deadline.
+    virtual void drain() = 0;
     /// Ends the request with a response that says what is known of it. The process ends.
     virtual void cutOff() = 0;
 };
--- a/libs/front/tests/test_request_drain.cpp
+++ b/libs/front/tests/test_request_drain.cpp
@@ -14,7 +14,7 @@
     {
         drained.add(*this);
     }
-    void drain(steady_time) override { end(); }
+    void drain() override { end(); }
     void cutOff() override { end(); }
     void end()
     {
