Tests: one class lists raw targets anew

Cause: failures_broken_answers wrote the listing of raw targets of failures_endless_answers again: the same keys, document and wait with another zone and number of slots.

Change: listed_raw_targets in the support library owns and lists them for both, with the zones and slots of each.

--- a/tests/failures_broken_answers.cpp
+++ b/tests/failures_broken_answers.cpp
@@ -8,15 +8,12 @@
 
 using namespace yuccachute;
 using namespace yuccachute::testing;
-using nlohmann::json;
 
 namespace {
 
 constexpr int events = 12;
 constexpr int items = 4;
 constexpr unsigned targets = 2;
-/// Until all processes know a target that was just listed.
-constexpr milliseconds listingDelay { 300 };
 /// More than what the system buffers for a connection whose peer reads nothing.
 constexpr std::size_t uploadBytes = 24u << 20;
 const std::vector<std::string> routes { "resumable", "once", "plain", "unsafe" };
@@ -39,19 +36,17 @@
 public:
     broken_system()
         : system(layout())
+        , m_raw(system, targets, { "a" }, 8)
     {
-        for (unsigned i = 0; i < targets; ++i)
-            m_targets.push_back(std::make_unique<raw_target>());
         system.control("/server?number=0&do=unlist");
-        listTargets();
     }
 
     /// No caller may get an answer that no sound server has sent, and items wait for a sound server.
     void checkNotPassedOn(const std::string& bytes, raw_target::answers which)
     {
         CAPTURE(bytes);
-        listTargets();
-        const auto job = "job-" + std::to_string(m_listings);
+        m_raw.listAnew();
+        const auto job = "job-" + std::to_string(++m_jobs);
         const auto sent = brokenAnswers();
         send({ bytes, std::nullopt }, which);
         CHECK(system.submit("entry-a-1", job, items, events) == 202);
@@ -73,7 +68,7 @@
             caller.join();
         CHECK(wrong == std::vector<std::string>(wrong.size()));
         CHECK(brokenAnswers() > sent);
-        for (auto& target : m_targets)
+        for (auto& target : m_raw.targets)
             target->answerSoundly();
         for (const auto& listed : system.allResults("entry-a-2", job, items)) {
             CHECK(listed["state"] == "done");
@@ -82,37 +77,22 @@
         }
     }
 
+    void listTargetsAnew() { m_raw.listAnew(); }
+
     void send(const broken_answer& answer, raw_target::answers which)
     {
-        for (auto& target : m_targets)
+        for (auto& target : m_raw.targets)
             target->sendBroken(answer, which);
     }
 
     int brokenAnswers() const
     {
         int sum = 0;
-        for (const auto& target : m_targets)
+        for (const auto& target : m_raw.targets)
             sum += target->brokenAnswers();
         return sum;
     }
 
-    /// Lists the targets as new ones, so that nothing holds that is known of them.
-    void listTargets()
-    {
-        const auto key = [](std::size_t number, int listing) {
-            return "servers/raw-" + std::to_string(number) + "-" + std::to_string(listing);
-        };
-        ++m_listings;
-        for (std::size_t i = 0; i < m_targets.size(); ++i) {
-            const json listed { { "service", "llm" }, { "address", m_targets[i]->address() }, { "zone", "a" },
-                { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 },
-                { "call_seq", 0 } };
-            system.control("/remove?key=" + key(i, m_listings - 1));
-            system.control("/put?key=" + key(i, m_listings), listed.dump());
-        }
-        std::this_thread::sleep_for(listingDelay);
-    }
-
     platform_system system;
 
 private:
@@ -123,8 +103,8 @@
         return made;
     }
 
-    std::vector<std::unique_ptr<raw_target>> m_targets;
-    int m_listings = 0;
+    listed_raw_targets m_raw;
+    int m_jobs = 0;
 };
 
 } // namespace
@@ -170,7 +150,7 @@
     int number = 0;
     for (const int afterMs : { 0, 1, 5, 20, 50, 150 }) {
         for (const std::string route : { "once", "resumable", "unsafe" }) {
-            system.listTargets();
+            system.listTargetsAnew();
             system.send(
                 { withFields(streamType, twoEvents), milliseconds { afterMs } }, raw_target::answers::runs);
             const auto sent = system.brokenAnswers();
--- a/tests/failures_endless_answers.cpp
+++ b/tests/failures_endless_answers.cpp
@@ -27,8 +27,6 @@
 constexpr int burst = 12;
 constexpr milliseconds burstInterval { 150 };
 constexpr milliseconds phaseTime { 2000 };
-/// Until all processes know a target that was just listed.
-constexpr milliseconds listingDelay { 300 };
 constexpr milliseconds itemsDue { 15000 };
 /// Until a process that was started again has read what it needs.
 constexpr milliseconds restartDelay { 500 };
@@ -238,10 +236,9 @@
 public:
     explicit endless_system(unsigned rawTargets)
         : m_system(layout(rawTargets))
+        , m_raw(m_system, rawTargets, { "a", "b" }, 4)
     {
-        for (unsigned i = 0; i < rawTargets; ++i)
-            raw.push_back(std::make_unique<raw_target>());
-        listRawTargets();
+        m_raw.listAnew();
         // All processes have served by then, so that what they hold does not count as growth.
         live_callers(m_system).run("warm-up", milliseconds { 1500 });
         checkItems("warm-up");
@@ -253,23 +250,23 @@
     /// The raw targets send these bytes in turn, and are sound again afterwards.
     void phase(const std::vector<endless_bytes>& kinds, raw_target::answers which)
     {
-        listRawTargets();
+        m_raw.listAnew();
         forEach([](const std::string&, platform_system::process& process) { resetPeak(process); });
-        const auto name = "p" + std::to_string(m_phases);
+        const auto name = "p" + std::to_string(++m_phases);
         std::string kindNames;
-        for (std::size_t i = 0; i < raw.size(); ++i) {
+        for (std::size_t i = 0; i < m_raw.targets.size(); ++i) {
             const auto& kind = kinds[i % kinds.size()];
             kindNames += (i == 0 ? "" : "; ") + kind.name;
-            raw[i]->sendEndless(kind, which);
+            m_raw.targets[i]->sendEndless(kind, which);
         }
         INFO("the targets send " << kindNames);
         CHECK(m_system.submit("entry-a-1", name + "-job", items, events) == 202);
         const auto requests = live_callers(m_system).run(name, phaseTime);
         std::set<std::string> excused;
-        for (std::size_t i = 0; i < raw.size(); ++i) {
-            raw[i]->answerSoundly();
+        for (std::size_t i = 0; i < m_raw.targets.size(); ++i) {
+            m_raw.targets[i]->answerSoundly();
             const auto& kind = kinds[i % kinds.size()];
-            const auto answers = raw[i]->takeAnswers();
+            const auto answers = m_raw.targets[i]->takeAnswers();
             CHECK(!answers.empty());
             for (const auto& answer : answers) {
                 CAPTURE(answer.requestId, answer.plain, answer.bytes, answer.open.count());
@@ -284,8 +281,6 @@
         checkProcesses();
     }
 
-    std::vector<std::unique_ptr<raw_target>> raw;
-
 private:
     static platform_layout layout(unsigned rawTargets)
     {
@@ -294,23 +289,6 @@
         return made;
     }
 
-    /// Lists the raw targets as new ones, so that nothing holds that is known of them from an earlier phase.
-    void listRawTargets()
-    {
-        const auto key = [](std::size_t number, int phase) {
-            return "servers/raw-" + std::to_string(number) + "-" + std::to_string(phase);
-        };
-        ++m_phases;
-        for (std::size_t i = 0; i < raw.size(); ++i) {
-            const json listed { { "service", "llm" }, { "address", raw[i]->address() },
-                { "zone", i % 2 == 0 ? "a" : "b" }, { "version", "v1" }, { "slots", 4 }, { "state", "ready" },
-                { "cold_left_ms", 0 }, { "call_seq", 0 } };
-            m_system.control("/remove?key=" + key(i, m_phases - 1));
-            m_system.control("/put?key=" + key(i, m_phases), listed.dump());
-        }
-        std::this_thread::sleep_for(listingDelay);
-    }
-
     template <typename Function> void forEach(Function function)
     {
         for (auto* group : { &m_system.entries, &m_system.batches }) {
@@ -389,6 +367,7 @@
     }
 
     platform_system m_system;
+    listed_raw_targets m_raw;
     std::map<std::string, std::int64_t> m_memoryKb;
     int m_phases = 0;
 };
--- a/tests/support/raw_target.cpp
+++ b/tests/support/raw_target.cpp
@@ -18,6 +18,8 @@
 /// A peer that has stopped reading is looked at this often.
 constexpr int blockedPollMs = 20;
 constexpr std::string_view idPlaceholder = "{id}";
+/// Until all processes know a target that was just listed.
+constexpr milliseconds listingDelay { 300 };
 
 std::string valueOf(const std::string& head, const std::string& name)
 {
@@ -240,4 +242,30 @@
     --m_underWay;
 }
 
+listed_raw_targets::listed_raw_targets(
+    platform_system& system, unsigned number, std::vector<std::string> zones, int slots)
+    : m_system(system)
+    , m_zones(std::move(zones))
+    , m_slots(slots)
+{
+    for (unsigned i = 0; i < number; ++i)
+        targets.push_back(std::make_unique<raw_target>());
+}
+
+void listed_raw_targets::listAnew()
+{
+    const auto key = [](std::size_t target, int listing) {
+        return "servers/raw-" + std::to_string(target) + "-" + std::to_string(listing);
+    };
+    ++m_listings;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const nlohmann::json listed { { "service", "llm" }, { "address", targets[i]->address() },
+            { "zone", m_zones[i % m_zones.size()] }, { "version", "v1" }, { "slots", m_slots },
+            { "state", "ready" }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
+        m_system.control("/remove?key=" + key(i, m_listings - 1));
+        m_system.control("/put?key=" + key(i, m_listings), listed.dump());
+    }
+    std::this_thread::sleep_for(listingDelay);
+}
+
 } // namespace yuccachute::testing
--- a/tests/support/raw_target.h
+++ b/tests/support/raw_target.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "platform_system.h"
+
 #include "http/http.h"
 
 #include <atomic>
@@ -84,4 +86,23 @@
     std::vector<endless_answer> m_answers;
 };
 
+/// Raw targets in the list of a system's store.
+class listed_raw_targets {
+public:
+    /// `zones`: availability zones of the targets, in turn.
+    listed_raw_targets(platform_system& system, unsigned number, std::vector<std::string> zones, int slots);
+
+    /// Lists the targets as new ones, so that nothing holds that is known of them, and waits until all
+    /// processes know them.
+    void listAnew();
+
+    std::vector<std::unique_ptr<raw_target>> targets;
+
+private:
+    platform_system& m_system;
+    std::vector<std::string> m_zones;
+    int m_slots;
+    int m_listings = 0;
+};
+
 } // namespace yuccachute::testing
