The end of a client's input is a flag; tests of broken names of framing fields

Cause: the error kept for an input that ended before its request was written could only be an end of file. The tests of broken names had no framing field among them.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -368,8 +368,8 @@
                       return self->write(self->m_largeBody, true);
                   self->m_writeError = error;
                   self->m_requestWritten = !error;
-                  if (self->m_inputEnd)
-                      self->connectionEnded(*self->m_inputEnd);
+                  if (self->m_inputEnded)
+                      self->connectionEnded(asio::error::eof);
               };
         m_connection->stream->writeAll(asio::buffer(bytes.data(), bytes.size()), written);
     }
@@ -603,7 +603,7 @@
         if (error == asio::error::eof && unframed && m_options.acceptUnframed && !m_writeError) {
             if (m_requestWritten)
                 return complete();
-            m_inputEnd = error;
+            m_inputEnded = true;
             return;
         }
         // The system reports a reset once. If that was to the writer, the reader has seen an end in order.
@@ -694,7 +694,7 @@
     error_code m_writeError;
     /// The input of a response without framing has ended before the request was written. The outcome of the
     /// write tells whether the connection was reset.
-    std::optional<error_code> m_inputEnd;
+    bool m_inputEnded = false;
     bool m_headDelivered = false;
     bool m_paused = false;
     bool m_eventReported = false; ///< By the receiver of the current piece of the body.
--- a/libs/http/tests/test_broken_answers.cpp
+++ b/libs/http/tests/test_broken_answers.cpp
@@ -175,6 +175,15 @@
             checkRejected(okHead + "Content-Length: 2\r\n" + name + ": v\r\n\r\nok");
         }
     }
+    for (const std::string framing : { "Content-Length: 2", "Transfer-Encoding: chunked" }) {
+        const auto colon = framing.find(':');
+        for (const std::string byte : { " ", "\t", "\x01" }) {
+            for (const std::size_t at : { std::size_t { 0 }, std::size_t { 7 }, colon }) {
+                auto broken = framing;
+                checkRejected(okHead + broken.insert(at, byte) + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+            }
+        }
+    }
     for (const std::string name : { "", "X\x7f", "X\xff", "X(Name)" })
         checkRejected(okHead + name + ": v\r\nContent-Length: 2\r\n\r\nok");
 }
